Lay the thin path from caller to backend server and back

Cause: the project starts; everything else is built onto one request path. Change: the four layers with their errors, a timer service with a manual clock, INI settings with checks, JSON-lines logging, the commands serve and check-config, the object API, host list and engine clients, a routing decision over the allowed set, one decision line and one usage line per request, and small stand-ins for what surrounds an entry host. Before: nothing.

--- /dev/null
+++ b/codegen/src/main.rs
@@ -0,0 +1,2 @@
+//! Developer tool.
+fn main() {}
--- /dev/null
+++ b/fakes/src/fake_objects.rs
@@ -0,0 +1,303 @@
+//! Stand-in for the platform's object API.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use axum::extract::{Path, Query, State};
+use axum::http::{HeaderMap, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use axum::{Json, Router};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::sync::watch;
+
+use crate::fault_plan::FaultSwitch;
+use crate::listener::FakeListener;
+
+/// Greatest number of objects in one listing.
+const MAX_LISTED: usize = 1_000;
+
+/// Stand-in for the object API: versions, conditional writes, listings and watches.
+#[derive(Debug)]
+pub struct FakeObjects {
+    store: Arc<ObjectStore>,
+    listener: FakeListener,
+}
+
+/// Objects and counters of the stand-in.
+#[derive(Debug)]
+struct ObjectStore {
+    objects: Mutex<BTreeMap<(String, String), StoredObject>>,
+    calls: Mutex<BTreeMap<&'static str, u64>>,
+    changed: watch::Sender<u64>,
+    faults: FaultSwitch,
+}
+
+/// An object with its version.
+#[derive(Clone, Debug)]
+struct StoredObject {
+    version: u64,
+    value: Value,
+}
+
+/// Parameters of a listing.
+#[derive(Debug, Deserialize)]
+struct ListQuery {
+    #[serde(default)]
+    prefix: String,
+    #[serde(default)]
+    after: String,
+    limit: Option<usize>,
+}
+
+/// Parameters of a watch.
+#[derive(Debug, Deserialize)]
+struct WatchQuery {
+    #[serde(default)]
+    after: u64,
+    #[serde(default)]
+    timeout_ms: u64,
+}
+
+impl FakeObjects {
+    /// Starts an empty store.
+    pub async fn start() -> Self {
+        let store = Arc::new(ObjectStore {
+            objects: Mutex::default(),
+            calls: Mutex::default(),
+            changed: watch::Sender::new(0),
+            faults: FaultSwitch::default(),
+        });
+        let routes = Router::new()
+            .route("/v1/objects/{kind}", get(list_objects))
+            .route(
+                "/v1/objects/{kind}/{name}",
+                get(read_object).put(write_object).delete(delete_object),
+            )
+            .route("/v1/watch/{kind}/{name}", get(watch_object))
+            .with_state(store.clone());
+        Self {
+            store,
+            listener: FakeListener::start(routes).await,
+        }
+    }
+
+    /// Returns the address of the store.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// Returns the switch of the store's faults.
+    pub fn faults(&self) -> &FaultSwitch {
+        &self.store.faults
+    }
+
+    /// Writes an object without a call.
+    pub fn put(&self, kind: &str, name: &str, value: Value) {
+        self.store.replace(kind, name, value);
+    }
+
+    /// Reads an object without a call.
+    pub fn get(&self, kind: &str, name: &str) -> Option<Value> {
+        let key = (kind.to_owned(), name.to_owned());
+        self.store
+            .objects()
+            .get(&key)
+            .map(|object| object.value.clone())
+    }
+
+    /// Returns the values of all objects of a kind, in the order of their names.
+    pub fn values(&self, kind: &str) -> Vec<Value> {
+        let objects = self.store.objects();
+        let of_kind = objects.iter().filter(|((found, _), _)| found == kind);
+        of_kind.map(|(_, object)| object.value.clone()).collect()
+    }
+
+    /// Returns the number of calls by kind of call.
+    pub fn calls(&self) -> BTreeMap<&'static str, u64> {
+        self.store
+            .calls
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+}
+
+impl ObjectStore {
+    /// Locks the objects.
+    fn objects(&self) -> MutexGuard<'_, BTreeMap<(String, String), StoredObject>> {
+        self.objects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts a call.
+    fn count(&self, kind: &'static str) {
+        *self
+            .calls
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .entry(kind)
+            .or_default() += 1;
+    }
+
+    /// Writes an object whatever its version.
+    fn replace(&self, kind: &str, name: &str, value: Value) -> u64 {
+        let key = (kind.to_owned(), name.to_owned());
+        let mut objects = self.objects();
+        let version = objects.get(&key).map_or(1, |object| object.version + 1);
+        objects.insert(key, StoredObject { version, value });
+        drop(objects);
+        self.changed.send_modify(|count| *count += 1);
+        version
+    }
+}
+
+/// Answers with the version of an object as its entity tag.
+fn object_answer(name: &str, object: &StoredObject) -> Response {
+    Json(json!({ "name": name, "version": object.version, "value": object.value })).into_response()
+}
+
+/// Serves a read.
+async fn read_object(
+    State(store): State<Arc<ObjectStore>>,
+    Path((kind, name)): Path<(String, String)>,
+) -> Response {
+    store.count("read");
+    if !store.faults.admit().await {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    let found = store.objects().get(&(kind, name.clone())).cloned();
+    match found {
+        Some(object) => object_answer(&name, &object),
+        None => StatusCode::NOT_FOUND.into_response(),
+    }
+}
+
+/// Serves a listing.
+async fn list_objects(
+    State(store): State<Arc<ObjectStore>>,
+    Path(kind): Path<String>,
+    Query(query): Query<ListQuery>,
+) -> Response {
+    store.count("list");
+    if !store.faults.admit().await {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    let limit = query.limit.unwrap_or(MAX_LISTED).min(MAX_LISTED);
+    let objects = store.objects();
+    let items: Vec<Value> = objects
+        .iter()
+        .filter(|((found, name), _)| {
+            *found == kind && name.starts_with(&query.prefix) && *name > query.after
+        })
+        .take(limit)
+        .map(|((_, name), object)| {
+            json!({ "name": name, "version": object.version, "value": object.value })
+        })
+        .collect();
+    Json(json!({ "items": items })).into_response()
+}
+
+/// Serves a conditional write.
+async fn write_object(
+    State(store): State<Arc<ObjectStore>>,
+    Path((kind, name)): Path<(String, String)>,
+    headers: HeaderMap,
+    Json(value): Json<Value>,
+) -> Response {
+    store.count("write");
+    if !store.faults.admit().await {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    let version = {
+        let mut objects = store.objects();
+        let current = objects
+            .get(&(kind.clone(), name.clone()))
+            .map(|object| object.version);
+        if !condition_holds(&headers, current) {
+            return StatusCode::PRECONDITION_FAILED.into_response();
+        }
+        let version = current.unwrap_or(0) + 1;
+        objects.insert((kind, name), StoredObject { version, value });
+        version
+    };
+    store.changed.send_modify(|count| *count += 1);
+    if store.faults.loses_answer() {
+        std::future::pending::<()>().await;
+    }
+    Json(json!({ "version": version })).into_response()
+}
+
+/// Serves a conditional deletion.
+async fn delete_object(
+    State(store): State<Arc<ObjectStore>>,
+    Path((kind, name)): Path<(String, String)>,
+    headers: HeaderMap,
+) -> Response {
+    store.count("delete");
+    if !store.faults.admit().await {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    let version = {
+        let mut objects = store.objects();
+        let key = (kind, name);
+        let current = objects.get(&key).map(|object| object.version);
+        if current.is_none() {
+            return StatusCode::NOT_FOUND.into_response();
+        }
+        if !condition_holds(&headers, current) {
+            return StatusCode::PRECONDITION_FAILED.into_response();
+        }
+        objects.remove(&key);
+        current
+    };
+    store.changed.send_modify(|count| *count += 1);
+    if store.faults.loses_answer() {
+        std::future::pending::<()>().await;
+    }
+    Json(json!({ "version": version })).into_response()
+}
+
+/// Serves a watch: answers when the object is newer than a version, or 304 after a time.
+async fn watch_object(
+    State(store): State<Arc<ObjectStore>>,
+    Path((kind, name)): Path<(String, String)>,
+    Query(query): Query<WatchQuery>,
+) -> Response {
+    store.count("watch");
+    if !store.faults.admit().await {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    let mut changed = store.changed.subscribe();
+    let newer = async {
+        loop {
+            changed.borrow_and_update();
+            let found = store.objects().get(&(kind.clone(), name.clone())).cloned();
+            if let Some(object) = found.filter(|object| object.version > query.after) {
+                return object;
+            }
+            if changed.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    };
+    match tokio::time::timeout(Duration::from_millis(query.timeout_ms), newer).await {
+        Ok(_) if store.faults.plan().refuse => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+        Ok(object) => object_answer(&name, &object),
+        Err(_) => StatusCode::NOT_MODIFIED.into_response(),
+    }
+}
+
+/// Checks the condition of a write against the current version.
+fn condition_holds(headers: &HeaderMap, current: Option<u64>) -> bool {
+    if headers.contains_key(header::IF_NONE_MATCH) {
+        return current.is_none();
+    }
+    let Some(expected) = headers.get(header::IF_MATCH) else {
+        return true;
+    };
+    let expected = expected.to_str().ok().and_then(|text| text.parse().ok());
+    expected.is_some() && expected == current
+}
--- /dev/null
+++ b/fakes/src/lib.rs
@@ -0,0 +1,21 @@
+//! Small stand-ins for the systems around an entry host, used by tests and examples only.
+//!
+//! Each stand-in listens on a free port of the loopback interface, serves a small part of the
+//! protocol of what it stands for, and can be told to fail in stated ways.
+
+pub mod fake_engine;
+pub mod fake_hosts;
+pub mod fake_objects;
+pub mod fake_rating;
+pub mod fake_service;
+pub mod fake_weights;
+pub mod fault_plan;
+pub mod listener;
+
+pub use fake_engine::{EngineOptions, FakeEngine};
+pub use fake_hosts::{FakeHosts, ListedHost};
+pub use fake_objects::FakeObjects;
+pub use fake_rating::FakeRating;
+pub use fake_service::FakeService;
+pub use fake_weights::FakeWeights;
+pub use fault_plan::{FaultPlan, FaultSwitch};
--- /dev/null
+++ b/fakes/src/listener.rs
@@ -0,0 +1,50 @@
+//! Serves routes on a free loopback port until dropped.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use axum::Router;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+/// A served router; it stops when dropped or killed.
+#[derive(Debug)]
+pub struct FakeListener {
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl FakeListener {
+    /// Starts to serve routes on a free port.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no loopback port can be opened.
+    pub async fn start(routes: Router) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+            .await
+            .expect("a loopback port is free");
+        let address = listener
+            .local_addr()
+            .expect("a bound socket has an address");
+        let task = tokio::spawn(async move {
+            let _ = axum::serve(listener, routes).await;
+        });
+        Self { address, task }
+    }
+
+    /// Returns the address that is listened on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting connections.
+    pub fn kill(&self) {
+        self.task.abort();
+    }
+}
+
+impl Drop for FakeListener {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
--- /dev/null
+++ b/galenamast/src/config/mod.rs
@@ -0,0 +1,27 @@
+//! Settings of an entry host, read from an INI file.
+
+pub mod callers_settings;
+pub mod host_settings;
+pub mod logging_settings;
+pub mod metrics_settings;
+pub mod operators_settings;
+pub mod peers_settings;
+pub mod platform_settings;
+pub mod routing_settings;
+pub mod setting_key;
+pub mod settings_error;
+pub mod settings_file;
+pub mod shutdown_settings;
+
+pub use callers_settings::CallersSettings;
+pub use host_settings::HostSettings;
+pub use logging_settings::LoggingSettings;
+pub use metrics_settings::MetricsSettings;
+pub use operators_settings::OperatorsSettings;
+pub use peers_settings::PeersSettings;
+pub use platform_settings::PlatformSettings;
+pub use routing_settings::RoutingSettings;
+pub use setting_key::SettingKey;
+pub use settings_error::{SettingsError, SettingsProblem};
+pub use settings_file::{Settings, check_settings, load_settings};
+pub use shutdown_settings::ShutdownSettings;
--- /dev/null
+++ b/galenamast/src/protocol/chat_messages.rs
@@ -0,0 +1,109 @@
+//! Chat completion requests and answers, as far as an entry host reads them.
+
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+
+use crate::protocol::protocol_error::ProtocolError;
+
+/// A chat completion request; fields that the entry host does not read are passed on.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ChatRequest {
+    /// Model that the caller asks for; `auto` leaves the choice to the router.
+    #[serde(default)]
+    pub model: String,
+    /// Messages of the conversation.
+    pub messages: Vec<ChatMessage>,
+    /// Whether the answer is streamed.
+    #[serde(default)]
+    pub stream: bool,
+    /// Greatest length of the answer, in tokens.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_tokens: Option<u32>,
+    /// All other fields.
+    #[serde(flatten)]
+    pub rest: Map<String, Value>,
+}
+
+/// A message of a conversation.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ChatMessage {
+    /// Author of the message.
+    pub role: String,
+    /// Text or parts of the message.
+    #[serde(default)]
+    pub content: Value,
+    /// All other fields.
+    #[serde(flatten)]
+    pub rest: Map<String, Value>,
+}
+
+impl ChatRequest {
+    /// Decodes and checks a request body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body is not JSON of the expected shape or has no message.
+    ///
+    /// ```
+    /// use galenamast::protocol::ChatRequest;
+    ///
+    /// let body = br#"{"model":"auto","messages":[{"role":"user","content":"boots?"}]}"#;
+    /// assert_eq!(ChatRequest::decode(body).unwrap().messages.len(), 1);
+    /// assert!(ChatRequest::decode(br#"{"messages":[]}"#).is_err());
+    /// ```
+    pub fn decode(body: &[u8]) -> Result<Self, ProtocolError> {
+        let request: ChatRequest =
+            serde_json::from_slice(body).map_err(|source| ProtocolError::Json {
+                what: "chat request",
+                source,
+            })?;
+        if request.messages.is_empty() {
+            let reason = "`messages` must hold at least one message".into();
+            return Err(ProtocolError::Invalid {
+                what: "chat request",
+                reason,
+            });
+        }
+        Ok(request)
+    }
+
+    /// Estimates the length of the prompt, in tokens, at four bytes a token.
+    pub fn estimate_prompt_tokens(&self) -> u32 {
+        let bytes: usize = self
+            .messages
+            .iter()
+            .map(|message| content_len(&message.content))
+            .sum();
+        u32::try_from(bytes / 4 + 1).unwrap_or(u32::MAX)
+    }
+}
+
+/// Returns the length of a message's text, in bytes.
+fn content_len(content: &Value) -> usize {
+    match content {
+        Value::String(text) => text.len(),
+        other => other.to_string().len(),
+    }
+}
+
+/// A whole chat completion answer, as far as an entry host reads it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ChatAnswer {
+    /// Identifier of the request that the answer belongs to.
+    #[serde(default)]
+    pub id: String,
+    /// Length of prompt and answer.
+    #[serde(default)]
+    pub usage: ChatUsage,
+}
+
+/// Length of the prompt and the answer of a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChatUsage {
+    /// Length of the prompt, in tokens.
+    #[serde(default)]
+    pub prompt_tokens: u64,
+    /// Length of the answer, in tokens.
+    #[serde(default)]
+    pub completion_tokens: u64,
+}
--- /dev/null
+++ b/galenamast/src/protocol/log_record.rs
@@ -0,0 +1,36 @@
+//! The typed records that log lines hold, one JSON object a line.
+
+use serde::{Deserialize, Serialize};
+
+use crate::coordination::UsageRecord;
+use crate::protocol::decision_record::DecisionRecord;
+use crate::state::ConfigGeneration;
+
+/// A log line.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum LogRecord {
+    /// A request was routed.
+    Decision(DecisionRecord),
+    /// A request was billed.
+    Usage(UsageRecord),
+    /// The host started to serve.
+    HostStarted {
+        /// Address for callers.
+        callers: String,
+    },
+    /// The host stopped serving.
+    HostStopped,
+    /// A configuration came into force on this host.
+    ConfigAdopted {
+        /// Generation of the configuration.
+        generation: ConfigGeneration,
+    },
+    /// Something failed that the host recovers from by itself.
+    Fault {
+        /// Part of the host that met the fault.
+        part: String,
+        /// What happened.
+        message: String,
+    },
+}
--- /dev/null
+++ b/galenamast/src/state/server_record.rs
@@ -0,0 +1,86 @@
+//! What is known of one backend server when a request is routed.
+
+use std::collections::BTreeSet;
+
+use serde::{Deserialize, Serialize};
+
+use crate::state::names::{DomainName, PoolName, ServerName};
+use crate::state::time_point::TimePoint;
+use crate::state::version_key::VersionKey;
+
+/// Address, life and load of a backend server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServerRecord {
+    /// Name of the server.
+    pub name: ServerName,
+    /// Address as `ip:port`.
+    pub address: String,
+    /// Failure domain of the server.
+    pub domain: DomainName,
+    /// Pool of the server.
+    pub pool: PoolName,
+    /// Number that grows each time the server restarts.
+    pub incarnation: u64,
+    /// Whether the server takes new work.
+    pub life: ServerLife,
+    /// Versions that the server has loaded; empty for a plain service.
+    pub versions: BTreeSet<VersionKey>,
+    /// Load that the server last reported.
+    pub load: ServerLoad,
+    /// Requests of this entry host in flight on the server.
+    pub own_in_flight: u32,
+    /// Requests that this entry host had in flight when the load was reported.
+    pub own_at_report: u32,
+    /// When the load report arrived.
+    pub reported_at: TimePoint,
+    /// Moving average of the time to first byte, in microseconds.
+    pub latency_micros: u64,
+}
+
+impl Default for ServerRecord {
+    fn default() -> Self {
+        Self {
+            name: ServerName::default(),
+            address: String::new(),
+            domain: DomainName::default(),
+            pool: PoolName::default(),
+            incarnation: 0,
+            life: ServerLife::Live,
+            versions: BTreeSet::new(),
+            load: ServerLoad::default(),
+            own_in_flight: 0,
+            own_at_report: 0,
+            reported_at: TimePoint::ZERO,
+            latency_micros: 0,
+        }
+    }
+}
+
+/// Load that a backend server reports about itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ServerLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Part of the KV cache in use, in thousandths.
+    pub cache_used: u32,
+}
+
+/// Whether a backend server takes new work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ServerLife {
+    /// Nothing is known yet; the server is probed.
+    Probing,
+    /// The server takes new work.
+    #[default]
+    Live,
+    /// The server failed or went silent; it takes work only when no live one can.
+    Suspect,
+    /// The server is leaving; it finishes what it runs.
+    Draining,
+    /// The server has left.
+    Gone,
+}
--- /dev/null
+++ b/galenamast/src/state/server_table.rs
@@ -0,0 +1,47 @@
+//! The backend servers known to an entry host.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::state::names::{PoolName, ServerName};
+use crate::state::server_record::ServerRecord;
+
+/// Backend servers by pool and name, as one immutable snapshot.
+#[derive(Clone, Debug, Default)]
+pub struct ServerTable {
+    pools: BTreeMap<PoolName, BTreeMap<ServerName, Arc<ServerRecord>>>,
+}
+
+impl ServerTable {
+    /// Adds a server, or replaces the record of the same name and pool.
+    ///
+    /// ```
+    /// use galenamast::state::{ServerRecord, ServerTable};
+    ///
+    /// let mut table = ServerTable::default();
+    /// table.insert(ServerRecord { pool: "advice".into(), ..Default::default() });
+    /// assert_eq!(table.servers_in(&"advice".into()).count(), 1);
+    /// ```
+    pub fn insert(&mut self, record: ServerRecord) {
+        let pool = self.pools.entry(record.pool.clone()).or_default();
+        pool.insert(record.name.clone(), Arc::new(record));
+    }
+
+    /// Returns the servers of a pool in the order of their names.
+    pub fn servers_in(&self, pool: &PoolName) -> impl Iterator<Item = &Arc<ServerRecord>> {
+        self.pools
+            .get(pool)
+            .into_iter()
+            .flat_map(|servers| servers.values())
+    }
+
+    /// Returns all servers.
+    pub fn servers(&self) -> impl Iterator<Item = &Arc<ServerRecord>> {
+        self.pools.values().flat_map(|servers| servers.values())
+    }
+
+    /// Finds a server of a pool.
+    pub fn find(&self, pool: &PoolName, name: &ServerName) -> Option<&Arc<ServerRecord>> {
+        self.pools.get(pool)?.get(name)
+    }
+}
--- /dev/null
+++ b/galenamast/src/transport/http_client.rs
@@ -0,0 +1,188 @@
+//! HTTP client shared by the faces towards backend servers and the platform.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::protocol::ProtocolError;
+use crate::transport::transport_error::TransportError;
+
+/// Longest time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after which an unused connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Greatest size of a JSON answer, in bytes.
+const MAX_JSON_BYTES: usize = 16 * 1_024 * 1_024;
+
+/// HTTP client with a pool of connections per remote address.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl HttpClient {
+    /// Creates a client without open connections.
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_timer(TokioTimer::new())
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { client }
+    }
+
+    /// Sends a request and returns the head of the answer with its unread body.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Connect` if nothing was sent, and `Broken` if part of it may have been.
+    pub async fn send(
+        &self,
+        address: &str,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TransportError> {
+        self.client.request(request).await.map_err(|error| {
+            let address = address.to_owned();
+            let reason = error_chain(&error);
+            if error.is_connect() {
+                TransportError::Connect { address, reason }
+            } else {
+                TransportError::Broken { address, reason }
+            }
+        })
+    }
+
+    /// Sends a JSON request and decodes the JSON answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the call fails, times out, or is answered without success.
+    pub async fn call_json<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        address: &str,
+        path: &str,
+        body: Option<&(impl Serialize + Sync)>,
+        timeout: Duration,
+    ) -> Result<T, TransportError> {
+        let request = json_request(method, address, path, body)?;
+        let response = within(address, timeout, self.send(address, request)).await?;
+        let status = response.status();
+        if !status.is_success() {
+            let status = status.as_u16();
+            return Err(TransportError::Status {
+                address: address.to_owned(),
+                status,
+            });
+        }
+        let bytes = within(
+            address,
+            timeout,
+            read_body(address, response, MAX_JSON_BYTES),
+        )
+        .await?;
+        let what = "JSON answer";
+        serde_json::from_slice(&bytes).map_err(|source| ProtocolError::Json { what, source }.into())
+    }
+}
+
+/// Builds a request with an optional JSON body.
+///
+/// # Errors
+///
+/// Returns an error if the path is malformed or the body cannot be encoded.
+pub fn json_request(
+    method: Method,
+    address: &str,
+    path: &str,
+    body: Option<&(impl Serialize + Sync)>,
+) -> Result<Request<Full<Bytes>>, TransportError> {
+    let what = "JSON request";
+    let bytes = match body {
+        Some(body) => {
+            serde_json::to_vec(body).map_err(|source| ProtocolError::Json { what, source })?
+        }
+        None => Vec::new(),
+    };
+    Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(bytes)))
+        .map_err(|error| {
+            ProtocolError::Invalid {
+                what,
+                reason: error.to_string(),
+            }
+            .into()
+        })
+}
+
+/// Reads the whole body of an answer, up to a greatest size.
+///
+/// # Errors
+///
+/// Returns `Broken` if the body is cut off or too large.
+pub async fn read_body(
+    address: &str,
+    response: Response<Incoming>,
+    max_bytes: usize,
+) -> Result<Bytes, TransportError> {
+    let body = Limited::new(response.into_body(), max_bytes);
+    let collected = body
+        .collect()
+        .await
+        .map_err(|error| TransportError::Broken {
+            address: address.to_owned(),
+            reason: error.to_string(),
+        })?;
+    Ok(collected.to_bytes())
+}
+
+/// Bounds the time of a call.
+///
+/// # Errors
+///
+/// Returns the call's own error, or `Timeout`.
+pub async fn within<T>(
+    address: &str,
+    timeout: Duration,
+    call: impl Future<Output = Result<T, TransportError>>,
+) -> Result<T, TransportError> {
+    match tokio::time::timeout(timeout, call).await {
+        Ok(result) => result,
+        Err(_) => Err(TransportError::Timeout {
+            address: address.to_owned(),
+            timeout,
+        }),
+    }
+}
+
+/// Joins an error and its sources into one text.
+fn error_chain(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(error) = source {
+        text.push_str(": ");
+        text.push_str(&error.to_string());
+        source = error.source();
+    }
+    text
+}
--- /dev/null
+++ b/galenamast/src/transport/mod.rs
@@ -0,0 +1,18 @@
+//! Sockets, HTTP, TLS, timers and signals; performs what the layers below decide.
+
+pub mod backend_client;
+pub mod caller_server;
+pub mod config_loader;
+pub mod host_context;
+pub mod host_list_poller;
+pub mod http_client;
+pub mod object_client;
+pub mod timer_service;
+pub mod transport_error;
+
+pub use backend_client::{BackendClient, BackendReply};
+pub use host_context::HostContext;
+pub use http_client::HttpClient;
+pub use object_client::ObjectClient;
+pub use timer_service::{ManualClock, TimerService, TimerSubscription};
+pub use transport_error::TransportError;
--- /dev/null
+++ b/galenamast/src/transport/transport_error.rs
@@ -0,0 +1,73 @@
+//! Errors of the transport layer.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use thiserror::Error;
+
+use crate::coordination::CoordinationError;
+use crate::protocol::ProtocolError;
+use crate::state::StateError;
+
+/// An error of the transport layer.
+#[derive(Debug, Error)]
+#[non_exhaustive]
+pub enum TransportError {
+    /// A listening socket could not be opened.
+    #[error("cannot listen on {address}: {source}")]
+    Listen {
+        /// Address that was to be listened on.
+        address: SocketAddr,
+        /// Why it could not be.
+        source: std::io::Error,
+    },
+    /// No connection to the remote end was made, so that it saw nothing of the request.
+    #[error("cannot connect to {address}: {reason}")]
+    Connect {
+        /// Address of the remote end.
+        address: String,
+        /// Why no connection was made.
+        reason: String,
+    },
+    /// The connection failed after part of the request may have been sent.
+    #[error("connection to {address} failed: {reason}")]
+    Broken {
+        /// Address of the remote end.
+        address: String,
+        /// How it failed.
+        reason: String,
+    },
+    /// The remote end did not answer in time.
+    #[error("{address} did not answer within {timeout:?}")]
+    Timeout {
+        /// Address of the remote end.
+        address: String,
+        /// How long was waited.
+        timeout: Duration,
+    },
+    /// The remote end answered with a status that is not expected.
+    #[error("{address} answered with status {status}")]
+    Status {
+        /// Address of the remote end.
+        address: String,
+        /// The HTTP status.
+        status: u16,
+    },
+    /// A setting that the part needs is missing.
+    #[error("the setting [{section}] {name} is needed")]
+    MissingSetting {
+        /// Section of the setting.
+        section: &'static str,
+        /// Name of the setting.
+        name: &'static str,
+    },
+    /// The coordination layer refused something.
+    #[error(transparent)]
+    Coordination(#[from] CoordinationError),
+    /// The protocol layer refused something.
+    #[error(transparent)]
+    Protocol(#[from] ProtocolError),
+    /// The state layer refused something.
+    #[error(transparent)]
+    State(#[from] StateError),
+}
--- /dev/null
+++ b/galenamast/tests/structure/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the structure of the source tree.
+
+mod layers;
