Give each command of the program its own module

Cause: main.rs held parsing and running of two commands, and more come. Change: commands/ holds a module per command with its arguments and its run function; cli.rs gathers them; main.rs calls one function. Before: one file for all commands. Conclusion: commands can be added side by side.

--- a/galenamast/src/cli.rs
+++ b/galenamast/src/cli.rs
@@ -1,13 +1,10 @@
-//! The command line.
+//! The command line: gathers the commands and runs the one that was asked for.
 
-use std::path::PathBuf;
+use std::process::ExitCode;
 
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::Command;
 
-/// Exit code of a command whose claim did not hold.
-pub const EXIT_FAILED: u8 = 1;
-/// Exit code of a command with invalid arguments or settings.
-pub const EXIT_INVALID: u8 = 2;
+use crate::commands::{EXIT_INVALID, check_config, serve};
 
 /// Builds the command line.
 ///
@@ -23,43 +20,16 @@
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
-        .subcommand(serve_command())
-        .subcommand(check_command())
+        .subcommand(serve::command())
+        .subcommand(check_config::command())
 }
 
-/// Builds the command `serve`.
-fn serve_command() -> Command {
-    let config = Arg::new("config")
-        .long("config")
-        .value_name("FILE")
-        .help("Settings file of the entry host")
-        .required(true)
-        .value_parser(value_parser!(PathBuf));
-    let check = Arg::new("check")
-        .long("check")
-        .help("Check the settings and exit")
-        .action(ArgAction::SetTrue);
-    Command::new("serve")
-        .about("Run an entry host")
-        .arg(config)
-        .arg(check)
-}
-
-/// Builds the command `check-config`.
-fn check_command() -> Command {
-    let file = Arg::new("file")
-        .value_name("FILE")
-        .help("Settings file to check")
-        .required(true)
-        .value_parser(value_parser!(PathBuf));
-    Command::new("check-config")
-        .about("Check a settings file")
-        .arg(file)
-}
-
-/// Returns a path argument that the command requires.
-pub fn required_path<'a>(matches: &'a ArgMatches, name: &str) -> &'a PathBuf {
-    matches
-        .get_one::<PathBuf>(name)
-        .expect("clap enforces required arguments")
+/// Parses the process's arguments and runs the command that they name.
+pub fn run_command() -> ExitCode {
+    let matches = build_command().get_matches();
+    match matches.subcommand() {
+        Some((serve::NAME, matches)) => serve::run(matches),
+        Some((check_config::NAME, matches)) => check_config::run(matches),
+        _ => ExitCode::from(EXIT_INVALID),
+    }
 }
--- /dev/null
+++ b/galenamast/src/commands/check_config.rs
@@ -0,0 +1,49 @@
+//! The command `check-config`, which checks a settings file.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+
+use crate::commands::EXIT_INVALID;
+use crate::config::{Settings, load_settings};
+
+/// Name of the command.
+pub const NAME: &str = "check-config";
+
+/// Builds the command's arguments.
+pub fn command() -> Command {
+    let file = Arg::new("file")
+        .value_name("FILE")
+        .help("Settings file to check")
+        .required(true)
+        .value_parser(value_parser!(PathBuf));
+    Command::new(NAME).about("Check a settings file").arg(file)
+}
+
+/// Runs the command.
+pub fn run(matches: &ArgMatches) -> ExitCode {
+    match matches.get_one::<PathBuf>("file") {
+        Some(path) => check(path),
+        None => ExitCode::from(EXIT_INVALID),
+    }
+}
+
+/// Checks a settings file and prints the result.
+pub(crate) fn check(path: &Path) -> ExitCode {
+    match load(path) {
+        Ok(_) => {
+            println!("{}: ok", path.display());
+            ExitCode::SUCCESS
+        }
+        Err(code) => code,
+    }
+}
+
+/// Loads settings, or prints what is wrong with them.
+pub(crate) fn load(path: &Path) -> Result<Settings, ExitCode> {
+    load_settings(path).map_err(|error| {
+        eprintln!("{error}");
+        ExitCode::from(EXIT_INVALID)
+    })
+}
--- /dev/null
+++ b/galenamast/src/commands/mod.rs
@@ -0,0 +1,9 @@
+//! The commands of the program, a module each: its arguments and what it does.
+
+pub mod check_config;
+pub mod serve;
+
+/// Exit code of a command whose claim did not hold.
+pub const EXIT_FAILED: u8 = 1;
+/// Exit code of a command with invalid arguments or settings.
+pub const EXIT_INVALID: u8 = 2;
--- a/galenamast/src/lib.rs
+++ b/galenamast/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`event_loop`] that runs an entry host.
 
 pub mod cli;
+pub mod commands;
 pub mod config;
 pub mod coordination;
 pub mod event_loop;
