Add the operator schema, its generated code and conversions

Cause: operators need one documented protocol for every change and report. Change: proto/galenamast/v1/operator.proto with seven services; codegen writes the committed code through protox; protocol modules convert objects, roll-outs, refusals and operator tokens; pools list the servers that an operator took out of service.

--- a/galenamast/src/lib.rs
+++ b/galenamast/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod coordination;
 pub mod event_loop;
+pub mod generated;
 pub mod logging;
 pub mod protocol;
 pub mod state;
--- a/galenamast/src/protocol/mod.rs
+++ b/galenamast/src/protocol/mod.rs
@@ -5,6 +5,11 @@
 pub mod decision_record;
 pub mod headers;
 pub mod log_record;
+pub mod operator_json;
+pub mod operator_objects;
+pub mod operator_refusal;
+pub mod operator_rollout;
+pub mod operator_tokens;
 pub mod protocol_error;
 
 pub use caller_error::{CallerError, ErrorCode};
--- a/galenamast/src/state/pool_spec.rs
+++ b/galenamast/src/state/pool_spec.rs
@@ -1,10 +1,11 @@
 //! What an operator configures for a pool of backend servers and a plain service.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use crate::state::names::{PoolName, ServiceName};
+use crate::state::names::{PoolName, ServerName, ServiceName};
 
 /// Configuration of a pool of backend servers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -20,6 +21,8 @@
     pub slots_per_server: u32,
     /// Time after which an attempt without any answer is given up.
     pub attempt_timeout: Duration,
+    /// Servers that an operator took out of service; they take no new work.
+    pub drained_servers: BTreeSet<ServerName>,
 }
 
 impl Default for PoolSpec {
@@ -30,6 +33,7 @@
             checks_fencing: false,
             slots_per_server: 32,
             attempt_timeout: Duration::from_secs(60),
+            drained_servers: BTreeSet::new(),
         }
     }
 }
