Start whole deployments from one place and prove the path by processes

Cause: the quickstart, the examples and the tests each need entry hosts, backend servers and the platform's stand-ins, and would repeat their set-up. Change: a development-only crate, testbed, with Deployment and Caller; the quickstart runs both deployments on it; a test starts entry hosts as separate processes, sends them requests and stops them by a signal.

--- /dev/null
+++ b/testbed/src/caller.rs
@@ -0,0 +1,126 @@
+//! A caller of an entry host.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use galenamast::transport::http_client::json_request;
+use galenamast::transport::{HttpClient, TransportError};
+use http::{HeaderName, HeaderValue, Method};
+use http_body_util::BodyExt;
+use serde_json::{Value, json};
+
+/// A caller with the key of a workspace.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    client: HttpClient,
+    key: String,
+}
+
+/// What a caller got back.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CallerReply {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers of the answer.
+    pub headers: BTreeMap<String, String>,
+    /// Body of the answer; `None` if it was cut off.
+    pub body: Option<Vec<u8>>,
+}
+
+impl CallerReply {
+    /// Returns a header of the answer.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).map(String::as_str)
+    }
+
+    /// Decodes the body as JSON; null if it is not.
+    pub fn json(&self) -> Value {
+        let bytes = self.body.as_deref().unwrap_or_default();
+        serde_json::from_slice(bytes).unwrap_or(Value::Null)
+    }
+
+    /// Returns the text of a chat answer.
+    pub fn content(&self) -> String {
+        let answer = self.json();
+        answer["choices"][0]["message"]["content"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
+    }
+}
+
+impl Caller {
+    /// Creates a caller that presents the key of a workspace.
+    pub fn new(workspace: &str) -> Self {
+        Self {
+            client: HttpClient::new(),
+            key: format!("{workspace}-key"),
+        }
+    }
+
+    /// Sends a chat request and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no answer arrives.
+    pub async fn chat(
+        &self,
+        host: SocketAddr,
+        content: &str,
+        headers: &[(&str, &str)],
+    ) -> Result<CallerReply, TransportError> {
+        let message = json!({ "role": "user", "content": content });
+        let body = json!({ "model": "auto", "messages": [message] });
+        self.send(
+            Method::POST,
+            host,
+            "/v1/chat/completions",
+            Some(&body),
+            headers,
+        )
+        .await
+    }
+
+    /// Sends any request and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no answer arrives.
+    pub async fn send(
+        &self,
+        method: Method,
+        host: SocketAddr,
+        path: &str,
+        body: Option<&Value>,
+        headers: &[(&str, &str)],
+    ) -> Result<CallerReply, TransportError> {
+        let address = host.to_string();
+        let mut request = json_request(method, &address, path, body)?;
+        let bearer = format!("Bearer {}", self.key);
+        for (name, value) in headers
+            .iter()
+            .copied()
+            .chain([("authorization", bearer.as_str())])
+        {
+            let name = HeaderName::try_from(name).expect("the test names valid headers");
+            let value = HeaderValue::try_from(value).expect("the test gives valid values");
+            request.headers_mut().insert(name, value);
+        }
+        let response = self.client.send(&address, request).await?;
+        let status = response.status().as_u16();
+        let mut headers = BTreeMap::new();
+        for (name, value) in response.headers() {
+            headers.insert(
+                name.to_string(),
+                value.to_str().unwrap_or_default().to_owned(),
+            );
+        }
+        let body = response.into_body().collect().await.ok();
+        let body = body.map(|collected| collected.to_bytes().to_vec());
+        Ok(CallerReply {
+            status,
+            headers,
+            body,
+        })
+    }
+}
