Read declarative files, bound repeated faults and count log records

Cause: operators need reviewable files for what they configure, faults may flood the log, and metrics need one place that names them.

--- a/galenamast/src/commands/check_config.rs
+++ b/galenamast/src/commands/check_config.rs
@@ -6,7 +6,7 @@
 use clap::{Arg, ArgMatches, Command, value_parser};
 
 use crate::commands::EXIT_INVALID;
-use crate::config::{Settings, load_settings};
+use crate::config::{Settings, check_files};
 
 /// Name of the command.
 pub const NAME: &str = "check-config";
@@ -42,7 +42,7 @@
 
 /// Loads settings, or prints what is wrong with them.
 pub(crate) fn load(path: &Path) -> Result<Settings, ExitCode> {
-    load_settings(path).map_err(|error| {
+    check_files(path).map_err(|error| {
         eprintln!("{error}");
         ExitCode::from(EXIT_INVALID)
     })
--- /dev/null
+++ b/galenamast/src/config/pool_fields.rs
@@ -0,0 +1,103 @@
+//! Keys of sections `[pool NAME]` and `[service NAME]` of a declarative file.
+
+use std::time::Duration;
+
+use crate::config::object_field::{ObjectField, name_list};
+use crate::config::setting_key::{duration, flag, name, store, whole};
+use crate::state::{PoolKind, PoolSpec, ServiceRule, ServiceSpec};
+
+/// Parses what the servers of a pool are.
+fn pool_kind(text: &str) -> Option<PoolKind> {
+    match text {
+        "engine" => Some(PoolKind::Engine),
+        "service" => Some(PoolKind::Service),
+        _ => None,
+    }
+}
+
+/// Parses a rule: method, path prefix and `idempotent` or `once`.
+fn service_rule(text: &str) -> Option<ServiceRule> {
+    let parts: Vec<&str> = text.split_whitespace().collect();
+    let [method, path_prefix, repeat] = parts[..] else {
+        return None;
+    };
+    let idempotent = match repeat {
+        "idempotent" => true,
+        "once" => false,
+        _ => return None,
+    };
+    path_prefix.starts_with('/').then(|| ServiceRule {
+        method: method.into(),
+        path_prefix: path_prefix.into(),
+        idempotent,
+    })
+}
+
+/// Keys of a pool.
+pub(crate) const POOL_FIELDS: &[ObjectField<PoolSpec>] = &[
+    ObjectField {
+        name: "kind",
+        default: "engine",
+        range: "engine or service",
+        description: "What the servers of the pool are.",
+        apply: |spec, _, text| store(&mut spec.kind, pool_kind(text)),
+    },
+    ObjectField {
+        name: "checks_fencing",
+        default: "false",
+        range: "true or false",
+        description: "Whether the servers refuse an order with an old fencing number.",
+        apply: |spec, _, text| store(&mut spec.checks_fencing, flag(text)),
+    },
+    ObjectField {
+        name: "slots_per_server",
+        default: "32",
+        range: "1 to 100000 requests",
+        description: "Requests that one server runs at once before it queues.",
+        apply: |spec, _, text| {
+            let parsed = whole(text, 1, 100_000).and_then(|value| u32::try_from(value).ok());
+            store(&mut spec.slots_per_server, parsed)
+        },
+    },
+    ObjectField {
+        name: "attempt_timeout",
+        default: "60s",
+        range: "100ms to 1h",
+        description: "Time after which an attempt without any answer is given up.",
+        apply: |spec, _, text| {
+            let parsed = duration(text, Duration::from_millis(100), Duration::from_secs(3_600));
+            store(&mut spec.attempt_timeout, parsed)
+        },
+    },
+    ObjectField {
+        name: "drained_servers",
+        default: "",
+        range: "names separated by commas",
+        description: "Servers that take no new work; left out, a known pool keeps its list.",
+        apply: |spec, _, text| store(&mut spec.drained_servers, name_list(text)),
+    },
+];
+
+/// Keys of a service.
+pub(crate) const SERVICE_FIELDS: &[ObjectField<ServiceSpec>] = &[
+    ObjectField {
+        name: "pool",
+        default: "",
+        range: "the name of a pool",
+        description: "Pool of backend servers that run the service.",
+        apply: |spec, _, text| store(&mut spec.pool, name(text).map(Into::into)),
+    },
+    ObjectField {
+        name: "rule.",
+        default: "",
+        range: "METHOD PATH-PREFIX idempotent|once, with `*` for any method",
+        description: "Rule on calls; the first in the order of the file that matches applies.",
+        apply: |spec, _, text| match service_rule(text) {
+            Some(rule) => {
+                spec.rules.push(rule);
+                true
+            }
+            None => false,
+        },
+    },
+];
--- a/galenamast/src/config/settings_file.rs
+++ b/galenamast/src/config/settings_file.rs
@@ -1,12 +1,12 @@
 //! Reading and checking of a settings file.
 
-use std::collections::BTreeMap;
 use std::path::Path;
 
 use ini::Ini;
 
 use crate::config::callers_settings::{self, CallersSettings};
 use crate::config::host_settings::{self, HostSettings};
+use crate::config::ini_lines::IniLines;
 use crate::config::logging_settings::{self, LoggingSettings};
 use crate::config::metrics_settings::{self, MetricsSettings};
 use crate::config::operators_settings::{self, OperatorsSettings};
@@ -105,13 +105,13 @@
             message,
         }])
     })?;
-    let lines = key_lines(text);
+    let lines = IniLines::scan(text);
+    problems.extend(repeated_problems(file, &lines));
     for (section, properties) in &document {
         let section = section.unwrap_or("");
         for (name, value) in properties {
             if let Err(message) = apply_value(&mut settings, section, name, value) {
-                let key = (section.to_owned(), name.to_owned());
-                let line = lines.get(&key).copied().unwrap_or(1);
+                let line = lines.line_of(section, name);
                 problems.push(SettingsProblem {
                     file: file.into(),
                     line,
@@ -133,6 +133,19 @@
     Err(SettingsError::Invalid(problems))
 }
 
+/// Describes the sections and keys that stand more than once.
+pub(crate) fn repeated_problems(file: &str, lines: &IniLines) -> Vec<SettingsProblem> {
+    let describe = |repeated: crate::config::ini_lines::RepeatedLine| SettingsProblem {
+        file: file.into(),
+        line: repeated.line,
+        message: format!(
+            "{} stands again; first in line {}",
+            repeated.subject, repeated.first
+        ),
+    };
+    lines.repeated().into_iter().map(describe).collect()
+}
+
 /// Describes a required key that is missing.
 fn missing_key(file: &str, section: &str, name: &str) -> SettingsProblem {
     let message = format!("[{section}] needs the key `{name}`, which is missing or empty");
@@ -186,7 +199,7 @@
 }
 
 /// Words a suggestion of the most similar known word.
-fn suggestion<'a>(word: &str, known: impl Iterator<Item = &'a str>) -> String {
+pub(crate) fn suggestion<'a>(word: &str, known: impl Iterator<Item = &'a str>) -> String {
     known
         .map(|candidate| (strsim::jaro_winkler(word, candidate), candidate))
         .filter(|(similarity, _)| *similarity >= SUGGESTION_SIMILARITY)
@@ -195,21 +208,3 @@
             format!("; did you mean `{candidate}`?")
         })
 }
-
-/// Finds the line of each key, from one.
-fn key_lines(text: &str) -> BTreeMap<(String, String), usize> {
-    let mut lines = BTreeMap::new();
-    let mut section = String::new();
-    for (index, line) in text.lines().enumerate() {
-        let line = line.trim();
-        if let Some(name) = line
-            .strip_prefix('[')
-            .and_then(|rest| rest.strip_suffix(']'))
-        {
-            section = name.trim().to_owned();
-        } else if let Some((name, _)) = line.split_once(['=', ':']) {
-            lines.insert((section.clone(), name.trim().to_owned()), index + 1);
-        }
-    }
-    lines
-}
--- a/galenamast/src/coordination/mod.rs
+++ b/galenamast/src/coordination/mod.rs
@@ -4,10 +4,12 @@
 
 pub mod config_documents;
 pub mod coordination_error;
+pub mod fault_limiter;
 pub mod host_list;
 pub mod load_report;
 pub mod object_record;
 pub mod object_write;
+pub mod rollout_actions;
 pub mod server_directory;
 pub mod usage_record;
 
--- a/galenamast/src/logging.rs
+++ b/galenamast/src/logging.rs
@@ -2,18 +2,38 @@
 
 use std::fs::OpenOptions;
 use std::io::{self, Write};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::sync::{Arc, LazyLock, Mutex, OnceLock, PoisonError};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use log::{Level, LevelFilter};
 use serde::Serialize;
 use simplelog::{Config, ConfigBuilder, WriteLogger};
+use tokio::sync::broadcast;
 
 use crate::config::LoggingSettings;
-use crate::protocol::LogRecord;
+use crate::coordination::fault_limiter::FaultLimiter;
+use crate::protocol::{DecisionRecord, LogRecord};
+use crate::state::TimePoint;
 
 /// Target of every log line; other crates' lines are filtered out, so that each line is JSON.
 const LOG_TARGET: &str = "galenamast";
 
+/// Decisions that a slow reader may fall behind before it loses some.
+const DECISION_BACKLOG: usize = 1_024;
+
+/// Start of the process, from which the windows of repeated faults are counted.
+static STARTED: LazyLock<Instant> = LazyLock::new(Instant::now);
+/// Bounds the lines of repeated faults.
+static FAULT_LIMITER: Mutex<FaultLimiter> = Mutex::new(FaultLimiter::new());
+/// Sends each decision to those who follow them.
+static DECISIONS: LazyLock<broadcast::Sender<Arc<DecisionRecord>>> =
+    LazyLock::new(|| broadcast::Sender::new(DECISION_BACKLOG));
+/// Is called with each record.
+static OBSERVER: OnceLock<RecordObserver> = OnceLock::new();
+
+/// A function that is called with each record, whatever its level.
+pub type RecordObserver = Box<dyn Fn(&LogRecord) + Send + Sync>;
+
 /// A log line: the record with its time and level.
 #[derive(Serialize)]
 struct LogLine<'a> {
@@ -53,8 +73,26 @@
         .build()
 }
 
-/// Writes a record as one JSON line.
+/// Calls a function with each record from now on; only the first call of the process counts.
+pub fn observe_records(observer: RecordObserver) {
+    let _ = OBSERVER.set(observer);
+}
+
+/// Follows the routing decisions of this process from now on.
+pub fn follow_decisions() -> broadcast::Receiver<Arc<DecisionRecord>> {
+    DECISIONS.subscribe()
+}
+
+/// Writes a record as one JSON line, and shows it to the observer and to followers of decisions.
 pub fn log_record(level: Level, record: &LogRecord) {
+    if let Some(observer) = OBSERVER.get() {
+        observer(record);
+    }
+    if let LogRecord::Decision(decision) = record
+        && DECISIONS.receiver_count() > 0
+    {
+        let _ = DECISIONS.send(Arc::new(decision.clone()));
+    }
     if !log::log_enabled!(target: LOG_TARGET, level) {
         return;
     }
@@ -63,12 +101,7 @@
         .unwrap_or_default()
         .as_millis();
     let unix_ms = u64::try_from(unix_ms).unwrap_or(u64::MAX);
-    let line = LogLine {
-        unix_ms,
-        level: level_name(level),
-        record,
-    };
-    match serde_json::to_string(&line) {
+    match line_text(unix_ms, level, record) {
         Ok(text) => log::log!(target: LOG_TARGET, level, "{text}"),
         Err(error) => {
             log::error!(target: LOG_TARGET, "{{\"event\":\"unloggable\",\"message\":\"{error}\"}}");
@@ -76,11 +109,44 @@
     }
 }
 
+/// Returns the JSON text of a log line.
+///
+/// ```
+/// use galenamast::logging::line_text;
+/// use galenamast::protocol::LogRecord;
+/// use log::Level;
+///
+/// let text = line_text(7, Level::Info, &LogRecord::HostStopped).unwrap();
+/// assert_eq!(text, r#"{"unix_ms":7,"level":"info","event":"host_stopped"}"#);
+/// ```
+///
+/// # Errors
+///
+/// Returns an error if the record holds a number that JSON cannot express.
+pub fn line_text(unix_ms: u64, level: Level, record: &LogRecord) -> serde_json::Result<String> {
+    serde_json::to_string(&LogLine {
+        unix_ms,
+        level: level_name(level),
+        record,
+    })
+}
+
 /// Writes a fault that the host recovers from by itself.
+///
+/// A part that repeats itself writes a few lines a second; the next line tells how many were left out.
 pub fn log_fault(part: &str, message: &impl ToString) {
+    let micros = u64::try_from(STARTED.elapsed().as_micros()).unwrap_or(u64::MAX);
+    let admitted = FAULT_LIMITER
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .admit(part, TimePoint::from_micros(micros));
+    let Some(suppressed) = admitted else {
+        return;
+    };
     let record = LogRecord::Fault {
         part: part.into(),
         message: message.to_string(),
+        suppressed,
     };
     log_record(Level::Warn, &record);
 }
--- a/galenamast/src/protocol/log_record.rs
+++ b/galenamast/src/protocol/log_record.rs
@@ -32,5 +32,47 @@
         part: String,
         /// What happened.
         message: String,
+        /// Lines of the part that were left out since its last one.
+        #[serde(default)]
+        suppressed: u64,
     },
+    /// An operator changed the configuration, or tried a change.
+    ConfigChanged(ChangeRecord),
+    /// An operator's call was refused.
+    CallRefused {
+        /// Name of the call.
+        call: String,
+        /// Stable reason.
+        code: String,
+        /// Explanation for a person.
+        message: String,
+    },
+    /// An operator drained or restored this host.
+    HostDrained {
+        /// Operator who did it.
+        author: String,
+        /// Why it was done.
+        reason: String,
+        /// Whether the host is drained now.
+        draining: bool,
+    },
+}
+
+/// An accepted change of the configuration.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ChangeRecord {
+    /// Identifier of the change.
+    pub change_id: String,
+    /// Operator who made the change.
+    pub author: String,
+    /// Why the change was made.
+    pub reason: String,
+    /// Generation that the change made or would make.
+    pub generation: ConfigGeneration,
+    /// Entries that the change touched.
+    pub entries: Vec<String>,
+    /// Whether nothing was written.
+    pub dry_run: bool,
+    /// Whether the change had been made before by the same identifier.
+    pub repeated: bool,
 }
--- a/galenamast/src/protocol/mod.rs
+++ b/galenamast/src/protocol/mod.rs
@@ -15,5 +15,5 @@
 pub use caller_error::{CallerError, ErrorCode};
 pub use chat_messages::{ChatAnswer, ChatRequest, ChatUsage};
 pub use decision_record::DecisionRecord;
-pub use log_record::LogRecord;
+pub use log_record::{ChangeRecord, LogRecord};
 pub use protocol_error::ProtocolError;
--- /dev/null
+++ b/galenamast/src/transport/metrics_sink.rs
@@ -0,0 +1,151 @@
+//! Sends metrics to a statsd collector through cadence.
+
+use std::io;
+use std::net::{Ipv4Addr, UdpSocket};
+use std::time::Duration;
+
+use cadence::{
+    BufferedUdpMetricSink, Counted, Gauged, MetricSink, NopMetricSink, QueuingMetricSink,
+    StatsdClient, Timed,
+};
+
+use crate::config::MetricsSettings;
+use crate::protocol::operator_json::snake_name;
+use crate::protocol::{DecisionRecord, LogRecord};
+use crate::state::{RouteOutcome, ServerLife};
+use crate::transport::host_context::HostContext;
+use crate::transport::metrics_catalogue as catalogue;
+use crate::transport::metrics_catalogue::MetricInfo;
+
+/// Metrics that wait to be sent before new ones are dropped.
+const QUEUE_CAPACITY: usize = 8_192;
+/// Time between reports of gauges.
+pub const REPORT_PERIOD: Duration = Duration::from_secs(5);
+
+/// Sends metrics; without a collector it does nothing.
+#[derive(Debug)]
+pub struct MetricsSink {
+    client: StatsdClient,
+}
+
+impl MetricsSink {
+    /// Opens the sink that the settings name.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no socket can be opened.
+    pub fn open(settings: &MetricsSettings) -> io::Result<Self> {
+        let Some(collector) = settings.statsd else {
+            return Ok(Self::with_sink(&settings.prefix, NopMetricSink));
+        };
+        let socket = UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0))?;
+        socket.set_nonblocking(true)?;
+        let sink = BufferedUdpMetricSink::from(collector, socket).map_err(io::Error::other)?;
+        let sink = QueuingMetricSink::with_capacity(sink, QUEUE_CAPACITY);
+        Ok(Self::with_sink(&settings.prefix, sink))
+    }
+
+    /// Creates a sink that hands each metric on.
+    ///
+    /// ```
+    /// use cadence::NopMetricSink;
+    /// use galenamast::transport::metrics_sink::MetricsSink;
+    ///
+    /// let sink = MetricsSink::with_sink("galenamast", NopMetricSink);
+    /// sink.count_fault("peers", 1);
+    /// ```
+    pub fn with_sink(
+        prefix: &str,
+        sink: impl MetricSink + Send + Sync + std::panic::RefUnwindSafe + 'static,
+    ) -> Self {
+        Self {
+            client: StatsdClient::from_sink(prefix, sink),
+        }
+    }
+
+    /// Counts what a log record tells.
+    pub fn count_record(&self, record: &LogRecord) {
+        match record {
+            LogRecord::Decision(decision) => self.count_decision(decision),
+            LogRecord::Usage(usage) => {
+                let tag = [usage.workspace.as_str()];
+                self.count(&catalogue::REQUESTS_BILLED, 1, &tag);
+                self.count(&catalogue::INPUT_TOKENS, usage.input_tokens, &tag);
+                self.count(&catalogue::OUTPUT_TOKENS, usage.output_tokens, &tag);
+                self.count(&catalogue::PRICE, usage.price, &tag);
+            }
+            LogRecord::Fault {
+                part, suppressed, ..
+            } => self.count_fault(part, suppressed + 1),
+            LogRecord::ConfigChanged(change) if !change.dry_run && !change.repeated => {
+                self.count(&catalogue::CHANGES, 1, &[]);
+            }
+            LogRecord::CallRefused { code, .. } => {
+                self.count(&catalogue::CALLS_REFUSED, 1, &[code]);
+            }
+            _ => {}
+        }
+    }
+
+    /// Counts a routing decision.
+    fn count_decision(&self, decision: &DecisionRecord) {
+        let workspace = decision.workspace.as_str();
+        let outcome = match &decision.decision.outcome {
+            RouteOutcome::Dispatch(_) => "dispatch",
+            RouteOutcome::Cascade(_) => "cascade",
+            RouteOutcome::Queue(_) => "queue",
+            RouteOutcome::Refuse(reason) => {
+                let reason = snake_name(reason);
+                self.count(&catalogue::REFUSALS, 1, &[workspace, &reason]);
+                "refuse"
+            }
+        };
+        self.count(&catalogue::DECISIONS, 1, &[workspace, outcome]);
+        if decision.attempt > 0 {
+            self.count(&catalogue::RETRIES, 1, &[workspace]);
+        }
+    }
+
+    /// Counts faults of a part of the host.
+    pub fn count_fault(&self, part: &str, faults: u64) {
+        self.count(&catalogue::FAULTS, faults, &[part]);
+    }
+
+    /// Reports the gauges of a host.
+    pub fn report_host(&self, context: &HostContext) {
+        let tables = context.tables.load();
+        let generation = context.image.load().generation.0;
+        self.gauge(&catalogue::GENERATION, generation);
+        let age = u64::try_from(tables.config_age.as_millis()).unwrap_or(u64::MAX);
+        self.gauge(&catalogue::FRESHNESS_AGE, age);
+        let servers = tables.servers.servers();
+        let live = servers.filter(|server| server.life == ServerLife::Live);
+        self.gauge(&catalogue::SERVERS_LIVE, live.count() as u64);
+        let now = context.timers.now();
+        let brakes = tables.brakes.values().filter(|expiry| **expiry > now);
+        self.gauge(&catalogue::BRAKES, brakes.count() as u64);
+    }
+
+    /// Reports how long something took.
+    pub fn time(&self, metric: &MetricInfo, duration: Duration, tags: &[&str]) {
+        let mut value = self.client.time_with_tags(metric.name, duration);
+        for (key, tag) in metric.tags.iter().zip(tags) {
+            value = value.with_tag(key, tag);
+        }
+        value.send();
+    }
+
+    /// Adds to a counter.
+    fn count(&self, metric: &MetricInfo, amount: u64, tags: &[&str]) {
+        let mut value = self.client.count_with_tags(metric.name, amount);
+        for (key, tag) in metric.tags.iter().zip(tags) {
+            value = value.with_tag(key, tag);
+        }
+        value.send();
+    }
+
+    /// Sets a gauge.
+    fn gauge(&self, metric: &MetricInfo, value: u64) {
+        self.client.gauge_with_tags(metric.name, value).send();
+    }
+}
--- a/galenamast/src/transport/mod.rs
+++ b/galenamast/src/transport/mod.rs
@@ -6,6 +6,8 @@
 pub mod host_context;
 pub mod host_list_poller;
 pub mod http_client;
+pub mod metrics_catalogue;
+pub mod metrics_sink;
 pub mod object_client;
 pub mod timer_service;
 pub mod transport_error;
