--- a/galenamast/src/protocol/mod.rs
+++ b/galenamast/src/protocol/mod.rs
@@ -5,6 +5,7 @@
 pub mod decision_record;
 pub mod headers;
 pub mod log_record;
+pub mod operator_changes;
 pub mod operator_json;
 pub mod operator_objects;
 pub mod operator_refusal;
--- a/galenamast/src/protocol/operator_tokens.rs
+++ b/galenamast/src/protocol/operator_tokens.rs
@@ -61,7 +61,8 @@
 }
 
 impl TokenTable {
-    /// Parses a tokens file: a line per token with operator, role and SHA-256 digest.
+    /// Parses a tokens file: a line per operator with name, role and the SHA-256 digest of the
+    /// token or of the client certificate in DER form.
     ///
     /// Empty lines and lines that begin with `#` are passed over.
     ///
@@ -75,8 +76,8 @@
     ///
     /// let line = format!("ana operate {}", String::from(KeyDigest::of_key("secret")));
     /// let table = TokenTable::parse("tokens", &line).unwrap();
-    /// assert_eq!(table.find("secret").unwrap().name, "ana");
-    /// assert!(table.find("other").is_none());
+    /// assert_eq!(table.find(&KeyDigest::of_key("secret")).unwrap().name, "ana");
+    /// assert!(table.find(&KeyDigest::of_key("other")).is_none());
     /// assert!(TokenTable::parse("tokens", "ana root 00").is_err());
     /// ```
     pub fn parse(file: &str, text: &str) -> Result<Self, ProtocolError> {
@@ -95,12 +96,11 @@
         Ok(Self { entries })
     }
 
-    /// Finds the operator of a token; every entry is compared.
-    pub fn find(&self, token: &str) -> Option<&OperatorIdentity> {
-        let digest = KeyDigest::of_key(token);
+    /// Finds the operator of a token or certificate by its digest; every entry is compared.
+    pub fn find(&self, digest: &KeyDigest) -> Option<&OperatorIdentity> {
         let mut found = None;
         for (known, identity) in &self.entries {
-            if known.matches(&digest) {
+            if known.matches(digest) {
                 found = Some(identity);
             }
         }
--- a/galenamast/src/state/key_digest.rs
+++ b/galenamast/src/state/key_digest.rs
@@ -22,7 +22,12 @@
     /// assert!(!digest.matches(&KeyDigest::of_key("other")));
     /// ```
     pub fn of_key(key: &str) -> Self {
-        Self(Sha256::digest(key.as_bytes()).into())
+        Self::of_bytes(key.as_bytes())
+    }
+
+    /// Computes the digest of bytes, such as those of a certificate.
+    pub fn of_bytes(bytes: &[u8]) -> Self {
+        Self(Sha256::digest(bytes).into())
     }
 
     /// Compares two digests in constant time.
--- a/galenamast/src/transport/host_context.rs
+++ b/galenamast/src/transport/host_context.rs
@@ -1,7 +1,7 @@
 //! What the parts of a running entry host share.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use arc_swap::ArcSwap;
 
@@ -29,6 +29,8 @@
     pub objects: Option<ObjectClient>,
     /// HTTP client of the other services of the platform.
     pub client: HttpClient,
+    /// Whether an operator took the host out of the balancer.
+    pub draining: AtomicBool,
     seeds: AtomicU64,
 }
 
@@ -50,6 +52,7 @@
             backends: BackendClient::new(client.clone()),
             objects,
             client,
+            draining: AtomicBool::new(false),
             seeds: AtomicU64::new(rand::random()),
             settings,
         })
--- a/galenamast/src/transport/mod.rs
+++ b/galenamast/src/transport/mod.rs
@@ -9,6 +9,14 @@
 pub mod metrics_catalogue;
 pub mod metrics_sink;
 pub mod object_client;
+pub mod operator_configuration;
+pub mod operator_context;
+pub mod operator_decisions;
+pub mod operator_drains;
+pub mod operator_keys;
+pub mod operator_rollouts;
+pub mod operator_server;
+pub mod operator_status;
 pub mod timer_service;
 pub mod transport_error;
 
