Accept configuration changes through one conditional head

Cause: nothing could change the configuration, and the object client knew neither a budget nor a breaker, so that a host could crowd out others on a shared platform. Change: ConfigChange, check_image and ConfigWriter::apply; the object client gains list, watch, delete, priorities within one call budget, a circuit breaker, jittered retries of reads, and write_resolved, which repeats the same conditional write until its end is known. The object stand-in gains gates with faults of their own, 429, 413 and losses by kind. Conclusion: a change whose head answer was lost is found by its identifier; racing operators lose nothing, and the later one on the same entry learns who won.

--- a/fakes/src/fake_objects.rs
+++ b/fakes/src/fake_objects.rs
@@ -20,20 +20,81 @@
 /// Greatest number of objects in one listing.
 const MAX_LISTED: usize = 1_000;
 
+/// Greatest size of a value, in bytes.
+const MAX_VALUE_BYTES: usize = 1_024 * 1_024;
+
 /// Stand-in for the object API: versions, conditional writes, listings and watches.
 #[derive(Debug)]
 pub struct FakeObjects {
     store: Arc<ObjectStore>,
+    gate: ObjectGate,
+}
+
+/// One more address of the store with faults of its own, such as those of one host's network.
+#[derive(Debug)]
+pub struct ObjectGate {
+    faults: FaultSwitch,
     listener: FakeListener,
 }
 
+/// What serves the calls of one gate.
+#[derive(Clone, Debug)]
+struct GateState {
+    store: Arc<ObjectStore>,
+    faults: FaultSwitch,
+}
+
+impl ObjectGate {
+    /// Serves a store with faults of its own.
+    async fn start(store: Arc<ObjectStore>) -> Self {
+        let faults = FaultSwitch::default();
+        let state = GateState {
+            store,
+            faults: faults.clone(),
+        };
+        let routes = Router::new()
+            .route("/v1/objects/{kind}", get(list_objects))
+            .route(
+                "/v1/objects/{kind}/{name}",
+                get(read_object).put(write_object).delete(delete_object),
+            )
+            .route("/v1/watch/{kind}/{name}", get(watch_object))
+            .with_state(state);
+        let listener = FakeListener::start(routes).await;
+        Self { faults, listener }
+    }
+
+    /// Returns the address of the gate.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// Returns the switch of the gate's faults.
+    pub fn faults(&self) -> &FaultSwitch {
+        &self.faults
+    }
+}
+
+impl GateState {
+    /// Counts a call and fails it as the faults say; returns the refusal, if any.
+    async fn admit(&self, kind: &'static str) -> Result<(), StatusCode> {
+        self.store.count(kind);
+        if self.faults.throttles() {
+            return Err(StatusCode::TOO_MANY_REQUESTS);
+        }
+        if !self.faults.admit().await {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        Ok(())
+    }
+}
+
 /// Objects and counters of the stand-in.
 #[derive(Debug)]
 struct ObjectStore {
     objects: Mutex<BTreeMap<(String, String), StoredObject>>,
     calls: Mutex<BTreeMap<&'static str, u64>>,
     changed: watch::Sender<u64>,
-    faults: FaultSwitch,
 }
 
 /// An object with its version.
@@ -69,30 +130,24 @@
             objects: Mutex::default(),
             calls: Mutex::default(),
             changed: watch::Sender::new(0),
-            faults: FaultSwitch::default(),
         });
-        let routes = Router::new()
-            .route("/v1/objects/{kind}", get(list_objects))
-            .route(
-                "/v1/objects/{kind}/{name}",
-                get(read_object).put(write_object).delete(delete_object),
-            )
-            .route("/v1/watch/{kind}/{name}", get(watch_object))
-            .with_state(store.clone());
-        Self {
-            store,
-            listener: FakeListener::start(routes).await,
-        }
+        let gate = ObjectGate::start(store.clone()).await;
+        Self { store, gate }
+    }
+
+    /// Opens one more address of the store with faults of its own.
+    pub async fn open_gate(&self) -> ObjectGate {
+        ObjectGate::start(self.store.clone()).await
     }
 
     /// Returns the address of the store.
     pub fn address(&self) -> SocketAddr {
-        self.listener.address()
+        self.gate.address()
     }
 
     /// Returns the switch of the store's faults.
     pub fn faults(&self) -> &FaultSwitch {
-        &self.store.faults
+        self.gate.faults()
     }
 
     /// Writes an object without a call.
@@ -161,13 +216,13 @@
 
 /// Serves a read.
 async fn read_object(
-    State(store): State<Arc<ObjectStore>>,
+    State(gate): State<GateState>,
     Path((kind, name)): Path<(String, String)>,
 ) -> Response {
-    store.count("read");
-    if !store.faults.admit().await {
-        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    if let Err(status) = gate.admit("read").await {
+        return status.into_response();
     }
+    let store = &gate.store;
     let found = store.objects().get(&(kind, name.clone())).cloned();
     match found {
         Some(object) => object_answer(&name, &object),
@@ -177,14 +232,14 @@
 
 /// Serves a listing.
 async fn list_objects(
-    State(store): State<Arc<ObjectStore>>,
+    State(gate): State<GateState>,
     Path(kind): Path<String>,
     Query(query): Query<ListQuery>,
 ) -> Response {
-    store.count("list");
-    if !store.faults.admit().await {
-        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    if let Err(status) = gate.admit("list").await {
+        return status.into_response();
     }
+    let store = &gate.store;
     let limit = query.limit.unwrap_or(MAX_LISTED).min(MAX_LISTED);
     let objects = store.objects();
     let items: Vec<Value> = objects
@@ -202,15 +257,18 @@
 
 /// Serves a conditional write.
 async fn write_object(
-    State(store): State<Arc<ObjectStore>>,
+    State(gate): State<GateState>,
     Path((kind, name)): Path<(String, String)>,
     headers: HeaderMap,
     Json(value): Json<Value>,
 ) -> Response {
-    store.count("write");
-    if !store.faults.admit().await {
-        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    if let Err(status) = gate.admit("write").await {
+        return status.into_response();
+    }
+    if value.to_string().len() > MAX_VALUE_BYTES {
+        return StatusCode::PAYLOAD_TOO_LARGE.into_response();
     }
+    let store = &gate.store;
     let version = {
         let mut objects = store.objects();
         let current = objects
@@ -220,11 +278,11 @@
             return StatusCode::PRECONDITION_FAILED.into_response();
         }
         let version = current.unwrap_or(0) + 1;
-        objects.insert((kind, name), StoredObject { version, value });
+        objects.insert((kind.clone(), name), StoredObject { version, value });
         version
     };
     store.changed.send_modify(|count| *count += 1);
-    if store.faults.loses_answer() {
+    if gate.faults.loses_answer_of(&kind) {
         std::future::pending::<()>().await;
     }
     Json(json!({ "version": version })).into_response()
@@ -232,17 +290,17 @@
 
 /// Serves a conditional deletion.
 async fn delete_object(
-    State(store): State<Arc<ObjectStore>>,
+    State(gate): State<GateState>,
     Path((kind, name)): Path<(String, String)>,
     headers: HeaderMap,
 ) -> Response {
-    store.count("delete");
-    if !store.faults.admit().await {
-        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    if let Err(status) = gate.admit("delete").await {
+        return status.into_response();
     }
+    let store = &gate.store;
     let version = {
         let mut objects = store.objects();
-        let key = (kind, name);
+        let key = (kind.clone(), name);
         let current = objects.get(&key).map(|object| object.version);
         if current.is_none() {
             return StatusCode::NOT_FOUND.into_response();
@@ -254,7 +312,7 @@
         current
     };
     store.changed.send_modify(|count| *count += 1);
-    if store.faults.loses_answer() {
+    if gate.faults.loses_answer_of(&kind) {
         std::future::pending::<()>().await;
     }
     Json(json!({ "version": version })).into_response()
@@ -262,14 +320,14 @@
 
 /// Serves a watch: answers when the object is newer than a version, or 304 after a time.
 async fn watch_object(
-    State(store): State<Arc<ObjectStore>>,
+    State(gate): State<GateState>,
     Path((kind, name)): Path<(String, String)>,
     Query(query): Query<WatchQuery>,
 ) -> Response {
-    store.count("watch");
-    if !store.faults.admit().await {
-        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    if let Err(status) = gate.admit("watch").await {
+        return status.into_response();
     }
+    let store = &gate.store;
     let mut changed = store.changed.subscribe();
     let newer = async {
         loop {
@@ -284,7 +342,7 @@
         }
     };
     match tokio::time::timeout(Duration::from_millis(query.timeout_ms), newer).await {
-        Ok(_) if store.faults.plan().refuse => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+        Ok(_) if gate.faults.plan().refuse => StatusCode::SERVICE_UNAVAILABLE.into_response(),
         Ok(object) => object_answer(&name, &object),
         Err(_) => StatusCode::NOT_MODIFIED.into_response(),
     }
--- a/fakes/src/fault_plan.rs
+++ b/fakes/src/fault_plan.rs
@@ -14,6 +14,10 @@
     pub hang: bool,
     /// The next calls take effect, but their answer is lost.
     pub lose_answers: u32,
+    /// Kind of object whose answers alone are lost; `None` for any.
+    pub lose_only: Option<String>,
+    /// The next calls are refused with status 429 before they have any effect.
+    pub throttle: u32,
 }
 
 /// Shares a fault plan between a test and the stand-in.
@@ -48,6 +52,20 @@
         !plan.refuse
     }
 
+    /// Returns whether this call is to be refused as one too many.
+    pub fn throttles(&self) -> bool {
+        let mut plan = self.plan.lock().unwrap_or_else(PoisonError::into_inner);
+        let throttles = plan.throttle > 0;
+        plan.throttle = plan.throttle.saturating_sub(1);
+        throttles
+    }
+
+    /// Returns whether the answer of a call for a kind of object is to be lost.
+    pub fn loses_answer_of(&self, kind: &str) -> bool {
+        let only = self.plan().lose_only;
+        only.is_none_or(|only| only == kind) && self.loses_answer()
+    }
+
     /// Returns whether the answer of this call is to be lost.
     pub fn loses_answer(&self) -> bool {
         let mut plan = self.plan.lock().unwrap_or_else(PoisonError::into_inner);
--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use fake_engine::{EngineOptions, FakeEngine};
 pub use fake_hosts::{FakeHosts, ListedHost};
-pub use fake_objects::FakeObjects;
+pub use fake_objects::{FakeObjects, ObjectGate};
 pub use fake_rating::FakeRating;
 pub use fake_service::FakeService;
 pub use fake_weights::FakeWeights;
--- a/galenamast/src/coordination/mod.rs
+++ b/galenamast/src/coordination/mod.rs
@@ -2,20 +2,36 @@
 //!
 //! Nothing here does I/O or reads a clock: `handle(event, now)` returns actions.
 
+pub mod call_budget;
+pub mod change_refusal;
+pub mod circuit_breaker;
+pub mod config_change;
+pub mod config_check;
 pub mod config_documents;
 pub mod coordination_error;
 pub mod host_list;
 pub mod load_report;
+pub mod object_query;
 pub mod object_record;
 pub mod object_write;
+pub mod retry_backoff;
 pub mod server_directory;
 pub mod usage_record;
 
-pub use config_documents::{ConfigObject, HeadDocument, ObjectDigest, assemble_image};
+pub use call_budget::{CallBudget, CallPriority};
+pub use change_refusal::ChangeRefusal;
+pub use circuit_breaker::{BreakerState, CircuitBreaker};
+pub use config_change::{ChangeReceipt, ConfigChange, PlannedChange};
+pub use config_check::check_image;
+pub use config_documents::{
+    ChangeNote, ConfigObject, EncodedObject, HeadDocument, ObjectDigest, assemble_image,
+};
 pub use coordination_error::CoordinationError;
 pub use host_list::{HostList, HostListEntry, HostState};
 pub use load_report::LoadReport;
+pub use object_query::ObjectQuery;
 pub use object_record::{ObjectKey, ObjectRecord, ObjectVersion};
 pub use object_write::{WriteCondition, WriteOutcome};
+pub use retry_backoff::RetryBackoff;
 pub use server_directory::ServerDirectory;
 pub use usage_record::UsageRecord;
--- /dev/null
+++ b/galenamast/src/coordination/retry_backoff.rs
@@ -0,0 +1,42 @@
+//! Exponential delays with jitter between attempts.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+/// Bounds of the delays between attempts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryBackoff {
+    /// Greatest delay before the first retry.
+    pub first: Duration,
+    /// Greatest delay before any retry.
+    pub greatest: Duration,
+}
+
+impl Default for RetryBackoff {
+    fn default() -> Self {
+        Self {
+            first: Duration::from_millis(50),
+            greatest: Duration::from_secs(2),
+        }
+    }
+}
+
+impl RetryBackoff {
+    /// Draws the delay before a retry, between half and all of its bound.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use galenamast::coordination::RetryBackoff;
+    /// use rand::SeedableRng;
+    ///
+    /// let mut generator = rand_chacha::ChaCha8Rng::seed_from_u64(1);
+    /// let delay = RetryBackoff::default().delay(3, &mut generator);
+    /// assert!(delay >= Duration::from_millis(200) && delay <= Duration::from_millis(400));
+    /// ```
+    pub fn delay(&self, retry: u32, generator: &mut impl Rng) -> Duration {
+        let factor = 1_u32.checked_shl(retry).unwrap_or(u32::MAX);
+        let bound = self.first.saturating_mul(factor).min(self.greatest);
+        bound.mul_f64(generator.random_range(0.5..=1.0))
+    }
+}
--- /dev/null
+++ b/galenamast/src/transport/call_counters.rs
@@ -0,0 +1,96 @@
+//! Counts the calls of the object API by kind and end.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Kind of a call of the object API.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CallKind {
+    /// Reads one object.
+    Read,
+    /// Writes one object.
+    Write,
+    /// Deletes one object.
+    Delete,
+    /// Lists objects.
+    List,
+    /// Waits for a newer version of one object.
+    Watch,
+}
+
+/// Calls since the start of the process.
+#[derive(Debug, Default)]
+pub struct CallCounters {
+    reads: AtomicU64,
+    writes: AtomicU64,
+    deletes: AtomicU64,
+    lists: AtomicU64,
+    watches: AtomicU64,
+    failures: AtomicU64,
+    over_budget: AtomicU64,
+    short_circuited: AtomicU64,
+}
+
+/// Calls at one time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallCounts {
+    /// Reads that were sent.
+    pub reads: u64,
+    /// Writes that were sent.
+    pub writes: u64,
+    /// Deletions that were sent.
+    pub deletes: u64,
+    /// Listings that were sent.
+    pub lists: u64,
+    /// Watches that were sent, each of which counts as one call while it waits.
+    pub watches: u64,
+    /// Calls that the platform did not answer.
+    pub failures: u64,
+    /// Calls that were not sent for want of budget.
+    pub over_budget: u64,
+    /// Calls that were not sent because the circuit breaker was open.
+    pub short_circuited: u64,
+}
+
+impl CallCounters {
+    /// Counts a call that is sent.
+    pub(crate) fn count(&self, kind: CallKind) {
+        let counter = match kind {
+            CallKind::Read => &self.reads,
+            CallKind::Write => &self.writes,
+            CallKind::Delete => &self.deletes,
+            CallKind::List => &self.lists,
+            CallKind::Watch => &self.watches,
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a call that was not answered.
+    pub(crate) fn count_failure(&self) {
+        self.failures.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a call that was not sent for want of budget.
+    pub(crate) fn count_over_budget(&self) {
+        self.over_budget.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a call that was not sent because the circuit breaker was open.
+    pub(crate) fn count_short_circuited(&self) {
+        self.short_circuited.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the counts.
+    pub fn counts(&self) -> CallCounts {
+        let load = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        CallCounts {
+            reads: load(&self.reads),
+            writes: load(&self.writes),
+            deletes: load(&self.deletes),
+            lists: load(&self.lists),
+            watches: load(&self.watches),
+            failures: load(&self.failures),
+            over_budget: load(&self.over_budget),
+            short_circuited: load(&self.short_circuited),
+        }
+    }
+}
--- a/galenamast/src/transport/host_context.rs
+++ b/galenamast/src/transport/host_context.rs
@@ -9,7 +9,7 @@
 use crate::state::{ConfigImage, RouteTables};
 use crate::transport::backend_client::BackendClient;
 use crate::transport::http_client::HttpClient;
-use crate::transport::object_client::ObjectClient;
+use crate::transport::object_client::{CallLimits, ObjectClient};
 use crate::transport::timer_service::TimerService;
 
 /// Shared parts of a running entry host.
@@ -37,7 +37,12 @@
     pub fn new(settings: Settings, timers: TimerService) -> Arc<Self> {
         let client = HttpClient::new();
         let objects = settings.platform.objects.map(|address| {
-            ObjectClient::new(client.clone(), address, settings.platform.call_timeout)
+            let limits = CallLimits {
+                call_timeout: settings.platform.call_timeout,
+                calls_per_second: settings.platform.calls_per_second,
+                ..Default::default()
+            };
+            ObjectClient::with_limits(client.clone(), address, limits, timers.clone())
         });
         let tables = RouteTables {
             domain: settings.host.domain.clone(),
--- a/galenamast/src/transport/mod.rs
+++ b/galenamast/src/transport/mod.rs
@@ -1,8 +1,10 @@
 //! Sockets, HTTP, TLS, timers and signals; performs what the layers below decide.
 
 pub mod backend_client;
+pub mod call_counters;
 pub mod caller_server;
 pub mod config_loader;
+pub mod config_writer;
 pub mod host_context;
 pub mod host_list_poller;
 pub mod http_client;
@@ -11,8 +13,10 @@
 pub mod transport_error;
 
 pub use backend_client::{BackendClient, BackendReply};
+pub use call_counters::{CallCounters, CallCounts, CallKind};
+pub use config_writer::ConfigWriter;
 pub use host_context::HostContext;
 pub use http_client::HttpClient;
-pub use object_client::ObjectClient;
+pub use object_client::{CallLimits, ObjectClient};
 pub use timer_service::{ManualClock, TimerService, TimerSubscription};
 pub use transport_error::TransportError;
--- a/galenamast/src/transport/object_client.rs
+++ b/galenamast/src/transport/object_client.rs
@@ -1,19 +1,34 @@
 //! Client of the platform's object API.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use http::header::{HeaderName, HeaderValue};
 use http::{Method, StatusCode, header};
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 
-use crate::coordination::{ObjectKey, ObjectRecord, ObjectVersion, WriteCondition, WriteOutcome};
+use crate::coordination::{
+    CallBudget, CallPriority, CircuitBreaker, ObjectKey, ObjectQuery, ObjectRecord, ObjectVersion,
+    RetryBackoff, WriteCondition, WriteOutcome,
+};
 use crate::protocol::ProtocolError;
+use crate::state::TimePoint;
+use crate::transport::call_counters::{CallCounters, CallCounts, CallKind};
 use crate::transport::http_client::{HttpClient, json_request, read_body, within};
+use crate::transport::timer_service::TimerService;
 use crate::transport::transport_error::TransportError;
 
 /// Greatest size of an object answer, in bytes.
 const MAX_OBJECT_BYTES: usize = 2 * 1_024 * 1_024;
+/// Greatest size of a listing, in bytes.
+const MAX_LIST_BYTES: usize = 64 * 1_024 * 1_024;
+/// Attempts of a read.
+const READ_ATTEMPTS: u32 = 3;
+/// Attempts to find out what an unsure write did.
+const RESOLVE_ATTEMPTS: u32 = 4;
 
 /// Answer of the object API to a write.
 #[derive(Debug, Deserialize)]
@@ -21,42 +36,191 @@
     version: ObjectVersion,
 }
 
-/// Client of the object API.
+/// Answer of the object API to a listing.
+#[derive(Debug, Deserialize)]
+struct ListAnswer {
+    items: Vec<ObjectRecord>,
+}
+
+/// Answer of the object API to any call.
+#[derive(Debug)]
+struct CallAnswer {
+    status: StatusCode,
+    body: Vec<u8>,
+}
+
+/// Bounds on the calls of an object client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallLimits {
+    /// Longest time of one call, waiting for the budget included.
+    pub call_timeout: Duration,
+    /// Greatest rate of calls.
+    pub calls_per_second: u32,
+    /// Delays between attempts, and time for which the circuit breaker stays open.
+    pub backoff: RetryBackoff,
+}
+
+impl Default for CallLimits {
+    fn default() -> Self {
+        Self {
+            call_timeout: Duration::from_secs(2),
+            calls_per_second: 50,
+            backoff: RetryBackoff::default(),
+        }
+    }
+}
+
+/// Client of the object API; its copies share one budget and one circuit breaker.
 #[derive(Clone, Debug)]
 pub struct ObjectClient {
+    shared: Arc<ClientShared>,
+    priority: CallPriority,
+}
+
+/// What the copies of a client share.
+#[derive(Debug)]
+struct ClientShared {
     client: HttpClient,
     address: String,
-    timeout: Duration,
+    limits: CallLimits,
+    timers: TimerService,
+    budget: Mutex<CallBudget>,
+    breaker: Mutex<CircuitBreaker>,
+    counters: CallCounters,
 }
 
 impl ObjectClient {
-    /// Creates a client of the object API at an address.
+    /// Creates a client of the object API at an address, with the default rate of calls.
     pub fn new(client: HttpClient, address: SocketAddr, timeout: Duration) -> Self {
-        Self {
+        let limits = CallLimits {
+            call_timeout: timeout,
+            ..Default::default()
+        };
+        Self::with_limits(client, address, limits, TimerService::system())
+    }
+
+    /// Creates a client with stated limits and source of time.
+    pub fn with_limits(
+        client: HttpClient,
+        address: SocketAddr,
+        limits: CallLimits,
+        timers: TimerService,
+    ) -> Self {
+        let budget = CallBudget::new(limits.calls_per_second, timers.now());
+        let shared = ClientShared {
             client,
             address: address.to_string(),
-            timeout,
+            budget: Mutex::new(budget),
+            breaker: Mutex::new(CircuitBreaker::new(limits.backoff)),
+            counters: CallCounters::default(),
+            limits,
+            timers,
+        };
+        Self {
+            shared: Arc::new(shared),
+            priority: CallPriority::default(),
+        }
+    }
+
+    /// Returns a copy whose calls have a priority.
+    pub fn with_priority(&self, priority: CallPriority) -> Self {
+        Self {
+            shared: self.shared.clone(),
+            priority,
         }
     }
 
-    /// Reads an object.
+    /// Returns the calls made so far by all copies of the client.
+    pub fn counts(&self) -> CallCounts {
+        self.shared.counters.counts()
+    }
+
+    /// Returns the limits of the client.
+    pub fn limits(&self) -> CallLimits {
+        self.shared.limits
+    }
+
+    /// Reads an object, and tries again after a failure within the time of one call.
     ///
     /// # Errors
     ///
-    /// Returns an error if the call fails; a missing object is `None`.
+    /// Returns an error if every attempt fails; a missing object is `None`.
     pub async fn read(&self, key: &ObjectKey) -> Result<Option<ObjectRecord>, TransportError> {
-        let path = format!("/v1/objects/{}/{}", key.kind, key.name);
-        let result = self
-            .client
-            .call_json(Method::GET, &self.address, &path, None::<&()>, self.timeout)
-            .await;
-        match result {
-            Ok(record) => Ok(Some(record)),
-            Err(TransportError::Status { status: 404, .. }) => Ok(None),
-            Err(error) => Err(error),
+        let path = object_path(key)?;
+        let deadline = self.shared.timers.now() + self.shared.limits.call_timeout;
+        let mut attempt = 0;
+        loop {
+            let result = self
+                .call(CallKind::Read, Method::GET, &path, deadline)
+                .await;
+            attempt += 1;
+            let error = match result.and_then(|answer| self.decode_record(&answer)) {
+                Ok(record) => return Ok(record),
+                Err(error) => error,
+            };
+            let delay = self.shared.limits.backoff.delay(attempt, &mut rand::rng());
+            let time_left = deadline.since(self.shared.timers.now());
+            if attempt >= READ_ATTEMPTS || !is_transient(&error) || delay >= time_left {
+                return Err(error);
+            }
+            self.shared.timers.sleep(delay).await;
         }
     }
 
+    /// Waits until an object is newer than a version; `None` when the wait passes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the call fails.
+    pub async fn watch(
+        &self,
+        key: &ObjectKey,
+        after: ObjectVersion,
+        wait: Duration,
+    ) -> Result<Option<ObjectRecord>, TransportError> {
+        check_name(&key.kind)?;
+        check_name(&key.name)?;
+        let wait_ms = wait.as_millis();
+        let path = format!(
+            "/v1/watch/{}/{}?after={}&timeout_ms={wait_ms}",
+            key.kind, key.name, after.0
+        );
+        let deadline = self.shared.timers.now() + wait + self.shared.limits.call_timeout;
+        let answer = self.call(CallKind::Watch, Method::GET, &path, deadline);
+        let answer = answer.await?;
+        if answer.status == StatusCode::NOT_MODIFIED {
+            return Ok(None);
+        }
+        self.decode_record(&answer)
+    }
+
+    /// Lists objects in the order of their names.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the call fails.
+    pub async fn list(&self, query: &ObjectQuery) -> Result<Vec<ObjectRecord>, TransportError> {
+        check_name(&query.kind)?;
+        for text in [&query.prefix, &query.after] {
+            if !text.is_empty() {
+                check_name(text)?;
+            }
+        }
+        let limit = query.limit.map(|limit| format!("&limit={limit}"));
+        let path = format!(
+            "/v1/objects/{}?prefix={}&after={}{}",
+            query.kind,
+            query.prefix,
+            query.after,
+            limit.unwrap_or_default()
+        );
+        let deadline = self.shared.timers.now() + self.shared.limits.call_timeout;
+        let answer = self.call(CallKind::List, Method::GET, &path, deadline);
+        let answer = answer.await?;
+        let list: ListAnswer = self.decode(&answer)?;
+        Ok(list.items)
+    }
+
     /// Writes an object if it is at the expected version.
     ///
     /// # Errors
@@ -68,28 +232,257 @@
         condition: WriteCondition,
         value: &Value,
     ) -> Result<WriteOutcome, TransportError> {
-        let path = format!("/v1/objects/{}/{}", key.kind, key.name);
-        let mut request = json_request(Method::PUT, &self.address, &path, Some(value))?;
-        let (name, expected) = match condition {
-            WriteCondition::Absent => (header::IF_NONE_MATCH, "*".to_owned()),
-            WriteCondition::At(version) => (header::IF_MATCH, version.0.to_string()),
+        let path = object_path(key)?;
+        let request = CallRequest {
+            kind: CallKind::Write,
+            method: Method::PUT,
+            path: &path,
+            condition: Some(condition),
+            value: Some(value),
+        };
+        self.call_write(request).await
+    }
+
+    /// Deletes an object if it is at the expected version.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error only if the request cannot be built; every other end is an outcome.
+    pub async fn delete(
+        &self,
+        key: &ObjectKey,
+        version: ObjectVersion,
+    ) -> Result<WriteOutcome, TransportError> {
+        let path = object_path(key)?;
+        let request = CallRequest {
+            kind: CallKind::Delete,
+            method: Method::DELETE,
+            path: &path,
+            condition: Some(WriteCondition::At(version)),
+            value: None,
+        };
+        self.call_write(request).await
+    }
+
+    /// Writes an object and finds out what an unsure write did.
+    ///
+    /// The value must differ from what any other writer writes. The same conditional write is sent
+    /// again, so that a first one that is still under way cannot take effect after a conflict was
+    /// reported. The outcome stays unsure only if the platform stays out of reach.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error only if the request cannot be built; every other end is an outcome.
+    pub async fn write_resolved(
+        &self,
+        key: &ObjectKey,
+        condition: WriteCondition,
+        value: &Value,
+    ) -> Result<WriteOutcome, TransportError> {
+        let mut outcome = self.write(key, condition, value).await?;
+        if outcome != WriteOutcome::Unsure {
+            return Ok(outcome);
+        }
+        for attempt in 1..=RESOLVE_ATTEMPTS {
+            let delay = self.shared.limits.backoff.delay(attempt, &mut rand::rng());
+            self.shared.timers.sleep(delay).await;
+            outcome = self.write(key, condition, value).await?;
+            if let WriteOutcome::Applied(_) = outcome {
+                return Ok(outcome);
+            }
+            if outcome != WriteOutcome::Conflict {
+                continue;
+            }
+            if let Ok(record) = self.read(key).await {
+                return Ok(match record {
+                    Some(record) if record.value == *value => WriteOutcome::Applied(record.version),
+                    _ => WriteOutcome::Conflict,
+                });
+            }
+        }
+        Ok(WriteOutcome::Unsure)
+    }
+
+    /// Makes a call without a body.
+    async fn call(
+        &self,
+        kind: CallKind,
+        method: Method,
+        path: &str,
+        deadline: TimePoint,
+    ) -> Result<CallAnswer, TransportError> {
+        let request = CallRequest {
+            kind,
+            method,
+            path,
+            condition: None,
+            value: None,
+        };
+        self.call_before(&request, deadline).await
+    }
+
+    /// Makes a conditional write and says what is known of it.
+    async fn call_write(&self, request: CallRequest<'_>) -> Result<WriteOutcome, TransportError> {
+        let deadline = self.shared.timers.now() + self.shared.limits.call_timeout;
+        match self.call_before(&request, deadline).await {
+            Ok(answer) => Ok(classify_write(answer.status, &answer.body)),
+            Err(error @ (TransportError::Protocol(_) | TransportError::Coordination(_))) => {
+                Err(error)
+            }
+            Err(
+                TransportError::Connect { .. }
+                | TransportError::BudgetSpent { .. }
+                | TransportError::CircuitOpen { .. },
+            ) => Ok(WriteOutcome::Rejected),
+            Err(_) => Ok(WriteOutcome::Unsure),
+        }
+    }
+
+    /// Makes a call within the budget, the circuit breaker and the deadline.
+    async fn call_before(
+        &self,
+        request: &CallRequest<'_>,
+        deadline: TimePoint,
+    ) -> Result<CallAnswer, TransportError> {
+        let shared = &self.shared;
+        let message = request.build(&shared.address)?;
+        self.wait_for_budget(deadline).await?;
+        if !lock(&shared.breaker).admit(shared.timers.now()) {
+            shared.counters.count_short_circuited();
+            let address = shared.address.clone();
+            return Err(TransportError::CircuitOpen { address });
+        }
+        shared.counters.count(request.kind);
+        let max_bytes = match request.kind {
+            CallKind::List => MAX_LIST_BYTES,
+            _ => MAX_OBJECT_BYTES,
         };
-        let expected = expected.parse().map_err(|_| ProtocolError::Invalid {
-            what: "object version",
-            reason: "not a header value".into(),
-        })?;
-        request.headers_mut().insert(name, expected);
         let call = async {
-            let response = self.client.send(&self.address, request).await?;
+            let response = shared.client.send(&shared.address, message).await?;
             let status = response.status();
-            let bytes = read_body(&self.address, response, MAX_OBJECT_BYTES).await?;
-            Ok((status, bytes))
+            let body = read_body(&shared.address, response, max_bytes).await?;
+            let body = body.to_vec();
+            Ok(CallAnswer { status, body })
         };
-        Ok(match within(&self.address, self.timeout, call).await {
-            Ok((status, bytes)) => classify_write(status, &bytes),
-            Err(TransportError::Connect { .. }) => WriteOutcome::Rejected,
-            Err(_) => WriteOutcome::Unsure,
-        })
+        let time_left = deadline.since(shared.timers.now());
+        let result = within(&shared.address, time_left, call).await;
+        let answered = result
+            .as_ref()
+            .is_ok_and(|answer| !answer.status.is_server_error());
+        self.record_end(answered);
+        result
+    }
+
+    /// Waits until the budget has a call for the client's priority.
+    async fn wait_for_budget(&self, deadline: TimePoint) -> Result<(), TransportError> {
+        let shared = &self.shared;
+        loop {
+            let now = shared.timers.now();
+            let taken = lock(&shared.budget).take(self.priority, now);
+            let Err(wait) = taken else {
+                return Ok(());
+            };
+            if now + wait >= deadline {
+                shared.counters.count_over_budget();
+                let address = shared.address.clone();
+                return Err(TransportError::BudgetSpent { address });
+            }
+            shared.timers.sleep(wait).await;
+        }
+    }
+
+    /// Tells the circuit breaker how a call ended.
+    fn record_end(&self, answered: bool) {
+        let mut breaker = lock(&self.shared.breaker);
+        if answered {
+            breaker.succeed();
+            return;
+        }
+        self.shared.counters.count_failure();
+        breaker.fail(self.shared.timers.now(), &mut rand::rng());
+    }
+
+    /// Decodes one object; a missing one is `None`.
+    fn decode_record(&self, answer: &CallAnswer) -> Result<Option<ObjectRecord>, TransportError> {
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        self.decode(answer).map(Some)
+    }
+
+    /// Decodes a successful answer.
+    fn decode<T: DeserializeOwned>(&self, answer: &CallAnswer) -> Result<T, TransportError> {
+        if !answer.status.is_success() {
+            return Err(TransportError::Status {
+                address: self.shared.address.clone(),
+                status: answer.status.as_u16(),
+            });
+        }
+        let what = "object answer";
+        serde_json::from_slice(&answer.body)
+            .map_err(|source| ProtocolError::Json { what, source }.into())
+    }
+}
+
+/// A call of the object API.
+#[derive(Debug)]
+struct CallRequest<'a> {
+    kind: CallKind,
+    method: Method,
+    path: &'a str,
+    condition: Option<WriteCondition>,
+    value: Option<&'a Value>,
+}
+
+impl CallRequest<'_> {
+    /// Builds the HTTP request.
+    fn build(
+        &self,
+        address: &str,
+    ) -> Result<http::Request<http_body_util::Full<bytes::Bytes>>, TransportError> {
+        let mut request = json_request(self.method.clone(), address, self.path, self.value)?;
+        if let Some(condition) = self.condition {
+            let (name, expected) = condition_header(condition);
+            request.headers_mut().insert(name, expected);
+        }
+        Ok(request)
+    }
+}
+
+/// Returns the header that states a condition.
+fn condition_header(condition: WriteCondition) -> (HeaderName, HeaderValue) {
+    match condition {
+        WriteCondition::Absent => (header::IF_NONE_MATCH, HeaderValue::from_static("*")),
+        WriteCondition::At(version) => (header::IF_MATCH, HeaderValue::from(version.0)),
+    }
+}
+
+/// Returns the path of an object.
+fn object_path(key: &ObjectKey) -> Result<String, TransportError> {
+    check_name(&key.kind)?;
+    check_name(&key.name)?;
+    Ok(format!("/v1/objects/{}/{}", key.kind, key.name))
+}
+
+/// Refuses a name that would not be one segment of a path.
+fn check_name(name: &str) -> Result<(), ProtocolError> {
+    let allowed =
+        |character: char| character.is_ascii_alphanumeric() || "._-~:@".contains(character);
+    if !name.is_empty() && name.chars().all(allowed) {
+        return Ok(());
+    }
+    Err(ProtocolError::Invalid {
+        what: "object name",
+        reason: format!("`{name}` is empty or holds other than letters, digits and `._-~:@`"),
+    })
+}
+
+/// Returns whether a failed read may succeed when tried again.
+fn is_transient(error: &TransportError) -> bool {
+    match error {
+        TransportError::Connect { .. } | TransportError::Broken { .. } => true,
+        TransportError::Status { status, .. } => *status >= 500 || *status == 429,
+        _ => false,
     }
 }
 
@@ -102,9 +495,13 @@
         };
     }
     match status {
-        StatusCode::PRECONDITION_FAILED => WriteOutcome::Conflict,
-        StatusCode::TOO_MANY_REQUESTS => WriteOutcome::Rejected,
+        StatusCode::PRECONDITION_FAILED | StatusCode::NOT_FOUND => WriteOutcome::Conflict,
         status if status.is_client_error() => WriteOutcome::Rejected,
         _ => WriteOutcome::Unsure,
     }
 }
+
+/// Locks a value whose every change is whole, so that a panic elsewhere leaves it sound.
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/galenamast/src/transport/transport_error.rs
+++ b/galenamast/src/transport/transport_error.rs
@@ -53,6 +53,18 @@
         /// The HTTP status.
         status: u16,
     },
+    /// The host's budget of calls had none left in time; nothing was sent.
+    #[error("the budget of calls of {address} is spent")]
+    BudgetSpent {
+        /// Address of the remote end.
+        address: String,
+    },
+    /// The remote end keeps failing, so that nothing was sent.
+    #[error("{address} keeps failing; the call was not sent")]
+    CircuitOpen {
+        /// Address of the remote end.
+        address: String,
+    },
     /// A setting that the part needs is missing.
     #[error("the setting [{section}] {name} is needed")]
     MissingSetting {
--- /dev/null
+++ b/galenamast/tests/fleet/call_limits.rs
@@ -0,0 +1,86 @@
+//! Budget, circuit breaker and backoff of the object API's client.
+
+use std::time::Duration;
+
+use galenamast::coordination::{
+    BreakerState, CallBudget, CallPriority, CircuitBreaker, RetryBackoff,
+};
+use galenamast::state::TimePoint;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+#[test]
+fn claims_get_calls_that_lower_priorities_have_to_leave() {
+    let mut budget = CallBudget::new(50, TimePoint::ZERO);
+    let mut taken = Vec::new();
+    for priority in [
+        CallPriority::Status,
+        CallPriority::Usage,
+        CallPriority::Lease,
+        CallPriority::Claim,
+    ] {
+        let mut calls = 0;
+        while budget.take(priority, TimePoint::ZERO).is_ok() {
+            calls += 1;
+        }
+        taken.push(calls);
+    }
+    assert_eq!(taken, [40, 25, 20, 15]);
+}
+
+#[test]
+fn the_budget_is_never_exceeded_over_time() {
+    let mut budget = CallBudget::new(10, TimePoint::ZERO);
+    let mut calls = 0;
+    for millis in 0..10_000 {
+        while budget
+            .take(CallPriority::Claim, TimePoint::from_millis(millis))
+            .is_ok()
+        {
+            calls += 1;
+        }
+    }
+    assert!((100..=120).contains(&calls), "{calls} calls");
+}
+
+#[test]
+fn a_wait_that_the_budget_names_suffices() {
+    let mut budget = CallBudget::new(3, TimePoint::ZERO);
+    let mut now = TimePoint::ZERO;
+    for _ in 0..100 {
+        if let Err(wait) = budget.take(CallPriority::Status, now) {
+            now = now + wait;
+            assert!(budget.take(CallPriority::Status, now).is_ok());
+        }
+    }
+}
+
+#[test]
+fn the_breaker_opens_after_failures_and_lets_one_probe_through() {
+    let mut generator = ChaCha8Rng::seed_from_u64(5);
+    let mut breaker = CircuitBreaker::new(RetryBackoff::default());
+    for _ in 0..5 {
+        assert!(breaker.admit(TimePoint::ZERO));
+        breaker.fail(TimePoint::ZERO, &mut generator);
+    }
+    assert!(!breaker.admit(TimePoint::ZERO));
+    let later = TimePoint::ZERO + Duration::from_millis(60);
+    assert!(breaker.admit(later), "one probe goes through");
+    assert!(!breaker.admit(later), "a second call waits for the probe");
+    breaker.succeed();
+    assert_eq!(breaker.state(), BreakerState::Closed);
+}
+
+#[test]
+fn delays_grow_and_stay_within_their_bounds() {
+    let mut generator = ChaCha8Rng::seed_from_u64(6);
+    let backoff = RetryBackoff::default();
+    for retry in 0..40 {
+        let bound = backoff
+            .first
+            .saturating_mul(1_u32.checked_shl(retry).unwrap_or(u32::MAX))
+            .min(backoff.greatest);
+        let delay = backoff.delay(retry, &mut generator);
+        assert!(delay >= bound / 2 && delay <= bound, "{retry}: {delay:?}");
+    }
+}
--- /dev/null
+++ b/galenamast/tests/fleet/main.rs
@@ -0,0 +1,6 @@
+//! Tests of how entry hosts share configuration, membership and leases.
+
+mod call_limits;
+mod config_change;
+mod object_client;
+mod support;
