--- a/galenamast/src/event_loop.rs
+++ b/galenamast/src/event_loop.rs
@@ -14,6 +14,7 @@
 use crate::transport::caller_server::caller_routes;
 use crate::transport::config_loader::load_config;
 use crate::transport::host_list_poller::poll_servers;
+use crate::transport::operator_server::start_operator_server;
 use crate::transport::{HostContext, ObjectClient, TimerService, TransportError};
 
 /// A running entry host.
@@ -21,6 +22,7 @@
 pub struct EntryHost {
     context: Arc<HostContext>,
     caller_address: SocketAddr,
+    operator_address: SocketAddr,
     shutdown: CancellationToken,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -45,6 +47,8 @@
         if let Some(objects) = context.objects.clone() {
             tasks.push(tokio::spawn(follow_config(context.clone(), objects)));
         }
+        let operators = start_operator_server(context.clone(), shutdown.clone()).await?;
+        tasks.push(operators.serving);
         let routes = caller_routes(context.clone());
         let stopped = shutdown.clone().cancelled_owned();
         tasks.push(tokio::spawn(async move {
@@ -57,11 +61,13 @@
             Level::Info,
             &LogRecord::HostStarted {
                 callers: caller_address.to_string(),
+                operators: operators.address.to_string(),
             },
         );
         Ok(Self {
             context,
             caller_address,
+            operator_address: operators.address,
             shutdown,
             tasks,
         })
@@ -72,6 +78,11 @@
         self.caller_address
     }
 
+    /// Returns the address that operators connect to.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.operator_address
+    }
+
     /// Returns the shared parts of the host.
     pub fn context(&self) -> &Arc<HostContext> {
         &self.context
--- a/galenamast/src/protocol/log_record.rs
+++ b/galenamast/src/protocol/log_record.rs
@@ -18,6 +18,8 @@
     HostStarted {
         /// Address for callers.
         callers: String,
+        /// Address for operators.
+        operators: String,
     },
     /// The host stopped serving.
     HostStopped,
--- a/galenamast/src/transport/caller_server.rs
+++ b/galenamast/src/transport/caller_server.rs
@@ -1,6 +1,7 @@
 //! The face towards callers: HTTP routes and the thin request path.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use axum::Router;
@@ -41,7 +42,8 @@
 
 /// Reports whether the host can serve.
 async fn report_ready(State(context): State<Arc<HostContext>>) -> StatusCode {
-    if context.image.load().generation.0 > 0 {
+    let draining = context.draining.load(Ordering::Relaxed);
+    if context.image.load().generation.0 > 0 && !draining {
         StatusCode::OK
     } else {
         StatusCode::SERVICE_UNAVAILABLE
--- a/galenamast/src/transport/operator_configuration.rs
+++ b/galenamast/src/transport/operator_configuration.rs
@@ -88,10 +88,7 @@
 }
 
 /// Refuses the removal of what holds secrets, unless the operator administers.
-fn check_removals(
-    identity: &OperatorIdentity,
-    removals: &[String],
-) -> Result<(), OperatorRefusal> {
+fn check_removals(identity: &OperatorIdentity, removals: &[String]) -> Result<(), OperatorRefusal> {
     let secret = removals
         .iter()
         .find(|entry| entry.starts_with("session_keys/"));
--- a/galenamast/src/transport/operator_context.rs
+++ b/galenamast/src/transport/operator_context.rs
@@ -5,11 +5,11 @@
 use log::Level;
 use tonic::{Code, Request, Response, Status};
 
+use crate::coordination::config_documents::{HEAD_KIND, HEAD_NAME};
 use crate::coordination::{
     ChangeReceipt, ChangeRefusal, ConfigChange, ConfigObject, CoordinationError, HeadDocument,
     ObjectKey,
 };
-use crate::coordination::config_documents::{HEAD_KIND, HEAD_NAME};
 use crate::generated::operator as wire;
 use crate::logging::log_record;
 use crate::protocol::operator_changes::{change_from_wire, receipt_to_wire, refusal_of};
@@ -82,7 +82,9 @@
     ) -> Result<OperatorIdentity, OperatorRefusal> {
         let identity = self.identify(request).ok_or_else(|| {
             let message = match self.tokens.is_empty() {
-                true => "this host accepts no operator: [operators] tokens_file is not set or empty",
+                true => {
+                    "this host accepts no operator: [operators] tokens_file is not set or empty"
+                }
                 false => "present a known token or client certificate",
             };
             OperatorRefusal::new(RefusalCode::Unauthenticated, message)
--- a/galenamast/src/transport/operator_drains.rs
+++ b/galenamast/src/transport/operator_drains.rs
@@ -77,7 +77,11 @@
                 false => spec.drained_servers.insert(server.clone()),
             };
             if !changed {
-                let state = if message.restore { "not drained" } else { "drained already" };
+                let state = if message.restore {
+                    "not drained"
+                } else {
+                    "drained already"
+                };
                 let text = format!("server `{server}` of pool `{pool}` is {state}");
                 return Err(OperatorRefusal::new(RefusalCode::WrongState, text));
             }
--- a/galenamast/src/transport/operator_rollouts.rs
+++ b/galenamast/src/transport/operator_rollouts.rs
@@ -74,8 +74,7 @@
                 let message = format!("no roll-out `{name}` exists");
                 return Err(OperatorRefusal::new(RefusalCode::NotFound, message));
             }
-            let objects =
-                steer_rollout(image, &name, step).map_err(|error| refuse_step(&error))?;
+            let objects = steer_rollout(image, &name, step).map_err(|error| refuse_step(&error))?;
             Ok(objects.into())
         };
         let change = message.change.as_ref();
--- a/galenamast/src/transport/operator_server.rs
+++ b/galenamast/src/transport/operator_server.rs
@@ -59,8 +59,12 @@
             .map_err(|error| invalid_tls(&error))?;
     }
     let router = builder
-        .add_service(ConfigurationServiceServer::new(ConfigurationCalls::new(operator.clone())))
-        .add_service(RolloutServiceServer::new(RolloutCalls::new(operator.clone())))
+        .add_service(ConfigurationServiceServer::new(ConfigurationCalls::new(
+            operator.clone(),
+        )))
+        .add_service(RolloutServiceServer::new(RolloutCalls::new(
+            operator.clone(),
+        )))
         .add_service(KeyServiceServer::new(KeyCalls::new(operator.clone())))
         .add_service(DrainServiceServer::new(DrainCalls::new(operator.clone())))
         .add_service(StatusServiceServer::new(StatusCalls::new(operator.clone())))
@@ -96,9 +100,8 @@
 
 /// Reads a file of the settings.
 fn read_file(path: &PathBuf) -> Result<Vec<u8>, TransportError> {
-    std::fs::read(path).map_err(|error| {
-        invalid_tls(&format!("cannot read {}: {error}", path.display())).into()
-    })
+    std::fs::read(path)
+        .map_err(|error| invalid_tls(&format!("cannot read {}: {error}", path.display())).into())
 }
 
 /// Describes an invalid certificate or key.
