Add the command admin with completions, examples of both deployments and their tests

Cause: operators drive every call by script and need files to start from. Change: admin has a module per group of calls, tables or JSON, dry runs, waiting and exit codes; examples hold a settings file per entry host and the declared configuration of both deployments; tests cover applied, dry, repeated and raced changes, refusals, client certificates and log lines.

--- /dev/null
+++ b/galenamast/src/commands/admin/configuration.rs
@@ -0,0 +1,248 @@
+//! Commands on the configuration as a whole: `apply`, `diff`, `remove` and `show`.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::commands::admin::admin_client::AdminClient;
+use crate::commands::admin::admin_error::AdminError;
+use crate::commands::admin::admin_output::AdminOutput;
+use crate::commands::admin::change_args::{change_args, change_of, wait_in_force};
+use crate::config::load_objects;
+use crate::config::object_merge::find_object;
+use crate::coordination::{ConfigObject, assemble_image};
+use crate::generated::operator as wire;
+use crate::generated::operator::configuration_service_client::ConfigurationServiceClient;
+use crate::protocol::operator_objects::{object_from_wire, object_to_wire};
+use crate::state::{ConfigGeneration, ConfigImage};
+
+/// Name of the command that applies declarative files.
+pub(super) const APPLY: &str = "apply";
+/// Name of the command that compares declarative files with the configuration in force.
+pub(super) const DIFF: &str = "diff";
+/// Name of the command that removes entries.
+pub(super) const REMOVE: &str = "remove";
+/// Name of the command that shows the configuration in force.
+pub(super) const SHOW: &str = "show";
+
+/// One field that differs.
+#[derive(Debug, Serialize)]
+struct FieldChange {
+    field: String,
+    old: Value,
+    new: Value,
+}
+
+/// One entry that differs.
+#[derive(Debug, Serialize)]
+struct EntryDifference {
+    entry: String,
+    action: &'static str,
+    fields: Vec<FieldChange>,
+}
+
+/// Builds the commands.
+pub(super) fn commands() -> [Command; 4] {
+    let files = Arg::new("files")
+        .value_name("FILE")
+        .help("Declarative files, read as one set")
+        .required(true)
+        .action(ArgAction::Append)
+        .num_args(1..)
+        .value_parser(value_parser!(PathBuf));
+    let entries = Arg::new("entries")
+        .value_name("ENTRY")
+        .help("Entries to remove, as KIND/NAME")
+        .required(true)
+        .num_args(1..);
+    let apply = Command::new(APPLY).about("Apply declarative files as one change");
+    let remove = Command::new(REMOVE).about("Remove entries as one change");
+    [
+        change_args(apply.arg(files.clone())),
+        Command::new(DIFF)
+            .about("Compare declarative files with the configuration in force")
+            .arg(files),
+        change_args(remove.arg(entries)),
+        Command::new(SHOW).about("Show the configuration in force"),
+    ]
+}
+
+/// Applies declarative files.
+pub(super) async fn apply(
+    client: &AdminClient,
+    matches: &ArgMatches,
+    output: &mut AdminOutput<'_>,
+) -> Result<(), AdminError> {
+    let declared = load_objects(&file_paths(matches))?;
+    let image = read_image(client).await?;
+    let mut change = change_of(matches);
+    change.based_on_generation.get_or_insert(image.generation.0);
+    let objects = declared.changes(&image);
+    if objects.is_empty() {
+        let receipt = wire::ChangeReceipt {
+            generation: image.generation.0,
+            dry_run: change.dry_run,
+            ..Default::default()
+        };
+        output.show(&receipt)?;
+        return Ok(());
+    }
+    let request = wire::ApplyRequest {
+        change: Some(change),
+        objects: objects.iter().map(object_to_wire).collect(),
+        removals: Vec::new(),
+    };
+    send_apply(client, matches, request, output).await
+}
+
+/// Sends a change and shows its receipt.
+async fn send_apply(
+    client: &AdminClient,
+    matches: &ArgMatches,
+    request: wire::ApplyRequest,
+    output: &mut AdminOutput<'_>,
+) -> Result<(), AdminError> {
+    let mut calls = ConfigurationServiceClient::new(client.channel.clone());
+    let receipt = client.call(calls.apply(client.request(request))).await?;
+    output.show(&receipt)?;
+    wait_in_force(client, matches, &receipt).await
+}
+
+/// Compares declarative files with the configuration in force.
+pub(super) async fn diff(
+    client: &AdminClient,
+    matches: &ArgMatches,
+    output: &mut AdminOutput<'_>,
+) -> Result<(), AdminError> {
+    let declared = load_objects(&file_paths(matches))?;
+    let image = read_image(client).await?;
+    let objects = declared.changes(&image);
+    let mut differences = Vec::new();
+    for object in &objects {
+        differences.push(difference(&image, object)?);
+    }
+    for difference in &differences {
+        output.show_line(difference, &describe(difference))?;
+    }
+    match differences.len() {
+        0 => Ok(()),
+        count => Err(AdminError::Different(count)),
+    }
+}
+
+/// Removes entries.
+pub(super) async fn remove(
+    client: &AdminClient,
+    matches: &ArgMatches,
+    output: &mut AdminOutput<'_>,
+) -> Result<(), AdminError> {
+    let entries = matches.get_many::<String>("entries").unwrap_or_default();
+    let request = wire::ApplyRequest {
+        change: Some(change_of(matches)),
+        objects: Vec::new(),
+        removals: entries.cloned().collect(),
+    };
+    send_apply(client, matches, request, output).await
+}
+
+/// Shows the configuration in force.
+pub(super) async fn show(
+    client: &AdminClient,
+    output: &mut AdminOutput<'_>,
+) -> Result<(), AdminError> {
+    let configuration = read_configuration(client).await?;
+    output.show(&configuration)?;
+    Ok(())
+}
+
+/// Lists the files that the arguments name.
+fn file_paths(matches: &ArgMatches) -> Vec<PathBuf> {
+    let paths = matches.get_many::<PathBuf>("files").unwrap_or_default();
+    paths.cloned().collect()
+}
+
+/// Reads the configuration in force.
+async fn read_configuration(client: &AdminClient) -> Result<wire::Configuration, AdminError> {
+    let mut calls = ConfigurationServiceClient::new(client.channel.clone());
+    let request = client.request(wire::GetConfigurationRequest {});
+    client.call(calls.get_configuration(request)).await
+}
+
+/// Reads the configuration in force as an image.
+async fn read_image(client: &AdminClient) -> Result<ConfigImage, AdminError> {
+    let configuration = read_configuration(client).await?;
+    let converted = configuration.objects.iter().map(object_from_wire);
+    let objects = converted
+        .collect::<Result<Vec<ConfigObject>, _>>()
+        .map_err(|error| AdminError::Broken(error.to_string()))?;
+    let generation = ConfigGeneration(configuration.generation);
+    Ok(assemble_image(generation, objects))
+}
+
+/// Finds the fields in which an object differs from the one in force.
+fn difference(image: &ConfigImage, object: &ConfigObject) -> Result<EntryDifference, AdminError> {
+    let known = find_object(image, object);
+    let action = if known.is_some() { "update" } else { "create" };
+    let old = known.map_or(Ok(BTreeMap::new()), |known| fields_of(&known))?;
+    let new = fields_of(object)?;
+    let mut names: Vec<&String> = old.keys().chain(new.keys()).collect();
+    names.sort();
+    names.dedup();
+    let value = |fields: &BTreeMap<String, Value>, name: &String| {
+        fields.get(name).cloned().unwrap_or(Value::Null)
+    };
+    let changed = names.into_iter().map(|name| FieldChange {
+        field: name.clone(),
+        old: value(&old, name),
+        new: value(&new, name),
+    });
+    Ok(EntryDifference {
+        entry: object.entry_name(),
+        action,
+        fields: changed.filter(|change| change.old != change.new).collect(),
+    })
+}
+
+/// Lists the fields of an object by their path.
+fn fields_of(object: &ConfigObject) -> Result<BTreeMap<String, Value>, AdminError> {
+    let value = serde_json::to_value(object).map_err(std::io::Error::other)?;
+    let mut fields = BTreeMap::new();
+    let inner = value.as_object().and_then(|kinds| kinds.values().next());
+    if let Some(inner) = inner {
+        collect_fields("", inner, &mut fields);
+    }
+    Ok(fields)
+}
+
+/// Collects the leaves of a value by their path.
+fn collect_fields(path: &str, value: &Value, fields: &mut BTreeMap<String, Value>) {
+    match value {
+        Value::Object(inner) if !inner.is_empty() => {
+            for (name, value) in inner {
+                let path = match path {
+                    "" => name.clone(),
+                    path => format!("{path}.{name}"),
+                };
+                collect_fields(&path, value, fields);
+            }
+        }
+        leaf => {
+            fields.insert(path.to_owned(), leaf.clone());
+        }
+    }
+}
+
+/// Describes a difference for people.
+fn describe(difference: &EntryDifference) -> String {
+    let mut text = format!("{} {}", difference.action, difference.entry);
+    for change in &difference.fields {
+        text.push_str(&format!(
+            "\n  {}: {} -> {}",
+            change.field, change.old, change.new
+        ));
+    }
+    text
+}
--- /dev/null
+++ b/galenamast/src/commands/admin/decisions.rs
@@ -0,0 +1,52 @@
+//! Command that follows routing decisions.
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+
+use crate::commands::admin::admin_client::AdminClient;
+use crate::commands::admin::admin_error::AdminError;
+use crate::commands::admin::admin_output::AdminOutput;
+use crate::generated::operator as wire;
+use crate::generated::operator::decision_service_client::DecisionServiceClient;
+
+/// Name of the command.
+pub(super) const DECISIONS: &str = "decisions";
+
+/// Builds the command.
+pub(super) fn command() -> Command {
+    let workspace = Arg::new("workspace")
+        .long("workspace")
+        .value_name("WORKSPACE")
+        .help("Workspace whose decisions are shown; all if left out");
+    let count = Arg::new("count")
+        .long("count")
+        .value_name("N")
+        .help("Decisions after which the command ends; none if left out")
+        .value_parser(value_parser!(u64));
+    Command::new(DECISIONS)
+        .about("Follow the routing decisions of the called host")
+        .arg(workspace)
+        .arg(count)
+}
+
+/// Follows the decisions of the called host.
+pub(super) async fn run(
+    client: &AdminClient,
+    matches: &ArgMatches,
+    output: &mut AdminOutput<'_>,
+) -> Result<(), AdminError> {
+    let workspace = matches.get_one::<String>("workspace").cloned();
+    let mut left = matches.get_one::<u64>("count").copied();
+    let mut calls = DecisionServiceClient::new(client.channel.clone());
+    let request = client.request(wire::TailDecisionsRequest {
+        workspace: workspace.unwrap_or_default(),
+    });
+    let mut decisions = client.call(calls.tail_decisions(request)).await?;
+    while left != Some(0) {
+        let Some(decision) = decisions.message().await? else {
+            return Ok(());
+        };
+        output.show_line(&decision, &decision.line_json)?;
+        left = left.map(|left| left - 1);
+    }
+    Ok(())
+}
--- a/galenamast/src/commands/mod.rs
+++ b/galenamast/src/commands/mod.rs
@@ -1,6 +1,9 @@
 //! The commands of the program, a module each: its arguments and what it does.
 
+pub mod admin;
 pub mod check_config;
+pub mod completions;
+pub mod docs;
 pub mod serve;
 
 /// Exit code of a command whose claim did not hold.
--- a/galenamast/src/event_loop.rs
+++ b/galenamast/src/event_loop.rs
@@ -14,6 +14,7 @@
 use crate::transport::caller_server::caller_routes;
 use crate::transport::config_loader::load_config;
 use crate::transport::host_list_poller::poll_servers;
+use crate::transport::metrics_reporter::{report_gauges, start_metrics};
 use crate::transport::operator_server::start_operator_server;
 use crate::transport::{HostContext, ObjectClient, TimerService, TransportError};
 
@@ -113,7 +114,12 @@
 ///
 /// Returns an error if the host cannot start.
 pub async fn run(settings: Settings) -> Result<(), TransportError> {
-    let host = EntryHost::start(settings).await?;
+    let metrics = start_metrics(&settings.metrics);
+    let mut host = EntryHost::start(settings).await?;
+    if let Some(sink) = metrics {
+        let reporting = report_gauges(host.context.clone(), sink);
+        host.tasks.insert(0, tokio::spawn(reporting));
+    }
     wait_for_signal().await;
     host.stop().await;
     Ok(())
--- a/galenamast/src/transport/mod.rs
+++ b/galenamast/src/transport/mod.rs
@@ -9,6 +9,7 @@
 pub mod host_list_poller;
 pub mod http_client;
 pub mod metrics_catalogue;
+pub mod metrics_reporter;
 pub mod metrics_sink;
 pub mod object_client;
 pub mod operator_configuration;
--- /dev/null
+++ b/galenamast/tests/operator/log_lines.rs
@@ -0,0 +1,132 @@
+//! The shape of each log line, and the bound on repeated faults.
+
+use std::time::Duration;
+
+use galenamast::coordination::UsageRecord;
+use galenamast::coordination::fault_limiter::{FAULT_WINDOW, FAULTS_PER_WINDOW, FaultLimiter};
+use galenamast::logging::line_text;
+use galenamast::protocol::{ChangeRecord, DecisionRecord, LogRecord};
+use galenamast::state::{
+    ConfigGeneration, RefusalReason, RequestId, RouteDecision, RouteOutcome, TimePoint, VersionKey,
+    VersionReport, VersionVerdict,
+};
+use log::Level;
+
+/// Returns one record of each kind that operators and hosts write.
+pub(crate) fn sample_records() -> Vec<(&'static str, LogRecord)> {
+    let decision = RouteDecision {
+        generation: ConfigGeneration(7),
+        seed: 11,
+        outcome: RouteOutcome::Refuse(RefusalReason::NoEligibleVersion),
+        candidates: vec![VersionReport {
+            version: VersionKey::new("advice", "small"),
+            verdict: VersionVerdict::Braked,
+            quality: 0.75,
+            quality_bound: 0.5,
+            price: 120,
+        }],
+    };
+    vec![
+        (
+            "decision",
+            LogRecord::Decision(DecisionRecord {
+                request_id: RequestId::from_u128(1),
+                attempt: 1,
+                workspace: "counter".into(),
+                task: "boot-fitting".into(),
+                session: Some("s-1".into()),
+                decision,
+            }),
+        ),
+        (
+            "usage",
+            LogRecord::Usage(UsageRecord {
+                request_id: RequestId::from_u128(1),
+                workspace: "counter".into(),
+                task: "boot-fitting".into(),
+                version: Some(VersionKey::new("advice", "small")),
+                input_tokens: 10,
+                output_tokens: 20,
+                price: 7,
+                ended_unix_ms: 1_700_000_000_000,
+            }),
+        ),
+        (
+            "host_started",
+            LogRecord::HostStarted {
+                callers: "127.0.0.1:8080".into(),
+                operators: "127.0.0.1:8081".into(),
+            },
+        ),
+        ("host_stopped", LogRecord::HostStopped),
+        (
+            "config_adopted",
+            LogRecord::ConfigAdopted {
+                generation: ConfigGeneration(7),
+            },
+        ),
+        (
+            "fault",
+            LogRecord::Fault {
+                part: "config".into(),
+                message: "no answer".into(),
+                suppressed: 3,
+            },
+        ),
+        (
+            "config_changed",
+            LogRecord::ConfigChanged(ChangeRecord {
+                change_id: "c-1".into(),
+                author: "ana".into(),
+                reason: "new till".into(),
+                generation: ConfigGeneration(8),
+                entries: vec!["pool/advice".into()],
+                dry_run: false,
+                repeated: false,
+            }),
+        ),
+        (
+            "call_refused",
+            LogRecord::CallRefused {
+                call: "Apply".into(),
+                code: "conflict".into(),
+                message: "overtaken".into(),
+            },
+        ),
+        (
+            "host_drained",
+            LogRecord::HostDrained {
+                author: "ana".into(),
+                reason: "patch".into(),
+                draining: true,
+            },
+        ),
+    ]
+}
+
+#[test]
+fn each_line_keeps_its_shape() {
+    for (name, record) in sample_records() {
+        let line = line_text(1_700_000_000_000, Level::Info, &record).expect("the record is JSON");
+        insta::assert_snapshot!(name, line);
+    }
+}
+
+#[test]
+fn a_flood_of_faults_is_bounded_and_counted() {
+    let mut limiter = FaultLimiter::new();
+    let mut now = TimePoint::from_millis(5_000);
+    let mut logged = 0;
+    let mut counted = 0;
+    for _ in 0..1_000 {
+        if let Some(suppressed) = limiter.admit("backend", now) {
+            logged += 1;
+            counted += suppressed;
+        }
+    }
+    assert_eq!(logged, FAULTS_PER_WINDOW);
+    assert_eq!(limiter.admit("config", now), Some(0), "another part is not bounded by it");
+    now = now + FAULT_WINDOW + Duration::from_millis(1);
+    counted += limiter.admit("backend", now).expect("a new window admits");
+    assert_eq!(u64::from(logged) + counted, 1_000);
+}
--- /dev/null
+++ b/galenamast/tests/operator/main.rs
@@ -0,0 +1,11 @@
+//! Tests of the operator protocol and the command `admin` against an entry host in this process.
+
+mod changes;
+mod declared;
+mod log_lines;
+mod metrics;
+mod refusals;
+mod rollout_script;
+mod secrets;
+mod support;
+mod tls;
