--- a/codegen/src/lib.rs
+++ b/codegen/src/lib.rs
@@ -41,7 +41,11 @@
     let descriptors = protox::compile([root.join(SCHEMA)], [root.join(INCLUDE)])?;
     let mut builder = tonic_prost_build::configure()
         .btree_map(".")
-        .type_attribute(".", "#[derive(serde::Serialize)]");
+        .type_attribute(".", "#[derive(serde::Serialize)]")
+        .type_attribute(
+            "ConfigurationObject.object",
+            "#[serde(rename_all = \"snake_case\")]",
+        );
     for (field, kind) in ENUM_FIELDS {
         let name = format!(
             "#[serde(serialize_with = \"crate::protocol::operator_json::enum_name::<{kind}, _>\")]"
--- a/galenamast/tests/docs/commands.rs
+++ b/galenamast/tests/docs/commands.rs
@@ -5,11 +5,7 @@
 use crate::support::{pages, root};
 
 /// Beginnings of a command line of the program, longest first.
-const PROGRAMS: [&str; 3] = [
-    "cargo run --release -- ",
-    "cargo run -- ",
-    "galenamast ",
-];
+const PROGRAMS: [&str; 3] = ["cargo run --release -- ", "cargo run -- ", "galenamast "];
 
 /// Splits a command line into words; quotes hold words together.
 fn split_words(line: &str) -> Vec<String> {
@@ -50,7 +46,9 @@
     let mut parsed = 0;
     for (path, text) in pages() {
         for line in command_lines(&text) {
-            let Some(arguments) = PROGRAMS.iter().find_map(|program| line.strip_prefix(program))
+            let Some(arguments) = PROGRAMS
+                .iter()
+                .find_map(|program| line.strip_prefix(program))
             else {
                 continue;
             };
@@ -100,7 +98,11 @@
             if command.is_hide_set() {
                 continue;
             }
-            assert!(script.contains(command.get_name()), "{shell}: {}", command.get_name());
+            assert!(
+                script.contains(command.get_name()),
+                "{shell}: {}",
+                command.get_name()
+            );
         }
     }
 }
--- a/galenamast/tests/docs/examples.rs
+++ b/galenamast/tests/docs/examples.rs
@@ -11,8 +11,16 @@
 #[test]
 fn settings_of_both_deployments_are_valid() {
     let deployments = [
-        ("examples/nieve-alta", 8, vec!["base-lodge", "bosque", "cumbre", "taller"]),
-        ("examples/saurashtra", 9, vec!["bhavnagar", "jamnagar", "rajkot"]),
+        (
+            "examples/nieve-alta",
+            8,
+            vec!["base-lodge", "bosque", "cumbre", "taller"],
+        ),
+        (
+            "examples/saurashtra",
+            9,
+            vec!["bhavnagar", "jamnagar", "rajkot"],
+        ),
     ];
     for (directory, hosts, domains) in deployments {
         let mut found = BTreeSet::new();
--- a/galenamast/tests/docs/pages.rs
+++ b/galenamast/tests/docs/pages.rs
@@ -19,7 +19,10 @@
             fs::write(root().join(&path), &expected).expect("the page can be written");
         }
         let found = read(&path);
-        assert!(found == expected, "{path} is not current; run this test with {UPDATE}=1");
+        assert!(
+            found == expected,
+            "{path} is not current; run this test with {UPDATE}=1"
+        );
     }
 }
 
@@ -27,7 +30,11 @@
 fn metrics_page_lists_each_metric() {
     let page = read("docs/METRICS.md");
     for metric in METRICS {
-        assert!(page.contains(&format!("| `{}` |", metric.name)), "{}", metric.name);
+        assert!(
+            page.contains(&format!("| `{}` |", metric.name)),
+            "{}",
+            metric.name
+        );
     }
 }
 
@@ -35,7 +42,9 @@
 fn log_page_lists_each_event() {
     let page = read("docs/LOGS.md");
     let source = read("galenamast/src/protocol/log_record.rs");
-    let start = source.find("pub enum LogRecord").expect("the enumeration exists");
+    let start = source
+        .find("pub enum LogRecord")
+        .expect("the enumeration exists");
     let body = &source[start..];
     let body = &body[..body.find("\n}").expect("the enumeration ends")];
     for line in body.lines().skip(1) {
@@ -43,9 +52,15 @@
         if !variant.starts_with(|first: char| first.is_ascii_uppercase()) {
             continue;
         }
-        let name: String = variant.chars().take_while(char::is_ascii_alphanumeric).collect();
+        let name: String = variant
+            .chars()
+            .take_while(char::is_ascii_alphanumeric)
+            .collect();
         let event = galenamast::protocol::operator_json::snake_name(&VariantName(&name));
-        assert!(page.contains(&format!("`{event}`")), "docs/LOGS.md lacks `{event}`");
+        assert!(
+            page.contains(&format!("`{event}`")),
+            "docs/LOGS.md lacks `{event}`"
+        );
     }
 }
 
@@ -67,7 +82,11 @@
             if target.is_empty() || target.contains("://") {
                 continue;
             }
-            assert!(directory.join(target).exists(), "{}: {target}", path.display());
+            assert!(
+                directory.join(target).exists(),
+                "{}: {target}",
+                path.display()
+            );
         }
     }
 }
@@ -85,7 +104,10 @@
                 continue;
             }
             let source = read(file);
-            assert!(source.contains(&format!("fn {test}(")), "{part} does not exist");
+            assert!(
+                source.contains(&format!("fn {test}(")),
+                "{part} does not exist"
+            );
             named += 1;
         }
     }
--- a/galenamast/tests/operator/changes.rs
+++ b/galenamast/tests/operator/changes.rs
@@ -14,7 +14,11 @@
     let file = bench.write_file("pools.ini", "[pool spare]\nslots_per_server = 8\n");
     let differs = bench.admin("read", &format!("diff {file}")).await;
     assert_eq!(differs.code, 8, "{}", differs.error);
-    assert!(differs.output.contains("\"entry\":\"pool/spare\""), "{}", differs.output);
+    assert!(
+        differs.output.contains("\"entry\":\"pool/spare\""),
+        "{}",
+        differs.output
+    );
     let receipt = bench
         .admin("operate", &format!("apply {file} --reason spare --wait"))
         .await
@@ -65,7 +69,11 @@
     let other = format!("key create {workspace} --reason other --change-id k-1");
     let reused = bench.admin("administer", &other).await;
     assert_eq!(reused.code, 1);
-    assert!(reused.error.starts_with("change_id_reused: "), "{}", reused.error);
+    assert!(
+        reused.error.starts_with("change_id_reused: "),
+        "{}",
+        reused.error
+    );
 }
 
 #[tokio::test]
@@ -88,11 +96,15 @@
 #[tokio::test]
 async fn drained_host_reports_itself_unready() {
     let bench = OperatorBench::start().await;
-    let drained = bench.admin("operate", "host drain cumbre-host-0 --reason patch").await;
+    let drained = bench
+        .admin("operate", "host drain cumbre-host-0 --reason patch")
+        .await;
     assert_eq!(drained.json()["draining"], true);
     assert!(bench.host.context().draining.load(Ordering::Relaxed));
     assert_eq!(ready_status(&bench).await, 503);
-    let restored = bench.admin("operate", "host restore cumbre-host-0 --reason done").await;
+    let restored = bench
+        .admin("operate", "host restore cumbre-host-0 --reason done")
+        .await;
     assert_eq!(restored.json()["draining"], false);
     assert_eq!(ready_status(&bench).await, 200);
 }
--- a/galenamast/tests/operator/declared.rs
+++ b/galenamast/tests/operator/declared.rs
@@ -54,7 +54,7 @@
             "[pool a]\nkind = engine\nkind = service\n",
             "f:3: key `kind` of [pool a] stands again; first in line 2",
         ),
-        ("[pool a\n", "f:1: "),
+        ("[pool a\n", "f:2: expecting"),
     ];
     for (text, expected) in cases {
         let error = check_objects("f", text).expect_err("the text is invalid");
@@ -72,7 +72,10 @@
         std::fs::write(path, "[pool a]\n").expect("the file can be written");
     }
     let error = load_objects(&paths).expect_err("a pool stands twice");
-    assert!(error.to_string().contains("section [pool a] stands in"), "{error}");
+    assert!(
+        error.to_string().contains("section [pool a] stands in"),
+        "{error}"
+    );
     let missing = directory.path().join("missing.ini");
     let error = load_objects(&[missing]).expect_err("the file is missing");
     assert!(error.to_string().starts_with("cannot read "), "{error}");
--- a/galenamast/tests/operator/log_lines.rs
+++ b/galenamast/tests/operator/log_lines.rs
@@ -30,7 +30,7 @@
         (
             "decision",
             LogRecord::Decision(DecisionRecord {
-                request_id: RequestId::from_u128(1),
+                request_id: RequestId::default(),
                 attempt: 1,
                 workspace: "counter".into(),
                 task: "boot-fitting".into(),
@@ -41,7 +41,7 @@
         (
             "usage",
             LogRecord::Usage(UsageRecord {
-                request_id: RequestId::from_u128(1),
+                request_id: RequestId::default(),
                 workspace: "counter".into(),
                 task: "boot-fitting".into(),
                 version: Some(VersionKey::new("advice", "small")),
@@ -125,7 +125,11 @@
         }
     }
     assert_eq!(logged, FAULTS_PER_WINDOW);
-    assert_eq!(limiter.admit("config", now), Some(0), "another part is not bounded by it");
+    assert_eq!(
+        limiter.admit("config", now),
+        Some(0),
+        "another part is not bounded by it"
+    );
     now = now + FAULT_WINDOW + Duration::from_millis(1);
     counted += limiter.admit("backend", now).expect("a new window admits");
     assert_eq!(u64::from(logged) + counted, 1_000);
--- a/galenamast/tests/operator/rollout_script.rs
+++ b/galenamast/tests/operator/rollout_script.rs
@@ -24,7 +24,11 @@
     assert_eq!(rollout(&bench).await, ("running".into(), 0));
     assert_eq!(stage(&bench).await, "rolling_out");
     let again = bench.admin("operate", start).await;
-    assert!(again.error.contains("roll-out `r1` already goes on"), "{}", again.error);
+    assert!(
+        again.error.contains("roll-out `r1` already goes on"),
+        "{}",
+        again.error
+    );
     let steps = [
         ("pause", "paused", 0),
         ("resume", "running", 0),
@@ -38,9 +42,15 @@
         assert_eq!(rollout(&bench).await, (phase.into(), index), "{step}");
     }
     assert_eq!(stage(&bench).await, "withdrawn");
-    let resume = bench.admin("operate", "rollout resume r1 --reason late").await;
+    let resume = bench
+        .admin("operate", "rollout resume r1 --reason late")
+        .await;
     assert_eq!(resume.code, 1);
-    assert!(resume.error.starts_with("wrong_state: "), "{}", resume.error);
+    assert!(
+        resume.error.starts_with("wrong_state: "),
+        "{}",
+        resume.error
+    );
     let restart = bench.admin("operate", start).await;
     assert_eq!(restart.code, 0, "{}", restart.error);
     for _ in 0..2 {
--- a/galenamast/tests/operator/secrets.rs
+++ b/galenamast/tests/operator/secrets.rs
@@ -63,7 +63,9 @@
     let body = json!({ "model": "auto", "messages": [{ "role": "user", "content": PROMPT }] });
     let mut request = json_request(Method::POST, &address, "/v1/chat/completions", Some(&body))
         .expect("the request can be built");
-    let value = format!("Bearer {key}").parse().expect("a key is a header value");
+    let value = format!("Bearer {key}")
+        .parse()
+        .expect("a key is a header value");
     request.headers_mut().insert(header::AUTHORIZATION, value);
     let sent = HttpClient::new().send(&address, request).await;
     sent.expect("the host answers");
--- a/galenamast/tests/operator/support.rs
+++ b/galenamast/tests/operator/support.rs
@@ -62,7 +62,9 @@
             host,
             directory,
         };
-        bench.wait_until(|host| host.context().image.load().generation.0 > 0).await;
+        bench
+            .wait_until(|host| host.context().image.load().generation.0 > 0)
+            .await;
         bench
     }
 
--- a/galenamast/tests/operator/tls.rs
+++ b/galenamast/tests/operator/tls.rs
@@ -24,7 +24,9 @@
     let issue = |name: &str| {
         let params = CertificateParams::new(vec![name.to_owned()]).expect("the name is valid");
         let key = KeyPair::generate().expect("a key can be made");
-        let certificate = params.signed_by(&key, &authority).expect("the authority signs");
+        let certificate = params
+            .signed_by(&key, &authority)
+            .expect("the authority signs");
         let paths = (
             write(&format!("{name}.pem"), &certificate.pem()),
             write(&format!("{name}.key"), &key.serialize_pem()),
@@ -50,8 +52,15 @@
     for ((certificate, key), code) in [(ana, 0), (eve, 4)] {
         let (certificate, key) = (certificate.display().to_string(), key.display().to_string());
         let arguments = [
-            "--tls-authority", &authority, "--tls-name", "localhost",
-            "--tls-certificate", &certificate, "--tls-key", &key, "status",
+            "--tls-authority",
+            &authority,
+            "--tls-name",
+            "localhost",
+            "--tls-certificate",
+            &certificate,
+            "--tls-key",
+            &key,
+            "status",
         ];
         let result = run_admin(&address, &arguments).await;
         assert_eq!(result.code, code, "{}", result.error);
