Sign session tokens with keys from the configuration

Cause: a session has to keep its version on whichever entry host answers, and hosts keep no state. Change: SessionSigner issues and verifies HMAC tokens; the keys, a current and a previous one, are a configuration object whose Debug hides them. Conclusion: a token is honoured by any host with the same configuration and by none after two rotations.

--- a/galenamast/src/coordination/config_documents.rs
+++ b/galenamast/src/coordination/config_documents.rs
@@ -9,7 +9,8 @@
 
 use crate::coordination::coordination_error::CoordinationError;
 use crate::state::{
-    ConfigGeneration, ConfigImage, ModelSpec, PoolSpec, RolloutSpec, ServiceSpec, WorkspaceSpec,
+    ConfigGeneration, ConfigImage, ModelSpec, PoolSpec, RolloutSpec, ServiceSpec, SessionKeys,
+    WorkspaceSpec,
 };
 
 /// Kind of the configuration objects on the platform.
@@ -19,6 +20,9 @@
 /// Name of the head object.
 pub const HEAD_NAME: &str = "config";
 
+/// Name under which the head lists the keys of session tokens.
+pub const SESSION_KEYS_ENTRY: &str = "session_keys/tokens";
+
 /// SHA-256 digest of a configuration object, as hexadecimal text.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -44,6 +48,8 @@
     Service(ServiceSpec),
     /// A roll-out.
     Rollout(RolloutSpec),
+    /// The keys of session tokens.
+    SessionKeys(SessionKeys),
 }
 
 impl ConfigObject {
@@ -63,6 +69,7 @@
             Self::Pool(spec) => format!("pool/{}", spec.name),
             Self::Service(spec) => format!("service/{}", spec.name),
             Self::Rollout(spec) => format!("rollout/{}", spec.name),
+            Self::SessionKeys(_) => SESSION_KEYS_ENTRY.into(),
         }
     }
 
@@ -180,6 +187,7 @@
             ConfigObject::Rollout(spec) => {
                 image.rollouts.insert(spec.name.clone(), Arc::new(spec));
             }
+            ConfigObject::SessionKeys(keys) => image.session_keys = Some(Arc::new(keys)),
         }
     }
     image
--- a/galenamast/src/coordination/mod.rs
+++ b/galenamast/src/coordination/mod.rs
@@ -9,6 +9,9 @@
 pub mod object_record;
 pub mod object_write;
 pub mod server_directory;
+pub mod session_claims;
+pub mod session_error;
+pub mod session_signer;
 pub mod usage_record;
 
 pub use config_documents::{ConfigObject, HeadDocument, ObjectDigest, assemble_image};
@@ -18,4 +21,7 @@
 pub use object_record::{ObjectKey, ObjectRecord, ObjectVersion};
 pub use object_write::{WriteCondition, WriteOutcome};
 pub use server_directory::ServerDirectory;
+pub use session_claims::SessionClaims;
+pub use session_error::SessionError;
+pub use session_signer::{SessionSettings, SessionSigner};
 pub use usage_record::UsageRecord;
--- a/galenamast/src/state/config_image.rs
+++ b/galenamast/src/state/config_image.rs
@@ -13,6 +13,7 @@
 };
 use crate::state::pool_spec::{PoolSpec, ServiceSpec};
 use crate::state::rollout_spec::RolloutSpec;
+use crate::state::session_keys::SessionKeys;
 use crate::state::version_key::VersionKey;
 use crate::state::workspace_spec::WorkspaceSpec;
 
@@ -32,6 +33,8 @@
     pub services: BTreeMap<ServiceName, Arc<ServiceSpec>>,
     /// Roll-outs by name.
     pub rollouts: BTreeMap<RolloutName, Arc<RolloutSpec>>,
+    /// Keys of session tokens; without them no token is issued or accepted.
+    pub session_keys: Option<Arc<SessionKeys>>,
 }
 
 impl ConfigImage {
