Claim non-idempotent requests on the platform before dispatch

Cause: a non-idempotent request may run at most once, whichever host gets its resend and whichever answer of the platform is lost. Conclusion: neither lost answers, late writes nor dead hosts run it twice.

--- a/galenamast/src/coordination/mod.rs
+++ b/galenamast/src/coordination/mod.rs
@@ -2,6 +2,10 @@
 //!
 //! Nothing here does I/O or reads a clock: `handle(event, now)` returns actions.
 
+pub mod claim_closing;
+pub mod claim_document;
+pub mod claim_key;
+pub mod claim_machine;
 pub mod config_documents;
 pub mod coordination_error;
 pub mod host_list;
@@ -14,6 +18,10 @@
 pub mod session_signer;
 pub mod usage_record;
 
+pub use claim_document::{
+    BodyDigest, ClaimDocument, ClaimRecord, ClaimRetention, ClaimState, ReleaseReason,
+    StoredOutcome,
+};
 pub use config_documents::{ConfigObject, HeadDocument, ObjectDigest, assemble_image};
 pub use coordination_error::CoordinationError;
 pub use host_list::{HostList, HostListEntry, HostState};
--- /dev/null
+++ b/galenamast/src/transport/claim_runner.rs
@@ -0,0 +1,345 @@
+//! Makes, settles and releases claims on the platform.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::Value;
+
+use crate::coordination::claim_closing::{CloseStep, plan_close};
+use crate::coordination::claim_key::{claim_object, is_outside_window};
+use crate::coordination::claim_machine::{ClaimAction, ClaimEvent, ClaimFinish, ClaimMachine};
+use crate::coordination::{
+    BodyDigest, ClaimDocument, ClaimRecord, ClaimRetention, ClaimState, ObjectKey, ObjectRecord,
+    ObjectVersion, ReleaseReason, StoredOutcome, WriteCondition, WriteOutcome,
+};
+use crate::logging::log_fault;
+use crate::protocol::ProtocolError;
+use crate::state::{AttemptId, HostName, RequestId, TimePoint, WorkspaceName};
+use crate::transport::object_calls::ObjectCalls;
+use crate::transport::timer_service::TimerService;
+use crate::transport::transport_error::TransportError;
+
+/// First wait between two tries to close a claim.
+const FIRST_CLOSE_WAIT: Duration = Duration::from_millis(100);
+/// Longest wait between two tries to close a claim.
+const MAX_CLOSE_WAIT: Duration = Duration::from_secs(30);
+
+/// How claims are made.
+#[derive(Clone, Debug)]
+pub struct ClaimSettings {
+    /// Entry host that makes the claims.
+    pub host: HostName,
+    /// How long claims are kept.
+    pub retention: ClaimRetention,
+    /// Longest time in which a claim is made or refused.
+    pub timeout: Duration,
+    /// Longest time from the start of a claim to the dispatch of its attempt.
+    pub dispatch_window: Duration,
+    /// Longest time for which closing a claim is tried.
+    pub close_timeout: Duration,
+}
+
+impl Default for ClaimSettings {
+    fn default() -> Self {
+        Self {
+            host: HostName::default(),
+            retention: ClaimRetention::default(),
+            timeout: Duration::from_secs(2),
+            dispatch_window: Duration::from_secs(60),
+            close_timeout: Duration::from_secs(3_600),
+        }
+    }
+}
+
+/// Asks for the right to run a non-idempotent request.
+#[derive(Clone, Debug)]
+pub struct ClaimRequest {
+    /// Workspace of the caller.
+    pub workspace: WorkspaceName,
+    /// Idempotency key that the caller chose.
+    pub key: String,
+    /// Digest of the request body.
+    pub body_digest: BodyDigest,
+    /// Attempt that is to be dispatched.
+    pub attempt: AttemptId,
+    /// Request that the attempt runs.
+    pub request: RequestId,
+}
+
+/// The right to dispatch one attempt once.
+#[derive(Debug)]
+pub struct ClaimTicket {
+    object: ObjectKey,
+    version: ObjectVersion,
+    document: ClaimDocument,
+    dispatch_until: TimePoint,
+}
+
+impl ClaimTicket {
+    /// Returns whether the attempt may still be dispatched; a ticket that waited too long is released.
+    pub fn may_dispatch(&self, now: TimePoint) -> bool {
+        now < self.dispatch_until
+    }
+}
+
+/// What a claim allows.
+#[derive(Debug)]
+pub enum ClaimVerdict {
+    /// The attempt may be dispatched once.
+    Granted(ClaimTicket),
+    /// The request has run, with this outcome.
+    Settled(StoredOutcome),
+    /// Another attempt may be running; the outcome is unknown.
+    InProgress,
+    /// The claim could not be made; the request is refused and not run.
+    Unavailable,
+    /// The key's time lies outside the window; the outcome is unknown.
+    KeyExpired,
+    /// The key was used with another body; the request is refused and not run.
+    KeyReused,
+}
+
+/// How a claim without an outcome is resolved by an operator.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClaimResolution {
+    /// The operator found that the request had not run; a resend runs it.
+    NotRun {
+        /// Who resolved the claim.
+        author: String,
+        /// What was found.
+        reason: String,
+    },
+    /// The operator found that the request had run; a resend gets this outcome.
+    Ran(StoredOutcome),
+}
+
+/// Makes, settles and releases claims.
+#[derive(Clone, Debug)]
+pub struct ClaimRunner {
+    calls: ObjectCalls,
+    timers: TimerService,
+    settings: Arc<ClaimSettings>,
+}
+
+impl ClaimRunner {
+    /// Creates a runner that stores claims through these calls.
+    pub fn new(calls: ObjectCalls, timers: TimerService, settings: ClaimSettings) -> Self {
+        Self {
+            calls,
+            timers,
+            settings: Arc::new(settings),
+        }
+    }
+
+    /// Makes a claim, to be held before the request is dispatched.
+    pub async fn claim(&self, request: ClaimRequest) -> ClaimVerdict {
+        let unix_ms = self.timers.unix_millis();
+        if is_outside_window(&request.key, &self.settings.retention, unix_ms) {
+            return ClaimVerdict::KeyExpired;
+        }
+        let started = self.timers.now();
+        let object = claim_object(&request.workspace, &request.key);
+        let document = ClaimDocument {
+            workspace: request.workspace,
+            attempt: request.attempt,
+            holder: self.settings.host.clone(),
+            body_digest: request.body_digest,
+            created_unix_ms: unix_ms,
+            state: ClaimState::Held,
+        };
+        match self.make_claim(&object, &document, started).await {
+            ClaimFinish::Granted(version) => ClaimVerdict::Granted(ClaimTicket {
+                object,
+                version,
+                document,
+                dispatch_until: started + self.settings.dispatch_window,
+            }),
+            ClaimFinish::Settled(outcome) => ClaimVerdict::Settled(outcome),
+            ClaimFinish::InProgress => ClaimVerdict::InProgress,
+            ClaimFinish::KeyReused => ClaimVerdict::KeyReused,
+            ClaimFinish::Unavailable { may_exist } => {
+                if may_exist {
+                    self.release_unsure(object, document);
+                }
+                ClaimVerdict::Unavailable
+            }
+        }
+    }
+
+    /// Stores the outcome of a claimed request; returns whether it is stored.
+    ///
+    /// One write is awaited, and further ones go on in the background.
+    pub async fn settle(&self, ticket: ClaimTicket, outcome: StoredOutcome) -> bool {
+        self.close(ticket, ClaimState::Settled { outcome }).await
+    }
+
+    /// Releases a claim whose attempt was not dispatched; returns whether it is released.
+    pub async fn release(&self, ticket: ClaimTicket) -> bool {
+        let reason = ReleaseReason::NotDispatched;
+        self.close(ticket, ClaimState::Released { reason }).await
+    }
+
+    /// Resolves a claim without an outcome, as an operator found it at the backend server.
+    ///
+    /// Returns whether the claim was without an outcome and is now resolved.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform cannot be reached; the call may then be repeated.
+    pub async fn resolve(
+        &self,
+        workspace: &WorkspaceName,
+        key: &str,
+        resolution: ClaimResolution,
+    ) -> Result<bool, TransportError> {
+        let object = claim_object(workspace, key);
+        let Some(record) = self.read(&object).await? else {
+            return Ok(false);
+        };
+        if record.document.state != ClaimState::Held {
+            return Ok(false);
+        }
+        let state = match resolution {
+            ClaimResolution::NotRun { author, reason } => ClaimState::Released {
+                reason: ReleaseReason::Operator { author, reason },
+            },
+            ClaimResolution::Ran(outcome) => ClaimState::Settled { outcome },
+        };
+        let closed = ClaimDocument {
+            state,
+            ..record.document
+        };
+        let condition = WriteCondition::At(record.version);
+        match self.write(&object, condition, &closed).await? {
+            WriteOutcome::Applied(_) => Ok(true),
+            WriteOutcome::Conflict | WriteOutcome::Rejected => Ok(false),
+            WriteOutcome::Unsure => {
+                let stored = self.read(&object).await?;
+                Ok(stored.is_some_and(|record| record.document == closed))
+            }
+        }
+    }
+
+    /// Runs the machine of a claim until its end.
+    async fn make_claim(
+        &self,
+        object: &ObjectKey,
+        document: &ClaimDocument,
+        started: TimePoint,
+    ) -> ClaimFinish {
+        let mut machine = ClaimMachine::new(document.clone());
+        let mut action = machine.first_action();
+        let deadline = started + self.settings.timeout;
+        loop {
+            let step = async {
+                match &action {
+                    ClaimAction::Write(condition) => {
+                        let written = self.write(object, *condition, document).await;
+                        ClaimEvent::Written(written.unwrap_or(WriteOutcome::Rejected))
+                    }
+                    ClaimAction::Read => match self.read(object).await {
+                        Ok(record) => ClaimEvent::Read(record),
+                        Err(_) => ClaimEvent::ReadFailed,
+                    },
+                    ClaimAction::Finish(_) => std::future::pending().await,
+                }
+            };
+            let event = tokio::select! {
+                event = step => event,
+                () = self.timers.sleep_until(deadline) => ClaimEvent::DeadlinePassed,
+            };
+            action = machine.handle(&event);
+            if let ClaimAction::Finish(finish) = action {
+                return finish;
+            }
+        }
+    }
+
+    /// Closes a claim; the first write is awaited.
+    async fn close(&self, ticket: ClaimTicket, state: ClaimState) -> bool {
+        let closed = ClaimDocument {
+            state,
+            ..ticket.document
+        };
+        let condition = WriteCondition::At(ticket.version);
+        let first = self.write(&ticket.object, condition, &closed);
+        if let Ok(WriteOutcome::Applied(_)) = first.await {
+            return true;
+        }
+        self.close_in_background(ticket.object, closed);
+        false
+    }
+
+    /// Releases a claim that may exist although it was refused.
+    fn release_unsure(&self, object: ObjectKey, document: ClaimDocument) {
+        let reason = ReleaseReason::NotDispatched;
+        let closed = ClaimDocument {
+            state: ClaimState::Released { reason },
+            ..document
+        };
+        self.close_in_background(object, closed);
+    }
+
+    /// Goes on closing a claim until it is closed or the time is over.
+    fn close_in_background(&self, object: ObjectKey, closed: ClaimDocument) {
+        let runner = self.clone();
+        tokio::spawn(async move {
+            let deadline = runner.timers.now() + runner.settings.close_timeout;
+            let mut wait = FIRST_CLOSE_WAIT;
+            while runner.timers.now() < deadline {
+                if runner.try_close(&object, &closed).await {
+                    return;
+                }
+                runner.timers.sleep(wait).await;
+                wait = (wait * 2).min(MAX_CLOSE_WAIT);
+            }
+            log_fault("claims", &format!("{object} stays without an outcome"));
+        });
+    }
+
+    /// Reads the claim and closes it if it is open; returns whether nothing is left to do.
+    async fn try_close(&self, object: &ObjectKey, closed: &ClaimDocument) -> bool {
+        let Ok(stored) = self.read(object).await else {
+            return false;
+        };
+        match plan_close(closed, stored.as_ref()) {
+            CloseStep::Done | CloseStep::Lost => true,
+            CloseStep::Write(condition) => {
+                let written = self.write(object, condition, closed).await;
+                matches!(written, Ok(WriteOutcome::Applied(_)))
+            }
+        }
+    }
+
+    /// Reads a claim.
+    async fn read(&self, object: &ObjectKey) -> Result<Option<ClaimRecord>, TransportError> {
+        let record = (self.calls.read)(object.clone()).await?;
+        record.map(decode_claim).transpose()
+    }
+
+    /// Writes a claim.
+    async fn write(
+        &self,
+        object: &ObjectKey,
+        condition: WriteCondition,
+        document: &ClaimDocument,
+    ) -> Result<WriteOutcome, TransportError> {
+        let value = encode_claim(document)?;
+        (self.calls.write)(object.clone(), condition, value).await
+    }
+}
+
+/// Decodes a claim that was read.
+pub(crate) fn decode_claim(record: ObjectRecord) -> Result<ClaimRecord, TransportError> {
+    let version = record.version;
+    let what = "claim";
+    serde_json::from_value(record.value)
+        .map(|document| ClaimRecord { version, document })
+        .map_err(|source| ProtocolError::Json { what, source }.into())
+}
+
+/// Encodes a claim for a write.
+fn encode_claim(document: &ClaimDocument) -> Result<Value, TransportError> {
+    let what = "claim";
+    serde_json::to_value(document).map_err(|source| ProtocolError::Json { what, source }.into())
+}
--- a/galenamast/src/transport/mod.rs
+++ b/galenamast/src/transport/mod.rs
@@ -2,17 +2,25 @@
 
 pub mod backend_client;
 pub mod caller_server;
+pub mod claim_cleaner;
+pub mod claim_runner;
 pub mod config_loader;
 pub mod host_context;
 pub mod host_list_poller;
 pub mod http_client;
+pub mod object_calls;
 pub mod object_client;
 pub mod timer_service;
 pub mod transport_error;
 
 pub use backend_client::{BackendClient, BackendReply};
+pub use claim_cleaner::ClaimCleaner;
+pub use claim_runner::{
+    ClaimRequest, ClaimResolution, ClaimRunner, ClaimSettings, ClaimTicket, ClaimVerdict,
+};
 pub use host_context::HostContext;
 pub use http_client::HttpClient;
+pub use object_calls::{CallFuture, ObjectCalls, PageRequest};
 pub use object_client::ObjectClient;
 pub use timer_service::{ManualClock, TimerService, TimerSubscription};
 pub use transport_error::TransportError;
--- /dev/null
+++ b/galenamast/src/transport/object_calls.rs
@@ -0,0 +1,53 @@
+//! The calls of the object API as closures, so that a test can put a store in their place.
+
+use std::fmt;
+use std::pin::Pin;
+use std::sync::Arc;
+
+use serde_json::Value;
+
+use crate::coordination::{ObjectKey, ObjectRecord, ObjectVersion, WriteCondition, WriteOutcome};
+use crate::transport::transport_error::TransportError;
+
+/// Future of a call.
+pub type CallFuture<T> = Pin<Box<dyn Future<Output = Result<T, TransportError>> + Send>>;
+/// Reads an object.
+pub type ReadCall = Arc<dyn Fn(ObjectKey) -> CallFuture<Option<ObjectRecord>> + Send + Sync>;
+/// Writes an object on a condition.
+pub type WriteCall =
+    Arc<dyn Fn(ObjectKey, WriteCondition, Value) -> CallFuture<WriteOutcome> + Send + Sync>;
+/// Deletes an object at a version.
+pub type DeleteCall =
+    Arc<dyn Fn(ObjectKey, ObjectVersion) -> CallFuture<WriteOutcome> + Send + Sync>;
+/// Lists a page of objects of a kind.
+pub type ListCall = Arc<dyn Fn(PageRequest) -> CallFuture<Vec<ObjectRecord>> + Send + Sync>;
+
+/// A page of a listing.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PageRequest {
+    /// Kind of the objects.
+    pub kind: &'static str,
+    /// Name after which the page starts.
+    pub after: String,
+    /// Greatest number of objects on the page.
+    pub limit: usize,
+}
+
+/// The calls of the object API.
+#[derive(Clone)]
+pub struct ObjectCalls {
+    /// Reads an object.
+    pub read: ReadCall,
+    /// Writes an object on a condition.
+    pub write: WriteCall,
+    /// Deletes an object at a version.
+    pub delete: DeleteCall,
+    /// Lists a page of objects of a kind.
+    pub list: ListCall,
+}
+
+impl fmt::Debug for ObjectCalls {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("ObjectCalls(..)")
+    }
+}
--- /dev/null
+++ b/galenamast/tests/promises/claim_faults.rs
@@ -0,0 +1,341 @@
+//! A non-idempotent request runs at most once: interleavings of hosts, faults and resends.
+
+use proptest::collection::vec;
+use proptest::prelude::any;
+use proptest::test_runner::TestCaseError;
+use uuid::Uuid;
+
+use galenamast::coordination::claim_closing::{CloseStep, plan_close};
+use galenamast::coordination::claim_machine::{ClaimAction, ClaimEvent, ClaimFinish, ClaimMachine};
+use galenamast::coordination::{
+    BodyDigest, ClaimDocument, ClaimRecord, ClaimState, ObjectKey, ReleaseReason, StoredOutcome,
+    WriteCondition, WriteOutcome,
+};
+use galenamast::state::{AttemptId, RequestId};
+
+use crate::memory_objects::MemoryObjects;
+use crate::support::property_runner;
+
+/// Steps of one interleaving.
+const STEPS: usize = 160;
+/// Attempts of one key: the first call and its resends, each on another host.
+const ATTEMPTS: u128 = 5;
+
+/// What an attempt does next.
+#[derive(Debug)]
+enum Stage {
+    Claiming(ClaimMachine, ClaimAction),
+    Granted,
+    Closing(ClaimDocument, Option<WriteCondition>),
+    Ended,
+}
+
+/// One attempt on its host.
+struct Attempt {
+    document: ClaimDocument,
+    stage: Stage,
+    dispatched: bool,
+}
+
+/// A write on its way that may still take effect.
+struct DelayedWrite {
+    condition: WriteCondition,
+    document: ClaimDocument,
+}
+
+/// The hosts, the platform and what is on its way between them.
+struct World {
+    store: MemoryObjects,
+    key: ObjectKey,
+    attempts: Vec<Attempt>,
+    delayed: Vec<DelayedWrite>,
+    killed: bool,
+    answers: Vec<StoredOutcome>,
+}
+
+/// Mechanisms that a test can switch off.
+#[derive(Clone, Copy, Default)]
+struct Sabotage {
+    ignore_conditions: bool,
+    dispatch_refused: bool,
+}
+
+impl World {
+    fn new(sabotage: Sabotage) -> Self {
+        let store = MemoryObjects::default();
+        if sabotage.ignore_conditions {
+            store.ignore_conditions();
+        }
+        let attempts = (0..ATTEMPTS).map(new_attempt).collect();
+        Self {
+            store,
+            key: ObjectKey::new("claim", "k"),
+            attempts,
+            delayed: Vec::new(),
+            killed: false,
+            answers: Vec::new(),
+        }
+    }
+
+    fn read(&self) -> Option<ClaimRecord> {
+        let record = self.store.of_kind("claim").pop()?;
+        let document = serde_json::from_value(record.value).expect("the claim is well-formed");
+        Some(ClaimRecord {
+            version: record.version,
+            document,
+        })
+    }
+
+    /// Sends a write; the choice says what becomes of it.
+    fn write(
+        &mut self,
+        condition: WriteCondition,
+        document: &ClaimDocument,
+        choice: u8,
+    ) -> WriteOutcome {
+        let value = serde_json::to_value(document).expect("the claim can be encoded");
+        match choice % 6 {
+            0..=2 => self.store.apply(&self.key, condition, Some(value)),
+            3 => {
+                self.store.apply(&self.key, condition, Some(value));
+                WriteOutcome::Unsure
+            }
+            4 => {
+                let document = document.clone();
+                self.delayed.push(DelayedWrite {
+                    condition,
+                    document,
+                });
+                WriteOutcome::Unsure
+            }
+            _ => WriteOutcome::Rejected,
+        }
+    }
+
+    /// Lets a delayed write arrive.
+    fn deliver(&mut self, choice: u8) {
+        if self.delayed.is_empty() {
+            return;
+        }
+        let late = self
+            .delayed
+            .swap_remove(usize::from(choice) % self.delayed.len());
+        let value = serde_json::to_value(&late.document).expect("the claim can be encoded");
+        self.store.apply(&self.key, late.condition, Some(value));
+    }
+
+    /// Moves one attempt on by one step.
+    fn step(&mut self, index: usize, choice: u8, sabotage: Sabotage) {
+        let stage = std::mem::replace(&mut self.attempts[index].stage, Stage::Ended);
+        let document = self.attempts[index].document.clone();
+        let next = match stage {
+            Stage::Claiming(machine, action) => {
+                self.step_claim(index, machine, &action, choice, sabotage)
+            }
+            Stage::Granted if choice % 8 == 0 => Stage::Closing(released(document), None),
+            Stage::Granted => {
+                self.attempts[index].dispatched = true;
+                Stage::Closing(settled(document), None)
+            }
+            Stage::Closing(closed, write) => self.step_close(closed, write, choice),
+            Stage::Ended => Stage::Ended,
+        };
+        self.attempts[index].stage = next;
+    }
+
+    fn step_claim(
+        &mut self,
+        index: usize,
+        mut machine: ClaimMachine,
+        action: &ClaimAction,
+        choice: u8,
+        sabotage: Sabotage,
+    ) -> Stage {
+        let document = self.attempts[index].document.clone();
+        let event = match action {
+            _ if choice >= 250 => ClaimEvent::DeadlinePassed,
+            ClaimAction::Write(condition) => {
+                ClaimEvent::Written(self.write(*condition, &document, choice))
+            }
+            ClaimAction::Read if choice % 5 == 0 => ClaimEvent::ReadFailed,
+            ClaimAction::Read => ClaimEvent::Read(self.read()),
+            ClaimAction::Finish(_) => return Stage::Ended,
+        };
+        match machine.handle(&event) {
+            ClaimAction::Finish(ClaimFinish::Granted(_)) => Stage::Granted,
+            ClaimAction::Finish(ClaimFinish::Unavailable { .. }) if sabotage.dispatch_refused => {
+                Stage::Granted
+            }
+            ClaimAction::Finish(ClaimFinish::Unavailable { may_exist: true }) => {
+                Stage::Closing(released(document), None)
+            }
+            ClaimAction::Finish(ClaimFinish::Settled(outcome)) => {
+                self.answers.push(outcome);
+                Stage::Ended
+            }
+            ClaimAction::Finish(_) => Stage::Ended,
+            next => Stage::Claiming(machine, next),
+        }
+    }
+
+    fn step_close(
+        &mut self,
+        closed: ClaimDocument,
+        write: Option<WriteCondition>,
+        choice: u8,
+    ) -> Stage {
+        if let Some(condition) = write {
+            return match self.write(condition, &closed, choice) {
+                WriteOutcome::Applied(_) => Stage::Ended,
+                _ => Stage::Closing(closed, None),
+            };
+        }
+        match plan_close(&closed, self.read().as_ref()) {
+            CloseStep::Write(condition) => Stage::Closing(closed, Some(condition)),
+            CloseStep::Done | CloseStep::Lost => Stage::Ended,
+        }
+    }
+
+    /// Kills a host; nothing more is heard of its attempt.
+    fn kill(&mut self, index: usize) {
+        self.killed = true;
+        self.attempts[index].stage = Stage::Ended;
+    }
+
+    fn runs(&self) -> usize {
+        self.attempts
+            .iter()
+            .filter(|attempt| attempt.dispatched)
+            .count()
+    }
+}
+
+fn new_attempt(number: u128) -> Attempt {
+    let request = RequestId(Uuid::from_u128(number + 1));
+    let document = ClaimDocument {
+        workspace: "counter".into(),
+        attempt: AttemptId { request, number: 0 },
+        holder: "entry".into(),
+        body_digest: BodyDigest::of(b"charge"),
+        created_unix_ms: 0,
+        state: ClaimState::Held,
+    };
+    let machine = ClaimMachine::new(document.clone());
+    let action = machine.first_action();
+    Attempt {
+        document,
+        stage: Stage::Claiming(machine, action),
+        dispatched: false,
+    }
+}
+
+fn answer_of(document: &ClaimDocument) -> StoredOutcome {
+    let body = document.attempt.to_string();
+    StoredOutcome::of_answer(200, None, "text/plain", body.as_bytes())
+}
+
+fn settled(document: ClaimDocument) -> ClaimDocument {
+    let outcome = answer_of(&document);
+    ClaimDocument {
+        state: ClaimState::Settled { outcome },
+        ..document
+    }
+}
+
+fn released(document: ClaimDocument) -> ClaimDocument {
+    let reason = ReleaseReason::NotDispatched;
+    ClaimDocument {
+        state: ClaimState::Released { reason },
+        ..document
+    }
+}
+
+/// Plays an interleaving and checks that the request ran at most once.
+fn play(choices: &[(u8, u8)], sabotage: Sabotage) -> Result<(), TestCaseError> {
+    let mut world = World::new(sabotage);
+    for (who, choice) in choices {
+        let index = usize::from(*who) % (ATTEMPTS as usize + 1);
+        match index.checked_sub(1) {
+            None => world.deliver(*choice),
+            Some(index) if *who >= 252 => world.kill(index),
+            Some(index) => world.step(index, *choice, sabotage),
+        }
+    }
+    check_ran_once(&world)?;
+    finish(&mut world, sabotage);
+    check_ran_once(&world)?;
+    check_availability(&mut world)
+}
+
+/// Checks that the request ran at most once, and that resends got the answer of that run.
+fn check_ran_once(world: &World) -> Result<(), TestCaseError> {
+    if world.runs() > 1 {
+        return Err(TestCaseError::fail(format!(
+            "the request ran {} times",
+            world.runs()
+        )));
+    }
+    for answer in &world.answers {
+        let ran = world.attempts.iter().find(|attempt| attempt.dispatched);
+        if ran.is_none_or(|attempt| answer_of(&attempt.document) != *answer) {
+            return Err(TestCaseError::fail("a resend got the answer of no run"));
+        }
+    }
+    Ok(())
+}
+
+/// Lets everything that is on its way end without further faults.
+fn finish(world: &mut World, sabotage: Sabotage) {
+    for _ in 0..32 {
+        for index in 0..world.attempts.len() {
+            world.step(index, 1, sabotage);
+        }
+        world.deliver(0);
+    }
+}
+
+/// Checks that without a dead host the claim ends with an answer, or free for the next attempt.
+fn check_availability(world: &mut World) -> Result<(), TestCaseError> {
+    if world.killed {
+        return Ok(());
+    }
+    let held = world
+        .read()
+        .is_some_and(|record| record.document.state == ClaimState::Held);
+    if held {
+        return Err(TestCaseError::fail("the claim of a living host stays held"));
+    }
+    Ok(())
+}
+
+fn explore(sabotage: Sabotage) -> Result<(), String> {
+    let strategy = vec((any::<u8>(), any::<u8>()), STEPS);
+    property_runner(4_000)
+        .run(&strategy, |choices| play(&choices, sabotage))
+        .map_err(|error| error.to_string())
+}
+
+#[test]
+fn a_claimed_request_runs_at_most_once() {
+    explore(Sabotage::default()).unwrap();
+}
+
+#[test]
+fn without_conditional_writes_it_runs_twice() {
+    let sabotage = Sabotage {
+        ignore_conditions: true,
+        ..Default::default()
+    };
+    let found = explore(sabotage).expect_err("the mechanism is switched off");
+    assert!(found.contains("the request ran"), "{found}");
+}
+
+#[test]
+fn when_refused_attempts_are_dispatched_it_runs_twice() {
+    let sabotage = Sabotage {
+        dispatch_refused: true,
+        ..Default::default()
+    };
+    let found = explore(sabotage).expect_err("the mechanism is switched off");
+    assert!(found.contains("the request ran"), "{found}");
+}
--- a/galenamast/tests/promises/main.rs
+++ b/galenamast/tests/promises/main.rs
@@ -1,4 +1,7 @@
 //! Tests of what must always hold, by promise, under faults.
 
+mod claim_faults;
+mod claims;
+mod memory_objects;
 mod sessions;
 mod support;
