Keep each usage record on two hosts until the platform has it

Cause: a request is to be billed once although hosts keep nothing and the platform may be down or lose answers. Change: UsageLedger copies a record to a peer before the answer ends and writes batches under names that no other batch has; a peer writes the copies of a host that is gone or silent; room is reserved before a request runs, so that a long outage refuses instead of losing; export_usage reads pages and keeps one record a request. Claims of callers that go away are released.

--- a/galenamast/src/coordination/mod.rs
+++ b/galenamast/src/coordination/mod.rs
@@ -16,6 +16,9 @@
 pub mod session_claims;
 pub mod session_error;
 pub mod session_signer;
+pub mod usage_batch;
+pub mod usage_buffer;
+pub mod usage_merge;
 pub mod usage_record;
 
 pub use claim_document::{
@@ -32,4 +35,7 @@
 pub use session_claims::SessionClaims;
 pub use session_error::SessionError;
 pub use session_signer::{SessionSettings, SessionSigner};
+pub use usage_batch::{UsageBatch, UsageCopy, UsageOrigin};
+pub use usage_buffer::{BufferLimits, UsageBuffer};
+pub use usage_merge::UsageMerge;
 pub use usage_record::UsageRecord;
--- a/galenamast/src/coordination/usage_record.rs
+++ b/galenamast/src/coordination/usage_record.rs
@@ -5,7 +5,7 @@
 use crate::state::{RequestId, TaskName, VersionKey, WorkspaceName};
 
 /// What a request is billed for; one record per request, whatever attempts it took.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct UsageRecord {
     /// Identifier of the request.
     pub request_id: RequestId,
--- a/galenamast/src/transport/claim_runner.rs
+++ b/galenamast/src/transport/claim_runner.rs
@@ -4,17 +4,21 @@
 use std::time::Duration;
 
 use serde_json::Value;
+use tokio::sync::oneshot;
 
 use crate::coordination::claim_closing::{CloseStep, plan_close};
 use crate::coordination::claim_key::{claim_object, is_outside_window};
 use crate::coordination::claim_machine::{ClaimAction, ClaimEvent, ClaimFinish, ClaimMachine};
 use crate::coordination::{
-    BodyDigest, ClaimDocument, ClaimRecord, ClaimRetention, ClaimState, ObjectKey, ObjectRecord,
-    ObjectVersion, ReleaseReason, StoredOutcome, WriteCondition, WriteOutcome,
+    ClaimDocument, ClaimRecord, ClaimState, ObjectKey, ObjectRecord, ReleaseReason, StoredOutcome,
+    WriteCondition, WriteOutcome,
 };
 use crate::logging::log_fault;
 use crate::protocol::ProtocolError;
-use crate::state::{AttemptId, HostName, RequestId, TimePoint, WorkspaceName};
+use crate::state::{TimePoint, WorkspaceName};
+use crate::transport::claim_request::{
+    ClaimRequest, ClaimResolution, ClaimSettings, ClaimTicket, ClaimVerdict,
+};
 use crate::transport::object_calls::ObjectCalls;
 use crate::transport::timer_service::TimerService;
 use crate::transport::transport_error::TransportError;
@@ -24,93 +28,10 @@
 /// Longest wait between two tries to close a claim.
 const MAX_CLOSE_WAIT: Duration = Duration::from_secs(30);
 
-/// How claims are made.
-#[derive(Clone, Debug)]
-pub struct ClaimSettings {
-    /// Entry host that makes the claims.
-    pub host: HostName,
-    /// How long claims are kept.
-    pub retention: ClaimRetention,
-    /// Longest time in which a claim is made or refused.
-    pub timeout: Duration,
-    /// Longest time from the start of a claim to the dispatch of its attempt.
-    pub dispatch_window: Duration,
-    /// Longest time for which closing a claim is tried.
-    pub close_timeout: Duration,
-}
-
-impl Default for ClaimSettings {
-    fn default() -> Self {
-        Self {
-            host: HostName::default(),
-            retention: ClaimRetention::default(),
-            timeout: Duration::from_secs(2),
-            dispatch_window: Duration::from_secs(60),
-            close_timeout: Duration::from_secs(3_600),
-        }
-    }
-}
-
-/// Asks for the right to run a non-idempotent request.
-#[derive(Clone, Debug)]
-pub struct ClaimRequest {
-    /// Workspace of the caller.
-    pub workspace: WorkspaceName,
-    /// Idempotency key that the caller chose.
-    pub key: String,
-    /// Digest of the request body.
-    pub body_digest: BodyDigest,
-    /// Attempt that is to be dispatched.
-    pub attempt: AttemptId,
-    /// Request that the attempt runs.
-    pub request: RequestId,
-}
-
-/// The right to dispatch one attempt once.
-#[derive(Debug)]
-pub struct ClaimTicket {
-    object: ObjectKey,
-    version: ObjectVersion,
-    document: ClaimDocument,
-    dispatch_until: TimePoint,
-}
-
-impl ClaimTicket {
-    /// Returns whether the attempt may still be dispatched; a ticket that waited too long is released.
-    pub fn may_dispatch(&self, now: TimePoint) -> bool {
-        now < self.dispatch_until
-    }
-}
-
-/// What a claim allows.
-#[derive(Debug)]
-pub enum ClaimVerdict {
-    /// The attempt may be dispatched once.
-    Granted(ClaimTicket),
-    /// The request has run, with this outcome.
-    Settled(StoredOutcome),
-    /// Another attempt may be running; the outcome is unknown.
-    InProgress,
-    /// The claim could not be made; the request is refused and not run.
-    Unavailable,
-    /// The key's time lies outside the window; the outcome is unknown.
-    KeyExpired,
-    /// The key was used with another body; the request is refused and not run.
-    KeyReused,
-}
-
-/// How a claim without an outcome is resolved by an operator.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ClaimResolution {
-    /// The operator found that the request had not run; a resend runs it.
-    NotRun {
-        /// Who resolved the claim.
-        author: String,
-        /// What was found.
-        reason: String,
-    },
-    /// The operator found that the request had run; a resend gets this outcome.
-    Ran(StoredOutcome),
+/// A verdict on its way to the caller, who says that it was taken.
+struct ClaimDelivery {
+    verdict: ClaimVerdict,
+    taken: oneshot::Sender<()>,
 }
 
 /// Makes, settles and releases claims.
@@ -132,7 +53,37 @@
     }
 
     /// Makes a claim, to be held before the request is dispatched.
+    ///
+    /// If the caller goes away meanwhile, the claim is made to its end and released.
     pub async fn claim(&self, request: ClaimRequest) -> ClaimVerdict {
+        let (sender, receiver) = oneshot::channel();
+        let runner = self.clone();
+        tokio::spawn(async move {
+            let verdict = runner.decide_claim(request).await;
+            let unused = match &verdict {
+                ClaimVerdict::Granted(ticket) => Some(ticket.duplicate()),
+                _ => None,
+            };
+            let (taken, was_taken) = oneshot::channel();
+            let delivered = sender.send(ClaimDelivery { verdict, taken }).is_ok();
+            if delivered && was_taken.await.is_ok() {
+                return;
+            }
+            if let Some(ticket) = unused {
+                runner.release(ticket).await;
+            }
+        });
+        let Ok(delivery) = receiver.await else {
+            return ClaimVerdict::Unavailable;
+        };
+        match delivery.taken.send(()) {
+            Ok(()) => delivery.verdict,
+            Err(()) => ClaimVerdict::Unavailable,
+        }
+    }
+
+    /// Makes a claim and says what it allows.
+    async fn decide_claim(&self, request: ClaimRequest) -> ClaimVerdict {
         let unix_ms = self.timers.unix_millis();
         if is_outside_window(&request.key, &self.settings.retention, unix_ms) {
             return ClaimVerdict::KeyExpired;
--- a/galenamast/src/transport/mod.rs
+++ b/galenamast/src/transport/mod.rs
@@ -3,6 +3,7 @@
 pub mod backend_client;
 pub mod caller_server;
 pub mod claim_cleaner;
+pub mod claim_request;
 pub mod claim_runner;
 pub mod config_loader;
 pub mod host_context;
@@ -12,15 +13,20 @@
 pub mod object_client;
 pub mod timer_service;
 pub mod transport_error;
+pub mod usage_export;
+pub mod usage_ledger;
 
 pub use backend_client::{BackendClient, BackendReply};
 pub use claim_cleaner::ClaimCleaner;
-pub use claim_runner::{
-    ClaimRequest, ClaimResolution, ClaimRunner, ClaimSettings, ClaimTicket, ClaimVerdict,
-};
+pub use claim_request::{ClaimRequest, ClaimResolution, ClaimSettings, ClaimTicket, ClaimVerdict};
+pub use claim_runner::ClaimRunner;
 pub use host_context::HostContext;
 pub use http_client::HttpClient;
 pub use object_calls::{CallFuture, ObjectCalls, PageRequest};
 pub use object_client::ObjectClient;
 pub use timer_service::{ManualClock, TimerService, TimerSubscription};
 pub use transport_error::TransportError;
+pub use usage_export::{ExportRange, UsageExport, export_usage};
+pub use usage_ledger::{
+    CopyCall, LedgerSettings, LedgerStatus, UsageHold, UsageLedger, UsageReservation,
+};
--- /dev/null
+++ b/galenamast/src/transport/usage_ledger.rs
@@ -0,0 +1,275 @@
+//! Keeps each usage record on this host and a peer until it is on the platform.
+
+use std::fmt;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::{Notify, watch};
+
+use crate::coordination::{
+    BufferLimits, UsageBatch, UsageBuffer, UsageCopy, UsageOrigin, UsageRecord, WriteCondition,
+    WriteOutcome,
+};
+use crate::logging::log_fault;
+use crate::state::HostName;
+use crate::transport::object_calls::{CallFuture, ObjectCalls};
+use crate::transport::timer_service::TimerService;
+
+/// Hands a record to a peer of the same failure domain; returns whether the peer holds it.
+pub type CopyCall = Arc<dyn Fn(UsageCopy) -> CallFuture<bool> + Send + Sync>;
+
+/// How usage records are kept.
+#[derive(Clone, Debug)]
+pub struct LedgerSettings {
+    /// This life of the entry host.
+    pub origin: UsageOrigin,
+    /// Bounds of the buffer.
+    pub limits: BufferLimits,
+    /// Longest time for which a batch that is not full waits.
+    pub flush_period: Duration,
+    /// Wait after a failed write.
+    pub retry_wait: Duration,
+    /// Age after which a copy for a peer is written by this host.
+    pub max_copy_age: Duration,
+    /// Longest time for which an answer waits for its record to be held.
+    pub hold_timeout: Duration,
+}
+
+impl Default for LedgerSettings {
+    fn default() -> Self {
+        Self {
+            origin: UsageOrigin::default(),
+            limits: BufferLimits::default(),
+            flush_period: Duration::from_secs(10),
+            retry_wait: Duration::from_millis(500),
+            max_copy_age: Duration::from_secs(300),
+            hold_timeout: Duration::from_secs(1),
+        }
+    }
+}
+
+/// Where a record is held when its answer ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UsageHold {
+    /// On this host and a peer.
+    Copied,
+    /// On the platform.
+    Durable,
+    /// On this host alone, because neither a peer nor the platform could be reached.
+    Local,
+}
+
+/// State of the ledger, for operators.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LedgerStatus {
+    /// Size of all records that are held, in bytes.
+    pub held_bytes: usize,
+    /// How long the oldest record has waited for the platform.
+    pub oldest_age: Duration,
+}
+
+/// Keeps usage records until they are on the platform.
+#[derive(Clone)]
+pub struct UsageLedger {
+    shared: Arc<LedgerState>,
+}
+
+/// Shared state of the ledger.
+struct LedgerState {
+    buffer: Mutex<UsageBuffer>,
+    calls: ObjectCalls,
+    copy_to_peer: CopyCall,
+    timers: TimerService,
+    settings: LedgerSettings,
+    flush: Notify,
+    durable: watch::Sender<u64>,
+}
+
+impl fmt::Debug for UsageLedger {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("UsageLedger(..)")
+    }
+}
+
+/// Room for the record of a request, given back when dropped.
+#[derive(Debug)]
+pub struct UsageReservation {
+    ledger: UsageLedger,
+}
+
+impl Drop for UsageReservation {
+    fn drop(&mut self) {
+        self.ledger.buffer().unreserve();
+    }
+}
+
+impl UsageLedger {
+    /// Creates a ledger; `run` has to be spawned for its records to be written.
+    pub fn new(
+        calls: ObjectCalls,
+        copy_to_peer: CopyCall,
+        timers: TimerService,
+        settings: LedgerSettings,
+    ) -> Self {
+        let buffer = UsageBuffer::new(settings.origin.clone(), settings.limits);
+        let shared = LedgerState {
+            buffer: Mutex::new(buffer),
+            calls,
+            copy_to_peer,
+            timers,
+            settings,
+            flush: Notify::new(),
+            durable: watch::Sender::new(0),
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Sets room aside for the record of a request; `None` means that it has to be refused and not run.
+    pub fn reserve(&self) -> Option<UsageReservation> {
+        let reserved = self.buffer().reserve();
+        reserved.then(|| UsageReservation {
+            ledger: self.clone(),
+        })
+    }
+
+    /// Keeps a record; to be awaited before the last byte of the answer goes out.
+    pub async fn record(&self, record: UsageRecord) -> UsageHold {
+        let now = self.shared.timers.now();
+        let (copy, full) = {
+            let mut buffer = self.buffer();
+            let copy = buffer.push(record, now);
+            (copy, buffer.has_full_batch())
+        };
+        if full {
+            self.shared.flush.notify_one();
+        }
+        let sequence = copy.sequence;
+        let timeout = self.shared.settings.hold_timeout;
+        let copying = (self.shared.copy_to_peer)(copy);
+        let copied = tokio::select! {
+            copied = copying => copied.unwrap_or(false),
+            () = self.shared.timers.sleep(timeout) => false,
+        };
+        if copied {
+            return UsageHold::Copied;
+        }
+        self.write_through(sequence).await
+    }
+
+    /// Takes in a copy that a peer of the same failure domain hands over; returns whether it is held.
+    pub fn accept_copy(&self, copy: UsageCopy) -> bool {
+        let now = self.shared.timers.now();
+        self.buffer().store_copy(copy, now)
+    }
+
+    /// Takes over the records of a peer that is gone; harmless if it is not.
+    pub fn adopt_host(&self, host: &HostName) {
+        self.buffer().adopt_host(host);
+        self.shared.flush.notify_one();
+    }
+
+    /// Returns the state of the ledger.
+    pub fn status(&self) -> LedgerStatus {
+        let now = self.shared.timers.now();
+        let buffer = self.buffer();
+        LedgerStatus {
+            held_bytes: buffer.used_bytes(),
+            oldest_age: buffer.oldest_age(now),
+        }
+    }
+
+    /// Writes batches until the task is aborted.
+    pub async fn run(self) {
+        let shared = &self.shared;
+        loop {
+            tokio::select! {
+                () = shared.flush.notified() => {}
+                () = shared.timers.sleep(shared.settings.flush_period) => {}
+            }
+            let now = shared.timers.now();
+            self.buffer().adopt_stale(now, shared.settings.max_copy_age);
+            self.write_batches().await;
+        }
+    }
+
+    /// Waits until every record is on the platform, for a graceful shutdown; returns whether it is.
+    pub async fn drain(&self, timeout: Duration) -> bool {
+        let deadline = self.shared.timers.now() + timeout;
+        let mut durable = self.shared.durable.subscribe();
+        self.shared.flush.notify_one();
+        loop {
+            if self.buffer().is_written() {
+                return true;
+            }
+            tokio::select! {
+                changed = durable.changed() => if changed.is_err() { return false },
+                () = self.shared.timers.sleep_until(deadline) => return false,
+            }
+        }
+    }
+
+    /// Writes batches until none is left, trying again after a failed write.
+    async fn write_batches(&self) {
+        let shared = &self.shared;
+        loop {
+            let Some(batch) = self.buffer().next_batch() else {
+                return;
+            };
+            if self.write_batch(&batch).await {
+                let durable = {
+                    let mut buffer = self.buffer();
+                    buffer.batch_written(batch.sequence);
+                    buffer.durable_before()
+                };
+                shared.durable.send_replace(durable);
+            } else {
+                shared.timers.sleep(shared.settings.retry_wait).await;
+            }
+        }
+    }
+
+    /// Writes a batch; returns whether it is on the platform.
+    async fn write_batch(&self, batch: &UsageBatch) -> bool {
+        let value = match serde_json::to_value(batch) {
+            Ok(value) => value,
+            Err(error) => {
+                log_fault("usage", &error);
+                return false;
+            }
+        };
+        let written = (self.shared.calls.write)(batch.object(), WriteCondition::Absent, value);
+        match written.await {
+            // Only an earlier write of the same batch can have made the object.
+            Ok(WriteOutcome::Applied(_) | WriteOutcome::Conflict) => true,
+            Ok(WriteOutcome::Rejected | WriteOutcome::Unsure) => false,
+            Err(error) => {
+                log_fault("usage", &error);
+                false
+            }
+        }
+    }
+
+    /// Waits for a record to be written to the platform.
+    async fn write_through(&self, sequence: u64) -> UsageHold {
+        let mut durable = self.shared.durable.subscribe();
+        self.shared.flush.notify_one();
+        let timeout = self.shared.settings.hold_timeout;
+        tokio::select! {
+            written = durable.wait_for(|before| *before > sequence) => match written {
+                Ok(_) => UsageHold::Durable,
+                Err(_) => UsageHold::Local,
+            },
+            () = self.shared.timers.sleep(timeout) => UsageHold::Local,
+        }
+    }
+
+    /// Locks the buffer.
+    fn buffer(&self) -> MutexGuard<'_, UsageBuffer> {
+        self.shared
+            .buffer
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/galenamast/tests/promises/claims.rs
+++ b/galenamast/tests/promises/claims.rs
@@ -307,3 +307,30 @@
         assert_eq!(stored.body_bytes().is_some(), kept);
     }
 }
+
+#[tokio::test]
+async fn a_claim_whose_caller_went_away_is_released() {
+    let bench = Bench::new();
+    let mut calls = bench.store.object_calls();
+    let (write, timers) = (calls.write, bench.timers.clone());
+    calls.write = std::sync::Arc::new(move |key, condition, value| {
+        let (written, timers) = (write(key, condition, value), timers.clone());
+        Box::pin(async move {
+            timers.sleep(Duration::from_secs(1)).await;
+            written.await
+        })
+    });
+    let host = ClaimRunner::new(calls, bench.timers.clone(), ClaimSettings::default());
+    let abandoned = tokio::spawn(async move { host.claim(request("counter", "k", 1)).await });
+    for _ in 0..5 {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(bench.store.of_kind("claim").len(), 1);
+    abandoned.abort();
+    bench.settle().await;
+    assert!(
+        abandoned.await.is_err(),
+        "the caller was to be cut off before its claim was made"
+    );
+    granted(bench.host("b").claim(request("counter", "k", 2)).await);
+}
--- a/galenamast/tests/promises/main.rs
+++ b/galenamast/tests/promises/main.rs
@@ -5,3 +5,5 @@
 mod memory_objects;
 mod sessions;
 mod support;
+mod usage;
+mod usage_faults;
