--- a/galenamast/tests/promises/claim_faults.rs
+++ b/galenamast/tests/promises/claim_faults.rs
@@ -132,7 +132,7 @@
             Stage::Claiming(machine, action) => {
                 self.step_claim(index, machine, &action, choice, sabotage)
             }
-            Stage::Granted if choice % 8 == 0 => Stage::Closing(released(document), None),
+            Stage::Granted if choice.is_multiple_of(8) => Stage::Closing(released(document), None),
             Stage::Granted => {
                 self.attempts[index].dispatched = true;
                 Stage::Closing(settled(document), None)
@@ -157,7 +157,7 @@
             ClaimAction::Write(condition) => {
                 ClaimEvent::Written(self.write(*condition, &document, choice))
             }
-            ClaimAction::Read if choice % 5 == 0 => ClaimEvent::ReadFailed,
+            ClaimAction::Read if choice.is_multiple_of(5) => ClaimEvent::ReadFailed,
             ClaimAction::Read => ClaimEvent::Read(self.read()),
             ClaimAction::Finish(_) => return Stage::Ended,
         };
--- a/galenamast/tests/promises/usage_faults.rs
+++ b/galenamast/tests/promises/usage_faults.rs
@@ -65,7 +65,7 @@
         let copy = self.hosts[host].push(record(number), TimePoint::ZERO);
         let mut holders = BTreeSet::from([host]);
         let peer = (host + 1 + usize::from(choice / 4) % (HOSTS - 1)) % HOSTS;
-        let arrives = choice % 4 != 0 && !sabotage.no_copy;
+        let arrives = !choice.is_multiple_of(4) && !sabotage.no_copy;
         if arrives && self.hosts[peer].store_copy(copy, TimePoint::ZERO) {
             holders.insert(peer);
         }
@@ -87,7 +87,7 @@
             self.lives += 1;
             key.name = format!("{}-{}", key.name, self.lives);
         }
-        let applied = choice % 4 != 0 && {
+        let applied = !choice.is_multiple_of(4) && {
             let outcome = self.store.apply(&key, WriteCondition::Absent, Some(value));
             outcome != WriteOutcome::Rejected
         };
