--- a/galenamast/src/coordination/mod.rs
+++ b/galenamast/src/coordination/mod.rs
@@ -2,16 +2,23 @@
 //!
 //! Nothing here does I/O or reads a clock: `handle(event, now)` returns actions.
 
+pub mod call_budget;
+pub mod change_refusal;
+pub mod circuit_breaker;
 pub mod claim_closing;
 pub mod claim_document;
 pub mod claim_key;
 pub mod claim_machine;
+pub mod config_change;
+pub mod config_check;
 pub mod config_documents;
 pub mod coordination_error;
 pub mod host_list;
 pub mod load_report;
+pub mod object_query;
 pub mod object_record;
 pub mod object_write;
+pub mod retry_backoff;
 pub mod server_directory;
 pub mod session_claims;
 pub mod session_error;
@@ -21,16 +28,25 @@
 pub mod usage_merge;
 pub mod usage_record;
 
+pub use call_budget::{CallBudget, CallPriority};
+pub use change_refusal::ChangeRefusal;
+pub use circuit_breaker::{BreakerState, CircuitBreaker};
 pub use claim_document::{
     BodyDigest, ClaimDocument, ClaimRecord, ClaimRetention, ClaimState, ReleaseReason,
     StoredOutcome,
 };
-pub use config_documents::{ConfigObject, HeadDocument, ObjectDigest, assemble_image};
+pub use config_change::{ChangeReceipt, ConfigChange, PlannedChange};
+pub use config_check::check_image;
+pub use config_documents::{
+    ChangeNote, ConfigObject, EncodedObject, HeadDocument, ObjectDigest, assemble_image,
+};
 pub use coordination_error::CoordinationError;
 pub use host_list::{HostList, HostListEntry, HostState};
 pub use load_report::LoadReport;
+pub use object_query::ObjectQuery;
 pub use object_record::{ObjectKey, ObjectRecord, ObjectVersion};
 pub use object_write::{WriteCondition, WriteOutcome};
+pub use retry_backoff::RetryBackoff;
 pub use server_directory::ServerDirectory;
 pub use session_claims::SessionClaims;
 pub use session_error::SessionError;
--- a/galenamast/src/transport/object_calls.rs
+++ b/galenamast/src/transport/object_calls.rs
@@ -6,7 +6,10 @@
 
 use serde_json::Value;
 
-use crate::coordination::{ObjectKey, ObjectRecord, ObjectVersion, WriteCondition, WriteOutcome};
+use crate::coordination::{
+    ObjectKey, ObjectQuery, ObjectRecord, ObjectVersion, WriteCondition, WriteOutcome,
+};
+use crate::transport::object_client::ObjectClient;
 use crate::transport::transport_error::TransportError;
 
 /// Future of a call.
@@ -46,6 +49,42 @@
     pub list: ListCall,
 }
 
+impl ObjectCalls {
+    /// Returns the calls of a client, at the client's priority.
+    pub fn of_client(client: &ObjectClient) -> Self {
+        let (reader, writer) = (client.clone(), client.clone());
+        let (deleter, lister) = (client.clone(), client.clone());
+        Self {
+            read: Arc::new(move |key| {
+                let client = reader.clone();
+                Box::pin(async move { client.read(&key).await })
+            }),
+            write: Arc::new(move |key, condition, value| {
+                let client = writer.clone();
+                Box::pin(async move { client.write(&key, condition, &value).await })
+            }),
+            delete: Arc::new(move |key, version| {
+                let client = deleter.clone();
+                Box::pin(async move { client.delete(&key, version).await })
+            }),
+            list: Arc::new(move |page| {
+                let client = lister.clone();
+                Box::pin(async move { client.list(&query_of(page)).await })
+            }),
+        }
+    }
+}
+
+/// Returns the listing that reads a page.
+fn query_of(page: PageRequest) -> ObjectQuery {
+    ObjectQuery {
+        kind: page.kind.into(),
+        after: page.after,
+        limit: Some(page.limit),
+        ..Default::default()
+    }
+}
+
 impl fmt::Debug for ObjectCalls {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str("ObjectCalls(..)")
--- a/galenamast/tests/promises/main.rs
+++ b/galenamast/tests/promises/main.rs
@@ -3,6 +3,7 @@
 mod claim_faults;
 mod claims;
 mod memory_objects;
+mod platform;
 mod sessions;
 mod support;
 mod usage;
