--- a/galenamast/src/commands/admin/keys.rs
+++ b/galenamast/src/commands/admin/keys.rs
@@ -24,6 +24,8 @@
         .required(true);
     let create = Command::new("create").about("Create a key and show its only copy");
     let rotate = Command::new("rotate").about("Create a key and keep only the newest earlier one");
+    let sessions = Command::new("rotate-sessions")
+        .about("Make a new key of session tokens; the one before stays valid");
     let revoke = Command::new("revoke").about("Revoke a key by its digest");
     Command::new(KEY)
         .about("Create, rotate or revoke bearer keys of callers")
@@ -32,6 +34,7 @@
         .subcommand(change_args(create.arg(workspace.clone())))
         .subcommand(change_args(rotate.arg(workspace.clone())))
         .subcommand(change_args(revoke.arg(workspace).arg(digest)))
+        .subcommand(change_args(sessions))
 }
 
 /// Creates, rotates or revokes a key.
@@ -43,7 +46,10 @@
     let Some((action, matches)) = matches.subcommand() else {
         return Err(AdminError::Arguments("no call was named".into()));
     };
-    let text = |name: &str| matches.get_one::<String>(name).cloned().unwrap_or_default();
+    let text = |name: &str| {
+        let value = matches.try_get_one::<String>(name).ok().flatten();
+        value.cloned().unwrap_or_default()
+    };
     let change = Some(change_of(matches));
     let workspace = text("workspace");
     let mut calls = KeyServiceClient::new(client.channel.clone());
@@ -58,6 +64,12 @@
             output.show(&receipt)?;
             receipt
         }
+        "rotate-sessions" => {
+            let request = client.request(wire::RotateSessionKeysRequest { change });
+            let receipt = client.call(calls.rotate_session_keys(request)).await?;
+            output.show(&receipt)?;
+            receipt
+        }
         action => {
             let response = match action {
                 "rotate" => {
--- a/galenamast/src/commands/admin/mod.rs
+++ b/galenamast/src/commands/admin/mod.rs
@@ -10,6 +10,7 @@
 mod keys;
 mod rollouts;
 mod status;
+mod usage;
 
 use std::io::Write;
 use std::process::ExitCode;
@@ -50,6 +51,7 @@
         .subcommand(keys::command())
         .subcommands(drains::commands())
         .subcommand(status::command())
+        .subcommand(usage::command())
         .subcommand(decisions::command())
 }
 
@@ -97,6 +99,7 @@
         Some((keys::KEY, matches)) => keys::run(&client, matches, &mut output).await,
         Some((drains::HOST, matches)) => drains::run_host(&client, matches, &mut output).await,
         Some((drains::SERVER, matches)) => drains::run_server(&client, matches, &mut output).await,
+        Some((usage::USAGE, matches)) => usage::run(&client, matches, &mut output).await,
         Some((status::STATUS, matches)) => status::run(&client, matches, &mut output).await,
         Some((decisions::DECISIONS, matches)) => {
             decisions::run(&client, matches, &mut output).await
--- a/galenamast/src/config/object_merge.rs
+++ b/galenamast/src/config/object_merge.rs
@@ -119,5 +119,9 @@
             let known = image.rollouts.get(&spec.name)?;
             Some(ConfigObject::Rollout(known.as_ref().clone()))
         }
+        ConfigObject::SessionKeys(_) => {
+            let known = image.session_keys.as_ref()?;
+            Some(ConfigObject::SessionKeys(known.as_ref().clone()))
+        }
     }
 }
--- a/galenamast/src/coordination/mod.rs
+++ b/galenamast/src/coordination/mod.rs
@@ -5,6 +5,10 @@
 pub mod call_budget;
 pub mod change_refusal;
 pub mod circuit_breaker;
+pub mod claim_closing;
+pub mod claim_document;
+pub mod claim_key;
+pub mod claim_machine;
 pub mod config_change;
 pub mod config_check;
 pub mod config_documents;
@@ -18,11 +22,21 @@
 pub mod retry_backoff;
 pub mod rollout_actions;
 pub mod server_directory;
+pub mod session_claims;
+pub mod session_error;
+pub mod session_signer;
+pub mod usage_batch;
+pub mod usage_buffer;
+pub mod usage_merge;
 pub mod usage_record;
 
 pub use call_budget::{CallBudget, CallPriority};
 pub use change_refusal::ChangeRefusal;
 pub use circuit_breaker::{BreakerState, CircuitBreaker};
+pub use claim_document::{
+    BodyDigest, ClaimDocument, ClaimRecord, ClaimRetention, ClaimState, ReleaseReason,
+    StoredOutcome,
+};
 pub use config_change::{ChangeReceipt, ConfigChange, PlannedChange};
 pub use config_check::check_image;
 pub use config_documents::{
@@ -36,4 +50,10 @@
 pub use object_write::{WriteCondition, WriteOutcome};
 pub use retry_backoff::RetryBackoff;
 pub use server_directory::ServerDirectory;
+pub use session_claims::SessionClaims;
+pub use session_error::SessionError;
+pub use session_signer::{SessionSettings, SessionSigner};
+pub use usage_batch::{UsageBatch, UsageCopy, UsageOrigin};
+pub use usage_buffer::{BufferLimits, UsageBuffer};
+pub use usage_merge::UsageMerge;
 pub use usage_record::UsageRecord;
--- a/galenamast/src/protocol/operator_changes.rs
+++ b/galenamast/src/protocol/operator_changes.rs
@@ -1,5 +1,6 @@
 //! Conversion of changes, receipts and refusals of the operator protocol.
 
+use crate::coordination::config_documents::SESSION_KEYS_ENTRY;
 use crate::coordination::{ChangeReceipt, ChangeRefusal, ConfigChange, ConfigObject};
 use crate::generated::operator as wire;
 use crate::protocol::operator_objects::{image_objects, invalid};
@@ -60,10 +61,13 @@
     dry_run: bool,
     image: &ConfigImage,
 ) -> wire::ChangeReceipt {
-    let known: Vec<String> = image_objects(image)
+    let mut known: Vec<String> = image_objects(image)
         .iter()
         .map(ConfigObject::entry_name)
         .collect();
+    if image.session_keys.is_some() {
+        known.push(SESSION_KEYS_ENTRY.into());
+    }
     let action = |entry: &String| {
         if change.removals.contains(entry) {
             return wire::EntryAction::Remove;
--- a/galenamast/src/protocol/operator_objects.rs
+++ b/galenamast/src/protocol/operator_objects.rs
@@ -13,7 +13,9 @@
     WithdrawnPolicy, WorkspaceLimits, WorkspaceSpec,
 };
 
-/// Lists the objects of a configuration, ordered by kind and name.
+/// Lists the objects of a configuration that may be shown, ordered by kind and name.
+///
+/// The keys of session tokens are secret and left out.
 pub fn image_objects(image: &ConfigImage) -> Vec<ConfigObject> {
     let mut objects = Vec::new();
     let workspaces = image.workspaces.values();
@@ -29,7 +31,7 @@
     objects
 }
 
-/// Converts an object for the wire.
+/// Converts an object for the wire; the keys of session tokens are secret and become an empty object.
 ///
 /// ```
 /// use galenamast::coordination::ConfigObject;
@@ -48,6 +50,7 @@
         ConfigObject::Pool(spec) => Object::Pool(pool_to_wire(spec)),
         ConfigObject::Service(spec) => Object::Service(service_to_wire(spec)),
         ConfigObject::Rollout(spec) => Object::Rollout(rollout_to_wire(spec)),
+        ConfigObject::SessionKeys(_) => return wire::ConfigurationObject::default(),
     };
     wire::ConfigurationObject {
         object: Some(object),
--- a/galenamast/src/transport/mod.rs
+++ b/galenamast/src/transport/mod.rs
@@ -3,6 +3,9 @@
 pub mod backend_client;
 pub mod call_counters;
 pub mod caller_server;
+pub mod claim_cleaner;
+pub mod claim_request;
+pub mod claim_runner;
 pub mod config_loader;
 pub mod config_writer;
 pub mod host_context;
@@ -11,6 +14,7 @@
 pub mod metrics_catalogue;
 pub mod metrics_reporter;
 pub mod metrics_sink;
+pub mod object_calls;
 pub mod object_client;
 pub mod operator_configuration;
 pub mod operator_context;
@@ -20,14 +24,25 @@
 pub mod operator_rollouts;
 pub mod operator_server;
 pub mod operator_status;
+pub mod operator_usage;
 pub mod timer_service;
 pub mod transport_error;
+pub mod usage_export;
+pub mod usage_ledger;
 
 pub use backend_client::{BackendClient, BackendReply};
 pub use call_counters::{CallCounters, CallCounts, CallKind};
+pub use claim_cleaner::ClaimCleaner;
+pub use claim_request::{ClaimRequest, ClaimResolution, ClaimSettings, ClaimTicket, ClaimVerdict};
+pub use claim_runner::ClaimRunner;
 pub use config_writer::ConfigWriter;
 pub use host_context::HostContext;
 pub use http_client::HttpClient;
+pub use object_calls::{CallFuture, ObjectCalls, PageRequest};
 pub use object_client::{CallLimits, ObjectClient};
 pub use timer_service::{ManualClock, TimerService, TimerSubscription};
 pub use transport_error::TransportError;
+pub use usage_export::{ExportRange, UsageExport, export_usage};
+pub use usage_ledger::{
+    CopyCall, LedgerSettings, LedgerStatus, UsageHold, UsageLedger, UsageReservation,
+};
--- a/galenamast/src/transport/operator_keys.rs
+++ b/galenamast/src/transport/operator_keys.rs
@@ -10,7 +10,7 @@
 use crate::protocol::operator_objects::digest_from_wire;
 use crate::protocol::operator_refusal::{OperatorRefusal, RefusalCode};
 use crate::protocol::operator_tokens::{OperatorIdentity, OperatorRole};
-use crate::state::{ConfigImage, KeyDigest, WorkspaceName, WorkspaceSpec};
+use crate::state::{ConfigImage, KeyDigest, SecretKey, SessionKeys, WorkspaceName, WorkspaceSpec};
 use crate::transport::operator_context::{ChangePlan, OperatorContext, answer};
 
 /// Length of the random part of a key, in bytes.
@@ -107,6 +107,24 @@
         let change = message.change.as_ref();
         self.operator.change(&identity, change, plan).await
     }
+
+    /// Makes a new key of session tokens and keeps the one before.
+    async fn rotate_sessions(
+        &self,
+        request: &Request<wire::RotateSessionKeysRequest>,
+    ) -> Result<wire::ChangeReceipt, OperatorRefusal> {
+        let identity = self.operator.authorise(request, OperatorRole::Administer)?;
+        let plan = |image: &ConfigImage| {
+            let known = image.session_keys.as_ref();
+            let keys = SessionKeys {
+                current: SecretKey::from_bytes(rand::random()),
+                previous: known.map(|keys| keys.current.clone()),
+            };
+            Ok(vec![ConfigObject::SessionKeys(keys)].into())
+        };
+        let change = request.get_ref().change.as_ref();
+        self.operator.change(&identity, change, plan).await
+    }
 }
 
 /// Makes a new random key.
@@ -149,4 +167,11 @@
     ) -> Result<Response<wire::ChangeReceipt>, Status> {
         answer("RevokeKey", self.revoke(&request).await)
     }
+
+    async fn rotate_session_keys(
+        &self,
+        request: Request<wire::RotateSessionKeysRequest>,
+    ) -> Result<Response<wire::ChangeReceipt>, Status> {
+        answer("RotateSessionKeys", self.rotate_sessions(&request).await)
+    }
 }
--- a/galenamast/src/transport/operator_server.rs
+++ b/galenamast/src/transport/operator_server.rs
@@ -17,6 +17,7 @@
 use crate::generated::operator::key_service_server::KeyServiceServer;
 use crate::generated::operator::rollout_service_server::RolloutServiceServer;
 use crate::generated::operator::status_service_server::StatusServiceServer;
+use crate::generated::operator::usage_service_server::UsageServiceServer;
 use crate::logging::log_fault;
 use crate::protocol::ProtocolError;
 use crate::transport::host_context::HostContext;
@@ -27,6 +28,7 @@
 use crate::transport::operator_keys::KeyCalls;
 use crate::transport::operator_rollouts::RolloutCalls;
 use crate::transport::operator_status::StatusCalls;
+use crate::transport::operator_usage::UsageCalls;
 use crate::transport::transport_error::TransportError;
 
 /// Calls of one connection that run at once.
@@ -68,6 +70,7 @@
         .add_service(KeyServiceServer::new(KeyCalls::new(operator.clone())))
         .add_service(DrainServiceServer::new(DrainCalls::new(operator.clone())))
         .add_service(StatusServiceServer::new(StatusCalls::new(operator.clone())))
+        .add_service(UsageServiceServer::new(UsageCalls::new(operator.clone())))
         .add_service(DecisionServiceServer::new(DecisionCalls::new(operator)));
     let address = settings.listen;
     let listen_error = |source| TransportError::Listen { address, source };
--- /dev/null
+++ b/galenamast/tests/operator/exports.rs
@@ -0,0 +1,89 @@
+//! Usage export and the keys of session tokens.
+
+use galenamast::coordination::{UsageBatch, UsageOrigin, UsageRecord};
+use galenamast::state::{RequestId, VersionKey};
+use serde_json::Value;
+
+use crate::support::OperatorBench;
+
+/// Returns a record of a workspace.
+fn record(workspace: &str, ended_unix_ms: u64) -> UsageRecord {
+    UsageRecord {
+        request_id: RequestId::generate(),
+        workspace: workspace.into(),
+        task: "boot-fitting".into(),
+        version: Some(VersionKey::new("advice", "small")),
+        input_tokens: 10,
+        output_tokens: 20,
+        price: 7,
+        ended_unix_ms,
+    }
+}
+
+#[tokio::test]
+async fn each_request_is_exported_once() {
+    let bench = OperatorBench::start().await;
+    let early = record("counter", 1_000);
+    let late = record("counter", 2_000);
+    let other = record("auditors", 2_000);
+    let batches = [vec![early.clone(), late.clone()], vec![late.clone(), other]];
+    for (sequence, records) in batches.into_iter().enumerate() {
+        let batch = UsageBatch {
+            origin: UsageOrigin {
+                host: "h".into(),
+                incarnation: 1,
+            },
+            sequence: sequence as u64,
+            records,
+        };
+        let value = serde_json::to_value(&batch).expect("a batch is JSON");
+        let key = batch.object();
+        bench.deployment.objects.put(&key.kind, &key.name, value);
+    }
+    let cases = [
+        ("usage --workspace counter", vec![&early, &late]),
+        (
+            "usage --workspace counter --from 1970-01-01T00:00:01.500Z",
+            vec![&late],
+        ),
+        (
+            "usage --workspace counter --until 1970-01-01T00:00:02Z",
+            vec![&early],
+        ),
+    ];
+    for (words, expected) in cases {
+        let result = bench.admin("read", words).await;
+        assert_eq!(result.code, 0, "{}", result.error);
+        let found: Vec<String> = result
+            .output
+            .lines()
+            .map(|line| serde_json::from_str::<Value>(line).expect("a line is JSON"))
+            .map(|value| value["request_id"].as_str().unwrap_or_default().to_owned())
+            .collect();
+        let expected: Vec<String> = expected
+            .iter()
+            .map(|record| record.request_id.to_string())
+            .collect();
+        assert_eq!(found, expected, "{words}");
+    }
+    let all = bench.admin("read", "usage").await;
+    assert_eq!(all.output.lines().count(), 3);
+}
+
+#[tokio::test]
+async fn session_keys_are_rotated_and_never_shown() {
+    let bench = OperatorBench::start().await;
+    let words = "key rotate-sessions --reason yearly --wait";
+    let denied = bench.admin("operate", words).await;
+    assert_eq!(denied.code, 4, "{}", denied.error);
+    assert_eq!(bench.admin("administer", words).await.code, 0);
+    let keys = |bench: &OperatorBench| bench.host.context().image.load().session_keys.clone();
+    let first = keys(&bench).expect("there are keys");
+    assert_eq!(bench.admin("administer", words).await.code, 0);
+    let second = keys(&bench).expect("there are keys");
+    assert_eq!(second.previous.as_ref(), Some(&first.current));
+    assert_ne!(second.current, first.current);
+    let shown = bench.admin("administer", "show").await;
+    let secret = String::from(second.current.clone());
+    assert!(!shown.output.contains(&secret));
+}
--- a/galenamast/tests/operator/main.rs
+++ b/galenamast/tests/operator/main.rs
@@ -2,6 +2,7 @@
 
 mod changes;
 mod declared;
+mod exports;
 mod log_lines;
 mod metrics;
 mod refusals;
