Place versions on engines and advance roll-outs by lease holders

Cause: versions come and go under traffic, and a holder that was paused may act as if it still held its lease. Change: a pure planner says what each engine of a failure domain serves; its runner gives declarative orders with the lease's term, reads lease and engine again before it orders an engine that ignores terms, and corrects late orders. A statig machine advances a roll-out through conditional changes. Conclusion: a late order is refused, withheld or corrected; without the second reading it is taken, as a test shows.

--- /dev/null
+++ b/fakes/src/engine_orders.rs
@@ -0,0 +1,228 @@
+//! The orders of a fake model engine: which versions it is to serve.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use axum::{Json, Router};
+use serde::{Deserialize, Serialize};
+
+use crate::fake_weights::DownloadGate;
+use crate::fault_plan::FaultSwitch;
+use crate::listener::FakeListener;
+
+/// Wait before a download that was refused is asked for again.
+const DOWNLOAD_RETRY: Duration = Duration::from_millis(5);
+
+/// A version as orders name it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct OrderedVersion {
+    /// Name of the model.
+    pub model: String,
+    /// Name of the version.
+    pub version: String,
+}
+
+impl OrderedVersion {
+    /// Creates a version from its names.
+    pub fn new(model: &str, version: &str) -> Self {
+        Self {
+            model: model.into(),
+            version: version.into(),
+        }
+    }
+}
+
+/// How an engine takes orders.
+#[derive(Clone, Debug)]
+pub struct OrderOptions {
+    /// Whether orders with an old fencing number are refused.
+    pub checks_fencing: bool,
+    /// Time to load a version after its download was granted.
+    pub load_time: Duration,
+    /// Rate limit of the weight store; without one every download is granted.
+    pub weights: Option<Arc<DownloadGate>>,
+    /// Versions that are served from the start.
+    pub loaded: BTreeSet<OrderedVersion>,
+}
+
+impl Default for OrderOptions {
+    fn default() -> Self {
+        Self {
+            checks_fencing: true,
+            load_time: Duration::ZERO,
+            weights: None,
+            loaded: BTreeSet::new(),
+        }
+    }
+}
+
+/// An order as it arrives.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct TakenOrder {
+    /// Fencing number of the order.
+    pub term: u64,
+    /// Who gave the order.
+    pub holder: String,
+    /// Versions that are to be served.
+    pub versions: BTreeSet<OrderedVersion>,
+}
+
+/// What the engine says of its orders.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct OrderState {
+    /// Fencing number of the last order that was taken.
+    pub term: u64,
+    /// Versions that were last ordered.
+    pub ordered: BTreeSet<OrderedVersion>,
+    /// Versions that are served.
+    pub loaded: BTreeSet<OrderedVersion>,
+}
+
+/// The orders of an engine and what it made of them.
+#[derive(Debug)]
+pub struct EngineOrders {
+    options: OrderOptions,
+    state: Mutex<OrderState>,
+    taken: Mutex<Vec<TakenOrder>>,
+    faults: FaultSwitch,
+}
+
+impl EngineOrders {
+    /// Creates the orders of an engine that serves the options' versions.
+    pub fn new(options: OrderOptions) -> Arc<Self> {
+        let state = OrderState {
+            term: 0,
+            ordered: options.loaded.clone(),
+            loaded: options.loaded.clone(),
+        };
+        Arc::new(Self {
+            options,
+            state: Mutex::new(state),
+            taken: Mutex::default(),
+            faults: FaultSwitch::default(),
+        })
+    }
+
+    /// Returns the routes that serve orders.
+    pub fn routes(self: &Arc<Self>) -> Router {
+        Router::new()
+            .route("/orders", get(read_orders).put(take_order))
+            .with_state(self.clone())
+    }
+
+    /// Returns the state of the orders.
+    pub fn state(&self) -> OrderState {
+        self.lock().clone()
+    }
+
+    /// Returns the orders that were taken, the oldest first.
+    pub fn taken(&self) -> Vec<TakenOrder> {
+        self.taken
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Returns the switch of the faults of orders.
+    pub fn faults(&self) -> &FaultSwitch {
+        &self.faults
+    }
+
+    /// Takes an order; returns whether its fencing number was accepted.
+    pub fn take(self: &Arc<Self>, order: TakenOrder) -> bool {
+        let missing: Vec<OrderedVersion> = {
+            let mut state = self.lock();
+            if self.options.checks_fencing && order.term < state.term {
+                return false;
+            }
+            state.term = order.term;
+            state.ordered.clone_from(&order.versions);
+            state.loaded = &state.loaded & &order.versions;
+            (&order.versions - &state.loaded).into_iter().collect()
+        };
+        self.taken
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(order);
+        for version in missing {
+            tokio::spawn(self.clone().load(version));
+        }
+        true
+    }
+
+    /// Downloads and loads a version, unless a later order leaves it out.
+    async fn load(self: Arc<Self>, version: OrderedVersion) {
+        if let Some(gate) = &self.options.weights {
+            while !gate.admit() {
+                tokio::time::sleep(DOWNLOAD_RETRY).await;
+            }
+        }
+        tokio::time::sleep(self.options.load_time).await;
+        let mut state = self.lock();
+        if state.ordered.contains(&version) {
+            state.loaded.insert(version);
+        }
+    }
+
+    /// Locks the state.
+    fn lock(&self) -> MutexGuard<'_, OrderState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Serves the state of the orders.
+async fn read_orders(State(orders): State<Arc<EngineOrders>>) -> Response {
+    if !orders.faults.admit().await {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    Json(orders.state()).into_response()
+}
+
+/// Serves an order.
+async fn take_order(
+    State(orders): State<Arc<EngineOrders>>,
+    Json(order): Json<TakenOrder>,
+) -> Response {
+    if !orders.faults.admit().await {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    if !orders.take(order) {
+        return StatusCode::CONFLICT.into_response();
+    }
+    if orders.faults.loses_answer() {
+        std::future::pending::<()>().await;
+    }
+    Json(orders.state()).into_response()
+}
+
+/// Stand-in for the orders of an engine that serves nothing else.
+#[derive(Debug)]
+pub struct FakeOrders {
+    orders: Arc<EngineOrders>,
+    listener: FakeListener,
+}
+
+impl FakeOrders {
+    /// Starts to take orders.
+    pub async fn start(options: OrderOptions) -> Self {
+        let orders = EngineOrders::new(options);
+        let listener = FakeListener::start(orders.routes()).await;
+        Self { orders, listener }
+    }
+
+    /// Returns the address that orders go to.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// Returns the orders.
+    pub fn orders(&self) -> &Arc<EngineOrders> {
+        &self.orders
+    }
+}
--- a/fakes/src/fake_weights.rs
+++ b/fakes/src/fake_weights.rs
@@ -21,9 +21,9 @@
     listener: FakeListener,
 }
 
-/// The rate limit.
+/// The rate limit of the weight store.
 #[derive(Debug)]
-struct DownloadGate {
+pub struct DownloadGate {
     per_period: usize,
     period: Duration,
     granted: Mutex<Vec<Instant>>,
@@ -55,6 +55,11 @@
         self.listener.address()
     }
 
+    /// Returns the rate limit, for a stand-in of an engine that downloads without a call.
+    pub fn gate(&self) -> &Arc<DownloadGate> {
+        &self.gate
+    }
+
     /// Returns the switch of the store's faults.
     pub fn faults(&self) -> &FaultSwitch {
         &self.gate.faults
@@ -70,18 +75,28 @@
     }
 }
 
+impl DownloadGate {
+    /// Grants a download if the rate allows one now.
+    pub fn admit(&self) -> bool {
+        let now = Instant::now();
+        let mut granted = self.granted.lock().unwrap_or_else(PoisonError::into_inner);
+        granted.retain(|at| now.duration_since(*at) < self.period);
+        if granted.len() >= self.per_period {
+            *self.refused.lock().unwrap_or_else(PoisonError::into_inner) += 1;
+            return false;
+        }
+        granted.push(now);
+        true
+    }
+}
+
 /// Grants or refuses a download.
 async fn grant(State(gate): State<Arc<DownloadGate>>, Path(version): Path<String>) -> Response {
     if !gate.faults.admit().await {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
-    let now = Instant::now();
-    let mut granted = gate.granted.lock().unwrap_or_else(PoisonError::into_inner);
-    granted.retain(|at| now.duration_since(*at) < gate.period);
-    if granted.len() >= gate.per_period {
-        *gate.refused.lock().unwrap_or_else(PoisonError::into_inner) += 1;
+    if !gate.admit() {
         return StatusCode::TOO_MANY_REQUESTS.into_response();
     }
-    granted.push(now);
     Json(json!({ "version": version })).into_response()
 }
--- a/galenamast/src/coordination/mod.rs
+++ b/galenamast/src/coordination/mod.rs
@@ -13,12 +13,18 @@
 pub mod config_check;
 pub mod config_documents;
 pub mod coordination_error;
+pub mod engine_order;
 pub mod host_list;
 pub mod load_report;
 pub mod object_query;
 pub mod object_record;
 pub mod object_write;
+pub mod placement_input;
+pub mod placement_needs;
+pub mod placement_planner;
 pub mod retry_backoff;
+pub mod rollout_controller;
+pub mod rollout_step;
 pub mod server_directory;
 pub mod session_claims;
 pub mod session_error;
@@ -41,12 +47,20 @@
     ChangeNote, ConfigObject, EncodedObject, HeadDocument, ObjectDigest, assemble_image,
 };
 pub use coordination_error::CoordinationError;
+pub use engine_order::{EngineOrder, EngineState};
 pub use host_list::{HostList, HostListEntry, HostState};
 pub use load_report::LoadReport;
 pub use object_query::ObjectQuery;
 pub use object_record::{ObjectKey, ObjectRecord, ObjectVersion};
 pub use object_write::{WriteCondition, WriteOutcome};
+pub use placement_input::{
+    MoveKind, MoveReason, PlacementMove, PlacementPlan, PlacementServer, PlacementSettings,
+    ReplicaCount, VersionDemand,
+};
+pub use placement_planner::plan_placement;
 pub use retry_backoff::RetryBackoff;
+pub use rollout_controller::{RolloutController, RolloutEvent, RolloutView};
+pub use rollout_step::RolloutStep;
 pub use server_directory::ServerDirectory;
 pub use session_claims::SessionClaims;
 pub use session_error::SessionError;
--- a/galenamast/src/protocol/log_record.rs
+++ b/galenamast/src/protocol/log_record.rs
@@ -2,9 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::UsageRecord;
+use crate::coordination::{PlacementMove, RolloutStep, UsageRecord};
 use crate::protocol::decision_record::DecisionRecord;
-use crate::state::ConfigGeneration;
+use crate::state::{ConfigGeneration, DomainName, RolloutName};
 
 /// A log line.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -12,6 +12,26 @@
 pub enum LogRecord {
     /// A request was routed.
     Decision(DecisionRecord),
+    /// A version was placed on an engine or taken from it.
+    Placement {
+        /// Failure domain of the engine.
+        domain: DomainName,
+        /// Term of the lease under which it was decided.
+        term: u64,
+        /// Generation of the configuration that it was decided by.
+        generation: ConfigGeneration,
+        /// What was decided.
+        decision: PlacementMove,
+    },
+    /// A roll-out was changed by its controller.
+    RolloutStep {
+        /// Name of the roll-out.
+        rollout: RolloutName,
+        /// Generation that the decision was based on.
+        generation: ConfigGeneration,
+        /// What was changed and why.
+        step: RolloutStep,
+    },
     /// A request was billed.
     Usage(UsageRecord),
     /// The host started to serve.
--- a/galenamast/src/state/pool_spec.rs
+++ b/galenamast/src/state/pool_spec.rs
@@ -18,6 +18,8 @@
     pub checks_fencing: bool,
     /// Requests that one server runs at once before it queues.
     pub slots_per_server: u32,
+    /// Memory for the weights of versions on one server, in mebibytes.
+    pub memory_mib: u64,
     /// Time after which an attempt without any answer is given up.
     pub attempt_timeout: Duration,
 }
@@ -29,6 +31,7 @@
             kind: PoolKind::Engine,
             checks_fencing: false,
             slots_per_server: 32,
+            memory_mib: 81_920,
             attempt_timeout: Duration::from_secs(60),
         }
     }
--- a/galenamast/src/state/rollout_spec.rs
+++ b/galenamast/src/state/rollout_spec.rs
@@ -30,6 +30,8 @@
     pub min_step_time: Duration,
     /// Greatest loss of mean rating that is accepted, from 0 to 1.
     pub tolerated_loss: f64,
+    /// Older roll-out of the model that this one takes the place of.
+    pub supersedes: Option<RolloutName>,
     /// Chance that a candidate as good as its baseline is braked.
     pub false_alarm_rate: f64,
 }
@@ -47,6 +49,7 @@
             min_ratings: 100,
             min_step_time: Duration::from_secs(600),
             tolerated_loss: 0.02,
+            supersedes: None,
             false_alarm_rate: 0.001,
         }
     }
--- a/galenamast/tests/promises/main.rs
+++ b/galenamast/tests/promises/main.rs
@@ -2,8 +2,11 @@
 
 mod claim_faults;
 mod claims;
+mod fencing;
 mod memory_objects;
+mod placement;
 mod platform;
+mod rollouts;
 mod sessions;
 mod support;
 mod usage;
