--- /dev/null
+++ b/galenamast/tests/path/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the request path.
+
+mod failure_table;
+mod machine_faults;
+mod machine_model;
