--- a/fakes/src/fake_engine.rs
+++ b/fakes/src/fake_engine.rs
@@ -1,18 +1,19 @@
 //! Stand-in for a model engine.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use axum::extract::State;
-use axum::http::{HeaderMap, StatusCode, header};
+use axum::http::{HeaderMap, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use serde_json::{Value, json};
 
+use crate::engine_answer::{AnswerPlan, stream_answer, whole_answer};
 use crate::fault_plan::FaultSwitch;
 use crate::listener::FakeListener;
 
@@ -43,6 +44,25 @@
     }
 }
 
+/// Faults of an engine beside those of every stand-in.
+#[derive(Clone, Debug, Default)]
+pub struct EngineFaults {
+    /// The next streams end after this many events, without the end marker.
+    pub truncate_after: Option<u64>,
+    /// Streams that are still to be truncated.
+    pub truncations: u32,
+    /// The next answers carry the identifier of another request.
+    pub crossed_answers: u32,
+    /// Each event is sent twice.
+    pub repeat_events: bool,
+    /// The engine crashes when a body holds this text.
+    pub poison: Option<String>,
+    /// The engine does not honour the resume header.
+    pub ignores_resume: bool,
+    /// Load that is reported in place of the true one.
+    pub false_load: Option<u32>,
+}
+
 /// Stand-in for a model engine: answers with its version and the quality of its answers.
 #[derive(Debug)]
 pub struct FakeEngine {
@@ -52,11 +72,15 @@
 
 /// Shared state of the engine.
 #[derive(Debug)]
-struct EngineState {
+pub(crate) struct EngineState {
     options: Mutex<EngineOptions>,
+    engine_faults: Mutex<EngineFaults>,
     runs: Mutex<Vec<EngineRun>>,
+    cancelled: Mutex<BTreeSet<String>>,
     running: AtomicU32,
+    incarnation: AtomicU64,
     draining: AtomicBool,
+    crashed: tokio_util::sync::CancellationToken,
     faults: FaultSwitch,
 }
 
@@ -67,6 +91,50 @@
     pub request_id: String,
     /// Version, as `model@version`.
     pub version: String,
+    /// Priority that the entry host gave.
+    pub priority: String,
+    /// Index of the first event that was asked for.
+    pub resume_from: u64,
+}
+
+/// Counts a request as running until it is dropped.
+#[derive(Debug)]
+pub(crate) struct RunGuard {
+    state: Arc<EngineState>,
+    request_id: String,
+    finished: bool,
+}
+
+impl RunGuard {
+    /// Counts a request as running.
+    fn start(state: &Arc<EngineState>, request_id: &str) -> Self {
+        state.running.fetch_add(1, Ordering::SeqCst);
+        Self {
+            state: state.clone(),
+            request_id: request_id.to_owned(),
+            finished: false,
+        }
+    }
+
+    /// Notes that the whole answer was written.
+    pub(crate) fn finish(&mut self) {
+        self.finished = true;
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        self.state.running.fetch_sub(1, Ordering::SeqCst);
+        if !self.finished {
+            let mut cancelled = lock(&self.state.cancelled);
+            cancelled.insert(self.request_id.clone());
+        }
+    }
+}
+
+/// Locks a mutex, also after a panic of another holder.
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl FakeEngine {
@@ -74,19 +142,21 @@
     pub async fn start(options: EngineOptions) -> Self {
         let state = Arc::new(EngineState {
             options: Mutex::new(options),
+            engine_faults: Mutex::default(),
             runs: Mutex::default(),
+            cancelled: Mutex::default(),
             running: AtomicU32::new(0),
+            incarnation: AtomicU64::new(0),
             draining: AtomicBool::new(false),
+            crashed: tokio_util::sync::CancellationToken::new(),
             faults: FaultSwitch::default(),
         });
         let routes = Router::new()
             .route("/v1/chat/completions", post(run_chat))
             .route("/load", get(report_load))
             .with_state(state.clone());
-        Self {
-            state,
-            listener: FakeListener::start(routes).await,
-        }
+        let listener = FakeListener::start_until(routes, state.crashed.clone()).await;
+        Self { state, listener }
     }
 
     /// Returns the address of the engine.
@@ -94,29 +164,44 @@
         self.listener.address()
     }
 
-    /// Returns the switch of the engine's faults.
+    /// Returns the switch of the faults that every stand-in has.
     pub fn faults(&self) -> &FaultSwitch {
         &self.state.faults
     }
 
+    /// Changes the faults that only engines have.
+    pub fn set_faults(&self, change: impl FnOnce(&mut EngineFaults)) {
+        change(&mut lock(&self.state.engine_faults));
+    }
+
     /// Changes how the engine behaves.
     pub fn change(&self, change: impl FnOnce(&mut EngineOptions)) {
-        change(
-            &mut self
-                .state
-                .options
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner),
-        );
+        change(&mut lock(&self.state.options));
     }
 
     /// Returns the requests that were started.
     pub fn runs(&self) -> Vec<EngineRun> {
-        self.state
-            .runs
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        lock(&self.state.runs).clone()
+    }
+
+    /// Returns the number of requests that run.
+    pub fn running(&self) -> u32 {
+        self.state.running.load(Ordering::SeqCst)
+    }
+
+    /// Returns the requests whose answer was given up before its end.
+    pub fn cancelled(&self) -> BTreeSet<String> {
+        lock(&self.state.cancelled).clone()
+    }
+
+    /// Returns whether the engine crashed or was killed.
+    pub fn is_dead(&self) -> bool {
+        self.state.crashed.is_cancelled()
+    }
+
+    /// Sets the incarnation that the load report states.
+    pub fn set_incarnation(&self, incarnation: u64) {
+        self.state.incarnation.store(incarnation, Ordering::SeqCst);
     }
 
     /// Sets whether the engine reports that it is leaving.
@@ -126,39 +211,66 @@
 
     /// Stops the engine as a crash would.
     pub fn kill(&self) {
+        self.state.crashed.cancel();
         self.listener.kill();
     }
 }
 
 impl EngineState {
-    /// Returns a copy of the options.
-    fn options(&self) -> EngineOptions {
-        self.options
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+    /// Decides how the next answer goes.
+    fn plan_answer(&self, request_id: &str, version: &str, quality: f64) -> AnswerPlan {
+        let options = lock(&self.options).clone();
+        let mut faults = lock(&self.engine_faults);
+        let mut plan = AnswerPlan {
+            request_id: request_id.to_owned(),
+            version: version.to_owned(),
+            quality,
+            tokens: options.answer_tokens,
+            first_token: options.first_token,
+            token_gap: options.token_gap,
+            first_event: 0,
+            repeat_events: faults.repeat_events,
+            truncate_after: None,
+        };
+        if faults.crossed_answers > 0 {
+            faults.crossed_answers -= 1;
+            plan.request_id = "00000000-0000-7000-8000-000000000000".into();
+        }
+        if faults.truncations > 0 {
+            faults.truncations -= 1;
+            plan.truncate_after = faults.truncate_after;
+        }
+        plan
     }
 }
 
 /// Serves the load report.
 async fn report_load(State(state): State<Arc<EngineState>>) -> Json<Value> {
-    let options = state.options();
+    let options = lock(&state.options).clone();
     let versions: Vec<Value> = options
         .versions
         .keys()
         .filter_map(|version| version.split_once('@'))
         .map(|(model, version)| json!({ "model": model, "version": version }))
         .collect();
+    let false_load = lock(&state.engine_faults).false_load;
+    let running = false_load.unwrap_or_else(|| state.running.load(Ordering::SeqCst));
     Json(json!({
-        "incarnation": 0,
+        "incarnation": state.incarnation.load(Ordering::SeqCst),
         "draining": state.draining.load(Ordering::SeqCst),
-        "running": state.running.load(Ordering::SeqCst),
+        "running": running,
         "waiting": 0,
         "cache_used": 0,
         "versions": versions,
     }))
 }
 
+/// Returns a header as text.
+fn header_text(headers: &HeaderMap, name: &str) -> String {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
+
 /// Runs a chat request.
 async fn run_chat(
     State(state): State<Arc<EngineState>>,
@@ -168,48 +280,34 @@
     if !state.faults.admit().await {
         return (StatusCode::SERVICE_UNAVAILABLE, [("x-not-started", "true")]).into_response();
     }
-    let options = state.options();
     let version = body["model"].as_str().unwrap_or_default().to_owned();
-    let Some(quality) = options.versions.get(&version) else {
+    let quality = lock(&state.options).versions.get(&version).copied();
+    let Some(quality) = quality else {
         return (StatusCode::NOT_FOUND, [("x-not-started", "true")]).into_response();
     };
-    let request_id = headers
-        .get("x-request-id")
-        .and_then(|value| value.to_str().ok());
-    let request_id = request_id.unwrap_or_default().to_owned();
-    let run = EngineRun {
+    let request_id = header_text(&headers, "x-request-id");
+    let asked = header_text(&headers, "x-resume-from").parse().unwrap_or(0);
+    let ignores_resume = lock(&state.engine_faults).ignores_resume;
+    let resume_from = if ignores_resume { 0 } else { asked };
+    lock(&state.runs).push(EngineRun {
         request_id: request_id.clone(),
         version: version.clone(),
-    };
-    state
-        .runs
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner)
-        .push(run);
-    state.running.fetch_add(1, Ordering::SeqCst);
-    let time = options.first_token + options.token_gap * options.answer_tokens;
-    if !time.is_zero() {
-        tokio::time::sleep(time).await;
-    }
-    state.running.fetch_sub(1, Ordering::SeqCst);
+        priority: header_text(&headers, "x-priority"),
+        resume_from,
+    });
+    let poison = lock(&state.engine_faults).poison.clone();
+    if poison.is_some_and(|text| body.to_string().contains(&text)) {
+        state.crashed.cancel();
+        std::future::pending::<()>().await;
+    }
+    let mut plan = state.plan_answer(&request_id, &version, quality);
+    plan.first_event = resume_from;
+    let guard = RunGuard::start(&state, &request_id);
     if state.faults.loses_answer() {
         std::future::pending::<()>().await;
     }
-    let words = "word ".repeat(options.answer_tokens as usize);
-    let text = format!("{words}quality={quality}");
-    let answer = json!({
-        "id": request_id,
-        "model": version,
-        "choices": [{
-            "index": 0,
-            "message": { "role": "assistant", "content": text },
-            "finish_reason": "stop",
-        }],
-        "usage": { "prompt_tokens": 16, "completion_tokens": options.answer_tokens },
-    });
-    (
-        [(header::CONTENT_TYPE, "application/json")],
-        answer.to_string(),
-    )
-        .into_response()
+    if body["stream"].as_bool() == Some(true) {
+        return stream_answer(plan, guard).await;
+    }
+    whole_answer(&plan, guard).await
 }
--- a/fakes/src/fake_service.rs
+++ b/fakes/src/fake_service.rs
@@ -26,6 +26,7 @@
 struct ServiceState {
     runs: Mutex<Vec<ServiceRun>>,
     draining: Mutex<bool>,
+    crashed: tokio_util::sync::CancellationToken,
     faults: FaultSwitch,
 }
 
@@ -50,10 +51,8 @@
             .route("/load", get(report_load))
             .fallback(any(run_call))
             .with_state(state.clone());
-        Self {
-            state,
-            listener: FakeListener::start(routes).await,
-        }
+        let listener = FakeListener::start_until(routes, state.crashed.clone()).await;
+        Self { state, listener }
     }
 
     /// Returns the address of the service.
@@ -86,6 +85,7 @@
 
     /// Stops the service as a crash would.
     pub fn kill(&self) {
+        self.state.crashed.cancel();
         self.listener.kill();
     }
 }
@@ -108,7 +108,7 @@
     body: Bytes,
 ) -> Response {
     if !state.faults.admit().await {
-        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+        return (StatusCode::SERVICE_UNAVAILABLE, [("x-not-started", "true")]).into_response();
     }
     let request_id = headers
         .get("x-request-id")
@@ -124,9 +124,9 @@
         .runs
         .lock()
         .unwrap_or_else(PoisonError::into_inner)
-        .push(run);
+        .push(run.clone());
     if state.faults.loses_answer() {
         std::future::pending::<()>().await;
     }
-    Json(answer).into_response()
+    ([("x-request-id", run.request_id)], Json(answer)).into_response()
 }
--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -3,6 +3,8 @@
 //! Each stand-in listens on a free port of the loopback interface, serves a small part of the
 //! protocol of what it stands for, and can be told to fail in stated ways.
 
+pub mod crash_stream;
+mod engine_answer;
 pub mod fake_engine;
 pub mod fake_hosts;
 pub mod fake_objects;
@@ -12,7 +14,7 @@
 pub mod fault_plan;
 pub mod listener;
 
-pub use fake_engine::{EngineOptions, FakeEngine};
+pub use fake_engine::{EngineFaults, EngineOptions, EngineRun, FakeEngine};
 pub use fake_hosts::{FakeHosts, ListedHost};
 pub use fake_objects::FakeObjects;
 pub use fake_rating::FakeRating;
--- a/fakes/src/listener.rs
+++ b/fakes/src/listener.rs
@@ -5,6 +5,9 @@
 use axum::Router;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::crash_stream::CrashStream;
 
 /// A served router; it stops when dropped or killed.
 #[derive(Debug)]
@@ -20,6 +23,15 @@
     ///
     /// Panics if no loopback port can be opened.
     pub async fn start(routes: Router) -> Self {
+        Self::start_until(routes, CancellationToken::new()).await
+    }
+
+    /// Starts to serve routes until a token is cancelled, which also cuts open connections.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no loopback port can be opened.
+    pub async fn start_until(routes: Router, crashed: CancellationToken) -> Self {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
             .await
             .expect("a loopback port is free");
@@ -27,7 +39,13 @@
             .local_addr()
             .expect("a bound socket has an address");
         let task = tokio::spawn(async move {
-            let _ = axum::serve(listener, routes).await;
+            let cut = crashed.clone();
+            let listener = CrashStream::listen(listener, cut);
+            let serving = axum::serve(listener, routes);
+            tokio::select! {
+                _ = serving => {}
+                () = crashed.cancelled() => {}
+            }
         });
         Self { address, task }
     }
--- /dev/null
+++ b/galenamast/src/coordination/admission_control.rs
@@ -0,0 +1,101 @@
+//! Limits on the rate and the concurrency of each workspace.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::coordination::retry_budget::RetryBudget;
+use crate::state::{TimePoint, WorkspaceLimits, WorkspaceName};
+
+/// Time whose worth of requests a workspace may send at once.
+const BURST_TIME: Duration = Duration::from_secs(1);
+/// Time after which a request over the concurrency limit may be tried again.
+const CONCURRENCY_RETRY: Duration = Duration::from_millis(500);
+
+/// A request that a limit forbids.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AdmissionRefusal {
+    /// Time after which a new try may succeed.
+    pub retry_after: Duration,
+}
+
+/// Use that each workspace makes of its limits on this host.
+#[derive(Debug, Default)]
+pub struct AdmissionControl {
+    workspaces: BTreeMap<WorkspaceName, WorkspaceUse>,
+}
+
+/// Use that one workspace makes of its limits.
+#[derive(Debug)]
+struct WorkspaceUse {
+    tokens: f64,
+    refilled_at: TimePoint,
+    in_flight: u32,
+    budget: Arc<RetryBudget>,
+}
+
+impl AdmissionControl {
+    /// Admits a request of a workspace, which is to be released at its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns when to try again if a limit is reached.
+    ///
+    /// ```
+    /// use galenamast::coordination::AdmissionControl;
+    /// use galenamast::state::{TimePoint, WorkspaceLimits};
+    ///
+    /// let limits = WorkspaceLimits { max_in_flight: 1, ..Default::default() };
+    /// let mut control = AdmissionControl::default();
+    /// assert!(control.admit(&"alta".into(), &limits, TimePoint::ZERO).is_ok());
+    /// assert!(control.admit(&"alta".into(), &limits, TimePoint::ZERO).is_err());
+    /// ```
+    pub fn admit(
+        &mut self,
+        workspace: &WorkspaceName,
+        limits: &WorkspaceLimits,
+        now: TimePoint,
+    ) -> Result<Arc<RetryBudget>, AdmissionRefusal> {
+        let burst = (limits.requests_per_second * BURST_TIME.as_secs_f64()).max(1.0);
+        let usage = self
+            .workspaces
+            .entry(workspace.clone())
+            .or_insert_with(|| WorkspaceUse {
+                tokens: burst,
+                refilled_at: now,
+                in_flight: 0,
+                budget: Arc::default(),
+            });
+        let elapsed = now.since(usage.refilled_at).as_secs_f64();
+        usage.tokens = (usage.tokens + elapsed * limits.requests_per_second).min(burst);
+        usage.refilled_at = now;
+        if usage.in_flight >= limits.max_in_flight {
+            return Err(AdmissionRefusal {
+                retry_after: CONCURRENCY_RETRY,
+            });
+        }
+        if usage.tokens < 1.0 {
+            let missing = (1.0 - usage.tokens) / limits.requests_per_second.max(0.001);
+            let retry_after = Duration::from_secs_f64(missing.min(3_600.0));
+            return Err(AdmissionRefusal { retry_after });
+        }
+        usage.tokens -= 1.0;
+        usage.in_flight += 1;
+        usage.budget.deposit(limits.retry_ratio);
+        Ok(usage.budget.clone())
+    }
+
+    /// Notes that an admitted request ended.
+    pub fn release(&mut self, workspace: &WorkspaceName) {
+        if let Some(usage) = self.workspaces.get_mut(workspace) {
+            usage.in_flight = usage.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Returns the number of requests of a workspace in flight on this host.
+    pub fn in_flight(&self, workspace: &WorkspaceName) -> u32 {
+        self.workspaces
+            .get(workspace)
+            .map_or(0, |usage| usage.in_flight)
+    }
+}
--- a/galenamast/src/coordination/mod.rs
+++ b/galenamast/src/coordination/mod.rs
@@ -2,8 +2,11 @@
 //!
 //! Nothing here does I/O or reads a clock: `handle(event, now)` returns actions.
 
+pub mod admission_control;
+pub mod admission_queue;
 pub mod config_documents;
 pub mod coordination_error;
+pub mod crash_quarantine;
 pub mod host_list;
 pub mod load_report;
 pub mod object_record;
@@ -11,12 +14,18 @@
 pub mod request_failure;
 pub mod request_machine;
 pub mod request_messages;
+pub mod request_placement;
+pub mod request_stream;
 pub mod retry_budget;
 pub mod server_directory;
+pub mod server_life;
 pub mod usage_record;
 
+pub use admission_control::{AdmissionControl, AdmissionRefusal};
+pub use admission_queue::{AdmissionQueue, QueueEntry, QueueTicket, QueueVerdict};
 pub use config_documents::{ConfigObject, HeadDocument, ObjectDigest, assemble_image};
 pub use coordination_error::CoordinationError;
+pub use crash_quarantine::{CrashFingerprint, CrashNote, CrashQuarantine, ServerDeath};
 pub use host_list::{HostList, HostListEntry, HostState};
 pub use load_report::LoadReport;
 pub use object_record::{ObjectKey, ObjectRecord, ObjectVersion};
@@ -27,6 +36,9 @@
     AttemptNumber, ClaimAnswer, ClaimEnd, FailureReason, RequestAction, RequestEvent,
     RequestGuards, RequestPlan,
 };
+pub use request_placement::choose_service_server;
+pub use request_stream::{StreamChecker, StreamVerdict};
 pub use retry_budget::RetryBudget;
-pub use server_directory::ServerDirectory;
+pub use server_directory::{DirectoryEvent, ServerDirectory};
+pub use server_life::{LifeEvent, LifeSettings, ServerMachine};
 pub use usage_record::UsageRecord;
--- a/galenamast/src/coordination/server_directory.rs
+++ b/galenamast/src/coordination/server_directory.rs
@@ -1,59 +1,148 @@
 //! Keeps what is known of the backend servers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use crate::coordination::host_list::{HostList, HostListEntry, HostState};
+use crate::coordination::host_list::{HostList, HostListEntry};
 use crate::coordination::load_report::LoadReport;
+use crate::coordination::server_life::{LifeEvent, LifeSettings, ServerMachine};
 use crate::state::{ServerLife, ServerName, ServerRecord, ServerTable, TimePoint};
 
-/// Records of the backend servers, fed by the host list and load reports.
-#[derive(Clone, Debug, Default)]
+/// News about the backend servers.
+#[derive(Clone, Debug)]
+pub enum DirectoryEvent {
+    /// The host list was read.
+    ListRead(HostList),
+    /// A load report of a server arrived.
+    Reported(ServerName, LoadReport),
+    /// A connection to a server failed.
+    ConnectFailed(ServerName),
+    /// Time passed.
+    Tick,
+}
+
+/// Records and machines of the backend servers, fed by the host list and load reports.
+#[derive(Debug, Default)]
 pub struct ServerDirectory {
-    records: BTreeMap<ServerName, ServerRecord>,
+    settings: LifeSettings,
+    entries: BTreeMap<ServerName, DirectoryEntry>,
+}
+
+/// Record and machine of one server.
+#[derive(Debug)]
+struct DirectoryEntry {
+    record: ServerRecord,
+    machine: ServerMachine,
 }
 
 impl ServerDirectory {
+    /// Creates an empty directory.
+    pub fn new(settings: LifeSettings) -> Self {
+        Self {
+            settings,
+            entries: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in news.
+    pub fn handle(&mut self, event: &DirectoryEvent, now: TimePoint) {
+        match event {
+            DirectoryEvent::ListRead(list) => self.apply_host_list(list, now),
+            DirectoryEvent::Reported(name, report) => self.apply_load(name, report, now),
+            DirectoryEvent::ConnectFailed(name) => self.step(name, LifeEvent::ConnectFailed, now),
+            DirectoryEvent::Tick => self.tick(now),
+        }
+    }
+
     /// Takes in a reading of the host list.
-    pub fn apply_host_list(&mut self, list: &HostList) {
+    fn apply_host_list(&mut self, list: &HostList, now: TimePoint) {
         for entry in &list.hosts {
-            let record = self
-                .records
-                .entry(entry.name.clone())
-                .or_insert_with(|| new_record(entry));
-            if entry.incarnation > record.incarnation {
-                *record = new_record(entry);
-            }
-            if entry.state == HostState::Leaving && record.life < ServerLife::Draining {
-                record.life = ServerLife::Draining;
+            self.ensure(entry, now);
+            let event = LifeEvent::Listed {
+                incarnation: entry.incarnation,
+                state: entry.state,
+            };
+            self.step(&entry.name, event, now);
+        }
+        let listed: BTreeSet<&ServerName> = list.hosts.iter().map(|entry| &entry.name).collect();
+        let missing: Vec<ServerName> = self
+            .entries
+            .keys()
+            .filter(|name| !listed.contains(name))
+            .cloned()
+            .collect();
+        for name in missing {
+            self.step(&name, LifeEvent::Unlisted, now);
+        }
+    }
+
+    /// Adds a listed server, or replaces the record of an older incarnation.
+    fn ensure(&mut self, entry: &HostListEntry, now: TimePoint) {
+        let known = self.entries.get_mut(&entry.name);
+        if let Some(known) = known {
+            if entry.incarnation > known.machine.incarnation() {
+                known.record = ServerRecord {
+                    in_flight: known.record.in_flight.clone(),
+                    ..new_record(entry)
+                };
             }
+            return;
         }
+        let created = DirectoryEntry {
+            record: new_record(entry),
+            machine: ServerMachine::new(entry.incarnation, self.settings, now),
+        };
+        self.entries.insert(entry.name.clone(), created);
     }
 
     /// Takes in a load report of a server.
-    pub fn apply_load(&mut self, name: &ServerName, report: &LoadReport, now: TimePoint) {
-        let Some(record) = self.records.get_mut(name) else {
+    fn apply_load(&mut self, name: &ServerName, report: &LoadReport, now: TimePoint) {
+        let Some(entry) = self.entries.get_mut(name) else {
             return;
         };
+        if report.incarnation < entry.machine.incarnation() {
+            return;
+        }
+        let record = &mut entry.record;
         record.load = report.load;
         record.versions.clone_from(&report.versions);
         record.reported_at = now;
-        if report.draining {
-            record.life = ServerLife::Draining;
-        } else if record.life < ServerLife::Draining {
-            record.life = ServerLife::Live;
+        record.own_at_report = record.in_flight.get();
+        let event = LifeEvent::Reported {
+            incarnation: report.incarnation,
+            draining: report.draining,
+        };
+        self.step(name, event, now);
+    }
+
+    /// Lets time pass for all servers and forgets those that have left.
+    fn tick(&mut self, now: TimePoint) {
+        let names: Vec<ServerName> = self.entries.keys().cloned().collect();
+        for name in names {
+            self.step(&name, LifeEvent::Tick, now);
         }
     }
 
+    /// Hands an event to the machine of a server.
+    fn step(&mut self, name: &ServerName, event: LifeEvent, now: TimePoint) {
+        let Some(entry) = self.entries.get_mut(name) else {
+            return;
+        };
+        entry.record.life = entry.machine.handle(event, now);
+        entry.record.incarnation = entry.machine.incarnation();
+    }
+
     /// Returns the records of all servers.
     pub fn records(&self) -> impl Iterator<Item = &ServerRecord> {
-        self.records.values()
+        self.entries.values().map(|entry| &entry.record)
     }
 
-    /// Builds a snapshot of the servers.
+    /// Builds a snapshot of the servers that have not left.
     pub fn snapshot(&self) -> ServerTable {
         let mut table = ServerTable::default();
-        for record in self.records.values() {
-            table.insert(record.clone());
+        for record in self.records() {
+            if record.life != ServerLife::Gone {
+                table.insert(record.clone());
+            }
         }
         table
     }
--- /dev/null
+++ b/galenamast/src/coordination/server_life.rs
@@ -0,0 +1,289 @@
+//! The life of one backend server, as an entry host sees it.
+
+use std::time::Duration;
+
+use statig::blocking::{InitializedStateMachine, IntoStateMachineExt};
+use statig::prelude::*;
+
+use crate::coordination::host_list::HostState;
+use crate::state::{ServerLife, TimePoint};
+
+/// Bounds of the life of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LifeSettings {
+    /// Silence after which a server is suspected.
+    pub suspect_after: Duration,
+    /// Time from the first sign of leaving to the last new work.
+    pub leaving_bound: Duration,
+    /// Silence after which a server that is not listed is forgotten.
+    pub gone_after: Duration,
+}
+
+impl Default for LifeSettings {
+    fn default() -> Self {
+        Self {
+            suspect_after: Duration::from_millis(1_500),
+            leaving_bound: Duration::from_secs(3),
+            gone_after: Duration::from_secs(60),
+        }
+    }
+}
+
+/// What happened to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LifeEvent {
+    /// The host list was read and names the server.
+    Listed {
+        /// Incarnation that the list states.
+        incarnation: u64,
+        /// State that the list states.
+        state: HostState,
+    },
+    /// The host list was read and does not name the server.
+    Unlisted,
+    /// A load report arrived.
+    Reported {
+        /// Incarnation that the report states.
+        incarnation: u64,
+        /// Whether the server says that it is leaving.
+        draining: bool,
+    },
+    /// A connection to the server failed.
+    ConnectFailed,
+    /// Time passed.
+    Tick,
+}
+
+/// The machine of one server; it does no I/O.
+pub struct ServerMachine {
+    machine: InitializedStateMachine<LifeFlow>,
+}
+
+impl std::fmt::Debug for ServerMachine {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "ServerMachine({:?})", self.life())
+    }
+}
+
+impl ServerMachine {
+    /// Creates the machine of a server that nothing is known of.
+    pub fn new(incarnation: u64, settings: LifeSettings, now: TimePoint) -> Self {
+        let flow = LifeFlow {
+            settings,
+            incarnation,
+            heard_at: now,
+            failed_at: None,
+            listed: true,
+        };
+        let mut context = now;
+        let machine = flow
+            .uninitialized_state_machine()
+            .init_with_context(&mut context);
+        Self { machine }
+    }
+
+    /// Takes in an event and returns whether the server takes new work.
+    ///
+    /// ```
+    /// use galenamast::coordination::{LifeEvent, LifeSettings, ServerMachine};
+    /// use galenamast::state::{ServerLife, TimePoint};
+    ///
+    /// let mut machine = ServerMachine::new(0, LifeSettings::default(), TimePoint::ZERO);
+    /// let report = LifeEvent::Reported { incarnation: 0, draining: false };
+    /// assert_eq!(machine.handle(report, TimePoint::ZERO), ServerLife::Live);
+    /// ```
+    pub fn handle(&mut self, event: LifeEvent, now: TimePoint) -> ServerLife {
+        let mut context = now;
+        self.machine.handle_with_context(&event, &mut context);
+        self.life()
+    }
+
+    /// Returns whether the server takes new work.
+    pub fn life(&self) -> ServerLife {
+        match self.machine.state() {
+            State::Probing {} => ServerLife::Probing,
+            State::Live {} => ServerLife::Live,
+            State::Suspect {} => ServerLife::Suspect,
+            State::Draining {} => ServerLife::Draining,
+            State::Gone {} => ServerLife::Gone,
+        }
+    }
+
+    /// Returns the incarnation that the machine follows.
+    pub fn incarnation(&self) -> u64 {
+        self.machine.inner().incarnation
+    }
+}
+
+/// What is kept of a server across its states.
+struct LifeFlow {
+    settings: LifeSettings,
+    incarnation: u64,
+    heard_at: TimePoint,
+    failed_at: Option<TimePoint>,
+    listed: bool,
+}
+
+#[state_machine(
+    initial = "State::probing()",
+    state(derive(Debug)),
+    visibility = "pub(self)"
+)]
+impl LifeFlow {
+    /// Nothing is known of the server yet.
+    #[state(superstate = "staying")]
+    fn probing(&mut self, event: &LifeEvent) -> Outcome<State> {
+        match event {
+            LifeEvent::ConnectFailed => Handled,
+            _ => Super,
+        }
+    }
+
+    /// The server takes new work.
+    #[state(superstate = "staying")]
+    fn live(&mut self, context: &mut TimePoint, event: &LifeEvent) -> Outcome<State> {
+        match event {
+            LifeEvent::ConnectFailed => {
+                self.failed_at = Some(*context);
+                Transition(State::suspect())
+            }
+            LifeEvent::Tick if self.is_silent(*context) => {
+                self.failed_at = Some(*context);
+                Transition(State::suspect())
+            }
+            _ => Super,
+        }
+    }
+
+    /// The server failed or went silent.
+    #[state(superstate = "staying")]
+    fn suspect(&mut self, context: &mut TimePoint, event: &LifeEvent) -> Outcome<State> {
+        match event {
+            LifeEvent::Tick | LifeEvent::ConnectFailed if self.is_lost(*context) => {
+                Transition(State::gone())
+            }
+            LifeEvent::ConnectFailed => Handled,
+            _ => Super,
+        }
+    }
+
+    /// Handles the signs of a server that stays; the first sign of leaving wins.
+    #[superstate]
+    fn staying(&mut self, context: &mut TimePoint, event: &LifeEvent) -> Outcome<State> {
+        match event {
+            LifeEvent::Listed { incarnation, state } => {
+                self.listed = true;
+                if *incarnation > self.incarnation {
+                    return self.restart(*incarnation, *context, *state == HostState::Leaving);
+                }
+                let current = *incarnation == self.incarnation;
+                if current && *state == HostState::Leaving {
+                    return Transition(State::draining());
+                }
+                Handled
+            }
+            LifeEvent::Reported {
+                incarnation,
+                draining,
+            } => {
+                if *incarnation < self.incarnation {
+                    return Handled;
+                }
+                self.incarnation = *incarnation;
+                self.heard_at = *context;
+                self.failed_at = None;
+                if *draining {
+                    return Transition(State::draining());
+                }
+                Transition(State::live())
+            }
+            LifeEvent::Unlisted => {
+                self.listed = false;
+                Handled
+            }
+            LifeEvent::ConnectFailed | LifeEvent::Tick => Handled,
+        }
+    }
+
+    /// The server is leaving; only a newer incarnation brings it back.
+    #[state]
+    fn draining(&mut self, context: &mut TimePoint, event: &LifeEvent) -> Outcome<State> {
+        match event {
+            LifeEvent::Listed { incarnation, state } if *incarnation > self.incarnation => {
+                self.restart(*incarnation, *context, *state == HostState::Leaving)
+            }
+            LifeEvent::Reported {
+                incarnation,
+                draining,
+            } => {
+                self.heard_at = *context;
+                if *incarnation > self.incarnation {
+                    return self.restart(*incarnation, *context, *draining);
+                }
+                Handled
+            }
+            LifeEvent::Unlisted => {
+                self.listed = false;
+                Handled
+            }
+            LifeEvent::Listed { .. } => {
+                self.listed = true;
+                Handled
+            }
+            LifeEvent::ConnectFailed => Transition(State::gone()),
+            LifeEvent::Tick if self.is_lost(*context) => Transition(State::gone()),
+            LifeEvent::Tick => Handled,
+        }
+    }
+
+    /// The server has left; a report shows that it lives after all, unless it was leaving.
+    #[state]
+    fn gone(&mut self, context: &mut TimePoint, event: &LifeEvent) -> Outcome<State> {
+        match event {
+            LifeEvent::Listed { incarnation, state } if *incarnation > self.incarnation => {
+                self.listed = true;
+                self.restart(*incarnation, *context, *state == HostState::Leaving)
+            }
+            LifeEvent::Reported {
+                incarnation,
+                draining,
+            } if *incarnation > self.incarnation => self.restart(*incarnation, *context, *draining),
+            LifeEvent::Reported {
+                incarnation,
+                draining: false,
+            } if *incarnation == self.incarnation && self.failed_at.is_some() => {
+                self.restart(*incarnation, *context, false)
+            }
+            _ => Handled,
+        }
+    }
+}
+
+impl LifeFlow {
+    /// Follows a newer incarnation.
+    fn restart(&mut self, incarnation: u64, now: TimePoint, leaving: bool) -> Outcome<State> {
+        self.incarnation = incarnation;
+        self.heard_at = now;
+        self.failed_at = None;
+        if leaving {
+            return Transition(State::draining());
+        }
+        Transition(State::probing())
+    }
+
+    /// Returns whether load reports have been missing for too long.
+    fn is_silent(&self, now: TimePoint) -> bool {
+        now.since(self.heard_at) > self.settings.suspect_after
+    }
+
+    /// Returns whether the server has been away for so long that it is given up.
+    fn is_lost(&self, now: TimePoint) -> bool {
+        let since = self.failed_at.unwrap_or(self.heard_at);
+        let bound = if self.listed {
+            self.settings.gone_after
+        } else {
+            self.settings.leaving_bound
+        };
+        now.since(since) >= bound
+    }
+}
--- a/galenamast/src/event_loop.rs
+++ b/galenamast/src/event_loop.rs
@@ -2,26 +2,34 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use log::Level;
 use tokio::net::TcpListener;
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
 use crate::config::Settings;
 use crate::logging::{log_fault, log_record};
 use crate::protocol::LogRecord;
-use crate::transport::caller_server::caller_routes;
+use crate::transport::caller_server::CallerServer;
+use crate::transport::caller_tls::load_tls;
 use crate::transport::config_loader::load_config;
-use crate::transport::host_list_poller::poll_servers;
+use crate::transport::host_list_poller::{follow_servers, poll_host_list, poll_loads};
 use crate::transport::{HostContext, ObjectClient, TimerService, TransportError};
 
+/// Time between two looks at the requests that are still in flight during shutdown.
+const DRAIN_CHECK: Duration = Duration::from_millis(10);
+
 /// A running entry host.
 #[derive(Debug)]
 pub struct EntryHost {
     context: Arc<HostContext>,
     caller_address: SocketAddr,
-    shutdown: CancellationToken,
+    stopped: CancellationToken,
+    serving: JoinHandle<()>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -30,29 +38,32 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if a socket cannot be opened.
+    /// Returns an error if a socket cannot be opened or a certificate cannot be read.
     pub async fn start(settings: Settings) -> Result<Self, TransportError> {
         let address = settings.callers.listen;
+        let tls = load_tls(&settings.callers)?;
         let context = HostContext::new(settings, TimerService::system());
-        let listener = TcpListener::bind(address)
-            .await
-            .map_err(|source| TransportError::Listen { address, source })?;
-        let caller_address = listener
-            .local_addr()
-            .map_err(|source| TransportError::Listen { address, source })?;
-        let shutdown = CancellationToken::new();
-        let mut tasks = vec![tokio::spawn(poll_servers(context.clone()))];
+        let listen = |source| TransportError::Listen { address, source };
+        let listener = TcpListener::bind(address).await.map_err(listen)?;
+        let caller_address = listener.local_addr().map_err(listen)?;
+        let mut tasks = vec![
+            tokio::spawn(poll_host_list(context.clone())),
+            tokio::spawn(poll_loads(context.clone())),
+        ];
+        if let Some(events) = context.take_server_events() {
+            tasks.push(tokio::spawn(follow_servers(context.clone(), events)));
+        }
         if let Some(objects) = context.objects.clone() {
             tasks.push(tokio::spawn(follow_config(context.clone(), objects)));
         }
-        let routes = caller_routes(context.clone());
-        let stopped = shutdown.clone().cancelled_owned();
-        tasks.push(tokio::spawn(async move {
-            let serving = axum::serve(listener, routes).with_graceful_shutdown(stopped);
-            if let Err(error) = serving.await {
-                log_fault("callers", &error);
-            }
-        }));
+        let stopped = CancellationToken::new();
+        let server = CallerServer {
+            context: context.clone(),
+            listener,
+            tls,
+            stopped: stopped.clone(),
+        };
+        let serving = tokio::spawn(server.serve());
         log_record(
             Level::Info,
             &LogRecord::HostStarted {
@@ -62,7 +73,8 @@
         Ok(Self {
             context,
             caller_address,
-            shutdown,
+            stopped,
+            serving,
             tasks,
         })
     }
@@ -78,22 +90,47 @@
     }
 
     /// Stops the host after the requests in flight have ended.
-    pub async fn stop(mut self) {
-        self.shutdown.cancel();
-        if let Some(serving) = self.tasks.pop() {
-            let timeout = self.context.settings.shutdown.drain_timeout;
-            if tokio::time::timeout(timeout, serving).await.is_err() {
-                log_fault(
-                    "callers",
-                    &"requests were still in flight when the drain timeout passed",
-                );
-            }
+    pub async fn stop(self) {
+        self.stop_unless(std::future::pending()).await;
+    }
+
+    /// Stops the host; requests that are in flight when the drain timeout passes or `hurry` is
+    /// ready are given up, and the log names them.
+    pub async fn stop_unless(mut self, hurry: impl Future<Output = ()>) {
+        self.context.leaving.store(true, Ordering::SeqCst);
+        log_record(Level::Info, &LogRecord::HostLeaving);
+        tokio::select! {
+            () = self.drain() => {}
+            () = hurry => {}
         }
+        for request_id in self.context.board.requests() {
+            log_record(Level::Warn, &LogRecord::RequestAbandoned { request_id });
+        }
+        self.serving.abort();
         for task in &self.tasks {
             task.abort();
         }
         log_record(Level::Info, &LogRecord::HostStopped);
     }
+
+    /// Serves through the balancer's lag and lets the requests in flight end.
+    async fn drain(&mut self) {
+        let shutdown = &self.context.settings.shutdown;
+        let timers = &self.context.timers;
+        timers.sleep(shutdown.balancer_lag).await;
+        self.stopped.cancel();
+        let ended = async {
+            let _ = (&mut self.serving).await;
+            // Claimed requests run on after their callers have left.
+            while !self.context.board.is_empty() {
+                timers.sleep(DRAIN_CHECK).await;
+            }
+        };
+        tokio::select! {
+            () = ended => {}
+            () = timers.sleep(shutdown.drain_timeout) => {}
+        }
+    }
 }
 
 /// Runs an entry host until the process is told to stop.
@@ -103,21 +140,29 @@
 /// Returns an error if the host cannot start.
 pub async fn run(settings: Settings) -> Result<(), TransportError> {
     let host = EntryHost::start(settings).await?;
-    wait_for_signal().await;
-    host.stop().await;
+    let mut terminate = signal(SignalKind::terminate()).ok();
+    let mut interrupt = signal(SignalKind::interrupt()).ok();
+    wait_for_signal(&mut terminate, &mut interrupt).await;
+    host.stop_unless(wait_for_signal(&mut terminate, &mut interrupt))
+        .await;
     Ok(())
 }
 
 /// Waits for a signal that asks the process to stop.
-async fn wait_for_signal() {
-    use tokio::signal::unix::{SignalKind, signal};
-
-    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
-        return;
-    };
+async fn wait_for_signal(terminate: &mut Option<Signal>, interrupt: &mut Option<Signal>) {
     tokio::select! {
-        _ = terminate.recv() => {}
-        _ = tokio::signal::ctrl_c() => {}
+        () = receive(terminate) => {}
+        () = receive(interrupt) => {}
+    }
+}
+
+/// Waits for one kind of signal; a kind that cannot be listened for never comes.
+async fn receive(signal: &mut Option<Signal>) {
+    match signal {
+        Some(signal) => {
+            signal.recv().await;
+        }
+        None => std::future::pending().await,
     }
 }
 
--- a/galenamast/src/protocol/headers.rs
+++ b/galenamast/src/protocol/headers.rs
@@ -20,3 +20,5 @@
 pub const RESUME_FROM: &str = "x-resume-from";
 /// Set by a backend server that refuses a request before starting it.
 pub const NOT_STARTED: &str = "x-not-started";
+/// Set to `true` by a caller whose request must not be run twice.
+pub const NON_IDEMPOTENT: &str = "x-non-idempotent";
--- a/galenamast/src/protocol/log_record.rs
+++ b/galenamast/src/protocol/log_record.rs
@@ -4,7 +4,7 @@
 
 use crate::coordination::UsageRecord;
 use crate::protocol::decision_record::DecisionRecord;
-use crate::state::ConfigGeneration;
+use crate::state::{ConfigGeneration, RequestId};
 
 /// A log line.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -19,6 +19,13 @@
         /// Address for callers.
         callers: String,
     },
+    /// The host began to shut down.
+    HostLeaving,
+    /// A request was still in flight when the host stopped.
+    RequestAbandoned {
+        /// Identifier of the request.
+        request_id: RequestId,
+    },
     /// The host stopped serving.
     HostStopped,
     /// A configuration came into force on this host.
--- a/galenamast/src/protocol/mod.rs
+++ b/galenamast/src/protocol/mod.rs
@@ -2,13 +2,19 @@
 
 pub mod caller_error;
 pub mod chat_messages;
+pub mod chat_stream;
+pub mod chat_text;
 pub mod decision_record;
 pub mod headers;
 pub mod log_record;
 pub mod protocol_error;
+pub mod sse_reader;
 
 pub use caller_error::{CallerError, ErrorCode};
 pub use chat_messages::{ChatAnswer, ChatRequest, ChatUsage};
+pub use chat_stream::{ChatEvent, END_MARKER, encode_event};
+pub use chat_text::ChatText;
 pub use decision_record::DecisionRecord;
 pub use log_record::LogRecord;
 pub use protocol_error::ProtocolError;
+pub use sse_reader::SseReader;
--- a/galenamast/src/state/mod.rs
+++ b/galenamast/src/state/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod config_generation;
 pub mod config_image;
+pub mod in_flight_counter;
 pub mod key_digest;
 pub mod model_spec;
 pub mod names;
@@ -24,6 +25,7 @@
 
 pub use config_generation::ConfigGeneration;
 pub use config_image::ConfigImage;
+pub use in_flight_counter::InFlightCounter;
 pub use key_digest::KeyDigest;
 pub use model_spec::{ModelSpec, VersionSpec, VersionStage};
 pub use names::{
--- /dev/null
+++ b/galenamast/src/transport/backend_stream.rs
@@ -0,0 +1,112 @@
+//! Reads the streamed answer of a model engine event by event.
+
+use http::{Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::coordination::{AttemptFailure, StreamChecker, StreamVerdict};
+use crate::protocol::{ChatEvent, ChatUsage, END_MARKER, SseReader, headers};
+use crate::transport::backend_client::{BackendCall, BackendClient};
+
+/// Events that one part of a stream completed.
+#[derive(Debug, Default)]
+pub struct StreamPart {
+    /// Data of the events that are new, in order.
+    pub events: Vec<String>,
+    /// Whether the end marker was read.
+    pub ended: bool,
+}
+
+/// A streamed answer whose head was read.
+#[derive(Debug)]
+pub struct BackendStream {
+    response: Response<Incoming>,
+    reader: SseReader,
+    checker: StreamChecker,
+    usage: Option<ChatUsage>,
+}
+
+impl BackendStream {
+    /// Sends a call whose answer is streamed and reads the head.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the attempt failed; a server that does not resume is taken to have refused.
+    pub async fn open(client: &BackendClient, call: &BackendCall) -> Result<Self, AttemptFailure> {
+        let response = client.open(call).await?;
+        let status = response.status();
+        if status != StatusCode::OK {
+            return Err(AttemptFailure::Refused {
+                status: status.as_u16(),
+                not_started: false,
+            });
+        }
+        if call.resume_from > 0 && resumed_at(&response) != Some(call.resume_from) {
+            return Err(AttemptFailure::Malformed);
+        }
+        Ok(Self {
+            response,
+            reader: SseReader::default(),
+            checker: StreamChecker::new(&call.request.to_string(), call.resume_from),
+            usage: None,
+        })
+    }
+
+    /// Reads the next part of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Truncated` if the stream ends without its end marker, `Crossed` if an event belongs
+    /// to another request, and `Malformed` if it breaks the protocol.
+    pub async fn next_part(&mut self) -> Result<StreamPart, AttemptFailure> {
+        loop {
+            let frame = self.response.body_mut().frame().await;
+            let Some(Ok(frame)) = frame else {
+                return Err(AttemptFailure::Truncated);
+            };
+            let Ok(bytes) = frame.into_data() else {
+                continue;
+            };
+            let part = self.read_events(&bytes)?;
+            if part.ended || !part.events.is_empty() {
+                return Ok(part);
+            }
+        }
+    }
+
+    /// Returns the length of prompt and answer that the last event stated.
+    pub fn usage(&self) -> ChatUsage {
+        self.usage.unwrap_or_default()
+    }
+
+    /// Checks the events that some bytes complete.
+    fn read_events(&mut self, bytes: &[u8]) -> Result<StreamPart, AttemptFailure> {
+        let mut part = StreamPart::default();
+        let events = self.reader.push(bytes);
+        for data in events.map_err(|_| AttemptFailure::Malformed)? {
+            if data == END_MARKER {
+                // An answer whose length is not stated cannot be billed.
+                if self.usage.is_none() {
+                    return Err(AttemptFailure::Malformed);
+                }
+                part.ended = true;
+                return Ok(part);
+            }
+            let event = ChatEvent::decode(&data).map_err(|_| AttemptFailure::Malformed)?;
+            match self.checker.check(&event.id, event.index) {
+                StreamVerdict::Deliver => part.events.push(data),
+                StreamVerdict::Repeated => {}
+                StreamVerdict::Gap => return Err(AttemptFailure::Malformed),
+                StreamVerdict::Crossed => return Err(AttemptFailure::Crossed),
+            }
+            self.usage = event.usage.or(self.usage);
+        }
+        Ok(part)
+    }
+}
+
+/// Returns the index that a server says it resumed at.
+fn resumed_at(response: &Response<Incoming>) -> Option<u64> {
+    let value = response.headers().get(headers::RESUME_FROM)?;
+    value.to_str().ok()?.parse().ok()
+}
--- /dev/null
+++ b/galenamast/src/transport/caller_chat.rs
@@ -0,0 +1,124 @@
+//! Serves chat completions and the list of models.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::body::Body;
+use axum::extract::State;
+use axum::http::{HeaderMap, Request};
+use axum::response::{IntoResponse, Response};
+use serde::Serialize;
+
+use crate::protocol::{CallerError, ChatRequest, ErrorCode};
+use crate::state::{ModelName, RequestId, RouteRequest};
+use crate::transport::caller_admission::{OpenRequest, admit};
+use crate::transport::caller_input::{authenticate, read_body, read_options};
+use crate::transport::caller_reply::{error_response, refuse};
+use crate::transport::caller_request::{RequestJob, RequestWork, start_request};
+use crate::transport::host_context::HostContext;
+
+/// Model name by which a caller leaves the choice to the router.
+const AUTO_MODEL: &str = "auto";
+/// Length of an answer that is assumed when the caller names none, in tokens.
+const DEFAULT_OUTPUT_TOKENS: u32 = 256;
+/// Silence after which a request of a hedged task gets a second attempt.
+const HEDGE_DELAY: Duration = Duration::from_millis(150);
+
+/// Serves a chat completion.
+pub async fn complete_chat(
+    State(context): State<Arc<HostContext>>,
+    request: Request<Body>,
+) -> Response {
+    let id = RequestId::generate();
+    match run_chat(&context, id, request).await {
+        Ok(response) => response,
+        Err(error) => error_response(&error),
+    }
+}
+
+/// Checks, admits and runs a chat completion.
+async fn run_chat(
+    context: &Arc<HostContext>,
+    id: RequestId,
+    request: Request<Body>,
+) -> Result<Response, CallerError> {
+    let arrived = context.timers.now();
+    let _open = OpenRequest::open(context, id)?;
+    let (parts, body) = request.into_parts();
+    let workspace = authenticate(context, id, &parts.headers)?;
+    let default_deadline = context.settings.callers.default_deadline;
+    let options = read_options(id, &parts.headers, default_deadline)?;
+    let bytes = read_body(context, id, body).await?;
+    let chat = ChatRequest::decode(&bytes)
+        .map_err(|error| refuse(id, ErrorCode::BadRequest, &error.to_string()))?;
+    if options.non_idempotent && options.idempotency_key.is_none() {
+        let message = "a request that must not be run twice needs an `Idempotency-Key`";
+        return Err(refuse(id, ErrorCode::KeyRequired, message));
+    }
+    let admitted = admit(context, id, &workspace, &bytes)?;
+    let idempotent = options.idempotency_key.is_none();
+    let model = Some(chat.model.as_str()).filter(|name| !name.is_empty() && *name != AUTO_MODEL);
+    let route = RouteRequest {
+        id,
+        workspace: workspace.name.clone(),
+        model: model.map(ModelName::new),
+        task: options.task.clone(),
+        prompt_tokens: chat.estimate_prompt_tokens(),
+        max_output_tokens: chat.max_tokens.unwrap_or(DEFAULT_OUTPUT_TOKENS),
+        time_left: options.time_left,
+        idempotent,
+        streamed: chat.stream,
+        priority: options.priority,
+        ..Default::default()
+    };
+    let hedged = idempotent && workspace.hedged_tasks.contains(&options.task);
+    let job = RequestJob {
+        deadline: arrived + options.time_left,
+        hedge_after: hedged.then_some(HEDGE_DELAY),
+        weight: workspace.limits.share_weight,
+        idempotency_key: options.idempotency_key,
+        work: RequestWork::Chat(chat),
+        body: bytes,
+        route,
+        admitted,
+    };
+    start_request(context, job).await
+}
+
+/// A model that a workspace may use.
+#[derive(Debug, Serialize)]
+struct ModelEntry {
+    id: ModelName,
+    object: &'static str,
+    versions: Vec<String>,
+}
+
+/// The models that a workspace may use.
+#[derive(Debug, Serialize)]
+struct ModelList {
+    object: &'static str,
+    data: Vec<ModelEntry>,
+}
+
+/// Lists the models that the caller's workspace may use.
+pub async fn list_models(State(context): State<Arc<HostContext>>, headers: HeaderMap) -> Response {
+    let id = RequestId::generate();
+    let workspace = match authenticate(&context, id, &headers) {
+        Ok(workspace) => workspace,
+        Err(error) => return error_response(&error),
+    };
+    let data = workspace
+        .allowed
+        .iter()
+        .map(|(model, versions)| ModelEntry {
+            id: model.clone(),
+            object: "model",
+            versions: versions.iter().map(ToString::to_string).collect(),
+        })
+        .collect();
+    let list = ModelList {
+        object: "list",
+        data,
+    };
+    axum::Json(list).into_response()
+}
--- a/galenamast/src/transport/caller_server.rs
+++ b/galenamast/src/transport/caller_server.rs
@@ -1,247 +1,194 @@
-//! The face towards callers: HTTP routes and the thin request path.
+//! The face towards callers: routes, connections and their limits.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use axum::Router;
-use axum::body::Bytes;
 use axum::extract::State;
-use axum::http::{HeaderMap, HeaderValue, StatusCode, header};
-use axum::response::{IntoResponse, Response};
-use axum::routing::{get, post};
-use log::Level;
-
-use crate::coordination::UsageRecord;
-use crate::logging::log_record;
-use crate::protocol::headers;
-use crate::protocol::{CallerError, ChatRequest, DecisionRecord, ErrorCode, LogRecord};
-use crate::state::{
-    KeyDigest, ModelName, RefusalReason, RequestId, RouteOutcome, RouteRequest, RouteTarget,
-    RunState, TaskName, WorkspaceName, plan_route,
-};
-use crate::transport::backend_client::BackendReply;
+use axum::http::StatusCode;
+use axum::response::Response;
+use axum::routing::{any, get, post};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use hyper_util::server::graceful::{GracefulShutdown, Watcher};
+use hyper_util::service::TowerToHyperService;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_rustls::TlsAcceptor;
+use tokio_util::sync::CancellationToken;
+
+use crate::logging::log_fault;
+use crate::protocol::ErrorCode;
+use crate::state::RequestId;
+use crate::transport::caller_chat::{complete_chat, list_models};
+use crate::transport::caller_reply::{error_response, refuse};
+use crate::transport::caller_service::call_service;
 use crate::transport::host_context::HostContext;
-use crate::transport::transport_error::TransportError;
 
-/// Model name by which a caller leaves the choice to the router.
-const AUTO_MODEL: &str = "auto";
-/// Length of an answer that is assumed when the caller names none, in tokens.
-const DEFAULT_OUTPUT_TOKENS: u32 = 256;
-/// Task of a request that names none.
-const DEFAULT_TASK: &str = "general";
+/// Streams that one HTTP/2 connection may have open.
+const MAX_STREAMS_PER_CONNECTION: u32 = 250;
+/// Time without accepting after a failure to accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Smallest buffer that HTTP/1 works with, in bytes.
+const MIN_BUFFER_BYTES: usize = 8_192;
 
 /// Builds the routes for callers.
 pub fn caller_routes(context: Arc<HostContext>) -> Router {
     Router::new()
         .route("/v1/chat/completions", post(complete_chat))
+        .route("/v1/models", get(list_models))
+        .route("/svc/{service}/{*path}", any(call_service))
         .route("/livez", get(|| async { StatusCode::OK }))
         .route("/readyz", get(report_ready))
+        .fallback(unknown_path)
+        .method_not_allowed_fallback(unknown_method)
         .with_state(context)
 }
 
 /// Reports whether the host can serve.
 async fn report_ready(State(context): State<Arc<HostContext>>) -> StatusCode {
-    if context.image.load().generation.0 > 0 {
+    if context.is_ready() {
         StatusCode::OK
     } else {
         StatusCode::SERVICE_UNAVAILABLE
     }
 }
 
-/// Serves a chat completion.
-async fn complete_chat(
-    State(context): State<Arc<HostContext>>,
-    headers: HeaderMap,
-    body: Bytes,
-) -> Response {
+/// Answers a request of an unknown path.
+async fn unknown_path() -> Response {
     let id = RequestId::generate();
-    match run_chat(&context, id, &headers, &body).await {
-        Ok(response) => response,
-        Err(error) => error_response(&error),
-    }
-}
-
-/// Authenticates, routes and runs a chat request.
-async fn run_chat(
-    context: &HostContext,
-    id: RequestId,
-    headers: &HeaderMap,
-    body: &[u8],
-) -> Result<Response, CallerError> {
-    let workspace = authenticate(context, id, headers)?;
-    let chat = ChatRequest::decode(body)
-        .map_err(|error| refuse(id, ErrorCode::BadRequest, &error.to_string()))?;
-    let request = route_request(id, workspace, headers, &chat, Duration::from_secs(60));
-    let target = route(context, &request)?;
-    let reply = context
-        .backends
-        .run_chat(&target, id, &chat, request.time_left)
-        .await
-        .map_err(|error| backend_failure(id, &error))?;
-    bill(context, &request, &target, &reply);
-    Ok(answer_response(id, &target, reply))
+    error_response(&refuse(id, ErrorCode::NotFound, "no such path"))
 }
 
-/// Finds the workspace of the caller's bearer key.
-fn authenticate(
-    context: &HostContext,
-    id: RequestId,
-    headers: &HeaderMap,
-) -> Result<WorkspaceName, CallerError> {
-    let key = headers
-        .get(header::AUTHORIZATION)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.strip_prefix("Bearer "));
-    let Some(key) = key else {
-        return Err(refuse(
-            id,
-            ErrorCode::Unauthorized,
-            "a bearer key is needed",
-        ));
-    };
-    let image = context.image.load();
-    let workspace = image.workspace_by_key(&KeyDigest::of_key(key));
-    workspace
-        .map(|workspace| workspace.name.clone())
-        .ok_or_else(|| refuse(id, ErrorCode::Unauthorized, "the bearer key is not known"))
+/// Answers a request whose path does not take its method.
+async fn unknown_method() -> Response {
+    let id = RequestId::generate();
+    let error = refuse(
+        id,
+        ErrorCode::BadRequest,
+        "the path does not take this method",
+    );
+    let mut response = error_response(&error);
+    *response.status_mut() = StatusCode::METHOD_NOT_ALLOWED;
+    response
 }
 
-/// Describes a chat request for the routing decision.
-fn route_request(
-    id: RequestId,
-    workspace: WorkspaceName,
-    headers: &HeaderMap,
-    chat: &ChatRequest,
-    time_left: Duration,
-) -> RouteRequest {
-    let task = headers
-        .get(headers::TASK)
-        .and_then(|value| value.to_str().ok());
-    let model = Some(chat.model.as_str()).filter(|name| !name.is_empty() && *name != AUTO_MODEL);
-    RouteRequest {
-        id,
-        workspace,
-        model: model.map(ModelName::new),
-        task: TaskName::new(task.unwrap_or(DEFAULT_TASK)),
-        prompt_tokens: chat.estimate_prompt_tokens(),
-        max_output_tokens: chat.max_tokens.unwrap_or(DEFAULT_OUTPUT_TOKENS),
-        time_left,
-        idempotent: true,
-        streamed: chat.stream,
-        ..Default::default()
-    }
+/// Accepts callers until it is told to stop, and then ends their connections gracefully.
+#[derive(Debug)]
+pub struct CallerServer {
+    /// Shared parts of the host.
+    pub context: Arc<HostContext>,
+    /// Socket that callers connect to.
+    pub listener: TcpListener,
+    /// TLS for callers, if the settings ask for it.
+    pub tls: Option<Arc<rustls::ServerConfig>>,
+    /// Told when no new connection is accepted any more.
+    pub stopped: CancellationToken,
 }
 
-/// Makes and logs the routing decision.
-fn route(context: &HostContext, request: &RouteRequest) -> Result<RouteTarget, CallerError> {
-    let image = context.image.load();
-    let tables = context.tables.load();
-    let now = context.timers.now();
-    let decision = plan_route(request, &image, &tables, now, context.next_seed());
-    let outcome = decision.outcome.clone();
-    log_record(
-        Level::Info,
-        &LogRecord::Decision(DecisionRecord {
-            request_id: request.id,
-            attempt: 0,
-            workspace: request.workspace.clone(),
-            task: request.task.clone(),
-            session: None,
-            decision,
-        }),
-    );
-    match outcome {
-        RouteOutcome::Dispatch(target) => Ok(target),
-        RouteOutcome::Cascade(plan) => Ok(plan.first),
-        RouteOutcome::Queue(_) => Err(refuse_reason(request.id, RefusalReason::Overloaded)),
-        RouteOutcome::Refuse(reason) => Err(refuse_reason(request.id, reason)),
+impl CallerServer {
+    /// Serves callers; returns when the last connection has ended.
+    pub async fn serve(self) {
+        let routes = caller_routes(self.context.clone());
+        let graceful = GracefulShutdown::new();
+        let connections = Arc::new(AtomicUsize::new(0));
+        let acceptor = self.tls.clone().map(TlsAcceptor::from);
+        loop {
+            let accepted = tokio::select! {
+                accepted = self.listener.accept() => accepted,
+                () = self.stopped.cancelled() => break,
+            };
+            let Ok((stream, _)) = accepted else {
+                log_fault("callers", &"a connection could not be accepted");
+                // Running out of descriptors passes only with time.
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            let limit = self.context.settings.callers.max_streams as usize;
+            if connections.load(Ordering::Relaxed) >= limit.saturating_mul(2) {
+                continue;
+            }
+            let counter = ConnectionCount::new(&connections);
+            let _ = stream.set_nodelay(true);
+            let connection = CallerConnection {
+                context: self.context.clone(),
+                routes: routes.clone(),
+                watcher: graceful.watcher(),
+                counter,
+            };
+            tokio::spawn(connection.run(stream, acceptor.clone()));
+        }
+        drop(self.listener);
+        graceful.shutdown().await;
     }
 }
 
-/// Records what the request is billed for.
-fn bill(context: &HostContext, request: &RouteRequest, target: &RouteTarget, reply: &BackendReply) {
-    let usage = reply.answer.usage;
-    let image = context.image.load();
-    let price = image.version(&target.version).map_or(0, |spec| {
-        spec.price_of(usage.prompt_tokens, usage.completion_tokens)
-    });
-    let record = UsageRecord {
-        request_id: request.id,
-        workspace: request.workspace.clone(),
-        task: request.task.clone(),
-        version: Some(target.version.clone()),
-        input_tokens: usage.prompt_tokens,
-        output_tokens: usage.completion_tokens,
-        price,
-        ended_unix_ms: context.timers.unix_millis(),
-    };
-    log_record(Level::Info, &LogRecord::Usage(record));
-}
+/// Counts a connection until it is dropped.
+#[derive(Debug)]
+struct ConnectionCount(Arc<AtomicUsize>);
 
-/// Describes a refusal before anything was sent to a server.
-fn refuse(id: RequestId, code: ErrorCode, message: &str) -> CallerError {
-    CallerError {
-        code,
-        message: message.into(),
-        run: RunState::NotRun,
-        request_id: id,
-        retry_after_ms: None,
+impl ConnectionCount {
+    /// Counts a connection.
+    fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count.clone())
     }
 }
 
-/// Describes a refusal by the routing decision.
-fn refuse_reason(id: RequestId, reason: RefusalReason) -> CallerError {
-    refuse(
-        id,
-        ErrorCode::from(reason),
-        &format!("the request was refused: {reason:?}"),
-    )
+impl Drop for ConnectionCount {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
-/// Describes the failure of an attempt.
-fn backend_failure(id: RequestId, error: &TransportError) -> CallerError {
-    let (code, run) = match error {
-        TransportError::Connect { .. } => (ErrorCode::Unavailable, RunState::NotRun),
-        TransportError::Timeout { .. } => (ErrorCode::Timeout, RunState::OutcomeUnknown),
-        _ => (ErrorCode::BackendFailed, RunState::OutcomeUnknown),
-    };
-    let message = error.to_string();
-    CallerError {
-        code,
-        message,
-        run,
-        request_id: id,
-        retry_after_ms: None,
-    }
+/// One connection of a caller.
+struct CallerConnection {
+    context: Arc<HostContext>,
+    routes: Router,
+    watcher: Watcher,
+    counter: ConnectionCount,
 }
 
-/// Builds the answer with the headers that name what answered.
-fn answer_response(id: RequestId, target: &RouteTarget, reply: BackendReply) -> Response {
-    let mut response = reply.body.into_response();
-    let headers = response.headers_mut();
-    headers.insert(
-        header::CONTENT_TYPE,
-        HeaderValue::from_static("application/json"),
-    );
-    let fields = [
-        (headers::REQUEST_ID, id.to_string()),
-        (headers::MODEL, target.version.model.to_string()),
-        (headers::VERSION, target.version.version.to_string()),
-    ];
-    for (name, value) in fields {
-        if let Ok(value) = HeaderValue::from_str(&value) {
-            headers.insert(name, value);
+impl CallerConnection {
+    /// Serves the connection to its end.
+    async fn run(self, stream: TcpStream, acceptor: Option<TlsAcceptor>) {
+        let Some(acceptor) = acceptor else {
+            return self.serve(stream).await;
+        };
+        let timeout = self.context.settings.callers.read_timeout;
+        // A failed or slow handshake concerns the caller alone.
+        if let Ok(Ok(stream)) = tokio::time::timeout(timeout, acceptor.accept(stream)).await {
+            self.serve(stream).await;
         }
     }
-    response
-}
 
-/// Builds the answer that carries an error.
-fn error_response(error: &CallerError) -> Response {
-    let status = StatusCode::from_u16(error.code.status()).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut response = (status, axum::Json(error)).into_response();
-    if let Ok(value) = HeaderValue::from_str(&error.request_id.to_string()) {
-        response.headers_mut().insert(headers::REQUEST_ID, value);
+    /// Serves HTTP on a stream.
+    async fn serve(self, stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static) {
+        let Self {
+            context,
+            routes,
+            watcher,
+            counter,
+        } = self;
+        let callers = &context.settings.callers;
+        let mut builder = Builder::new(TokioExecutor::new());
+        builder
+            .http1()
+            .timer(TokioTimer::new())
+            .header_read_timeout(callers.read_timeout)
+            .max_buf_size(callers.max_header_bytes.max(MIN_BUFFER_BYTES));
+        builder
+            .http2()
+            .timer(TokioTimer::new())
+            .max_concurrent_streams(MAX_STREAMS_PER_CONNECTION)
+            .max_header_list_size(u32::try_from(callers.max_header_bytes).unwrap_or(u32::MAX));
+        let service = TowerToHyperService::new(routes);
+        let connection = builder
+            .serve_connection(TokioIo::new(stream), service)
+            .into_owned();
+        // A broken connection concerns the caller alone.
+        let _ = watcher.watch(connection).await;
+        drop(counter);
     }
-    response
 }
--- /dev/null
+++ b/galenamast/src/transport/caller_service.rs
@@ -0,0 +1,93 @@
+//! Serves calls of plain services by the rules of their configuration.
+
+use std::sync::Arc;
+
+use axum::body::Body;
+use axum::extract::{Path, State};
+use axum::http::{Request, header};
+use axum::response::Response;
+
+use crate::protocol::{CallerError, ErrorCode};
+use crate::state::{RequestId, RouteRequest, ServiceName};
+use crate::transport::caller_admission::{OpenRequest, admit};
+use crate::transport::caller_input::{authenticate, read_body, read_options};
+use crate::transport::caller_reply::{error_response, refuse};
+use crate::transport::caller_request::{RequestJob, RequestWork, ServiceCall, start_request};
+use crate::transport::host_context::HostContext;
+
+/// Serves a call of a plain service.
+pub async fn call_service(
+    State(context): State<Arc<HostContext>>,
+    Path((service, path)): Path<(String, String)>,
+    request: Request<Body>,
+) -> Response {
+    let id = RequestId::generate();
+    match run_service(&context, id, &service, &path, request).await {
+        Ok(response) => response,
+        Err(error) => error_response(&error),
+    }
+}
+
+/// Checks, admits and runs a call of a plain service.
+async fn run_service(
+    context: &Arc<HostContext>,
+    id: RequestId,
+    service: &str,
+    path: &str,
+    request: Request<Body>,
+) -> Result<Response, CallerError> {
+    let arrived = context.timers.now();
+    let _open = OpenRequest::open(context, id)?;
+    let (parts, body) = request.into_parts();
+    let workspace = authenticate(context, id, &parts.headers)?;
+    let default_deadline = context.settings.callers.default_deadline;
+    let options = read_options(id, &parts.headers, default_deadline)?;
+    let name = ServiceName::new(service);
+    let unknown = || refuse(id, ErrorCode::NotFound, "no such service or path");
+    let image = context.image.load_full();
+    if !workspace.services.contains(&name) {
+        return Err(unknown());
+    }
+    let spec = image.services.get(&name).ok_or_else(unknown)?;
+    let path = format!("/{path}");
+    // A path with dot segments could leave the prefix of its rule at the server.
+    if path.split('/').any(|segment| matches!(segment, "." | "..")) {
+        return Err(unknown());
+    }
+    let rule = spec.rule_for(parts.method.as_str(), &path);
+    let idempotent = rule.ok_or_else(unknown)?.idempotent && options.idempotency_key.is_none();
+    if (!idempotent || options.non_idempotent) && options.idempotency_key.is_none() {
+        let message = "a call that must not be repeated needs an `Idempotency-Key`";
+        return Err(refuse(id, ErrorCode::KeyRequired, message));
+    }
+    let bytes = read_body(context, id, body).await?;
+    let raw_path = parts.uri.path_and_query().map_or("", |path| path.as_str());
+    let prefix = format!("/svc/{service}");
+    let call = ServiceCall {
+        pool: spec.pool.clone(),
+        method: parts.method.clone(),
+        path: raw_path.strip_prefix(&prefix).unwrap_or(&path).to_owned(),
+        content_type: parts.headers.get(header::CONTENT_TYPE).cloned(),
+    };
+    let identity = [call.path.as_bytes(), &bytes].concat();
+    let admitted = admit(context, id, &workspace, &identity)?;
+    let job = RequestJob {
+        deadline: arrived + options.time_left,
+        hedge_after: None,
+        weight: workspace.limits.share_weight,
+        idempotency_key: options.idempotency_key,
+        work: RequestWork::Service(call),
+        body: bytes,
+        route: RouteRequest {
+            id,
+            workspace: workspace.name.clone(),
+            task: options.task.clone(),
+            time_left: options.time_left,
+            idempotent,
+            priority: options.priority,
+            ..Default::default()
+        },
+        admitted,
+    };
+    start_request(context, job).await
+}
--- /dev/null
+++ b/galenamast/src/transport/queue_gate.rs
@@ -0,0 +1,119 @@
+//! Lets requests wait for a free server and wakes them in a fair order.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use tokio::sync::oneshot;
+
+use crate::coordination::{AdmissionQueue, QueueEntry, QueueTicket, QueueVerdict};
+use crate::state::{PoolName, TimePoint};
+
+/// How a wait ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WaitEnd {
+    /// A server may have room.
+    Released,
+    /// The request was shed.
+    Shed,
+}
+
+/// Requests that wait for a free server.
+#[derive(Debug)]
+pub struct QueueGate {
+    waiting: AtomicUsize,
+    line: Mutex<WaitLine>,
+}
+
+/// The queue with the channel of each request in it.
+#[derive(Debug)]
+struct WaitLine {
+    queue: AdmissionQueue,
+    wakers: BTreeMap<QueueTicket, oneshot::Sender<WaitEnd>>,
+    next: u64,
+}
+
+impl QueueGate {
+    /// Creates a gate that lets a number of requests wait.
+    pub fn new(max_queued: usize) -> Self {
+        let line = WaitLine {
+            queue: AdmissionQueue::new(max_queued),
+            wakers: BTreeMap::new(),
+            next: 0,
+        };
+        Self {
+            waiting: AtomicUsize::new(0),
+            line: Mutex::new(line),
+        }
+    }
+
+    /// Adds a request; the channel says how its wait ends.
+    pub fn join(&self, entry: QueueEntry) -> (QueueTicket, oneshot::Receiver<WaitEnd>) {
+        let (sender, receiver) = oneshot::channel();
+        let mut line = self.lock();
+        line.next += 1;
+        let ticket = QueueTicket(line.next);
+        let verdict = line.queue.push(QueueEntry { ticket, ..entry });
+        match verdict {
+            QueueVerdict::Queued => {
+                line.wakers.insert(ticket, sender);
+            }
+            QueueVerdict::Displaced(shed) => {
+                line.wakers.insert(ticket, sender);
+                if let Some(waker) = line.wakers.remove(&shed) {
+                    let _ = waker.send(WaitEnd::Shed);
+                }
+            }
+            QueueVerdict::Rejected => {
+                let _ = sender.send(WaitEnd::Shed);
+            }
+        }
+        self.waiting.store(line.wakers.len(), Ordering::Relaxed);
+        (ticket, receiver)
+    }
+
+    /// Takes a request out.
+    pub fn leave(&self, ticket: QueueTicket) {
+        let mut line = self.lock();
+        line.queue.remove(ticket);
+        line.wakers.remove(&ticket);
+        self.waiting.store(line.wakers.len(), Ordering::Relaxed);
+    }
+
+    /// Wakes the next requests of a pool.
+    pub fn release(&self, pool: &PoolName, count: usize, now: TimePoint) {
+        if self.waiting.load(Ordering::Relaxed) == 0 {
+            return;
+        }
+        let mut line = self.lock();
+        let mut woken = 0;
+        while woken < count {
+            let Some(entry) = line.queue.pop(pool, now) else {
+                break;
+            };
+            let waker = line.wakers.remove(&entry.ticket);
+            if waker.is_some_and(|waker| waker.send(WaitEnd::Released).is_ok()) {
+                woken += 1;
+            }
+        }
+        self.waiting.store(line.wakers.len(), Ordering::Relaxed);
+    }
+
+    /// Returns whether requests wait for a pool.
+    pub fn has_waiters(&self, pool: &PoolName) -> bool {
+        self.waiting.load(Ordering::Relaxed) > 0 && self.lock().queue.waiting(pool) > 0
+    }
+
+    /// Returns the pools that requests wait for.
+    pub fn pools(&self) -> Vec<PoolName> {
+        if self.waiting.load(Ordering::Relaxed) == 0 {
+            return Vec::new();
+        }
+        self.lock().queue.pools()
+    }
+
+    /// Locks the line.
+    fn lock(&self) -> MutexGuard<'_, WaitLine> {
+        self.line.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/galenamast/src/transport/request_router.rs
@@ -0,0 +1,99 @@
+//! Makes the routing decisions of a request and writes them to the log.
+
+use std::collections::BTreeSet;
+
+use log::Level;
+
+use crate::coordination::{RequestEvent, choose_service_server};
+use crate::logging::log_record;
+use crate::protocol::{DecisionRecord, LogRecord};
+use crate::state::{
+    RouteDecision, RouteOutcome, RouteRequest, ServerName, TimePoint, VersionKey, plan_route,
+};
+use crate::transport::caller_request::RequestWork;
+use crate::transport::host_context::HostContext;
+
+/// What one decision of a request is asked for.
+#[derive(Debug)]
+pub struct RouteAsk<'a> {
+    /// Properties of the request.
+    pub route: &'a RouteRequest,
+    /// What the request asks for.
+    pub work: &'a RequestWork,
+    /// Time by which the caller needs the answer.
+    pub deadline: TimePoint,
+    /// Servers that must not be chosen.
+    pub excluded: BTreeSet<ServerName>,
+    /// Version that must be chosen.
+    pub version: Option<VersionKey>,
+    /// Number of the attempt that the decision is for.
+    pub attempt: u32,
+    /// Whether the request was let out of the queue.
+    pub released: bool,
+}
+
+/// Makes and logs a routing decision.
+pub fn make_decision(context: &HostContext, ask: RouteAsk<'_>) -> RequestEvent {
+    let now = context.timers.now();
+    let mut request = RouteRequest {
+        time_left: ask.deadline.since(now),
+        excluded: ask.excluded,
+        ..ask.route.clone()
+    };
+    if ask.version.is_some() {
+        request.pinned = ask.version;
+    }
+    let mut decision = match ask.work {
+        RequestWork::Chat(_) => {
+            let (image, tables) = (context.image.load(), context.tables.load());
+            plan_route(&request, &image, &tables, now, context.next_seed())
+        }
+        RequestWork::Service(call) => {
+            let (image, tables) = (context.image.load(), context.tables.load());
+            let seed = context.next_seed();
+            let slots = image
+                .pools
+                .get(&call.pool)
+                .map_or(1, |p| p.slots_per_server);
+            let outcome =
+                choose_service_server(&call.pool, &tables, &request.excluded, slots, seed);
+            RouteDecision {
+                generation: image.generation,
+                seed,
+                outcome,
+                candidates: Vec::new(),
+            }
+        }
+    };
+    if !ask.released {
+        keep_order(context, &mut decision.outcome);
+    }
+    let event = RequestEvent::Routed {
+        generation: decision.generation,
+        outcome: decision.outcome.clone(),
+    };
+    log_record(
+        Level::Info,
+        &LogRecord::Decision(DecisionRecord {
+            request_id: request.id,
+            attempt: ask.attempt,
+            workspace: request.workspace,
+            task: request.task,
+            session: None,
+            decision,
+        }),
+    );
+    event
+}
+
+/// Lets a newcomer wait behind those that wait for the same pool already.
+fn keep_order(context: &HostContext, outcome: &mut RouteOutcome) {
+    let pool = match outcome {
+        RouteOutcome::Dispatch(target) => &target.pool,
+        RouteOutcome::Cascade(plan) => &plan.first.pool,
+        RouteOutcome::Queue(_) | RouteOutcome::Refuse(_) => return,
+    };
+    if context.queue.has_waiters(pool) {
+        *outcome = RouteOutcome::Queue(pool.clone());
+    }
+}
--- a/galenamast/src/transport/transport_error.rs
+++ b/galenamast/src/transport/transport_error.rs
@@ -1,6 +1,7 @@
 //! Errors of the transport layer.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use thiserror::Error;
@@ -61,6 +62,14 @@
         /// Name of the setting.
         name: &'static str,
     },
+    /// A certificate or its key cannot be used.
+    #[error("cannot use the certificate {} or its key: {source}", path.display())]
+    Certificate {
+        /// File of the certificate.
+        path: PathBuf,
+        /// Why it cannot be used.
+        source: std::io::Error,
+    },
     /// The coordination layer refused something.
     #[error(transparent)]
     Coordination(#[from] CoordinationError),
