--- a/fakes/src/fake_engine.rs
+++ b/fakes/src/fake_engine.rs
@@ -59,6 +59,8 @@
     pub poison: Option<String>,
     /// The engine does not honour the resume header.
     pub ignores_resume: bool,
+    /// Load reports hang without an answer.
+    pub hang_load: bool,
     /// Load that is reported in place of the true one.
     pub false_load: Option<u32>,
 }
@@ -246,6 +248,9 @@
 
 /// Serves the load report.
 async fn report_load(State(state): State<Arc<EngineState>>) -> Json<Value> {
+    if lock(&state.engine_faults).hang_load {
+        std::future::pending::<()>().await;
+    }
     let options = lock(&state.options).clone();
     let versions: Vec<Value> = options
         .versions
--- a/galenamast/src/coordination/load_report.rs
+++ b/galenamast/src/coordination/load_report.rs
@@ -10,7 +10,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct LoadReport {
-    /// Number that grows each time the server restarts.
+    /// Number that grows each time the server restarts; zero if the server states none.
     pub incarnation: u64,
     /// Whether the server is leaving.
     pub draining: bool,
--- a/galenamast/src/coordination/server_directory.rs
+++ b/galenamast/src/coordination/server_directory.rs
@@ -99,7 +99,13 @@
         let Some(entry) = self.entries.get_mut(name) else {
             return;
         };
-        if report.incarnation < entry.machine.incarnation() {
+        let known = entry.machine.incarnation();
+        // A server that states no incarnation speaks for the one that is known.
+        let incarnation = match report.incarnation {
+            0 => known,
+            stated => stated,
+        };
+        if incarnation < known {
             return;
         }
         let record = &mut entry.record;
@@ -108,7 +114,7 @@
         record.reported_at = now;
         record.own_at_report = record.in_flight.get();
         let event = LifeEvent::Reported {
-            incarnation: report.incarnation,
+            incarnation,
             draining: report.draining,
         };
         self.step(name, event, now);
--- /dev/null
+++ b/galenamast/tests/path/server_life.rs
@@ -0,0 +1,117 @@
+//! The machine of a backend server, as a table of event sequences.
+
+use galenamast::coordination::{HostState, LifeEvent, LifeSettings, ServerMachine};
+use galenamast::state::{ServerLife, TimePoint};
+
+/// The host list names the server.
+fn listed(incarnation: u64, state: HostState) -> LifeEvent {
+    LifeEvent::Listed { incarnation, state }
+}
+
+/// The server reports its load.
+fn reported(incarnation: u64, draining: bool) -> LifeEvent {
+    LifeEvent::Reported {
+        incarnation,
+        draining,
+    }
+}
+
+/// Feeds events, each at its time in milliseconds, and returns the life at the end.
+fn run(events: &[(u64, LifeEvent)]) -> ServerLife {
+    let mut machine = ServerMachine::new(1, LifeSettings::default(), TimePoint::ZERO);
+    for (millis, event) in events {
+        machine.handle(*event, TimePoint::from_millis(*millis));
+    }
+    machine.life()
+}
+
+#[test]
+fn signs_of_leaving_win_until_a_newer_incarnation() {
+    use HostState::{Leaving, Live};
+    use LifeEvent::{ConnectFailed, Tick, Unlisted};
+    let up = reported(1, false);
+    let table: &[(&str, &[(u64, LifeEvent)], ServerLife)] = &[
+        ("new", &[(0, listed(1, Live))], ServerLife::Probing),
+        ("reported", &[(0, up)], ServerLife::Live),
+        (
+            "flag",
+            &[(0, up), (1, reported(1, true))],
+            ServerLife::Draining,
+        ),
+        (
+            "flag, then a stale list",
+            &[(0, reported(1, true)), (1, listed(1, Live)), (2, up)],
+            ServerLife::Draining,
+        ),
+        (
+            "list first, then reports without the flag",
+            &[(0, up), (1, listed(1, Leaving)), (2, up)],
+            ServerLife::Draining,
+        ),
+        (
+            "a newer incarnation by the list",
+            &[(0, reported(1, true)), (1, listed(2, Live))],
+            ServerLife::Probing,
+        ),
+        (
+            "a newer incarnation by its report",
+            &[
+                (0, reported(1, true)),
+                (1, reported(2, false)),
+                (2, reported(2, false)),
+            ],
+            ServerLife::Live,
+        ),
+        (
+            "a list that still calls the last incarnation leaving",
+            &[(0, reported(2, false)), (1, listed(1, Leaving))],
+            ServerLife::Live,
+        ),
+        (
+            "a failed connection",
+            &[(0, up), (1, ConnectFailed)],
+            ServerLife::Suspect,
+        ),
+        (
+            "back again",
+            &[(0, up), (1, ConnectFailed), (2, up)],
+            ServerLife::Live,
+        ),
+        ("silence", &[(0, up), (1_501, Tick)], ServerLife::Suspect),
+        ("a short pause", &[(0, up), (1_400, Tick)], ServerLife::Live),
+        (
+            "not listed yet, but alive",
+            &[(0, up), (1, Unlisted), (500, up), (1_000, Tick)],
+            ServerLife::Live,
+        ),
+        (
+            "not listed and silent",
+            &[(0, up), (1, Unlisted), (1_600, Tick), (4_700, Tick)],
+            ServerLife::Gone,
+        ),
+        (
+            "gone while draining",
+            &[(0, reported(1, true)), (1, ConnectFailed), (2, up)],
+            ServerLife::Gone,
+        ),
+    ];
+    for (what, events, expected) in table {
+        assert_eq!(run(events), *expected, "{what}");
+    }
+}
+
+#[test]
+fn no_new_work_within_the_bound_after_the_first_sign() {
+    let bound = LifeSettings::default().leaving_bound.as_millis();
+    let bound = u64::try_from(bound).expect("a small bound");
+    let signs: &[&[(u64, LifeEvent)]] = &[
+        &[(0, reported(1, true))],
+        &[(0, listed(1, HostState::Leaving))],
+        &[(0, LifeEvent::ConnectFailed)],
+        &[(0, LifeEvent::Unlisted), (bound, LifeEvent::Tick)],
+    ];
+    for sign in signs {
+        let events = [&[(0, reported(1, false))][..], sign].concat();
+        assert_ne!(run(&events), ServerLife::Live, "{sign:?}");
+    }
+}
--- /dev/null
+++ b/galenamast/tests/path/streams.rs
@@ -0,0 +1,127 @@
+//! Streamed answers: whole, truncated, repeated, crossed and given up.
+
+use std::time::Duration;
+
+use galenamast_testbed::Deployment;
+use http_body_util::BodyExt;
+
+use crate::support::{chat, eventually, open_stream, read_stream, runs, start};
+
+/// Text of a whole answer of the fake engines, without the stated quality.
+const WHOLE: &str = "w0 w1 w2 w3 w4 w5 w6 w7 quality=";
+
+/// Makes every engine truncate its next stream after some events.
+fn truncate_all(deployment: &Deployment, events: u64, ignores_resume: bool) {
+    for engine in deployment.engines.values() {
+        engine.set_faults(|faults| {
+            faults.truncate_after = Some(events);
+            faults.truncations = 1;
+            faults.ignores_resume = ignores_resume;
+        });
+    }
+}
+
+#[tokio::test]
+async fn a_stream_arrives_whole() {
+    let deployment = start(2).await;
+    let response = open_stream(&deployment, "boots").await;
+    assert_eq!(response.status(), 200);
+    assert_eq!(response.headers()["content-type"], "text/event-stream");
+    assert!(response.headers().contains_key("x-request-id"));
+    assert_eq!(response.headers()["x-model"], "advice");
+    let read = read_stream(response).await;
+    assert!(read.ended && read.error.is_none(), "{read:?}");
+    assert!(read.text.starts_with(WHOLE), "{read:?}");
+    assert_eq!(read.indices, (0..=8).collect::<Vec<u64>>());
+}
+
+#[tokio::test]
+async fn a_truncated_stream_is_resumed_where_it_broke_off() {
+    let deployment = start(1).await;
+    truncate_all(&deployment, 3, false);
+    let read = read_stream(open_stream(&deployment, "boots").await).await;
+    assert!(read.ended && read.text.starts_with(WHOLE), "{read:?}");
+    let engine = deployment.engines.values().next().expect("one engine");
+    let offsets: Vec<u64> = engine.runs().iter().map(|run| run.resume_from).collect();
+    assert_eq!(offsets, [0, 3]);
+}
+
+#[tokio::test]
+async fn a_stream_that_cannot_be_resumed_ends_in_an_error() {
+    let deployment = start(1).await;
+    truncate_all(&deployment, 3, true);
+    let read = read_stream(open_stream(&deployment, "boots").await).await;
+    assert!(!read.ended, "{read:?}");
+    let error = read.error.expect("an explicit error");
+    assert_eq!(error["code"], "backend_failed");
+    assert_eq!(error["run"], "run");
+}
+
+#[tokio::test]
+async fn a_stream_cut_before_its_first_event_runs_elsewhere() {
+    let deployment = start(2).await;
+    let first = deployment.engines.values().next().expect("two engines");
+    first.set_faults(|faults| {
+        faults.truncate_after = Some(0);
+        faults.truncations = 1_000;
+    });
+    // As many requests as a new workspace has tokens for retries.
+    for _ in 0..5 {
+        let read = read_stream(open_stream(&deployment, "boots").await).await;
+        assert!(read.ended && read.text.starts_with(WHOLE), "{read:?}");
+    }
+}
+
+#[tokio::test]
+async fn repeated_events_reach_the_caller_once() {
+    let deployment = start(1).await;
+    for engine in deployment.engines.values() {
+        engine.set_faults(|faults| faults.repeat_events = true);
+    }
+    let read = read_stream(open_stream(&deployment, "boots").await).await;
+    assert_eq!(read.indices, (0..=8).collect::<Vec<u64>>());
+    assert!(read.ended, "{read:?}");
+}
+
+#[tokio::test]
+async fn a_crossed_answer_is_never_passed_on() {
+    let deployment = start(2).await;
+    for engine in deployment.engines.values() {
+        engine.set_faults(|faults| faults.crossed_answers = 1_000);
+    }
+    let reply = chat(&deployment, "boots", &[]).await;
+    assert_eq!(reply.status, 502);
+    assert_eq!(reply.json()["run"], "outcome_unknown");
+    let response = open_stream(&deployment, "boots").await;
+    assert_eq!(response.status(), 502);
+}
+
+#[tokio::test]
+async fn one_crossed_answer_is_replaced_by_the_right_one() {
+    let deployment = start(2).await;
+    let first = deployment.engines.values().next().expect("two engines");
+    first.set_faults(|faults| faults.crossed_answers = 1);
+    for _ in 0..8 {
+        let reply = chat(&deployment, "boots", &[]).await;
+        assert_eq!(reply.status, 200);
+        let id = reply.header("x-request-id").map(str::to_owned);
+        assert_eq!(reply.json()["id"].as_str().map(str::to_owned), id);
+    }
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_frees_the_engine() {
+    let deployment = start(1).await;
+    let engine = deployment.engines.values().next().expect("one engine");
+    engine.change(|options| {
+        options.token_gap = Duration::from_millis(20);
+        options.answer_tokens = 100_000;
+    });
+    let mut response = open_stream(&deployment, "boots").await;
+    let frame = response.body_mut().frame().await;
+    assert!(frame.is_some_and(|frame| frame.is_ok()));
+    drop(response);
+    eventually("the engine is told", || engine.running() == 0).await;
+    assert_eq!(engine.cancelled().len(), 1);
+    assert_eq!(runs(&deployment), 1);
+}
