--- a/galenamast/tests/path/server_life.rs
+++ b/galenamast/tests/path/server_life.rs
@@ -16,6 +16,9 @@
     }
 }
 
+/// Name of a case, its events with their times, and the life at the end.
+type LifeCase = (&'static str, &'static [(u64, LifeEvent)], ServerLife);
+
 /// Feeds events, each at its time in milliseconds, and returns the life at the end.
 fn run(events: &[(u64, LifeEvent)]) -> ServerLife {
     let mut machine = ServerMachine::new(1, LifeSettings::default(), TimePoint::ZERO);
@@ -30,7 +33,7 @@
     use HostState::{Leaving, Live};
     use LifeEvent::{ConnectFailed, Tick, Unlisted};
     let up = reported(1, false);
-    let table: &[(&str, &[(u64, LifeEvent)], ServerLife)] = &[
+    let table: &[LifeCase] = &[
         ("new", &[(0, listed(1, Live))], ServerLife::Probing),
         ("reported", &[(0, up)], ServerLife::Live),
         (
