Connect claims, usage records and session tokens to the path

Cause: non-idempotent calls were refused for want of a claim, usage went to the log alone, and no session kept its version. Change: merge the claim runner, usage ledger and session signer; a request with a key is claimed, dispatched once and its outcome stored, also when its caller left; each answer is billed before its last byte; answers carry a session token that pins the version; shutdown flushes the ledger.

--- a/galenamast/src/coordination/mod.rs
+++ b/galenamast/src/coordination/mod.rs
@@ -4,11 +4,21 @@
 
 pub mod admission_control;
 pub mod admission_queue;
+pub mod call_budget;
+pub mod change_refusal;
+pub mod circuit_breaker;
+pub mod claim_closing;
+pub mod claim_document;
+pub mod claim_key;
+pub mod claim_machine;
+pub mod config_change;
+pub mod config_check;
 pub mod config_documents;
 pub mod coordination_error;
 pub mod crash_quarantine;
 pub mod host_list;
 pub mod load_report;
+pub mod object_query;
 pub mod object_record;
 pub mod object_write;
 pub mod request_failure;
@@ -16,18 +26,37 @@
 pub mod request_messages;
 pub mod request_placement;
 pub mod request_stream;
+pub mod retry_backoff;
 pub mod retry_budget;
 pub mod server_directory;
 pub mod server_life;
+pub mod session_claims;
+pub mod session_error;
+pub mod session_signer;
+pub mod usage_batch;
+pub mod usage_buffer;
+pub mod usage_merge;
 pub mod usage_record;
 
 pub use admission_control::{AdmissionControl, AdmissionRefusal};
 pub use admission_queue::{AdmissionQueue, QueueEntry, QueueTicket, QueueVerdict};
-pub use config_documents::{ConfigObject, HeadDocument, ObjectDigest, assemble_image};
+pub use call_budget::{CallBudget, CallPriority};
+pub use change_refusal::ChangeRefusal;
+pub use circuit_breaker::{BreakerState, CircuitBreaker};
+pub use claim_document::{
+    BodyDigest, ClaimDocument, ClaimRecord, ClaimRetention, ClaimState, ReleaseReason,
+    StoredOutcome,
+};
+pub use config_change::{ChangeReceipt, ConfigChange, PlannedChange};
+pub use config_check::check_image;
+pub use config_documents::{
+    ChangeNote, ConfigObject, EncodedObject, HeadDocument, ObjectDigest, assemble_image,
+};
 pub use coordination_error::CoordinationError;
 pub use crash_quarantine::{CrashFingerprint, CrashNote, CrashQuarantine, ServerDeath};
 pub use host_list::{HostList, HostListEntry, HostState};
 pub use load_report::LoadReport;
+pub use object_query::ObjectQuery;
 pub use object_record::{ObjectKey, ObjectRecord, ObjectVersion};
 pub use object_write::{WriteCondition, WriteOutcome};
 pub use request_failure::{AttemptFailure, StartState, classify_failure};
@@ -38,7 +67,14 @@
 };
 pub use request_placement::choose_service_server;
 pub use request_stream::{StreamChecker, StreamVerdict};
+pub use retry_backoff::RetryBackoff;
 pub use retry_budget::RetryBudget;
 pub use server_directory::{DirectoryEvent, ServerDirectory};
 pub use server_life::{LifeEvent, LifeSettings, ServerMachine};
+pub use session_claims::SessionClaims;
+pub use session_error::SessionError;
+pub use session_signer::{SessionSettings, SessionSigner};
+pub use usage_batch::{UsageBatch, UsageCopy, UsageOrigin};
+pub use usage_buffer::{BufferLimits, UsageBuffer};
+pub use usage_merge::UsageMerge;
 pub use usage_record::UsageRecord;
--- a/galenamast/src/event_loop.rs
+++ b/galenamast/src/event_loop.rs
@@ -56,6 +56,9 @@
         if let Some(objects) = context.objects.clone() {
             tasks.push(tokio::spawn(follow_config(context.clone(), objects)));
         }
+        if let Some(ledger) = context.ledger.clone() {
+            tasks.push(tokio::spawn(ledger.run()));
+        }
         let stopped = CancellationToken::new();
         let server = CallerServer {
             context: context.clone(),
@@ -125,6 +128,9 @@
             while !self.context.board.is_empty() {
                 timers.sleep(DRAIN_CHECK).await;
             }
+            if let Some(ledger) = &self.context.ledger {
+                ledger.drain(shutdown.drain_timeout).await;
+            }
         };
         tokio::select! {
             () = ended => {}
--- a/galenamast/src/transport/caller_admission.rs
+++ b/galenamast/src/transport/caller_admission.rs
@@ -7,6 +7,7 @@
 use crate::state::{RefusalReason, RequestId, WorkspaceName, WorkspaceSpec};
 use crate::transport::caller_reply::{refuse, refuse_for};
 use crate::transport::host_context::HostContext;
+use crate::transport::usage_ledger::{UsageLedger, UsageReservation};
 
 /// An admitted request; its limits are given back when it is dropped.
 #[derive(Debug)]
@@ -14,6 +15,8 @@
     context: Arc<HostContext>,
     id: RequestId,
     workspace: WorkspaceName,
+    // Room for the usage record, kept until the record is in the ledger.
+    _reservation: Option<UsageReservation>,
     /// Tokens for retries and hedges of the workspace.
     pub budget: Arc<RetryBudget>,
     /// Fingerprint of the request.
@@ -72,8 +75,14 @@
     workspace: &WorkspaceSpec,
     body: &[u8],
 ) -> Result<AdmittedRequest, CallerError> {
+    let reservation = context.ledger.as_ref().map(UsageLedger::reserve);
+    if matches!(reservation, Some(None)) {
+        let message = "no further usage can be recorded until the platform is back";
+        return Err(refuse(id, ErrorCode::Unavailable, message));
+    }
     let now = context.timers.now();
-    let fingerprint = CrashFingerprint::of_request(&context.fingerprint_key, &workspace.name, body);
+    let fingerprint =
+        CrashFingerprint::of_request(&context.fingerprint_key(), &workspace.name, body);
     let quarantined = context
         .quarantine
         .lock()
@@ -93,6 +102,7 @@
         context: context.clone(),
         id,
         workspace: workspace.name.clone(),
+        _reservation: reservation.flatten(),
         budget,
         fingerprint,
     })
--- a/galenamast/src/transport/caller_chat.rs
+++ b/galenamast/src/transport/caller_chat.rs
@@ -9,13 +9,15 @@
 use axum::response::{IntoResponse, Response};
 use serde::Serialize;
 
+use crate::coordination::{BodyDigest, CrashFingerprint};
 use crate::protocol::{CallerError, ChatRequest, ErrorCode};
-use crate::state::{ModelName, RequestId, RouteRequest};
+use crate::state::{ModelName, RequestId, RouteRequest, WorkspaceName};
 use crate::transport::caller_admission::{OpenRequest, admit};
 use crate::transport::caller_input::{authenticate, read_body, read_options};
 use crate::transport::caller_reply::{error_response, refuse};
 use crate::transport::caller_request::{RequestJob, RequestWork, start_request};
 use crate::transport::host_context::HostContext;
+use crate::transport::request_session::{CallerSession, verify_token};
 
 /// Model name by which a caller leaves the choice to the router.
 const AUTO_MODEL: &str = "auto";
@@ -55,6 +57,12 @@
         let message = "a request that must not be run twice needs an `Idempotency-Key`";
         return Err(refuse(id, ErrorCode::KeyRequired, message));
     }
+    let session = options
+        .session_token
+        .as_deref()
+        .map(|token| verify_token(context, &workspace.name, token))
+        .transpose()
+        .map_err(|error| refuse(id, ErrorCode::BadRequest, &error.to_string()))?;
     let admitted = admit(context, id, &workspace, &bytes)?;
     let idempotent = options.idempotency_key.is_none();
     let model = Some(chat.model.as_str()).filter(|name| !name.is_empty() && *name != AUTO_MODEL);
@@ -63,6 +71,8 @@
         workspace: workspace.name.clone(),
         model: model.map(ModelName::new),
         task: options.task.clone(),
+        pinned: session.as_ref().map(|known| known.claims.version.clone()),
+        prefix_hash: prefix_hash(session.as_ref(), &chat),
         prompt_tokens: chat.estimate_prompt_tokens(),
         max_output_tokens: chat.max_tokens.unwrap_or(DEFAULT_OUTPUT_TOKENS),
         time_left: options.time_left,
@@ -78,6 +88,8 @@
         weight: workspace.limits.share_weight,
         idempotency_key: options.idempotency_key,
         work: RequestWork::Chat(chat),
+        digest: BodyDigest::of(&bytes),
+        session,
         body: bytes,
         route,
         admitted,
@@ -85,6 +97,18 @@
     start_request(context, job).await
 }
 
+/// Hashes what requests that profit from one server's cache have in common: the session, or the
+/// first message.
+fn prefix_hash(session: Option<&CallerSession>, chat: &ChatRequest) -> u64 {
+    let workspace = WorkspaceName::default();
+    let hash = |text: &str| CrashFingerprint::of_request(&[0; 16], &workspace, text.as_bytes()).0;
+    match (session, chat.messages.first()) {
+        (Some(session), _) => hash(session.claims.session.as_str()),
+        (None, Some(message)) => hash(&message.content.to_string()),
+        (None, None) => 0,
+    }
+}
+
 /// A model that a workspace may use.
 #[derive(Debug, Serialize)]
 struct ModelEntry {
--- a/galenamast/src/transport/caller_request.rs
+++ b/galenamast/src/transport/caller_request.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use tokio_util::sync::CancellationToken;
 
+use crate::coordination::{AttemptFailure, BodyDigest, FailureReason};
 use crate::protocol::{CallerError, ChatRequest};
 use crate::state::{PoolName, RouteRequest, RunState, TimePoint};
 use crate::transport::caller_admission::AdmittedRequest;
@@ -15,6 +16,7 @@
 use crate::transport::caller_reply::describe_failure;
 use crate::transport::host_context::HostContext;
 use crate::transport::request_runner::RequestRunner;
+use crate::transport::request_session::CallerSession;
 
 /// A call of a plain service.
 #[derive(Clone, Debug)]
@@ -55,6 +57,10 @@
     pub weight: f64,
     /// Key under which the request runs at most once.
     pub idempotency_key: Option<HeaderValue>,
+    /// Digest of what the request asks for.
+    pub digest: BodyDigest,
+    /// Session that the caller's token names.
+    pub session: Option<CallerSession>,
     /// Limits that the request takes up.
     pub admitted: AdmittedRequest,
 }
@@ -78,9 +84,7 @@
     let answer = head.await;
     guard.disarm();
     answer.unwrap_or_else(|_| {
-        let reason = crate::coordination::FailureReason::Attempt(
-            crate::coordination::AttemptFailure::Cancelled,
-        );
+        let reason = FailureReason::Attempt(AttemptFailure::Cancelled);
         Err(describe_failure(id, reason, RunState::OutcomeUnknown))
     })
 }
--- a/galenamast/src/transport/caller_service.rs
+++ b/galenamast/src/transport/caller_service.rs
@@ -7,6 +7,7 @@
 use axum::http::{Request, header};
 use axum::response::Response;
 
+use crate::coordination::BodyDigest;
 use crate::protocol::{CallerError, ErrorCode};
 use crate::state::{RequestId, RouteRequest, ServiceName};
 use crate::transport::caller_admission::{OpenRequest, admit};
@@ -69,7 +70,8 @@
         path: raw_path.strip_prefix(&prefix).unwrap_or(&path).to_owned(),
         content_type: parts.headers.get(header::CONTENT_TYPE).cloned(),
     };
-    let identity = [call.path.as_bytes(), &bytes].concat();
+    let method = call.method.as_str().as_bytes();
+    let identity = [service.as_bytes(), method, call.path.as_bytes(), &bytes].join(&0);
     let admitted = admit(context, id, &workspace, &identity)?;
     let job = RequestJob {
         deadline: arrived + options.time_left,
@@ -77,6 +79,8 @@
         weight: workspace.limits.share_weight,
         idempotency_key: options.idempotency_key,
         work: RequestWork::Service(call),
+        digest: BodyDigest::of(&identity),
+        session: None,
         body: bytes,
         route: RouteRequest {
             id,
--- a/galenamast/src/transport/request_router.rs
+++ b/galenamast/src/transport/request_router.rs
@@ -7,21 +7,15 @@
 use crate::coordination::{RequestEvent, choose_service_server};
 use crate::logging::log_record;
 use crate::protocol::{DecisionRecord, LogRecord};
-use crate::state::{
-    RouteDecision, RouteOutcome, RouteRequest, ServerName, TimePoint, VersionKey, plan_route,
-};
-use crate::transport::caller_request::RequestWork;
+use crate::state::{RouteDecision, RouteOutcome, RouteRequest, ServerName, VersionKey, plan_route};
+use crate::transport::caller_request::{RequestJob, RequestWork};
 use crate::transport::host_context::HostContext;
 
 /// What one decision of a request is asked for.
 #[derive(Debug)]
 pub struct RouteAsk<'a> {
-    /// Properties of the request.
-    pub route: &'a RouteRequest,
-    /// What the request asks for.
-    pub work: &'a RequestWork,
-    /// Time by which the caller needs the answer.
-    pub deadline: TimePoint,
+    /// The request.
+    pub job: &'a RequestJob,
     /// Servers that must not be chosen.
     pub excluded: BTreeSet<ServerName>,
     /// Version that must be chosen.
@@ -36,14 +30,14 @@
 pub fn make_decision(context: &HostContext, ask: RouteAsk<'_>) -> RequestEvent {
     let now = context.timers.now();
     let mut request = RouteRequest {
-        time_left: ask.deadline.since(now),
+        time_left: ask.job.deadline.since(now),
         excluded: ask.excluded,
-        ..ask.route.clone()
+        ..ask.job.route.clone()
     };
     if ask.version.is_some() {
         request.pinned = ask.version;
     }
-    let mut decision = match ask.work {
+    let mut decision = match &ask.job.work {
         RequestWork::Chat(_) => {
             let (image, tables) = (context.image.load(), context.tables.load());
             plan_route(&request, &image, &tables, now, context.next_seed())
@@ -79,7 +73,11 @@
             attempt: ask.attempt,
             workspace: request.workspace,
             task: request.task,
-            session: None,
+            session: ask
+                .job
+                .session
+                .as_ref()
+                .map(|known| known.claims.session.clone()),
             decision,
         }),
     );
--- a/galenamast/src/transport/request_runner.rs
+++ b/galenamast/src/transport/request_runner.rs
@@ -1,94 +1,63 @@
 //! Runs one request: feeds its machine with what happens and performs the machine's actions.
 
-use std::collections::{BTreeMap, VecDeque};
-use std::sync::{Arc, PoisonError};
+use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use log::Level;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::coordination::{
-    AttemptFailure, AttemptNumber, ClaimAnswer, DirectoryEvent, QueueEntry, QueueTicket,
-    RequestAction, RequestEvent, RequestGuards, RequestMachine, RequestPlan, ServerDeath,
-    UsageRecord,
+    AttemptFailure, AttemptNumber, ClaimEnd, QueueEntry, QueueTicket, RequestAction, RequestEvent,
+    RequestGuards, RequestMachine, RequestPlan, UsageRecord,
 };
-use crate::logging::{log_fault, log_record};
-use crate::protocol::{ChatRequest, LogRecord};
-use crate::state::{
-    ConfigGeneration, InFlightCounter, PoolName, RequestId, RouteTarget, ServerName, VersionKey,
-};
-use crate::transport::backend_attempt::{AttemptKind, AttemptSignal, AttemptTask};
-use crate::transport::backend_client::{BackendCall, BackendReply};
+use crate::logging::log_record;
+use crate::protocol::{CallerError, ErrorCode, LogRecord};
+use crate::state::{ConfigGeneration, PoolName, RouteTarget, RunState, VersionKey};
+use crate::transport::backend_attempt::AttemptSignal;
 use crate::transport::caller_channel::CallerChannel;
-use crate::transport::caller_reply::describe_failure;
+use crate::transport::caller_reply::{describe_failure, refuse};
 use crate::transport::caller_request::{RequestJob, RequestWork};
+use crate::transport::claim_request::ClaimVerdict;
 use crate::transport::host_context::HostContext;
 use crate::transport::queue_gate::WaitEnd;
 use crate::transport::rating_client::rate_answer;
+use crate::transport::request_attempts::{AttemptSet, RunningAttempt};
+use crate::transport::request_claim::RequestClaim;
 use crate::transport::request_router::{RouteAsk, make_decision};
+use crate::transport::request_session::token_for;
 
 /// Signals of attempts that wait to be handled; a full channel slows the servers down.
 const BUFFERED_SIGNALS: usize = 16;
-/// Path of chat completions at a model engine.
-const CHAT_PATH: &str = "/v1/chat/completions";
 
 /// Something that the runner waits for beside its attempts.
 #[derive(Debug)]
 enum RunnerSignal {
     /// An event for the machine.
     Event(RequestEvent),
+    /// The claim was made or refused.
+    Claimed(ClaimVerdict),
     /// A wait in the queue ended.
     WaitEnded(WaitEnd),
 }
 
-/// An attempt with what it holds on the host.
-#[derive(Debug)]
-struct RunningAttempt {
-    target: RouteTarget,
-    reply: Option<BackendReply>,
-    // Dropped before the slot, so that the server is left before it counts as free.
-    _task: AbortOnDropHandle<()>,
-    slot: Option<ServerSlot>,
-}
-
-/// A place on a server, which is given back when dropped.
-#[derive(Debug)]
-struct ServerSlot {
-    context: Arc<HostContext>,
-    in_flight: InFlightCounter,
-    server: ServerName,
-    pool: PoolName,
-    attempt: (RequestId, AttemptNumber),
-}
-
-impl Drop for ServerSlot {
-    fn drop(&mut self) {
-        self.in_flight.decrement();
-        let context = &self.context;
-        context.board.end_attempt(&self.server, self.attempt);
-        context.queue.release(&self.pool, 1, context.timers.now());
-    }
-}
-
 /// Runs one request.
 #[derive(Debug)]
 pub struct RequestRunner {
     context: Arc<HostContext>,
-    job: RequestJob,
+    job: Arc<RequestJob>,
     machine: RequestMachine,
     channel: CallerChannel,
     gone: CancellationToken,
-    attempts: BTreeMap<AttemptNumber, RunningAttempt>,
-    next_attempt: AttemptNumber,
+    attempts: AttemptSet,
+    claim: RequestClaim,
     delivered: u64,
     claim_pending: bool,
     released: bool,
     ticket: Option<QueueTicket>,
-    timers: Vec<AbortOnDropHandle<()>>,
-    attempt_sender: mpsc::Sender<AttemptSignal>,
+    waits: Vec<AbortOnDropHandle<()>>,
     attempt_receiver: mpsc::Receiver<AttemptSignal>,
     signal_sender: mpsc::UnboundedSender<RunnerSignal>,
     signal_receiver: mpsc::UnboundedReceiver<RunnerSignal>,
@@ -110,22 +79,22 @@
             budget: job.admitted.budget.clone(),
             guards: RequestGuards::default(),
         };
+        let job = Arc::new(job);
         let (attempt_sender, attempt_receiver) = mpsc::channel(BUFFERED_SIGNALS);
         let (signal_sender, signal_receiver) = mpsc::unbounded_channel();
         Self {
+            machine: RequestMachine::new(plan),
+            attempts: AttemptSet::new(context.clone(), job.clone(), attempt_sender),
+            claim: RequestClaim::new(context.clone(), job.clone()),
             context,
             job,
-            machine: RequestMachine::new(plan),
             channel,
             gone,
-            attempts: BTreeMap::new(),
-            next_attempt: 0,
             delivered: 0,
             claim_pending: false,
             released: false,
             ticket: None,
-            timers: Vec::new(),
-            attempt_sender,
+            waits: Vec::new(),
             attempt_receiver,
             signal_sender,
             signal_receiver,
@@ -176,9 +145,9 @@
                 self.pass_events(attempt, events).await;
             }
             AttemptSignal::Finished { attempt, reply } => {
-                if let Some(running) = self.attempts.get_mut(&attempt) {
+                if let Some(running) = self.attempts.get_mut(attempt) {
                     running.reply = Some(reply);
-                    running.slot = None;
+                    running.free_slot();
                     self.feed(RequestEvent::AttemptFinished { attempt }).await;
                 }
             }
@@ -187,7 +156,7 @@
                 failure,
                 server_dead,
             } => {
-                self.note_failure(attempt, failure, server_dead);
+                self.attempts.note_failure(attempt, failure, server_dead);
                 let delivered = self.delivered;
                 self.feed(RequestEvent::AttemptFailed {
                     attempt,
@@ -201,102 +170,61 @@
 
     /// Passes events of a streamed answer on to the caller.
     async fn pass_events(&mut self, attempt: AttemptNumber, events: Vec<String>) {
-        if !self.attempts.contains_key(&attempt) {
+        if self.attempts.get(attempt).is_none() {
             return;
         }
         self.feed(RequestEvent::AnswerStarted { attempt }).await;
-        let Some(running) = self.attempts.get(&attempt) else {
+        let Some(running) = self.attempts.get(attempt) else {
             return;
         };
-        if !self.channel.is_streaming() {
+        if !self.channel.is_streaming() && self.delivered == 0 {
             let version = running.target.version.clone();
+            self.give_token(Some(&version));
             self.channel.start_stream(Some(&version));
         }
+        self.claim.keep_events(&events);
+        self.delivered += events.len() as u64;
         let timeout = self.context.settings.callers.write_timeout;
-        if self.channel.send_events(&events, timeout).await {
-            self.delivered += events.len() as u64;
-        } else {
+        if !self.channel.send_events(&events, timeout).await {
             self.gone.cancel();
         }
     }
 
-    /// Reports a failed attempt to the directory and the quarantine.
-    fn note_failure(&mut self, attempt: AttemptNumber, failure: AttemptFailure, dead: bool) {
-        let Some(running) = self.attempts.get_mut(&attempt) else {
-            return;
-        };
-        let server = running.target.server.clone();
-        if dead || failure == AttemptFailure::NotSent {
-            let event = DirectoryEvent::ConnectFailed(server.clone());
-            self.context.report_servers(event);
-        }
-        if dead {
-            self.record_death(&server);
-        }
-        if let Some(running) = self.attempts.get_mut(&attempt) {
-            running.slot = None;
-        }
-    }
-
-    /// Counts the death of a server against the requests that ran on it.
-    fn record_death(&self, server: &ServerName) {
-        let context = &self.context;
-        let suspects = context.board.take_suspects(server);
-        if suspects.is_empty() {
-            return;
-        }
-        let tables = context.tables.load();
-        let record = tables.servers.servers().find(|known| known.name == *server);
-        let death = ServerDeath {
-            server: server.clone(),
-            incarnation: record.map_or(0, |record| record.incarnation),
-            suspects,
-        };
-        let now = context.timers.now();
-        let notes = context
-            .quarantine
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .record_death(&death, now);
-        context.share_crash_notes(&notes);
-        let message = format!("{server} died with {} suspects", death.suspects.len());
-        log_fault("backend", &message);
-    }
-
     /// Takes in something else that was waited for.
     async fn take_signal(&mut self, signal: RunnerSignal) {
-        match signal {
-            RunnerSignal::Event(event) => {
-                if matches!(event, RequestEvent::ClaimAnswered(_)) {
-                    self.claim_pending = false;
-                }
-                self.feed(event).await;
+        let event = match signal {
+            RunnerSignal::Event(event) => event,
+            RunnerSignal::Claimed(verdict) => {
+                self.claim_pending = false;
+                RequestEvent::ClaimAnswered(self.claim.take_verdict(verdict))
             }
             RunnerSignal::WaitEnded(end) => {
                 self.ticket = None;
                 self.released = end == WaitEnd::Released;
-                let event = match end {
+                match end {
                     WaitEnd::Released => RequestEvent::QueueReleased,
                     WaitEnd::Shed => RequestEvent::QueueExpired,
-                };
-                self.feed(event).await;
+                }
             }
-        }
+        };
+        self.feed(event).await;
     }
 
     /// Performs an action; returns the event that follows at once.
     async fn perform(&mut self, action: RequestAction) -> Option<RequestEvent> {
         let timeout = self.context.settings.callers.write_timeout;
         match action {
-            RequestAction::Claim => self.start_claim(),
+            RequestAction::Claim => {
+                self.claim_pending = true;
+                let claim = self.claim.make();
+                self.spawn_wait(async move { RunnerSignal::Claimed(claim.await) });
+            }
             RequestAction::Route { excluded, version } => {
                 let ask = RouteAsk {
-                    route: &self.job.route,
-                    work: &self.job.work,
-                    deadline: self.job.deadline,
+                    job: &self.job,
                     excluded,
                     version,
-                    attempt: self.next_attempt,
+                    attempt: self.attempts.next_number(),
                     released: std::mem::take(&mut self.released),
                 };
                 return Some(make_decision(&self.context, ask));
@@ -306,17 +234,17 @@
                 attempt,
                 target,
                 generation,
-                withheld,
-            } => return self.dispatch(attempt, target, generation, withheld),
+                ..
+            } => return self.dispatch(attempt, target, generation),
             RequestAction::Resume {
                 attempt,
                 target,
                 resume_from,
-            } => self.start_attempt(attempt, target, resume_from),
-            RequestAction::Cancel(attempt) => drop(self.attempts.remove(&attempt)),
+            } => self.attempts.start(attempt, target, resume_from),
+            RequestAction::Cancel(attempt) => drop(self.attempts.remove(attempt)),
             RequestAction::StartHedgeTimer(delay) => {
                 let timers = self.context.timers.clone();
-                self.spawn_signal(async move {
+                self.spawn_wait(async move {
                     timers.sleep(delay).await;
                     RunnerSignal::Event(RequestEvent::HedgeDue)
                 });
@@ -325,11 +253,11 @@
             RequestAction::Bill(attempt) => self.bill(attempt).await,
             RequestAction::CloseClaim(end) => self.close_claim(end).await,
             RequestAction::Deliver(attempt) => {
-                if let Some(running) = self.attempts.remove(&attempt) {
+                if let Some(running) = self.attempts.remove(attempt) {
                     self.deliver(running, timeout).await;
                 }
             }
-            RequestAction::DeliverStored => self.deliver_stored().await,
+            RequestAction::DeliverStored => self.deliver_stored(timeout).await,
             RequestAction::Fail { reason, run } => {
                 let error = describe_failure(self.job.route.id, reason, run);
                 self.channel.send_error(error, timeout).await;
@@ -345,10 +273,36 @@
         }
         if let Some(reply) = running.reply {
             let version = self.version_of(&running.target);
+            self.give_token(version.as_ref());
             self.channel.send_whole(reply, version.as_ref());
         }
     }
 
+    /// Puts the session token on the answer.
+    fn give_token(&mut self, version: Option<&VersionKey>) {
+        let Some(version) = version else {
+            return;
+        };
+        let session = self.job.session.as_ref();
+        let workspace = &self.job.route.workspace;
+        if let Some(token) = token_for(&self.context, workspace, session, version) {
+            self.channel.set_session(token);
+        }
+    }
+
+    /// Gives the caller the outcome stored with the claim.
+    async fn deliver_stored(&mut self, timeout: Duration) {
+        if let Some((reply, version)) = self.claim.take_stored() {
+            return self.channel.send_whole(reply, version.as_ref());
+        }
+        let message = "the request ran before; its answer was too large to be kept";
+        let error = CallerError {
+            run: RunState::Run,
+            ..refuse(self.job.route.id, ErrorCode::Conflict, message)
+        };
+        self.channel.send_error(error, timeout).await;
+    }
+
     /// Returns the version that an attempt ran; a plain service has none.
     fn version_of(&self, target: &RouteTarget) -> Option<VersionKey> {
         match self.job.work {
@@ -357,18 +311,16 @@
         }
     }
 
-    /// Claims the request.
-    fn start_claim(&mut self) {
-        self.claim_pending = true;
-        let event = RequestEvent::ClaimAnswered(ClaimAnswer::Unavailable);
-        let _ = self.signal_sender.send(RunnerSignal::Event(event));
-    }
-
     /// Writes back the end of the claim.
-    async fn close_claim(&mut self, _end: crate::coordination::ClaimEnd) {}
-
-    /// Gives the caller the outcome stored with the claim.
-    async fn deliver_stored(&mut self) {}
+    async fn close_claim(&mut self, end: ClaimEnd) {
+        let running = match end {
+            ClaimEnd::Answered(attempt) => self.attempts.get(attempt),
+            ClaimEnd::Unknown | ClaimEnd::NotRun => None,
+        };
+        let reply = running.and_then(|running| running.reply.clone());
+        let version = running.and_then(|running| self.version_of(&running.target));
+        self.claim.close(end, reply.as_ref(), version).await;
+    }
 
     /// Lets the request wait for a server of a pool.
     fn join_queue(&mut self, pool: PoolName) {
@@ -385,149 +337,62 @@
         };
         let (ticket, ended) = context.queue.join(entry);
         self.ticket = Some(ticket);
-        let timers = context.timers.clone();
-        self.spawn_signal(async move {
+        let context = self.context.clone();
+        self.spawn_wait(async move {
             let end = tokio::select! {
                 end = ended => end.unwrap_or(WaitEnd::Shed),
-                () = timers.sleep_until(deadline) => WaitEnd::Shed,
+                () = context.timers.sleep_until(deadline) => {
+                    context.queue.leave(ticket);
+                    WaitEnd::Shed
+                }
             };
             RunnerSignal::WaitEnded(end)
         });
     }
 
-    /// Sends an attempt unless the configuration changed since its decision.
+    /// Sends an attempt unless the configuration changed since its decision or its claim lapsed.
     fn dispatch(
         &mut self,
         attempt: AttemptNumber,
         target: RouteTarget,
         generation: ConfigGeneration,
-        withheld: bool,
     ) -> Option<RequestEvent> {
         if self.context.image.load().generation != generation {
             return Some(RequestEvent::DecisionStale { attempt });
         }
-        debug_assert!(
-            !(withheld && self.job.route.streamed),
-            "cascades are not streamed"
-        );
-        self.start_attempt(attempt, target, 0);
-        None
-    }
-
-    /// Starts an attempt on a server.
-    fn start_attempt(&mut self, attempt: AttemptNumber, target: RouteTarget, resume_from: u64) {
-        self.next_attempt = self.next_attempt.max(attempt + 1);
-        let context = &self.context;
-        let image = context.image.load();
-        let pool = image.pools.get(&target.pool);
-        let timeout = pool.map_or(Duration::from_secs(60), |pool| pool.attempt_timeout);
-        let task = AttemptTask {
-            number: attempt,
-            kind: self.attempt_kind(),
-            call: self.backend_call(&target, resume_from),
-            timeout,
-        };
-        let slot = self.take_slot(attempt, &target);
-        let running = task.run(context.backends.clone(), self.attempt_sender.clone());
-        let task = AbortOnDropHandle::new(tokio::spawn(running));
-        let entry = RunningAttempt {
-            target,
-            reply: None,
-            _task: task,
-            slot: Some(slot),
-        };
-        self.attempts.insert(attempt, entry);
-    }
-
-    /// Takes a place on a server.
-    fn take_slot(&self, attempt: AttemptNumber, target: &RouteTarget) -> ServerSlot {
-        let context = &self.context;
-        let tables = context.tables.load();
-        let record = tables.servers.find(&target.pool, &target.server);
-        let in_flight = record.map(|record| record.in_flight.clone());
-        let slot = ServerSlot {
-            context: context.clone(),
-            in_flight: in_flight.unwrap_or_default(),
-            server: target.server.clone(),
-            pool: target.pool.clone(),
-            attempt: (self.job.route.id, attempt),
-        };
-        slot.in_flight.increment();
-        let fingerprint = self.job.admitted.fingerprint;
-        context
-            .board
-            .start_attempt(&slot.server, slot.attempt, fingerprint);
-        slot
-    }
-
-    /// Returns how the answer of an attempt is read.
-    fn attempt_kind(&self) -> AttemptKind {
-        match &self.job.work {
-            RequestWork::Chat(chat) if chat.stream => AttemptKind::ChatStream,
-            RequestWork::Chat(_) => AttemptKind::Chat,
-            RequestWork::Service(_) => AttemptKind::Service,
-        }
-    }
-
-    /// Builds the call of an attempt.
-    fn backend_call(&self, target: &RouteTarget, resume_from: u64) -> BackendCall {
-        let now = self.context.timers.now();
-        let json = http::HeaderValue::from_static("application/json");
-        let (method, path, content_type, body) = match &self.job.work {
-            RequestWork::Chat(chat) => {
-                let sent = ChatRequest {
-                    model: target.version.to_string(),
-                    ..chat.clone()
-                };
-                let body = serde_json::to_vec(&sent).unwrap_or_default();
-                let path = CHAT_PATH.to_owned();
-                (http::Method::POST, path, Some(json), Bytes::from(body))
-            }
-            RequestWork::Service(call) => (
-                call.method.clone(),
-                call.path.clone(),
-                call.content_type.clone(),
-                self.job.body.clone(),
-            ),
-        };
-        BackendCall {
-            address: target.address.clone(),
-            method,
-            path,
-            content_type,
-            body,
-            request: self.job.route.id,
-            priority: self.job.route.priority,
-            time_left: self.job.deadline.since(now),
-            resume_from,
-            idempotency_key: self.job.idempotency_key.clone(),
+        if !self.claim.may_dispatch() {
+            return Some(RequestEvent::AttemptFailed {
+                attempt,
+                failure: AttemptFailure::NotSent,
+                delivered: 0,
+            });
         }
+        self.attempts.start(attempt, target, 0);
+        None
     }
 
     /// Has the answer of an attempt rated.
     fn rate(&mut self, attempt: AttemptNumber) {
-        let reply = self
-            .attempts
-            .get(&attempt)
-            .and_then(|run| run.reply.clone());
+        let running = self.attempts.get(attempt);
+        let reply = running.and_then(|running| running.reply.clone());
         let context = self.context.clone();
         let id = self.job.route.id;
         let body = reply.map(|reply| reply.body).unwrap_or_default();
-        self.spawn_signal(async move {
+        self.spawn_wait(async move {
             let rating = rate_answer(&context, id, &body).await;
             RunnerSignal::Event(RequestEvent::Rated { rating })
         });
     }
 
-    /// Records what the request is billed for.
+    /// Records what the request is billed for; returns when the record is held.
     async fn bill(&mut self, attempt: AttemptNumber) {
-        let Some(running) = self.attempts.get(&attempt) else {
+        let Some(running) = self.attempts.get(attempt) else {
             return;
         };
         let usage = running.reply.as_ref().map(|reply| reply.usage);
         let usage = usage.unwrap_or_default();
         let version = self.version_of(&running.target);
-        let image = self.context.image.load();
+        let image = self.context.image.load_full();
         let spec = version.as_ref().and_then(|version| image.version(version));
         let price = spec.map_or(0, |spec| {
             spec.price_of(usage.prompt_tokens, usage.completion_tokens)
@@ -542,16 +407,19 @@
             price,
             ended_unix_ms: self.context.timers.unix_millis(),
         };
-        log_record(Level::Info, &LogRecord::Usage(record));
+        log_record(Level::Info, &LogRecord::Usage(record.clone()));
+        if let Some(ledger) = &self.context.ledger {
+            ledger.record(record).await;
+        }
     }
 
     /// Waits apart from the runner and sends the result to it.
-    fn spawn_signal(&mut self, wait: impl Future<Output = RunnerSignal> + Send + 'static) {
+    fn spawn_wait(&mut self, wait: impl Future<Output = RunnerSignal> + Send + 'static) {
         let sender = self.signal_sender.clone();
         let task = tokio::spawn(async move {
             // A closed channel means that the request has ended.
             let _ = sender.send(wait.await);
         });
-        self.timers.push(AbortOnDropHandle::new(task));
+        self.waits.push(AbortOnDropHandle::new(task));
     }
 }
