--- a/galenamast/src/config/pool_fields.rs
+++ b/galenamast/src/config/pool_fields.rs
@@ -69,6 +69,13 @@
             store(&mut spec.attempt_timeout, parsed)
         },
     },
+    ObjectField {
+        name: "memory_mib",
+        default: "81920",
+        range: "1 to 100000000 MiB",
+        description: "Memory for the weights of versions on one server.",
+        apply: |spec, _, text| store(&mut spec.memory_mib, whole(text, 1, 100_000_000)),
+    },
     ObjectField {
         name: "drained_servers",
         default: "",
--- a/galenamast/src/coordination/mod.rs
+++ b/galenamast/src/coordination/mod.rs
@@ -2,6 +2,8 @@
 //!
 //! Nothing here does I/O or reads a clock: `handle(event, now)` returns actions.
 
+pub mod admission_control;
+pub mod admission_queue;
 pub mod call_budget;
 pub mod change_refusal;
 pub mod circuit_breaker;
@@ -13,8 +15,9 @@
 pub mod config_check;
 pub mod config_documents;
 pub mod coordination_error;
-pub mod fault_limiter;
+pub mod crash_quarantine;
 pub mod engine_order;
+pub mod fault_limiter;
 pub mod host_list;
 pub mod load_report;
 pub mod object_query;
@@ -23,11 +26,18 @@
 pub mod placement_input;
 pub mod placement_needs;
 pub mod placement_planner;
+pub mod request_failure;
+pub mod request_machine;
+pub mod request_messages;
+pub mod request_placement;
+pub mod request_stream;
 pub mod retry_backoff;
+pub mod retry_budget;
 pub mod rollout_actions;
 pub mod rollout_controller;
 pub mod rollout_step;
 pub mod server_directory;
+pub mod server_life;
 pub mod session_claims;
 pub mod session_error;
 pub mod session_signer;
@@ -36,6 +46,8 @@
 pub mod usage_merge;
 pub mod usage_record;
 
+pub use admission_control::{AdmissionControl, AdmissionRefusal};
+pub use admission_queue::{AdmissionQueue, QueueEntry, QueueTicket, QueueVerdict};
 pub use call_budget::{CallBudget, CallPriority};
 pub use change_refusal::ChangeRefusal;
 pub use circuit_breaker::{BreakerState, CircuitBreaker};
@@ -49,6 +61,7 @@
     ChangeNote, ConfigObject, EncodedObject, HeadDocument, ObjectDigest, assemble_image,
 };
 pub use coordination_error::CoordinationError;
+pub use crash_quarantine::{CrashFingerprint, CrashNote, CrashQuarantine, ServerDeath};
 pub use engine_order::{EngineOrder, EngineState};
 pub use host_list::{HostList, HostListEntry, HostState};
 pub use load_report::LoadReport;
@@ -60,10 +73,20 @@
     ReplicaCount, VersionDemand,
 };
 pub use placement_planner::plan_placement;
+pub use request_failure::{AttemptFailure, StartState, classify_failure};
+pub use request_machine::RequestMachine;
+pub use request_messages::{
+    AttemptNumber, ClaimAnswer, ClaimEnd, FailureReason, RequestAction, RequestEvent,
+    RequestGuards, RequestPlan,
+};
+pub use request_placement::choose_service_server;
+pub use request_stream::{StreamChecker, StreamVerdict};
 pub use retry_backoff::RetryBackoff;
+pub use retry_budget::RetryBudget;
 pub use rollout_controller::{RolloutController, RolloutEvent, RolloutView};
 pub use rollout_step::RolloutStep;
-pub use server_directory::ServerDirectory;
+pub use server_directory::{DirectoryEvent, ServerDirectory};
+pub use server_life::{LifeEvent, LifeSettings, ServerMachine};
 pub use session_claims::SessionClaims;
 pub use session_error::SessionError;
 pub use session_signer::{SessionSettings, SessionSigner};
--- a/galenamast/src/protocol/log_record.rs
+++ b/galenamast/src/protocol/log_record.rs
@@ -4,7 +4,7 @@
 
 use crate::coordination::{PlacementMove, RolloutStep, UsageRecord};
 use crate::protocol::decision_record::DecisionRecord;
-use crate::state::{ConfigGeneration, DomainName, RolloutName};
+use crate::state::{ConfigGeneration, DomainName, RequestId, RolloutName};
 
 /// A log line.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -41,6 +41,13 @@
         /// Address for operators.
         operators: String,
     },
+    /// The host began to shut down.
+    HostLeaving,
+    /// A request was still in flight when the host stopped.
+    RequestAbandoned {
+        /// Identifier of the request.
+        request_id: RequestId,
+    },
     /// The host stopped serving.
     HostStopped,
     /// A configuration came into force on this host.
--- a/galenamast/src/protocol/operator_rollout.rs
+++ b/galenamast/src/protocol/operator_rollout.rs
@@ -28,6 +28,11 @@
         min_step_time_ms: milliseconds(spec.min_step_time),
         tolerated_loss_ratio: spec.tolerated_loss,
         false_alarm_ratio: spec.false_alarm_rate,
+        supersedes: spec
+            .supersedes
+            .as_ref()
+            .map(ToString::to_string)
+            .unwrap_or_default(),
     }
 }
 
@@ -44,6 +49,10 @@
         wire::RolloutPhase::Aborted => RolloutPhase::Aborted,
         wire::RolloutPhase::Completed => RolloutPhase::Completed,
     };
+    let supersedes = match rollout.supersedes.as_str() {
+        "" => None,
+        name => Some(checked_name("superseded roll-out", name)?.into()),
+    };
     Ok(RolloutSpec {
         name: checked_name("roll-out name", &rollout.name)?.into(),
         model: checked_name("model name", &rollout.model)?.into(),
@@ -56,5 +65,6 @@
         min_step_time: Duration::from_millis(rollout.min_step_time_ms),
         tolerated_loss: rollout.tolerated_loss_ratio,
         false_alarm_rate: rollout.false_alarm_ratio,
+        supersedes,
     })
 }
--- a/galenamast/src/state/server_table.rs
+++ b/galenamast/src/state/server_table.rs
@@ -1,10 +1,10 @@
 //! The backend servers known to an entry host.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use crate::state::names::{PoolName, ServerName};
-use crate::state::server_record::ServerRecord;
+use crate::state::server_record::{ServerLife, ServerRecord};
 
 /// Backend servers by pool and name, as one immutable snapshot.
 #[derive(Clone, Debug, Default)]
@@ -27,6 +27,29 @@
         pool.insert(record.name.clone(), Arc::new(record));
     }
 
+    /// Marks servers of a pool as draining, so that they take no new work.
+    ///
+    /// ```
+    /// use galenamast::state::{ServerLife, ServerRecord, ServerTable};
+    ///
+    /// let mut table = ServerTable::default();
+    /// let server = ServerRecord { pool: "advice".into(), name: "a".into(), ..Default::default() };
+    /// table.insert(server);
+    /// table.drain(&"advice".into(), &["a".into()].into());
+    /// let server = table.find(&"advice".into(), &"a".into()).unwrap();
+    /// assert_eq!(server.life, ServerLife::Draining);
+    /// ```
+    pub fn drain(&mut self, pool: &PoolName, names: &BTreeSet<ServerName>) {
+        for name in names {
+            let Some(server) = self.find(pool, name) else {
+                continue;
+            };
+            let mut record = server.as_ref().clone();
+            record.life = ServerLife::Draining;
+            self.insert(record);
+        }
+    }
+
     /// Returns the servers of a pool in the order of their names.
     pub fn servers_in(&self, pool: &PoolName) -> impl Iterator<Item = &Arc<ServerRecord>> {
         self.pools
--- a/galenamast/src/transport/operator_status.rs
+++ b/galenamast/src/transport/operator_status.rs
@@ -1,8 +1,8 @@
 //! Operator call that reports what a host and its peers are doing.
 
 use std::collections::BTreeSet;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, PoisonError};
 
 use tonic::{Request, Response, Status, async_trait};
 
@@ -53,7 +53,7 @@
         domain: own.domain.to_string(),
         program_version: env!("CARGO_PKG_VERSION").into(),
         generation: image.generation.0,
-        ready: image.generation.0 > 0 && !draining,
+        ready: host.is_ready(),
         draining,
         hosts: vec![wire::HostStatus {
             host: own.name.to_string(),
@@ -78,12 +78,28 @@
             })
             .collect(),
         leases: Vec::new(),
-        buffers: None,
+        buffers: Some(buffer_status(host)),
         propagation: Some(propagation_of(host, asked.unwrap_or(image.generation))),
         freshness_age_ms: (image.generation.0 > 0).then(|| milliseconds(tables.config_age)),
     }
 }
 
+/// Counts what waits and what is buffered.
+fn buffer_status(host: &HostContext) -> wire::BufferStatus {
+    let ledger = host.ledger.as_ref().map(|ledger| ledger.status());
+    let quarantine = host
+        .quarantine
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    wire::BufferStatus {
+        usage_held_bytes: ledger.as_ref().map_or(0, |status| status.held_bytes as u64),
+        usage_age_ms: ledger.map_or(0, |status| milliseconds(status.oldest_age)),
+        accused_requests: quarantine.accused() as u64,
+        queued_requests: host.queue.waiting() as u64,
+        requests_in_flight: host.board.len() as u64,
+    }
+}
+
 /// Describes a backend server.
 fn server_status(server: &ServerRecord) -> wire::ServerStatus {
     wire::ServerStatus {
--- a/galenamast/tests/operator/changes.rs
+++ b/galenamast/tests/operator/changes.rs
@@ -2,6 +2,8 @@
 
 use std::sync::atomic::Ordering;
 
+use galenamast::event_loop::EntryHost;
+use galenamast::state::ServerLife;
 use galenamast::transport::HttpClient;
 use galenamast::transport::http_client::json_request;
 use http::Method;
@@ -136,3 +138,35 @@
     assert_eq!(status["generation"], 2);
     assert_eq!(status["host"], "cumbre-host-0");
 }
+
+#[tokio::test]
+async fn drained_server_takes_no_new_work() {
+    let bench = OperatorBench::start().await;
+    let pool = bench.deployment.options.engine_pool.clone();
+    let name = bench
+        .deployment
+        .engines
+        .keys()
+        .next()
+        .expect("there are engines");
+    let life = |host: &EntryHost| {
+        let tables = host.context().tables.load();
+        let found = tables
+            .servers
+            .find(&pool.as_str().into(), &name.as_str().into());
+        found.map(|server| server.life)
+    };
+    bench
+        .wait_until(|host| life(host) == Some(ServerLife::Live))
+        .await;
+    let drain = format!("server drain {pool} {name} --reason repair");
+    assert_eq!(bench.admin("operate", &drain).await.code, 0);
+    bench
+        .wait_until(|host| life(host) == Some(ServerLife::Draining))
+        .await;
+    let restore = format!("server restore {pool} {name} --reason repaired --wait");
+    assert_eq!(bench.admin("operate", &restore).await.code, 0);
+    bench
+        .wait_until(|host| life(host) == Some(ServerLife::Live))
+        .await;
+}
--- /dev/null
+++ b/galenamast/tests/path/claims.rs
@@ -0,0 +1,121 @@
+//! Calls that must not be repeated, over the whole path.
+
+use galenamast_testbed::{Caller, CallerReply, Deployment};
+use http::Method;
+use serde_json::json;
+
+use crate::support::{WORKSPACE, eventually, host_of, start};
+
+/// Posts a deposit under a key.
+async fn deposit(deployment: &Deployment, workspace: &str, key: &str, amount: u32) -> CallerReply {
+    let body = json!({ "amount": amount });
+    let headers = [("idempotency-key", key), ("x-deadline-ms", "1000")];
+    let caller = Caller::new(workspace);
+    let path = "/svc/mostrador/deposit";
+    let reply = caller.send(
+        Method::POST,
+        host_of(deployment),
+        path,
+        Some(&body),
+        &headers,
+    );
+    reply.await.expect("the host answers")
+}
+
+/// Returns the number of calls that the services ran.
+fn service_runs(deployment: &Deployment) -> usize {
+    let services = deployment.services.values();
+    services.map(|service| service.runs().len()).sum()
+}
+
+#[tokio::test]
+async fn a_resend_gets_the_stored_answer() {
+    let deployment = start(1).await;
+    let first = deposit(&deployment, WORKSPACE, "k1", 40).await;
+    assert_eq!(first.status, 200, "{first:?}");
+    for _ in 0..3 {
+        let again = deposit(&deployment, WORKSPACE, "k1", 40).await;
+        assert_eq!((again.status, &again.body), (200, &first.body));
+    }
+    assert_eq!(service_runs(&deployment), 1);
+    let reused = deposit(&deployment, WORKSPACE, "k1", 41).await;
+    assert_eq!(reused.status, 409);
+    let other = deposit(&deployment, "ski-school", "k1", 40).await;
+    assert_eq!(other.status, 200);
+    assert_ne!(other.body, first.body);
+    assert_eq!(service_runs(&deployment), 2);
+}
+
+#[tokio::test]
+async fn a_lost_answer_stays_unknown_and_is_not_run_again() {
+    let deployment = start(1).await;
+    for service in deployment.services.values() {
+        service.faults().set(|plan| plan.lose_answers = 1);
+    }
+    let lost = deposit(&deployment, WORKSPACE, "k2", 40).await;
+    assert_eq!(
+        (lost.status, &lost.json()["run"]),
+        (408, &json!("outcome_unknown"))
+    );
+    let again = deposit(&deployment, WORKSPACE, "k2", 40).await;
+    assert_eq!(
+        (again.status, &again.json()["run"]),
+        (409, &json!("outcome_unknown"))
+    );
+    assert_eq!(service_runs(&deployment), 1);
+}
+
+#[tokio::test]
+async fn a_declined_call_may_be_sent_again() {
+    let deployment = start(1).await;
+    let service = deployment.services.values().next().expect("one service");
+    service.faults().set(|plan| plan.refuse = true);
+    let declined = deposit(&deployment, WORKSPACE, "k3", 40).await;
+    assert_eq!(
+        (declined.status, &declined.json()["run"]),
+        (503, &json!("not_run"))
+    );
+    service.faults().set(|plan| plan.refuse = false);
+    assert_eq!(deposit(&deployment, WORKSPACE, "k3", 40).await.status, 200);
+    assert_eq!(service_runs(&deployment), 1);
+}
+
+#[tokio::test]
+async fn without_the_platform_nothing_is_run() {
+    let deployment = start(1).await;
+    deployment.objects.faults().set(|plan| plan.refuse = true);
+    let refused = deposit(&deployment, WORKSPACE, "k4", 40).await;
+    assert_eq!(
+        (refused.status, &refused.json()["run"]),
+        (503, &json!("not_run"))
+    );
+    assert!(refused.header("retry-after").is_some());
+    assert_eq!(service_runs(&deployment), 0);
+}
+
+#[tokio::test]
+async fn a_call_whose_caller_left_ends_and_keeps_its_outcome() {
+    let deployment = start(1).await;
+    let service = deployment.services.values().next().expect("one service");
+    let delay = std::time::Duration::from_millis(200);
+    service.faults().set(|plan| plan.delay = delay);
+    let left = tokio::time::timeout(delay / 4, deposit(&deployment, WORKSPACE, "k5", 40)).await;
+    assert!(left.is_err(), "the caller leaves before the answer");
+    let context = deployment.hosts["host"].context().clone();
+    eventually("the call ends", || context.board.is_empty()).await;
+    let again = deposit(&deployment, WORKSPACE, "k5", 40).await;
+    assert!(service_runs(&deployment) <= 1);
+    assert_eq!(again.status, 200, "{again:?}");
+}
+
+#[tokio::test]
+async fn a_chat_with_a_key_runs_once() {
+    let deployment = start(2).await;
+    let headers = [("idempotency-key", "c1")];
+    let first = crate::support::chat(&deployment, "post it", &headers).await;
+    let again = crate::support::chat(&deployment, "post it", &headers).await;
+    assert_eq!((first.status, again.status), (200, 200));
+    assert_eq!(first.body, again.body);
+    assert_eq!(first.header("x-version"), again.header("x-version"));
+    assert_eq!(crate::support::runs(&deployment), 1);
+}
