--- a/galenamast/src/transport/host_context.rs
+++ b/galenamast/src/transport/host_context.rs
@@ -1,19 +1,36 @@
 //! What the parts of a running entry host share.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
+use sha2::{Digest, Sha256};
+use tokio::sync::{broadcast, mpsc};
 
 use crate::config::Settings;
+use crate::coordination::{
+    AdmissionControl, CallPriority, ClaimRetention, CrashNote, CrashQuarantine, DirectoryEvent,
+    UsageOrigin,
+};
 use crate::state::{ConfigImage, RouteTables};
 use crate::transport::backend_client::BackendClient;
+use crate::transport::claim_request::ClaimSettings;
+use crate::transport::claim_runner::ClaimRunner;
 use crate::transport::http_client::HttpClient;
+use crate::transport::object_calls::ObjectCalls;
 use crate::transport::object_client::{CallLimits, ObjectClient};
+use crate::transport::queue_gate::QueueGate;
+use crate::transport::request_board::RequestBoard;
 use crate::transport::timer_service::TimerService;
+use crate::transport::usage_ledger::{CopyCall, LedgerSettings, UsageLedger};
+
+/// Notes that wait for a slow listener; older ones are dropped.
+const CRASH_NOTES: usize = 256;
+
+/// Text that keeps the key of fingerprints apart from other uses of the session key.
+const FINGERPRINT_CONTEXT: &[u8] = b"galenamast crash fingerprint 1";
 
 /// Shared parts of a running entry host.
-#[derive(Debug)]
 pub struct HostContext {
     /// Settings of the host.
     pub settings: Settings,
@@ -27,11 +44,38 @@
     pub backends: BackendClient,
     /// Client of the object API, if the settings name one.
     pub objects: Option<ObjectClient>,
+    /// Claims of non-idempotent requests, if the settings name the object API.
+    pub claims: Option<ClaimRunner>,
+    /// Usage records, if the settings name the object API.
+    pub ledger: Option<UsageLedger>,
+    /// Hands a usage record to another entry host of the failure domain; empty if there is none.
+    pub usage_copy: Arc<ArcSwapOption<CopyCall>>,
     /// HTTP client of the other services of the platform.
     pub client: HttpClient,
+    /// Limits of the workspaces.
+    pub admission: Mutex<AdmissionControl>,
+    /// Requests that wait for a free server.
+    pub queue: QueueGate,
+    /// Requests in flight.
+    pub board: RequestBoard,
+    /// Requests whose content crashed servers.
+    pub quarantine: Mutex<CrashQuarantine>,
+    /// Whether the host has begun to shut down.
+    pub leaving: AtomicBool,
+    /// Notes for other entry hosts on requests that servers died of.
+    pub crash_notes: broadcast::Sender<CrashNote>,
+    server_events: mpsc::UnboundedSender<DirectoryEvent>,
+    server_receiver: Mutex<Option<mpsc::UnboundedReceiver<DirectoryEvent>>>,
+    fallback_key: [u8; 16],
     seeds: AtomicU64,
 }
 
+impl std::fmt::Debug for HostContext {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("HostContext(..)")
+    }
+}
+
 impl HostContext {
     /// Creates the context of a host that knows no configuration and no server yet.
     pub fn new(settings: Settings, timers: TimerService) -> Arc<Self> {
@@ -44,17 +88,37 @@
             };
             ObjectClient::with_limits(client.clone(), address, limits, timers.clone())
         });
+        let usage_copy = Arc::new(ArcSwapOption::empty());
+        let claims = objects
+            .as_ref()
+            .map(|objects| start_claims(&settings, objects, &timers));
+        let ledger = objects
+            .as_ref()
+            .map(|objects| start_ledger(&settings, objects, &timers, &usage_copy));
         let tables = RouteTables {
             domain: settings.host.domain.clone(),
             ..Default::default()
         };
+        let (server_events, server_receiver) = mpsc::unbounded_channel();
         Arc::new(Self {
             timers,
             image: ArcSwap::from_pointee(ConfigImage::default()),
             tables: ArcSwap::from_pointee(tables),
             backends: BackendClient::new(client.clone()),
+            claims,
+            ledger,
+            usage_copy,
             objects,
             client,
+            admission: Mutex::default(),
+            queue: QueueGate::new(settings.routing.max_queued as usize),
+            board: RequestBoard::default(),
+            quarantine: Mutex::new(CrashQuarantine::new(settings.routing.quarantine_time)),
+            fallback_key: rand::random(),
+            leaving: AtomicBool::new(false),
+            crash_notes: broadcast::channel(CRASH_NOTES).0,
+            server_events,
+            server_receiver: Mutex::new(Some(server_receiver)),
             seeds: AtomicU64::new(rand::random()),
             settings,
         })
@@ -64,4 +128,97 @@
     pub fn next_seed(&self) -> u64 {
         self.seeds.fetch_add(1, Ordering::Relaxed)
     }
+
+    /// Reports news about backend servers.
+    pub fn report_servers(&self, event: DirectoryEvent) {
+        // A closed channel means that the host has stopped.
+        let _ = self.server_events.send(event);
+    }
+
+    /// Tells other entry hosts of requests that servers died of.
+    pub fn share_crash_notes(&self, notes: &[CrashNote]) {
+        for note in notes {
+            if self.crash_notes.send(note.clone()).is_err() {
+                // No part of the host listens; the notes stay local.
+                return;
+            }
+        }
+    }
+
+    /// Takes in a note of another entry host.
+    pub fn apply_crash_note(&self, note: &CrashNote) {
+        let now = self.timers.now();
+        self.quarantine
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .apply_note(note, now);
+    }
+
+    /// Takes the receiving end of the news about backend servers; the second call finds none.
+    pub fn take_server_events(&self) -> Option<mpsc::UnboundedReceiver<DirectoryEvent>> {
+        self.server_receiver.lock().ok()?.take()
+    }
+
+    /// Returns the key of the fingerprints in the quarantine, which all hosts of a configuration with
+    /// session keys share.
+    pub fn fingerprint_key(&self) -> [u8; 16] {
+        let image = self.image.load();
+        let Some(keys) = &image.session_keys else {
+            return self.fallback_key;
+        };
+        let mut hash = Sha256::new();
+        hash.update(FINGERPRINT_CONTEXT);
+        hash.update(keys.current.as_bytes());
+        let digest: [u8; 32] = hash.finalize().into();
+        let mut key = [0; 16];
+        key.copy_from_slice(&digest[..16]);
+        key
+    }
+
+    /// Returns whether the host has a configuration and is not shutting down.
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.image.load().generation.0 > 0
+    }
+
+    /// Returns whether the host has begun to shut down.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+}
+
+/// Creates the runner of claims.
+fn start_claims(settings: &Settings, objects: &ObjectClient, timers: &TimerService) -> ClaimRunner {
+    let calls = ObjectCalls::of_client(&objects.with_priority(CallPriority::Claim));
+    let claim_settings = ClaimSettings {
+        host: settings.host.name.clone(),
+        retention: ClaimRetention {
+            window: settings.routing.claim_retention,
+            ..Default::default()
+        },
+        ..Default::default()
+    };
+    ClaimRunner::new(calls, timers.clone(), claim_settings)
+}
+
+/// Creates the ledger of usage records.
+fn start_ledger(
+    settings: &Settings,
+    objects: &ObjectClient,
+    timers: &TimerService,
+    usage_copy: &Arc<ArcSwapOption<CopyCall>>,
+) -> UsageLedger {
+    let calls = ObjectCalls::of_client(&objects.with_priority(CallPriority::Usage));
+    let ledger_settings = LedgerSettings {
+        origin: UsageOrigin {
+            host: settings.host.name.clone(),
+            incarnation: timers.unix_millis(),
+        },
+        ..Default::default()
+    };
+    let peer = usage_copy.clone();
+    let copy_to_peer: CopyCall = Arc::new(move |copy| match peer.load_full() {
+        Some(call) => call(copy),
+        None => Box::pin(std::future::ready(Ok(false))),
+    });
+    UsageLedger::new(calls, copy_to_peer, timers.clone(), ledger_settings)
 }
--- a/galenamast/src/transport/mod.rs
+++ b/galenamast/src/transport/mod.rs
@@ -1,8 +1,18 @@
 //! Sockets, HTTP, TLS, timers and signals; performs what the layers below decide.
 
+pub mod backend_attempt;
 pub mod backend_client;
+pub mod backend_stream;
 pub mod call_counters;
+pub mod caller_admission;
+pub mod caller_channel;
+pub mod caller_chat;
+pub mod caller_input;
+pub mod caller_reply;
+pub mod caller_request;
 pub mod caller_server;
+pub mod caller_service;
+pub mod caller_tls;
 pub mod claim_cleaner;
 pub mod claim_request;
 pub mod claim_runner;
@@ -14,6 +24,14 @@
 pub mod object_calls;
 pub mod object_client;
 pub mod placement_runner;
+pub mod queue_gate;
+pub mod rating_client;
+pub mod request_attempts;
+pub mod request_board;
+pub mod request_claim;
+pub mod request_router;
+pub mod request_runner;
+pub mod request_session;
 pub mod rollout_runner;
 pub mod timer_service;
 pub mod transport_error;
