--- a/galenamast/tests/operator/log_lines.rs
+++ b/galenamast/tests/operator/log_lines.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use galenamast::coordination::UsageRecord;
 use galenamast::coordination::fault_limiter::{FAULT_WINDOW, FAULTS_PER_WINDOW, FaultLimiter};
+use galenamast::coordination::{MoveKind, MoveReason, PlacementMove, RolloutStep, UsageRecord};
 use galenamast::logging::line_text;
 use galenamast::protocol::{ChangeRecord, DecisionRecord, LogRecord};
 use galenamast::state::{
@@ -59,6 +59,35 @@
             },
         ),
         ("host_stopped", LogRecord::HostStopped),
+        ("host_leaving", LogRecord::HostLeaving),
+        (
+            "request_abandoned",
+            LogRecord::RequestAbandoned {
+                request_id: RequestId::default(),
+            },
+        ),
+        (
+            "rollout_step",
+            LogRecord::RolloutStep {
+                rollout: "r1".into(),
+                generation: ConfigGeneration(7),
+                step: RolloutStep::Brake,
+            },
+        ),
+        (
+            "placement",
+            LogRecord::Placement {
+                domain: "cumbre".into(),
+                term: 3,
+                generation: ConfigGeneration(7),
+                decision: PlacementMove {
+                    server: "consejero-1".into(),
+                    version: VersionKey::new("advice", "small"),
+                    kind: MoveKind::Load,
+                    reason: MoveReason::Demand,
+                },
+            },
+        ),
         (
             "config_adopted",
             LogRecord::ConfigAdopted {
