Resolve claims by operators and check the files that settings name

Cause: a claim whose outcome is unknown stays so until somebody looks, and a wrong path in the settings was found only at the start. Change: ResolveClaim with its command and log line; tests of missing and wrong files, repeated keys and sections; [logging] decisions takes effect; no key claims to be reloadable.

--- a/galenamast/src/commands/admin/admin_client.rs
+++ b/galenamast/src/commands/admin/admin_client.rs
@@ -155,7 +155,7 @@
 }
 
 /// Reads a file that an argument names.
-fn read_file(path: &Path) -> Result<Vec<u8>, AdminError> {
+pub(super) fn read_file(path: &Path) -> Result<Vec<u8>, AdminError> {
     std::fs::read(path)
         .map_err(|error| AdminError::Arguments(format!("cannot read {}: {error}", path.display())))
 }
--- a/galenamast/src/commands/admin/mod.rs
+++ b/galenamast/src/commands/admin/mod.rs
@@ -4,6 +4,7 @@
 pub mod admin_error;
 pub mod admin_output;
 pub mod change_args;
+mod claims;
 mod configuration;
 mod decisions;
 mod drains;
@@ -49,6 +50,7 @@
         .subcommand(rollouts::rollout_command())
         .subcommand(rollouts::withdraw_command())
         .subcommand(keys::command())
+        .subcommand(claims::command())
         .subcommands(drains::commands())
         .subcommand(status::command())
         .subcommand(usage::command())
@@ -97,6 +99,7 @@
             rollouts::withdraw(&client, matches, &mut output).await
         }
         Some((keys::KEY, matches)) => keys::run(&client, matches, &mut output).await,
+        Some((claims::CLAIM, matches)) => claims::run(&client, matches, &mut output).await,
         Some((drains::HOST, matches)) => drains::run_host(&client, matches, &mut output).await,
         Some((drains::SERVER, matches)) => drains::run_server(&client, matches, &mut output).await,
         Some((usage::USAGE, matches)) => usage::run(&client, matches, &mut output).await,
--- a/galenamast/src/config/logging_settings.rs
+++ b/galenamast/src/config/logging_settings.rs
@@ -61,7 +61,7 @@
         default: "true",
         range: "true or false",
         description: "Whether each routing and placement decision is logged.",
-        reloadable: true,
+        reloadable: false,
         apply: |settings, text| store(&mut settings.logging.decisions, flag(text)),
     },
 ];
--- a/galenamast/src/config/operators_settings.rs
+++ b/galenamast/src/config/operators_settings.rs
@@ -51,7 +51,7 @@
         default: "",
         range: "a readable file, or empty for none",
         description: "PEM file with the certificate chain for operators.",
-        reloadable: true,
+        reloadable: false,
         apply: |settings, text| {
             store(
                 &mut settings.operators.tls_certificate,
@@ -66,7 +66,7 @@
         default: "",
         range: "a readable file, or empty for none",
         description: "PEM file with the private key for operators.",
-        reloadable: true,
+        reloadable: false,
         apply: |settings, text| {
             store(
                 &mut settings.operators.tls_key,
@@ -81,7 +81,7 @@
         default: "",
         range: "a readable file, or empty for none",
         description: "PEM file with the authority of operator certificates.",
-        reloadable: true,
+        reloadable: false,
         apply: |settings, text| {
             store(
                 &mut settings.operators.client_authority,
@@ -96,7 +96,7 @@
         default: "",
         range: "a readable file, or empty for none",
         description: "File with the digests and roles of operator tokens.",
-        reloadable: true,
+        reloadable: false,
         apply: |settings, text| {
             store(
                 &mut settings.operators.tokens_file,
--- a/galenamast/src/config/peers_settings.rs
+++ b/galenamast/src/config/peers_settings.rs
@@ -67,7 +67,7 @@
         default: "",
         range: "IP addresses and ports separated by commas",
         description: "Addresses of entry hosts to contact first.",
-        reloadable: true,
+        reloadable: false,
         apply: |settings, text| store(&mut settings.peers.seeds, address_list(text)),
     },
     SettingKey {
@@ -77,7 +77,7 @@
         default: "",
         range: "a readable file, or empty for none",
         description: "PEM file with the certificate of the host.",
-        reloadable: true,
+        reloadable: false,
         apply: |settings, text| {
             store(
                 &mut settings.peers.certificate,
@@ -92,7 +92,7 @@
         default: "",
         range: "a readable file, or empty for none",
         description: "PEM file with the private key of the host.",
-        reloadable: true,
+        reloadable: false,
         apply: |settings, text| {
             store(
                 &mut settings.peers.key,
@@ -107,7 +107,7 @@
         default: "",
         range: "a readable file, or empty for none",
         description: "PEM file with the authority of the hosts' certificates.",
-        reloadable: true,
+        reloadable: false,
         apply: |settings, text| {
             store(
                 &mut settings.peers.authority,
@@ -122,7 +122,7 @@
         default: "",
         range: "a readable file, or empty for none",
         description: "File with the serial numbers of revoked certificates, one a line.",
-        reloadable: true,
+        reloadable: false,
         apply: |settings, text| {
             store(
                 &mut settings.peers.revoked,
@@ -167,7 +167,7 @@
         default: "19000",
         range: "1000 to 100000000",
         description: "Greatest rate of control messages to all peers together.",
-        reloadable: true,
+        reloadable: false,
         apply: |settings, text| {
             store(
                 &mut settings.peers.bytes_per_second,
--- a/galenamast/src/config/platform_settings.rs
+++ b/galenamast/src/config/platform_settings.rs
@@ -87,7 +87,7 @@
         default: "2s",
         range: "50ms to 1m",
         description: "Longest time of one call of the object API.",
-        reloadable: true,
+        reloadable: false,
         apply: |settings, text| {
             store(
                 &mut settings.platform.call_timeout,
@@ -117,7 +117,7 @@
         default: "50",
         range: "1 to 10000",
         description: "Greatest rate of calls of the object API by this host.",
-        reloadable: true,
+        reloadable: false,
         apply: |settings, text| {
             store(
                 &mut settings.platform.calls_per_second,
--- a/galenamast/src/config/routing_settings.rs
+++ b/galenamast/src/config/routing_settings.rs
@@ -73,7 +73,7 @@
         default: "5s",
         range: "0s to 5m",
         description: "Longest time that a request waits for a free server.",
-        reloadable: true,
+        reloadable: false,
         apply: |settings, text| {
             store(
                 &mut settings.routing.queue_timeout,
@@ -88,7 +88,7 @@
         default: "2000",
         range: "0 to 100000",
         description: "Greatest number of requests that wait on the host.",
-        reloadable: true,
+        reloadable: false,
         apply: |settings, text| {
             store(
                 &mut settings.routing.max_queued,
@@ -103,7 +103,7 @@
         default: "10m",
         range: "1s to 24h",
         description: "Time for which a request that crashed two servers is refused.",
-        reloadable: true,
+        reloadable: false,
         apply: |settings, text| {
             store(
                 &mut settings.routing.quarantine_time,
@@ -118,7 +118,7 @@
         default: "24h",
         range: "1m to 30days",
         description: "Time for which the outcome of a claim is kept.",
-        reloadable: true,
+        reloadable: false,
         apply: |settings, text| {
             store(
                 &mut settings.routing.claim_retention,
--- a/galenamast/src/logging.rs
+++ b/galenamast/src/logging.rs
@@ -2,6 +2,7 @@
 
 use std::fs::OpenOptions;
 use std::io::{self, Write};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, LazyLock, Mutex, OnceLock, PoisonError};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
@@ -23,6 +24,8 @@
 
 /// Start of the process, from which the windows of repeated faults are counted.
 static STARTED: LazyLock<Instant> = LazyLock::new(Instant::now);
+/// Whether decisions are logged.
+static LOG_DECISIONS: AtomicBool = AtomicBool::new(true);
 /// Bounds the lines of repeated faults.
 static FAULT_LIMITER: Mutex<FaultLimiter> = Mutex::new(FaultLimiter::new());
 /// Sends each decision to those who follow them.
@@ -56,6 +59,7 @@
         Some(path) => Box::new(OpenOptions::new().create(true).append(true).open(path)?),
         None => Box::new(io::stderr()),
     };
+    LOG_DECISIONS.store(settings.decisions, Ordering::Relaxed);
     // A second start in one process keeps the first logger, which tests rely on.
     let _ = WriteLogger::init(settings.level, undecorated_config(), writer);
     Ok(())
@@ -93,6 +97,9 @@
     {
         let _ = DECISIONS.send(Arc::new(decision.clone()));
     }
+    if matches!(record, LogRecord::Decision(_)) && !LOG_DECISIONS.load(Ordering::Relaxed) {
+        return;
+    }
     if !log::log_enabled!(target: LOG_TARGET, level) {
         return;
     }
--- a/galenamast/src/protocol/log_record.rs
+++ b/galenamast/src/protocol/log_record.rs
@@ -4,7 +4,7 @@
 
 use crate::coordination::{PlacementMove, RolloutStep, UsageRecord};
 use crate::protocol::decision_record::DecisionRecord;
-use crate::state::{ConfigGeneration, DomainName, RequestId, RolloutName};
+use crate::state::{ConfigGeneration, DomainName, RequestId, RolloutName, WorkspaceName};
 
 /// A log line.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -76,6 +76,17 @@
         /// Explanation for a person.
         message: String,
     },
+    /// An operator resolved the claim of a non-idempotent request.
+    ClaimResolved {
+        /// Operator who resolved it.
+        author: String,
+        /// What was found out.
+        reason: String,
+        /// Workspace of the request.
+        workspace: WorkspaceName,
+        /// Whether the operator found that the request had run.
+        ran: bool,
+    },
     /// An operator drained or restored this host.
     HostDrained {
         /// Operator who did it.
--- a/galenamast/src/transport/mod.rs
+++ b/galenamast/src/transport/mod.rs
@@ -26,6 +26,7 @@
 pub mod metrics_sink;
 pub mod object_calls;
 pub mod object_client;
+pub mod operator_claims;
 pub mod operator_configuration;
 pub mod operator_context;
 pub mod operator_decisions;
--- a/galenamast/src/transport/operator_server.rs
+++ b/galenamast/src/transport/operator_server.rs
@@ -11,6 +11,7 @@
 use tonic::transport::{Certificate, Identity, Server, ServerTlsConfig};
 
 use crate::config::OperatorsSettings;
+use crate::generated::operator::claim_service_server::ClaimServiceServer;
 use crate::generated::operator::configuration_service_server::ConfigurationServiceServer;
 use crate::generated::operator::decision_service_server::DecisionServiceServer;
 use crate::generated::operator::drain_service_server::DrainServiceServer;
@@ -21,6 +22,7 @@
 use crate::logging::log_fault;
 use crate::protocol::ProtocolError;
 use crate::transport::host_context::HostContext;
+use crate::transport::operator_claims::ClaimCalls;
 use crate::transport::operator_configuration::ConfigurationCalls;
 use crate::transport::operator_context::OperatorContext;
 use crate::transport::operator_decisions::DecisionCalls;
@@ -70,6 +72,7 @@
         .add_service(KeyServiceServer::new(KeyCalls::new(operator.clone())))
         .add_service(DrainServiceServer::new(DrainCalls::new(operator.clone())))
         .add_service(StatusServiceServer::new(StatusCalls::new(operator.clone())))
+        .add_service(ClaimServiceServer::new(ClaimCalls::new(operator.clone())))
         .add_service(UsageServiceServer::new(UsageCalls::new(operator.clone())))
         .add_service(DecisionServiceServer::new(DecisionCalls::new(operator)));
     let address = settings.listen;
--- a/galenamast/tests/config/main.rs
+++ b/galenamast/tests/config/main.rs
@@ -1,6 +1,6 @@
 //! Tests of the settings file.
 
-use galenamast::config::{Settings, check_settings};
+use galenamast::config::{Settings, check_files, check_settings};
 
 #[test]
 fn every_default_is_accepted() {
@@ -48,3 +48,58 @@
         assert!(error.contains(expected), "{error}");
     }
 }
+
+#[test]
+fn repeated_keys_and_sections_are_problems() {
+    let base = "[host]\nname = a\ndomain = d\n";
+    let cases = [
+        (
+            format!("{base}name = b\n"),
+            "f:4: key `name` of [host] stands again; first in line 2",
+        ),
+        (
+            format!("{base}[callers]\n[callers]\n"),
+            "f:5: section [callers] stands again; first in line 4",
+        ),
+    ];
+    for (text, expected) in cases {
+        let error = check_settings("f", &text).expect_err("the text is invalid");
+        assert!(error.to_string().contains(expected), "{error}");
+    }
+}
+
+#[test]
+fn named_files_are_checked() {
+    let directory = tempfile::tempdir().expect("a temporary directory can be made");
+    let path = |name: &str| directory.path().join(name).display().to_string();
+    std::fs::write(path("text"), "no certificate\n").expect("the file can be written");
+    std::fs::write(path("tokens"), "ana root 00\n").expect("the file can be written");
+    let base = "[host]\nname = a\ndomain = d\n[operators]\n";
+    let cases = [
+        (
+            format!("tls_certificate = {}\n", path("missing")),
+            ":5: [operators] tls_certificate: cannot read ",
+        ),
+        (
+            format!("client_authority = {}\n", path("text")),
+            "holds no PEM certificate",
+        ),
+        (
+            format!("tokens_file = {}\n", path("tokens")),
+            "tokens:1: role `root` must be read, operate or administer",
+        ),
+        (
+            format!("tls_key = {}\n", path("missing")),
+            ":4: [operators] needs both a certificate and a key, or neither",
+        ),
+    ];
+    for (line, expected) in cases {
+        let file = directory.path().join("host.ini");
+        std::fs::write(&file, format!("{base}{line}")).expect("the file can be written");
+        let error = check_files(&file).expect_err("a named file is wrong");
+        assert!(error.to_string().contains(expected), "{error}");
+    }
+    let missing = directory.path().join("missing.ini");
+    let error = check_files(&missing).expect_err("the file is missing");
+    assert!(error.to_string().starts_with("cannot read "), "{error}");
+}
--- a/galenamast/tests/operator/exports.rs
+++ b/galenamast/tests/operator/exports.rs
@@ -87,3 +87,33 @@
     let secret = String::from(second.current.clone());
     assert!(!shown.output.contains(&secret));
 }
+
+#[tokio::test]
+async fn a_claim_without_an_outcome_is_resolved_once() {
+    let bench = OperatorBench::start().await;
+    let workspace = bench.deployment.options.workspaces[0].clone();
+    let key = uuid::Uuid::now_v7().to_string();
+    let claims = bench.host.context().claims.clone().expect("there are claims");
+    let request = ClaimRequest {
+        workspace: workspace.as_str().into(),
+        key: key.clone(),
+        body_digest: "digest".into(),
+        attempt: AttemptId::generate(),
+        request: RequestId::generate(),
+    };
+    let granted = claims.claim(request).await;
+    let ClaimVerdict::Granted(ticket) = granted else {
+        panic!("{granted:?}");
+    };
+    // A host that dies keeps neither the ticket nor what it would do when the ticket is dropped.
+    std::mem::forget(ticket);
+    let words = format!("claim not-run {workspace} {key} --reason searched");
+    assert_eq!(bench.admin("read", &words).await.code, 4);
+    let resolved = bench.admin("operate", &words).await.json();
+    assert_eq!(resolved["resolved"], true);
+    let again = bench.admin("operate", &words).await.json();
+    assert_eq!(again["resolved"], false);
+    let wrong = format!("claim ran {workspace} {key} --reason searched --status 42");
+    let refused = bench.admin("operate", &wrong).await;
+    assert_eq!(refused.error, "invalid: status is 42, but must be 200 to 599");
+}
--- a/galenamast/tests/operator/log_lines.rs
+++ b/galenamast/tests/operator/log_lines.rs
@@ -122,6 +122,15 @@
                 message: "overtaken".into(),
             },
         ),
+        (
+            "claim_resolved",
+            LogRecord::ClaimResolved {
+                author: "ana".into(),
+                reason: "no hold in the ledger".into(),
+                workspace: "counter".into(),
+                ran: false,
+            },
+        ),
         (
             "host_drained",
             LogRecord::HostDrained {
