Keep membership by probes, suspicion and refutation

Cause: hosts did not know each other, and a host that only hears nothing must not be able to convince others that healthy hosts are dead. Change: MemberMachine (sans I/O): direct then indirect probes, suspicion with incarnation refutation, deaths concluded by each host alone, bounded news, leaving announced, dead hosts probed now and then so that partitions heal, up to four contacts in each other domain. Conclusion: one-way loss, a deaf host and partitions kill no healthy host for long.

--- /dev/null
+++ b/galenamast/src/coordination/member_table.rs
@@ -0,0 +1,47 @@
+//! The entry hosts that an entry host knows, as one immutable value.
+
+use std::collections::BTreeMap;
+
+use crate::coordination::member_record::MemberRecord;
+use crate::state::{DomainName, HostName};
+
+/// Entry hosts of the own failure domain, and a few of each other one.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct MemberTable {
+    /// Name of the host that holds the table.
+    pub own: HostName,
+    /// Failure domain of the host that holds the table.
+    pub domain: DomainName,
+    /// Hosts of the own failure domain, the own host included.
+    pub members: BTreeMap<HostName, MemberRecord>,
+    /// Known hosts of other failure domains.
+    pub contacts: BTreeMap<HostName, MemberRecord>,
+}
+
+impl MemberTable {
+    /// Finds a host.
+    pub fn find(&self, name: &HostName) -> Option<&MemberRecord> {
+        self.members.get(name).or_else(|| self.contacts.get(name))
+    }
+
+    /// Returns the live hosts of the own failure domain, the own host included.
+    pub fn live(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.members.values().filter(|record| record.is_live())
+    }
+
+    /// Returns the live hosts of the own failure domain without the own host.
+    pub fn live_peers(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.live().filter(|record| record.name != self.own)
+    }
+
+    /// Returns the live known hosts of a failure domain.
+    pub fn live_in(&self, domain: &DomainName) -> Vec<&MemberRecord> {
+        if *domain == self.domain {
+            return self.live().collect();
+        }
+        let contacts = self.contacts.values();
+        contacts
+            .filter(|record| record.domain == *domain && record.is_live())
+            .collect()
+    }
+}
--- a/galenamast/tests/fleet/main.rs
+++ b/galenamast/tests/fleet/main.rs
@@ -2,5 +2,7 @@
 
 mod call_limits;
 mod config_change;
+mod member_net;
+mod membership;
 mod object_client;
 mod support;
--- /dev/null
+++ b/galenamast/tests/fleet/membership.rs
@@ -0,0 +1,148 @@
+//! Membership through loss, pauses, partitions and restarts.
+
+use std::time::Duration;
+
+use galenamast::coordination::{MemberEvent, MemberStatus};
+use galenamast::state::HostName;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+use crate::member_net::{MemberNet, name_of};
+
+/// Returns the names of a range of hosts.
+fn names(range: std::ops::Range<usize>) -> Vec<HostName> {
+    range.map(name_of).collect()
+}
+
+#[test]
+fn everyone_in_a_domain_learns_of_everyone() {
+    let mut net = MemberNet::start(40, 1, 1);
+    net.run(Duration::from_secs(10));
+    for index in 0..40 {
+        assert_eq!(net.live_at(index), names(0..40), "host {index}");
+    }
+    assert!(net.largest <= 1_100, "{} bytes", net.largest);
+}
+
+#[test]
+fn a_host_knows_its_domain_and_only_a_few_hosts_elsewhere() {
+    let mut net = MemberNet::start(40, 4, 2);
+    net.run(Duration::from_secs(20));
+    for machine in net.hosts.iter().flatten() {
+        let table = machine.table();
+        assert_eq!(table.live().count(), 10, "{}", table.own);
+        assert!(table.contacts.len() <= 12, "{}", table.own);
+        for domain in 0..4 {
+            let domain = format!("domain-{domain}").as_str().into();
+            assert!(!table.live_in(&domain).is_empty(), "{} {domain}", table.own);
+        }
+    }
+}
+
+#[test]
+fn a_killed_host_is_dead_everywhere_and_comes_back_with_its_restart() {
+    let mut net = MemberNet::start(20, 1, 3);
+    net.run(Duration::from_secs(10));
+    net.hosts[7] = None;
+    net.run(Duration::from_secs(40));
+    for index in (0..20).filter(|index| *index != 7) {
+        assert!(!net.live_at(index).contains(&name_of(7)), "host {index}");
+    }
+    net.restart(7, 1, 2);
+    net.run(Duration::from_secs(15));
+    for index in 0..20 {
+        assert_eq!(net.live_at(index), names(0..20), "host {index}");
+    }
+}
+
+#[test]
+fn a_leaving_host_is_gone_without_being_suspected() {
+    let mut net = MemberNet::start(20, 1, 4);
+    net.run(Duration::from_secs(10));
+    net.handle(5, MemberEvent::Leave);
+    net.hosts[5] = None;
+    net.run(Duration::from_secs(5));
+    for index in (0..20).filter(|index| *index != 5) {
+        let table = net.hosts[index].as_ref().expect("the host runs").table();
+        let status = table.members.get(&name_of(5)).map(|record| record.status);
+        assert_eq!(status, Some(MemberStatus::Left), "host {index}");
+    }
+}
+
+#[test]
+fn one_way_loss_between_two_hosts_kills_nobody() {
+    let mut net = MemberNet::start(20, 1, 5);
+    net.run(Duration::from_secs(10));
+    net.cut = Box::new(|from, to| from == 3 && to == 4);
+    net.run_counting_deaths(Duration::from_secs(120));
+    assert_eq!(net.deaths, 0);
+}
+
+#[test]
+fn a_host_that_hears_nothing_convinces_nobody_that_others_are_dead() {
+    let mut net = MemberNet::start(20, 1, 6);
+    net.run(Duration::from_secs(10));
+    net.cut = Box::new(|_, to| to == 3);
+    net.run(Duration::from_secs(120));
+    let mut flips = 0;
+    let mut before = net.live_at(0);
+    for _ in 0..60 {
+        net.run(Duration::from_secs(1));
+        let after = net.live_at(0);
+        flips += usize::from(after != before);
+        before = after;
+    }
+    assert_eq!(flips, 0, "the view of a healthy host stays still");
+    for index in (0..20).filter(|index| *index != 3) {
+        let live = net.live_at(index);
+        assert_eq!(live.len(), 19, "host {index} holds {live:?} for live");
+    }
+}
+
+#[test]
+fn both_sides_of_a_partition_find_each_other_after_it_heals() {
+    let mut net = MemberNet::start(20, 1, 7);
+    net.run(Duration::from_secs(10));
+    net.cut = Box::new(|from, to| (from < 10) != (to < 10));
+    net.run(Duration::from_secs(60));
+    assert_eq!(net.live_at(0), names(0..10));
+    assert_eq!(net.live_at(15), names(10..20));
+    net.cut = Box::new(|_, _| false);
+    net.run(Duration::from_secs(60));
+    for index in 0..20 {
+        assert_eq!(net.live_at(index), names(0..20), "host {index}");
+    }
+}
+
+#[test]
+fn healthy_hosts_stay_live_under_loss_in_any_order_of_messages() {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]);
+    let config = Config {
+        cases: 12,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let strategy = (
+        3_usize..40,
+        0.0_f64..0.1,
+        any::<u64>(),
+        0_usize..40,
+        0_usize..40,
+    );
+    runner
+        .run(&strategy, |(hosts, loss, seed, from, to)| {
+            let mut net = MemberNet::start(hosts, 1, seed);
+            net.loss = loss;
+            net.run(Duration::from_secs(20));
+            let (from, to) = (from % hosts, to % hosts);
+            net.cut = Box::new(move |sender, receiver| sender == from && receiver == to);
+            net.run_counting_deaths(Duration::from_secs(30));
+            prop_assert_eq!(net.deaths, 0);
+            for index in 0..hosts {
+                prop_assert_eq!(net.live_at(index).len(), hosts);
+            }
+            Ok(())
+        })
+        .expect("healthy hosts stay live");
+}
