Connect entry hosts over QUIC with mutual TLS; machine that keeps the configuration

Cause: hosts had no way to talk to each other, and each host read the whole configuration from the platform. Change: TLS identity, verifier (expired, foreign and revoked refused) and keygen; PeerLinks, PeerMesh and its runner with bounded messages and byte rate; ConfigKeeper (sans I/O). x509-parser, already locked through rcgen, reads name and serial of a certificate.

--- a/galenamast/src/cli.rs
+++ b/galenamast/src/cli.rs
@@ -4,7 +4,7 @@
 
 use clap::Command;
 
-use crate::commands::{EXIT_INVALID, check_config, serve};
+use crate::commands::{EXIT_INVALID, check_config, keygen, serve};
 
 /// Builds the command line.
 ///
@@ -22,6 +22,7 @@
         .arg_required_else_help(true)
         .subcommand(serve::command())
         .subcommand(check_config::command())
+        .subcommand(keygen::command())
 }
 
 /// Parses the process's arguments and runs the command that they name.
@@ -29,6 +30,7 @@
     let matches = build_command().get_matches();
     match matches.subcommand() {
         Some((serve::NAME, matches)) => serve::run(matches),
+        Some((keygen::NAME, matches)) => keygen::run(matches),
         Some((check_config::NAME, matches)) => check_config::run(matches),
         _ => ExitCode::from(EXIT_INVALID),
     }
--- a/galenamast/src/commands/mod.rs
+++ b/galenamast/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands of the program, a module each: its arguments and what it does.
 
 pub mod check_config;
+pub mod keygen;
 pub mod serve;
 
 /// Exit code of a command whose claim did not hold.
--- /dev/null
+++ b/galenamast/src/coordination/config_keeper.rs
@@ -0,0 +1,482 @@
+//! Keeps the configuration of a host at the newest generation and knows how fresh it is.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::seq::IteratorRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::coordination::config_check::check_image;
+use crate::coordination::config_documents::{EncodedObject, ObjectDigest, assemble_image};
+use crate::coordination::config_event::{ConfigAction, ConfigEvent, ConfigSource};
+use crate::coordination::config_notice::{ConfigEntries, ConfigNotice, ConfigProbe, DomainReach};
+use crate::coordination::config_reach::ReachBoard;
+use crate::coordination::config_store::ConfigStore;
+use crate::coordination::member_table::MemberTable;
+use crate::coordination::rendezvous::rank_hosts;
+use crate::state::{ConfigGeneration, HostName, TimePoint};
+
+/// Task by whose name the watchers are ranked.
+const WATCH_TASK: &str = "config-watch";
+/// Probes in a row after whose failure any host is asked instead of a watcher.
+const FAILURES_TO_WIDEN: u32 = 2;
+/// Hosts of a failure domain that read the head themselves at a time when watchers fail.
+const FALLBACK_READERS: f64 = 4.0;
+/// Missing objects up to which the platform is asked first for a head that it offered.
+const FEW_OBJECTS: usize = 4;
+/// Hosts that are asked for objects before the platform is.
+const MAX_PEERS_TRIED: usize = 3;
+/// Time after which a fetch that got nowhere starts over.
+const FETCH_RETRY: Duration = Duration::from_secs(1);
+/// Time after which a fetch without any answer is given up.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Settings of the keeper.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeeperSettings {
+    /// Hosts per failure domain that watch the platform.
+    pub watchers: usize,
+    /// Time between probes.
+    pub probe_period: Duration,
+    /// Age of the configuration at which single hosts read the platform themselves.
+    pub fallback_age: Duration,
+}
+
+impl Default for KeeperSettings {
+    fn default() -> Self {
+        Self {
+            watchers: 2,
+            probe_period: Duration::from_secs(2),
+            fallback_age: Duration::from_secs(6),
+        }
+    }
+}
+
+/// A newer configuration that is being fetched.
+#[derive(Clone, Debug)]
+struct ConfigCandidate {
+    generation: ConfigGeneration,
+    entries: BTreeMap<String, ObjectDigest>,
+    source: ConfigSource,
+    confirmed: TimePoint,
+    tried: BTreeSet<HostName>,
+    tried_platform: bool,
+    since: TimePoint,
+    retry_at: Option<TimePoint>,
+}
+
+/// A newer generation that another host offered and whose entries were asked for.
+#[derive(Clone, Debug)]
+struct ConfigOffer {
+    generation: ConfigGeneration,
+    host: HostName,
+    confirmed: TimePoint,
+    since: TimePoint,
+}
+
+/// Machine that keeps the configuration of one entry host.
+#[derive(Clone, Debug)]
+pub struct ConfigKeeper {
+    settings: KeeperSettings,
+    store: ConfigStore,
+    confirmed: Option<TimePoint>,
+    table: Arc<MemberTable>,
+    board: ReachBoard,
+    offer: Option<ConfigOffer>,
+    candidate: Option<ConfigCandidate>,
+    rejected: ConfigGeneration,
+    watching: bool,
+    next_probe: TimePoint,
+    probes: u64,
+    failures: u32,
+    generator: ChaCha8Rng,
+    actions: Vec<ConfigAction>,
+}
+
+impl ConfigKeeper {
+    /// Creates the keeper of a host that has no configuration yet.
+    pub fn new(settings: KeeperSettings, table: Arc<MemberTable>, seed: u64) -> Self {
+        Self {
+            settings,
+            store: ConfigStore::default(),
+            confirmed: None,
+            table,
+            board: ReachBoard::default(),
+            offer: None,
+            candidate: None,
+            rejected: ConfigGeneration::default(),
+            watching: false,
+            next_probe: TimePoint::ZERO,
+            probes: 0,
+            failures: 0,
+            generator: ChaCha8Rng::seed_from_u64(seed),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Returns the generation in force.
+    pub fn generation(&self) -> ConfigGeneration {
+        self.store.generation
+    }
+
+    /// Returns the time since the generation in force was confirmed to be the newest.
+    pub fn age(&self, now: TimePoint) -> Duration {
+        let confirmed = self.confirmed.map(|confirmed| now.since(confirmed));
+        confirmed.unwrap_or(Duration::from_secs(u64::from(u32::MAX)))
+    }
+
+    /// Returns where generations are in force, as far as the host knows.
+    pub fn reaches(&self, now: TimePoint) -> Vec<DomainReach> {
+        self.board.reaches(now)
+    }
+
+    /// Answers a probe of another host.
+    pub fn answer_probe(
+        &mut self,
+        host: &HostName,
+        probe: &ConfigProbe,
+        now: TimePoint,
+    ) -> ConfigNotice {
+        if self.table.members.contains_key(host) {
+            self.board.report(host, probe, now);
+        }
+        ConfigNotice {
+            generation: self.store.generation,
+            age: self.age(now),
+            reaches: self.board.reaches(now),
+        }
+    }
+
+    /// Answers a request for the entries that changed since a generation.
+    pub fn answer_entries(&self, since: ConfigGeneration) -> ConfigEntries {
+        self.store.entries_since(since)
+    }
+
+    /// Answers a request for objects with as many as fit.
+    pub fn answer_objects(&self, digests: &[ObjectDigest], max_bytes: usize) -> Vec<EncodedObject> {
+        self.store.find(digests, max_bytes)
+    }
+
+    /// Reacts to an event.
+    pub fn handle(&mut self, event: ConfigEvent, now: TimePoint) -> Vec<ConfigAction> {
+        match event {
+            ConfigEvent::Tick => self.tick(now),
+            ConfigEvent::Members(table) => {
+                self.table = table;
+                self.choose_watchers();
+            }
+            ConfigEvent::HeadRead {
+                generation,
+                entries,
+                confirmed,
+            } => self.head_read(generation, entries, confirmed, now),
+            ConfigEvent::HeadUnchanged {
+                generation,
+                confirmed,
+            } => self.confirm(generation, confirmed),
+            ConfigEvent::News(host, generation) => {
+                // The age of the news is unknown, so that it starts a probe and confirms nothing.
+                if generation > self.store.generation && self.table.find(&host).is_some() {
+                    self.probe(host);
+                } else if generation > self.store.generation {
+                    self.next_probe = now;
+                }
+            }
+            ConfigEvent::Probed(host, notice, asked) => self.probed(host, notice, asked, now),
+            ConfigEvent::ProbeFailed(_) => self.failures = self.failures.saturating_add(1),
+            ConfigEvent::EntriesArrived(host, entries) => {
+                self.entries_arrived(&host, &entries, now)
+            }
+            ConfigEvent::ObjectsArrived(source, objects) => {
+                if self.store.insert(objects) {
+                    self.advance(Some(source), now);
+                } else {
+                    self.advance(None, now);
+                }
+            }
+            ConfigEvent::FetchFailed(_) => {
+                self.offer = None;
+                self.advance(None, now);
+            }
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Probes another host when it is time, and starts over with fetches that got nowhere.
+    fn tick(&mut self, now: TimePoint) {
+        self.choose_watchers();
+        if self.watching {
+            self.board
+                .summarize(&self.table, self.store.generation, now);
+        }
+        self.retry_fetch(now);
+        if now < self.next_probe {
+            return;
+        }
+        let jitter = self.generator.random_range(0.8..1.2);
+        self.next_probe = now + self.settings.probe_period.mul_f64(jitter);
+        self.probes += 1;
+        if let Some(host) = self.probe_target(now) {
+            self.probe(host);
+        }
+        let live = self.table.live().count().max(1) as f64;
+        let chance = (FALLBACK_READERS / live).min(1.0);
+        let stale = self.age(now) > self.settings.fallback_age;
+        if stale && !self.watching && self.generator.random_bool(chance) {
+            self.actions.push(ConfigAction::ReadHead);
+        }
+    }
+
+    /// Drops a fetch without any answer, and starts a failed one anew.
+    fn retry_fetch(&mut self, now: TimePoint) {
+        let expired = |since: TimePoint| now.since(since) > FETCH_TIMEOUT;
+        if self
+            .offer
+            .as_ref()
+            .is_some_and(|offer| expired(offer.since))
+        {
+            self.offer = None;
+        }
+        let Some(candidate) = &mut self.candidate else {
+            return;
+        };
+        let due = candidate.retry_at.is_some_and(|at| now >= at);
+        if due || expired(candidate.since) {
+            candidate.retry_at = None;
+            candidate.since = now;
+            candidate.tried.clear();
+            candidate.tried_platform = false;
+            self.advance(None, now);
+        }
+    }
+
+    /// Finds out whether the host is one of the watchers of its failure domain.
+    fn choose_watchers(&mut self) {
+        let watching = self.watchers().contains(&self.table.own);
+        if watching != self.watching {
+            self.watching = watching;
+            self.actions.push(ConfigAction::Watch(watching));
+        }
+    }
+
+    /// Returns the watchers of the own failure domain.
+    fn watchers(&self) -> Vec<HostName> {
+        let live = self.table.live().map(|record| &record.name);
+        let mut ranked = rank_hosts(WATCH_TASK, live);
+        ranked.truncate(self.settings.watchers);
+        ranked
+    }
+
+    /// Chooses the host to probe: a watcher, or any host when the watchers are no help.
+    fn probe_target(&mut self, now: TimePoint) -> Option<HostName> {
+        let own = self.table.own.clone();
+        let stale = self.age(now) > self.settings.fallback_age;
+        let widen = self.failures >= FAILURES_TO_WIDEN || stale;
+        let watchers = self.watchers();
+        let others = watchers.iter().filter(|name| **name != own);
+        let contacts = self.table.contacts.values();
+        let contacts = contacts.filter(|record| record.is_live());
+        if (self.watching || widen) && self.probes.is_multiple_of(2) {
+            let contact = contacts.choose(&mut self.generator);
+            if let Some(record) = contact {
+                return Some(record.name.clone());
+            }
+        }
+        if widen {
+            let peer = self.table.live_peers().choose(&mut self.generator);
+            return peer.map(|record| record.name.clone());
+        }
+        others.choose(&mut self.generator).cloned()
+    }
+
+    /// Probes a host.
+    fn probe(&mut self, host: HostName) {
+        // The age is not used by the receiver for its own freshness, only the reply's is.
+        let probe = ConfigProbe {
+            generation: self.store.generation,
+            age: Duration::ZERO,
+        };
+        self.actions.push(ConfigAction::Probe(host, probe));
+    }
+
+    /// Takes in the platform's head.
+    fn head_read(
+        &mut self,
+        generation: ConfigGeneration,
+        entries: BTreeMap<String, ObjectDigest>,
+        confirmed: TimePoint,
+        now: TimePoint,
+    ) {
+        if generation < self.store.generation {
+            self.actions
+                .push(ConfigAction::ReportRegression(generation));
+            return;
+        }
+        if generation == self.store.generation {
+            self.confirm(generation, confirmed);
+            return;
+        }
+        self.start_candidate(generation, entries, ConfigSource::Platform, confirmed, now);
+    }
+
+    /// Takes in the answer to a probe.
+    fn probed(&mut self, host: HostName, notice: ConfigNotice, asked: TimePoint, now: TimePoint) {
+        self.failures = 0;
+        self.board.merge(notice.reaches, now);
+        // The reply was written after the question was, so that its age counts from there.
+        let confirmed = asked - notice.age;
+        self.confirm(notice.generation, confirmed);
+        let wanted = notice.generation > self.store.generation
+            && notice.generation > self.rejected
+            && self
+                .candidate
+                .as_ref()
+                .is_none_or(|candidate| candidate.generation < notice.generation)
+            && self
+                .offer
+                .as_ref()
+                .is_none_or(|offer| offer.generation < notice.generation);
+        if wanted {
+            self.offer = Some(ConfigOffer {
+                generation: notice.generation,
+                host: host.clone(),
+                confirmed,
+                since: now,
+            });
+            let since = self.store.generation;
+            self.actions.push(ConfigAction::FetchEntries(host, since));
+        }
+    }
+
+    /// Notes that the generation in force was the newest at a time.
+    fn confirm(&mut self, generation: ConfigGeneration, confirmed: TimePoint) {
+        if generation != ConfigGeneration::default() && generation == self.store.generation {
+            self.confirmed = self.confirmed.max(Some(confirmed));
+        }
+    }
+
+    /// Takes in the entries of another host.
+    fn entries_arrived(&mut self, host: &HostName, entries: &ConfigEntries, now: TimePoint) {
+        let Some(offer) = self.offer.take_if(|offer| offer.host == *host) else {
+            return;
+        };
+        let Some(applied) = self.store.apply(entries) else {
+            return;
+        };
+        // A generation beyond the offered one has not been confirmed by anyone yet.
+        let source = ConfigSource::Peer(host.clone());
+        self.start_candidate(entries.generation, applied, source, offer.confirmed, now);
+    }
+
+    /// Starts to fetch a newer configuration.
+    fn start_candidate(
+        &mut self,
+        generation: ConfigGeneration,
+        entries: BTreeMap<String, ObjectDigest>,
+        source: ConfigSource,
+        confirmed: TimePoint,
+        now: TimePoint,
+    ) {
+        let current = self
+            .candidate
+            .as_ref()
+            .map(|candidate| candidate.generation);
+        let newest = self.store.generation.max(self.rejected);
+        if generation <= newest.max(current.unwrap_or_default()) {
+            return;
+        }
+        self.candidate = Some(ConfigCandidate {
+            generation,
+            entries,
+            source,
+            confirmed,
+            tried: BTreeSet::new(),
+            tried_platform: false,
+            since: now,
+            retry_at: None,
+        });
+        self.advance(None, now);
+    }
+
+    /// Adopts the candidate if all its objects are held, or asks the next source for them.
+    fn advance(&mut self, again: Option<ConfigSource>, now: TimePoint) {
+        let Some(candidate) = &self.candidate else {
+            return;
+        };
+        let missing = self.store.missing(&candidate.entries);
+        if missing.is_empty() {
+            self.adopt(now);
+            return;
+        }
+        let source = again.or_else(|| self.next_source(missing.len()));
+        let Some(candidate) = &mut self.candidate else {
+            return;
+        };
+        match source {
+            Some(source) => {
+                candidate.since = now;
+                let digests = missing.into_iter().collect();
+                self.actions
+                    .push(ConfigAction::FetchObjects(source, digests));
+            }
+            None => candidate.retry_at = Some(now + FETCH_RETRY),
+        }
+    }
+
+    /// Chooses whom to ask next for the candidate's objects.
+    fn next_source(&mut self, missing: usize) -> Option<ConfigSource> {
+        let candidate = self.candidate.as_mut()?;
+        let offered_by_platform = candidate.source == ConfigSource::Platform;
+        let platform_first = offered_by_platform && missing <= FEW_OBJECTS;
+        if platform_first && !candidate.tried_platform {
+            candidate.tried_platform = true;
+            return Some(ConfigSource::Platform);
+        }
+        if let ConfigSource::Peer(host) = &candidate.source
+            && candidate.tried.insert(host.clone())
+        {
+            return Some(ConfigSource::Peer(host.clone()));
+        }
+        if candidate.tried.len() < MAX_PEERS_TRIED {
+            let peers = self.table.live_peers().map(|record| &record.name);
+            let peers = peers.filter(|name| !candidate.tried.contains(*name));
+            if let Some(host) = peers.choose(&mut self.generator) {
+                candidate.tried.insert(host.clone());
+                return Some(ConfigSource::Peer(host.clone()));
+            }
+        }
+        if candidate.tried_platform {
+            return None;
+        }
+        candidate.tried_platform = true;
+        Some(ConfigSource::Platform)
+    }
+
+    /// Checks the candidate and puts it into force.
+    fn adopt(&mut self, _now: TimePoint) {
+        let Some(candidate) = self.candidate.take() else {
+            return;
+        };
+        let objects = self.store.objects_of(&candidate.entries);
+        let decoded: Result<Vec<_>, _> = objects.iter().map(EncodedObject::decode).collect();
+        let Ok(decoded) = decoded else {
+            self.rejected = candidate.generation;
+            return;
+        };
+        let image = assemble_image(candidate.generation, decoded);
+        let errors = check_image(&image);
+        if !errors.is_empty() {
+            self.rejected = candidate.generation;
+            let report = ConfigAction::ReportInvalid(candidate.generation, errors);
+            self.actions.push(report);
+            return;
+        }
+        self.store.adopt(candidate.generation, candidate.entries);
+        self.confirmed = Some(candidate.confirmed);
+        self.actions.push(ConfigAction::Adopt(Arc::new(image)));
+        self.actions
+            .push(ConfigAction::Announce(candidate.generation));
+    }
+}
--- a/galenamast/src/coordination/mod.rs
+++ b/galenamast/src/coordination/mod.rs
@@ -2,13 +2,20 @@
 //!
 //! Nothing here does I/O or reads a clock: `handle(event, now)` returns actions.
 
+pub mod byte_budget;
 pub mod call_budget;
 pub mod change_refusal;
 pub mod circuit_breaker;
 pub mod config_change;
 pub mod config_check;
 pub mod config_documents;
+pub mod config_event;
+pub mod config_keeper;
+pub mod config_notice;
+pub mod config_reach;
+pub mod config_store;
 pub mod coordination_error;
+pub mod gossip_queue;
 pub mod host_list;
 pub mod load_report;
 pub mod member_machine;
@@ -26,6 +33,7 @@
 pub mod update_queue;
 pub mod usage_record;
 
+pub use byte_budget::ByteBudget;
 pub use call_budget::{CallBudget, CallPriority};
 pub use change_refusal::ChangeRefusal;
 pub use circuit_breaker::{BreakerState, CircuitBreaker};
@@ -34,7 +42,13 @@
 pub use config_documents::{
     ChangeNote, ConfigObject, EncodedObject, HeadDocument, ObjectDigest, assemble_image,
 };
+pub use config_event::{ConfigAction, ConfigEvent, ConfigSource};
+pub use config_keeper::{ConfigKeeper, KeeperSettings};
+pub use config_notice::{ConfigEntries, ConfigNotice, ConfigProbe, DomainReach};
+pub use config_reach::ReachBoard;
+pub use config_store::ConfigStore;
 pub use coordination_error::CoordinationError;
+pub use gossip_queue::{GossipItem, GossipQueue, PeerScope};
 pub use host_list::{HostList, HostListEntry, HostState};
 pub use load_report::LoadReport;
 pub use member_machine::{MemberMachine, MemberSettings};
--- a/galenamast/src/coordination/update_queue.rs
+++ b/galenamast/src/coordination/update_queue.rs
@@ -32,7 +32,7 @@
             .iter()
             .map(|(name, left)| (*left, name.clone()))
             .collect();
-        names.sort_by(|first, second| second.0.cmp(&first.0));
+        names.sort_by_key(|(left, _)| std::cmp::Reverse(*left));
         let mut bytes = 0;
         let mut taken = Vec::new();
         for (left, name) in names {
--- a/galenamast/src/protocol/log_record.rs
+++ b/galenamast/src/protocol/log_record.rs
@@ -2,9 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::UsageRecord;
+use crate::coordination::{MemberStatus, UsageRecord};
 use crate::protocol::decision_record::DecisionRecord;
-use crate::state::ConfigGeneration;
+use crate::state::{ConfigGeneration, HostName};
 
 /// A log line.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -26,6 +26,20 @@
         /// Generation of the configuration.
         generation: ConfigGeneration,
     },
+    /// The platform or another host offered a configuration older than the one in force.
+    ConfigRegressed {
+        /// Generation that was offered.
+        offered: ConfigGeneration,
+        /// Generation in force, which is kept.
+        current: ConfigGeneration,
+    },
+    /// An entry host of the own failure domain came or went.
+    MemberChanged {
+        /// Name of the host.
+        host: HostName,
+        /// New status of the host.
+        status: MemberStatus,
+    },
     /// Something failed that the host recovers from by itself.
     Fault {
         /// Part of the host that met the fault.
--- a/galenamast/src/protocol/mod.rs
+++ b/galenamast/src/protocol/mod.rs
@@ -5,10 +5,16 @@
 pub mod decision_record;
 pub mod headers;
 pub mod log_record;
+pub mod peer_envelope;
+pub mod peer_request;
 pub mod protocol_error;
+pub mod soft_state;
 
 pub use caller_error::{CallerError, ErrorCode};
 pub use chat_messages::{ChatAnswer, ChatRequest, ChatUsage};
 pub use decision_record::DecisionRecord;
 pub use log_record::LogRecord;
+pub use peer_envelope::{PeerMessage, decode_frame, encode_frame};
+pub use peer_request::{PeerReply, PeerRequest};
 pub use protocol_error::ProtocolError;
+pub use soft_state::SoftState;
--- /dev/null
+++ b/galenamast/src/protocol/peer_envelope.rs
@@ -0,0 +1,59 @@
+//! Framing of the messages between entry hosts: a version byte, then postcard.
+
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::coordination::{GossipItem, MemberMessage};
+use crate::protocol::protocol_error::ProtocolError;
+
+/// Version of the framing; a host refuses messages of any other one.
+pub const FRAME_VERSION: u8 = 1;
+
+/// A message that may be lost.
+///
+/// New variants go to the end, and a variant never changes its shape.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[non_exhaustive]
+pub enum PeerMessage {
+    /// A message of the membership protocol.
+    Member(MemberMessage),
+    /// Pieces of soft state.
+    Gossip(Vec<GossipItem>),
+}
+
+/// Encodes a message.
+///
+/// # Errors
+///
+/// Returns an error if the message cannot be encoded.
+///
+/// ```
+/// use galenamast::protocol::{PeerMessage, decode_frame, encode_frame};
+///
+/// let bytes = encode_frame(&PeerMessage::Gossip(Vec::new()))?;
+/// assert_eq!(decode_frame(&bytes)?, Some(PeerMessage::Gossip(Vec::new())));
+/// // A variant that a later release added is skipped.
+/// assert_eq!(decode_frame::<PeerMessage>(&[1, 99])?, None);
+/// # Ok::<(), galenamast::protocol::ProtocolError>(())
+/// ```
+pub fn encode_frame(message: &impl Serialize) -> Result<Vec<u8>, ProtocolError> {
+    postcard::to_extend(message, vec![FRAME_VERSION]).map_err(|error| ProtocolError::Invalid {
+        what: "peer message",
+        reason: error.to_string(),
+    })
+}
+
+/// Decodes a message; one that this release does not know is `None`.
+///
+/// # Errors
+///
+/// Returns an error if the framing is of another version.
+pub fn decode_frame<T: DeserializeOwned>(bytes: &[u8]) -> Result<Option<T>, ProtocolError> {
+    match bytes.split_first() {
+        Some((&FRAME_VERSION, rest)) => Ok(postcard::from_bytes(rest).ok()),
+        _ => Err(ProtocolError::Invalid {
+            what: "peer message",
+            reason: "the framing is of another version".into(),
+        }),
+    }
+}
--- /dev/null
+++ b/galenamast/src/protocol/peer_request.rs
@@ -0,0 +1,44 @@
+//! Requests that an entry host makes of another one, and their replies.
+
+use serde::{Deserialize, Serialize};
+
+use crate::coordination::{ConfigEntries, ConfigNotice, ConfigProbe, EncodedObject, ObjectDigest};
+use crate::state::ConfigGeneration;
+
+/// A request of another entry host.
+///
+/// New variants go to the end, and a variant never changes its shape.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[non_exhaustive]
+pub enum PeerRequest {
+    /// Asks which configuration the host serves by, and tells it the own one.
+    ProbeConfig(ConfigProbe),
+    /// Asks for the entries that changed since a generation.
+    ReadEntries {
+        /// Generation that the asking host serves by.
+        since: ConfigGeneration,
+    },
+    /// Asks for configuration objects; the reply holds as many as fit.
+    ReadObjects {
+        /// Digests of the objects.
+        digests: Vec<ObjectDigest>,
+    },
+}
+
+/// The reply of another entry host.
+///
+/// New variants go to the end, and a variant never changes its shape.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[non_exhaustive]
+pub enum PeerReply {
+    /// The host does not know the request, or cannot answer it now.
+    Unsupported,
+    /// The request was carried out.
+    Done,
+    /// The configuration that the host serves by.
+    ConfigNotice(ConfigNotice),
+    /// Entries of the configuration.
+    ConfigEntries(ConfigEntries),
+    /// Configuration objects.
+    ConfigObjects(Vec<EncodedObject>),
+}
--- /dev/null
+++ b/galenamast/src/transport/peer_mesh.rs
@@ -0,0 +1,342 @@
+//! What the parts of an entry host use to talk to other entry hosts.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use futures_util::future::BoxFuture;
+use tokio::sync::mpsc;
+
+use crate::config::Settings;
+use crate::coordination::{
+    ByteBudget, GossipItem, GossipQueue, MemberEvent, MemberRecord, MemberStatus, MemberTable,
+    PeerScope, PeerTarget,
+};
+use crate::protocol::{PeerMessage, PeerReply, PeerRequest, SoftState, decode_frame, encode_frame};
+use crate::state::{DomainName, HostName};
+use crate::transport::peer_links::{PeerLinks, peer_error};
+use crate::transport::timer_service::TimerService;
+use crate::transport::transport_error::TransportError;
+
+/// Longest time of a request.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+/// Greatest size of a request, in bytes.
+pub(crate) const MAX_REQUEST_BYTES: usize = 512 * 1_024;
+/// Greatest size of a reply, in bytes.
+pub(crate) const MAX_REPLY_BYTES: usize = 2 * 1_024 * 1_024;
+/// Greatest size of an encoded piece of soft state, in bytes.
+const MAX_SOFT_BYTES: usize = 900;
+/// Membership events that wait to be handled.
+const EVENT_QUEUE: usize = 1_024;
+/// Bytes that QUIC, UDP and IP add to a message.
+const OVERHEAD_BYTES: usize = 70;
+
+/// Answers requests of other hosts; `None` leaves the request to the next handler.
+pub type RequestHandler =
+    Arc<dyn Fn(&HostName, &PeerRequest) -> Option<BoxFuture<'static, PeerReply>> + Send + Sync>;
+/// Takes in soft state of other hosts.
+pub type SoftHandler = Arc<dyn Fn(&HostName, &SoftState) + Send + Sync>;
+
+/// Bytes and messages since the start of the process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PeerCounts {
+    /// Bytes sent, with an estimate of what the lower protocols add.
+    pub bytes_sent: u64,
+    /// Messages and replies sent.
+    pub messages_sent: u64,
+    /// Messages that were dropped because the byte rate was used up.
+    pub dropped: u64,
+    /// Messages that this release could not read.
+    pub unreadable: u64,
+}
+
+/// The mesh of entry hosts, as one of them sees it; copies share one state.
+#[derive(Clone, Debug)]
+pub struct PeerMesh {
+    pub(crate) shared: Arc<MeshShared>,
+}
+
+/// What the copies of a mesh share.
+pub(crate) struct MeshShared {
+    pub(crate) own: MemberRecord,
+    pub(crate) links: PeerLinks,
+    pub(crate) timers: TimerService,
+    pub(crate) table: ArcSwap<MemberTable>,
+    pub(crate) events: mpsc::Sender<MemberEvent>,
+    pub(crate) gossip: Mutex<GossipQueue>,
+    budget: Mutex<ByteBudget>,
+    request_handlers: ArcSwap<Vec<RequestHandler>>,
+    soft_handlers: ArcSwap<Vec<SoftHandler>>,
+    serial: AtomicU64,
+    bytes_sent: AtomicU64,
+    messages_sent: AtomicU64,
+    dropped: AtomicU64,
+    unreadable: AtomicU64,
+}
+
+impl fmt::Debug for MeshShared {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "MeshShared({})", self.own.name)
+    }
+}
+
+impl PeerMesh {
+    /// Opens the socket of a host; the events go to its membership machine.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the certificates cannot be used or the socket cannot be opened.
+    pub fn open(
+        settings: &Settings,
+        timers: &TimerService,
+    ) -> Result<(Self, mpsc::Receiver<MemberEvent>), TransportError> {
+        let links = PeerLinks::open(&settings.peers, &settings.host.name)?;
+        let own = MemberRecord {
+            name: settings.host.name.clone(),
+            domain: settings.host.domain.clone(),
+            address: links.address(),
+            incarnation: timers.unix_millis(),
+            status: MemberStatus::Alive,
+        };
+        let (events, receiver) = mpsc::channel(EVENT_QUEUE);
+        let budget = ByteBudget::new(settings.peers.bytes_per_second, timers.now());
+        let shared = MeshShared {
+            table: ArcSwap::from_pointee(MemberTable {
+                own: own.name.clone(),
+                domain: own.domain.clone(),
+                members: [(own.name.clone(), own.clone())].into(),
+                ..Default::default()
+            }),
+            // The start time keeps the numbers of one run apart from those of the next.
+            serial: AtomicU64::new(own.incarnation << 20),
+            own,
+            links,
+            timers: timers.clone(),
+            events,
+            gossip: Mutex::default(),
+            budget: Mutex::new(budget),
+            request_handlers: ArcSwap::default(),
+            soft_handlers: ArcSwap::default(),
+            bytes_sent: AtomicU64::new(0),
+            messages_sent: AtomicU64::new(0),
+            dropped: AtomicU64::new(0),
+            unreadable: AtomicU64::new(0),
+        };
+        let shared = Arc::new(shared);
+        Ok((Self { shared }, receiver))
+    }
+
+    /// Returns the name of the own host.
+    pub fn own(&self) -> &HostName {
+        &self.shared.own.name
+    }
+
+    /// Returns the failure domain of the own host.
+    pub fn domain(&self) -> &DomainName {
+        &self.shared.own.domain
+    }
+
+    /// Returns the address that other hosts connect to.
+    pub fn address(&self) -> SocketAddr {
+        self.shared.links.address()
+    }
+
+    /// Returns the hosts that are known.
+    pub fn members(&self) -> Arc<MemberTable> {
+        self.shared.table.load_full()
+    }
+
+    /// Returns what was sent so far.
+    pub fn counts(&self) -> PeerCounts {
+        let load = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        PeerCounts {
+            bytes_sent: load(&self.shared.bytes_sent),
+            messages_sent: load(&self.shared.messages_sent),
+            dropped: load(&self.shared.dropped),
+            unreadable: load(&self.shared.unreadable),
+        }
+    }
+
+    /// Stops all traffic with these addresses, and allows it with all others.
+    pub fn block(&self, addresses: BTreeSet<SocketAddr>) {
+        self.shared.links.block(addresses);
+    }
+
+    /// Adds a handler of requests; the first handler that takes a request answers it.
+    pub fn on_request(&self, handler: &RequestHandler) {
+        self.shared.request_handlers.rcu(|handlers| {
+            let mut handlers = Vec::clone(handlers);
+            handlers.push(handler.clone());
+            handlers
+        });
+    }
+
+    /// Adds a handler of soft state; every handler sees every piece once.
+    pub fn on_soft_state(&self, handler: &SoftHandler) {
+        self.shared.soft_handlers.rcu(|handlers| {
+            let mut handlers = Vec::clone(handlers);
+            handlers.push(handler.clone());
+            handlers
+        });
+    }
+
+    /// Tells a piece of soft state to other hosts; it may be lost.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the piece is too large for a message.
+    pub fn broadcast(&self, scope: PeerScope, state: &SoftState) -> Result<(), TransportError> {
+        let payload = encode_frame(state)?;
+        if payload.len() > MAX_SOFT_BYTES {
+            let reason = format!("soft state of {} bytes does not fit", payload.len());
+            return Err(peer_error(&"any", &reason));
+        }
+        let item = GossipItem {
+            origin: self.own().clone(),
+            domain: self.domain().clone(),
+            serial: self.shared.serial.fetch_add(1, Ordering::Relaxed),
+            scope,
+            payload,
+        };
+        let hosts = self.members().live().count();
+        lock(&self.shared.gossip).insert(item, hosts);
+        Ok(())
+    }
+
+    /// Makes a request of another host.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the host is unknown, cannot be reached or does not reply in time.
+    pub async fn request(
+        &self,
+        host: &HostName,
+        request: PeerRequest,
+    ) -> Result<PeerReply, TransportError> {
+        let members = self.members();
+        let record = members.find(host);
+        let record = record.ok_or_else(|| peer_error(host, &"the host is not known"))?;
+        let address = record.address;
+        let exchange = self.exchange(host, address, &request);
+        match tokio::time::timeout(REQUEST_TIMEOUT, exchange).await {
+            Ok(result) => result,
+            Err(_) => {
+                // The next attempt starts with a new connection, in case this one is stale.
+                self.shared.links.close(address);
+                let address = address.to_string();
+                let timeout = REQUEST_TIMEOUT;
+                Err(TransportError::Timeout { address, timeout })
+            }
+        }
+    }
+
+    /// Sends a request and reads the reply.
+    async fn exchange(
+        &self,
+        host: &HostName,
+        address: SocketAddr,
+        request: &PeerRequest,
+    ) -> Result<PeerReply, TransportError> {
+        let bytes = encode_frame(request)?;
+        if bytes.len() > MAX_REQUEST_BYTES {
+            return Err(peer_error(host, &"the request is too large"));
+        }
+        if self.shared.links.is_blocked(&address) {
+            return Err(peer_error(host, &"the address is blocked"));
+        }
+        self.wait_for_budget(bytes.len()).await;
+        let link = match self.shared.links.find(&address) {
+            Some(link) if link.host == *host => link,
+            _ => self.connect(address, Some(host)).await?,
+        };
+        let stream = link.connection.open_bi().await;
+        let (mut sender, mut receiver) = stream.map_err(|error| peer_error(host, &error))?;
+        let written = sender.write_all(&bytes).await;
+        written.map_err(|error| peer_error(host, &error))?;
+        sender.finish().map_err(|error| peer_error(host, &error))?;
+        let reply = receiver.read_to_end(MAX_REPLY_BYTES).await;
+        let reply = reply.map_err(|error| peer_error(host, &error))?;
+        Ok(decode_frame(&reply)?.unwrap_or(PeerReply::Unsupported))
+    }
+
+    /// Sends a message that may be lost, over a new connection where there is none.
+    pub(crate) fn send(&self, target: &PeerTarget, message: &PeerMessage) {
+        let Ok(bytes) = encode_frame(message) else {
+            return;
+        };
+        let soft = matches!(message, PeerMessage::Gossip(_));
+        let now = self.shared.timers.now();
+        let size = bytes.len() + OVERHEAD_BYTES;
+        if !lock(&self.shared.budget).take(size, soft, now) {
+            self.shared.dropped.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        self.count_sent(size);
+        if self.shared.links.send(&target.address, bytes.clone()) {
+            return;
+        }
+        let mesh = self.clone();
+        let target = target.clone();
+        tokio::spawn(async move {
+            if mesh
+                .connect(target.address, target.name.as_ref())
+                .await
+                .is_ok()
+            {
+                mesh.shared.links.send(&target.address, bytes);
+            }
+        });
+    }
+
+    /// Waits until the byte rate allows a request or reply, and counts it.
+    pub(crate) async fn wait_for_budget(&self, bytes: usize) {
+        let size = bytes + OVERHEAD_BYTES;
+        loop {
+            let now = self.shared.timers.now();
+            let taken = lock(&self.shared.budget).borrow(size, now);
+            let Err(wait) = taken else {
+                break;
+            };
+            self.shared.timers.sleep(wait).await;
+        }
+        self.count_sent(size);
+    }
+
+    /// Counts a message that is sent.
+    fn count_sent(&self, bytes: usize) {
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.shared.bytes_sent.fetch_add(bytes, Ordering::Relaxed);
+        self.shared.messages_sent.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a message that could not be read.
+    pub(crate) fn count_unreadable(&self) {
+        self.shared.unreadable.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the handlers of requests.
+    pub(crate) fn request_handlers(&self) -> Arc<Vec<RequestHandler>> {
+        self.shared.request_handlers.load_full()
+    }
+
+    /// Hands a piece of soft state to the handlers.
+    pub(crate) fn deliver(&self, item: &GossipItem) {
+        match decode_frame::<SoftState>(&item.payload) {
+            Ok(Some(state)) => {
+                for handler in self.shared.soft_handlers.load().iter() {
+                    handler(&item.origin, &state);
+                }
+            }
+            _ => self.count_unreadable(),
+        }
+    }
+}
+
+/// Locks a value whose every change is whole, so that a panic elsewhere leaves it sound.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/galenamast/src/transport/transport_error.rs
+++ b/galenamast/src/transport/transport_error.rs
@@ -65,6 +65,22 @@
         /// Address of the remote end.
         address: String,
     },
+    /// A certificate, key or TLS setting cannot be used.
+    #[error("cannot use the {what}: {reason}")]
+    Tls {
+        /// What cannot be used.
+        what: &'static str,
+        /// Why it cannot be used.
+        reason: String,
+    },
+    /// An entry host is not known or does not answer.
+    #[error("entry host {host} cannot be reached: {reason}")]
+    Peer {
+        /// Name or address of the host.
+        host: String,
+        /// Why it cannot be reached.
+        reason: String,
+    },
     /// A setting that the part needs is missing.
     #[error("the setting [{section}] {name} is needed")]
     MissingSetting {
