Distribute the configuration between entry hosts and start the mesh with the host

Cause: every host read the whole configuration from the platform once a second, and had none when the platform was down. Change: ConfigRunner and ConfigKeeper replace the loader: two watchers per failure domain by rendezvous, news by gossip, entries as differences and objects by digest from peers, the platform last; freshness as a relative age counted from the question; lower generations raise an alarm line; DomainReach tells any host where a generation is in force. Host objects on the platform give first contacts. A stopping host announces that it leaves. Conclusion: hosts start from peers while the platform is down, and a cut-off domain keeps its configuration, tells its age and catches up through peers alone.

--- a/galenamast/src/coordination/config_keeper.rs
+++ b/galenamast/src/coordination/config_keeper.rs
@@ -11,6 +11,7 @@
 use crate::coordination::config_check::check_image;
 use crate::coordination::config_documents::{EncodedObject, ObjectDigest, assemble_image};
 use crate::coordination::config_event::{ConfigAction, ConfigEvent, ConfigSource};
+use crate::coordination::config_freshness::ConfigFreshness;
 use crate::coordination::config_notice::{ConfigEntries, ConfigNotice, ConfigProbe, DomainReach};
 use crate::coordination::config_reach::ReachBoard;
 use crate::coordination::config_store::ConfigStore;
@@ -60,7 +61,7 @@
     generation: ConfigGeneration,
     entries: BTreeMap<String, ObjectDigest>,
     source: ConfigSource,
-    confirmed: TimePoint,
+    confirmed: ConfigFreshness,
     tried: BTreeSet<HostName>,
     tried_platform: bool,
     since: TimePoint,
@@ -72,7 +73,7 @@
 struct ConfigOffer {
     generation: ConfigGeneration,
     host: HostName,
-    confirmed: TimePoint,
+    confirmed: ConfigFreshness,
     since: TimePoint,
 }
 
@@ -81,7 +82,7 @@
 pub struct ConfigKeeper {
     settings: KeeperSettings,
     store: ConfigStore,
-    confirmed: Option<TimePoint>,
+    confirmed: Option<ConfigFreshness>,
     table: Arc<MemberTable>,
     board: ReachBoard,
     offer: Option<ConfigOffer>,
@@ -123,7 +124,7 @@
 
     /// Returns the time since the generation in force was confirmed to be the newest.
     pub fn age(&self, now: TimePoint) -> Duration {
-        let confirmed = self.confirmed.map(|confirmed| now.since(confirmed));
+        let confirmed = self.confirmed.map(|confirmed| confirmed.age_at(now));
         confirmed.unwrap_or(Duration::from_secs(u64::from(u32::MAX)))
     }
 
@@ -171,11 +172,14 @@
                 generation,
                 entries,
                 confirmed,
-            } => self.head_read(generation, entries, confirmed, now),
+            } => {
+                let confirmed = ConfigFreshness::new(confirmed, Duration::ZERO);
+                self.head_read(generation, entries, confirmed, now);
+            }
             ConfigEvent::HeadUnchanged {
                 generation,
                 confirmed,
-            } => self.confirm(generation, confirmed),
+            } => self.confirm(generation, ConfigFreshness::new(confirmed, Duration::ZERO)),
             ConfigEvent::News(host, generation) => {
                 // The age of the news is unknown, so that it starts a probe and confirms nothing.
                 if generation > self.store.generation && self.table.find(&host).is_some() {
@@ -187,7 +191,7 @@
             ConfigEvent::Probed(host, notice, asked) => self.probed(host, notice, asked, now),
             ConfigEvent::ProbeFailed(_) => self.failures = self.failures.saturating_add(1),
             ConfigEvent::EntriesArrived(host, entries) => {
-                self.entries_arrived(&host, &entries, now)
+                self.entries_arrived(&host, &entries, now);
             }
             ConfigEvent::ObjectsArrived(source, objects) => {
                 if self.store.insert(objects) {
@@ -306,7 +310,7 @@
         &mut self,
         generation: ConfigGeneration,
         entries: BTreeMap<String, ObjectDigest>,
-        confirmed: TimePoint,
+        confirmed: ConfigFreshness,
         now: TimePoint,
     ) {
         if generation < self.store.generation {
@@ -326,7 +330,7 @@
         self.failures = 0;
         self.board.merge(notice.reaches, now);
         // The reply was written after the question was, so that its age counts from there.
-        let confirmed = asked - notice.age;
+        let confirmed = ConfigFreshness::new(asked, notice.age);
         self.confirm(notice.generation, confirmed);
         let wanted = notice.generation > self.store.generation
             && notice.generation > self.rejected
@@ -351,9 +355,10 @@
     }
 
     /// Notes that the generation in force was the newest at a time.
-    fn confirm(&mut self, generation: ConfigGeneration, confirmed: TimePoint) {
+    fn confirm(&mut self, generation: ConfigGeneration, confirmed: ConfigFreshness) {
         if generation != ConfigGeneration::default() && generation == self.store.generation {
-            self.confirmed = self.confirmed.max(Some(confirmed));
+            let fresher = self.confirmed.map(|known| known.fresher(confirmed));
+            self.confirmed = Some(fresher.unwrap_or(confirmed));
         }
     }
 
@@ -376,7 +381,7 @@
         generation: ConfigGeneration,
         entries: BTreeMap<String, ObjectDigest>,
         source: ConfigSource,
-        confirmed: TimePoint,
+        confirmed: ConfigFreshness,
         now: TimePoint,
     ) {
         let current = self
@@ -407,7 +412,7 @@
         };
         let missing = self.store.missing(&candidate.entries);
         if missing.is_empty() {
-            self.adopt(now);
+            self.adopt();
             return;
         }
         let source = again.or_else(|| self.next_source(missing.len()));
@@ -455,7 +460,7 @@
     }
 
     /// Checks the candidate and puts it into force.
-    fn adopt(&mut self, _now: TimePoint) {
+    fn adopt(&mut self) {
         let Some(candidate) = self.candidate.take() else {
             return;
         };
--- a/galenamast/src/coordination/config_reach.rs
+++ b/galenamast/src/coordination/config_reach.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::coordination::config_freshness::ConfigFreshness;
 use crate::coordination::config_notice::{ConfigProbe, DomainReach};
 use crate::coordination::member_table::MemberTable;
 use crate::state::{ConfigGeneration, DomainName, HostName, TimePoint};
@@ -25,7 +26,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ReachBoard {
     hosts: BTreeMap<HostName, HostReport>,
-    domains: BTreeMap<DomainName, (DomainReach, TimePoint)>,
+    domains: BTreeMap<DomainName, (DomainReach, ConfigFreshness)>,
 }
 
 impl ReachBoard {
@@ -41,13 +42,12 @@
     /// Takes in what another host found out of failure domains.
     pub fn merge(&mut self, reaches: Vec<DomainReach>, now: TimePoint) {
         for reach in reaches {
-            let found_at = now - reach.age;
-            let newer = self
-                .domains
-                .get(&reach.domain)
-                .is_none_or(|(_, known_at)| *known_at < found_at);
-            if newer && self.domains.len() < MAX_DOMAINS {
-                self.domains.insert(reach.domain.clone(), (reach, found_at));
+            let found = ConfigFreshness::new(now, reach.age);
+            let known = self.domains.get(&reach.domain);
+            let newer = known.is_none_or(|(_, known)| known.fresher(found) != *known);
+            let room = known.is_some() || self.domains.len() < MAX_DOMAINS;
+            if newer && room {
+                self.domains.insert(reach.domain.clone(), (reach, found));
             }
         }
     }
@@ -73,14 +73,15 @@
             behind: behind.take(MAX_NAMED).cloned().collect(),
             age: Duration::ZERO,
         };
-        self.domains.insert(table.domain.clone(), (reach, now));
+        let found = ConfigFreshness::new(now, Duration::ZERO);
+        self.domains.insert(table.domain.clone(), (reach, found));
     }
 
     /// Returns what is known of each failure domain, with its present age.
     pub fn reaches(&self, now: TimePoint) -> Vec<DomainReach> {
         let domains = self.domains.values();
-        let aged = domains.map(|(reach, found_at)| DomainReach {
-            age: now.since(*found_at),
+        let aged = domains.map(|(reach, found)| DomainReach {
+            age: found.age_at(now),
             ..reach.clone()
         });
         aged.collect()
--- a/galenamast/src/coordination/mod.rs
+++ b/galenamast/src/coordination/mod.rs
@@ -10,6 +10,7 @@
 pub mod config_check;
 pub mod config_documents;
 pub mod config_event;
+pub mod config_freshness;
 pub mod config_keeper;
 pub mod config_notice;
 pub mod config_reach;
@@ -43,6 +44,7 @@
     ChangeNote, ConfigObject, EncodedObject, HeadDocument, ObjectDigest, assemble_image,
 };
 pub use config_event::{ConfigAction, ConfigEvent, ConfigSource};
+pub use config_freshness::ConfigFreshness;
 pub use config_keeper::{ConfigKeeper, KeeperSettings};
 pub use config_notice::{ConfigEntries, ConfigNotice, ConfigProbe, DomainReach};
 pub use config_reach::ReachBoard;
--- a/galenamast/src/event_loop.rs
+++ b/galenamast/src/event_loop.rs
@@ -12,9 +12,8 @@
 use crate::logging::{log_fault, log_record};
 use crate::protocol::LogRecord;
 use crate::transport::caller_server::caller_routes;
-use crate::transport::config_loader::load_config;
 use crate::transport::host_list_poller::poll_servers;
-use crate::transport::{HostContext, ObjectClient, TimerService, TransportError};
+use crate::transport::{HostContext, TimerService, TransportError, start_fleet};
 
 /// A running entry host.
 #[derive(Debug)]
@@ -42,9 +41,7 @@
             .map_err(|source| TransportError::Listen { address, source })?;
         let shutdown = CancellationToken::new();
         let mut tasks = vec![tokio::spawn(poll_servers(context.clone()))];
-        if let Some(objects) = context.objects.clone() {
-            tasks.push(tokio::spawn(follow_config(context.clone(), objects)));
-        }
+        tasks.extend(start_fleet(&context)?);
         let routes = caller_routes(context.clone());
         let stopped = shutdown.clone().cancelled_owned();
         tasks.push(tokio::spawn(async move {
@@ -89,6 +86,9 @@
                 );
             }
         }
+        if let Some(peers) = self.context.peers.get() {
+            peers.leave().await;
+        }
         for task in &self.tasks {
             task.abort();
         }
@@ -120,22 +120,3 @@
         _ = tokio::signal::ctrl_c() => {}
     }
 }
-
-/// Adopts newer configurations from the platform until the task is aborted.
-async fn follow_config(context: Arc<HostContext>, objects: ObjectClient) {
-    let mut ticks = context
-        .timers
-        .subscribe(context.settings.platform.host_list_period);
-    loop {
-        match load_config(&objects).await {
-            Ok(Some(image)) if image.generation > context.image.load().generation => {
-                let generation = image.generation;
-                context.image.store(Arc::new(image));
-                log_record(Level::Info, &LogRecord::ConfigAdopted { generation });
-            }
-            Ok(_) => {}
-            Err(error) => log_fault("config", &error),
-        }
-        ticks.tick().await;
-    }
-}
--- a/galenamast/src/state/state_error.rs
+++ b/galenamast/src/state/state_error.rs
@@ -5,7 +5,7 @@
 use crate::state::config_generation::ConfigGeneration;
 
 /// An error of the state layer.
-#[derive(Debug, Error, PartialEq)]
+#[derive(Clone, Debug, Error, PartialEq)]
 #[non_exhaustive]
 pub enum StateError {
     /// A configuration that is not newer than the one in force was offered.
--- /dev/null
+++ b/galenamast/src/transport/config_runner.rs
@@ -0,0 +1,407 @@
+//! Runs the keeper of the configuration: watches, probes, fetches and swaps the image.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, Weak};
+use std::time::Duration;
+
+use log::Level;
+use serde::de::DeserializeOwned;
+use tokio::sync::Notify;
+
+use crate::coordination::config_documents::CONFIG_KIND;
+use crate::coordination::{
+    CallPriority, ConfigAction, ConfigEvent, ConfigKeeper, ConfigSource, DomainReach,
+    EncodedObject, HeadDocument, KeeperSettings, ObjectDigest, ObjectKey, ObjectRecord,
+    ObjectVersion, PeerScope, RetryBackoff,
+};
+use crate::logging::{log_fault, log_record};
+use crate::protocol::{LogRecord, PeerReply, PeerRequest, ProtocolError, SoftState};
+use crate::state::{ConfigGeneration, HostName, RouteTables, TimePoint};
+use crate::transport::config_writer::{decode_head, head_key};
+use crate::transport::host_context::HostContext;
+use crate::transport::object_client::ObjectClient;
+use crate::transport::peer_mesh::{PeerMesh, lock};
+use crate::transport::transport_error::TransportError;
+
+/// Time between ticks of the keeper.
+const TICK_PERIOD: Duration = Duration::from_millis(250);
+/// Time that one watch waits for a change, which bounds how stale a quiet watch is.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
+/// Greatest size of the objects in one reply, in bytes.
+const MAX_OBJECTS_BYTES: usize = 1_500_000;
+/// Objects that one request asks for.
+const MAX_DIGESTS: usize = 1_000;
+/// Time before a name that the keeper waits for is tried again after a broken watch.
+const WATCH_BACKOFF: RetryBackoff = RetryBackoff {
+    first: Duration::from_millis(100),
+    greatest: Duration::from_secs(2),
+};
+
+/// Keeps the configuration of a running entry host current; copies share one state.
+#[derive(Clone, Debug)]
+pub struct ConfigRunner {
+    shared: Arc<RunnerShared>,
+}
+
+/// What the copies of a runner share.
+#[derive(Debug)]
+struct RunnerShared {
+    context: Weak<HostContext>,
+    mesh: PeerMesh,
+    objects: Option<ObjectClient>,
+    keeper: Mutex<ConfigKeeper>,
+    watching: AtomicBool,
+    watch_changed: Notify,
+}
+
+impl ConfigRunner {
+    /// Creates the runner of a host and answers the requests of other hosts from then on.
+    pub fn new(context: &Arc<HostContext>, mesh: &PeerMesh) -> Self {
+        let settings = KeeperSettings {
+            watchers: context.settings.peers.watchers_per_domain as usize,
+            ..Default::default()
+        };
+        let keeper = ConfigKeeper::new(settings, mesh.members(), rand::random());
+        let objects = context.objects.as_ref();
+        let runner = Self {
+            shared: Arc::new(RunnerShared {
+                context: Arc::downgrade(context),
+                mesh: mesh.clone(),
+                objects: objects.map(|client| client.with_priority(CallPriority::Config)),
+                keeper: Mutex::new(keeper),
+                watching: AtomicBool::new(false),
+                watch_changed: Notify::new(),
+            }),
+        };
+        runner.register_handlers();
+        runner
+    }
+
+    /// Returns where generations are in force, as far as this host knows.
+    pub fn reaches(&self) -> Vec<DomainReach> {
+        let now = self.now();
+        lock(&self.shared.keeper).reaches(now)
+    }
+
+    /// Returns the generation in force on this host.
+    pub fn generation(&self) -> ConfigGeneration {
+        lock(&self.shared.keeper).generation()
+    }
+
+    /// Returns the time since the generation in force was confirmed to be the newest.
+    pub fn age(&self) -> Duration {
+        let now = self.now();
+        lock(&self.shared.keeper).age(now)
+    }
+
+    /// Returns whether this host watches the platform for its failure domain.
+    pub fn is_watching(&self) -> bool {
+        self.shared.watching.load(Ordering::SeqCst)
+    }
+
+    /// Runs until the task is aborted.
+    pub async fn run(self) {
+        tokio::join!(self.run_ticks(), self.run_watch());
+    }
+
+    /// Returns the current time.
+    fn now(&self) -> TimePoint {
+        self.shared.mesh.shared.timers.now()
+    }
+
+    /// Answers the requests of other hosts and takes in their news.
+    fn register_handlers(&self) {
+        let runner = self.clone();
+        self.shared.mesh.on_request(
+            &(Arc::new(move |host: &HostName, request: &PeerRequest| {
+                let reply = runner.answer(host, request)?;
+                let reply: futures_util::future::BoxFuture<'static, PeerReply> =
+                    Box::pin(std::future::ready(reply));
+                Some(reply)
+            }) as Arc<_>),
+        );
+        let runner = self.clone();
+        self.shared.mesh.on_soft_state(
+            &(Arc::new(move |host: &HostName, state: &SoftState| {
+                #[allow(irrefutable_let_patterns, reason = "other parts add variants")]
+                if let SoftState::ConfigNews(generation) = state {
+                    runner.dispatch(ConfigEvent::News(host.clone(), *generation));
+                }
+            }) as Arc<_>),
+        );
+    }
+
+    /// Answers a request, if it is about the configuration.
+    fn answer(&self, host: &HostName, request: &PeerRequest) -> Option<PeerReply> {
+        let now = self.now();
+        let mut keeper = lock(&self.shared.keeper);
+        match request {
+            PeerRequest::ProbeConfig(probe) => {
+                let notice = keeper.answer_probe(host, probe, now);
+                Some(PeerReply::ConfigNotice(notice))
+            }
+            PeerRequest::ReadEntries { since } => {
+                Some(PeerReply::ConfigEntries(keeper.answer_entries(*since)))
+            }
+            PeerRequest::ReadObjects { digests } => {
+                let objects = keeper.answer_objects(digests, MAX_OBJECTS_BYTES);
+                Some(PeerReply::ConfigObjects(objects))
+            }
+            #[allow(unreachable_patterns, reason = "other parts add variants")]
+            _ => None,
+        }
+    }
+
+    /// Ticks the keeper and publishes the age of the configuration.
+    async fn run_ticks(&self) {
+        let mut ticks = self.shared.mesh.shared.timers.subscribe(TICK_PERIOD);
+        loop {
+            self.dispatch(ConfigEvent::Members(self.shared.mesh.members()));
+            self.dispatch(ConfigEvent::Tick);
+            self.publish_age();
+            ticks.tick().await;
+        }
+    }
+
+    /// Publishes the age that the configuration has until the next tick.
+    fn publish_age(&self) {
+        let Some(context) = self.shared.context.upgrade() else {
+            return;
+        };
+        let config_age = self.age().saturating_add(TICK_PERIOD);
+        context.tables.rcu(|tables| RouteTables {
+            config_age,
+            ..RouteTables::clone(tables)
+        });
+    }
+
+    /// Hands an event to the keeper and performs its actions.
+    fn dispatch(&self, event: ConfigEvent) {
+        let now = self.now();
+        let actions = lock(&self.shared.keeper).handle(event, now);
+        for action in actions {
+            self.perform(action);
+        }
+    }
+
+    /// Performs an action.
+    fn perform(&self, action: ConfigAction) {
+        match action {
+            ConfigAction::Watch(watching) => {
+                self.shared.watching.store(watching, Ordering::SeqCst);
+                self.shared.watch_changed.notify_one();
+            }
+            ConfigAction::ReadHead => self.spawn(|runner| async move { runner.read_head().await }),
+            ConfigAction::Probe(host, probe) => self.spawn(|runner| async move {
+                let asked = runner.now();
+                let request = PeerRequest::ProbeConfig(probe);
+                let event = match runner.shared.mesh.request(&host, request).await {
+                    Ok(PeerReply::ConfigNotice(notice)) => ConfigEvent::Probed(host, notice, asked),
+                    _ => ConfigEvent::ProbeFailed(host),
+                };
+                runner.dispatch(event);
+            }),
+            ConfigAction::FetchEntries(host, since) => self.spawn(move |runner| async move {
+                let request = PeerRequest::ReadEntries { since };
+                let event = match runner.shared.mesh.request(&host, request).await {
+                    Ok(PeerReply::ConfigEntries(entries)) => {
+                        ConfigEvent::EntriesArrived(host, entries)
+                    }
+                    _ => ConfigEvent::FetchFailed(ConfigSource::Peer(host)),
+                };
+                runner.dispatch(event);
+            }),
+            ConfigAction::FetchObjects(source, digests) => self.spawn(|runner| async move {
+                let event = match runner.fetch(&source, digests).await {
+                    Ok(objects) => ConfigEvent::ObjectsArrived(source, objects),
+                    Err(error) => {
+                        log_fault("config", &error);
+                        ConfigEvent::FetchFailed(source)
+                    }
+                };
+                runner.dispatch(event);
+            }),
+            ConfigAction::Adopt(image) => {
+                let generation = image.generation;
+                if let Some(context) = self.shared.context.upgrade() {
+                    context.image.store(image);
+                }
+                log_record(Level::Info, &LogRecord::ConfigAdopted { generation });
+            }
+            ConfigAction::Announce(generation) => {
+                let state = SoftState::ConfigNews(generation);
+                if let Err(error) = self.shared.mesh.broadcast(PeerScope::Fleet, &state) {
+                    log_fault("config", &error);
+                }
+                self.publish_age();
+            }
+            ConfigAction::ReportRegression(offered) => {
+                let current = self.generation();
+                let record = LogRecord::ConfigRegressed { offered, current };
+                log_record(Level::Error, &record);
+            }
+            ConfigAction::ReportInvalid(generation, errors) => {
+                let texts: Vec<String> = errors.iter().map(ToString::to_string).collect();
+                let message = format!("generation {generation} is invalid: {}", texts.join("; "));
+                log_fault("config", &message);
+            }
+        }
+    }
+
+    /// Performs a call aside from the keeper.
+    fn spawn<F>(&self, call: impl FnOnce(Self) -> F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        tokio::spawn(call(self.clone()));
+    }
+
+    /// Fetches objects from another host or the platform.
+    async fn fetch(
+        &self,
+        source: &ConfigSource,
+        mut digests: Vec<ObjectDigest>,
+    ) -> Result<Vec<EncodedObject>, TransportError> {
+        digests.truncate(MAX_DIGESTS);
+        match source {
+            ConfigSource::Peer(host) => {
+                let request = PeerRequest::ReadObjects { digests };
+                match self.shared.mesh.request(host, request).await? {
+                    PeerReply::ConfigObjects(objects) => Ok(objects),
+                    _ => Ok(Vec::new()),
+                }
+            }
+            ConfigSource::Platform => {
+                let client = self.shared.objects.as_ref();
+                let client = client.ok_or(TransportError::MissingSetting {
+                    section: "platform",
+                    name: "objects",
+                })?;
+                let mut objects = Vec::with_capacity(digests.len());
+                for digest in digests {
+                    let key = ObjectKey::new(CONFIG_KIND, &digest.0);
+                    if let Some(record) = client.read(&key).await? {
+                        objects.push(decode_value("configuration object", record)?);
+                    }
+                }
+                Ok(objects)
+            }
+        }
+    }
+
+    /// Reads the platform's head once.
+    async fn read_head(&self) {
+        let Some(client) = &self.shared.objects else {
+            return;
+        };
+        let asked = self.now();
+        match client.read(&head_key()).await {
+            Ok(Some(record)) => self.take_head(record, asked),
+            Ok(None) => {}
+            Err(error) => log_fault("config", &error),
+        }
+    }
+
+    /// Hands a head that was read to the keeper; returns its generation and object version.
+    fn take_head(&self, record: ObjectRecord, confirmed: TimePoint) {
+        match decode_head(record) {
+            Ok(HeadDocument {
+                generation,
+                entries,
+                ..
+            }) => self.dispatch(ConfigEvent::HeadRead {
+                generation,
+                entries,
+                confirmed,
+            }),
+            Err(error) => log_fault("config", &error),
+        }
+    }
+
+    /// Watches the platform's head whenever the keeper wants it watched.
+    async fn run_watch(&self) {
+        let Some(client) = self.shared.objects.clone() else {
+            return;
+        };
+        let timers = &self.shared.mesh.shared.timers;
+        let mut after = ObjectVersion::default();
+        let mut generation = ConfigGeneration::default();
+        let mut failures = 0;
+        loop {
+            if !self.is_watching() {
+                self.shared.watch_changed.notified().await;
+                after = ObjectVersion::default();
+                continue;
+            }
+            let asked = self.now();
+            match client.watch(&head_key(), after, WATCH_WAIT).await {
+                Ok(Some(record)) => {
+                    failures = 0;
+                    after = record.version;
+                    generation = generation_of(&record);
+                    self.take_head(record, asked);
+                }
+                Ok(None) => {
+                    failures = 0;
+                    let ended = asked + WATCH_WAIT;
+                    // An answer before the wait passed confirms no more than when it was asked for.
+                    let confirmed = if self.now() >= ended { ended } else { asked };
+                    let event = ConfigEvent::HeadUnchanged {
+                        generation,
+                        confirmed,
+                    };
+                    self.dispatch(event);
+                }
+                Err(error) => {
+                    log_fault("config", &error);
+                    let delay = WATCH_BACKOFF.delay(failures, &mut rand::rng());
+                    failures = (failures + 1).min(16);
+                    timers.sleep(delay).await;
+                }
+            }
+        }
+    }
+}
+
+/// Returns the generation of a head that was read, or none's if it is malformed.
+fn generation_of(record: &ObjectRecord) -> ConfigGeneration {
+    let generation = record.value.get("generation");
+    let generation = generation.and_then(serde_json::Value::as_u64);
+    ConfigGeneration(generation.unwrap_or_default())
+}
+
+/// Decodes the value of an object.
+fn decode_value<T: DeserializeOwned>(
+    what: &'static str,
+    record: ObjectRecord,
+) -> Result<T, ProtocolError> {
+    serde_json::from_value(record.value).map_err(|source| ProtocolError::Json { what, source })
+}
+
+/// Starts the mesh and the configuration of a host; returns their tasks.
+///
+/// # Errors
+///
+/// Returns an error if the socket for peers cannot be opened.
+pub fn start_fleet(
+    context: &Arc<HostContext>,
+) -> Result<Vec<tokio::task::JoinHandle<()>>, TransportError> {
+    let (mesh, events) = PeerMesh::open(&context.settings, &context.timers)?;
+    let runner = ConfigRunner::new(context, &mesh);
+    let _ = context.peers.set(mesh.clone());
+    let _ = context.config.set(runner.clone());
+    let peers = context.settings.peers.clone();
+    let mut tasks = vec![
+        tokio::spawn(crate::transport::peer_runner::run_mesh(
+            mesh.clone(),
+            events,
+            peers,
+        )),
+        tokio::spawn(runner.run()),
+    ];
+    if let Some(objects) = &context.objects {
+        let register = crate::transport::peer_registry::run_registry(mesh, objects.clone());
+        tasks.push(tokio::spawn(register));
+    }
+    Ok(tasks)
+}
--- a/galenamast/src/transport/host_context.rs
+++ b/galenamast/src/transport/host_context.rs
@@ -1,15 +1,17 @@
 //! What the parts of a running entry host share.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 
 use arc_swap::ArcSwap;
 
 use crate::config::Settings;
 use crate::state::{ConfigImage, RouteTables};
 use crate::transport::backend_client::BackendClient;
+use crate::transport::config_runner::ConfigRunner;
 use crate::transport::http_client::HttpClient;
 use crate::transport::object_client::{CallLimits, ObjectClient};
+use crate::transport::peer_mesh::PeerMesh;
 use crate::transport::timer_service::TimerService;
 
 /// Shared parts of a running entry host.
@@ -27,6 +29,10 @@
     pub backends: BackendClient,
     /// Client of the object API, if the settings name one.
     pub objects: Option<ObjectClient>,
+    /// Mesh of entry hosts, once the host has started.
+    pub peers: OnceLock<PeerMesh>,
+    /// Distribution of the configuration, once the host has started.
+    pub config: OnceLock<ConfigRunner>,
     /// HTTP client of the other services of the platform.
     pub client: HttpClient,
     seeds: AtomicU64,
@@ -54,6 +60,8 @@
             tables: ArcSwap::from_pointee(tables),
             backends: BackendClient::new(client.clone()),
             objects,
+            peers: OnceLock::new(),
+            config: OnceLock::new(),
             client,
             seeds: AtomicU64::new(rand::random()),
             settings,
--- a/galenamast/src/transport/mod.rs
+++ b/galenamast/src/transport/mod.rs
@@ -3,7 +3,7 @@
 pub mod backend_client;
 pub mod call_counters;
 pub mod caller_server;
-pub mod config_loader;
+pub mod config_runner;
 pub mod config_writer;
 pub mod host_context;
 pub mod host_list_poller;
@@ -11,6 +11,7 @@
 pub mod object_client;
 pub mod peer_links;
 pub mod peer_mesh;
+pub mod peer_registry;
 pub mod peer_runner;
 pub mod timer_service;
 pub mod tls_config;
@@ -21,6 +22,7 @@
 
 pub use backend_client::{BackendClient, BackendReply};
 pub use call_counters::{CallCounters, CallCounts, CallKind};
+pub use config_runner::{ConfigRunner, start_fleet};
 pub use config_writer::ConfigWriter;
 pub use host_context::HostContext;
 pub use http_client::HttpClient;
--- a/galenamast/src/transport/peer_mesh.rs
+++ b/galenamast/src/transport/peer_mesh.rs
@@ -24,6 +24,8 @@
 
 /// Longest time of a request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time in which the news that a host leaves goes out.
+const LEAVE_TIME: Duration = Duration::from_millis(200);
 /// Greatest size of a request, in bytes.
 pub(crate) const MAX_REQUEST_BYTES: usize = 512 * 1_024;
 /// Greatest size of a reply, in bytes.
@@ -166,6 +168,13 @@
         self.shared.links.block(addresses);
     }
 
+    /// Tells other hosts that this one leaves, and closes all connections.
+    pub async fn leave(&self) {
+        let _ = self.shared.events.send(MemberEvent::Leave).await;
+        self.shared.timers.sleep(LEAVE_TIME).await;
+        self.shared.links.shut_down().await;
+    }
+
     /// Adds a handler of requests; the first handler that takes a request answers it.
     pub fn on_request(&self, handler: &RequestHandler) {
         self.shared.request_handlers.rcu(|handlers| {
--- /dev/null
+++ b/galenamast/tests/fleet/config_keeper.rs
@@ -0,0 +1,172 @@
+//! The keeper of the configuration without I/O.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use galenamast::coordination::{
+    ConfigAction, ConfigEvent, ConfigKeeper, ConfigNotice, ConfigObject, ConfigSource,
+    EncodedObject, KeeperSettings, MemberRecord, MemberStatus, MemberTable, ObjectDigest,
+};
+use galenamast::state::{ConfigGeneration, PoolSpec, TimePoint};
+
+/// Returns a table of hosts in one failure domain, seen by the first.
+fn table_of(names: &[&str]) -> Arc<MemberTable> {
+    let record = |name: &str| MemberRecord {
+        name: name.into(),
+        domain: "cumbre".into(),
+        address: ([127, 0, 0, 1], 9).into(),
+        incarnation: 1,
+        status: MemberStatus::Alive,
+    };
+    Arc::new(MemberTable {
+        own: names[0].into(),
+        domain: "cumbre".into(),
+        members: names
+            .iter()
+            .map(|name| ((*name).into(), record(name)))
+            .collect(),
+        ..Default::default()
+    })
+}
+
+/// Returns entries with one pool, and its object.
+fn entries_of(slots: u32) -> (BTreeMap<String, ObjectDigest>, EncodedObject) {
+    let pool = ConfigObject::Pool(PoolSpec {
+        name: "advice".into(),
+        slots_per_server: slots,
+        ..Default::default()
+    });
+    let encoded = pool.encode().expect("it encodes");
+    let entries = [(pool.entry_name(), encoded.digest.clone())].into();
+    (entries, encoded)
+}
+
+/// Brings a keeper to a generation from the platform.
+fn adopt(keeper: &mut ConfigKeeper, generation: u64, slots: u32, now: TimePoint) -> bool {
+    let (entries, object) = entries_of(slots);
+    let head = ConfigEvent::HeadRead {
+        generation: ConfigGeneration(generation),
+        entries,
+        confirmed: now,
+    };
+    let mut actions = keeper.handle(head, now);
+    let arrived = ConfigEvent::ObjectsArrived(ConfigSource::Platform, vec![object]);
+    actions.extend(keeper.handle(arrived, now));
+    actions
+        .iter()
+        .any(|action| matches!(action, ConfigAction::Adopt(_)))
+}
+
+#[test]
+fn only_a_higher_generation_is_adopted() {
+    let mut keeper = ConfigKeeper::new(KeeperSettings::default(), table_of(&["a"]), 1);
+    let now = TimePoint::from_millis(1_000);
+    assert!(adopt(&mut keeper, 5, 8, now));
+    assert!(!adopt(&mut keeper, 5, 9, now));
+    assert!(!adopt(&mut keeper, 4, 9, now));
+    assert!(!adopt(&mut keeper, 0, 9, now));
+    assert_eq!(keeper.generation(), ConfigGeneration(5));
+    let (entries, _) = entries_of(9);
+    let lower = ConfigEvent::HeadRead {
+        generation: ConfigGeneration(4),
+        entries,
+        confirmed: now,
+    };
+    let actions = keeper.handle(lower, now + Duration::from_secs(1));
+    assert_eq!(
+        actions,
+        [ConfigAction::ReportRegression(ConfigGeneration(4))]
+    );
+    assert!(adopt(&mut keeper, 6, 9, now));
+}
+
+#[test]
+fn an_invalid_configuration_is_refused_whole() {
+    let mut keeper = ConfigKeeper::new(KeeperSettings::default(), table_of(&["a"]), 1);
+    let now = TimePoint::from_millis(1_000);
+    assert!(adopt(&mut keeper, 1, 8, now));
+    assert!(!adopt(&mut keeper, 2, 0, now), "a pool needs slots");
+    assert_eq!(keeper.generation(), ConfigGeneration(1));
+    assert!(adopt(&mut keeper, 3, 9, now));
+}
+
+#[test]
+fn freshness_travels_as_an_age_and_counts_from_the_question() {
+    let mut keeper = ConfigKeeper::new(KeeperSettings::default(), table_of(&["a", "b"]), 1);
+    let start = TimePoint::from_millis(1_000);
+    assert!(adopt(&mut keeper, 1, 8, start));
+    let asked = start + Duration::from_secs(100);
+    let answered = asked + Duration::from_secs(2);
+    // The other host confirmed it before this one even started.
+    let notice = |age| ConfigNotice {
+        generation: ConfigGeneration(1),
+        age,
+        reaches: Vec::new(),
+    };
+    let old = notice(Duration::from_secs(3_600));
+    keeper.handle(ConfigEvent::Probed("b".into(), old, asked), answered);
+    assert_eq!(keeper.age(answered), Duration::from_secs(102));
+    let fresh = notice(Duration::from_secs(5));
+    keeper.handle(ConfigEvent::Probed("b".into(), fresh, asked), answered);
+    assert_eq!(keeper.age(answered), Duration::from_secs(7));
+    let news = ConfigEvent::News("b".into(), ConfigGeneration(1));
+    keeper.handle(news, answered);
+    assert_eq!(keeper.age(answered), Duration::from_secs(7));
+}
+
+#[test]
+fn the_platform_is_asked_only_when_no_peer_has_the_objects() {
+    let mut keeper = ConfigKeeper::new(KeeperSettings::default(), table_of(&["a", "b", "c"]), 1);
+    let now = TimePoint::from_millis(1_000);
+    let notice = ConfigNotice {
+        generation: ConfigGeneration(7),
+        age: Duration::ZERO,
+        reaches: Vec::new(),
+    };
+    keeper.handle(ConfigEvent::Probed("b".into(), notice, now), now);
+    let (entries, object) = entries_of(8);
+    let entries = galenamast::coordination::ConfigEntries {
+        generation: ConfigGeneration(7),
+        base: None,
+        changed: entries,
+        removed: Vec::new(),
+    };
+    let mut actions = keeper.handle(ConfigEvent::EntriesArrived("b".into(), entries), now);
+    let mut asked = Vec::new();
+    while let Some(ConfigAction::FetchObjects(source, _)) = actions.pop() {
+        asked.push(source.clone());
+        if source == ConfigSource::Platform {
+            let arrived = ConfigEvent::ObjectsArrived(source, vec![object.clone()]);
+            actions = keeper.handle(arrived, now);
+        } else {
+            actions = keeper.handle(ConfigEvent::FetchFailed(source), now);
+        }
+    }
+    let expected = [
+        ConfigSource::Peer("b".into()),
+        ConfigSource::Peer("c".into()),
+        ConfigSource::Platform,
+    ];
+    assert_eq!(asked, expected);
+    assert_eq!(keeper.generation(), ConfigGeneration(7));
+}
+
+#[test]
+fn exactly_the_chosen_number_of_hosts_watch() {
+    let names = ["a", "b", "c", "d", "e", "f", "g"];
+    let watching = |names: &[&str]| {
+        let mut count = 0;
+        for index in 0..names.len() {
+            let mut seen = names.to_vec();
+            seen.swap(0, index);
+            let settings = KeeperSettings::default();
+            let mut keeper = ConfigKeeper::new(settings, table_of(&seen), 1);
+            let actions = keeper.handle(ConfigEvent::Tick, TimePoint::ZERO);
+            count += usize::from(actions.contains(&ConfigAction::Watch(true)));
+        }
+        count
+    };
+    assert_eq!(watching(&names), 2);
+    assert_eq!(watching(&names[..1]), 1);
+}
--- /dev/null
+++ b/galenamast/tests/fleet/config_spread.rs
@@ -0,0 +1,197 @@
+//! The configuration on running entry hosts, through outages, partitions and restarts.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use galenamast::coordination::HeadDocument;
+use galenamast::event_loop::EntryHost;
+use galenamast::state::ConfigGeneration;
+use galenamast_fakes::FakeObjects;
+
+use crate::support::{
+    mesh_of, pool_change, start_host, wait_for_generation, wait_until, writer_at,
+};
+
+/// Makes changes on the platform.
+async fn change(objects: &FakeObjects, names: &[&str]) {
+    let writer = writer_at(objects.address());
+    for name in names {
+        let made = writer.apply(&pool_change(name, name, 8), false).await;
+        made.expect("the change is accepted");
+    }
+}
+
+/// Waits until every host of a failure domain knows all the others.
+async fn wait_for_members(hosts: &[EntryHost], count: usize) {
+    wait_until("all members are known", || {
+        let known = |host: &EntryHost| mesh_of(host).members().live().count() == count;
+        hosts.iter().all(known)
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_host_alone_takes_the_platforms_configuration_and_its_changes() {
+    let objects = FakeObjects::start().await;
+    change(&objects, &["c1"]).await;
+    let hosts = [start_host("host-0", "cumbre", Some(objects.address()), &[]).await];
+    wait_for_generation(&hosts, 1).await;
+    change(&objects, &["c2", "c3"]).await;
+    wait_for_generation(&hosts, 3).await;
+    wait_until("the age is small", || {
+        hosts[0].context().tables.load().config_age < Duration::from_secs(5)
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn few_hosts_watch_and_the_others_learn_from_them() {
+    let objects = FakeObjects::start().await;
+    let mut hosts = Vec::new();
+    let mut seeds = Vec::new();
+    for index in 0..5 {
+        let name = format!("host-{index}");
+        let host = start_host(&name, "cumbre", Some(objects.address()), &seeds).await;
+        seeds = vec![mesh_of(&host).address()];
+        hosts.push(host);
+    }
+    wait_for_members(&hosts, 5).await;
+    let watching = |host: &&EntryHost| {
+        let config = host.context().config.get().expect("started");
+        config.is_watching()
+    };
+    wait_until("two hosts watch", || {
+        hosts.iter().filter(watching).count() == 2
+    })
+    .await;
+    change(&objects, &["c1", "c2"]).await;
+    wait_for_generation(&hosts, 2).await;
+    wait_until("any host knows where it is in force", || {
+        hosts.iter().all(|host| {
+            let config = host.context().config.get().expect("started");
+            let reaches = config.reaches();
+            let reach = reaches.iter().find(|reach| reach.domain == "cumbre".into());
+            reach.is_some_and(|reach| reach.hosts == 5 && reach.lowest == ConfigGeneration(2))
+        })
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_host_starts_from_its_peers_while_the_platform_is_down() {
+    let objects = FakeObjects::start().await;
+    change(&objects, &["c1", "c2"]).await;
+    let first = start_host("host-0", "cumbre", Some(objects.address()), &[]).await;
+    let mut hosts = vec![first];
+    wait_for_generation(&hosts, 2).await;
+    objects.faults().set(|faults| faults.refuse = true);
+    let seeds = [mesh_of(&hosts[0]).address()];
+    hosts.push(start_host("host-1", "cumbre", Some(objects.address()), &seeds).await);
+    hosts.push(start_host("host-2", "bosque", Some(objects.address()), &seeds).await);
+    wait_for_generation(&hosts, 2).await;
+    wait_until("the age tells of the outage", || {
+        let age = |host: &EntryHost| host.context().tables.load().config_age;
+        hosts.iter().all(|host| age(host) > Duration::from_secs(4))
+    })
+    .await;
+    objects.faults().set(|faults| faults.refuse = false);
+    change(&objects, &["c3"]).await;
+    wait_for_generation(&hosts, 3).await;
+}
+
+#[tokio::test]
+async fn a_host_with_neither_platform_nor_peer_has_no_configuration() {
+    let host = start_host("host-0", "cumbre", None, &[]).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(host.context().image.load().generation, ConfigGeneration(0));
+    assert!(host.context().tables.load().config_age > Duration::from_secs(1_000_000));
+}
+
+#[tokio::test]
+async fn an_older_head_on_the_platform_is_never_adopted() {
+    let objects = FakeObjects::start().await;
+    change(&objects, &["c1"]).await;
+    let old = objects.get("head", "config").expect("a head was written");
+    change(&objects, &["c2", "c3"]).await;
+    let hosts = [start_host("host-0", "cumbre", Some(objects.address()), &[]).await];
+    wait_for_generation(&hosts, 3).await;
+    objects.put("head", "config", old);
+    wait_until("the older head confirms nothing", || {
+        hosts[0].context().tables.load().config_age > Duration::from_secs(5)
+    })
+    .await;
+    assert_eq!(
+        hosts[0].context().image.load().generation,
+        ConfigGeneration(3)
+    );
+}
+
+#[tokio::test]
+async fn an_invalid_head_is_not_adopted_and_the_next_valid_one_is() {
+    let objects = FakeObjects::start().await;
+    change(&objects, &["c1"]).await;
+    let hosts = [start_host("host-0", "cumbre", Some(objects.address()), &[]).await];
+    wait_for_generation(&hosts, 1).await;
+    let value = objects.get("head", "config").expect("a head was written");
+    let good: HeadDocument = serde_json::from_value(value).expect("well formed");
+    let mut bad = good.clone();
+    bad.generation = ConfigGeneration(2);
+    bad.entries.insert(
+        "pool/missing".into(),
+        galenamast::coordination::ObjectDigest("00".into()),
+    );
+    objects.put(
+        "head",
+        "config",
+        serde_json::to_value(&bad).expect("it encodes"),
+    );
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    assert_eq!(
+        hosts[0].context().image.load().generation,
+        ConfigGeneration(1)
+    );
+    let next = HeadDocument {
+        generation: ConfigGeneration(3),
+        ..good
+    };
+    objects.put(
+        "head",
+        "config",
+        serde_json::to_value(&next).expect("it encodes"),
+    );
+    wait_for_generation(&hosts, 3).await;
+}
+
+#[tokio::test]
+async fn a_domain_cut_off_keeps_its_configuration_and_catches_up_after_healing() {
+    let objects = FakeObjects::start().await;
+    let gate = objects.open_gate().await;
+    change(&objects, &["c1"]).await;
+    let near = start_host("host-0", "cumbre", Some(objects.address()), &[]).await;
+    let seeds = [mesh_of(&near).address()];
+    let far = start_host("host-1", "bosque", Some(gate.address()), &seeds).await;
+    let hosts = [near, far];
+    wait_for_generation(&hosts, 1).await;
+    let addresses = hosts.each_ref().map(|host| mesh_of(host).address());
+    mesh_of(&hosts[0]).block(BTreeSet::from([addresses[1]]));
+    mesh_of(&hosts[1]).block(BTreeSet::from([addresses[0]]));
+    gate.faults().set(|faults| faults.refuse = true);
+    change(&objects, &["c2", "c3"]).await;
+    wait_for_generation(&hosts[..1], 3).await;
+    wait_until("the cut-off host is stale", || {
+        hosts[1].context().tables.load().config_age > Duration::from_secs(6)
+    })
+    .await;
+    assert_eq!(
+        hosts[1].context().image.load().generation,
+        ConfigGeneration(1)
+    );
+    // The peers heal first; the platform stays out of the far host's reach.
+    mesh_of(&hosts[0]).block(BTreeSet::new());
+    mesh_of(&hosts[1]).block(BTreeSet::new());
+    wait_for_generation(&hosts, 3).await;
+    wait_until("freshness comes from the other domain", || {
+        hosts[1].context().tables.load().config_age < Duration::from_secs(6)
+    })
+    .await;
+}
--- a/galenamast/tests/fleet/main.rs
+++ b/galenamast/tests/fleet/main.rs
@@ -2,7 +2,11 @@
 
 mod call_limits;
 mod config_change;
+mod config_keeper;
+mod config_spread;
 mod member_net;
 mod membership;
 mod object_client;
+mod peer_mesh;
+mod peer_tls;
 mod support;
--- a/galenamast/tests/fleet/membership.rs
+++ b/galenamast/tests/fleet/membership.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use galenamast::coordination::{MemberEvent, MemberStatus};
+use galenamast::coordination::{MemberBody, MemberEvent, MemberMessage, MemberStatus};
 use galenamast::state::HostName;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -99,6 +99,24 @@
     }
 }
 
+#[test]
+fn a_death_that_another_host_reports_is_only_a_suspicion() {
+    let mut net = MemberNet::start(5, 1, 8);
+    net.run(Duration::from_secs(5));
+    let table = net.hosts[0].as_ref().expect("the host runs").table();
+    let mut dead = table.members[&name_of(2)].clone();
+    dead.status = MemberStatus::Dead;
+    let message = MemberMessage {
+        sender: table.members[&name_of(1)].clone(),
+        body: MemberBody::News,
+        updates: vec![dead],
+    };
+    net.handle(0, MemberEvent::Received(message));
+    assert_eq!(net.live_at(0), names(0..5));
+    net.run(Duration::from_secs(5));
+    assert_eq!(net.live_at(0), names(0..5));
+}
+
 #[test]
 fn both_sides_of_a_partition_find_each_other_after_it_heals() {
     let mut net = MemberNet::start(20, 1, 7);
