--- a/galenamast/src/event_loop.rs
+++ b/galenamast/src/event_loop.rs
@@ -12,13 +12,12 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::config::Settings;
-use crate::logging::{log_fault, log_record};
+use crate::logging::log_record;
 use crate::protocol::LogRecord;
 use crate::transport::caller_server::CallerServer;
 use crate::transport::caller_tls::load_tls;
-use crate::transport::config_loader::load_config;
 use crate::transport::host_list_poller::{follow_servers, poll_host_list, poll_loads};
-use crate::transport::{HostContext, ObjectClient, TimerService, TransportError};
+use crate::transport::{HostContext, TimerService, TransportError, start_fleet};
 
 /// Time between two looks at the requests that are still in flight during shutdown.
 const DRAIN_CHECK: Duration = Duration::from_millis(10);
@@ -53,9 +52,7 @@
         if let Some(events) = context.take_server_events() {
             tasks.push(tokio::spawn(follow_servers(context.clone(), events)));
         }
-        if let Some(objects) = context.objects.clone() {
-            tasks.push(tokio::spawn(follow_config(context.clone(), objects)));
-        }
+        tasks.extend(start_fleet(&context)?);
         if let Some(ledger) = context.ledger.clone() {
             tasks.push(tokio::spawn(ledger.run()));
         }
@@ -110,6 +107,9 @@
             log_record(Level::Warn, &LogRecord::RequestAbandoned { request_id });
         }
         self.serving.abort();
+        if let Some(peers) = self.context.peers.get() {
+            peers.leave().await;
+        }
         for task in &self.tasks {
             task.abort();
         }
@@ -171,22 +171,3 @@
         None => std::future::pending().await,
     }
 }
-
-/// Adopts newer configurations from the platform until the task is aborted.
-async fn follow_config(context: Arc<HostContext>, objects: ObjectClient) {
-    let mut ticks = context
-        .timers
-        .subscribe(context.settings.platform.host_list_period);
-    loop {
-        match load_config(&objects).await {
-            Ok(Some(image)) if image.generation > context.image.load().generation => {
-                let generation = image.generation;
-                context.image.store(Arc::new(image));
-                log_record(Level::Info, &LogRecord::ConfigAdopted { generation });
-            }
-            Ok(_) => {}
-            Err(error) => log_fault("config", &error),
-        }
-        ticks.tick().await;
-    }
-}
