--- a/galenamast/src/commands/admin/claims.rs
+++ b/galenamast/src/commands/admin/claims.rs
@@ -21,7 +21,11 @@
     let base = |step: &'static str, about: &'static str| {
         Command::new(step)
             .about(about)
-            .arg(argument("workspace", "WORKSPACE", "Workspace of the request"))
+            .arg(argument(
+                "workspace",
+                "WORKSPACE",
+                "Workspace of the request",
+            ))
             .arg(argument("key", "KEY", "Idempotency key of the request"))
             .arg(argument("reason", "TEXT", "How it was found out").long("reason"))
     };
--- a/galenamast/src/commands/mod.rs
+++ b/galenamast/src/commands/mod.rs
@@ -4,6 +4,7 @@
 pub mod check_config;
 pub mod completions;
 pub mod docs;
+pub mod keygen;
 pub mod serve;
 
 /// Exit code of a command whose claim did not hold.
--- a/galenamast/src/transport/host_context.rs
+++ b/galenamast/src/transport/host_context.rs
@@ -1,7 +1,7 @@
 //! What the parts of a running entry host share.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use sha2::{Digest, Sha256};
@@ -16,9 +16,11 @@
 use crate::transport::backend_client::BackendClient;
 use crate::transport::claim_request::ClaimSettings;
 use crate::transport::claim_runner::ClaimRunner;
+use crate::transport::config_runner::ConfigRunner;
 use crate::transport::http_client::HttpClient;
 use crate::transport::object_calls::ObjectCalls;
 use crate::transport::object_client::{CallLimits, ObjectClient};
+use crate::transport::peer_mesh::PeerMesh;
 use crate::transport::queue_gate::QueueGate;
 use crate::transport::request_board::RequestBoard;
 use crate::transport::timer_service::TimerService;
@@ -50,6 +52,10 @@
     pub ledger: Option<UsageLedger>,
     /// Hands a usage record to another entry host of the failure domain; empty if there is none.
     pub usage_copy: Arc<ArcSwapOption<CopyCall>>,
+    /// Mesh of entry hosts, once the host has started.
+    pub peers: OnceLock<PeerMesh>,
+    /// Distribution of the configuration, once the host has started.
+    pub config: OnceLock<ConfigRunner>,
     /// HTTP client of the other services of the platform.
     pub client: HttpClient,
     /// Whether an operator took the host out of the balancer.
@@ -111,6 +117,8 @@
             ledger,
             usage_copy,
             objects,
+            peers: OnceLock::new(),
+            config: OnceLock::new(),
             client,
             draining: AtomicBool::new(false),
             admission: Mutex::default(),
--- a/galenamast/src/transport/operator_status.rs
+++ b/galenamast/src/transport/operator_status.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeSet;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, PoisonError};
+use std::time::Duration;
 
 use tonic::{Request, Response, Status, async_trait};
 
+use crate::coordination::DomainReach;
 use crate::generated::operator as wire;
 use crate::generated::operator::status_service_server::StatusService;
 use crate::protocol::operator_json::snake_name;
@@ -17,6 +19,9 @@
 use crate::transport::host_context::HostContext;
 use crate::transport::operator_context::{OperatorContext, answer};
 
+/// Age beyond which news of a failure domain counts as not heard.
+const REACH_BOUND: Duration = Duration::from_secs(15);
+
 /// Serves the call that reports the state of a host.
 #[derive(Debug)]
 pub struct StatusCalls {
@@ -55,12 +60,7 @@
         generation: image.generation.0,
         ready: host.is_ready(),
         draining,
-        hosts: vec![wire::HostStatus {
-            host: own.name.to_string(),
-            domain: own.domain.to_string(),
-            state: "alive".into(),
-            generation: image.generation.0,
-        }],
+        hosts: host_statuses(host),
         servers: tables
             .servers
             .servers()
@@ -114,29 +114,96 @@
 
 /// Says where a generation is in force, as far as the called host knows.
 ///
-/// Failure domains are those of known hosts and backend servers; one of which no host answers for
-/// the generation is not reached.
+/// Known failure domains are those of hosts and backend servers.
 pub(crate) fn propagation_of(host: &HostContext, asked: ConfigGeneration) -> wire::Propagation {
+    let reaches = known_reaches(host);
+    let mut not_reached = known_domains(host);
+    for reach in &reaches {
+        not_reached.remove(reach.domain.as_str());
+    }
+    let in_force = |reach: &DomainReach| reach.hosts > 0 && reach.lowest >= asked;
+    wire::Propagation {
+        generation: asked.0,
+        everywhere: not_reached.is_empty() && reaches.iter().all(in_force),
+        domains: reaches
+            .iter()
+            .map(|reach| reach_to_wire(reach, asked))
+            .collect(),
+        domains_not_reached: not_reached.into_iter().collect(),
+    }
+}
+
+/// Lists what was heard lately of failure domains; a host that is alone in its own answers for it.
+fn known_reaches(host: &HostContext) -> Vec<DomainReach> {
+    let reaches = host.config.get().map(|config| config.reaches());
+    let mut reaches = reaches.unwrap_or_default();
+    reaches.retain(|reach| reach.age <= REACH_BOUND);
     let own = &host.settings.host;
-    let in_force = host.image.load().generation >= asked;
+    let peers = host.peers.get().map(|peers| peers.members());
+    let alone = peers.is_none_or(|members| members.live_peers().next().is_none());
+    if alone && !reaches.iter().any(|reach| reach.domain == own.domain) {
+        reaches.push(DomainReach {
+            domain: own.domain.clone(),
+            hosts: 1,
+            lowest: host.image.load().generation,
+            behind: vec![own.name.clone()],
+            age: Duration::ZERO,
+        });
+    }
+    reaches
+}
+
+/// Lists the failure domains of known hosts and backend servers.
+fn known_domains(host: &HostContext) -> BTreeSet<String> {
     let tables = host.tables.load();
     let servers = tables.servers.servers();
     let mut domains: BTreeSet<String> = servers.map(|server| server.domain.to_string()).collect();
-    domains.remove(own.domain.as_str());
-    let own_name = vec![own.name.to_string()];
-    let (hosts_in_force, hosts_behind) = match in_force {
-        true => (own_name, Vec::new()),
-        false => (Vec::new(), own_name),
-    };
-    wire::Propagation {
-        generation: asked.0,
-        hosts_in_force,
-        hosts_behind,
-        domains_not_reached: domains.into_iter().collect(),
-        this_host_only: true,
+    domains.insert(host.settings.host.domain.to_string());
+    if let Some(peers) = host.peers.get() {
+        let members = peers.members();
+        let contacts = members.contacts.values();
+        domains.extend(contacts.map(|record| record.domain.to_string()));
+    }
+    domains
+}
+
+/// Converts what was heard of a failure domain.
+fn reach_to_wire(reach: &DomainReach, asked: ConfigGeneration) -> wire::DomainPropagation {
+    let behind = reach.behind.iter().filter(|_| reach.lowest < asked);
+    wire::DomainPropagation {
+        domain: reach.domain.to_string(),
+        live_hosts: reach.hosts,
+        lowest_generation: reach.lowest.0,
+        hosts_behind: behind.map(ToString::to_string).collect(),
+        age_ms: milliseconds(reach.age),
     }
 }
 
+/// Lists the entry hosts that the called host knows.
+fn host_statuses(host: &HostContext) -> Vec<wire::HostStatus> {
+    let own = &host.settings.host;
+    let generation = host.image.load().generation;
+    let mut statuses = vec![wire::HostStatus {
+        host: own.name.to_string(),
+        domain: own.domain.to_string(),
+        state: "alive".into(),
+        generation: Some(generation.0),
+    }];
+    let Some(peers) = host.peers.get() else {
+        return statuses;
+    };
+    let members = peers.members();
+    let known = members.members.values().chain(members.contacts.values());
+    let others = known.filter(|record| record.name != own.name);
+    statuses.extend(others.map(|record| wire::HostStatus {
+        host: record.name.to_string(),
+        domain: record.domain.to_string(),
+        state: snake_name(&record.status),
+        generation: None,
+    }));
+    statuses
+}
+
 #[async_trait]
 impl StatusService for StatusCalls {
     async fn get_status(
--- a/galenamast/tests/operator/log_lines.rs
+++ b/galenamast/tests/operator/log_lines.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use galenamast::coordination::fault_limiter::{FAULT_WINDOW, FAULTS_PER_WINDOW, FaultLimiter};
-use galenamast::coordination::{MoveKind, MoveReason, PlacementMove, RolloutStep, UsageRecord};
+use galenamast::coordination::{
+    MemberStatus, MoveKind, MoveReason, PlacementMove, RolloutStep, UsageRecord,
+};
 use galenamast::logging::line_text;
 use galenamast::protocol::{ChangeRecord, DecisionRecord, LogRecord};
 use galenamast::state::{
@@ -94,6 +96,20 @@
                 generation: ConfigGeneration(7),
             },
         ),
+        (
+            "config_regressed",
+            LogRecord::ConfigRegressed {
+                offered: ConfigGeneration(6),
+                current: ConfigGeneration(7),
+            },
+        ),
+        (
+            "member_changed",
+            LogRecord::MemberChanged {
+                host: "cumbre-1".into(),
+                status: MemberStatus::Suspect,
+            },
+        ),
         (
             "fault",
             LogRecord::Fault {
--- a/galenamast/tests/promises/rollouts.rs
+++ b/galenamast/tests/promises/rollouts.rs
@@ -9,12 +9,13 @@
 use galenamast::state::{
     ConfigImage, ModelSpec, PoolSpec, RolloutPhase, RolloutSpec, VersionSpec, VersionStage,
 };
-use galenamast::transport::config_loader::load_config;
+
 use galenamast::transport::{
     ConfigWriter, HttpClient, ManualClock, ObjectClient, RolloutRunner, RolloutSources,
     TimerService,
 };
 use galenamast_fakes::FakeObjects;
+use galenamast_testbed::load_config;
 
 /// What a host sees, which tests change.
 struct Sight {
