--- a/galenamast/src/event_loop.rs
+++ b/galenamast/src/event_loop.rs
@@ -17,6 +17,8 @@
 use crate::transport::caller_server::CallerServer;
 use crate::transport::caller_tls::load_tls;
 use crate::transport::host_list_poller::{follow_servers, poll_host_list, poll_loads};
+use crate::transport::metrics_reporter::{report_gauges, start_metrics};
+use crate::transport::operator_server::start_operator_server;
 use crate::transport::{HostContext, TimerService, TransportError, start_fleet};
 
 /// Time between two looks at the requests that are still in flight during shutdown.
@@ -27,6 +29,7 @@
 pub struct EntryHost {
     context: Arc<HostContext>,
     caller_address: SocketAddr,
+    operator_address: SocketAddr,
     stopped: CancellationToken,
     serving: JoinHandle<()>,
     tasks: Vec<JoinHandle<()>>,
@@ -57,6 +60,8 @@
             tasks.push(tokio::spawn(ledger.run()));
         }
         let stopped = CancellationToken::new();
+        let operators = start_operator_server(context.clone(), stopped.clone()).await?;
+        tasks.push(operators.serving);
         let server = CallerServer {
             context: context.clone(),
             listener,
@@ -68,11 +73,13 @@
             Level::Info,
             &LogRecord::HostStarted {
                 callers: caller_address.to_string(),
+                operators: operators.address.to_string(),
             },
         );
         Ok(Self {
             context,
             caller_address,
+            operator_address: operators.address,
             stopped,
             serving,
             tasks,
@@ -84,6 +91,11 @@
         self.caller_address
     }
 
+    /// Returns the address that operators connect to.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.operator_address
+    }
+
     /// Returns the shared parts of the host.
     pub fn context(&self) -> &Arc<HostContext> {
         &self.context
@@ -145,7 +157,12 @@
 ///
 /// Returns an error if the host cannot start.
 pub async fn run(settings: Settings) -> Result<(), TransportError> {
-    let host = EntryHost::start(settings).await?;
+    let metrics = start_metrics(&settings.metrics);
+    let mut host = EntryHost::start(settings).await?;
+    if let Some(sink) = metrics {
+        let reporting = report_gauges(host.context.clone(), sink);
+        host.tasks.push(tokio::spawn(reporting));
+    }
     let mut terminate = signal(SignalKind::terminate()).ok();
     let mut interrupt = signal(SignalKind::interrupt()).ok();
     wait_for_signal(&mut terminate, &mut interrupt).await;
