Bound usage batches in bytes and wait for claims that are being closed

Cause: 16 full batches on one page of an export exceed the 2 MiB that the object client takes, a clock set back could give two lives of a host one incarnation, and a graceful shutdown did not wait for claims being closed. Change: batches hold at most 256 KiB; a conflict under a batch's name is read back and the batch renamed if another one is there; ClaimRunner::drain. Conclusion: an export page of 4 batches fits one answer.

--- a/galenamast/src/coordination/usage_buffer.rs
+++ b/galenamast/src/coordination/usage_buffer.rs
@@ -9,8 +9,8 @@
 
 /// Bytes that are set aside for the record of a request in flight.
 const RESERVED_BYTES: usize = 1_024;
-/// Bytes of a record besides its names.
-const FIXED_BYTES: usize = 160;
+/// Greatest length of a record as JSON text besides its names, in bytes.
+const FIXED_BYTES: usize = 320;
 
 /// Bounds of a usage buffer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,6 +19,8 @@
     pub max_bytes: usize,
     /// Greatest number of records in one batch.
     pub batch_records: usize,
+    /// Greatest size of one batch of several records, in bytes.
+    pub batch_bytes: usize,
 }
 
 impl Default for BufferLimits {
@@ -26,6 +28,7 @@
         Self {
             max_bytes: 64 * 1_024 * 1_024,
             batch_records: 512,
+            batch_bytes: 256 * 1_024,
         }
     }
 }
@@ -160,7 +163,7 @@
     /// Returns the batch to be written next, the same one until it is written.
     pub fn next_batch(&mut self) -> Option<UsageBatch> {
         if self.batch.is_none() && !self.pending.is_empty() {
-            let count = self.pending.len().min(self.limits.batch_records);
+            let count = self.next_batch_len();
             self.batch_since = self.pending[0].since;
             self.batch = Some(UsageBatch {
                 origin: self.origin.clone(),
@@ -176,6 +179,18 @@
         self.batch.clone()
     }
 
+    /// Gives a batch another name, because another batch was found under its own.
+    pub fn rename_batch(&mut self, sequence: u64) {
+        if let Some(batch) = self
+            .batch
+            .as_mut()
+            .filter(|batch| batch.sequence == sequence)
+        {
+            batch.sequence = self.next_batch;
+            self.next_batch += 1;
+        }
+    }
+
     /// Notes that a batch is on the platform.
     pub fn batch_written(&mut self, sequence: u64) {
         let Some(batch) = self.batch.take_if(|batch| batch.sequence == sequence) else {
@@ -213,6 +228,16 @@
         oldest.map_or(Duration::ZERO, |since| now.since(since))
     }
 
+    /// Returns how many records the next batch holds.
+    fn next_batch_len(&self) -> usize {
+        let mut bytes = 0;
+        let fits = self.pending.iter().take_while(|held| {
+            bytes += size_of_record(&held.record);
+            bytes <= self.limits.batch_bytes
+        });
+        fits.take(self.limits.batch_records).count().max(1)
+    }
+
     /// Drops the copies of an origin whose records are on the platform.
     fn drop_durable(&mut self, origin: &UsageOrigin, durable_before: u64) {
         let Some(copies) = self.copies.get_mut(origin) else {
--- a/galenamast/src/transport/claim_runner.rs
+++ b/galenamast/src/transport/claim_runner.rs
@@ -5,6 +5,7 @@
 
 use serde_json::Value;
 use tokio::sync::oneshot;
+use tokio_util::task::TaskTracker;
 
 use crate::coordination::claim_closing::{CloseStep, plan_close};
 use crate::coordination::claim_key::{claim_object, is_outside_window};
@@ -40,6 +41,7 @@
     calls: ObjectCalls,
     timers: TimerService,
     settings: Arc<ClaimSettings>,
+    closing: TaskTracker,
 }
 
 impl ClaimRunner {
@@ -49,6 +51,7 @@
             calls,
             timers,
             settings: Arc::new(settings),
+            closing: TaskTracker::new(),
         }
     }
 
@@ -130,6 +133,16 @@
         self.close(ticket, ClaimState::Released { reason }).await
     }
 
+    /// Waits until the claims that are being closed are closed, for a graceful shutdown; returns
+    /// whether they are.
+    pub async fn drain(&self, timeout: Duration) -> bool {
+        self.closing.close();
+        tokio::select! {
+            () = self.closing.wait() => true,
+            () = self.timers.sleep(timeout) => self.closing.is_empty(),
+        }
+    }
+
     /// Resolves a claim without an outcome, as an operator found it at the backend server.
     ///
     /// Returns whether the claim was without an outcome and is now resolved.
@@ -234,7 +247,7 @@
     /// Goes on closing a claim until it is closed or the time is over.
     fn close_in_background(&self, object: ObjectKey, closed: ClaimDocument) {
         let runner = self.clone();
-        tokio::spawn(async move {
+        self.closing.spawn(async move {
             let deadline = runner.timers.now() + runner.settings.close_timeout;
             let mut wait = FIRST_CLOSE_WAIT;
             while runner.timers.now() < deadline {
--- a/galenamast/src/transport/usage_export.rs
+++ b/galenamast/src/transport/usage_export.rs
@@ -22,7 +22,7 @@
         Self {
             from_unix_ms: 0,
             until_unix_ms: u64::MAX,
-            page_batches: 16,
+            page_batches: 4,
         }
     }
 }
--- a/galenamast/src/transport/usage_ledger.rs
+++ b/galenamast/src/transport/usage_ledger.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use serde_json::Value;
 use tokio::sync::{Notify, watch};
 
 use crate::coordination::{
@@ -239,10 +240,11 @@
                 return false;
             }
         };
-        let written = (self.shared.calls.write)(batch.object(), WriteCondition::Absent, value);
+        let calls = &self.shared.calls;
+        let written = (calls.write)(batch.object(), WriteCondition::Absent, value.clone());
         match written.await {
-            // Only an earlier write of the same batch can have made the object.
-            Ok(WriteOutcome::Applied(_) | WriteOutcome::Conflict) => true,
+            Ok(WriteOutcome::Applied(_)) => true,
+            Ok(WriteOutcome::Conflict) => self.is_same_batch(batch, &value).await,
             Ok(WriteOutcome::Rejected | WriteOutcome::Unsure) => false,
             Err(error) => {
                 log_fault("usage", &error);
@@ -251,6 +253,21 @@
         }
     }
 
+    /// Returns whether an earlier write of a batch made the object of its name.
+    ///
+    /// If another batch has the name, as after a clock that was set back, the batch is renamed.
+    async fn is_same_batch(&self, batch: &UsageBatch, value: &Value) -> bool {
+        match (self.shared.calls.read)(batch.object()).await {
+            Ok(Some(record)) if record.value == *value => true,
+            Ok(Some(_)) => {
+                self.buffer().rename_batch(batch.sequence);
+                log_fault("usage", &format!("{} holds another batch", batch.object()));
+                false
+            }
+            Ok(None) | Err(_) => false,
+        }
+    }
+
     /// Waits for a record to be written to the platform.
     async fn write_through(&self, sequence: u64) -> UsageHold {
         let mut durable = self.shared.durable.subscribe();
--- a/galenamast/tests/promises/claims.rs
+++ b/galenamast/tests/promises/claims.rs
@@ -143,8 +143,14 @@
         let bench = Bench::new();
         let ticket = granted(bench.host("a").claim(request("counter", "k", 1)).await);
         bench.store.fail_next([fault, CallFault::Unreachable]);
-        bench.host("a").settle(ticket, outcome(b"charged")).await;
+        let host = bench.host("a");
+        host.settle(ticket, outcome(b"charged")).await;
+        assert!(
+            !host.drain(Duration::ZERO).await,
+            "the claim is still being closed"
+        );
         bench.settle().await;
+        assert!(host.drain(Duration::ZERO).await);
         let resent = bench.host("b").claim(request("counter", "k", 2)).await;
         assert!(
             matches!(resent, ClaimVerdict::Settled(_)),
--- a/galenamast/tests/promises/usage.rs
+++ b/galenamast/tests/promises/usage.rs
@@ -5,8 +5,8 @@
 
 use uuid::Uuid;
 
-use galenamast::coordination::{BufferLimits, UsageOrigin, UsageRecord};
-use galenamast::state::{RequestId, VersionKey};
+use galenamast::coordination::{BufferLimits, UsageBuffer, UsageOrigin, UsageRecord};
+use galenamast::state::{RequestId, TimePoint, VersionKey};
 use galenamast::transport::{
     CopyCall, ExportRange, LedgerSettings, ManualClock, TimerService, UsageHold, UsageLedger,
     export_usage,
@@ -205,6 +205,7 @@
     let limits = BufferLimits {
         max_bytes: 8 * 1_024,
         batch_records: 4,
+        ..Default::default()
     };
     let second = bench.ledger("b", no_peer());
     let first = bench.bounded_ledger("a", peer(&second), limits);
@@ -268,3 +269,40 @@
     bench.store.write(&key, condition, Some(batch.value));
     assert!(export_usage(&calls, range).await.is_err());
 }
+
+#[tokio::test]
+async fn a_batch_under_a_name_in_use_is_stored_under_another() {
+    let bench = Bench::new();
+    for number in 1..=2 {
+        // Both lives of the host have the same incarnation, as after a clock that was set back.
+        let lone = bench.ledger("a", no_peer());
+        let writer = tokio::spawn(lone.clone().run());
+        bench.record(&lone, number).await;
+        bench.pass(4).await;
+        writer.abort();
+    }
+    assert_eq!(bench.billed().await, [1, 2]);
+}
+
+#[test]
+fn batches_stay_within_their_size() {
+    let limits = BufferLimits::default();
+    let mut buffer = UsageBuffer::new(UsageOrigin::default(), limits);
+    for number in 0..2_000 {
+        let mut long = record(number);
+        long.task = "t".repeat(700).as_str().into();
+        (long.price, long.input_tokens, long.output_tokens) = (u64::MAX, u64::MAX, u64::MAX);
+        long.ended_unix_ms = u64::MAX;
+        buffer.push(long, TimePoint::ZERO);
+    }
+    let mut records = 0;
+    while let Some(batch) = buffer.next_batch() {
+        let length = serde_json::to_vec(&batch.records)
+            .expect("the batch can be encoded")
+            .len();
+        assert!(length <= limits.batch_bytes, "{length} bytes");
+        records += batch.records.len();
+        buffer.batch_written(batch.sequence);
+    }
+    assert_eq!((records, buffer.used_bytes()), (2_000, 0));
+}
