Cover late writes of claims and restarted peers by named tests

Cause: with the closing documents of unsure claims switched off, and with the adoption of an earlier life's copies switched off, no test failed. Change: named tests for both; interleavings of claims have 1 to 5 attempts.

--- a/galenamast/tests/promises/claim_faults.rs
+++ b/galenamast/tests/promises/claim_faults.rs
@@ -18,8 +18,8 @@
 
 /// Steps of one interleaving.
 const STEPS: usize = 160;
-/// Attempts of one key: the first call and its resends, each on another host.
-const ATTEMPTS: u128 = 5;
+/// Greatest number of attempts of one key: the first call and its resends, each on another host.
+const MAX_ATTEMPTS: u8 = 5;
 
 /// What an attempt does next.
 #[derive(Debug)]
@@ -61,12 +61,12 @@
 }
 
 impl World {
-    fn new(sabotage: Sabotage) -> Self {
+    fn new(attempts: u8, sabotage: Sabotage) -> Self {
         let store = MemoryObjects::default();
         if sabotage.ignore_conditions {
             store.ignore_conditions();
         }
-        let attempts = (0..ATTEMPTS).map(new_attempt).collect();
+        let attempts = (0..u128::from(attempts)).map(new_attempt).collect();
         Self {
             store,
             key: ObjectKey::new("claim", "k"),
@@ -251,10 +251,10 @@
 }
 
 /// Plays an interleaving and checks that the request ran at most once.
-fn play(choices: &[(u8, u8)], sabotage: Sabotage) -> Result<(), TestCaseError> {
-    let mut world = World::new(sabotage);
+fn play(attempts: u8, choices: &[(u8, u8)], sabotage: Sabotage) -> Result<(), TestCaseError> {
+    let mut world = World::new(attempts, sabotage);
     for (who, choice) in choices {
-        let index = usize::from(*who) % (ATTEMPTS as usize + 1);
+        let index = usize::from(*who) % (usize::from(attempts) + 1);
         match index.checked_sub(1) {
             None => world.deliver(*choice),
             Some(index) if *who >= 252 => world.kill(index),
@@ -309,9 +309,12 @@
 }
 
 fn explore(sabotage: Sabotage) -> Result<(), String> {
-    let strategy = vec((any::<u8>(), any::<u8>()), STEPS);
+    let choices = vec((any::<u8>(), any::<u8>()), STEPS);
+    let strategy = (1..=MAX_ATTEMPTS, choices);
     property_runner(4_000)
-        .run(&strategy, |choices| play(&choices, sabotage))
+        .run(&strategy, |(attempts, choices)| {
+            play(attempts, &choices, sabotage)
+        })
         .map_err(|error| error.to_string())
 }
 
--- a/galenamast/tests/promises/claims.rs
+++ b/galenamast/tests/promises/claims.rs
@@ -5,7 +5,9 @@
 use uuid::Uuid;
 
 use galenamast::coordination::claim_document::MAX_STORED_BODY;
-use galenamast::coordination::{BodyDigest, ClaimRetention, StoredOutcome};
+use galenamast::coordination::{
+    BodyDigest, ClaimRetention, StoredOutcome, WriteCondition, WriteOutcome,
+};
 use galenamast::state::{AttemptId, RequestId, RunState};
 use galenamast::transport::{
     ClaimCleaner, ClaimRequest, ClaimResolution, ClaimRunner, ClaimSettings, ClaimTicket,
@@ -340,3 +342,49 @@
     );
     granted(bench.host("b").claim(request("counter", "k", 2)).await);
 }
+
+#[tokio::test]
+async fn a_create_that_arrives_after_its_release_has_no_effect() {
+    for taken_before in [false, true] {
+        let bench = Bench::new();
+        if taken_before {
+            let ticket = granted(bench.host("z").claim(request("counter", "k", 9)).await);
+            bench.host("z").release(ticket).await;
+        }
+        let late = std::sync::Arc::new(std::sync::Mutex::new(Vec::new()));
+        let mut calls = bench.store.object_calls();
+        let (write, kept) = (calls.write, late.clone());
+        // Writes of a claim that is held are delayed; the platform is down after the last one.
+        let store = bench.store.clone();
+        calls.write = std::sync::Arc::new(move |key, condition, value| {
+            if value["state"]["state"] != "held" {
+                return write(key, condition, value);
+            }
+            let mut kept = kept.lock().expect("no holder panics");
+            let conflicts = taken_before && condition == WriteCondition::Absent;
+            if !conflicts {
+                kept.push((key, condition, value));
+                store.fail_next([CallFault::Unreachable]);
+            }
+            let outcome = if conflicts {
+                WriteOutcome::Conflict
+            } else {
+                WriteOutcome::Unsure
+            };
+            Box::pin(async move { Ok(outcome) })
+        });
+        let host = ClaimRunner::new(calls, bench.timers.clone(), ClaimSettings::default());
+        let refused = host.claim(request("counter", "k", 1)).await;
+        assert!(matches!(refused, ClaimVerdict::Unavailable), "{refused:?}");
+        bench.settle().await;
+        let late = late.lock().expect("no holder panics").pop();
+        let (key, condition, value) = late.expect("a write was delayed");
+        let arrived = bench.store.apply(&key, condition, Some(value));
+        assert_eq!(
+            arrived,
+            WriteOutcome::Conflict,
+            "taken before: {taken_before}"
+        );
+        granted(bench.host("b").claim(request("counter", "k", 2)).await);
+    }
+}
--- a/galenamast/tests/promises/usage.rs
+++ b/galenamast/tests/promises/usage.rs
@@ -5,7 +5,7 @@
 
 use uuid::Uuid;
 
-use galenamast::coordination::{BufferLimits, UsageBuffer, UsageOrigin, UsageRecord};
+use galenamast::coordination::{BufferLimits, UsageBuffer, UsageCopy, UsageOrigin, UsageRecord};
 use galenamast::state::{RequestId, TimePoint, VersionKey};
 use galenamast::transport::{
     CopyCall, ExportRange, LedgerSettings, ManualClock, TimerService, UsageHold, UsageLedger,
@@ -306,3 +306,26 @@
     }
     assert_eq!((records, buffer.used_bytes()), (2_000, 0));
 }
+
+#[tokio::test]
+async fn a_new_life_of_a_host_makes_its_peer_write_the_copies_of_the_old_one() {
+    let bench = Bench::new();
+    let second = bench.ledger("b", no_peer());
+    let writer = tokio::spawn(second.clone().run());
+    for (incarnation, number) in [(1, 1), (2, 2)] {
+        let origin = UsageOrigin {
+            host: "a".into(),
+            incarnation,
+        };
+        let copy = UsageCopy {
+            origin,
+            sequence: 0,
+            durable_before: 0,
+            record: record(number),
+        };
+        assert!(second.accept_copy(copy));
+    }
+    bench.pass(12).await;
+    assert_eq!(bench.billed().await, [1]);
+    writer.abort();
+}
