Kill entry hosts before and after claims, dispatches and answers

Cause: the promises on non-idempotent requests and on billing were shown within one process only, where a host cannot be killed. Change: entry hosts as processes are killed before the claim, after it, after the dispatch and after the answer; shutdown waits for claims that are being closed.

--- a/galenamast/src/event_loop.rs
+++ b/galenamast/src/event_loop.rs
@@ -128,6 +128,9 @@
             while !self.context.board.is_empty() {
                 timers.sleep(DRAIN_CHECK).await;
             }
+            if let Some(claims) = &self.context.claims {
+                claims.drain(shutdown.drain_timeout).await;
+            }
             if let Some(ledger) = &self.context.ledger {
                 ledger.drain(shutdown.drain_timeout).await;
             }
--- a/galenamast/tests/process/main.rs
+++ b/galenamast/tests/process/main.rs
@@ -1,5 +1,7 @@
 //! The whole path with entry hosts as separate processes.
 
+mod host_kills;
+
 use std::fs;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
