--- a/galenamast/src/transport/config_loader.rs
+++ b/testbed/src/platform_image.rs
@@ -1,11 +1,13 @@
-//! Reads the configuration in force from the platform.
+//! Reads the configuration that the platform holds, for assertions.
 
-use crate::coordination::config_documents::{CONFIG_KIND, EncodedObject, HEAD_KIND, HEAD_NAME};
-use crate::coordination::{HeadDocument, ObjectKey, assemble_image};
-use crate::protocol::ProtocolError;
-use crate::state::ConfigImage;
-use crate::transport::object_client::ObjectClient;
-use crate::transport::transport_error::TransportError;
+use galenamast::coordination::config_documents::{
+    CONFIG_KIND, EncodedObject, HEAD_KIND, HEAD_NAME,
+};
+use galenamast::coordination::{HeadDocument, ObjectKey, assemble_image};
+use galenamast::protocol::ProtocolError;
+use galenamast::state::ConfigImage;
+use galenamast::transport::ObjectClient;
+use galenamast::transport::TransportError;
 
 /// Reads the head and every object that it names.
 ///
