Copy usage records to a peer and take over those of hosts that are gone

Cause: the ledger's seam to its peer was not connected, so that each record went straight to the platform before its answer ended. Change: StoreUsage hands a copy to the first live peer of the failure domain by rendezvous; a host that leaves the members has its copies written.

--- a/galenamast/src/protocol/peer_request.rs
+++ b/galenamast/src/protocol/peer_request.rs
@@ -2,7 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::{ConfigEntries, ConfigNotice, ConfigProbe, EncodedObject, ObjectDigest};
+use crate::coordination::{
+    ConfigEntries, ConfigNotice, ConfigProbe, EncodedObject, ObjectDigest, UsageCopy,
+};
 use crate::state::ConfigGeneration;
 
 /// A request of another entry host.
@@ -23,6 +25,8 @@
         /// Digests of the objects.
         digests: Vec<ObjectDigest>,
     },
+    /// Asks the host to hold a copy of a usage record.
+    StoreUsage(UsageCopy),
 }
 
 /// The reply of another entry host.
--- a/galenamast/src/transport/mod.rs
+++ b/galenamast/src/transport/mod.rs
@@ -45,6 +45,7 @@
 pub mod transport_error;
 pub mod usage_export;
 pub mod usage_ledger;
+pub mod usage_peers;
 
 pub use backend_client::{BackendClient, BackendReply};
 pub use call_counters::{CallCounters, CallCounts, CallKind};
@@ -67,3 +68,4 @@
 pub use usage_ledger::{
     CopyCall, LedgerSettings, LedgerStatus, UsageHold, UsageLedger, UsageReservation,
 };
+pub use usage_peers::start_usage_peers;
--- /dev/null
+++ b/galenamast/src/transport/usage_peers.rs
@@ -0,0 +1,78 @@
+//! Copies usage records to another entry host, and takes over those of hosts that are gone.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::coordination::{UsageCopy, rank_hosts};
+use crate::protocol::{PeerReply, PeerRequest};
+use crate::state::HostName;
+use crate::transport::host_context::HostContext;
+use crate::transport::object_calls::CallFuture;
+use crate::transport::peer_mesh::{PeerMesh, RequestHandler};
+use crate::transport::usage_ledger::{CopyCall, UsageLedger};
+
+/// Time between two looks at which hosts are gone.
+const WATCH_PERIOD: Duration = Duration::from_millis(500);
+
+/// Connects the ledger to the mesh and returns the task that watches for hosts that are gone.
+pub fn start_usage_peers(context: &Arc<HostContext>) -> Option<tokio::task::JoinHandle<()>> {
+    let ledger = context.ledger.clone()?;
+    let mesh = context.peers.get()?.clone();
+    mesh.on_request(&copy_handler(&ledger));
+    context.usage_copy.store(Some(Arc::new(copy_call(&mesh))));
+    let timers = context.timers.clone();
+    Some(tokio::spawn(async move {
+        let mut ticks = timers.subscribe(WATCH_PERIOD);
+        let mut known = live_peers(&mesh);
+        loop {
+            ticks.tick().await;
+            let live = live_peers(&mesh);
+            known
+                .difference(&live)
+                .for_each(|gone| ledger.adopt_host(gone));
+            known = live;
+        }
+    }))
+}
+
+/// Returns the handler that takes in copies of other hosts.
+fn copy_handler(ledger: &UsageLedger) -> RequestHandler {
+    let ledger = ledger.clone();
+    Arc::new(move |sender, request| {
+        let PeerRequest::StoreUsage(copy) = request else {
+            return None;
+        };
+        let held = copy.origin.host == *sender && ledger.accept_copy(copy.clone());
+        let reply = if held {
+            PeerReply::Done
+        } else {
+            PeerReply::Unsupported
+        };
+        Some(Box::pin(std::future::ready(reply)))
+    })
+}
+
+/// Returns the call that hands a record to the peer that holds this host's copies.
+fn copy_call(mesh: &PeerMesh) -> CopyCall {
+    let mesh = mesh.clone();
+    Arc::new(move |copy| hand_over(mesh.clone(), copy))
+}
+
+/// Hands a record to a peer; returns whether the peer holds it.
+fn hand_over(mesh: PeerMesh, copy: UsageCopy) -> CallFuture<bool> {
+    Box::pin(async move {
+        let task = format!("usage of {}", mesh.own());
+        let Some(peer) = rank_hosts(&task, &live_peers(&mesh)).into_iter().next() else {
+            return Ok(false);
+        };
+        let reply = mesh.request(&peer, PeerRequest::StoreUsage(copy)).await?;
+        Ok(reply == PeerReply::Done)
+    })
+}
+
+/// Returns the names of the live peers of the own failure domain.
+fn live_peers(mesh: &PeerMesh) -> BTreeSet<HostName> {
+    let members = mesh.members();
+    members.live_peers().map(|peer| peer.name.clone()).collect()
+}
