Hold leases by a fenced machine that stops a margin early

Cause: roll-outs and placement need one actor at a time that a paused holder cannot disturb. Change: LeaseMachine (statig): the holder counts from before it sent the write and stops a margin early; a contender waits a duration and a margin of its own clock with the object unchanged; the term is the fencing number; lost answers are resolved by the write's number. LeaseRunner drives it and gives leases back on shutdown.

--- a/galenamast/src/event_loop.rs
+++ b/galenamast/src/event_loop.rs
@@ -86,6 +86,9 @@
                 );
             }
         }
+        if let Some(leases) = &self.context.leases {
+            leases.stop().await;
+        }
         if let Some(peers) = self.context.peers.get() {
             peers.leave().await;
         }
--- a/galenamast/src/state/mod.rs
+++ b/galenamast/src/state/mod.rs
@@ -28,8 +28,8 @@
 pub use key_digest::KeyDigest;
 pub use model_spec::{ModelSpec, VersionSpec, VersionStage};
 pub use names::{
-    DomainName, HostName, ModelName, PoolName, RolloutName, ServerName, ServiceName, SessionName,
-    TaskName, VersionName, WorkspaceName,
+    DomainName, HostName, LeaseName, ModelName, PoolName, RolloutName, ServerName, ServiceName,
+    SessionName, TaskName, VersionName, WorkspaceName,
 };
 pub use pool_spec::{PoolKind, PoolSpec, ServiceRule, ServiceSpec};
 pub use request_id::{AttemptId, RequestId};
--- a/galenamast/src/state/names.rs
+++ b/galenamast/src/state/names.rs
@@ -83,3 +83,7 @@
     /// Name of a session, chosen by the entry host that starts it.
     SessionName
 }
+shared_name! {
+    /// Name of a lease.
+    LeaseName
+}
--- a/galenamast/src/transport/host_context.rs
+++ b/galenamast/src/transport/host_context.rs
@@ -6,10 +6,12 @@
 use arc_swap::ArcSwap;
 
 use crate::config::Settings;
+use crate::coordination::LeaseSettings;
 use crate::state::{ConfigImage, RouteTables};
 use crate::transport::backend_client::BackendClient;
 use crate::transport::config_runner::ConfigRunner;
 use crate::transport::http_client::HttpClient;
+use crate::transport::lease_runner::LeaseRunner;
 use crate::transport::object_client::{CallLimits, ObjectClient};
 use crate::transport::peer_mesh::PeerMesh;
 use crate::transport::timer_service::TimerService;
@@ -33,6 +35,8 @@
     pub peers: OnceLock<PeerMesh>,
     /// Distribution of the configuration, once the host has started.
     pub config: OnceLock<ConfigRunner>,
+    /// Leases of the host, if the settings name an object API.
+    pub leases: Option<LeaseRunner>,
     /// HTTP client of the other services of the platform.
     pub client: HttpClient,
     seeds: AtomicU64,
@@ -50,6 +54,10 @@
             };
             ObjectClient::with_limits(client.clone(), address, limits, timers.clone())
         });
+        let leases = objects.as_ref().map(|objects| {
+            let host = &settings.host.name;
+            LeaseRunner::new(objects, timers.clone(), host, LeaseSettings::default())
+        });
         let tables = RouteTables {
             domain: settings.host.domain.clone(),
             ..Default::default()
@@ -60,6 +68,7 @@
             tables: ArcSwap::from_pointee(tables),
             backends: BackendClient::new(client.clone()),
             objects,
+            leases,
             peers: OnceLock::new(),
             config: OnceLock::new(),
             client,
--- /dev/null
+++ b/galenamast/src/transport/lease_runner.rs
@@ -0,0 +1,178 @@
+//! Runs the leases that an entry host holds or waits for.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::Value;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::coordination::lease_document::LEASE_KIND;
+use crate::coordination::{
+    CallPriority, LeaseAction, LeaseEvent, LeaseMachine, LeaseOwner, LeaseRecord, LeaseSettings,
+    LeaseStatus, ObjectKey, ObjectRecord, WriteCondition, WriteOutcome,
+};
+use crate::logging::log_fault;
+use crate::state::{HostName, LeaseName};
+use crate::transport::object_client::ObjectClient;
+use crate::transport::timer_service::TimerService;
+
+/// Longest time that a stopping host waits for its leases to be given back.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Holds leases for the parts of an entry host; copies share one state.
+///
+/// Each contender of a lease reads it a few times per duration, so that only a few hosts, such as
+/// the first ones by rendezvous of a failure domain, contend for one lease.
+#[derive(Clone, Debug)]
+pub struct LeaseRunner {
+    objects: ObjectClient,
+    timers: TimerService,
+    owner: LeaseOwner,
+    settings: LeaseSettings,
+    stopped: CancellationToken,
+    running: Arc<tokio_util::task::TaskTracker>,
+}
+
+impl LeaseRunner {
+    /// Creates the runner of a host.
+    pub fn new(
+        objects: &ObjectClient,
+        timers: TimerService,
+        host: &HostName,
+        settings: LeaseSettings,
+    ) -> Self {
+        let owner = LeaseOwner {
+            host: host.clone(),
+            incarnation: timers.unix_millis() << 16 | u64::from(rand::random::<u16>()),
+        };
+        Self {
+            objects: objects.with_priority(CallPriority::Lease),
+            timers,
+            owner,
+            settings,
+            stopped: CancellationToken::new(),
+            running: Arc::default(),
+        }
+    }
+
+    /// Contends for a lease until every receiver is dropped or the runner is stopped.
+    ///
+    /// The status tells until when it holds: a holder checks [`LeaseStatus::term_at`] with the
+    /// present time right before each act, since it may have been paused in between.
+    pub fn hold(&self, name: &LeaseName) -> watch::Receiver<LeaseStatus> {
+        let (sender, receiver) = watch::channel(LeaseStatus::Free);
+        let runner = self.clone();
+        let name = name.clone();
+        let task: JoinHandle<()> = self
+            .running
+            .spawn(async move { runner.run(&name, &sender).await });
+        drop(task);
+        receiver
+    }
+
+    /// Gives back all leases and waits until the platform knows, for a bounded time.
+    pub async fn stop(&self) {
+        self.stopped.cancel();
+        self.running.close();
+        if tokio::time::timeout(RELEASE_TIMEOUT, self.running.wait())
+            .await
+            .is_err()
+        {
+            log_fault(
+                "lease",
+                &"a lease was not given back in time; it lapses by itself",
+            );
+        }
+    }
+
+    /// Drives the machine of one lease.
+    async fn run(&self, name: &LeaseName, status: &watch::Sender<LeaseStatus>) {
+        let key = ObjectKey::new(LEASE_KIND, name.as_str());
+        let mut machine = LeaseMachine::new(self.owner.clone(), self.settings, rand::random());
+        let mut event = self.read(&key).await;
+        let mut released = false;
+        loop {
+            let mut action = machine.handle(&event, self.timers.now());
+            self.publish(&machine, status);
+            let leaving = self.stopped.is_cancelled() || status.is_closed();
+            if leaving && !released {
+                released = true;
+                action = machine.handle(&LeaseEvent::Release, self.timers.now());
+                self.publish(&machine, status);
+            }
+            event = match action {
+                LeaseAction::Finish => return,
+                LeaseAction::Read => self.read(&key).await,
+                LeaseAction::Write(condition, document) => {
+                    let sent = self.timers.now();
+                    let outcome = match serde_json::to_value(&document) {
+                        Ok(value) => self.write(&key, condition, &value).await,
+                        Err(_) => WriteOutcome::Rejected,
+                    };
+                    LeaseEvent::Written(outcome, sent)
+                }
+                LeaseAction::Wait(until) => {
+                    tokio::select! {
+                        () = self.timers.sleep_until(until) => {}
+                        () = self.stopped.cancelled() => {}
+                        () = status.closed() => {}
+                    }
+                    LeaseEvent::Due
+                }
+            };
+        }
+    }
+
+    /// Publishes whether the lease is held.
+    fn publish(&self, machine: &LeaseMachine, status: &watch::Sender<LeaseStatus>) {
+        status.send_if_modified(|known| {
+            let changed = *known != machine.status();
+            *known = machine.status();
+            changed
+        });
+    }
+
+    /// Reads the lease.
+    async fn read(&self, key: &ObjectKey) -> LeaseEvent {
+        match self.objects.read(key).await {
+            Ok(None) => LeaseEvent::Read(None),
+            Ok(Some(record)) => match decode(record) {
+                Ok(record) => LeaseEvent::Read(Some(record)),
+                Err(error) => {
+                    log_fault("lease", &error);
+                    LeaseEvent::ReadFailed
+                }
+            },
+            Err(error) => {
+                log_fault("lease", &error);
+                LeaseEvent::ReadFailed
+            }
+        }
+    }
+
+    /// Writes the lease.
+    async fn write(
+        &self,
+        key: &ObjectKey,
+        condition: WriteCondition,
+        value: &Value,
+    ) -> WriteOutcome {
+        match self.objects.write(key, condition, value).await {
+            Ok(outcome) => outcome,
+            Err(error) => {
+                log_fault("lease", &error);
+                WriteOutcome::Rejected
+            }
+        }
+    }
+}
+
+/// Decodes a lease.
+fn decode(record: ObjectRecord) -> Result<LeaseRecord, serde_json::Error> {
+    Ok(LeaseRecord {
+        version: record.version,
+        document: serde_json::from_value(record.value)?,
+    })
+}
--- a/galenamast/tests/fleet/main.rs
+++ b/galenamast/tests/fleet/main.rs
@@ -4,6 +4,8 @@
 mod config_change;
 mod config_keeper;
 mod config_spread;
+mod lease_net;
+mod leases;
 mod member_net;
 mod membership;
 mod object_client;
