--- a/galenamast/src/coordination/mod.rs
+++ b/galenamast/src/coordination/mod.rs
@@ -2,6 +2,8 @@
 //!
 //! Nothing here does I/O or reads a clock: `handle(event, now)` returns actions.
 
+pub mod admission_control;
+pub mod admission_queue;
 pub mod byte_budget;
 pub mod call_budget;
 pub mod change_refusal;
@@ -20,6 +22,8 @@
 pub mod config_reach;
 pub mod config_store;
 pub mod coordination_error;
+pub mod crash_quarantine;
+pub mod engine_order;
 pub mod gossip_queue;
 pub mod host_list;
 pub mod lease_document;
@@ -34,9 +38,21 @@
 pub mod object_query;
 pub mod object_record;
 pub mod object_write;
+pub mod placement_input;
+pub mod placement_needs;
+pub mod placement_planner;
 pub mod rendezvous;
+pub mod request_failure;
+pub mod request_machine;
+pub mod request_messages;
+pub mod request_placement;
+pub mod request_stream;
 pub mod retry_backoff;
+pub mod retry_budget;
+pub mod rollout_controller;
+pub mod rollout_step;
 pub mod server_directory;
+pub mod server_life;
 pub mod session_claims;
 pub mod session_error;
 pub mod session_signer;
@@ -46,6 +62,8 @@
 pub mod usage_merge;
 pub mod usage_record;
 
+pub use admission_control::{AdmissionControl, AdmissionRefusal};
+pub use admission_queue::{AdmissionQueue, QueueEntry, QueueTicket, QueueVerdict};
 pub use byte_budget::ByteBudget;
 pub use call_budget::{CallBudget, CallPriority};
 pub use change_refusal::ChangeRefusal;
@@ -66,6 +84,8 @@
 pub use config_reach::ReachBoard;
 pub use config_store::ConfigStore;
 pub use coordination_error::CoordinationError;
+pub use crash_quarantine::{CrashFingerprint, CrashNote, CrashQuarantine, ServerDeath};
+pub use engine_order::{EngineOrder, EngineState};
 pub use gossip_queue::{GossipItem, GossipQueue, PeerScope};
 pub use host_list::{HostList, HostListEntry, HostState};
 pub use lease_document::{LeaseDocument, LeaseOwner, LeaseRecord, LeaseStatus};
@@ -78,9 +98,26 @@
 pub use object_query::ObjectQuery;
 pub use object_record::{ObjectKey, ObjectRecord, ObjectVersion};
 pub use object_write::{WriteCondition, WriteOutcome};
+pub use placement_input::{
+    MoveKind, MoveReason, PlacementMove, PlacementPlan, PlacementServer, PlacementSettings,
+    ReplicaCount, VersionDemand,
+};
+pub use placement_planner::plan_placement;
 pub use rendezvous::rank_hosts;
+pub use request_failure::{AttemptFailure, StartState, classify_failure};
+pub use request_machine::RequestMachine;
+pub use request_messages::{
+    AttemptNumber, ClaimAnswer, ClaimEnd, FailureReason, RequestAction, RequestEvent,
+    RequestGuards, RequestPlan,
+};
+pub use request_placement::choose_service_server;
+pub use request_stream::{StreamChecker, StreamVerdict};
 pub use retry_backoff::RetryBackoff;
-pub use server_directory::ServerDirectory;
+pub use retry_budget::RetryBudget;
+pub use rollout_controller::{RolloutController, RolloutEvent, RolloutView};
+pub use rollout_step::RolloutStep;
+pub use server_directory::{DirectoryEvent, ServerDirectory};
+pub use server_life::{LifeEvent, LifeSettings, ServerMachine};
 pub use session_claims::SessionClaims;
 pub use session_error::SessionError;
 pub use session_signer::{SessionSettings, SessionSigner};
--- a/galenamast/src/protocol/log_record.rs
+++ b/galenamast/src/protocol/log_record.rs
@@ -2,9 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::{MemberStatus, UsageRecord};
+use crate::coordination::{MemberStatus, PlacementMove, RolloutStep, UsageRecord};
 use crate::protocol::decision_record::DecisionRecord;
-use crate::state::{ConfigGeneration, HostName};
+use crate::state::{ConfigGeneration, DomainName, HostName, RequestId, RolloutName};
 
 /// A log line.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -12,6 +12,26 @@
 pub enum LogRecord {
     /// A request was routed.
     Decision(DecisionRecord),
+    /// A version was placed on an engine or taken from it.
+    Placement {
+        /// Failure domain of the engine.
+        domain: DomainName,
+        /// Term of the lease under which it was decided.
+        term: u64,
+        /// Generation of the configuration that it was decided by.
+        generation: ConfigGeneration,
+        /// What was decided.
+        decision: PlacementMove,
+    },
+    /// A roll-out was changed by its controller.
+    RolloutStep {
+        /// Name of the roll-out.
+        rollout: RolloutName,
+        /// Generation that the decision was based on.
+        generation: ConfigGeneration,
+        /// What was changed and why.
+        step: RolloutStep,
+    },
     /// A request was billed.
     Usage(UsageRecord),
     /// The host started to serve.
@@ -19,6 +39,13 @@
         /// Address for callers.
         callers: String,
     },
+    /// The host began to shut down.
+    HostLeaving,
+    /// A request was still in flight when the host stopped.
+    RequestAbandoned {
+        /// Identifier of the request.
+        request_id: RequestId,
+    },
     /// The host stopped serving.
     HostStopped,
     /// A configuration came into force on this host.
