--- a/galenamast/src/coordination/mod.rs
+++ b/galenamast/src/coordination/mod.rs
@@ -26,6 +26,8 @@
 pub mod engine_order;
 pub mod gossip_queue;
 pub mod host_list;
+pub mod lease_document;
+pub mod lease_machine;
 pub mod load_report;
 pub mod member_machine;
 pub mod member_message;
@@ -86,6 +88,8 @@
 pub use engine_order::{EngineOrder, EngineState};
 pub use gossip_queue::{GossipItem, GossipQueue, PeerScope};
 pub use host_list::{HostList, HostListEntry, HostState};
+pub use lease_document::{LeaseDocument, LeaseOwner, LeaseRecord, LeaseStatus};
+pub use lease_machine::{LeaseAction, LeaseEvent, LeaseMachine, LeaseSettings};
 pub use load_report::LoadReport;
 pub use member_machine::{MemberMachine, MemberSettings};
 pub use member_message::{MemberAction, MemberBody, MemberEvent, MemberMessage, PeerTarget};
--- a/galenamast/src/event_loop.rs
+++ b/galenamast/src/event_loop.rs
@@ -100,6 +100,9 @@
     pub async fn stop_unless(mut self, hurry: impl Future<Output = ()>) {
         self.context.leaving.store(true, Ordering::SeqCst);
         log_record(Level::Info, &LogRecord::HostLeaving);
+        if let Some(peers) = self.context.peers.get() {
+            peers.announce_leaving();
+        }
         tokio::select! {
             () = self.drain() => {}
             () = hurry => {}
@@ -108,6 +111,9 @@
             log_record(Level::Warn, &LogRecord::RequestAbandoned { request_id });
         }
         self.serving.abort();
+        if let Some(leases) = &self.context.leases {
+            leases.stop().await;
+        }
         if let Some(peers) = self.context.peers.get() {
             peers.leave().await;
         }
--- a/galenamast/src/transport/host_context.rs
+++ b/galenamast/src/transport/host_context.rs
@@ -10,7 +10,7 @@
 use crate::config::Settings;
 use crate::coordination::{
     AdmissionControl, CallPriority, ClaimRetention, CrashNote, CrashQuarantine, DirectoryEvent,
-    UsageOrigin,
+    LeaseSettings, UsageOrigin,
 };
 use crate::state::{ConfigImage, RouteTables};
 use crate::transport::backend_client::BackendClient;
@@ -18,6 +18,7 @@
 use crate::transport::claim_runner::ClaimRunner;
 use crate::transport::config_runner::ConfigRunner;
 use crate::transport::http_client::HttpClient;
+use crate::transport::lease_runner::LeaseRunner;
 use crate::transport::object_calls::ObjectCalls;
 use crate::transport::object_client::{CallLimits, ObjectClient};
 use crate::transport::peer_mesh::PeerMesh;
@@ -46,16 +47,18 @@
     pub backends: BackendClient,
     /// Client of the object API, if the settings name one.
     pub objects: Option<ObjectClient>,
+    /// Mesh of entry hosts, once the host has started.
+    pub peers: OnceLock<PeerMesh>,
+    /// Distribution of the configuration, once the host has started.
+    pub config: OnceLock<ConfigRunner>,
+    /// Leases of the host, if the settings name an object API.
+    pub leases: Option<LeaseRunner>,
     /// Claims of non-idempotent requests, if the settings name the object API.
     pub claims: Option<ClaimRunner>,
     /// Usage records, if the settings name the object API.
     pub ledger: Option<UsageLedger>,
     /// Hands a usage record to another entry host of the failure domain; empty if there is none.
     pub usage_copy: Arc<ArcSwapOption<CopyCall>>,
-    /// Mesh of entry hosts, once the host has started.
-    pub peers: OnceLock<PeerMesh>,
-    /// Distribution of the configuration, once the host has started.
-    pub config: OnceLock<ConfigRunner>,
     /// HTTP client of the other services of the platform.
     pub client: HttpClient,
     /// Limits of the workspaces.
@@ -94,6 +97,10 @@
             };
             ObjectClient::with_limits(client.clone(), address, limits, timers.clone())
         });
+        let leases = objects.as_ref().map(|objects| {
+            let host = &settings.host.name;
+            LeaseRunner::new(objects, timers.clone(), host, LeaseSettings::default())
+        });
         let usage_copy = Arc::new(ArcSwapOption::empty());
         let claims = objects
             .as_ref()
@@ -115,6 +122,7 @@
             ledger,
             usage_copy,
             objects,
+            leases,
             peers: OnceLock::new(),
             config: OnceLock::new(),
             client,
--- a/galenamast/src/transport/peer_mesh.rs
+++ b/galenamast/src/transport/peer_mesh.rs
@@ -168,9 +168,14 @@
         self.shared.links.block(addresses);
     }
 
+    /// Tells other hosts that this one leaves; it still answers them.
+    pub fn announce_leaving(&self) {
+        let _ = self.shared.events.try_send(MemberEvent::Leave);
+    }
+
     /// Tells other hosts that this one leaves, and closes all connections.
     pub async fn leave(&self) {
-        let _ = self.shared.events.send(MemberEvent::Leave).await;
+        self.announce_leaving();
         self.shared.timers.sleep(LEAVE_TIME).await;
         self.shared.links.shut_down().await;
     }
