Kill a host that answered while the platform was down

Cause: the connection of the ledger to its peer had no test. Change: a process test waits until answers are copied instead of written, takes the platform down, kills the host that answered and lets the platform come back. Conclusion: the peer bills the answers of the dead host, each once.

--- a/galenamast/tests/process/host_kills.rs
+++ b/galenamast/tests/process/host_kills.rs
@@ -199,12 +199,11 @@
     assert_eq!(bench.runs(), 1);
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn a_host_killed_after_its_answer_has_billed_it_once() {
-    let mut bench = Bench::start().await;
+/// Asks for answers of the first host and returns their identifiers.
+async fn answers(bench: &Bench, count: usize) -> Vec<String> {
     let caller = Caller::new(WORKSPACE);
     let mut answered = Vec::new();
-    for _ in 0..5 {
+    for _ in 0..count {
         let reply = caller
             .chat(bench.hosts[0].address, "which boot size?", &[])
             .await;
@@ -217,7 +216,11 @@
                 .to_owned(),
         );
     }
-    drop(bench.hosts.remove(0));
+    answered
+}
+
+/// Waits until each request is billed, and checks that none is billed twice.
+async fn wait_until_billed(bench: &Bench, answered: &[String]) {
     let address = bench.deployment.objects.address();
     let client = ObjectClient::new(HttpClient::new(), address, Duration::from_secs(20));
     let calls = ObjectCalls::of_client(&client);
@@ -235,8 +238,51 @@
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
     };
-    // A peer that held the copies writes them when it has found out that the host is gone.
     tokio::time::timeout(WAIT, billed)
         .await
         .expect("every request is billed");
 }
+
+/// Answers of the first host are copied to the second one from some moment on; waits for it.
+async fn wait_for_copies(bench: &Bench) {
+    let copied = async {
+        loop {
+            let before = bench.deployment.objects.values("usage").len();
+            answers(bench, 1).await;
+            if bench.deployment.objects.values("usage").len() == before {
+                return;
+            }
+        }
+    };
+    tokio::time::timeout(WAIT, copied)
+        .await
+        .expect("the hosts find each other");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_killed_after_its_answer_has_billed_it_once() {
+    let mut bench = Bench::start().await;
+    let answered = answers(&bench, 5).await;
+    drop(bench.hosts.remove(0));
+    // A peer that held the copies writes them when it has found out that the host is gone.
+    wait_until_billed(&bench, &answered).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_of_a_host_killed_while_the_platform_is_down_are_billed_by_its_peer() {
+    let mut bench = Bench::start().await;
+    wait_for_copies(&bench).await;
+    bench
+        .deployment
+        .objects
+        .faults()
+        .set(|plan| plan.refuse = true);
+    let answered = answers(&bench, 5).await;
+    drop(bench.hosts.remove(0));
+    bench
+        .deployment
+        .objects
+        .faults()
+        .set(|plan| plan.refuse = false);
+    wait_until_billed(&bench, &answered).await;
+}
