Perform placement, roll-outs and the clean-up of claims under leases

Cause: the runners of placement and roll-outs were not started by a host. Change: the first hosts of a failure domain by rendezvous contend for its placement, and one of each for the roll-outs and the clean-up of claims; the holder acts, reads its lease again before it orders engines that ignore terms, and another host goes on when it stops. Ratings come through a closure that is empty until they are collected, so that roll-outs that ask for ratings wait. Conclusion: the duties outlive the host that performed them.

--- a/fakes/src/engine_orders.rs
+++ b/fakes/src/engine_orders.rs
@@ -11,6 +11,7 @@
 use axum::routing::get;
 use axum::{Json, Router};
 use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
 
 use crate::fake_weights::DownloadGate;
 use crate::fault_plan::FaultSwitch;
@@ -201,6 +202,14 @@
     Json(orders.state()).into_response()
 }
 
+/// Serves the load report of an engine that runs nothing.
+async fn report_load(State(orders): State<Arc<EngineOrders>>) -> Json<Value> {
+    let versions = orders.state().loaded;
+    Json(
+        json!({ "incarnation": 0, "draining": false, "running": 0, "waiting": 0, "versions": versions }),
+    )
+}
+
 /// Stand-in for the orders of an engine that serves nothing else.
 #[derive(Debug)]
 pub struct FakeOrders {
@@ -212,7 +221,9 @@
     /// Starts to take orders.
     pub async fn start(options: OrderOptions) -> Self {
         let orders = EngineOrders::new(options);
-        let listener = FakeListener::start(orders.routes()).await;
+        let load = get(report_load).with_state(orders.clone());
+        let routes = orders.routes().route("/load", load);
+        let listener = FakeListener::start(routes).await;
         Self { orders, listener }
     }
 
--- a/galenamast/src/event_loop.rs
+++ b/galenamast/src/event_loop.rs
@@ -17,7 +17,9 @@
 use crate::transport::caller_server::CallerServer;
 use crate::transport::caller_tls::load_tls;
 use crate::transport::host_list_poller::{follow_servers, poll_host_list, poll_loads};
-use crate::transport::{HostContext, TimerService, TransportError, start_fleet, start_usage_peers};
+use crate::transport::{
+    HostContext, TimerService, TransportError, start_duties, start_fleet, start_usage_peers,
+};
 
 /// Time between two looks at the requests that are still in flight during shutdown.
 const DRAIN_CHECK: Duration = Duration::from_millis(10);
@@ -54,6 +56,7 @@
         }
         tasks.extend(start_fleet(&context)?);
         tasks.extend(start_usage_peers(&context));
+        tasks.extend(start_duties(&context));
         if let Some(ledger) = context.ledger.clone() {
             tasks.push(tokio::spawn(ledger.run()));
         }
--- a/galenamast/src/transport/host_context.rs
+++ b/galenamast/src/transport/host_context.rs
@@ -12,7 +12,7 @@
     AdmissionControl, CallPriority, ClaimRetention, CrashNote, CrashQuarantine, DirectoryEvent,
     LeaseSettings, UsageOrigin,
 };
-use crate::state::{ConfigImage, RouteTables};
+use crate::state::{ConfigImage, RouteTables, VersionKey};
 use crate::transport::backend_client::BackendClient;
 use crate::transport::claim_request::ClaimSettings;
 use crate::transport::claim_runner::ClaimRunner;
@@ -33,6 +33,9 @@
 /// Text that keeps the key of fingerprints apart from other uses of the session key.
 const FINGERPRINT_CONTEXT: &[u8] = b"galenamast crash fingerprint 1";
 
+/// Counts the rated answers of a version since any fixed point in time.
+pub type RatingsCall = Arc<dyn Fn(&VersionKey) -> u64 + Send + Sync>;
+
 /// Shared parts of a running entry host.
 pub struct HostContext {
     /// Settings of the host.
@@ -57,6 +60,8 @@
     pub claims: Option<ClaimRunner>,
     /// Usage records, if the settings name the object API.
     pub ledger: Option<UsageLedger>,
+    /// Counts the rated answers of a version for roll-outs; empty until ratings are collected.
+    pub rated_answers: ArcSwapOption<RatingsCall>,
     /// Hands a usage record to another entry host of the failure domain; empty if there is none.
     pub usage_copy: Arc<ArcSwapOption<CopyCall>>,
     /// HTTP client of the other services of the platform.
@@ -121,6 +126,7 @@
             claims,
             ledger,
             usage_copy,
+            rated_answers: ArcSwapOption::empty(),
             objects,
             leases,
             peers: OnceLock::new(),
--- a/galenamast/src/transport/mod.rs
+++ b/galenamast/src/transport/mod.rs
@@ -19,6 +19,8 @@
 pub mod config_loader;
 pub mod config_runner;
 pub mod config_writer;
+pub mod domain_duties;
+pub mod duty_lease;
 pub mod host_context;
 pub mod host_list_poller;
 pub mod http_client;
@@ -56,6 +58,7 @@
 pub use claim_runner::ClaimRunner;
 pub use config_runner::{ConfigRunner, start_fleet};
 pub use config_writer::ConfigWriter;
+pub use domain_duties::start_duties;
 pub use host_context::HostContext;
 pub use http_client::HttpClient;
 pub use lease_runner::LeaseRunner;
--- a/galenamast/src/transport/placement_runner.rs
+++ b/galenamast/src/transport/placement_runner.rs
@@ -153,7 +153,7 @@
             .collect();
         let demand = (self.sources.demand)();
         let plan = plan_placement(&image, &servers, &demand, &self.settings.plan);
-        self.log_moves(&image, term, &plan);
+        self.log_moves(&image, term, &plan, &states);
         for server in &servers {
             let Some(state) = states.get(&server.name) else {
                 continue;
@@ -240,9 +240,19 @@
         taken.map(|_| ())
     }
 
-    /// Writes one line for each move.
-    fn log_moves(&self, image: &ConfigImage, term: u64, plan: &PlacementPlan) {
-        for decision in &plan.moves {
+    /// Writes one line for each move of an engine that can be ordered.
+    fn log_moves(
+        &self,
+        image: &ConfigImage,
+        term: u64,
+        plan: &PlacementPlan,
+        states: &BTreeMap<ServerName, EngineState>,
+    ) {
+        let reached = plan
+            .moves
+            .iter()
+            .filter(|change| states.contains_key(&change.server));
+        for decision in reached {
             let record = LogRecord::Placement {
                 domain: self.settings.domain.clone(),
                 term,
--- a/galenamast/tests/promises/main.rs
+++ b/galenamast/tests/promises/main.rs
@@ -2,6 +2,7 @@
 
 mod claim_faults;
 mod claims;
+mod duties;
 mod fencing;
 mod memory_objects;
 mod placement;
