Count the platform calls of a claim

Cause: claims come first in the call budget of a host, so that their cost has to be known. Figures: 2 calls for a claim with its outcome, 2 more for a resend. Conclusion: a non-idempotent request costs two writes when nothing fails.

--- a/galenamast/tests/promises/claims.rs
+++ b/galenamast/tests/promises/claims.rs
@@ -388,3 +388,18 @@
         granted(bench.host("b").claim(request("counter", "k", 2)).await);
     }
 }
+
+#[tokio::test]
+async fn a_claim_its_outcome_and_each_resend_take_few_calls() {
+    let bench = Bench::new();
+    let host = bench.host("a");
+    let ticket = granted(host.claim(request("counter", "k", 1)).await);
+    host.settle(ticket, outcome(b"charged")).await;
+    assert_eq!(bench.store.calls(), 2, "one write to claim, one to settle");
+    host.claim(request("counter", "k", 2)).await;
+    assert_eq!(
+        bench.store.calls(),
+        4,
+        "a resend tries to create, and reads"
+    );
+}
