--- a/galenamast/src/event_loop.rs
+++ b/galenamast/src/event_loop.rs
@@ -19,7 +19,9 @@
 use crate::transport::host_list_poller::{follow_servers, poll_host_list, poll_loads};
 use crate::transport::metrics_reporter::{report_gauges, start_metrics};
 use crate::transport::operator_server::start_operator_server;
-use crate::transport::{HostContext, TimerService, TransportError, start_fleet};
+use crate::transport::{
+    HostContext, TimerService, TransportError, start_duties, start_fleet, start_usage_peers,
+};
 
 /// Time between two looks at the requests that are still in flight during shutdown.
 const DRAIN_CHECK: Duration = Duration::from_millis(10);
@@ -56,6 +58,8 @@
             tasks.push(tokio::spawn(follow_servers(context.clone(), events)));
         }
         tasks.extend(start_fleet(&context)?);
+        tasks.extend(start_usage_peers(&context));
+        tasks.extend(start_duties(&context));
         if let Some(ledger) = context.ledger.clone() {
             tasks.push(tokio::spawn(ledger.run()));
         }
@@ -111,6 +115,9 @@
     pub async fn stop_unless(mut self, hurry: impl Future<Output = ()>) {
         self.context.leaving.store(true, Ordering::SeqCst);
         log_record(Level::Info, &LogRecord::HostLeaving);
+        if let Some(peers) = self.context.peers.get() {
+            peers.announce_leaving();
+        }
         tokio::select! {
             () = self.drain() => {}
             () = hurry => {}
@@ -119,6 +126,9 @@
             log_record(Level::Warn, &LogRecord::RequestAbandoned { request_id });
         }
         self.serving.abort();
+        if let Some(leases) = &self.context.leases {
+            leases.stop().await;
+        }
         if let Some(peers) = self.context.peers.get() {
             peers.leave().await;
         }
--- a/galenamast/src/transport/host_context.rs
+++ b/galenamast/src/transport/host_context.rs
@@ -10,14 +10,15 @@
 use crate::config::Settings;
 use crate::coordination::{
     AdmissionControl, CallPriority, ClaimRetention, CrashNote, CrashQuarantine, DirectoryEvent,
-    UsageOrigin,
+    LeaseSettings, UsageOrigin,
 };
-use crate::state::{ConfigImage, RouteTables};
+use crate::state::{ConfigImage, RouteTables, VersionKey};
 use crate::transport::backend_client::BackendClient;
 use crate::transport::claim_request::ClaimSettings;
 use crate::transport::claim_runner::ClaimRunner;
 use crate::transport::config_runner::ConfigRunner;
 use crate::transport::http_client::HttpClient;
+use crate::transport::lease_runner::LeaseRunner;
 use crate::transport::object_calls::ObjectCalls;
 use crate::transport::object_client::{CallLimits, ObjectClient};
 use crate::transport::peer_mesh::PeerMesh;
@@ -32,6 +33,9 @@
 /// Text that keeps the key of fingerprints apart from other uses of the session key.
 const FINGERPRINT_CONTEXT: &[u8] = b"galenamast crash fingerprint 1";
 
+/// Counts the rated answers of a version since any fixed point in time.
+pub type RatingsCall = Arc<dyn Fn(&VersionKey) -> u64 + Send + Sync>;
+
 /// Shared parts of a running entry host.
 pub struct HostContext {
     /// Settings of the host.
@@ -46,16 +50,20 @@
     pub backends: BackendClient,
     /// Client of the object API, if the settings name one.
     pub objects: Option<ObjectClient>,
+    /// Mesh of entry hosts, once the host has started.
+    pub peers: OnceLock<PeerMesh>,
+    /// Distribution of the configuration, once the host has started.
+    pub config: OnceLock<ConfigRunner>,
+    /// Leases of the host, if the settings name an object API.
+    pub leases: Option<LeaseRunner>,
     /// Claims of non-idempotent requests, if the settings name the object API.
     pub claims: Option<ClaimRunner>,
     /// Usage records, if the settings name the object API.
     pub ledger: Option<UsageLedger>,
+    /// Counts the rated answers of a version for roll-outs; empty until ratings are collected.
+    pub rated_answers: ArcSwapOption<RatingsCall>,
     /// Hands a usage record to another entry host of the failure domain; empty if there is none.
     pub usage_copy: Arc<ArcSwapOption<CopyCall>>,
-    /// Mesh of entry hosts, once the host has started.
-    pub peers: OnceLock<PeerMesh>,
-    /// Distribution of the configuration, once the host has started.
-    pub config: OnceLock<ConfigRunner>,
     /// HTTP client of the other services of the platform.
     pub client: HttpClient,
     /// Whether an operator took the host out of the balancer.
@@ -96,6 +104,10 @@
             };
             ObjectClient::with_limits(client.clone(), address, limits, timers.clone())
         });
+        let leases = objects.as_ref().map(|objects| {
+            let host = &settings.host.name;
+            LeaseRunner::new(objects, timers.clone(), host, LeaseSettings::default())
+        });
         let usage_copy = Arc::new(ArcSwapOption::empty());
         let claims = objects
             .as_ref()
@@ -116,7 +128,9 @@
             claims,
             ledger,
             usage_copy,
+            rated_answers: ArcSwapOption::empty(),
             objects,
+            leases,
             peers: OnceLock::new(),
             config: OnceLock::new(),
             client,
--- a/galenamast/src/transport/mod.rs
+++ b/galenamast/src/transport/mod.rs
@@ -16,11 +16,15 @@
 pub mod claim_cleaner;
 pub mod claim_request;
 pub mod claim_runner;
+pub mod config_loader;
 pub mod config_runner;
 pub mod config_writer;
+pub mod domain_duties;
+pub mod duty_lease;
 pub mod host_context;
 pub mod host_list_poller;
 pub mod http_client;
+pub mod lease_runner;
 pub mod metrics_catalogue;
 pub mod metrics_reporter;
 pub mod metrics_sink;
@@ -58,6 +62,7 @@
 pub mod transport_error;
 pub mod usage_export;
 pub mod usage_ledger;
+pub mod usage_peers;
 
 pub use backend_client::{BackendClient, BackendReply};
 pub use call_counters::{CallCounters, CallCounts, CallKind};
@@ -66,8 +71,10 @@
 pub use claim_runner::ClaimRunner;
 pub use config_runner::{ConfigRunner, start_fleet};
 pub use config_writer::ConfigWriter;
+pub use domain_duties::start_duties;
 pub use host_context::HostContext;
 pub use http_client::HttpClient;
+pub use lease_runner::LeaseRunner;
 pub use object_calls::{CallFuture, ObjectCalls, PageRequest};
 pub use object_client::{CallLimits, ObjectClient};
 pub use peer_mesh::{PeerCounts, PeerMesh};
@@ -80,3 +87,4 @@
 pub use usage_ledger::{
     CopyCall, LedgerSettings, LedgerStatus, UsageHold, UsageLedger, UsageReservation,
 };
+pub use usage_peers::start_usage_peers;
