Bound slow readers and test queues, hedges and unread answers

Cause: a caller that did not read a whole answer held its memory without end; a request that met an idle connection closed by the server ended as unknown although nothing was sent. Change: a caller's connection breaks when a write makes no progress for the write timeout; the HTTP client sends again what the library hands back unsent.

--- a/galenamast/src/transport/caller_server.rs
+++ b/galenamast/src/transport/caller_server.rs
@@ -24,6 +24,7 @@
 use crate::transport::caller_chat::{complete_chat, list_models};
 use crate::transport::caller_reply::{error_response, refuse};
 use crate::transport::caller_service::call_service;
+use crate::transport::caller_stream::CallerStream;
 use crate::transport::host_context::HostContext;
 
 /// Streams that one HTTP/2 connection may have open.
@@ -183,6 +184,7 @@
             .timer(TokioTimer::new())
             .max_concurrent_streams(MAX_STREAMS_PER_CONNECTION)
             .max_header_list_size(u32::try_from(callers.max_header_bytes).unwrap_or(u32::MAX));
+        let stream = CallerStream::new(stream, callers.write_timeout);
         let service = TowerToHyperService::new(routes);
         let connection = builder
             .serve_connection(TokioIo::new(stream), service)
--- a/galenamast/src/transport/http_client.rs
+++ b/galenamast/src/transport/http_client.rs
@@ -43,7 +43,9 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_timer(TokioTimer::new())
-            .retry_canceled_requests(false)
+            // Sends again only what the library hands back unsent, when an idle connection was
+            // closed before the request was written to it.
+            .retry_canceled_requests(true)
             .build(connector);
         Self { client }
     }
--- a/galenamast/src/transport/mod.rs
+++ b/galenamast/src/transport/mod.rs
@@ -12,6 +12,7 @@
 pub mod caller_request;
 pub mod caller_server;
 pub mod caller_service;
+pub mod caller_stream;
 pub mod caller_tls;
 pub mod claim_cleaner;
 pub mod claim_request;
--- a/galenamast/tests/path/main.rs
+++ b/galenamast/tests/path/main.rs
@@ -7,6 +7,7 @@
 mod failure_table;
 mod machine_faults;
 mod machine_model;
+mod overload;
 mod quarantine;
 mod server_life;
 mod services;
