--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod crash_stream;
 mod engine_answer;
+pub mod engine_orders;
 pub mod fake_engine;
 pub mod fake_hosts;
 pub mod fake_objects;
@@ -14,6 +15,9 @@
 pub mod fault_plan;
 pub mod listener;
 
+pub use engine_orders::{
+    EngineOrders, FakeOrders, OrderOptions, OrderState, OrderedVersion, TakenOrder,
+};
 pub use fake_engine::{EngineFaults, EngineOptions, EngineRun, FakeEngine};
 pub use fake_hosts::{FakeHosts, ListedHost};
 pub use fake_objects::{FakeObjects, ObjectGate};
--- a/galenamast/src/coordination/mod.rs
+++ b/galenamast/src/coordination/mod.rs
@@ -16,11 +16,15 @@
 pub mod config_documents;
 pub mod coordination_error;
 pub mod crash_quarantine;
+pub mod engine_order;
 pub mod host_list;
 pub mod load_report;
 pub mod object_query;
 pub mod object_record;
 pub mod object_write;
+pub mod placement_input;
+pub mod placement_needs;
+pub mod placement_planner;
 pub mod request_failure;
 pub mod request_machine;
 pub mod request_messages;
@@ -28,6 +32,8 @@
 pub mod request_stream;
 pub mod retry_backoff;
 pub mod retry_budget;
+pub mod rollout_controller;
+pub mod rollout_step;
 pub mod server_directory;
 pub mod server_life;
 pub mod session_claims;
@@ -54,11 +60,17 @@
 };
 pub use coordination_error::CoordinationError;
 pub use crash_quarantine::{CrashFingerprint, CrashNote, CrashQuarantine, ServerDeath};
+pub use engine_order::{EngineOrder, EngineState};
 pub use host_list::{HostList, HostListEntry, HostState};
 pub use load_report::LoadReport;
 pub use object_query::ObjectQuery;
 pub use object_record::{ObjectKey, ObjectRecord, ObjectVersion};
 pub use object_write::{WriteCondition, WriteOutcome};
+pub use placement_input::{
+    MoveKind, MoveReason, PlacementMove, PlacementPlan, PlacementServer, PlacementSettings,
+    ReplicaCount, VersionDemand,
+};
+pub use placement_planner::plan_placement;
 pub use request_failure::{AttemptFailure, StartState, classify_failure};
 pub use request_machine::RequestMachine;
 pub use request_messages::{
@@ -69,6 +81,8 @@
 pub use request_stream::{StreamChecker, StreamVerdict};
 pub use retry_backoff::RetryBackoff;
 pub use retry_budget::RetryBudget;
+pub use rollout_controller::{RolloutController, RolloutEvent, RolloutView};
+pub use rollout_step::RolloutStep;
 pub use server_directory::{DirectoryEvent, ServerDirectory};
 pub use server_life::{LifeEvent, LifeSettings, ServerMachine};
 pub use session_claims::SessionClaims;
