Put reloadable settings into force at a hang-up signal

Cause: keys were described as reloadable, but every change needed a restart. Change: the settings in force are an atomically swapped value beside those of the start; SIGHUP reads the file again and takes over the reloadable keys of [callers], [routing] and [shutdown], the certificate for callers included; claim_retention is no longer called reloadable.

--- a/galenamast/src/commands/serve.rs
+++ b/galenamast/src/commands/serve.rs
@@ -49,7 +49,7 @@
         Ok(settings) => settings,
         Err(code) => return code,
     };
-    match run_host(settings) {
+    match run_host(settings, path) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("galenamast: {error}");
@@ -59,11 +59,12 @@
 }
 
 /// Sets up logging and the runtime, and runs the entry host.
-fn run_host(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
+fn run_host(settings: Settings, path: &Path) -> Result<(), Box<dyn std::error::Error>> {
     start_logging(&settings.logging)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(event_loop::run(settings))?;
+    let path = path.to_owned();
+    runtime.block_on(event_loop::run(settings, move || load(&path).ok()))?;
     Ok(())
 }
--- a/galenamast/src/config/routing_settings.rs
+++ b/galenamast/src/config/routing_settings.rs
@@ -118,7 +118,7 @@
         default: "24h",
         range: "1m to 30days",
         description: "Time for which the outcome of a claim is kept.",
-        reloadable: true,
+        reloadable: false,
         apply: |settings, text| {
             store(
                 &mut settings.routing.claim_retention,
--- a/galenamast/src/coordination/admission_queue.rs
+++ b/galenamast/src/coordination/admission_queue.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Changes the number of requests that may wait; those that wait stay.
+    pub fn set_limit(&mut self, max_entries: usize) {
+        self.max_entries = max_entries;
+    }
+
     /// Adds a request; when the queue is full, the least important one is shed.
     pub fn push(&mut self, entry: QueueEntry) -> QueueVerdict {
         self.join_service(&entry);
--- a/galenamast/src/coordination/crash_quarantine.rs
+++ b/galenamast/src/coordination/crash_quarantine.rs
@@ -110,6 +110,11 @@
         }
     }
 
+    /// Changes the time for which deaths count from now on.
+    pub fn set_time(&mut self, quarantine_time: Duration) {
+        self.quarantine_time = quarantine_time;
+    }
+
     /// Takes in the death of a server and returns the notes for other hosts.
     pub fn record_death(&mut self, death: &ServerDeath, now: TimePoint) -> Vec<CrashNote> {
         self.recent.push_back((now, death.server.clone()));
--- a/galenamast/src/event_loop.rs
+++ b/galenamast/src/event_loop.rs
@@ -18,6 +18,7 @@
 use crate::transport::caller_tls::load_tls;
 use crate::transport::config_loader::load_config;
 use crate::transport::host_list_poller::{follow_servers, poll_host_list, poll_loads};
+use crate::transport::settings_reload::reload_settings;
 use crate::transport::{HostContext, ObjectClient, TimerService, TransportError};
 
 /// Time between two looks at the requests that are still in flight during shutdown.
@@ -43,6 +44,7 @@
         let address = settings.callers.listen;
         let tls = load_tls(&settings.callers)?;
         let context = HostContext::new(settings, TimerService::system());
+        context.caller_tls.store(tls);
         let listen = |source| TransportError::Listen { address, source };
         let listener = TcpListener::bind(address).await.map_err(listen)?;
         let caller_address = listener.local_addr().map_err(listen)?;
@@ -63,7 +65,6 @@
         let server = CallerServer {
             context: context.clone(),
             listener,
-            tls,
             stopped: stopped.clone(),
         };
         let serving = tokio::spawn(server.serve());
@@ -118,7 +119,8 @@
 
     /// Serves through the balancer's lag and lets the requests in flight end.
     async fn drain(&mut self) {
-        let shutdown = &self.context.settings.shutdown;
+        let settings = self.context.live();
+        let shutdown = &settings.shutdown;
         let timers = &self.context.timers;
         timers.sleep(shutdown.balancer_lag).await;
         self.stopped.cancel();
@@ -139,13 +141,18 @@
     }
 }
 
-/// Runs an entry host until the process is told to stop.
+/// Runs an entry host until the process is told to stop; a hang-up signal reads the settings again.
 ///
 /// # Errors
 ///
 /// Returns an error if the host cannot start.
-pub async fn run(settings: Settings) -> Result<(), TransportError> {
-    let host = EntryHost::start(settings).await?;
+pub async fn run(
+    settings: Settings,
+    read_again: impl Fn() -> Option<Settings> + Send + 'static,
+) -> Result<(), TransportError> {
+    let mut host = EntryHost::start(settings).await?;
+    let reloading = follow_settings(host.context.clone(), read_again);
+    host.tasks.push(tokio::spawn(reloading));
     let mut terminate = signal(SignalKind::terminate()).ok();
     let mut interrupt = signal(SignalKind::interrupt()).ok();
     wait_for_signal(&mut terminate, &mut interrupt).await;
@@ -154,6 +161,22 @@
     Ok(())
 }
 
+/// Puts changed settings into force at each hang-up signal.
+async fn follow_settings(context: Arc<HostContext>, read_again: impl Fn() -> Option<Settings>) {
+    let mut hangup = signal(SignalKind::hangup()).ok();
+    loop {
+        receive(&mut hangup).await;
+        let Some(changed) = read_again() else {
+            log_fault("settings", &"the settings were not taken over");
+            continue;
+        };
+        match reload_settings(&context, &changed) {
+            Ok(()) => log_record(Level::Info, &LogRecord::SettingsReloaded),
+            Err(error) => log_fault("settings", &error),
+        }
+    }
+}
+
 /// Waits for a signal that asks the process to stop.
 async fn wait_for_signal(terminate: &mut Option<Signal>, interrupt: &mut Option<Signal>) {
     tokio::select! {
--- a/galenamast/src/protocol/log_record.rs
+++ b/galenamast/src/protocol/log_record.rs
@@ -39,6 +39,8 @@
         /// Address for callers.
         callers: String,
     },
+    /// Changed settings came into force.
+    SettingsReloaded,
     /// The host began to shut down.
     HostLeaving,
     /// A request was still in flight when the host stopped.
--- a/galenamast/src/transport/caller_admission.rs
+++ b/galenamast/src/transport/caller_admission.rs
@@ -48,7 +48,7 @@
     ///
     /// Returns the refusal if the host has as many requests as it may.
     pub fn open(context: &Arc<HostContext>, id: RequestId) -> Result<Self, CallerError> {
-        let max_streams = context.settings.callers.max_streams;
+        let max_streams = context.live().callers.max_streams;
         if !context.board.open(id, max_streams) {
             let message = "the entry host has as many requests as it may";
             return Err(refuse(id, ErrorCode::Unavailable, message));
--- a/galenamast/src/transport/caller_input.rs
+++ b/galenamast/src/transport/caller_input.rs
@@ -122,7 +122,8 @@
     id: RequestId,
     body: Body,
 ) -> Result<Bytes, CallerError> {
-    let callers = &context.settings.callers;
+    let settings = context.live();
+    let callers = &settings.callers;
     let collect = Limited::new(body, callers.max_body_bytes).collect();
     let collected = tokio::select! {
         collected = collect => collected,
--- a/galenamast/src/transport/caller_server.rs
+++ b/galenamast/src/transport/caller_server.rs
@@ -82,8 +82,6 @@
     pub context: Arc<HostContext>,
     /// Socket that callers connect to.
     pub listener: TcpListener,
-    /// TLS for callers, if the settings ask for it.
-    pub tls: Option<Arc<rustls::ServerConfig>>,
     /// Told when no new connection is accepted any more.
     pub stopped: CancellationToken,
 }
@@ -94,7 +92,6 @@
         let routes = caller_routes(self.context.clone());
         let graceful = GracefulShutdown::new();
         let connections = Arc::new(AtomicUsize::new(0));
-        let acceptor = self.tls.clone().map(TlsAcceptor::from);
         loop {
             let accepted = tokio::select! {
                 accepted = self.listener.accept() => accepted,
@@ -106,7 +103,7 @@
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             };
-            let limit = self.context.settings.callers.max_streams as usize;
+            let limit = self.context.live().callers.max_streams as usize;
             if connections.load(Ordering::Relaxed) >= limit.saturating_mul(2) {
                 continue;
             }
@@ -118,7 +115,8 @@
                 watcher: graceful.watcher(),
                 counter,
             };
-            tokio::spawn(connection.run(stream, acceptor.clone()));
+            let acceptor = self.context.caller_tls.load_full();
+            tokio::spawn(connection.run(stream, acceptor.map(TlsAcceptor::from)));
         }
         drop(self.listener);
         graceful.shutdown().await;
@@ -157,7 +155,7 @@
         let Some(acceptor) = acceptor else {
             return self.serve(stream).await;
         };
-        let timeout = self.context.settings.callers.read_timeout;
+        let timeout = self.context.live().callers.read_timeout;
         // A failed or slow handshake concerns the caller alone.
         if let Ok(Ok(stream)) = tokio::time::timeout(timeout, acceptor.accept(stream)).await {
             self.serve(stream).await;
@@ -172,7 +170,8 @@
             watcher,
             counter,
         } = self;
-        let callers = &context.settings.callers;
+        let settings = context.live();
+        let callers = &settings.callers;
         let mut builder = Builder::new(TokioExecutor::new());
         builder
             .http1()
--- a/galenamast/src/transport/host_context.rs
+++ b/galenamast/src/transport/host_context.rs
@@ -32,8 +32,11 @@
 
 /// Shared parts of a running entry host.
 pub struct HostContext {
-    /// Settings of the host.
+    /// Settings that the host started with.
     pub settings: Settings,
+    /// TLS for callers, if the settings ask for it.
+    pub caller_tls: ArcSwapOption<rustls::ServerConfig>,
+    live: ArcSwap<Settings>,
     /// Source of time.
     pub timers: TimerService,
     /// Configuration in force.
@@ -120,6 +123,8 @@
             server_events,
             server_receiver: Mutex::new(Some(server_receiver)),
             seeds: AtomicU64::new(rand::random()),
+            caller_tls: ArcSwapOption::empty(),
+            live: ArcSwap::from_pointee(settings.clone()),
             settings,
         })
     }
@@ -129,6 +134,16 @@
         self.seeds.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Returns the settings in force, which may change while the host runs.
+    pub fn live(&self) -> Arc<Settings> {
+        self.live.load_full()
+    }
+
+    /// Puts settings into force.
+    pub(super) fn replace_live(&self, settings: Arc<Settings>) {
+        self.live.store(settings);
+    }
+
     /// Reports news about backend servers.
     pub fn report_servers(&self, event: DirectoryEvent) {
         // A closed channel means that the host has stopped.
--- a/galenamast/src/transport/mod.rs
+++ b/galenamast/src/transport/mod.rs
@@ -34,6 +34,7 @@
 pub mod request_runner;
 pub mod request_session;
 pub mod rollout_runner;
+pub mod settings_reload;
 pub mod timer_service;
 pub mod transport_error;
 pub mod usage_export;
--- a/galenamast/src/transport/queue_gate.rs
+++ b/galenamast/src/transport/queue_gate.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// Changes the number of requests that may wait; those that wait stay.
+    pub fn set_limit(&self, max_queued: usize) {
+        self.lock().queue.set_limit(max_queued);
+    }
+
     /// Adds a request; the channel says how its wait ends.
     pub fn join(&self, entry: QueueEntry) -> (QueueTicket, oneshot::Receiver<WaitEnd>) {
         let (sender, receiver) = oneshot::channel();
--- a/galenamast/src/transport/request_runner.rs
+++ b/galenamast/src/transport/request_runner.rs
@@ -184,7 +184,7 @@
         }
         self.claim.keep_events(&events);
         self.delivered += events.len() as u64;
-        let timeout = self.context.settings.callers.write_timeout;
+        let timeout = self.context.live().callers.write_timeout;
         if !self.channel.send_events(&events, timeout).await {
             self.gone.cancel();
         }
@@ -212,7 +212,7 @@
 
     /// Performs an action; returns the event that follows at once.
     async fn perform(&mut self, action: RequestAction) -> Option<RequestEvent> {
-        let timeout = self.context.settings.callers.write_timeout;
+        let timeout = self.context.live().callers.write_timeout;
         match action {
             RequestAction::Claim => {
                 self.claim_pending = true;
@@ -325,7 +325,7 @@
     /// Lets the request wait for a server of a pool.
     fn join_queue(&mut self, pool: PoolName) {
         let context = &self.context;
-        let longest = context.timers.now() + context.settings.routing.queue_timeout;
+        let longest = context.timers.now() + context.live().routing.queue_timeout;
         let deadline = self.job.deadline.min(longest);
         let entry = QueueEntry {
             ticket: QueueTicket::default(),
--- a/galenamast/tests/path/main.rs
+++ b/galenamast/tests/path/main.rs
@@ -9,6 +9,7 @@
 mod machine_model;
 mod overload;
 mod quarantine;
+mod reload;
 mod server_life;
 mod services;
 mod sessions;
