--- a/galenamast/tests/path/claims.rs
+++ b/galenamast/tests/path/claims.rs
@@ -119,3 +119,33 @@
     assert_eq!(first.header("x-version"), again.header("x-version"));
     assert_eq!(crate::support::runs(&deployment), 1);
 }
+
+#[tokio::test]
+async fn a_service_that_dies_with_the_call_is_not_followed_by_another() {
+    let mut options = crate::support::small(1);
+    options.services_per_domain = 3;
+    let deployment = crate::support::start_with(options, |_| {}).await;
+    for service in deployment.services.values() {
+        service.faults().set(|plan| plan.lose_answers = 1);
+    }
+    let host = host_of(&deployment);
+    let call = tokio::spawn(async move {
+        let caller = Caller::new(WORKSPACE);
+        let body = json!({ "amount": 40 });
+        let headers = [("idempotency-key", "k6")];
+        let path = "/svc/mostrador/deposit";
+        let reply = caller.send(Method::POST, host, path, Some(&body), &headers);
+        reply.await.expect("the host answers")
+    });
+    eventually("the call runs", || service_runs(&deployment) == 1).await;
+    for service in deployment.services.values() {
+        if !service.runs().is_empty() {
+            service.kill();
+        }
+    }
+    let reply = crate::support::bounded("the answer comes at once", call).await;
+    let reply = reply.expect("the caller ends");
+    assert_eq!(reply.json()["run"], "outcome_unknown", "{reply:?}");
+    assert_eq!(deposit(&deployment, WORKSPACE, "k6", 40).await.status, 409);
+    assert_eq!(service_runs(&deployment), 1);
+}
--- a/galenamast/tests/path/main.rs
+++ b/galenamast/tests/path/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod backend_faults;
 mod bad_input;
+mod billing;
 mod claims;
 mod failure_table;
 mod machine_faults;
--- a/galenamast/tests/path/streams.rs
+++ b/galenamast/tests/path/streams.rs
@@ -125,3 +125,21 @@
     assert_eq!(engine.cancelled().len(), 1);
     assert_eq!(runs(&deployment), 1);
 }
+
+#[tokio::test]
+async fn a_stream_whose_server_dies_ends_in_an_error() {
+    let deployment = start(1).await;
+    let engine = deployment.engines.values().next().expect("one engine");
+    engine.change(|options| {
+        options.token_gap = Duration::from_millis(5);
+        options.answer_tokens = 100_000;
+    });
+    let mut response = open_stream(&deployment, "boots").await;
+    let frame = response.body_mut().frame().await;
+    assert!(frame.is_some_and(|frame| frame.is_ok()));
+    engine.kill();
+    let read = read_stream(response).await;
+    assert!(!read.ended);
+    let error = read.error.expect("an explicit error");
+    assert_eq!(error["run"], "run", "{error}");
+}
--- a/galenamast/tests/path/support.rs
+++ b/galenamast/tests/path/support.rs
@@ -60,8 +60,11 @@
     headers: &[(&str, &str)],
 ) -> CallerReply {
     let caller = Caller::new(WORKSPACE);
-    let reply = caller.chat(host_of(deployment), content, headers).await;
-    reply.expect("the host answers")
+    // Shorter than the default deadline: an answer that is held back until then fails the test.
+    let reply = caller.chat(host_of(deployment), content, headers);
+    bounded("the answer comes at once", reply)
+        .await
+        .expect("the host answers")
 }
 
 /// Waits until something holds.
