--- a/galenamast/src/coordination/mod.rs
+++ b/galenamast/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod admission_control;
 pub mod admission_queue;
+pub mod byte_budget;
 pub mod call_budget;
 pub mod change_refusal;
 pub mod circuit_breaker;
@@ -14,17 +15,31 @@
 pub mod config_change;
 pub mod config_check;
 pub mod config_documents;
+pub mod config_event;
+pub mod config_freshness;
+pub mod config_keeper;
+pub mod config_notice;
+pub mod config_reach;
+pub mod config_store;
 pub mod coordination_error;
 pub mod crash_quarantine;
 pub mod engine_order;
+pub mod gossip_queue;
 pub mod host_list;
 pub mod load_report;
+pub mod member_machine;
+pub mod member_message;
+pub mod member_probe;
+pub mod member_record;
+pub mod member_roster;
+pub mod member_table;
 pub mod object_query;
 pub mod object_record;
 pub mod object_write;
 pub mod placement_input;
 pub mod placement_needs;
 pub mod placement_planner;
+pub mod rendezvous;
 pub mod request_failure;
 pub mod request_machine;
 pub mod request_messages;
@@ -39,6 +54,7 @@
 pub mod session_claims;
 pub mod session_error;
 pub mod session_signer;
+pub mod update_queue;
 pub mod usage_batch;
 pub mod usage_buffer;
 pub mod usage_merge;
@@ -46,6 +62,7 @@
 
 pub use admission_control::{AdmissionControl, AdmissionRefusal};
 pub use admission_queue::{AdmissionQueue, QueueEntry, QueueTicket, QueueVerdict};
+pub use byte_budget::ByteBudget;
 pub use call_budget::{CallBudget, CallPriority};
 pub use change_refusal::ChangeRefusal;
 pub use circuit_breaker::{BreakerState, CircuitBreaker};
@@ -58,11 +75,22 @@
 pub use config_documents::{
     ChangeNote, ConfigObject, EncodedObject, HeadDocument, ObjectDigest, assemble_image,
 };
+pub use config_event::{ConfigAction, ConfigEvent, ConfigSource};
+pub use config_freshness::ConfigFreshness;
+pub use config_keeper::{ConfigKeeper, KeeperSettings};
+pub use config_notice::{ConfigEntries, ConfigNotice, ConfigProbe, DomainReach};
+pub use config_reach::ReachBoard;
+pub use config_store::ConfigStore;
 pub use coordination_error::CoordinationError;
 pub use crash_quarantine::{CrashFingerprint, CrashNote, CrashQuarantine, ServerDeath};
 pub use engine_order::{EngineOrder, EngineState};
+pub use gossip_queue::{GossipItem, GossipQueue, PeerScope};
 pub use host_list::{HostList, HostListEntry, HostState};
 pub use load_report::LoadReport;
+pub use member_machine::{MemberMachine, MemberSettings};
+pub use member_message::{MemberAction, MemberBody, MemberEvent, MemberMessage, PeerTarget};
+pub use member_record::{MemberRecord, MemberStatus};
+pub use member_table::MemberTable;
 pub use object_query::ObjectQuery;
 pub use object_record::{ObjectKey, ObjectRecord, ObjectVersion};
 pub use object_write::{WriteCondition, WriteOutcome};
@@ -71,6 +99,7 @@
     ReplicaCount, VersionDemand,
 };
 pub use placement_planner::plan_placement;
+pub use rendezvous::rank_hosts;
 pub use request_failure::{AttemptFailure, StartState, classify_failure};
 pub use request_machine::RequestMachine;
 pub use request_messages::{
--- a/galenamast/src/transport/host_context.rs
+++ b/galenamast/src/transport/host_context.rs
@@ -1,32 +1,30 @@
 //! What the parts of a running entry host share.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use sha2::{Digest, Sha256};
-use tokio::sync::{broadcast, mpsc};
+use tokio::sync::mpsc;
 
 use crate::config::Settings;
 use crate::coordination::{
-    AdmissionControl, CallPriority, ClaimRetention, CrashNote, CrashQuarantine, DirectoryEvent,
-    UsageOrigin,
+    AdmissionControl, CallPriority, ClaimRetention, CrashQuarantine, DirectoryEvent, UsageOrigin,
 };
 use crate::state::{ConfigImage, RouteTables};
 use crate::transport::backend_client::BackendClient;
 use crate::transport::claim_request::ClaimSettings;
 use crate::transport::claim_runner::ClaimRunner;
+use crate::transport::config_runner::ConfigRunner;
 use crate::transport::http_client::HttpClient;
 use crate::transport::object_calls::ObjectCalls;
 use crate::transport::object_client::{CallLimits, ObjectClient};
+use crate::transport::peer_mesh::PeerMesh;
 use crate::transport::queue_gate::QueueGate;
 use crate::transport::request_board::RequestBoard;
 use crate::transport::timer_service::TimerService;
 use crate::transport::usage_ledger::{CopyCall, LedgerSettings, UsageLedger};
 
-/// Notes that wait for a slow listener; older ones are dropped.
-const CRASH_NOTES: usize = 256;
-
 /// Text that keeps the key of fingerprints apart from other uses of the session key.
 const FINGERPRINT_CONTEXT: &[u8] = b"galenamast crash fingerprint 1";
 
@@ -53,6 +51,10 @@
     pub ledger: Option<UsageLedger>,
     /// Hands a usage record to another entry host of the failure domain; empty if there is none.
     pub usage_copy: Arc<ArcSwapOption<CopyCall>>,
+    /// Mesh of entry hosts, once the host has started.
+    pub peers: OnceLock<PeerMesh>,
+    /// Distribution of the configuration, once the host has started.
+    pub config: OnceLock<ConfigRunner>,
     /// HTTP client of the other services of the platform.
     pub client: HttpClient,
     /// Limits of the workspaces.
@@ -65,8 +67,6 @@
     pub quarantine: Mutex<CrashQuarantine>,
     /// Whether the host has begun to shut down.
     pub leaving: AtomicBool,
-    /// Notes for other entry hosts on requests that servers died of.
-    pub crash_notes: broadcast::Sender<CrashNote>,
     server_events: mpsc::UnboundedSender<DirectoryEvent>,
     server_receiver: Mutex<Option<mpsc::UnboundedReceiver<DirectoryEvent>>>,
     fallback_key: [u8; 16],
@@ -112,6 +112,8 @@
             ledger,
             usage_copy,
             objects,
+            peers: OnceLock::new(),
+            config: OnceLock::new(),
             client,
             admission: Mutex::default(),
             queue: QueueGate::new(settings.routing.max_queued as usize),
@@ -119,7 +121,6 @@
             quarantine: Mutex::new(CrashQuarantine::new(settings.routing.quarantine_time)),
             fallback_key: rand::random(),
             leaving: AtomicBool::new(false),
-            crash_notes: broadcast::channel(CRASH_NOTES).0,
             server_events,
             server_receiver: Mutex::new(Some(server_receiver)),
             seeds: AtomicU64::new(rand::random()),
@@ -150,25 +151,6 @@
         let _ = self.server_events.send(event);
     }
 
-    /// Tells other entry hosts of requests that servers died of.
-    pub fn share_crash_notes(&self, notes: &[CrashNote]) {
-        for note in notes {
-            if self.crash_notes.send(note.clone()).is_err() {
-                // No part of the host listens; the notes stay local.
-                return;
-            }
-        }
-    }
-
-    /// Takes in a note of another entry host.
-    pub fn apply_crash_note(&self, note: &CrashNote) {
-        let now = self.timers.now();
-        self.quarantine
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .apply_note(note, now);
-    }
-
     /// Takes the receiving end of the news about backend servers; the second call finds none.
     pub fn take_server_events(&self) -> Option<mpsc::UnboundedReceiver<DirectoryEvent>> {
         self.server_receiver.lock().ok()?.take()
--- a/galenamast/src/transport/request_attempts.rs
+++ b/galenamast/src/transport/request_attempts.rs
@@ -16,6 +16,7 @@
 use crate::transport::backend_attempt::{AttemptKind, AttemptSignal, AttemptTask};
 use crate::transport::backend_client::{BackendCall, BackendReply};
 use crate::transport::caller_request::{RequestJob, RequestWork};
+use crate::transport::crash_sharing::share_crash_notes;
 use crate::transport::host_context::HostContext;
 
 /// Path of chat completions at a model engine.
@@ -236,7 +237,7 @@
         .lock()
         .unwrap_or_else(PoisonError::into_inner)
         .record_death(&death, now);
-    context.share_crash_notes(&notes);
+    share_crash_notes(context, &notes);
     let message = format!("{server} died with {} suspects", death.suspects.len());
     log_fault("backend", &message);
 }
