Decide by estimated quality, cost and load, and test versions in service

The planner took a random eligible version and server. It now judges each allowed version (withdrawn, braked, stale, roll-out share, pin), estimates its quality from priors and merged ratings, takes the cheapest whose lower bound reaches the target or a cascade, and picks a server by domain, prefix affinity with bounded load and two choices. A betting test brakes versions.

--- /dev/null
+++ b/galenamast/src/coordination/evidence_test.rs
@@ -0,0 +1,158 @@
+//! An anytime-valid test whether one mean has fallen below another, shared between entry hosts.
+//!
+//! Each entry host bets against the null hypothesis that the loss of the subject against its
+//! reference is at most the tolerated one. Under the null hypothesis the capital of a bet has an
+//! expectation of at most one at every stopping time, the product over hosts that watch disjoint
+//! answers too, and so has a weighted sum over bet sizes and starting times (epochs). By Ville's
+//! inequality the sum ever reaches `1 / rate` with a probability of at most `rate`.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::state::{QualityOrigin, TimePoint};
+
+/// Sizes of the bets, each held through an epoch.
+const BET_SIZES: [f64; 6] = [0.95, 0.6, 0.4, 0.2, 0.1, 0.05];
+/// Time after which bets start anew, so that good answers of long ago don't hide bad ones.
+pub const EPOCH_LENGTH: Duration = Duration::from_secs(60);
+/// Epochs whose capital is kept and counted.
+const KEPT_EPOCHS: u64 = 30;
+
+/// Logarithms of the capital of one origin's bets in an epoch.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct BetCapital {
+    /// Observations that were bet on.
+    pub count: u64,
+    /// Logarithm of the capital for each size of bet.
+    pub log_capital: [f64; BET_SIZES.len()],
+}
+
+/// Capital of one origin's bets by epoch.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct EvidenceDigest {
+    /// Origin of the bets.
+    pub origin: QualityOrigin,
+    /// Current epoch of the origin.
+    pub epoch: u64,
+    /// Capital by epoch.
+    pub capital: BTreeMap<u64, BetCapital>,
+}
+
+/// Bets of all entry hosts on one kind of evidence against one subject.
+#[derive(Clone, Debug, Default)]
+pub struct EvidenceTest {
+    origin: QualityOrigin,
+    tolerated_loss: f64,
+    epoch: u64,
+    epoch_started: TimePoint,
+    epochs: BTreeMap<u64, BTreeMap<QualityOrigin, BetCapital>>,
+}
+
+impl EvidenceTest {
+    /// Creates a test without evidence.
+    pub fn new(origin: QualityOrigin, tolerated_loss: f64, now: TimePoint) -> Self {
+        Self {
+            origin,
+            tolerated_loss,
+            epoch: 0,
+            epoch_started: now,
+            epochs: BTreeMap::new(),
+        }
+    }
+
+    /// Bets on an answer of the subject against its reference; both lie between 0 and 1.
+    ///
+    /// ```
+    /// use galenamast::coordination::EvidenceTest;
+    /// use galenamast::state::TimePoint;
+    ///
+    /// let mut test = EvidenceTest::new(Default::default(), 0.02, TimePoint::ZERO);
+    /// for _ in 0..50 {
+    ///     test.observe(0.2, 0.9, TimePoint::ZERO);
+    /// }
+    /// assert!(test.log_evidence() > 1_000_f64.ln());
+    /// ```
+    pub fn observe(&mut self, subject: f64, reference: f64, now: TimePoint) {
+        self.advance(now);
+        let gain = reference - self.tolerated_loss - subject;
+        let origins = self.epochs.entry(self.epoch).or_default();
+        let capital = origins.entry(self.origin.clone()).or_default();
+        capital.count += 1;
+        for (log_capital, size) in capital.log_capital.iter_mut().zip(BET_SIZES) {
+            *log_capital += (size * gain).ln_1p();
+        }
+    }
+
+    /// Starts a new epoch when the current one has lasted its time.
+    fn advance(&mut self, now: TimePoint) {
+        if now.since(self.epoch_started) >= EPOCH_LENGTH {
+            self.start_epoch(self.epoch + 1, now);
+        }
+    }
+
+    /// Starts an epoch and forgets those that no longer count.
+    fn start_epoch(&mut self, epoch: u64, now: TimePoint) {
+        self.epoch = epoch;
+        self.epoch_started = now;
+        let oldest = (epoch + 1).saturating_sub(KEPT_EPOCHS);
+        self.epochs = self.epochs.split_off(&oldest);
+    }
+
+    /// Merges another host's bets; repeats and reordering do no harm.
+    pub fn merge(&mut self, digest: &EvidenceDigest, now: TimePoint) {
+        if digest.epoch > self.epoch {
+            self.start_epoch(digest.epoch, now);
+        }
+        let oldest = (self.epoch + 1).saturating_sub(KEPT_EPOCHS);
+        for (epoch, capital) in digest.capital.range(oldest..) {
+            let origins = self.epochs.entry(*epoch).or_default();
+            let known = origins.entry(digest.origin.clone()).or_default();
+            if capital.count > known.count {
+                *known = *capital;
+            }
+        }
+    }
+
+    /// Returns this host's bets.
+    pub fn digest(&self) -> EvidenceDigest {
+        let own = self.epochs.iter().filter_map(|(epoch, origins)| {
+            let capital = origins.get(&self.origin)?;
+            Some((*epoch, *capital))
+        });
+        EvidenceDigest {
+            origin: self.origin.clone(),
+            epoch: self.epoch,
+            capital: own.collect(),
+        }
+    }
+
+    /// Returns the logarithm of the evidence against the null hypothesis.
+    ///
+    /// A bet that starts in epoch `j` runs through all later ones and weighs `1 / ((j + 1) (j + 2))`.
+    pub fn log_evidence(&self) -> f64 {
+        let mut running = [0.0; BET_SIZES.len()];
+        let mut evidence = 0.0;
+        for (epoch, origins) in self.epochs.iter().rev() {
+            for capital in origins.values() {
+                for (total, log_capital) in running.iter_mut().zip(capital.log_capital) {
+                    *total += log_capital;
+                }
+            }
+            let start = *epoch as f64 + 1.0;
+            let weight = 1.0 / (start * (start + 1.0) * BET_SIZES.len() as f64);
+            evidence += running
+                .iter()
+                .map(|total| weight * total.exp())
+                .sum::<f64>();
+        }
+        evidence.ln()
+    }
+
+    /// Returns the number of answers of the subject that were bet on.
+    pub fn count(&self) -> u64 {
+        let origins = self.epochs.values().flat_map(BTreeMap::values);
+        origins.map(|capital| capital.count).sum()
+    }
+}
--- a/galenamast/src/state/route_decision.rs
+++ b/galenamast/src/state/route_decision.rs
@@ -15,6 +15,9 @@
     pub seed: u64,
     /// Where the request goes, or why it goes nowhere.
     pub outcome: RouteOutcome,
+    /// Why the version was chosen, if one was.
+    #[serde(default)]
+    pub reason: Option<ChoiceReason>,
     /// Versions that were considered, each with its verdict.
     pub candidates: Vec<VersionReport>,
 }
@@ -129,3 +132,21 @@
     /// The platform cannot be reached, so that no claim can be made.
     ClaimUnavailable,
 }
+
+/// Why a version was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ChoiceReason {
+    /// The session is bound to the version.
+    Pinned,
+    /// The version is the cheapest whose quality reaches the target.
+    CheapestAdequate,
+    /// The version takes its share of a roll-out.
+    RolledOut,
+    /// Little is known of the version, and an answer of it tells more.
+    Explored,
+    /// No version reaches the target, and this one is the best.
+    BestAvailable,
+    /// A cheap version answers, and a better one if the rating is low.
+    Cascaded,
+}
--- a/galenamast/src/state/route_planner.rs
+++ b/galenamast/src/state/route_planner.rs
@@ -1,19 +1,24 @@
 //! The routing decision as a pure function of its inputs and a seed.
 
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use crate::state::config_image::ConfigImage;
+use crate::state::decision_inputs::DecisionInputs;
 use crate::state::model_spec::VersionStage;
 use crate::state::route_decision::{
-    RefusalReason, RouteDecision, RouteOutcome, RouteTarget, VersionReport, VersionVerdict,
+    CascadePlan, ChoiceReason, RefusalReason, RouteDecision, RouteOutcome, RouteTarget,
+    VersionVerdict,
 };
 use crate::state::route_request::RouteRequest;
 use crate::state::route_tables::RouteTables;
-use crate::state::server_record::{ServerLife, ServerRecord};
+use crate::state::server_choice::{ServerShortage, choose_server};
 use crate::state::time_point::TimePoint;
-use crate::state::version_key::VersionKey;
-use crate::state::workspace_spec::WorkspaceSpec;
+use crate::state::version_choice::choose_version;
+use crate::state::version_filter::{VersionCandidate, allowed_versions, judge_version, keeps_pin};
+
+/// Number of slots that is assumed of a server whose pool is not configured.
+const DEFAULT_SLOTS: u32 = 32;
 
 /// Decides where a request goes.
 ///
@@ -40,6 +45,7 @@
         generation: image.generation,
         seed,
         outcome: RouteOutcome::Refuse(RefusalReason::UnknownWorkspace),
+        reason: None,
         candidates: Vec::new(),
     };
     let Some(workspace) = image.workspaces.get(&request.workspace) else {
@@ -50,146 +56,135 @@
         decision.outcome = RouteOutcome::Refuse(RefusalReason::ModelNotAllowed);
         return decision;
     }
-    decision.candidates = allowed
-        .into_iter()
-        .map(|key| report_version(key, request, image, tables, now))
-        .collect();
-    decision.outcome = choose_target(&mut decision.candidates, request, image, tables, seed);
+    let mut inputs = DecisionInputs {
+        request,
+        workspace,
+        image,
+        tables,
+        now,
+        seed,
+        pinned: false,
+    };
+    inputs.pinned = keeps_pin(&inputs);
+    let mut candidates = Vec::with_capacity(allowed.len());
+    for key in allowed {
+        match judge_version(key, &inputs) {
+            Ok(candidate) => candidates.push(candidate),
+            Err(report) => decision.candidates.push(report),
+        }
+    }
+    let (outcome, reason) = inputs.choose_target(&mut candidates);
+    decision.outcome = outcome;
+    decision.reason = reason;
+    let reports = candidates.into_iter().map(|candidate| candidate.report);
+    decision.candidates.extend(reports);
     decision
 }
 
-/// Lists the versions that the workspace may use for the request.
-fn allowed_versions(request: &RouteRequest, workspace: &WorkspaceSpec) -> Vec<VersionKey> {
-    let mut keys = Vec::new();
-    for (model, versions) in &workspace.allowed {
-        if request.model.as_ref().is_some_and(|asked| asked != model) {
-            continue;
+impl DecisionInputs<'_> {
+    /// Tries the eligible versions in order of preference until a server takes the request.
+    fn choose_target(
+        &self,
+        candidates: &mut [VersionCandidate<'_>],
+    ) -> (RouteOutcome, Option<ChoiceReason>) {
+        let mut generator = ChaCha8Rng::seed_from_u64(self.seed);
+        let mut full_pool = None;
+        let mut tried = false;
+        while let Some(choice) = choose_version(
+            candidates,
+            self.request,
+            self.workspace,
+            self.pinned,
+            &mut generator,
+        ) {
+            tried = true;
+            let candidate = &mut candidates[choice.index];
+            match self.choose_server(candidate, &mut generator) {
+                Ok(first) => {
+                    candidate.report.verdict = VersionVerdict::Chosen;
+                    self.mark_inadequate(candidates);
+                    let outcome = match choice.cascade {
+                        Some((escalation, estimate)) => RouteOutcome::Cascade(CascadePlan {
+                            first,
+                            escalation: candidates[escalation].report.version.clone(),
+                            accept_rating: estimate.accept_rating,
+                        }),
+                        None => RouteOutcome::Dispatch(first),
+                    };
+                    return (outcome, Some(choice.reason));
+                }
+                Err(ServerShortage::Saturated) => {
+                    candidate.report.verdict = VersionVerdict::Saturated;
+                    full_pool.get_or_insert_with(|| candidate.spec.pool.clone());
+                }
+                Err(ServerShortage::NoServer) => {
+                    candidate.report.verdict = VersionVerdict::NoServer;
+                }
+            }
         }
-        for version in versions {
-            keys.push(VersionKey {
-                model: model.clone(),
-                version: version.clone(),
-            });
+        if let Some(pool) = full_pool {
+            return (RouteOutcome::Queue(pool), None);
         }
+        if tried {
+            return (RouteOutcome::Refuse(RefusalReason::NoServer), None);
+        }
+        let reason = self.refusal_without_version(candidates);
+        (RouteOutcome::Refuse(reason), None)
     }
-    keys
-}
-
-/// Judges whether a version may take the request.
-fn report_version(
-    key: VersionKey,
-    request: &RouteRequest,
-    image: &ConfigImage,
-    tables: &RouteTables,
-    now: TimePoint,
-) -> VersionReport {
-    let Some(spec) = image.version(&key) else {
-        let verdict = VersionVerdict::Unknown;
-        return VersionReport {
-            version: key,
-            verdict,
-            quality: 0.0,
-            quality_bound: 0.0,
-            price: 0,
-        };
-    };
-    let price = spec.price_of(
-        u64::from(request.prompt_tokens),
-        u64::from(request.max_output_tokens),
-    );
-    let stale = spec
-        .freshness_limit()
-        .is_some_and(|limit| tables.config_age > limit);
-    let braked = tables.brakes.get(&key).is_some_and(|expiry| *expiry > now);
-    let verdict = if spec.stage == VersionStage::Withdrawn {
-        VersionVerdict::Withdrawn
-    } else if request.pinned.as_ref().is_some_and(|pinned| *pinned != key) {
-        VersionVerdict::NotPinned
-    } else if braked {
-        VersionVerdict::Braked
-    } else if stale {
-        VersionVerdict::Stale
-    } else {
-        VersionVerdict::Outranked
-    };
-    let quality = spec.prior_quality;
-    VersionReport {
-        version: key,
-        verdict,
-        quality,
-        quality_bound: quality,
-        price,
-    }
-}
 
-/// Chooses a version and a server among the versions that may take the request.
-fn choose_target(
-    candidates: &mut [VersionReport],
-    request: &RouteRequest,
-    image: &ConfigImage,
-    tables: &RouteTables,
-    seed: u64,
-) -> RouteOutcome {
-    let mut generator = ChaCha8Rng::seed_from_u64(seed);
-    let mut eligible: Vec<usize> = (0..candidates.len())
-        .filter(|index| candidates[*index].verdict == VersionVerdict::Outranked)
-        .collect();
-    if eligible.is_empty() {
-        return RouteOutcome::Refuse(refusal_without_version(candidates));
-    }
-    while !eligible.is_empty() {
-        let index = eligible.swap_remove(generator.random_range(0..eligible.len()));
-        let report = &mut candidates[index];
-        if let Some(target) = choose_server(&report.version, request, image, tables, &mut generator)
-        {
-            report.verdict = VersionVerdict::Chosen;
-            return RouteOutcome::Dispatch(target);
+    /// Marks the versions that were passed over because they miss the target.
+    fn mark_inadequate(&self, candidates: &mut [VersionCandidate<'_>]) {
+        let target = self.workspace.target_for(&self.request.task);
+        for candidate in candidates {
+            let report = &mut candidate.report;
+            if report.verdict == VersionVerdict::Outranked && report.quality_bound < target {
+                report.verdict = VersionVerdict::BelowTarget;
+            }
         }
-        report.verdict = VersionVerdict::NoServer;
     }
-    RouteOutcome::Refuse(RefusalReason::NoServer)
-}
 
-/// Names the reason why no version may take the request.
-fn refusal_without_version(candidates: &[VersionReport]) -> RefusalReason {
-    let withdrawn = candidates
-        .iter()
-        .any(|report| report.verdict == VersionVerdict::Withdrawn);
-    let pinned = candidates
-        .iter()
-        .any(|report| report.verdict == VersionVerdict::NotPinned);
-    if withdrawn && pinned {
-        return RefusalReason::VersionWithdrawn;
+    /// Names the reason why no version may take the request.
+    fn refusal_without_version(&self, candidates: &[VersionCandidate<'_>]) -> RefusalReason {
+        let withdrawn = self.request.pinned.as_ref().is_some_and(|pinned| {
+            let spec = self.image.version(pinned);
+            spec.is_none_or(|spec| spec.stage == VersionStage::Withdrawn)
+        });
+        let unlisted = self.request.pinned.as_ref().is_some_and(|pinned| {
+            candidates
+                .iter()
+                .all(|candidate| candidate.report.version != *pinned)
+        });
+        if self.pinned && (withdrawn || unlisted) {
+            return RefusalReason::VersionWithdrawn;
+        }
+        RefusalReason::NoEligibleVersion
     }
-    RefusalReason::NoEligibleVersion
-}
 
-/// Chooses a server that takes work for a version.
-fn choose_server(
-    key: &VersionKey,
-    request: &RouteRequest,
-    image: &ConfigImage,
-    tables: &RouteTables,
-    generator: &mut ChaCha8Rng,
-) -> Option<RouteTarget> {
-    let pool = &image.version(key)?.pool;
-    let usable: Vec<&ServerRecord> = tables
-        .servers
-        .servers_in(pool)
-        .map(AsRef::as_ref)
-        .filter(|server| server.life == ServerLife::Live)
-        .filter(|server| server.versions.contains(key))
-        .filter(|server| !request.excluded.contains(&server.name))
-        .collect();
-    if usable.is_empty() {
-        return None;
+    /// Chooses a server that takes work for a version.
+    fn choose_server(
+        &self,
+        candidate: &VersionCandidate<'_>,
+        generator: &mut ChaCha8Rng,
+    ) -> Result<RouteTarget, ServerShortage> {
+        let key = &candidate.report.version;
+        let pool = &candidate.spec.pool;
+        let domains = self.tables.servers.servers_of(pool, key);
+        let pool_spec = self.image.pools.get(pool);
+        let slots = pool_spec.map_or(DEFAULT_SLOTS, |pool| pool.slots_per_server);
+        let server = choose_server(
+            domains,
+            slots,
+            self.request,
+            self.tables,
+            self.now,
+            generator,
+        )?;
+        Ok(RouteTarget {
+            version: key.clone(),
+            pool: pool.clone(),
+            server: server.name.clone(),
+            address: server.address.clone(),
+            domain: server.domain.clone(),
+        })
     }
-    let server = usable[generator.random_range(0..usable.len())];
-    Some(RouteTarget {
-        version: key.clone(),
-        pool: pool.clone(),
-        server: server.name.clone(),
-        address: server.address.clone(),
-        domain: server.domain.clone(),
-    })
 }
--- a/galenamast/src/state/route_tables.rs
+++ b/galenamast/src/state/route_tables.rs
@@ -1,9 +1,11 @@
 //! The tables that a routing decision reads.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::state::names::DomainName;
+use crate::state::quality_table::QualityTable;
 use crate::state::server_table::ServerTable;
 use crate::state::time_point::TimePoint;
 use crate::state::version_key::VersionKey;
@@ -19,4 +21,8 @@
     pub brakes: BTreeMap<VersionKey, TimePoint>,
     /// Time since the configuration was last confirmed to be the newest.
     pub config_age: Duration,
+    /// Observed quality and latency of versions.
+    pub quality: Arc<QualityTable>,
+    /// Network distance to the other failure domains.
+    pub distances: BTreeMap<DomainName, Duration>,
 }
--- a/galenamast/src/state/server_record.rs
+++ b/galenamast/src/state/server_record.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::state::in_flight_counter::InFlightCounter;
 use crate::state::names::{DomainName, PoolName, ServerName};
 use crate::state::time_point::TimePoint;
 use crate::state::version_key::VersionKey;
@@ -35,6 +36,10 @@
     pub reported_at: TimePoint,
     /// Moving average of the time to first byte, in microseconds.
     pub latency_micros: u64,
+    /// Live count of this entry host's requests in flight, shared between copies of the record.
+    ///
+    /// Decisions read the greater of this and `own_in_flight`.
+    pub in_flight: InFlightCounter,
 }
 
 impl Default for ServerRecord {
@@ -52,6 +57,7 @@
             own_at_report: 0,
             reported_at: TimePoint::ZERO,
             latency_micros: 0,
+            in_flight: InFlightCounter::default(),
         }
     }
 }
--- a/galenamast/src/state/server_table.rs
+++ b/galenamast/src/state/server_table.rs
@@ -3,13 +3,18 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::state::names::{PoolName, ServerName};
+use crate::state::names::{DomainName, PoolName, ServerName};
 use crate::state::server_record::ServerRecord;
+use crate::state::version_key::VersionKey;
+
+/// Servers of one version by failure domain, each list in the order of names.
+pub type DomainServers = BTreeMap<DomainName, Vec<Arc<ServerRecord>>>;
 
 /// Backend servers by pool and name, as one immutable snapshot.
 #[derive(Clone, Debug, Default)]
 pub struct ServerTable {
     pools: BTreeMap<PoolName, BTreeMap<ServerName, Arc<ServerRecord>>>,
+    versions: BTreeMap<PoolName, BTreeMap<VersionKey, DomainServers>>,
 }
 
 impl ServerTable {
@@ -23,8 +28,36 @@
     /// assert_eq!(table.servers_in(&"advice".into()).count(), 1);
     /// ```
     pub fn insert(&mut self, record: ServerRecord) {
+        let record = Arc::new(record);
         let pool = self.pools.entry(record.pool.clone()).or_default();
-        pool.insert(record.name.clone(), Arc::new(record));
+        if let Some(old) = pool.insert(record.name.clone(), record.clone()) {
+            self.unindex(&old);
+        }
+        let versions = self.versions.entry(record.pool.clone()).or_default();
+        for version in &record.versions {
+            let domains = versions.entry(version.clone()).or_default();
+            let servers = domains.entry(record.domain.clone()).or_default();
+            let place = servers.partition_point(|other| other.name < record.name);
+            servers.insert(place, record.clone());
+        }
+    }
+
+    /// Removes a record from the index by version.
+    fn unindex(&mut self, record: &ServerRecord) {
+        let Some(versions) = self.versions.get_mut(&record.pool) else {
+            return;
+        };
+        for version in &record.versions {
+            let domains = versions.get_mut(version);
+            if let Some(servers) = domains.and_then(|domains| domains.get_mut(&record.domain)) {
+                servers.retain(|other| other.name != record.name);
+            }
+        }
+    }
+
+    /// Returns the servers of a pool that have a version loaded, by failure domain.
+    pub fn servers_of(&self, pool: &PoolName, version: &VersionKey) -> Option<&DomainServers> {
+        self.versions.get(pool)?.get(version)
     }
 
     /// Returns the servers of a pool in the order of their names.
