Replay traces in virtual time against the decision code, with baselines

Adds the trace format and its synthesis, the replay of several entry hosts that exchange digests with lag, seven policies, stated outcomes, plots, and the commands trace, replay and explain.

--- a/galenamast/src/cli.rs
+++ b/galenamast/src/cli.rs
@@ -4,7 +4,7 @@
 
 use clap::Command;
 
-use crate::commands::{EXIT_INVALID, check_config, serve};
+use crate::commands::{EXIT_INVALID, check_config, explain, replay, serve, trace};
 
 /// Builds the command line.
 ///
@@ -22,6 +22,9 @@
         .arg_required_else_help(true)
         .subcommand(serve::command())
         .subcommand(check_config::command())
+        .subcommand(explain::command())
+        .subcommand(replay::command())
+        .subcommand(trace::command())
 }
 
 /// Parses the process's arguments and runs the command that they name.
@@ -30,6 +33,9 @@
     match matches.subcommand() {
         Some((serve::NAME, matches)) => serve::run(matches),
         Some((check_config::NAME, matches)) => check_config::run(matches),
+        Some((explain::NAME, matches)) => explain::run(matches),
+        Some((replay::NAME, matches)) => replay::run(matches),
+        Some((trace::NAME, matches)) => trace::run(matches),
         _ => ExitCode::from(EXIT_INVALID),
     }
 }
--- a/galenamast/src/commands/mod.rs
+++ b/galenamast/src/commands/mod.rs
@@ -1,7 +1,10 @@
 //! The commands of the program, a module each: its arguments and what it does.
 
 pub mod check_config;
+pub mod explain;
+pub mod replay;
 pub mod serve;
+pub mod trace;
 
 /// Exit code of a command whose claim did not hold.
 pub const EXIT_FAILED: u8 = 1;
--- a/galenamast/src/lib.rs
+++ b/galenamast/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod event_loop;
 pub mod logging;
 pub mod protocol;
+pub mod replay;
 pub mod state;
 pub mod transport;
--- /dev/null
+++ b/galenamast/src/replay/interval_analysis.rs
@@ -0,0 +1,56 @@
+//! Analysis of a roll-out at fixed intervals, as a baseline.
+
+/// Time between analyses, in milliseconds.
+pub(crate) const ANALYSIS_PERIOD_MS: u64 = 600_000;
+/// Standard errors beyond which a loss is found, for one false alarm in 1,000 roll-outs of six analyses.
+const ALARM_Z: f64 = 3.6;
+/// Ratings of each side that an analysis needs.
+const MIN_RATINGS: f64 = 5.0;
+
+/// Sums of ratings.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct RatingSums {
+    count: f64,
+    sum: f64,
+    squares: f64,
+}
+
+impl RatingSums {
+    /// Adds a rating.
+    pub(crate) fn add(&mut self, rating: f64) {
+        self.count += 1.0;
+        self.sum += rating;
+        self.squares += rating * rating;
+    }
+
+    /// Returns the mean and its squared standard error.
+    fn mean_and_error(&self) -> (f64, f64) {
+        let mean = self.sum / self.count;
+        let variance = (self.squares / self.count - mean * mean).max(1e-4);
+        (mean, variance / self.count)
+    }
+}
+
+/// Ratings since the last analysis.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct IntervalAnalysis {
+    pub(crate) candidate: RatingSums,
+    pub(crate) baseline: RatingSums,
+}
+
+impl IntervalAnalysis {
+    /// Analyses the ratings since the last analysis; returns whether the candidate is worse.
+    pub(crate) fn analyse(&mut self, tolerated_loss: f64) -> bool {
+        let Self {
+            candidate,
+            baseline,
+        } = std::mem::take(self);
+        if candidate.count < MIN_RATINGS || baseline.count < MIN_RATINGS {
+            return false;
+        }
+        let (candidate_mean, candidate_error) = candidate.mean_and_error();
+        let (baseline_mean, baseline_error) = baseline.mean_and_error();
+        let loss = baseline_mean - tolerated_loss - candidate_mean;
+        loss > ALARM_Z * (candidate_error + baseline_error).sqrt()
+    }
+}
--- /dev/null
+++ b/galenamast/src/replay/replay_fleet.rs
@@ -0,0 +1,556 @@
+//! The replay itself: entry hosts and backend servers in virtual time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::coordination::{JudgeAction, RatedAnswer};
+use crate::replay::baseline_policy::{PolicyName, decide};
+use crate::replay::interval_analysis::{ANALYSIS_PERIOD_MS, IntervalAnalysis};
+use crate::replay::replay_host::{HostDigest, ReplayHost};
+use crate::replay::replay_report::{AnswerRecord, BrakeRecord, ReplayLog, ReplayReport, point_at};
+use crate::replay::replay_server::{ReplayServer, ServerJob, StartedJob};
+use crate::replay::trace_format::{EventKind, FaultEvent, Trace, TraceAnswer, TraceRequest};
+use crate::state::cascade_choice::{RATING_PRICE, RATING_TIME};
+use crate::state::{
+    CascadePlan, ConfigImage, DomainName, RolloutName, RolloutSpec, RouteOutcome, RouteRequest,
+    RouteTarget, ServerName, VersionKey,
+};
+
+/// Time between load reports, in milliseconds.
+const REPORT_PERIOD_MS: u64 = 500;
+/// Time after which a queued request is tried again, in milliseconds.
+const QUEUE_RETRY_MS: u64 = 100;
+
+/// Something that happens at a point of virtual time.
+#[derive(Clone, Debug)]
+enum FleetEvent {
+    Trace(usize),
+    Retry(u64),
+    Finish { server: usize, attempt: u64 },
+    Check(u64),
+    Rating { host: usize, answer: RatedAnswer },
+    Report,
+    Tell,
+    Hear { from: usize, digest: Rc<HostDigest> },
+    Analyse,
+}
+
+/// A request under way.
+#[derive(Clone, Debug)]
+struct OpenRequest<'a> {
+    trace: &'a TraceRequest,
+    arrived_ms: u64,
+    cost: u64,
+    pinned: Option<VersionKey>,
+    excluded: BTreeSet<ServerName>,
+    plan: Option<CascadePlan>,
+    escalated: bool,
+    target: Option<RouteTarget>,
+    server: usize,
+    dispatched_ms: u64,
+}
+
+/// State of a replay.
+struct ReplayFleet<'a> {
+    trace: &'a Trace,
+    policy: PolicyName,
+    image: ConfigImage,
+    hosts: Vec<ReplayHost>,
+    servers: Vec<ReplayServer>,
+    queue: BTreeMap<(u64, u64), FleetEvent>,
+    sequence: u64,
+    open: BTreeMap<u64, OpenRequest<'a>>,
+    sessions: BTreeMap<u64, VersionKey>,
+    turned: BTreeMap<VersionKey, u64>,
+    braked: BTreeSet<VersionKey>,
+    cut: BTreeSet<DomainName>,
+    platform_out_ms: Option<u64>,
+    analysis: IntervalAnalysis,
+    log: ReplayLog,
+}
+
+/// Replays a trace under a policy; the same trace and policy give the same report.
+pub fn replay_trace(trace: &Trace, policy: PolicyName) -> ReplayReport {
+    let mut fleet = ReplayFleet::new(trace, policy);
+    while let Some(((now_ms, _), event)) = fleet.queue.pop_first() {
+        fleet.handle(event, now_ms);
+    }
+    ReplayReport::new(policy.label(), trace, &fleet.log)
+}
+
+impl<'a> ReplayFleet<'a> {
+    /// Creates the fleet and schedules the trace.
+    fn new(trace: &'a Trace, policy: PolicyName) -> Self {
+        let header = &trace.header;
+        let hosts = header.hosts.iter();
+        let servers = header.servers.iter().cloned();
+        let mut fleet = Self {
+            trace,
+            policy,
+            image: header.image.clone(),
+            hosts: hosts
+                .map(|host| ReplayHost::new(host, header.servers.len()))
+                .collect(),
+            servers: servers.map(ReplayServer::new).collect(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            open: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+            turned: BTreeMap::new(),
+            braked: BTreeSet::new(),
+            cut: BTreeSet::new(),
+            platform_out_ms: None,
+            analysis: IntervalAnalysis::default(),
+            log: ReplayLog::default(),
+        };
+        fleet.schedule(0, FleetEvent::Report);
+        fleet.schedule(header.digest_period_ms, FleetEvent::Tell);
+        fleet.schedule(ANALYSIS_PERIOD_MS, FleetEvent::Analyse);
+        for (index, event) in trace.events.iter().enumerate() {
+            fleet.schedule(event.at_ms, FleetEvent::Trace(index));
+        }
+        fleet
+    }
+
+    /// Schedules an event.
+    fn schedule(&mut self, at_ms: u64, event: FleetEvent) {
+        self.sequence += 1;
+        self.queue.insert((at_ms, self.sequence), event);
+    }
+
+    /// Schedules a periodic event again while the trace lasts.
+    fn repeat(&mut self, at_ms: u64, event: FleetEvent) {
+        if at_ms <= self.trace.header.duration_ms {
+            self.schedule(at_ms, event);
+        }
+    }
+
+    /// Handles an event.
+    fn handle(&mut self, event: FleetEvent, now_ms: u64) {
+        match event {
+            FleetEvent::Trace(index) => self.handle_trace(index, now_ms),
+            FleetEvent::Retry(id) => self.dispatch(id, now_ms),
+            FleetEvent::Finish { server, attempt } => self.finish(server, attempt, now_ms),
+            FleetEvent::Check(id) => self.check(id, now_ms),
+            FleetEvent::Rating { host, answer } => self.rate(host, &answer, now_ms),
+            FleetEvent::Report => self.report(now_ms),
+            FleetEvent::Tell => self.tell(now_ms),
+            FleetEvent::Hear { from, digest } => self.hear(from, &digest, now_ms),
+            FleetEvent::Analyse => self.analyse(now_ms),
+        }
+    }
+
+    /// Handles a line of the trace.
+    fn handle_trace(&mut self, index: usize, now_ms: u64) {
+        let trace = self.trace;
+        match &trace.events[index].kind {
+            EventKind::Request(request) => {
+                let session = request.session;
+                let pinned = session.and_then(|session| self.sessions.get(&session).cloned());
+                let open = OpenRequest {
+                    trace: request,
+                    arrived_ms: now_ms,
+                    cost: 0,
+                    pinned,
+                    excluded: BTreeSet::new(),
+                    plan: None,
+                    escalated: false,
+                    target: None,
+                    server: 0,
+                    dispatched_ms: now_ms,
+                };
+                self.open.insert(request.id, open);
+                self.dispatch(request.id, now_ms);
+            }
+            EventKind::RolloutStep { rollout, step } => self.take_step(rollout, *step),
+            EventKind::Fault(fault) => self.apply_fault(fault, now_ms),
+        }
+    }
+
+    /// Takes a step of a roll-out, unless the platform is out.
+    fn take_step(&mut self, name: &RolloutName, step: u32) {
+        let Some(rollout) = self.image.rollouts.get(name) else {
+            return;
+        };
+        if self.platform_out_ms.is_some() {
+            return;
+        }
+        let stepped = RolloutSpec {
+            step,
+            ..RolloutSpec::clone(rollout)
+        };
+        self.image.rollouts.insert(name.clone(), Arc::new(stepped));
+    }
+
+    /// Applies a fault.
+    fn apply_fault(&mut self, fault: &FaultEvent, now_ms: u64) {
+        match fault {
+            FaultEvent::VersionTurns { version } => {
+                self.turned.insert(version.clone(), now_ms);
+            }
+            FaultEvent::ServerSlow { server, factor } => {
+                if let Some(index) = self.server_index(server) {
+                    self.servers[index].factor = *factor;
+                }
+            }
+            FaultEvent::ServerDown { server } => self.crash(server, now_ms),
+            FaultEvent::ServerUp { server } => {
+                if let Some(index) = self.server_index(server) {
+                    self.servers[index].up = true;
+                }
+            }
+            FaultEvent::PlatformOut => self.platform_out_ms = Some(now_ms),
+            FaultEvent::PlatformBack => self.platform_out_ms = None,
+            FaultEvent::DomainCut { domain } => {
+                self.cut.insert(domain.clone());
+            }
+            FaultEvent::DomainHealed { domain } => {
+                self.cut.remove(domain);
+            }
+        }
+    }
+
+    /// Finds a server.
+    fn server_index(&self, name: &ServerName) -> Option<usize> {
+        self.servers
+            .iter()
+            .position(|server| server.spec.name == *name)
+    }
+
+    /// Crashes a server; idempotent requests are tried elsewhere.
+    fn crash(&mut self, name: &ServerName, now_ms: u64) {
+        let Some(index) = self.server_index(name) else {
+            return;
+        };
+        for id in self.servers[index].crash() {
+            let Some(open) = self.open.get_mut(&id) else {
+                continue;
+            };
+            self.hosts[open.trace.host].in_flight[index].decrement();
+            let first = open.excluded.is_empty();
+            open.excluded.insert(name.clone());
+            if open.trace.idempotent && first {
+                self.dispatch(id, now_ms);
+            } else {
+                self.refuse(id);
+            }
+        }
+    }
+
+    /// Gives a request up.
+    fn refuse(&mut self, id: u64) {
+        self.open.remove(&id);
+        self.log.refused += 1;
+    }
+
+    /// Decides where a request goes and sends it there.
+    fn dispatch(&mut self, id: u64, now_ms: u64) {
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
+        let host = open.trace.host;
+        let age_ms = self.platform_out_ms.map_or(0, |since| now_ms - since);
+        self.hosts[host].set_config_age(age_ms);
+        let request = route_request(open, now_ms);
+        if request.time_left.is_zero() {
+            return self.refuse(id);
+        }
+        self.sequence += 1;
+        let seed = self.trace.header.seed.wrapping_mul(1_000_003) ^ (self.sequence << 1);
+        let tables = &self.hosts[host].tables;
+        let now = point_at(now_ms);
+        let turn = id as usize;
+        let decision = decide(self.policy, &request, &self.image, tables, now, seed, turn);
+        match decision.outcome {
+            RouteOutcome::Dispatch(target) => self.send(id, target, None, now_ms),
+            RouteOutcome::Cascade(plan) => {
+                self.log.cascades.0 += 1;
+                self.send(id, plan.first.clone(), Some(plan), now_ms);
+            }
+            RouteOutcome::Queue(_) => {
+                self.schedule(now_ms + QUEUE_RETRY_MS, FleetEvent::Retry(id));
+            }
+            RouteOutcome::Refuse(_) => self.refuse(id),
+        }
+    }
+
+    /// Sends a request to a server.
+    fn send(&mut self, id: u64, target: RouteTarget, plan: Option<CascadePlan>, now_ms: u64) {
+        let Some(index) = self.server_index(&target.server) else {
+            return self.refuse(id);
+        };
+        let Some(open) = self.open.get_mut(&id) else {
+            return;
+        };
+        if !self.servers[index].up {
+            // The connection is refused: the request did not run and goes elsewhere.
+            open.excluded.insert(target.server);
+            return self.schedule(now_ms + 1, FleetEvent::Retry(id));
+        }
+        if self.turned.contains_key(&target.version) {
+            self.log.exposures.push(now_ms);
+        }
+        let Some(answer) = open.trace.answers.get(&target.version.to_string()) else {
+            return self.refuse(id);
+        };
+        let spec = self.image.version(&target.version);
+        let input = u64::from(open.trace.prompt_tokens);
+        let output = u64::from(open.trace.output_tokens);
+        open.cost += spec.map_or(0, |spec| spec.price_of(input, output));
+        if let (Some(session), None, false) = (open.trace.session, &plan, open.escalated) {
+            self.sessions.insert(session, target.version.clone());
+        }
+        open.target = Some(target);
+        open.plan = plan;
+        open.server = index;
+        open.dispatched_ms = now_ms;
+        self.hosts[open.trace.host].in_flight[index].increment();
+        let job = ServerJob {
+            attempt: id,
+            service_ms: answer.service_ms,
+        };
+        let started = self.servers[index].accept(job, now_ms);
+        self.schedule_finish(index, started);
+    }
+
+    /// Schedules the end of a job that was started.
+    fn schedule_finish(&mut self, server: usize, started: Option<StartedJob>) {
+        if let Some(StartedJob { attempt, ends_ms }) = started {
+            self.schedule(ends_ms, FleetEvent::Finish { server, attempt });
+        }
+    }
+
+    /// Ends an attempt.
+    fn finish(&mut self, server: usize, id: u64, now_ms: u64) {
+        if !self.servers[server].runs(id) {
+            return;
+        }
+        let started = self.servers[server].finish(id, now_ms);
+        self.schedule_finish(server, started);
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
+        let host = open.trace.host;
+        self.hosts[host].in_flight[server].decrement();
+        let Some((target, answer)) = current_answer(open) else {
+            return;
+        };
+        let latency_ms = now_ms - open.dispatched_ms;
+        let relative = latency_ms as f64 / answer.service_ms.max(1) as f64;
+        self.hosts[host].observe_server(server, relative * 1_000.0);
+        let rated = RatedAnswer {
+            version: target.version.clone(),
+            task: open.trace.task.clone(),
+            prompt_tokens: open.trace.prompt_tokens,
+            ..Default::default()
+        };
+        let ended = RatedAnswer {
+            failed: Some(false),
+            latency: Some(Duration::from_millis(latency_ms)),
+            ..rated.clone()
+        };
+        let rating = RatedAnswer {
+            rating: Some(answer.rating),
+            ..rated
+        };
+        let (lag_ms, escalated, checked) =
+            (answer.rating_lag_ms, open.escalated, open.plan.is_some());
+        self.rate(host, &ended, now_ms);
+        let check_ms = now_ms + RATING_TIME.as_millis() as u64;
+        if checked {
+            self.schedule(
+                check_ms,
+                FleetEvent::Rating {
+                    host,
+                    answer: rating,
+                },
+            );
+            return self.schedule(check_ms, FleetEvent::Check(id));
+        }
+        // Escalated requests are harder than others, so their ratings would bias the estimates.
+        if let (Some(lag_ms), false) = (lag_ms, escalated) {
+            self.schedule(
+                now_ms + lag_ms,
+                FleetEvent::Rating {
+                    host,
+                    answer: rating,
+                },
+            );
+        }
+        self.complete(id, now_ms);
+    }
+
+    /// Keeps the first answer of a cascade, or escalates.
+    fn check(&mut self, id: u64, now_ms: u64) {
+        let Some(open) = self.open.get_mut(&id) else {
+            return;
+        };
+        open.cost += RATING_PRICE;
+        let rating = current_answer(open).map_or(0.0, |(_, answer)| answer.rating);
+        let Some(plan) = open.plan.take() else {
+            return;
+        };
+        if rating >= plan.accept_rating {
+            return self.complete(id, now_ms);
+        }
+        self.log.cascades.1 += 1;
+        open.escalated = true;
+        open.pinned = Some(plan.escalation);
+        self.dispatch(id, now_ms);
+    }
+
+    /// Gives the answer to the caller.
+    fn complete(&mut self, id: u64, now_ms: u64) {
+        let Some(open) = self.open.remove(&id) else {
+            return;
+        };
+        let Some((target, answer)) = current_answer(&open) else {
+            return;
+        };
+        self.log.answers.push(AnswerRecord {
+            at_ms: open.arrived_ms,
+            workspace: open.trace.workspace.clone(),
+            version: target.version.clone(),
+            quality: answer.quality,
+            cost: open.cost,
+            latency_ms: now_ms - open.arrived_ms,
+        });
+    }
+
+    /// Takes in what is known of an answer.
+    fn rate(&mut self, host: usize, answer: &RatedAnswer, now_ms: u64) {
+        if self.policy == PolicyName::FixedInterval
+            && let Some(rating) = answer.rating
+            && let Some(rollout) = self.image.rollouts.values().next()
+        {
+            if answer.version.version == rollout.candidate {
+                self.analysis.candidate.add(rating);
+            } else if answer.version.version == rollout.baseline {
+                self.analysis.baseline.add(rating);
+            }
+        }
+        let image = &self.image;
+        if let Some(action) = self.hosts[host].judge_answer(answer, image, now_ms) {
+            self.log_action(action, now_ms);
+        }
+        if self.policy != PolicyName::Galenamast {
+            self.hosts[host].tables.brakes.clear();
+        }
+    }
+
+    /// Logs the first brake on a version.
+    fn log_action(&mut self, action: JudgeAction, now_ms: u64) {
+        let JudgeAction::Brake(note) = action else {
+            return;
+        };
+        if self.policy == PolicyName::Galenamast {
+            self.log_brake(note.version, now_ms);
+        }
+    }
+
+    /// Logs the first brake on a version.
+    fn log_brake(&mut self, version: VersionKey, now_ms: u64) {
+        if !self.braked.insert(version.clone()) {
+            return;
+        }
+        let is_false = !self.turned.contains_key(&version);
+        self.log.brakes.push(BrakeRecord {
+            at_ms: now_ms,
+            version,
+            is_false,
+        });
+    }
+
+    /// Gives the hosts the load reports.
+    fn report(&mut self, now_ms: u64) {
+        for host in &mut self.hosts {
+            host.read_servers(&self.servers, now_ms);
+        }
+        self.repeat(now_ms + REPORT_PERIOD_MS, FleetEvent::Report);
+    }
+
+    /// Has each host tell the others what it knows.
+    fn tell(&mut self, now_ms: u64) {
+        let header = &self.trace.header;
+        let digests: Vec<_> = self
+            .hosts
+            .iter()
+            .map(|host| Rc::new(host.digest(now_ms)))
+            .collect();
+        for (from, digest) in digests.into_iter().enumerate() {
+            let event = FleetEvent::Hear { from, digest };
+            self.schedule(now_ms + header.digest_lag_ms, event);
+        }
+        self.repeat(now_ms + header.digest_period_ms, FleetEvent::Tell);
+    }
+
+    /// Has the other hosts hear what a host told, unless a failure domain is cut off.
+    fn hear(&mut self, from: usize, digest: &HostDigest, now_ms: u64) {
+        let sender = self.hosts[from].spec.domain.clone();
+        let with_tests = self.policy == PolicyName::Galenamast;
+        let mut actions = Vec::new();
+        for (index, host) in self.hosts.iter_mut().enumerate() {
+            let receiver = &host.spec.domain;
+            let apart = self.cut.contains(receiver) || self.cut.contains(&sender);
+            if index == from || (apart && *receiver != sender) {
+                continue;
+            }
+            actions.extend(host.merge(digest, &self.image, with_tests, now_ms));
+        }
+        for action in actions {
+            self.log_action(action, now_ms);
+        }
+    }
+
+    /// Analyses the roll-out at a fixed interval, for the baseline that does so.
+    fn analyse(&mut self, now_ms: u64) {
+        self.repeat(now_ms + ANALYSIS_PERIOD_MS, FleetEvent::Analyse);
+        if self.policy != PolicyName::FixedInterval {
+            return;
+        }
+        let Some((name, rollout)) = self.image.rollouts.first_key_value() else {
+            return;
+        };
+        if !self.analysis.analyse(rollout.tolerated_loss) {
+            return;
+        }
+        let candidate = VersionKey {
+            model: rollout.model.clone(),
+            version: rollout.candidate.clone(),
+        };
+        let stopped = RolloutSpec {
+            phase: crate::state::RolloutPhase::Braked,
+            ..RolloutSpec::clone(rollout)
+        };
+        self.image.rollouts.insert(name.clone(), Arc::new(stopped));
+        self.log_brake(candidate, now_ms);
+    }
+}
+
+/// Describes a request for the routing decision.
+fn route_request(open: &OpenRequest<'_>, now_ms: u64) -> RouteRequest {
+    let request = open.trace;
+    let spent_ms = now_ms - open.arrived_ms;
+    RouteRequest {
+        workspace: request.workspace.clone(),
+        task: request.task.clone(),
+        pinned: open.pinned.clone(),
+        prompt_tokens: request.prompt_tokens,
+        max_output_tokens: request.output_tokens,
+        prefix_hash: request.prefix,
+        time_left: Duration::from_millis(request.deadline_ms.saturating_sub(spent_ms)),
+        idempotent: request.idempotent,
+        streamed: request.streamed,
+        excluded: open.excluded.clone(),
+        ..Default::default()
+    }
+}
+
+/// Returns the version that a request was sent to last, and its answer.
+fn current_answer<'a>(open: &'a OpenRequest<'_>) -> Option<(&'a RouteTarget, &'a TraceAnswer)> {
+    let target = open.target.as_ref()?;
+    let answer = open.trace.answers.get(&target.version.to_string())?;
+    Some((target, answer))
+}
--- /dev/null
+++ b/galenamast/src/replay/static_mix.rs
@@ -0,0 +1,121 @@
+//! The cheapest static mix of versions that meets the targets in hindsight.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::replay::trace_format::{EventKind, Trace, TraceRequest};
+use crate::state::{ConfigImage, TaskName, VersionKey, VersionStage, WorkspaceName};
+
+/// Cost and quality of the cheapest static mix.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct StaticMix {
+    /// Price of all answers, in micro-units of currency.
+    pub cost: f64,
+    /// Mean quality of the answers.
+    pub quality: f64,
+}
+
+/// Totals of a version over the requests of a task.
+#[derive(Clone, Copy, Debug, Default)]
+struct VersionTotals {
+    count: f64,
+    quality: f64,
+    cost: f64,
+}
+
+/// Computes the cheapest mix, a fixed share of the versions for each workspace and task.
+///
+/// The shares are chosen knowing every answer after the warm-up; each workspace's target is met by
+/// the mean of each task. A share that differs between tasks is at least as cheap as one for all.
+pub fn cheapest_mix(trace: &Trace) -> StaticMix {
+    let image = &trace.header.image;
+    let mut groups: BTreeMap<(WorkspaceName, TaskName), BTreeMap<VersionKey, VersionTotals>> =
+        BTreeMap::new();
+    for event in &trace.events {
+        let EventKind::Request(request) = &event.kind else {
+            continue;
+        };
+        if event.at_ms < trace.header.warm_up_ms {
+            continue;
+        }
+        let group = groups.entry((request.workspace.clone(), request.task.clone()));
+        add_request(group.or_default(), request, image);
+    }
+    let mut mix = StaticMix::default();
+    let mut count = 0.0;
+    for ((workspace, task), versions) in &groups {
+        let target = image
+            .workspaces
+            .get(workspace)
+            .map_or(0.0, |spec| spec.target_for(task));
+        let totals: Vec<VersionTotals> = versions.values().copied().collect();
+        let best = mix_of(&totals, target);
+        mix.cost += best.cost;
+        mix.quality += best.quality;
+        count += totals.first().map_or(0.0, |total| total.count);
+    }
+    mix.quality /= f64::max(count, 1.0);
+    mix
+}
+
+/// Adds what each established version would answer to a request.
+fn add_request(
+    group: &mut BTreeMap<VersionKey, VersionTotals>,
+    request: &TraceRequest,
+    image: &ConfigImage,
+) {
+    for (name, answer) in &request.answers {
+        let Some((model, version)) = name.split_once('@') else {
+            continue;
+        };
+        let key = VersionKey::new(model, version);
+        let Some(spec) = image.version(&key) else {
+            continue;
+        };
+        if spec.stage != VersionStage::Established {
+            continue;
+        }
+        let price = spec.price_of(
+            u64::from(request.prompt_tokens),
+            u64::from(request.output_tokens),
+        );
+        let totals = group.entry(key).or_default();
+        totals.count += 1.0;
+        totals.quality += answer.quality;
+        totals.cost += price as f64;
+    }
+}
+
+/// Finds the cheapest mix of at most two versions whose mean reaches the target.
+fn mix_of(totals: &[VersionTotals], target: f64) -> VersionTotals {
+    let mut best: Option<VersionTotals> = None;
+    for low in totals {
+        for high in totals {
+            let gap = target * low.count - low.quality;
+            let share = if gap <= 0.0 {
+                0.0
+            } else {
+                gap / (high.quality - low.quality)
+            };
+            if !(0.0..=1.0).contains(&share) {
+                continue;
+            }
+            let mixed = VersionTotals {
+                count: low.count,
+                quality: low.quality + share * (high.quality - low.quality),
+                cost: low.cost + share * (high.cost - low.cost),
+            };
+            if best.is_none_or(|best| mixed.cost < best.cost) {
+                best = Some(mixed);
+            }
+        }
+    }
+    let highest = || {
+        totals
+            .iter()
+            .copied()
+            .max_by(|a, b| a.quality.total_cmp(&b.quality))
+    };
+    best.or_else(highest).unwrap_or_default()
+}
