Bet on low ratings as well as on mean ratings

Cause: a version that turned bad was braked only after about 70 ratings, because a bet on a difference of means wins little per answer. Change: low ratings against the baseline's spread are bet on as events of small probability; starting times weigh evenly for two hours.

--- a/galenamast/src/coordination/evidence_test.rs
+++ b/galenamast/src/coordination/evidence_test.rs
@@ -18,7 +18,11 @@
 /// Time after which bets start anew, so that good answers of long ago don't hide bad ones.
 pub const EPOCH_LENGTH: Duration = Duration::from_secs(60);
 /// Epochs whose capital is kept and counted.
-const KEPT_EPOCHS: u64 = 30;
+const KEPT_EPOCHS: u64 = 15;
+/// Epochs over which the weights of starting times are even, before they fall.
+const EVEN_EPOCHS: f64 = 120.0;
+/// Epochs whose capital is told to other hosts.
+const TOLD_EPOCHS: u64 = 5;
 
 /// Logarithms of the capital of one origin's bets in an epoch.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -75,8 +79,18 @@
     /// assert!(test.log_evidence() > 1_000_f64.ln());
     /// ```
     pub fn observe(&mut self, subject: f64, reference: f64, now: TimePoint) {
+        self.bet(reference - self.tolerated_loss - subject, now);
+    }
+
+    /// Bets on whether an event happened whose probability is at most `rate`.
+    pub fn observe_event(&mut self, happened: bool, rate: f64, now: TimePoint) {
+        let gain = (f64::from(happened) - rate) / rate;
+        self.bet(gain, now);
+    }
+
+    /// Bets on a gain of at least -1 whose expectation is at most zero under the null hypothesis.
+    fn bet(&mut self, gain: f64, now: TimePoint) {
         self.advance(now);
-        let gain = reference - self.tolerated_loss - subject;
         let origins = self.epochs.entry(self.epoch).or_default();
         let capital = origins.entry(self.origin.clone()).or_default();
         capital.count += 1;
@@ -117,7 +131,8 @@
 
     /// Returns this host's bets.
     pub fn digest(&self) -> EvidenceDigest {
-        let own = self.epochs.iter().filter_map(|(epoch, origins)| {
+        let oldest = (self.epoch + 1).saturating_sub(TOLD_EPOCHS);
+        let own = self.epochs.range(oldest..).filter_map(|(epoch, origins)| {
             let capital = origins.get(&self.origin)?;
             Some((*epoch, *capital))
         });
@@ -128,20 +143,28 @@
         }
     }
 
+    /// Returns whether the logarithm of the evidence reaches a threshold.
+    pub fn reaches(&self, threshold: f64) -> bool {
+        // The weights sum to at most one, so the evidence never exceeds the best bet.
+        let mut running = BetTotals::default();
+        let best = self.epochs.values().rev().any(|origins| {
+            add_capital(&mut running, origins);
+            running.iter().any(|total| *total >= threshold)
+        });
+        best && self.log_evidence() >= threshold
+    }
+
     /// Returns the logarithm of the evidence against the null hypothesis.
     ///
-    /// A bet that starts in epoch `j` runs through all later ones and weighs `1 / ((j + 1) (j + 2))`.
+    /// A bet that starts in an epoch runs through all later ones. Its weight is even for the first
+    /// epochs and falls with the square of the epoch after them, so that the weights sum to less
+    /// than one.
     pub fn log_evidence(&self) -> f64 {
-        let mut running = [0.0; BET_SIZES.len()];
+        let mut running = BetTotals::default();
         let mut evidence = 0.0;
         for (epoch, origins) in self.epochs.iter().rev() {
-            for capital in origins.values() {
-                for (total, log_capital) in running.iter_mut().zip(capital.log_capital) {
-                    *total += log_capital;
-                }
-            }
-            let start = *epoch as f64 + 1.0;
-            let weight = 1.0 / (start * (start + 1.0) * BET_SIZES.len() as f64);
+            add_capital(&mut running, origins);
+            let weight = start_weight(*epoch) / BET_SIZES.len() as f64;
             evidence += running
                 .iter()
                 .map(|total| weight * total.exp())
@@ -156,3 +179,24 @@
         origins.map(|capital| capital.count).sum()
     }
 }
+
+/// Logarithms of capital by size of bet.
+type BetTotals = [f64; BET_SIZES.len()];
+
+/// Adds the capital that all origins won in an epoch.
+fn add_capital(running: &mut BetTotals, origins: &BTreeMap<QualityOrigin, BetCapital>) {
+    for capital in origins.values() {
+        for (total, log_capital) in running.iter_mut().zip(capital.log_capital) {
+            *total += log_capital;
+        }
+    }
+}
+
+/// Returns the weight of bets that start in an epoch: half of all weight is spread evenly.
+fn start_weight(epoch: u64) -> f64 {
+    let epoch = epoch as f64;
+    if epoch < EVEN_EPOCHS {
+        return 0.5 / EVEN_EPOCHS;
+    }
+    0.5 * EVEN_EPOCHS / (epoch * (epoch + 1.0))
+}
--- a/galenamast/src/coordination/mod.rs
+++ b/galenamast/src/coordination/mod.rs
@@ -26,4 +26,4 @@
 pub use rollout_test::{Observation, RolloutTest, TestArm, TestDigest, TestSettings, TestVerdict};
 pub use server_directory::ServerDirectory;
 pub use usage_record::UsageRecord;
-pub use version_judge::{JudgeAction, RatedAnswer, VersionEvidence, VersionJudge};
+pub use version_judge::{JudgeAction, RatedAnswer, VersionEvidence, VersionJudge, observe_quality};
--- a/galenamast/src/coordination/rollout_test.rs
+++ b/galenamast/src/coordination/rollout_test.rs
@@ -9,7 +9,7 @@
 use crate::state::{QualityOrigin, RolloutSpec, TaskName, TimePoint};
 
 /// Kinds of evidence among which the false-alarm rate is divided.
-const EVIDENCE_KINDS: f64 = 3.0;
+const EVIDENCE_KINDS: f64 = 4.0;
 /// Greatest rise of the error rate that is accepted.
 const TOLERATED_ERRORS: f64 = 0.01;
 /// Greatest rise of the share of slow answers that is accepted.
@@ -18,6 +18,13 @@
 const SLOW_RATIO: f64 = 2.0;
 /// Reference answers of a task that are needed before its answers are judged.
 const MIN_REFERENCE: u64 = 5;
+/// Standard deviations below the reference's mean from which a rating is low.
+const LOW_DEVIATIONS: f64 = 2.0;
+/// Share of low ratings that is accepted: a floor and a multiple of the reference's.
+const LOW_RATE_FLOOR: f64 = 0.06;
+const LOW_RATE_RATIO: f64 = 1.5;
+/// Reference ratings of a task that are needed to tell which ratings are low.
+const MIN_LOW_REFERENCE: u64 = 30;
 /// Own answers of a task that are needed as a reference for a version's later ones.
 const MIN_HISTORY: u64 = 200;
 /// Reference answers that a mean remembers.
@@ -55,6 +62,8 @@
     Undecided,
     /// Ratings are worse than the reference's.
     WorseRatings,
+    /// Low ratings are more frequent than the reference's.
+    MoreLowRatings,
     /// Attempts fail more often than the reference's.
     MoreErrors,
     /// Answers are slow more often than the reference's.
@@ -66,6 +75,8 @@
 pub struct TestDigest {
     /// Evidence on ratings.
     pub ratings: EvidenceDigest,
+    /// Evidence on low ratings.
+    pub low_ratings: EvidenceDigest,
     /// Evidence on errors.
     pub errors: EvidenceDigest,
     /// Evidence on latency.
@@ -112,6 +123,37 @@
     }
 }
 
+/// What tells which ratings of a task are low.
+#[derive(Clone, Copy, Debug, Default)]
+struct LowReference {
+    ratings: RunningMean,
+    squares: RunningMean,
+    low: RunningMean,
+}
+
+impl LowReference {
+    /// Adds a rating.
+    fn add(&mut self, rating: f64, is_low: bool) {
+        if self.ratings.count >= MIN_REFERENCE {
+            self.low.add(f64::from(is_low));
+        }
+        self.ratings.add(rating);
+        self.squares.add(rating * rating);
+    }
+
+    /// Returns the rating below which a rating is low.
+    fn bound(&self) -> f64 {
+        let mean = self.ratings.mean;
+        let variance = (self.squares.mean - mean * mean).max(0.0);
+        mean - LOW_DEVIATIONS * variance.sqrt()
+    }
+
+    /// Returns the share of low ratings that is accepted.
+    fn accepted_rate(&self) -> f64 {
+        (LOW_RATE_FLOOR + LOW_RATE_RATIO * self.low.mean).min(0.5)
+    }
+}
+
 /// Reference of one kind of evidence for one task.
 #[derive(Clone, Debug, Default)]
 struct Reference {
@@ -128,9 +170,11 @@
 pub struct RolloutTest {
     settings: TestSettings,
     ratings: EvidenceTest,
+    low_ratings: EvidenceTest,
     errors: EvidenceTest,
     latency: EvidenceTest,
     rating_references: BTreeMap<TaskName, Reference>,
+    low_references: BTreeMap<TaskName, LowReference>,
     error_reference: Reference,
     latency_means: BTreeMap<TaskName, RunningMean>,
     slow_references: BTreeMap<TaskName, Reference>,
@@ -142,9 +186,11 @@
         let test = |loss| EvidenceTest::new(settings.origin.clone(), loss, now);
         Self {
             ratings: test(settings.tolerated_loss),
+            low_ratings: test(0.0),
             errors: test(TOLERATED_ERRORS),
             latency: test(TOLERATED_SLOWNESS),
             rating_references: BTreeMap::new(),
+            low_references: BTreeMap::new(),
             error_reference: Reference::default(),
             latency_means: BTreeMap::new(),
             slow_references: BTreeMap::new(),
@@ -173,6 +219,7 @@
         if let Some(rating) = seen.rating {
             let reference = self.rating_references.entry(seen.task.clone()).or_default();
             compare(&mut self.ratings, reference, arm, rating, past, now);
+            self.observe_low(arm, &seen.task, rating, now);
         }
         if let Some(failed) = seen.failed {
             let success = f64::from(!failed);
@@ -185,6 +232,21 @@
         self.verdict()
     }
 
+    /// Takes in whether a rating is low for its task.
+    fn observe_low(&mut self, arm: TestArm, task: &TaskName, rating: f64, now: TimePoint) {
+        let past = self.settings.against_past;
+        let reference = self.low_references.entry(task.clone()).or_default();
+        let needed = if past { MIN_HISTORY } else { MIN_LOW_REFERENCE };
+        let is_low = rating < reference.bound();
+        if arm == TestArm::Candidate && reference.ratings.count >= needed {
+            self.low_ratings
+                .observe_event(is_low, reference.accepted_rate(), now);
+        }
+        if arm == TestArm::Baseline || past {
+            reference.add(rating, is_low);
+        }
+    }
+
     /// Takes in the latency of an answer.
     fn observe_latency(&mut self, arm: TestArm, task: &TaskName, seconds: f64, now: TimePoint) {
         let past = self.settings.against_past;
@@ -201,14 +263,16 @@
     /// Returns what the evidence says.
     pub fn verdict(&self) -> TestVerdict {
         let threshold = (EVIDENCE_KINDS / self.settings.false_alarm_rate).ln();
-        if self.ratings.log_evidence() >= threshold {
-            return TestVerdict::WorseRatings;
-        }
-        if self.errors.log_evidence() >= threshold {
-            return TestVerdict::MoreErrors;
-        }
-        if self.latency.log_evidence() >= threshold {
-            return TestVerdict::Slower;
+        let kinds = [
+            (&self.ratings, TestVerdict::WorseRatings),
+            (&self.low_ratings, TestVerdict::MoreLowRatings),
+            (&self.errors, TestVerdict::MoreErrors),
+            (&self.latency, TestVerdict::Slower),
+        ];
+        for (test, verdict) in kinds {
+            if test.reaches(threshold) {
+                return verdict;
+            }
         }
         TestVerdict::Undecided
     }
@@ -227,6 +291,7 @@
     pub fn digest(&self) -> TestDigest {
         TestDigest {
             ratings: self.ratings.digest(),
+            low_ratings: self.low_ratings.digest(),
             errors: self.errors.digest(),
             latency: self.latency.digest(),
         }
@@ -235,6 +300,7 @@
     /// Merges another host's evidence; repeats and reordering do no harm.
     pub fn merge(&mut self, digest: &TestDigest, now: TimePoint) -> TestVerdict {
         self.ratings.merge(&digest.ratings, now);
+        self.low_ratings.merge(&digest.low_ratings, now);
         self.errors.merge(&digest.errors, now);
         self.latency.merge(&digest.latency, now);
         self.verdict()
--- a/galenamast/src/coordination/version_judge.rs
+++ b/galenamast/src/coordination/version_judge.rs
@@ -215,7 +215,7 @@
 }
 
 /// Adds an answer to the quality table.
-fn observe_quality(answer: &RatedAnswer, table: &mut QualityTable, now: TimePoint) {
+pub fn observe_quality(answer: &RatedAnswer, table: &mut QualityTable, now: TimePoint) {
     let observation = QualityObservation {
         cell: QualityCell {
             version: answer.version.clone(),
--- a/galenamast/src/replay/replay_fleet.rs
+++ b/galenamast/src/replay/replay_fleet.rs
@@ -432,12 +432,10 @@
             }
         }
         let image = &self.image;
-        if let Some(action) = self.hosts[host].judge_answer(answer, image, now_ms) {
+        let with_tests = self.policy == PolicyName::Galenamast;
+        if let Some(action) = self.hosts[host].judge_answer(answer, image, with_tests, now_ms) {
             self.log_action(action, now_ms);
         }
-        if self.policy != PolicyName::Galenamast {
-            self.hosts[host].tables.brakes.clear();
-        }
     }
 
     /// Logs the first brake on a version.
--- a/galenamast/src/replay/replay_host.rs
+++ b/galenamast/src/replay/replay_host.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::coordination::{BrakeNote, JudgeAction, RatedAnswer, VersionEvidence, VersionJudge};
+use crate::coordination::{
+    BrakeNote, JudgeAction, RatedAnswer, VersionEvidence, VersionJudge, observe_quality,
+};
 use crate::replay::replay_report::point_at;
 use crate::replay::replay_server::ReplayServer;
 use crate::replay::trace_format::TraceHost;
@@ -96,9 +98,14 @@
         &mut self,
         answer: &RatedAnswer,
         image: &ConfigImage,
+        with_tests: bool,
         now_ms: u64,
     ) -> Option<JudgeAction> {
         let table = Arc::make_mut(&mut self.tables.quality);
+        if !with_tests {
+            observe_quality(answer, table, point_at(now_ms));
+            return None;
+        }
         let action = self
             .judge
             .judge_rating(answer, table, image, point_at(now_ms));
--- a/galenamast/src/state/quality_table.rs
+++ b/galenamast/src/state/quality_table.rs
@@ -156,6 +156,9 @@
             .or_default();
         let before = *known;
         known.merge(sums);
+        if *known == before {
+            return;
+        }
         let weight = weight_at(self.epoch, at);
         let tasks = self.totals.entry(cell.version.clone()).or_default();
         let lengths = tasks.entry(cell.task.clone()).or_default();
