--- /dev/null
+++ b/galenamast/benches/route_decision.rs
@@ -0,0 +1,113 @@
+//! Time of a routing decision against servers and versions.
+
+use std::collections::BTreeMap;
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Duration;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use galenamast::state::{
+    ConfigGeneration, ConfigImage, ModelSpec, PoolSpec, QualityCell, QualityObservation,
+    QualityTable, RouteRequest, RouteTables, ServerRecord, ServerTable, TimePoint, VersionKey,
+    VersionSpec, WorkspaceSpec, plan_route,
+};
+
+/// Failure domains that the servers are spread over.
+const DOMAINS: usize = 5;
+
+fn name(index: usize) -> String {
+    format!("v{index}")
+}
+
+fn image(versions: usize) -> ConfigImage {
+    let mut model = ModelSpec::default();
+    let mut workspace = WorkspaceSpec::default();
+    let allowed = workspace.allowed.entry("assist".into()).or_default();
+    for index in 0..versions {
+        let version = VersionSpec {
+            pool: "runners".into(),
+            input_price: 100 * (index as u64 + 1),
+            prior_quality: 0.7 + 0.02 * index as f64,
+            ..Default::default()
+        };
+        model.versions.insert(name(index).as_str().into(), version);
+        allowed.insert(name(index).as_str().into());
+    }
+    ConfigImage {
+        generation: ConfigGeneration(1),
+        workspaces: BTreeMap::from([("desk".into(), Arc::new(workspace))]),
+        models: BTreeMap::from([("assist".into(), Arc::new(model))]),
+        pools: BTreeMap::from([("runners".into(), Arc::new(PoolSpec::default()))]),
+        ..Default::default()
+    }
+}
+
+fn tables(servers: usize, versions: usize) -> RouteTables {
+    let keys = || (0..versions).map(|index| VersionKey::new("assist", &name(index)));
+    let mut table = ServerTable::default();
+    for index in 0..servers {
+        table.insert(ServerRecord {
+            name: format!("runner-{index}").as_str().into(),
+            domain: format!("domain-{}", index % DOMAINS).as_str().into(),
+            pool: "runners".into(),
+            versions: keys().collect(),
+            latency_micros: 1_000,
+            ..Default::default()
+        });
+    }
+    let mut quality = QualityTable::default();
+    for version in keys() {
+        for _ in 0..100 {
+            let cell = QualityCell {
+                version: version.clone(),
+                task: "advice".into(),
+                ..Default::default()
+            };
+            let observation = QualityObservation {
+                cell,
+                rating: Some(0.85),
+                latency: Some(Duration::from_millis(500)),
+            };
+            quality.observe(&observation, TimePoint::ZERO);
+        }
+    }
+    RouteTables {
+        domain: "domain-0".into(),
+        servers: table,
+        quality: Arc::new(quality),
+        ..Default::default()
+    }
+}
+
+fn bench_decision(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("plan_route");
+    for versions in [2, 10] {
+        for servers in [10, 100, 600] {
+            let image = image(versions);
+            let tables = tables(servers, versions);
+            let request = RouteRequest {
+                workspace: "desk".into(),
+                task: "advice".into(),
+                prompt_tokens: 400,
+                max_output_tokens: 200,
+                prefix_hash: 42,
+                time_left: Duration::from_secs(30),
+                idempotent: true,
+                ..Default::default()
+            };
+            let id = BenchmarkId::new(format!("{versions} versions"), servers);
+            let mut seed = 0;
+            group.bench_function(id, |bencher| {
+                bencher.iter(|| {
+                    seed += 1;
+                    let now = TimePoint::from_millis(1);
+                    black_box(plan_route(&request, &image, &tables, now, seed))
+                });
+            });
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, bench_decision);
+criterion_main!(benches);
--- a/galenamast/examples/decision_rounds.rs
+++ b/galenamast/examples/decision_rounds.rs
@@ -114,6 +114,10 @@
             figure(|r| r.worst_margin),
         );
         print_figure(&format!("{label} cost ratio"), figure(|r| r.cost_ratio));
+        print_figure(
+            &format!("{label} pooled cost ratio"),
+            figure(|r| r.pooled_cost_ratio),
+        );
         print_figure(&format!("{label} p99 ms"), figure(|r| r.p99_ms as f64));
         let missed = reports
             .iter()
--- a/galenamast/src/replay/mod.rs
+++ b/galenamast/src/replay/mod.rs
@@ -18,7 +18,7 @@
 pub use replay_fleet::replay_trace;
 pub use replay_plot::plot_reports;
 pub use replay_report::{AnswerRecord, ReplayReport, check_outcomes};
-pub use static_mix::{StaticMix, cheapest_mix};
+pub use static_mix::{StaticMix, cheapest_mix, cheapest_pooled_mix};
 pub use trace_error::TraceError;
 pub use trace_file::{read_trace, write_trace};
 pub use trace_format::{
--- a/galenamast/src/replay/replay_fleet.rs
+++ b/galenamast/src/replay/replay_fleet.rs
@@ -412,6 +412,7 @@
         self.log.answers.push(AnswerRecord {
             at_ms: open.arrived_ms,
             workspace: open.trace.workspace.clone(),
+            task: open.trace.task.clone(),
             version: target.version.clone(),
             quality: answer.quality,
             cost: open.cost,
--- a/galenamast/src/replay/replay_report.rs
+++ b/galenamast/src/replay/replay_report.rs
@@ -5,9 +5,9 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
-use crate::replay::static_mix::{StaticMix, cheapest_mix};
+use crate::replay::static_mix::{StaticMix, cheapest_mix, cheapest_pooled_mix};
 use crate::replay::trace_format::Trace;
-use crate::state::{TimePoint, VersionKey, WorkspaceName};
+use crate::state::{TaskName, TimePoint, VersionKey, WorkspaceName};
 
 /// Greatest latency that is told apart, in milliseconds.
 const MAX_LATENCY_MS: u64 = 3_600_000;
@@ -19,6 +19,8 @@
     pub at_ms: u64,
     /// Workspace of the request.
     pub workspace: WorkspaceName,
+    /// Task of the request.
+    pub task: TaskName,
     /// Version whose answer the caller got.
     pub version: VersionKey,
     /// Quality of the answer.
@@ -66,12 +68,14 @@
     pub refused: u64,
     /// Mean quality after the warm-up.
     pub quality: f64,
-    /// Least mean quality above the target over windows after the warm-up.
+    /// Least mean quality of a workspace's task above its target, over windows after the warm-up.
     pub worst_margin: f64,
     /// Cost after the warm-up, in micro-units of currency.
     pub cost: f64,
-    /// Cost relative to the cheapest adequate static mix in hindsight.
+    /// Cost relative to the cheapest static mix in hindsight that is adequate for each task.
     pub cost_ratio: f64,
+    /// Cost relative to the cheapest static mix in hindsight whose mean over all tasks is adequate.
+    pub pooled_cost_ratio: f64,
     /// 50th percentile of latency, in milliseconds.
     pub p50_ms: u64,
     /// 95th percentile of latency, in milliseconds.
@@ -109,6 +113,7 @@
         }
         let cost = warm.iter().map(|answer| answer.cost as f64).sum();
         let StaticMix { cost: mix_cost, .. } = cheapest_mix(trace);
+        let pooled_cost = cheapest_pooled_mix(trace).cost;
         let window_margins = window_margins(trace, &warm);
         let total = |f: fn(&AnswerRecord) -> f64| warm.iter().map(|answer| f(answer)).sum::<f64>();
         Self {
@@ -119,6 +124,7 @@
             worst_margin: window_margins.iter().copied().fold(f64::INFINITY, f64::min),
             cost,
             cost_ratio: cost / mix_cost.max(1.0),
+            pooled_cost_ratio: cost / pooled_cost.max(1.0),
             p50_ms: latencies.value_at_quantile(0.5),
             p95_ms: latencies.value_at_quantile(0.95),
             p99_ms: latencies.value_at_quantile(0.99),
@@ -132,19 +138,20 @@
     }
 }
 
-/// Returns the least margin of the workspaces' mean qualities over their targets, by window.
+/// Returns the least margin of a workspace's and task's mean quality over its target, by window.
 fn window_margins(trace: &Trace, warm: &[&AnswerRecord]) -> Vec<f64> {
     let header = &trace.header;
-    let mut windows: BTreeMap<u64, BTreeMap<&WorkspaceName, (f64, f64)>> = BTreeMap::new();
+    let mut windows: BTreeMap<u64, BTreeMap<(&WorkspaceName, &TaskName), (f64, f64)>> =
+        BTreeMap::new();
     for answer in warm {
         let window = windows.entry(answer.at_ms / header.window_ms).or_default();
-        let sums = window.entry(&answer.workspace).or_default();
+        let sums = window.entry((&answer.workspace, &answer.task)).or_default();
         sums.0 += 1.0;
         sums.1 += answer.quality;
     }
-    let margin = |(workspace, sums): (&&WorkspaceName, &(f64, f64))| {
+    let margin = |((workspace, task), sums): (&(&WorkspaceName, &TaskName), &(f64, f64))| {
         let spec = header.image.workspaces.get(*workspace);
-        sums.1 / sums.0 - spec.map_or(0.0, |spec| spec.quality_target)
+        sums.1 / sums.0 - spec.map_or(0.0, |spec| spec.target_for(task))
     };
     let windows = windows.values();
     windows
--- a/galenamast/src/replay/static_mix.rs
+++ b/galenamast/src/replay/static_mix.rs
@@ -24,14 +24,28 @@
     cost: f64,
 }
 
-/// Computes the cheapest mix, a fixed share of the versions for each workspace and task.
+/// Totals of the versions by workspace and, if tasks are told apart, by task.
+type GroupTotals = BTreeMap<(WorkspaceName, Option<TaskName>), BTreeMap<VersionKey, VersionTotals>>;
+
+/// Computes the cheapest mix of fixed shares for each workspace and task.
 ///
-/// The shares are chosen knowing every answer after the warm-up; each workspace's target is met by
-/// the mean of each task. A share that differs between tasks is at least as cheap as one for all.
+/// The shares are chosen knowing every answer after the warm-up, and the mean of each task reaches
+/// the workspace's target for it.
 pub fn cheapest_mix(trace: &Trace) -> StaticMix {
+    mix_groups(trace, true)
+}
+
+/// Computes the cheapest mix of fixed shares for each workspace, whatever the task.
+///
+/// Only the mean over all tasks reaches the workspace's target, so that single tasks may miss it.
+pub fn cheapest_pooled_mix(trace: &Trace) -> StaticMix {
+    mix_groups(trace, false)
+}
+
+/// Computes the cheapest mix of each group of requests.
+fn mix_groups(trace: &Trace, by_task: bool) -> StaticMix {
     let image = &trace.header.image;
-    let mut groups: BTreeMap<(WorkspaceName, TaskName), BTreeMap<VersionKey, VersionTotals>> =
-        BTreeMap::new();
+    let mut groups = GroupTotals::new();
     for event in &trace.events {
         let EventKind::Request(request) = &event.kind else {
             continue;
@@ -39,16 +53,17 @@
         if event.at_ms < trace.header.warm_up_ms {
             continue;
         }
-        let group = groups.entry((request.workspace.clone(), request.task.clone()));
+        let task = by_task.then(|| request.task.clone());
+        let group = groups.entry((request.workspace.clone(), task));
         add_request(group.or_default(), request, image);
     }
     let mut mix = StaticMix::default();
     let mut count = 0.0;
     for ((workspace, task), versions) in &groups {
-        let target = image
-            .workspaces
-            .get(workspace)
-            .map_or(0.0, |spec| spec.target_for(task));
+        let target = image.workspaces.get(workspace).map_or(0.0, |spec| {
+            task.as_ref()
+                .map_or(spec.quality_target, |task| spec.target_for(task))
+        });
         let totals: Vec<VersionTotals> = versions.values().copied().collect();
         let best = mix_of(&totals, target);
         mix.cost += best.cost;
--- /dev/null
+++ b/galenamast/tests/decisions/quality_merge.rs
@@ -0,0 +1,101 @@
+//! Merging quality digests is idempotent and indifferent to order.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use galenamast::state::{
+    LengthBucket, QualityCell, QualityDigest, QualityEstimate, QualityObservation, QualityOrigin,
+    QualityTable, TimePoint, VersionSpec,
+};
+use proptest::collection::vec;
+
+use crate::fixture::{key, runner};
+
+fn origin(index: usize) -> QualityOrigin {
+    QualityOrigin {
+        host: format!("host-{index}").as_str().into(),
+        incarnation: 1,
+    }
+}
+
+fn observation(rating: f64) -> QualityObservation {
+    QualityObservation {
+        cell: QualityCell {
+            version: key("small"),
+            task: "advice".into(),
+            ..Default::default()
+        },
+        rating: Some(rating),
+        latency: None,
+    }
+}
+
+/// Digests of three hosts, one after each observation.
+fn digests(ratings: &[(usize, f64)]) -> Vec<QualityDigest> {
+    let mut tables: Vec<_> = (0..3)
+        .map(|index| QualityTable::new(origin(index)))
+        .collect();
+    let mut digests = Vec::new();
+    for (host, rating) in ratings {
+        tables[*host].observe(&observation(*rating), TimePoint::ZERO);
+        digests.push(tables[*host].digest(TimePoint::ZERO));
+    }
+    digests
+}
+
+fn merged(digests: &[QualityDigest]) -> Vec<QualityDigest> {
+    let mut table = QualityTable::new(origin(9));
+    for digest in digests {
+        table.merge(digest, TimePoint::ZERO);
+    }
+    let cell = observation(0.0).cell;
+    (0..3)
+        .map(|index| {
+            let mut digest = QualityTable::new(origin(index)).digest(TimePoint::ZERO);
+            let sums = table.sums_of(&origin(index), 0, &cell);
+            digest.entries.push(galenamast::state::QualityEntry {
+                cell: cell.clone(),
+                bucket: 0,
+                age: Duration::ZERO,
+                sums,
+            });
+            digest
+        })
+        .collect()
+}
+
+#[test]
+fn repeats_and_reordering_do_no_harm() {
+    let strategy = (vec((0..3_usize, 0.0..1.0_f64), 1..30), 0..1_000_usize);
+    let property = |(ratings, turn): (Vec<(usize, f64)>, usize)| {
+        let digests = digests(&ratings);
+        let expected = merged(&digests);
+        let mut shuffled = digests.clone();
+        shuffled.rotate_left(turn % digests.len());
+        shuffled.reverse();
+        shuffled.extend(digests.iter().take(turn % 7).cloned());
+        assert_eq!(merged(&shuffled), expected);
+        Ok(())
+    };
+    runner().run(&strategy, property).expect("it holds");
+}
+
+#[test]
+fn estimates_follow_merged_ratings_and_old_ones_fade() {
+    let mut table = QualityTable::new(origin(0));
+    let digests = digests(&vec![(1, 0.2); 300]);
+    table.merge(digests.last().expect("there are some"), TimePoint::ZERO);
+    let estimate = |table: &QualityTable, now| {
+        let spec = VersionSpec {
+            prior_quality: 0.8,
+            ..Default::default()
+        };
+        let length = LengthBucket::Short;
+        QualityEstimate::of(table, &key("small"), &spec, &"advice".into(), length, now).mean
+    };
+    assert!(estimate(&table, TimePoint::ZERO) < 0.25);
+    let later = TimePoint::ZERO + Duration::from_secs(24 * 3_600);
+    assert!(estimate(&table, later) > 0.75);
+    let shared = Arc::new(table);
+    assert!(estimate(&shared, TimePoint::ZERO) < 0.25);
+}
