Mix a cheaper version in where the mean stays above the target, and discount rating noise

Change: cascades count a third of the spread of ratings as quality, sessions keep a task, and a bounded share of a cheaper version is mixed in.

--- a/galenamast/src/replay/trace_synth.rs
+++ b/galenamast/src/replay/trace_synth.rs
@@ -43,6 +43,8 @@
 const SESSION_SHARE: f64 = 0.4;
 const SESSION_MS: f64 = 120_000.0;
 const SESSIONS_AT_ONCE: u64 = 40;
+/// Bound of the number of tasks, by which sessions are numbered.
+const SESSION_TASKS: u64 = 8;
 /// Time over which a version that turns bad slowly does so, in milliseconds.
 const SLOW_TURN_MS: f64 = 600_000.0;
 
@@ -348,7 +350,7 @@
         task: task.name.into(),
         session: generator
             .random_bool(SESSION_SHARE)
-            .then(|| draw_session(at_ms, generator)),
+            .then(|| draw_session(at_ms, place, generator)),
         prompt_tokens,
         output_tokens,
         prefix: generator.random_range(1..=40),
@@ -371,10 +373,11 @@
     (0, &shape.tasks[0])
 }
 
-/// Draws the session of a request among those under way.
-fn draw_session(at_ms: f64, generator: &mut ChaCha8Rng) -> u64 {
+/// Draws the session of a request among those under way; a session keeps to one task.
+fn draw_session(at_ms: f64, task: usize, generator: &mut ChaCha8Rng) -> u64 {
     let generation = (at_ms / SESSION_MS) as u64;
-    generation * SESSIONS_AT_ONCE + generator.random_range(0..SESSIONS_AT_ONCE)
+    let session = generation * SESSIONS_AT_ONCE + generator.random_range(0..SESSIONS_AT_ONCE);
+    session * SESSION_TASKS + task as u64
 }
 
 /// What the harm of a turned version depends on.
--- a/galenamast/src/state/cascade_choice.rs
+++ b/galenamast/src/state/cascade_choice.rs
@@ -12,8 +12,10 @@
 const DEADLINE_SHARE: f64 = 0.5;
 /// Expected quality above the target that a cascade needs.
 const QUALITY_MARGIN: f64 = 0.01;
+/// Share of the spread of ratings that is of quality; the rest is noise, which keeps no promise.
+const RATING_RELIABILITY: f64 = 0.35;
 /// Number of ratings tried as the lowest that is accepted.
-const ACCEPT_STEPS: u32 = 8;
+const ACCEPT_STEPS: u32 = 16;
 
 /// Expected outcome of a cascade.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -41,12 +43,14 @@
         return None;
     }
     for step in 0..=ACCEPT_STEPS {
-        let below = f64::from(ACCEPT_STEPS - step) / f64::from(ACCEPT_STEPS);
-        let accept = target - 2.0 * first.deviation * below;
+        let above = f64::from(step) / f64::from(ACCEPT_STEPS);
+        let accept = target + (4.0 * above - 2.0) * first.deviation;
         let z = (accept - first.mean) / first.deviation.max(1e-6);
         let kept = 1.0 - normal_cdf(z);
-        let kept_quality = kept * first.mean + first.deviation * normal_density(z);
-        let quality = kept_quality + (1.0 - kept) * second.mean;
+        let gain = RATING_RELIABILITY * first.deviation * normal_density(z);
+        let kept_quality = kept * first.mean + gain;
+        // The second version answers the harder requests, and so loses what the first one gains.
+        let quality = kept_quality + (1.0 - kept) * second.mean - gain;
         if quality < target + QUALITY_MARGIN {
             continue;
         }
--- a/galenamast/src/state/route_decision.rs
+++ b/galenamast/src/state/route_decision.rs
@@ -145,6 +145,8 @@
     RolledOut,
     /// Little is known of the version, and an answer of it tells more.
     Explored,
+    /// The version is below the target, but cheaper, and the mean over its share stays above it.
+    Mixed,
     /// No version reaches the target, and this one is the best.
     BestAvailable,
     /// A cheap version answers, and a better one if the rating is low.
--- a/galenamast/src/state/version_choice.rs
+++ b/galenamast/src/state/version_choice.rs
@@ -15,6 +15,10 @@
 const THIN_RATINGS: f64 = 60.0;
 /// Shortfall against the target up to which a version is explored.
 const EXPLORATION_SHORTFALL: f64 = 0.1;
+/// Shortfall against the target up to which a cheaper version is mixed in, at equal weights.
+const MIX_SHORTFALL: f64 = 0.25;
+/// Quality above the target that a mix aims at.
+const MIX_MARGIN: f64 = 0.01;
 /// Weight of relative latency against relative price, at equal weights.
 const LATENCY_TRADE: f64 = 0.05;
 
@@ -75,8 +79,23 @@
     if cheapest.is_none() {
         return Some(single(index, ChoiceReason::BestAvailable));
     }
+    let alone = score(chosen, workspace);
     let cascade = cheapest_cascade(candidates, index, request, workspace, target);
-    Some(cascade.unwrap_or(single(index, ChoiceReason::CheapestAdequate)))
+    let mixed = established()
+        .filter_map(|(index, candidate)| {
+            let mix = mix_with(candidate, chosen, workspace, target)?;
+            Some((index, mix))
+        })
+        .min_by(|(_, left), (_, right)| left.score.total_cmp(&right.score));
+    let cascade_score = cascade.map_or(alone, |(score, _)| score);
+    if let Some((cheaper, mix)) = mixed.filter(|(_, mix)| mix.score < cascade_score) {
+        if generator.random_bool(mix.share) {
+            return Some(single(cheaper, ChoiceReason::Mixed));
+        }
+        return Some(single(index, ChoiceReason::CheapestAdequate));
+    }
+    let alone = single(index, ChoiceReason::CheapestAdequate);
+    Some(cascade.map_or(alone, |(_, choice)| choice))
 }
 
 /// Describes the choice of a single version.
@@ -100,6 +119,38 @@
     1.0 + LATENCY_TRADE * weight * latency_micros / 1_000_000.0
 }
 
+/// A share of requests that a cheaper version takes.
+#[derive(Clone, Copy, Debug)]
+struct VersionMix {
+    /// Share of the cheaper version.
+    share: f64,
+    /// Price of the mix with latency weighed in.
+    score: f64,
+}
+
+/// Mixes a cheaper version below the target with the chosen one, if their mean stays above it.
+fn mix_with(
+    cheaper: &VersionCandidate<'_>,
+    chosen: &VersionCandidate<'_>,
+    workspace: &WorkspaceSpec,
+    target: f64,
+) -> Option<VersionMix> {
+    let low = cheaper.report.quality_bound;
+    let high = chosen.report.quality_bound;
+    let goal = target + MIX_MARGIN;
+    let shortfall = MIX_SHORTFALL / workspace.weights.exposure.max(1.0);
+    let cheaper_score = score(cheaper, workspace);
+    let chosen_score = score(chosen, workspace);
+    if low >= goal || high <= goal || target - low > shortfall || cheaper_score >= chosen_score {
+        return None;
+    }
+    let share = (high - goal) / (high - low);
+    Some(VersionMix {
+        share,
+        score: share * cheaper_score + (1.0 - share) * chosen_score,
+    })
+}
+
 /// Returns whether an answer of a cheaper version would tell enough to be worth its risk.
 fn is_worth_exploring(
     candidate: &VersionCandidate<'_>,
@@ -118,7 +169,7 @@
     request: &RouteRequest,
     workspace: &WorkspaceSpec,
     target: f64,
-) -> Option<VersionChoice> {
+) -> Option<(f64, VersionChoice)> {
     if !workspace.cascades || !request.idempotent || request.streamed {
         return None;
     }
@@ -139,11 +190,12 @@
         let score = estimate.price * latency_factor(estimate.latency_micros, workspace);
         if score < best_score {
             best_score = score;
-            best = Some(VersionChoice {
+            let choice = VersionChoice {
                 index,
                 reason: ChoiceReason::Cascaded,
                 cascade: Some((second, estimate)),
-            });
+            };
+            best = Some((score, choice));
         }
     }
     best
