--- a/galenamast/src/coordination/mod.rs
+++ b/galenamast/src/coordination/mod.rs
@@ -3,9 +3,6 @@
 //! Nothing here does I/O or reads a clock: `handle(event, now)` returns actions.
 
 pub mod brake_board;
-pub mod config_documents;
-pub mod coordination_error;
-pub mod evidence_test;
 pub mod call_budget;
 pub mod change_refusal;
 pub mod circuit_breaker;
@@ -18,18 +15,19 @@
 pub mod config_documents;
 pub mod coordination_error;
 pub mod engine_order;
+pub mod evidence_test;
 pub mod host_list;
 pub mod load_report;
 pub mod object_query;
 pub mod object_record;
 pub mod object_write;
-pub mod rollout_test;
 pub mod placement_input;
 pub mod placement_needs;
 pub mod placement_planner;
 pub mod retry_backoff;
 pub mod rollout_controller;
 pub mod rollout_step;
+pub mod rollout_test;
 pub mod server_directory;
 pub mod session_claims;
 pub mod session_error;
@@ -41,9 +39,6 @@
 pub mod version_judge;
 
 pub use brake_board::{BRAKE_TIME, BrakeBoard, BrakeChoice, BrakeNote};
-pub use config_documents::{ConfigObject, HeadDocument, ObjectDigest, assemble_image};
-pub use coordination_error::CoordinationError;
-pub use evidence_test::{BetCapital, EvidenceDigest, EvidenceTest};
 pub use call_budget::{CallBudget, CallPriority};
 pub use change_refusal::ChangeRefusal;
 pub use circuit_breaker::{BreakerState, CircuitBreaker};
@@ -58,12 +53,12 @@
 };
 pub use coordination_error::CoordinationError;
 pub use engine_order::{EngineOrder, EngineState};
+pub use evidence_test::{BetCapital, EvidenceDigest, EvidenceTest};
 pub use host_list::{HostList, HostListEntry, HostState};
 pub use load_report::LoadReport;
 pub use object_query::ObjectQuery;
 pub use object_record::{ObjectKey, ObjectRecord, ObjectVersion};
 pub use object_write::{WriteCondition, WriteOutcome};
-pub use rollout_test::{Observation, RolloutTest, TestArm, TestDigest, TestSettings, TestVerdict};
 pub use placement_input::{
     MoveKind, MoveReason, PlacementMove, PlacementPlan, PlacementServer, PlacementSettings,
     ReplicaCount, VersionDemand,
@@ -72,6 +67,7 @@
 pub use retry_backoff::RetryBackoff;
 pub use rollout_controller::{RolloutController, RolloutEvent, RolloutView};
 pub use rollout_step::RolloutStep;
+pub use rollout_test::{Observation, RolloutTest, TestArm, TestDigest, TestSettings, TestVerdict};
 pub use server_directory::ServerDirectory;
 pub use session_claims::SessionClaims;
 pub use session_error::SessionError;
--- a/galenamast/src/replay/replay_fleet.rs
+++ b/galenamast/src/replay/replay_fleet.rs
@@ -106,7 +106,9 @@
             log: ReplayLog::default(),
         };
         fleet.schedule(0, FleetEvent::Report);
-        fleet.schedule(header.digest_period_ms, FleetEvent::Tell);
+        if policy.plans_routes() {
+            fleet.schedule(header.digest_period_ms, FleetEvent::Tell);
+        }
         fleet.schedule(ANALYSIS_PERIOD_MS, FleetEvent::Analyse);
         for (index, event) in trace.events.iter().enumerate() {
             fleet.schedule(event.at_ms, FleetEvent::Trace(index));
--- a/galenamast/src/replay/replay_report.rs
+++ b/galenamast/src/replay/replay_report.rs
@@ -140,9 +140,9 @@
 
 /// Returns the least margin of a workspace's and task's mean quality over its target, by window.
 fn window_margins(trace: &Trace, warm: &[&AnswerRecord]) -> Vec<f64> {
+    type TaskSums<'a> = BTreeMap<(&'a WorkspaceName, &'a TaskName), (f64, f64)>;
     let header = &trace.header;
-    let mut windows: BTreeMap<u64, BTreeMap<(&WorkspaceName, &TaskName), (f64, f64)>> =
-        BTreeMap::new();
+    let mut windows: BTreeMap<u64, TaskSums<'_>> = BTreeMap::new();
     for answer in warm {
         let window = windows.entry(answer.at_ms / header.window_ms).or_default();
         let sums = window.entry((&answer.workspace, &answer.task)).or_default();
--- a/galenamast/src/state/mod.rs
+++ b/galenamast/src/state/mod.rs
@@ -59,7 +59,6 @@
 pub use run_state::RunState;
 pub use server_record::{ServerLife, ServerLoad, ServerRecord};
 pub use server_table::{DomainServers, ServerTable};
-pub use server_table::ServerTable;
 pub use session_keys::{SecretKey, SessionKeys};
 pub use state_error::StateError;
 pub use time_point::TimePoint;
--- a/galenamast/src/state/version_choice.rs
+++ b/galenamast/src/state/version_choice.rs
@@ -18,7 +18,7 @@
 /// Shortfall against the target up to which a cheaper version is mixed in, at equal weights.
 const MIX_SHORTFALL: f64 = 0.25;
 /// Quality above the target that a mix aims at.
-const MIX_MARGIN: f64 = 0.01;
+const MIX_MARGIN: f64 = 0.006;
 /// Weight of relative latency against relative price, at equal weights.
 const LATENCY_TRADE: f64 = 0.05;
 
--- a/galenamast/src/state/version_filter.rs
+++ b/galenamast/src/state/version_filter.rs
@@ -36,7 +36,7 @@
     if mean <= 0.0 {
         return CONFIDENCE_Z;
     }
-    CONFIDENCE_Z * (weights.exposure / mean).clamp(0.5, 2.0)
+    CONFIDENCE_Z * (weights.exposure / mean).clamp(0.85, 1.0)
 }
 
 /// Lists the versions that the workspace may use for the request.
