--- a/galenamast/src/event_loop.rs
+++ b/galenamast/src/event_loop.rs
@@ -18,6 +18,7 @@
 use crate::transport::caller_tls::load_tls;
 use crate::transport::crash_sharing::follow_crash_notes;
 use crate::transport::host_list_poller::{follow_servers, poll_host_list, poll_loads};
+use crate::transport::quality_feed::{follow_answers, follow_brakes};
 use crate::transport::settings_reload::reload_settings;
 use crate::transport::{HostContext, TimerService, TransportError, start_fleet};
 
@@ -57,6 +58,10 @@
         }
         tasks.extend(start_fleet(&context)?);
         follow_crash_notes(&context);
+        follow_brakes(&context);
+        if let Some(answers) = context.take_answers() {
+            tasks.push(tokio::spawn(follow_answers(context.clone(), answers)));
+        }
         if let Some(ledger) = context.ledger.clone() {
             tasks.push(tokio::spawn(ledger.run()));
         }
--- a/galenamast/src/protocol/chat_text.rs
+++ b/galenamast/src/protocol/chat_text.rs
@@ -16,6 +16,27 @@
     message: ChatMessage,
 }
 
+/// An event of a streamed answer.
+#[derive(Clone, Debug, Deserialize)]
+struct DeltaEvent {
+    #[serde(default)]
+    choices: Vec<DeltaChoice>,
+}
+
+/// One choice of an event.
+#[derive(Clone, Debug, Deserialize)]
+struct DeltaChoice {
+    #[serde(default)]
+    delta: TextDelta,
+}
+
+/// What an event adds to a choice.
+#[derive(Clone, Debug, Default, Deserialize)]
+struct TextDelta {
+    #[serde(default)]
+    content: String,
+}
+
 impl ChatText {
     /// Decodes the choices of an answer; `None` if it is malformed.
     ///
@@ -29,6 +50,24 @@
         serde_json::from_slice(body).ok()
     }
 
+    /// Joins the text of the first choice of a streamed answer's events.
+    ///
+    /// ```
+    /// use galenamast::protocol::ChatText;
+    ///
+    /// let event = r#"{"choices":[{"delta":{"content":"size 9"}}]}"#;
+    /// assert_eq!(ChatText::of_events(&[event.into()]), "size 9");
+    /// ```
+    pub fn of_events(events: &[String]) -> String {
+        let mut text = String::new();
+        for data in events {
+            let event: Option<DeltaEvent> = serde_json::from_str(data).ok();
+            let delta = event.and_then(|event| event.choices.into_iter().next());
+            text.push_str(&delta.map(|choice| choice.delta.content).unwrap_or_default());
+        }
+        text
+    }
+
     /// Returns the text of the first choice.
     pub fn text(&self) -> String {
         let content = self.choices.first().map(|choice| &choice.message.content);
--- a/galenamast/src/protocol/soft_state.rs
+++ b/galenamast/src/protocol/soft_state.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::CrashNote;
+use crate::coordination::{BrakeNote, CrashNote};
 use crate::state::ConfigGeneration;
 
 /// A piece of soft state.
@@ -16,4 +16,6 @@
     ConfigNews(ConfigGeneration),
     /// A server died while it ran a request.
     Crash(CrashNote),
+    /// A version takes no new work.
+    Brake(BrakeNote),
 }
--- a/galenamast/src/transport/host_context.rs
+++ b/galenamast/src/transport/host_context.rs
@@ -5,7 +5,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use sha2::{Digest, Sha256};
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 
 use crate::config::Settings;
 use crate::coordination::{
@@ -20,11 +20,16 @@
 use crate::transport::object_calls::ObjectCalls;
 use crate::transport::object_client::{CallLimits, ObjectClient};
 use crate::transport::peer_mesh::PeerMesh;
+use crate::transport::quality_feed::FeedEvent;
 use crate::transport::queue_gate::QueueGate;
 use crate::transport::request_board::RequestBoard;
 use crate::transport::timer_service::TimerService;
 use crate::transport::usage_ledger::{CopyCall, LedgerSettings, UsageLedger};
 
+/// Answers that wait for the judge; further ones are left out.
+const BUFFERED_ANSWERS: usize = 4_096;
+/// Ratings that are asked for at once.
+const MAX_RATINGS: usize = 64;
 /// Text that keeps the key of fingerprints apart from other uses of the session key.
 const FINGERPRINT_CONTEXT: &[u8] = b"galenamast crash fingerprint 1";
 
@@ -67,6 +72,11 @@
     pub quarantine: Mutex<CrashQuarantine>,
     /// Whether the host has begun to shut down.
     pub leaving: AtomicBool,
+    /// Answers for the judge of versions.
+    pub answers: mpsc::Sender<FeedEvent>,
+    /// Ratings that may be asked for at once.
+    pub ratings: Arc<Semaphore>,
+    answer_receiver: Mutex<Option<mpsc::Receiver<FeedEvent>>>,
     server_events: mpsc::UnboundedSender<DirectoryEvent>,
     server_receiver: Mutex<Option<mpsc::UnboundedReceiver<DirectoryEvent>>>,
     fallback_key: [u8; 16],
@@ -102,6 +112,7 @@
             domain: settings.host.domain.clone(),
             ..Default::default()
         };
+        let (answers, answer_receiver) = mpsc::channel(BUFFERED_ANSWERS);
         let (server_events, server_receiver) = mpsc::unbounded_channel();
         Arc::new(Self {
             timers,
@@ -121,6 +132,9 @@
             quarantine: Mutex::new(CrashQuarantine::new(settings.routing.quarantine_time)),
             fallback_key: rand::random(),
             leaving: AtomicBool::new(false),
+            answers,
+            ratings: Arc::new(Semaphore::new(MAX_RATINGS)),
+            answer_receiver: Mutex::new(Some(answer_receiver)),
             server_events,
             server_receiver: Mutex::new(Some(server_receiver)),
             seeds: AtomicU64::new(rand::random()),
@@ -151,6 +165,11 @@
         let _ = self.server_events.send(event);
     }
 
+    /// Takes the receiving end of the answers; the second call finds none.
+    pub fn take_answers(&self) -> Option<mpsc::Receiver<FeedEvent>> {
+        self.answer_receiver.lock().ok()?.take()
+    }
+
     /// Takes the receiving end of the news about backend servers; the second call finds none.
     pub fn take_server_events(&self) -> Option<mpsc::UnboundedReceiver<DirectoryEvent>> {
         self.server_receiver.lock().ok()?.take()
--- a/galenamast/src/transport/mod.rs
+++ b/galenamast/src/transport/mod.rs
@@ -1,5 +1,6 @@
 //! Sockets, HTTP, TLS, timers and signals; performs what the layers below decide.
 
+pub mod answer_report;
 pub mod backend_attempt;
 pub mod backend_client;
 pub mod backend_stream;
@@ -30,6 +31,7 @@
 pub mod peer_registry;
 pub mod peer_runner;
 pub mod placement_runner;
+pub mod quality_feed;
 pub mod queue_gate;
 pub mod rating_client;
 pub mod request_attempts;
--- a/galenamast/src/transport/rating_client.rs
+++ b/galenamast/src/transport/rating_client.rs
@@ -28,10 +28,15 @@
 
 /// Has the answer of a chat completion rated; `None` if the rating service does not answer.
 pub async fn rate_answer(context: &HostContext, id: RequestId, body: &Bytes) -> Option<f64> {
+    rate_text(context, id, ChatText::decode(body)?.text()).await
+}
+
+/// Has a text rated; `None` if the rating service does not answer.
+pub async fn rate_text(context: &HostContext, id: RequestId, answer: String) -> Option<f64> {
     let address = context.settings.platform.rating?.to_string();
     let question = RatingQuestion {
         request_id: id,
-        answer: ChatText::decode(body)?.text(),
+        answer,
     };
     let call = context.client.call_json::<RatingAnswer>(
         Method::POST,
--- a/galenamast/src/transport/request_attempts.rs
+++ b/galenamast/src/transport/request_attempts.rs
@@ -12,7 +12,8 @@
 use crate::coordination::{AttemptFailure, AttemptNumber, DirectoryEvent, ServerDeath};
 use crate::logging::log_fault;
 use crate::protocol::ChatRequest;
-use crate::state::{InFlightCounter, PoolName, RequestId, RouteTarget, ServerName};
+use crate::state::{InFlightCounter, PoolName, RequestId, RouteTarget, ServerName, TimePoint};
+use crate::transport::answer_report::report_failure;
 use crate::transport::backend_attempt::{AttemptKind, AttemptSignal, AttemptTask};
 use crate::transport::backend_client::{BackendCall, BackendReply};
 use crate::transport::caller_request::{RequestJob, RequestWork};
@@ -29,6 +30,8 @@
 pub struct RunningAttempt {
     /// Where the attempt runs.
     pub target: RouteTarget,
+    /// When the attempt was sent.
+    pub started_at: TimePoint,
     /// The whole answer, once it has arrived.
     pub reply: Option<BackendReply>,
     // Dropped before the slot, so that the server is left before it counts as free.
@@ -124,6 +127,7 @@
         let running = task.run(context.backends.clone(), self.signals.clone());
         let entry = RunningAttempt {
             target,
+            started_at: context.timers.now(),
             reply: None,
             _task: AbortOnDropHandle::new(tokio::spawn(running)),
             slot: Some(slot),
@@ -141,6 +145,10 @@
         let Some(running) = self.entries.get_mut(&attempt) else {
             return;
         };
+        if matches!(self.job.work, RequestWork::Chat(_)) {
+            let version = &running.target.version;
+            report_failure(&self.context, &self.job.route, version, failure);
+        }
         let server = running.target.server.clone();
         if server_dead {
             record_death(&self.context, &server);
