--- a/galenamast/src/cli.rs
+++ b/galenamast/src/cli.rs
@@ -4,7 +4,9 @@
 
 use clap::Command;
 
-use crate::commands::{EXIT_INVALID, admin, check_config, completions, docs, keygen, serve};
+use crate::commands::{
+    EXIT_INVALID, admin, check_config, completions, docs, explain, keygen, replay, serve, trace,
+};
 
 /// Builds the command line.
 ///
@@ -26,6 +28,9 @@
         .subcommand(admin::command())
         .subcommand(completions::command())
         .subcommand(docs::command())
+        .subcommand(explain::command())
+        .subcommand(replay::command())
+        .subcommand(trace::command())
 }
 
 /// Parses the process's arguments and runs the command that they name.
@@ -38,6 +43,9 @@
         Some((admin::NAME, matches)) => admin::run(matches),
         Some((completions::NAME, matches)) => completions::run(matches, build_command()),
         Some((docs::NAME, matches)) => docs::run(matches),
+        Some((explain::NAME, matches)) => explain::run(matches),
+        Some((replay::NAME, matches)) => replay::run(matches),
+        Some((trace::NAME, matches)) => trace::run(matches),
         _ => ExitCode::from(EXIT_INVALID),
     }
 }
--- a/galenamast/src/coordination/request_machine.rs
+++ b/galenamast/src/coordination/request_machine.rs
@@ -330,7 +330,7 @@
             generation,
             withheld,
         });
-        if let (0, false, Some(delay)) = (attempt, withheld, self.plan.hedge_after) {
+        if let (0, Some(delay)) = (attempt, self.plan.hedge_after) {
             turn.push(RequestAction::StartHedgeTimer(delay));
         }
         Handled
@@ -355,11 +355,11 @@
             return Handled;
         };
         self.excluded.remove(&entry.target.server);
-        self.cascade = None;
         self.stale_decisions += 1;
         if self.any_active() {
             return Handled;
         }
+        self.cascade = None;
         if self.stale_decisions > MAX_STALE_DECISIONS {
             let reason = FailureReason::Refused(RefusalReason::NoEligibleVersion);
             return self.fail(turn, reason);
@@ -370,14 +370,19 @@
 
     /// Starts a second attempt while the first is silent.
     fn hedge(&mut self, turn: &mut FlowTurn) -> Outcome<State> {
-        let wanted = self.plan.idempotent && self.any_active() && self.cascade.is_none();
+        let wanted = self.plan.idempotent && self.any_active();
         if wanted
             && !self.hedging
             && self.next_attempt < MAX_ATTEMPTS
             && self.plan.budget.try_take()
         {
             self.hedging = true;
-            self.route(turn);
+            self.routing = true;
+            let first = self.cascade.as_ref().map(|plan| &plan.first.version);
+            turn.push(RequestAction::Route {
+                excluded: self.excluded.clone(),
+                version: first.or(self.version.as_ref()).cloned(),
+            });
         }
         Handled
     }
--- a/galenamast/src/event_loop.rs
+++ b/galenamast/src/event_loop.rs
@@ -12,13 +12,16 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::config::Settings;
-use crate::logging::log_record;
+use crate::logging::{log_fault, log_record};
 use crate::protocol::LogRecord;
 use crate::transport::caller_server::CallerServer;
 use crate::transport::caller_tls::load_tls;
+use crate::transport::crash_sharing::follow_crash_notes;
 use crate::transport::host_list_poller::{follow_servers, poll_host_list, poll_loads};
 use crate::transport::metrics_reporter::{report_gauges, start_metrics};
 use crate::transport::operator_server::start_operator_server;
+use crate::transport::quality_feed::{follow_answers, follow_brakes};
+use crate::transport::settings_reload::reload_settings;
 use crate::transport::{
     HostContext, TimerService, TransportError, start_duties, start_fleet, start_usage_peers,
 };
@@ -47,6 +50,7 @@
         let address = settings.callers.listen;
         let tls = load_tls(&settings.callers)?;
         let context = HostContext::new(settings, TimerService::system());
+        context.caller_tls.store(tls);
         let listen = |source| TransportError::Listen { address, source };
         let listener = TcpListener::bind(address).await.map_err(listen)?;
         let caller_address = listener.local_addr().map_err(listen)?;
@@ -60,6 +64,11 @@
         tasks.extend(start_fleet(&context)?);
         tasks.extend(start_usage_peers(&context));
         tasks.extend(start_duties(&context));
+        follow_crash_notes(&context);
+        follow_brakes(&context);
+        if let Some(answers) = context.take_answers() {
+            tasks.push(tokio::spawn(follow_answers(context.clone(), answers)));
+        }
         if let Some(ledger) = context.ledger.clone() {
             tasks.push(tokio::spawn(ledger.run()));
         }
@@ -69,7 +78,6 @@
         let server = CallerServer {
             context: context.clone(),
             listener,
-            tls,
             stopped: stopped.clone(),
         };
         let serving = tokio::spawn(server.serve());
@@ -140,7 +148,8 @@
 
     /// Serves through the balancer's lag and lets the requests in flight end.
     async fn drain(&mut self) {
-        let shutdown = &self.context.settings.shutdown;
+        let settings = self.context.live();
+        let shutdown = &settings.shutdown;
         let timers = &self.context.timers;
         timers.sleep(shutdown.balancer_lag).await;
         self.stopped.cancel();
@@ -164,18 +173,23 @@
     }
 }
 
-/// Runs an entry host until the process is told to stop.
+/// Runs an entry host until the process is told to stop; a hang-up signal reads the settings again.
 ///
 /// # Errors
 ///
 /// Returns an error if the host cannot start.
-pub async fn run(settings: Settings) -> Result<(), TransportError> {
+pub async fn run(
+    settings: Settings,
+    read_again: impl Fn() -> Option<Settings> + Send + 'static,
+) -> Result<(), TransportError> {
     let metrics = start_metrics(&settings.metrics);
     let mut host = EntryHost::start(settings).await?;
     if let Some(sink) = metrics {
         let reporting = report_gauges(host.context.clone(), sink);
         host.tasks.push(tokio::spawn(reporting));
     }
+    let reloading = follow_settings(host.context.clone(), read_again);
+    host.tasks.push(tokio::spawn(reloading));
     let mut terminate = signal(SignalKind::terminate()).ok();
     let mut interrupt = signal(SignalKind::interrupt()).ok();
     wait_for_signal(&mut terminate, &mut interrupt).await;
@@ -184,6 +198,22 @@
     Ok(())
 }
 
+/// Puts changed settings into force at each hang-up signal.
+async fn follow_settings(context: Arc<HostContext>, read_again: impl Fn() -> Option<Settings>) {
+    let mut hangup = signal(SignalKind::hangup()).ok();
+    loop {
+        receive(&mut hangup).await;
+        let Some(changed) = read_again() else {
+            log_fault("settings", &"the settings were not taken over");
+            continue;
+        };
+        match reload_settings(&context, &changed) {
+            Ok(()) => log_record(Level::Info, &LogRecord::SettingsReloaded),
+            Err(error) => log_fault("settings", &error),
+        }
+    }
+}
+
 /// Waits for a signal that asks the process to stop.
 async fn wait_for_signal(terminate: &mut Option<Signal>, interrupt: &mut Option<Signal>) {
     tokio::select! {
--- a/galenamast/src/lib.rs
+++ b/galenamast/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod generated;
 pub mod logging;
 pub mod protocol;
+pub mod replay;
 pub mod state;
 pub mod transport;
--- a/galenamast/src/protocol/log_record.rs
+++ b/galenamast/src/protocol/log_record.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::{MemberStatus, PlacementMove, RolloutStep, UsageRecord};
+use crate::coordination::{BrakeNote, MemberStatus, PlacementMove, RolloutStep, UsageRecord};
 use crate::protocol::decision_record::DecisionRecord;
 use crate::state::{ConfigGeneration, DomainName, HostName, RequestId, RolloutName, WorkspaceName};
 
@@ -41,6 +41,10 @@
         /// Address for operators.
         operators: String,
     },
+    /// A version takes no new work because of evidence against it.
+    VersionBraked(BrakeNote),
+    /// Changed settings came into force.
+    SettingsReloaded,
     /// The host began to shut down.
     HostLeaving,
     /// A request was still in flight when the host stopped.
--- a/galenamast/src/protocol/soft_state.rs
+++ b/galenamast/src/protocol/soft_state.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::coordination::{BrakeNote, CrashNote};
 use crate::state::ConfigGeneration;
 
 /// A piece of soft state.
@@ -13,4 +14,8 @@
 pub enum SoftState {
     /// A configuration generation is in force on the sending host.
     ConfigNews(ConfigGeneration),
+    /// A server died while it ran a request.
+    Crash(CrashNote),
+    /// A version takes no new work.
+    Brake(BrakeNote),
 }
--- a/galenamast/src/transport/caller_server.rs
+++ b/galenamast/src/transport/caller_server.rs
@@ -24,6 +24,7 @@
 use crate::transport::caller_chat::{complete_chat, list_models};
 use crate::transport::caller_reply::{error_response, refuse};
 use crate::transport::caller_service::call_service;
+use crate::transport::caller_stream::CallerStream;
 use crate::transport::host_context::HostContext;
 
 /// Streams that one HTTP/2 connection may have open.
@@ -81,8 +82,6 @@
     pub context: Arc<HostContext>,
     /// Socket that callers connect to.
     pub listener: TcpListener,
-    /// TLS for callers, if the settings ask for it.
-    pub tls: Option<Arc<rustls::ServerConfig>>,
     /// Told when no new connection is accepted any more.
     pub stopped: CancellationToken,
 }
@@ -93,7 +92,6 @@
         let routes = caller_routes(self.context.clone());
         let graceful = GracefulShutdown::new();
         let connections = Arc::new(AtomicUsize::new(0));
-        let acceptor = self.tls.clone().map(TlsAcceptor::from);
         loop {
             let accepted = tokio::select! {
                 accepted = self.listener.accept() => accepted,
@@ -105,7 +103,7 @@
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             };
-            let limit = self.context.settings.callers.max_streams as usize;
+            let limit = self.context.live().callers.max_streams as usize;
             if connections.load(Ordering::Relaxed) >= limit.saturating_mul(2) {
                 continue;
             }
@@ -117,7 +115,8 @@
                 watcher: graceful.watcher(),
                 counter,
             };
-            tokio::spawn(connection.run(stream, acceptor.clone()));
+            let acceptor = self.context.caller_tls.load_full();
+            tokio::spawn(connection.run(stream, acceptor.map(TlsAcceptor::from)));
         }
         drop(self.listener);
         graceful.shutdown().await;
@@ -156,7 +155,7 @@
         let Some(acceptor) = acceptor else {
             return self.serve(stream).await;
         };
-        let timeout = self.context.settings.callers.read_timeout;
+        let timeout = self.context.live().callers.read_timeout;
         // A failed or slow handshake concerns the caller alone.
         if let Ok(Ok(stream)) = tokio::time::timeout(timeout, acceptor.accept(stream)).await {
             self.serve(stream).await;
@@ -171,7 +170,8 @@
             watcher,
             counter,
         } = self;
-        let callers = &context.settings.callers;
+        let settings = context.live();
+        let callers = &settings.callers;
         let mut builder = Builder::new(TokioExecutor::new());
         builder
             .http1()
@@ -183,6 +183,7 @@
             .timer(TokioTimer::new())
             .max_concurrent_streams(MAX_STREAMS_PER_CONNECTION)
             .max_header_list_size(u32::try_from(callers.max_header_bytes).unwrap_or(u32::MAX));
+        let stream = CallerStream::new(stream, callers.write_timeout);
         let service = TowerToHyperService::new(routes);
         let connection = builder
             .serve_connection(TokioIo::new(stream), service)
--- a/galenamast/src/transport/host_context.rs
+++ b/galenamast/src/transport/host_context.rs
@@ -1,16 +1,16 @@
 //! What the parts of a running entry host share.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use sha2::{Digest, Sha256};
-use tokio::sync::{broadcast, mpsc};
+use tokio::sync::{Semaphore, mpsc};
 
 use crate::config::Settings;
 use crate::coordination::{
-    AdmissionControl, CallPriority, ClaimRetention, CrashNote, CrashQuarantine, DirectoryEvent,
-    LeaseSettings, UsageOrigin,
+    AdmissionControl, CallPriority, ClaimRetention, CrashQuarantine, DirectoryEvent, LeaseSettings,
+    UsageOrigin,
 };
 use crate::state::{ConfigImage, RouteTables, VersionKey};
 use crate::transport::backend_client::BackendClient;
@@ -22,14 +22,16 @@
 use crate::transport::object_calls::ObjectCalls;
 use crate::transport::object_client::{CallLimits, ObjectClient};
 use crate::transport::peer_mesh::PeerMesh;
+use crate::transport::quality_feed::FeedEvent;
 use crate::transport::queue_gate::QueueGate;
 use crate::transport::request_board::RequestBoard;
 use crate::transport::timer_service::TimerService;
 use crate::transport::usage_ledger::{CopyCall, LedgerSettings, UsageLedger};
 
-/// Notes that wait for a slow listener; older ones are dropped.
-const CRASH_NOTES: usize = 256;
-
+/// Answers that wait for the judge; further ones are left out.
+const BUFFERED_ANSWERS: usize = 4_096;
+/// Ratings that are asked for at once.
+const MAX_RATINGS: usize = 64;
 /// Text that keeps the key of fingerprints apart from other uses of the session key.
 const FINGERPRINT_CONTEXT: &[u8] = b"galenamast crash fingerprint 1";
 
@@ -38,8 +40,11 @@
 
 /// Shared parts of a running entry host.
 pub struct HostContext {
-    /// Settings of the host.
+    /// Settings that the host started with.
     pub settings: Settings,
+    /// TLS for callers, if the settings ask for it.
+    pub caller_tls: ArcSwapOption<rustls::ServerConfig>,
+    live: ArcSwap<Settings>,
     /// Source of time.
     pub timers: TimerService,
     /// Configuration in force.
@@ -78,8 +83,11 @@
     pub quarantine: Mutex<CrashQuarantine>,
     /// Whether the host has begun to shut down.
     pub leaving: AtomicBool,
-    /// Notes for other entry hosts on requests that servers died of.
-    pub crash_notes: broadcast::Sender<CrashNote>,
+    /// Answers for the judge of versions.
+    pub answers: mpsc::Sender<FeedEvent>,
+    /// Ratings that may be asked for at once.
+    pub ratings: Arc<Semaphore>,
+    answer_receiver: Mutex<Option<mpsc::Receiver<FeedEvent>>>,
     server_events: mpsc::UnboundedSender<DirectoryEvent>,
     server_receiver: Mutex<Option<mpsc::UnboundedReceiver<DirectoryEvent>>>,
     fallback_key: [u8; 16],
@@ -119,6 +127,7 @@
             domain: settings.host.domain.clone(),
             ..Default::default()
         };
+        let (answers, answer_receiver) = mpsc::channel(BUFFERED_ANSWERS);
         let (server_events, server_receiver) = mpsc::unbounded_channel();
         Arc::new(Self {
             timers,
@@ -141,10 +150,14 @@
             quarantine: Mutex::new(CrashQuarantine::new(settings.routing.quarantine_time)),
             fallback_key: rand::random(),
             leaving: AtomicBool::new(false),
-            crash_notes: broadcast::channel(CRASH_NOTES).0,
+            answers,
+            ratings: Arc::new(Semaphore::new(MAX_RATINGS)),
+            answer_receiver: Mutex::new(Some(answer_receiver)),
             server_events,
             server_receiver: Mutex::new(Some(server_receiver)),
             seeds: AtomicU64::new(rand::random()),
+            caller_tls: ArcSwapOption::empty(),
+            live: ArcSwap::from_pointee(settings.clone()),
             settings,
         })
     }
@@ -154,29 +167,25 @@
         self.seeds.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Returns the settings in force, which may change while the host runs.
+    pub fn live(&self) -> Arc<Settings> {
+        self.live.load_full()
+    }
+
+    /// Puts settings into force.
+    pub(super) fn replace_live(&self, settings: Arc<Settings>) {
+        self.live.store(settings);
+    }
+
     /// Reports news about backend servers.
     pub fn report_servers(&self, event: DirectoryEvent) {
         // A closed channel means that the host has stopped.
         let _ = self.server_events.send(event);
     }
 
-    /// Tells other entry hosts of requests that servers died of.
-    pub fn share_crash_notes(&self, notes: &[CrashNote]) {
-        for note in notes {
-            if self.crash_notes.send(note.clone()).is_err() {
-                // No part of the host listens; the notes stay local.
-                return;
-            }
-        }
-    }
-
-    /// Takes in a note of another entry host.
-    pub fn apply_crash_note(&self, note: &CrashNote) {
-        let now = self.timers.now();
-        self.quarantine
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .apply_note(note, now);
+    /// Takes the receiving end of the answers; the second call finds none.
+    pub fn take_answers(&self) -> Option<mpsc::Receiver<FeedEvent>> {
+        self.answer_receiver.lock().ok()?.take()
     }
 
     /// Takes the receiving end of the news about backend servers; the second call finds none.
--- a/galenamast/src/transport/mod.rs
+++ b/galenamast/src/transport/mod.rs
@@ -1,5 +1,6 @@
 //! Sockets, HTTP, TLS, timers and signals; performs what the layers below decide.
 
+pub mod answer_report;
 pub mod backend_attempt;
 pub mod backend_client;
 pub mod backend_stream;
@@ -12,6 +13,7 @@
 pub mod caller_request;
 pub mod caller_server;
 pub mod caller_service;
+pub mod caller_stream;
 pub mod caller_tls;
 pub mod claim_cleaner;
 pub mod claim_request;
@@ -19,6 +21,7 @@
 pub mod config_loader;
 pub mod config_runner;
 pub mod config_writer;
+pub mod crash_sharing;
 pub mod domain_duties;
 pub mod duty_lease;
 pub mod host_context;
@@ -45,6 +48,7 @@
 pub mod peer_registry;
 pub mod peer_runner;
 pub mod placement_runner;
+pub mod quality_feed;
 pub mod queue_gate;
 pub mod rating_client;
 pub mod request_attempts;
@@ -54,6 +58,7 @@
 pub mod request_runner;
 pub mod request_session;
 pub mod rollout_runner;
+pub mod settings_reload;
 pub mod timer_service;
 pub mod tls_config;
 pub mod tls_identity;
--- a/galenamast/src/transport/request_attempts.rs
+++ b/galenamast/src/transport/request_attempts.rs
@@ -12,10 +12,12 @@
 use crate::coordination::{AttemptFailure, AttemptNumber, DirectoryEvent, ServerDeath};
 use crate::logging::log_fault;
 use crate::protocol::ChatRequest;
-use crate::state::{InFlightCounter, PoolName, RequestId, RouteTarget, ServerName};
+use crate::state::{InFlightCounter, PoolName, RequestId, RouteTarget, ServerName, TimePoint};
+use crate::transport::answer_report::report_failure;
 use crate::transport::backend_attempt::{AttemptKind, AttemptSignal, AttemptTask};
 use crate::transport::backend_client::{BackendCall, BackendReply};
 use crate::transport::caller_request::{RequestJob, RequestWork};
+use crate::transport::crash_sharing::share_crash_notes;
 use crate::transport::host_context::HostContext;
 
 /// Path of chat completions at a model engine.
@@ -28,6 +30,8 @@
 pub struct RunningAttempt {
     /// Where the attempt runs.
     pub target: RouteTarget,
+    /// When the attempt was sent.
+    pub started_at: TimePoint,
     /// The whole answer, once it has arrived.
     pub reply: Option<BackendReply>,
     // Dropped before the slot, so that the server is left before it counts as free.
@@ -123,6 +127,7 @@
         let running = task.run(context.backends.clone(), self.signals.clone());
         let entry = RunningAttempt {
             target,
+            started_at: context.timers.now(),
             reply: None,
             _task: AbortOnDropHandle::new(tokio::spawn(running)),
             slot: Some(slot),
@@ -140,6 +145,10 @@
         let Some(running) = self.entries.get_mut(&attempt) else {
             return;
         };
+        if matches!(self.job.work, RequestWork::Chat(_)) {
+            let version = &running.target.version;
+            report_failure(&self.context, &self.job.route, version, failure);
+        }
         let server = running.target.server.clone();
         if server_dead {
             record_death(&self.context, &server);
@@ -236,7 +245,7 @@
         .lock()
         .unwrap_or_else(PoisonError::into_inner)
         .record_death(&death, now);
-    context.share_crash_notes(&notes);
+    share_crash_notes(context, &notes);
     let message = format!("{server} died with {} suspects", death.suspects.len());
     log_fault("backend", &message);
 }
--- a/galenamast/src/transport/request_router.rs
+++ b/galenamast/src/transport/request_router.rs
@@ -55,6 +55,7 @@
                 generation: image.generation,
                 seed,
                 outcome,
+                reason: None,
                 candidates: Vec::new(),
             }
         }
--- a/galenamast/src/transport/request_runner.rs
+++ b/galenamast/src/transport/request_runner.rs
@@ -14,8 +14,9 @@
     RequestGuards, RequestMachine, RequestPlan, UsageRecord,
 };
 use crate::logging::log_record;
-use crate::protocol::{CallerError, ErrorCode, LogRecord};
+use crate::protocol::{CallerError, ChatText, ErrorCode, LogRecord};
 use crate::state::{ConfigGeneration, PoolName, RouteTarget, RunState, VersionKey};
+use crate::transport::answer_report::{KeptEvents, rate_delivered, report_answer, report_rating};
 use crate::transport::backend_attempt::AttemptSignal;
 use crate::transport::caller_channel::CallerChannel;
 use crate::transport::caller_reply::{describe_failure, refuse};
@@ -54,6 +55,8 @@
     attempts: AttemptSet,
     claim: RequestClaim,
     delivered: u64,
+    kept: KeptEvents,
+    rated: Option<AttemptNumber>,
     claim_pending: bool,
     released: bool,
     ticket: Option<QueueTicket>,
@@ -91,6 +94,8 @@
             channel,
             gone,
             delivered: 0,
+            kept: KeptEvents::default(),
+            rated: None,
             claim_pending: false,
             released: false,
             ticket: None,
@@ -148,6 +153,11 @@
                 if let Some(running) = self.attempts.get_mut(attempt) {
                     running.reply = Some(reply);
                     running.free_slot();
+                    if matches!(self.job.work, RequestWork::Chat(_)) {
+                        let (target, started_at) = (&running.target, running.started_at);
+                        let route = &self.job.route;
+                        report_answer(&self.context, route, &target.version, started_at);
+                    }
                     self.feed(RequestEvent::AttemptFinished { attempt }).await;
                 }
             }
@@ -184,10 +194,11 @@
         }
         self.claim.keep_events(&events);
         self.delivered += events.len() as u64;
-        let timeout = self.context.settings.callers.write_timeout;
+        let timeout = self.context.live().callers.write_timeout;
         if !self.channel.send_events(&events, timeout).await {
             self.gone.cancel();
         }
+        self.kept.extend(events);
     }
 
     /// Takes in something else that was waited for.
@@ -212,7 +223,7 @@
 
     /// Performs an action; returns the event that follows at once.
     async fn perform(&mut self, action: RequestAction) -> Option<RequestEvent> {
-        let timeout = self.context.settings.callers.write_timeout;
+        let timeout = self.context.live().callers.write_timeout;
         match action {
             RequestAction::Claim => {
                 self.claim_pending = true;
@@ -254,6 +265,9 @@
             RequestAction::CloseClaim(end) => self.close_claim(end).await,
             RequestAction::Deliver(attempt) => {
                 if let Some(running) = self.attempts.remove(attempt) {
+                    if self.rated != Some(attempt) {
+                        self.rate_answer(&running);
+                    }
                     self.deliver(running, timeout).await;
                 }
             }
@@ -278,6 +292,19 @@
         }
     }
 
+    /// Has a delivered answer rated.
+    fn rate_answer(&self, running: &RunningAttempt) {
+        let Some(version) = self.version_of(&running.target) else {
+            return;
+        };
+        let body = running.reply.as_ref().map(|reply| &reply.body);
+        let whole = body.and_then(|body| ChatText::decode(body));
+        let text = whole.map(|text| text.text()).or_else(|| self.kept.text());
+        if let Some(text) = text {
+            rate_delivered(&self.context, &self.job.route, &version, text);
+        }
+    }
+
     /// Puts the session token on the answer.
     fn give_token(&mut self, version: Option<&VersionKey>) {
         let Some(version) = version else {
@@ -325,7 +352,7 @@
     /// Lets the request wait for a server of a pool.
     fn join_queue(&mut self, pool: PoolName) {
         let context = &self.context;
-        let longest = context.timers.now() + context.settings.routing.queue_timeout;
+        let longest = context.timers.now() + context.live().routing.queue_timeout;
         let deadline = self.job.deadline.min(longest);
         let entry = QueueEntry {
             ticket: QueueTicket::default(),
@@ -378,8 +405,14 @@
         let context = self.context.clone();
         let id = self.job.route.id;
         let body = reply.map(|reply| reply.body).unwrap_or_default();
+        let version = running.map(|running| running.target.version.clone());
+        let job = self.job.clone();
+        self.rated = Some(attempt);
         self.spawn_wait(async move {
             let rating = rate_answer(&context, id, &body).await;
+            if let (Some(rating), Some(version)) = (rating, version) {
+                report_rating(&context, &job.route, &version, rating);
+            }
             RunnerSignal::Event(RequestEvent::Rated { rating })
         });
     }
--- a/galenamast/tests/path/machine_model.rs
+++ b/galenamast/tests/path/machine_model.rs
@@ -316,7 +316,12 @@
         let generation = ConfigGeneration(self.generation);
         let name = format!("g{}", self.generation);
         let version = asked.unwrap_or_else(|| VersionKey::new("m", &name));
-        let free = SERVERS.iter().find(|name| !excluded.contains(**name));
+        // Like the planner, the model chooses no version outside the allowed set.
+        let allowed = ["any", name.as_str()].contains(&version.version.as_str());
+        let free = SERVERS
+            .iter()
+            .filter(|_| allowed)
+            .find(|name| !excluded.contains(**name));
         let target = free.map(|server| RouteTarget {
             version,
             server: (*server).into(),
--- a/galenamast/tests/path/main.rs
+++ b/galenamast/tests/path/main.rs
@@ -3,11 +3,15 @@
 mod admission;
 mod backend_faults;
 mod bad_input;
+mod billing;
 mod claims;
 mod failure_table;
 mod machine_faults;
 mod machine_model;
+mod overload;
+mod quality;
 mod quarantine;
+mod reload;
 mod server_life;
 mod services;
 mod sessions;
--- a/galenamast/tests/path/quarantine.rs
+++ b/galenamast/tests/path/quarantine.rs
@@ -3,8 +3,12 @@
 use std::time::Duration;
 
 use galenamast::coordination::crash_quarantine::{MAX_CORRELATED_DEATHS, MAX_SUSPECTS};
-use galenamast::coordination::{CrashFingerprint, CrashQuarantine, ServerDeath};
-use galenamast::state::TimePoint;
+use galenamast::coordination::{ConfigObject, CrashFingerprint, CrashQuarantine, ServerDeath};
+use galenamast::event_loop::EntryHost;
+use galenamast::state::{ConfigGeneration, SecretKey, SessionKeys, TimePoint};
+use galenamast_testbed::{Caller, publish_config};
+
+use crate::support::eventually;
 
 /// Time for which requests are refused in these tests.
 const QUARANTINE: Duration = Duration::from_secs(60);
@@ -96,3 +100,51 @@
     }
     assert!(here.refused_for(POISON, at(1)).is_some());
 }
+
+#[tokio::test]
+async fn a_poison_request_is_refused_by_other_hosts_too() {
+    let mut options = crate::support::small(4);
+    options.hosts_per_domain = 2;
+    let deployment = galenamast_testbed::Deployment::start(options).await;
+    let deployment = deployment.expect("starts");
+    let mut documents = deployment.default_documents();
+    documents.push(ConfigObject::SessionKeys(SessionKeys {
+        current: SecretKey::from_bytes([9; 32]),
+        previous: None,
+    }));
+    let generation = ConfigGeneration(2);
+    publish_config(&deployment.objects, generation, &documents).expect("encodes");
+    let hosts: Vec<_> = deployment.hosts.values().collect();
+    eventually("the keys are adopted", || {
+        let adopted = |host: &&EntryHost| host.context().image.load().generation == generation;
+        hosts.iter().all(adopted)
+    })
+    .await;
+    eventually("the hosts know each other", || {
+        let meets = |host: &&EntryHost| {
+            let mesh = host.context().peers.get().expect("a mesh");
+            mesh.members().live_peers().count() == 1
+        };
+        hosts.iter().all(meets)
+    })
+    .await;
+    for engine in deployment.engines.values() {
+        engine.set_faults(|faults| faults.poison = Some("venom".into()));
+    }
+    let caller = Caller::new(crate::support::WORKSPACE);
+    let first = caller.chat(hosts[0].caller_address(), "venom", &[]).await;
+    assert_eq!(first.expect("answered").status, 502);
+    let there = hosts[1].context().clone();
+    let body = br#"{"messages":[{"content":"venom","role":"user"}],"model":"auto"}"#;
+    let workspace = crate::support::WORKSPACE.into();
+    let print = CrashFingerprint::of_request(&there.fingerprint_key(), &workspace, body);
+    eventually("the notes arrive", || {
+        let quarantine = there.quarantine.lock().expect("not poisoned");
+        quarantine.refused_for(print, there.timers.now()).is_some()
+    })
+    .await;
+    let again = caller.chat(hosts[1].caller_address(), "venom", &[]).await;
+    assert_eq!(again.expect("answered").status, 422);
+    let dead = deployment.engines.values().filter(|e| e.is_dead()).count();
+    assert_eq!(dead, 2);
+}
