Delete configuration objects that stay unreferenced

Cause: each change leaves the object that it replaced on the platform for good. Change: ObjectSweep and a cleaner, run by one host of each failure domain at the lowest priority: an object goes once it was unreferenced for half an hour at one version, on condition of that version, so that a change that uses it again keeps it. Conclusion: three changes of one pool leave one object in the test, and a reused one stays.

--- a/galenamast/src/coordination/mod.rs
+++ b/galenamast/src/coordination/mod.rs
@@ -37,6 +37,7 @@
 pub mod member_table;
 pub mod object_query;
 pub mod object_record;
+pub mod object_sweep;
 pub mod object_write;
 pub mod placement_input;
 pub mod placement_needs;
@@ -97,6 +98,7 @@
 pub use member_table::MemberTable;
 pub use object_query::ObjectQuery;
 pub use object_record::{ObjectKey, ObjectRecord, ObjectVersion};
+pub use object_sweep::ObjectSweep;
 pub use object_write::{WriteCondition, WriteOutcome};
 pub use placement_input::{
     MoveKind, MoveReason, PlacementMove, PlacementPlan, PlacementServer, PlacementSettings,
--- a/galenamast/src/transport/config_runner.rs
+++ b/galenamast/src/transport/config_runner.rs
@@ -17,10 +17,13 @@
 use crate::logging::{log_fault, log_record};
 use crate::protocol::{LogRecord, PeerReply, PeerRequest, ProtocolError, SoftState};
 use crate::state::{ConfigGeneration, HostName, RouteTables, TimePoint};
+use crate::transport::config_cleaner::run_cleaner;
 use crate::transport::config_writer::{decode_head, head_key};
 use crate::transport::host_context::HostContext;
 use crate::transport::object_client::ObjectClient;
 use crate::transport::peer_mesh::{PeerMesh, lock};
+use crate::transport::peer_registry::run_registry;
+use crate::transport::peer_runner::run_mesh;
 use crate::transport::transport_error::TransportError;
 
 /// Time between ticks of the keeper.
@@ -392,16 +395,12 @@
     let _ = context.config.set(runner.clone());
     let peers = context.settings.peers.clone();
     let mut tasks = vec![
-        tokio::spawn(crate::transport::peer_runner::run_mesh(
-            mesh.clone(),
-            events,
-            peers,
-        )),
+        tokio::spawn(run_mesh(mesh.clone(), events, peers)),
         tokio::spawn(runner.run()),
     ];
     if let Some(objects) = &context.objects {
-        let register = crate::transport::peer_registry::run_registry(mesh, objects.clone());
-        tasks.push(tokio::spawn(register));
+        tasks.push(tokio::spawn(run_registry(mesh.clone(), objects.clone())));
+        tasks.push(tokio::spawn(run_cleaner(mesh, objects.clone())));
     }
     Ok(tasks)
 }
--- a/galenamast/tests/fleet/config_change.rs
+++ b/galenamast/tests/fleet/config_change.rs
@@ -1,12 +1,16 @@
 //! Changes of the configuration: races, lost answers, repetitions and refusals.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use galenamast::coordination::{ChangeRefusal, ConfigChange, ConfigObject, HeadDocument};
-use galenamast::state::{ConfigGeneration, StateError, WorkspaceSpec};
+use galenamast::coordination::{
+    ChangeRefusal, ConfigChange, ConfigObject, HeadDocument, ObjectSweep,
+};
+use galenamast::state::{ConfigGeneration, StateError, TimePoint, WorkspaceSpec};
+use galenamast::transport::config_cleaner::clean_once;
 use galenamast_fakes::FakeObjects;
 
-use crate::support::{pool_change, writer_at};
+use crate::support::{client_at, pool_change, writer_at};
 
 /// Reads the head that the platform holds.
 fn head_of(objects: &FakeObjects) -> HeadDocument {
@@ -154,6 +158,32 @@
     assert_eq!(head_of(&objects).generation, ConfigGeneration(1));
 }
 
+#[tokio::test]
+async fn only_objects_that_stay_unreferenced_are_deleted() {
+    let objects = FakeObjects::start().await;
+    let client = client_at(objects.address());
+    let writer = writer_at(objects.address());
+    for (id, slots) in [("c1", 1), ("c2", 2), ("c3", 3)] {
+        let made = writer.apply(&pool_change(id, "advice", slots), false).await;
+        made.expect("accepted");
+    }
+    let mut sweep = ObjectSweep::default();
+    let later = TimePoint::ZERO + Duration::from_secs(1_800);
+    let none = clean_once(&client, &mut sweep, TimePoint::ZERO).await;
+    assert_eq!(none.expect("the platform answers"), 0);
+    // A change that goes back to the first content raises the version of its object.
+    let back = pool_change("c4", "advice", 1);
+    writer.apply(&back, false).await.expect("accepted");
+    let forward = pool_change("c5", "advice", 3);
+    writer.apply(&forward, false).await.expect("accepted");
+    let one = clean_once(&client, &mut sweep, later).await;
+    assert_eq!(one.expect("the platform answers"), 1);
+    assert_eq!(objects.values("config").len(), 2);
+    let rest = clean_once(&client, &mut sweep, later + Duration::from_secs(1_800)).await;
+    assert_eq!(rest.expect("the platform answers"), 1);
+    assert_eq!(objects.values("config").len(), 1);
+}
+
 #[test]
 fn a_head_keeps_its_newest_changes_and_refuses_a_base_beyond_them() {
     let mut head = HeadDocument::default();
--- a/galenamast/tests/fleet/config_spread.rs
+++ b/galenamast/tests/fleet/config_spread.rs
@@ -195,3 +195,58 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn a_watcher_that_loses_its_watch_is_helped_by_the_others() {
+    let objects = FakeObjects::start().await;
+    change(&objects, &["c1"]).await;
+    let mut hosts = Vec::new();
+    let mut gates = Vec::new();
+    let mut seeds = Vec::new();
+    for index in 0..4 {
+        let gate = objects.open_gate().await;
+        let name = format!("host-{index}");
+        let host = start_host(&name, "cumbre", Some(gate.address()), &seeds).await;
+        seeds = vec![mesh_of(&host).address()];
+        hosts.push(host);
+        gates.push(gate);
+    }
+    wait_for_members(&hosts, 4).await;
+    wait_for_generation(&hosts, 1).await;
+    let watches = |host: &EntryHost| host.context().config.get().expect("started").is_watching();
+    wait_until("two hosts watch", || {
+        hosts.iter().filter(|host| watches(host)).count() == 2
+    })
+    .await;
+    // Both watchers lose the platform; the other hosts still reach it.
+    for (host, gate) in hosts.iter().zip(&gates) {
+        if watches(host) {
+            gate.faults().set(|faults| faults.hang = true);
+        }
+    }
+    change(&objects, &["c2", "c3"]).await;
+    wait_for_generation(&hosts, 3).await;
+}
+
+#[tokio::test]
+async fn a_watcher_that_stops_is_replaced() {
+    let objects = FakeObjects::start().await;
+    let mut hosts = Vec::new();
+    let mut seeds = Vec::new();
+    for index in 0..4 {
+        let name = format!("host-{index}");
+        let host = start_host(&name, "cumbre", Some(objects.address()), &seeds).await;
+        seeds = vec![mesh_of(&host).address()];
+        hosts.push(host);
+    }
+    wait_for_members(&hosts, 4).await;
+    let watches = |host: &EntryHost| host.context().config.get().expect("started").is_watching();
+    let watching = |hosts: &[EntryHost]| hosts.iter().filter(|host| watches(host)).count();
+    wait_until("two hosts watch", || watching(&hosts) == 2).await;
+    while let Some(index) = hosts.iter().position(watches).filter(|_| hosts.len() > 2) {
+        hosts.remove(index).stop().await;
+    }
+    wait_until("two others watch", || watching(&hosts) == 2).await;
+    change(&objects, &["c1"]).await;
+    wait_for_generation(&hosts, 1).await;
+}
