--- a/galenamast/src/transport/host_context.rs
+++ b/galenamast/src/transport/host_context.rs
@@ -76,6 +76,8 @@
     server_events: mpsc::UnboundedSender<DirectoryEvent>,
     server_receiver: Mutex<Option<mpsc::UnboundedReceiver<DirectoryEvent>>>,
     fallback_key: [u8; 16],
+    /// Whether an operator took the host out of the balancer.
+    pub draining: AtomicBool,
     seeds: AtomicU64,
 }
 
@@ -135,6 +137,7 @@
             crash_notes: broadcast::channel(CRASH_NOTES).0,
             server_events,
             server_receiver: Mutex::new(Some(server_receiver)),
+            draining: AtomicBool::new(false),
             seeds: AtomicU64::new(rand::random()),
             settings,
         })
@@ -193,7 +196,8 @@
 
     /// Returns whether the host has a configuration and is not shutting down.
     pub fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.image.load().generation.0 > 0
+        let draining = self.draining.load(Ordering::Relaxed);
+        !draining && !self.is_leaving() && self.image.load().generation.0 > 0
     }
 
     /// Returns whether the host has begun to shut down.
