Bound the bytes of membership by the target's rate

Cause: the rate of control bytes at 400 hosts was argued and not measured. Change: a test of one domain of 10, 40 and 80 hosts in memory, quiet and with a tenth of them restarted at once, against 19 KB/s.

--- a/galenamast/tests/fleet/member_net.rs
+++ b/galenamast/tests/fleet/member_net.rs
@@ -12,6 +12,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+/// Bytes that QUIC, UDP and IP add to a message.
+const OVERHEAD_BYTES: usize = 70;
 /// Time between ticks of each host.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -25,6 +27,7 @@
     pub(crate) loss: f64,
     pub(crate) now: TimePoint,
     pub(crate) sent: u64,
+    pub(crate) bytes: usize,
     pub(crate) largest: usize,
     pub(crate) deaths: u64,
     generator: ChaCha8Rng,
@@ -52,6 +55,7 @@
             loss: 0.0,
             now: TimePoint::ZERO,
             sent: 0,
+            bytes: 0,
             largest: 0,
             deaths: 0,
             generator: ChaCha8Rng::seed_from_u64(seed),
@@ -101,6 +105,7 @@
     fn send(&mut self, from: usize, to: usize, message: MemberMessage) {
         let bytes = postcard::to_allocvec(&message).expect("the message encodes");
         self.sent += 1;
+        self.bytes += bytes.len() + OVERHEAD_BYTES;
         self.largest = self.largest.max(bytes.len());
         let lost = self.loss > 0.0 && self.generator.random_bool(self.loss);
         if lost || (self.cut)(from, to) {
--- a/galenamast/tests/fleet/membership.rs
+++ b/galenamast/tests/fleet/membership.rs
@@ -24,6 +24,30 @@
     assert!(net.largest <= 1_100, "{} bytes", net.largest);
 }
 
+#[test]
+fn the_bytes_of_a_host_stay_within_its_rate_however_large_the_domain_is() {
+    // A domain of the target has 80 of 400 hosts; the rate is 19 KB/s for all control messages.
+    for hosts in [10, 40, 80] {
+        let mut net = MemberNet::start(hosts, 1, 9);
+        net.run(Duration::from_secs(15));
+        (net.bytes, net.sent) = (0, 0);
+        net.run(Duration::from_secs(30));
+        let quiet = net.bytes / hosts / 30;
+        // A tenth of the domain is restarted at once.
+        net.bytes = 0;
+        for index in 1..=hosts / 10 {
+            net.restart(index, 1, 2);
+        }
+        net.run(Duration::from_secs(30));
+        let busy = net.bytes / hosts / 30;
+        println!("{hosts} hosts: {quiet} B/s quiet, {busy} B/s with restarts");
+        assert!(
+            quiet < 19_000 && busy < 19_000,
+            "{hosts}: {quiet} and {busy} B/s"
+        );
+    }
+}
+
 #[test]
 fn a_host_knows_its_domain_and_only_a_few_hosts_elsewhere() {
     let mut net = MemberNet::start(40, 4, 2);
