--- a/galenamast/src/protocol/operator_rollout.rs
+++ b/galenamast/src/protocol/operator_rollout.rs
@@ -5,7 +5,7 @@
 use crate::generated::operator as wire;
 use crate::protocol::operator_objects::{checked_name, milliseconds};
 use crate::protocol::protocol_error::ProtocolError;
-use crate::state::{RolloutName, RolloutPhase, RolloutSpec};
+use crate::state::{RolloutPhase, RolloutSpec};
 
 /// Converts a roll-out for the wire.
 pub fn rollout_to_wire(spec: &RolloutSpec) -> wire::Rollout {
@@ -49,6 +49,10 @@
         wire::RolloutPhase::Aborted => RolloutPhase::Aborted,
         wire::RolloutPhase::Completed => RolloutPhase::Completed,
     };
+    let supersedes = match rollout.supersedes.as_str() {
+        "" => None,
+        name => Some(checked_name("superseded roll-out", name)?.into()),
+    };
     Ok(RolloutSpec {
         name: checked_name("roll-out name", &rollout.name)?.into(),
         model: checked_name("model name", &rollout.model)?.into(),
@@ -60,15 +64,7 @@
         min_ratings: rollout.min_ratings,
         min_step_time: Duration::from_millis(rollout.min_step_time_ms),
         tolerated_loss: rollout.tolerated_loss_ratio,
-        supersedes: superseded_name(&rollout.supersedes)?,
         false_alarm_rate: rollout.false_alarm_ratio,
+        supersedes,
     })
 }
-
-/// Reads the name of the superseded roll-out; an empty one stands for none.
-fn superseded_name(name: &str) -> Result<Option<RolloutName>, ProtocolError> {
-    if name.is_empty() {
-        return Ok(None);
-    }
-    checked_name("superseded roll-out name", name).map(|name| Some(name.into()))
-}
--- a/galenamast/src/transport/host_context.rs
+++ b/galenamast/src/transport/host_context.rs
@@ -12,7 +12,7 @@
     AdmissionControl, CallPriority, ClaimRetention, CrashNote, CrashQuarantine, DirectoryEvent,
     LeaseSettings, UsageOrigin,
 };
-use crate::state::{ConfigImage, RouteTables};
+use crate::state::{ConfigImage, RouteTables, VersionKey};
 use crate::transport::backend_client::BackendClient;
 use crate::transport::claim_request::ClaimSettings;
 use crate::transport::claim_runner::ClaimRunner;
@@ -33,6 +33,9 @@
 /// Text that keeps the key of fingerprints apart from other uses of the session key.
 const FINGERPRINT_CONTEXT: &[u8] = b"galenamast crash fingerprint 1";
 
+/// Counts the rated answers of a version since any fixed point in time.
+pub type RatingsCall = Arc<dyn Fn(&VersionKey) -> u64 + Send + Sync>;
+
 /// Shared parts of a running entry host.
 pub struct HostContext {
     /// Settings of the host.
@@ -57,10 +60,14 @@
     pub claims: Option<ClaimRunner>,
     /// Usage records, if the settings name the object API.
     pub ledger: Option<UsageLedger>,
+    /// Counts the rated answers of a version for roll-outs; empty until ratings are collected.
+    pub rated_answers: ArcSwapOption<RatingsCall>,
     /// Hands a usage record to another entry host of the failure domain; empty if there is none.
     pub usage_copy: Arc<ArcSwapOption<CopyCall>>,
     /// HTTP client of the other services of the platform.
     pub client: HttpClient,
+    /// Whether an operator took the host out of the balancer.
+    pub draining: AtomicBool,
     /// Limits of the workspaces.
     pub admission: Mutex<AdmissionControl>,
     /// Requests that wait for a free server.
@@ -76,8 +83,6 @@
     server_events: mpsc::UnboundedSender<DirectoryEvent>,
     server_receiver: Mutex<Option<mpsc::UnboundedReceiver<DirectoryEvent>>>,
     fallback_key: [u8; 16],
-    /// Whether an operator took the host out of the balancer.
-    pub draining: AtomicBool,
     seeds: AtomicU64,
 }
 
@@ -123,11 +128,13 @@
             claims,
             ledger,
             usage_copy,
+            rated_answers: ArcSwapOption::empty(),
             objects,
             leases,
             peers: OnceLock::new(),
             config: OnceLock::new(),
             client,
+            draining: AtomicBool::new(false),
             admission: Mutex::default(),
             queue: QueueGate::new(settings.routing.max_queued as usize),
             board: RequestBoard::default(),
@@ -137,7 +144,6 @@
             crash_notes: broadcast::channel(CRASH_NOTES).0,
             server_events,
             server_receiver: Mutex::new(Some(server_receiver)),
-            draining: AtomicBool::new(false),
             seeds: AtomicU64::new(rand::random()),
             settings,
         })
@@ -194,10 +200,10 @@
         key
     }
 
-    /// Returns whether the host has a configuration and is not shutting down.
+    /// Returns whether the host has a configuration, is not drained and is not shutting down.
     pub fn is_ready(&self) -> bool {
-        let draining = self.draining.load(Ordering::Relaxed);
-        !draining && !self.is_leaving() && self.image.load().generation.0 > 0
+        let drained = self.draining.load(Ordering::Relaxed);
+        !drained && !self.is_leaving() && self.image.load().generation.0 > 0
     }
 
     /// Returns whether the host has begun to shut down.
--- a/galenamast/src/transport/mod.rs
+++ b/galenamast/src/transport/mod.rs
@@ -20,6 +20,8 @@
 pub mod config_loader;
 pub mod config_runner;
 pub mod config_writer;
+pub mod domain_duties;
+pub mod duty_lease;
 pub mod host_context;
 pub mod host_list_poller;
 pub mod http_client;
@@ -29,6 +31,8 @@
 pub mod metrics_sink;
 pub mod object_calls;
 pub mod object_client;
+pub mod object_request;
+pub mod operator_claims;
 pub mod operator_configuration;
 pub mod operator_context;
 pub mod operator_decisions;
@@ -60,6 +64,7 @@
 pub mod transport_error;
 pub mod usage_export;
 pub mod usage_ledger;
+pub mod usage_peers;
 
 pub use backend_client::{BackendClient, BackendReply};
 pub use call_counters::{CallCounters, CallCounts, CallKind};
@@ -68,6 +73,7 @@
 pub use claim_runner::ClaimRunner;
 pub use config_runner::{ConfigRunner, start_fleet};
 pub use config_writer::ConfigWriter;
+pub use domain_duties::start_duties;
 pub use host_context::HostContext;
 pub use http_client::HttpClient;
 pub use lease_runner::LeaseRunner;
@@ -83,3 +89,4 @@
 pub use usage_ledger::{
     CopyCall, LedgerSettings, LedgerStatus, UsageHold, UsageLedger, UsageReservation,
 };
+pub use usage_peers::start_usage_peers;
