--- a/galenamast/src/commands/mod.rs
+++ b/galenamast/src/commands/mod.rs
@@ -1,7 +1,11 @@
 //! The commands of the program, a module each: its arguments and what it does.
 
+pub mod admin;
 pub mod check_config;
+pub mod completions;
+pub mod docs;
 pub mod explain;
+pub mod keygen;
 pub mod replay;
 pub mod serve;
 pub mod trace;
--- a/galenamast/src/protocol/log_record.rs
+++ b/galenamast/src/protocol/log_record.rs
@@ -2,9 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::{PlacementMove, RolloutStep, UsageRecord};
+use crate::coordination::{MemberStatus, PlacementMove, RolloutStep, UsageRecord};
 use crate::protocol::decision_record::DecisionRecord;
-use crate::state::{ConfigGeneration, DomainName, RolloutName};
+use crate::state::{ConfigGeneration, DomainName, HostName, RequestId, RolloutName};
 
 /// A log line.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -38,6 +38,15 @@
     HostStarted {
         /// Address for callers.
         callers: String,
+        /// Address for operators.
+        operators: String,
+    },
+    /// The host began to shut down.
+    HostLeaving,
+    /// A request was still in flight when the host stopped.
+    RequestAbandoned {
+        /// Identifier of the request.
+        request_id: RequestId,
     },
     /// The host stopped serving.
     HostStopped,
@@ -46,11 +55,67 @@
         /// Generation of the configuration.
         generation: ConfigGeneration,
     },
+    /// The platform or another host offered a configuration older than the one in force.
+    ConfigRegressed {
+        /// Generation that was offered.
+        offered: ConfigGeneration,
+        /// Generation in force, which is kept.
+        current: ConfigGeneration,
+    },
+    /// An entry host of the own failure domain came or went.
+    MemberChanged {
+        /// Name of the host.
+        host: HostName,
+        /// New status of the host.
+        status: MemberStatus,
+    },
     /// Something failed that the host recovers from by itself.
     Fault {
         /// Part of the host that met the fault.
         part: String,
         /// What happened.
         message: String,
+        /// Lines of the part that were left out since its last one.
+        #[serde(default)]
+        suppressed: u64,
+    },
+    /// An operator changed the configuration, or tried a change.
+    ConfigChanged(ChangeRecord),
+    /// An operator's call was refused.
+    CallRefused {
+        /// Name of the call.
+        call: String,
+        /// Stable reason.
+        code: String,
+        /// Explanation for a person.
+        message: String,
+    },
+    /// An operator drained or restored this host.
+    HostDrained {
+        /// Operator who did it.
+        author: String,
+        /// Why it was done.
+        reason: String,
+        /// Whether the host is drained now.
+        draining: bool,
     },
 }
+
+/// An accepted change of the configuration.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ChangeRecord {
+    /// Identifier of the change.
+    pub change_id: String,
+    /// Operator who made the change.
+    pub author: String,
+    /// Why the change was made.
+    pub reason: String,
+    /// Generation that the change made or would make.
+    pub generation: ConfigGeneration,
+    /// Entries that the change touched.
+    pub entries: Vec<String>,
+    /// Whether nothing was written.
+    pub dry_run: bool,
+    /// Whether the change had been made before by the same identifier.
+    pub repeated: bool,
+}
