--- a/galenamast/src/state/route_decision.rs
+++ b/galenamast/src/state/route_decision.rs
@@ -16,7 +16,7 @@
     /// Where the request goes, or why it goes nowhere.
     pub outcome: RouteOutcome,
     /// Why the version was chosen, if one was.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub reason: Option<ChoiceReason>,
     /// Versions that were considered, each with its verdict.
     pub candidates: Vec<VersionReport>,
