--- a/galenamast/src/commands/admin/change_args.rs
+++ b/galenamast/src/commands/admin/change_args.rs
@@ -99,18 +99,15 @@
         let propagation = status.propagation.unwrap_or_default();
         let missing = missing_hosts(&propagation);
         eprintln!(
-            "generation {}: in force on {} hosts, {} behind, {} domains not reached{}",
+            "generation {}: heard of {} domains; missing: {}",
             receipt.generation,
-            propagation.hosts_in_force.len(),
-            propagation.hosts_behind.len(),
-            propagation.domains_not_reached.len(),
-            if propagation.this_host_only {
-                " (only the called host was asked)"
-            } else {
-                ""
+            propagation.domains.len(),
+            match missing.join(", ") {
+                missing if missing.is_empty() => "none".into(),
+                missing => missing,
             },
         );
-        if missing.is_empty() {
+        if propagation.everywhere {
             return Ok(());
         }
         if Instant::now() >= deadline {
@@ -124,13 +121,18 @@
 }
 
 /// Lists what the change has not reached yet.
-///
-/// A host that can ask nobody else answers for itself alone.
 fn missing_hosts(propagation: &wire::Propagation) -> Vec<String> {
-    let mut missing = propagation.hosts_behind.clone();
-    if !propagation.this_host_only {
-        let domains = propagation.domains_not_reached.iter();
-        missing.extend(domains.map(|domain| format!("domain {domain}")));
-    }
+    let behind = |domain: &&wire::DomainPropagation| {
+        domain.lowest_generation < propagation.generation || domain.live_hosts == 0
+    };
+    let domains = propagation.domains.iter().filter(behind);
+    let mut missing: Vec<String> = domains
+        .map(|domain| match domain.hosts_behind.join(" ") {
+            hosts if hosts.is_empty() => format!("domain {}", domain.domain),
+            hosts => format!("domain {} ({hosts})", domain.domain),
+        })
+        .collect();
+    let unheard = propagation.domains_not_reached.iter();
+    missing.extend(unheard.map(|domain| format!("domain {domain}")));
     missing
 }
--- a/galenamast/src/config/rollout_fields.rs
+++ b/galenamast/src/config/rollout_fields.rs
@@ -47,6 +47,22 @@
         description: "Shares of new sessions at each step, in thousandths.",
         apply: |spec, _, text| store(&mut spec.step_shares, step_shares(text)),
     },
+    ObjectField {
+        name: "supersedes",
+        default: "",
+        range: "the name of a roll-out, or empty for none",
+        description: "Older roll-out of the model that this one takes the place of.",
+        apply: |spec, _, text| {
+            if text.is_empty() {
+                spec.supersedes = None;
+                return true;
+            }
+            store(
+                &mut spec.supersedes,
+                name(text).map(|text| Some(text.into())),
+            )
+        },
+    },
     ObjectField {
         name: "min_ratings",
         default: "100",
@@ -81,19 +97,4 @@
         description: "Chance that a candidate as good as its baseline is braked.",
         apply: |spec, _, text| store(&mut spec.false_alarm_rate, number(text, 0.000_001, 0.5)),
     },
-    ObjectField {
-        name: "supersedes",
-        default: "",
-        range: "the name of a roll-out, or empty for none",
-        description: "Older roll-out of the model that this one takes the place of.",
-        apply: |spec, _, text| {
-            if text.is_empty() {
-                return store(&mut spec.supersedes, Some(None));
-            }
-            store(
-                &mut spec.supersedes,
-                name(text).map(|name| Some(name.into())),
-            )
-        },
-    },
 ];
--- a/galenamast/src/transport/host_list_poller.rs
+++ b/galenamast/src/transport/host_list_poller.rs
@@ -40,12 +40,15 @@
 
 /// Publishes the servers and lets waiting requests take the free places.
 fn publish(context: &HostContext, directory: &ServerDirectory) {
-    let servers = directory.snapshot();
+    let image = context.image.load();
+    let mut servers = directory.snapshot();
+    for pool in image.pools.values() {
+        servers.drain(&pool.name, &pool.drained_servers);
+    }
     context.tables.rcu(|tables| RouteTables {
         servers: servers.clone(),
         ..RouteTables::clone(tables)
     });
-    let image = context.image.load();
     for pool in context.queue.pools() {
         let slots = image
             .pools
--- a/galenamast/src/transport/metrics_catalogue.rs
+++ b/galenamast/src/transport/metrics_catalogue.rs
@@ -156,6 +156,79 @@
     "Versions that are braked on this host.",
 );
 
+/// Steps of roll-outs.
+pub const ROLLOUT_STEPS: MetricInfo = metric(
+    "rollout.steps",
+    MetricKind::Counter,
+    "steps",
+    &["rollout"],
+    "Steps that this host took as the controller of a roll-out, brakes included.",
+);
+/// Placement decisions.
+pub const PLACEMENTS: MetricInfo = metric(
+    "placement.moves",
+    MetricKind::Counter,
+    "moves",
+    &["domain"],
+    "Placement decisions that this host took.",
+);
+/// Requests that a shutdown cut.
+pub const ABANDONED: MetricInfo = metric(
+    "requests.abandoned",
+    MetricKind::Counter,
+    "requests",
+    &[],
+    "Requests that were still in flight when the host stopped.",
+);
+/// Requests in flight.
+pub const IN_FLIGHT: MetricInfo = metric(
+    "requests.in_flight",
+    MetricKind::Gauge,
+    "requests",
+    &[],
+    "Requests in flight on this host.",
+);
+/// Requests that wait.
+pub const WAITING: MetricInfo = metric(
+    "requests.waiting",
+    MetricKind::Gauge,
+    "requests",
+    &[],
+    "Requests that wait on this host for a free backend server.",
+);
+/// Usage records that wait.
+pub const USAGE_HELD: MetricInfo = metric(
+    "usage.held",
+    MetricKind::Gauge,
+    "bytes",
+    &[],
+    "Size of the usage records that are not on the platform yet.",
+);
+/// Age of the oldest usage record that waits.
+pub const USAGE_AGE: MetricInfo = metric(
+    "usage.age",
+    MetricKind::Gauge,
+    "ms",
+    &[],
+    "How long the oldest usage record has waited for the platform.",
+);
+/// Suspected requests.
+pub const ACCUSED: MetricInfo = metric(
+    "quarantine.accused",
+    MetricKind::Gauge,
+    "fingerprints",
+    &[],
+    "Request fingerprints with a server's death on record.",
+);
+/// Calls of the object API.
+pub const PLATFORM_CALLS: MetricInfo = metric(
+    "platform.calls",
+    MetricKind::Gauge,
+    "calls",
+    &["kind"],
+    "Calls of the object API since the start of the process, by kind; `failed`, `over_budget` and `short_circuited` count those without an answer or not sent.",
+);
+
 /// Lists every metric.
 pub const METRICS: &[MetricInfo] = &[
     DECISIONS,
@@ -172,4 +245,13 @@
     FRESHNESS_AGE,
     SERVERS_LIVE,
     BRAKES,
+    ROLLOUT_STEPS,
+    PLACEMENTS,
+    ABANDONED,
+    IN_FLIGHT,
+    WAITING,
+    USAGE_HELD,
+    USAGE_AGE,
+    ACCUSED,
+    PLATFORM_CALLS,
 ];
--- a/galenamast/src/transport/metrics_sink.rs
+++ b/galenamast/src/transport/metrics_sink.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::{Ipv4Addr, UdpSocket};
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use cadence::{
@@ -13,6 +14,7 @@
 use crate::protocol::operator_json::snake_name;
 use crate::protocol::{DecisionRecord, LogRecord};
 use crate::state::{RouteOutcome, ServerLife};
+use crate::transport::call_counters::CallCounts;
 use crate::transport::host_context::HostContext;
 use crate::transport::metrics_catalogue as catalogue;
 use crate::transport::metrics_catalogue::MetricInfo;
@@ -83,6 +85,13 @@
             LogRecord::CallRefused { code, .. } => {
                 self.count(&catalogue::CALLS_REFUSED, 1, &[code]);
             }
+            LogRecord::RolloutStep { rollout, .. } => {
+                self.count(&catalogue::ROLLOUT_STEPS, 1, &[rollout.as_str()]);
+            }
+            LogRecord::Placement { domain, .. } => {
+                self.count(&catalogue::PLACEMENTS, 1, &[domain.as_str()]);
+            }
+            LogRecord::RequestAbandoned { .. } => self.count(&catalogue::ABANDONED, 1, &[]),
             _ => {}
         }
     }
@@ -115,15 +124,46 @@
     pub fn report_host(&self, context: &HostContext) {
         let tables = context.tables.load();
         let generation = context.image.load().generation.0;
-        self.gauge(&catalogue::GENERATION, generation);
+        self.gauge(&catalogue::GENERATION, generation, &[]);
         let age = u64::try_from(tables.config_age.as_millis()).unwrap_or(u64::MAX);
-        self.gauge(&catalogue::FRESHNESS_AGE, age);
+        self.gauge(&catalogue::FRESHNESS_AGE, age, &[]);
         let servers = tables.servers.servers();
         let live = servers.filter(|server| server.life == ServerLife::Live);
-        self.gauge(&catalogue::SERVERS_LIVE, live.count() as u64);
+        self.gauge(&catalogue::SERVERS_LIVE, live.count() as u64, &[]);
         let now = context.timers.now();
         let brakes = tables.brakes.values().filter(|expiry| **expiry > now);
-        self.gauge(&catalogue::BRAKES, brakes.count() as u64);
+        self.gauge(&catalogue::BRAKES, brakes.count() as u64, &[]);
+        self.gauge(&catalogue::IN_FLIGHT, context.board.len() as u64, &[]);
+        self.gauge(&catalogue::WAITING, context.queue.waiting() as u64, &[]);
+        let quarantine = context.quarantine.lock();
+        let accused = quarantine.unwrap_or_else(PoisonError::into_inner).accused();
+        self.gauge(&catalogue::ACCUSED, accused as u64, &[]);
+        if let Some(ledger) = &context.ledger {
+            let status = ledger.status();
+            self.gauge(&catalogue::USAGE_HELD, status.held_bytes as u64, &[]);
+            let age = u64::try_from(status.oldest_age.as_millis()).unwrap_or(u64::MAX);
+            self.gauge(&catalogue::USAGE_AGE, age, &[]);
+        }
+        if let Some(objects) = &context.objects {
+            self.report_calls(&objects.counts());
+        }
+    }
+
+    /// Reports the calls of the object API.
+    fn report_calls(&self, counts: &CallCounts) {
+        let kinds = [
+            ("read", counts.reads),
+            ("write", counts.writes),
+            ("delete", counts.deletes),
+            ("list", counts.lists),
+            ("watch", counts.watches),
+            ("failed", counts.failures),
+            ("over_budget", counts.over_budget),
+            ("short_circuited", counts.short_circuited),
+        ];
+        for (kind, count) in kinds {
+            self.gauge(&catalogue::PLATFORM_CALLS, count, &[kind]);
+        }
     }
 
     /// Reports how long something took.
@@ -145,7 +185,11 @@
     }
 
     /// Sets a gauge.
-    fn gauge(&self, metric: &MetricInfo, value: u64) {
-        self.client.gauge_with_tags(metric.name, value).send();
+    fn gauge(&self, metric: &MetricInfo, value: u64, tags: &[&str]) {
+        let mut value = self.client.gauge_with_tags(metric.name, value);
+        for (key, tag) in metric.tags.iter().zip(tags) {
+            value = value.with_tag(key, tag);
+        }
+        value.send();
     }
 }
--- a/galenamast/src/transport/operator_rollouts.rs
+++ b/galenamast/src/transport/operator_rollouts.rs
@@ -6,7 +6,7 @@
 use tonic::{Request, Response, Status, async_trait};
 
 use crate::coordination::rollout_actions::{
-    RolloutStep, start_rollout, steer_rollout, withdraw_version,
+    OperatorStep, start_rollout, steer_rollout, withdraw_version,
 };
 use crate::generated::operator as wire;
 use crate::generated::operator::rollout_service_server::RolloutService;
@@ -18,8 +18,8 @@
 use crate::transport::operator_context::{OperatorContext, answer, refuse_step};
 use crate::transport::operator_status::propagation_of;
 
-/// Longest time that a withdrawal waits to be in force on the called host.
-const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(8);
+/// Longest time that a withdrawal waits to be in force everywhere.
+const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time between looks at the generation in force.
 const IN_FORCE_PERIOD: Duration = Duration::from_millis(50);
 
@@ -59,10 +59,10 @@
         let identity = self.operator.authorise(request, OperatorRole::Operate)?;
         let message = request.get_ref();
         let step = match message.action() {
-            wire::RolloutAction::Advance => RolloutStep::Advance,
-            wire::RolloutAction::Pause => RolloutStep::Pause,
-            wire::RolloutAction::Resume => RolloutStep::Resume,
-            wire::RolloutAction::Abort => RolloutStep::Abort,
+            wire::RolloutAction::Advance => OperatorStep::Advance,
+            wire::RolloutAction::Pause => OperatorStep::Pause,
+            wire::RolloutAction::Resume => OperatorStep::Resume,
+            wire::RolloutAction::Abort => OperatorStep::Abort,
             wire::RolloutAction::Unspecified => {
                 let message = "action must be advance, pause, resume or abort";
                 return Err(OperatorRefusal::new(RefusalCode::Invalid, message));
@@ -100,20 +100,25 @@
         let change = message.change.as_ref();
         let receipt = self.operator.change(&identity, change, plan).await?;
         let generation = ConfigGeneration(receipt.generation);
-        if !receipt.dry_run {
-            self.wait_in_force(generation).await;
-        }
+        let propagation = match receipt.dry_run {
+            true => propagation_of(&self.operator.host, generation),
+            false => self.wait_in_force(generation).await,
+        };
         Ok(wire::WithdrawVersionResponse {
             receipt: Some(receipt),
-            propagation: Some(propagation_of(&self.operator.host, generation)),
+            propagation: Some(propagation),
         })
     }
 
-    /// Waits until a generation is in force on the called host, or for as long as is sensible.
-    async fn wait_in_force(&self, generation: ConfigGeneration) {
+    /// Waits until a generation is in force everywhere, or for as long as is sensible.
+    async fn wait_in_force(&self, generation: ConfigGeneration) -> wire::Propagation {
         let timers = &self.operator.host.timers;
         let deadline = timers.now() + IN_FORCE_TIMEOUT;
-        while self.operator.generation() < generation && timers.now() < deadline {
+        loop {
+            let propagation = propagation_of(&self.operator.host, generation);
+            if propagation.everywhere || timers.now() >= deadline {
+                return propagation;
+            }
             timers.sleep(IN_FORCE_PERIOD).await;
         }
     }
--- a/galenamast/tests/fleet/support.rs
+++ b/galenamast/tests/fleet/support.rs
@@ -55,6 +55,7 @@
     settings.peers.probe_period = Duration::from_millis(200);
     settings.peers.suspicion_time = Duration::from_millis(1_500);
     settings.peers.bytes_per_second = 1_000_000;
+    settings.shutdown.balancer_lag = Duration::ZERO;
     settings.platform.call_timeout = Duration::from_millis(500);
     settings
 }
