--- a/galenamast/src/event_loop.rs
+++ b/galenamast/src/event_loop.rs
@@ -18,6 +18,8 @@
 use crate::transport::caller_tls::load_tls;
 use crate::transport::crash_sharing::follow_crash_notes;
 use crate::transport::host_list_poller::{follow_servers, poll_host_list, poll_loads};
+use crate::transport::metrics_reporter::{report_gauges, start_metrics};
+use crate::transport::operator_server::start_operator_server;
 use crate::transport::quality_feed::{follow_answers, follow_brakes};
 use crate::transport::settings_reload::reload_settings;
 use crate::transport::{HostContext, TimerService, TransportError, start_fleet};
@@ -30,6 +32,7 @@
 pub struct EntryHost {
     context: Arc<HostContext>,
     caller_address: SocketAddr,
+    operator_address: SocketAddr,
     stopped: CancellationToken,
     serving: JoinHandle<()>,
     tasks: Vec<JoinHandle<()>>,
@@ -66,6 +69,8 @@
             tasks.push(tokio::spawn(ledger.run()));
         }
         let stopped = CancellationToken::new();
+        let operators = start_operator_server(context.clone(), stopped.clone()).await?;
+        tasks.push(operators.serving);
         let server = CallerServer {
             context: context.clone(),
             listener,
@@ -76,11 +81,13 @@
             Level::Info,
             &LogRecord::HostStarted {
                 callers: caller_address.to_string(),
+                operators: operators.address.to_string(),
             },
         );
         Ok(Self {
             context,
             caller_address,
+            operator_address: operators.address,
             stopped,
             serving,
             tasks,
@@ -92,6 +99,11 @@
         self.caller_address
     }
 
+    /// Returns the address that operators connect to.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.operator_address
+    }
+
     /// Returns the shared parts of the host.
     pub fn context(&self) -> &Arc<HostContext> {
         &self.context
@@ -137,6 +149,9 @@
             while !self.context.board.is_empty() {
                 timers.sleep(DRAIN_CHECK).await;
             }
+            if let Some(claims) = &self.context.claims {
+                claims.drain(shutdown.drain_timeout).await;
+            }
             if let Some(ledger) = &self.context.ledger {
                 ledger.drain(shutdown.drain_timeout).await;
             }
@@ -157,7 +172,12 @@
     settings: Settings,
     read_again: impl Fn() -> Option<Settings> + Send + 'static,
 ) -> Result<(), TransportError> {
+    let metrics = start_metrics(&settings.metrics);
     let mut host = EntryHost::start(settings).await?;
+    if let Some(sink) = metrics {
+        let reporting = report_gauges(host.context.clone(), sink);
+        host.tasks.push(tokio::spawn(reporting));
+    }
     let reloading = follow_settings(host.context.clone(), read_again);
     host.tasks.push(tokio::spawn(reloading));
     let mut terminate = signal(SignalKind::terminate()).ok();
