--- a/galenamast/src/cli.rs
+++ b/galenamast/src/cli.rs
@@ -24,13 +24,13 @@
         .arg_required_else_help(true)
         .subcommand(serve::command())
         .subcommand(check_config::command())
+        .subcommand(explain::command())
+        .subcommand(replay::command())
+        .subcommand(trace::command())
         .subcommand(keygen::command())
         .subcommand(admin::command())
         .subcommand(completions::command())
         .subcommand(docs::command())
-        .subcommand(explain::command())
-        .subcommand(replay::command())
-        .subcommand(trace::command())
 }
 
 /// Parses the process's arguments and runs the command that they name.
@@ -40,12 +40,12 @@
         Some((serve::NAME, matches)) => serve::run(matches),
         Some((keygen::NAME, matches)) => keygen::run(matches),
         Some((check_config::NAME, matches)) => check_config::run(matches),
-        Some((admin::NAME, matches)) => admin::run(matches),
-        Some((completions::NAME, matches)) => completions::run(matches, build_command()),
-        Some((docs::NAME, matches)) => docs::run(matches),
         Some((explain::NAME, matches)) => explain::run(matches),
         Some((replay::NAME, matches)) => replay::run(matches),
         Some((trace::NAME, matches)) => trace::run(matches),
+        Some((admin::NAME, matches)) => admin::run(matches),
+        Some((completions::NAME, matches)) => completions::run(matches, build_command()),
+        Some((docs::NAME, matches)) => docs::run(matches),
         _ => ExitCode::from(EXIT_INVALID),
     }
 }
--- a/galenamast/tests/operator/log_lines.rs
+++ b/galenamast/tests/operator/log_lines.rs
@@ -15,10 +15,10 @@
 /// Returns one record of each kind that operators and hosts write.
 pub(crate) fn sample_records() -> Vec<(&'static str, LogRecord)> {
     let decision = RouteDecision {
+        reason: None,
         generation: ConfigGeneration(7),
         seed: 11,
         outcome: RouteOutcome::Refuse(RefusalReason::NoEligibleVersion),
-        reason: None,
         candidates: vec![VersionReport {
             version: VersionKey::new("advice", "small"),
             verdict: VersionVerdict::Braked,
