--- a/galenamast/src/coordination/rollout_actions.rs
+++ b/galenamast/src/coordination/rollout_actions.rs
@@ -9,7 +9,7 @@
 
 /// What an operator does with a roll-out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RolloutStep {
+pub enum OperatorStep {
     /// Takes the next step, or completes the roll-out after the last one.
     Advance,
     /// Holds the current share.
@@ -41,26 +41,21 @@
         return Err(invalid(reason));
     }
     find_version(image, &rollout.model, &rollout.baseline)?;
-    let stage = VersionStage::RollingOut;
-    let model = with_stage(image, &rollout.model, &rollout.candidate, stage)?;
     let rollout = RolloutSpec {
         step: 0,
         phase: RolloutPhase::Running,
         ..rollout.clone()
     };
-    Ok(vec![
-        ConfigObject::Model(model),
-        ConfigObject::Rollout(rollout),
-    ])
+    with_model(image, rollout, VersionStage::RollingOut)
 }
 
 /// Returns the objects that a step of an operator changes.
 ///
 /// ```
-/// use galenamast::coordination::rollout_actions::{RolloutStep, steer_rollout};
+/// use galenamast::coordination::rollout_actions::{OperatorStep, steer_rollout};
 /// use galenamast::state::ConfigImage;
 ///
-/// let error = steer_rollout(&ConfigImage::default(), &"fit".into(), RolloutStep::Pause);
+/// let error = steer_rollout(&ConfigImage::default(), &"fit".into(), OperatorStep::Pause);
 /// assert!(error.unwrap_err().to_string().contains("no roll-out `fit`"));
 /// ```
 ///
@@ -70,31 +65,28 @@
 pub fn steer_rollout(
     image: &ConfigImage,
     name: &RolloutName,
-    step: RolloutStep,
+    step: OperatorStep,
 ) -> Result<Vec<ConfigObject>, CoordinationError> {
     let Some(known) = image.rollouts.get(name) else {
         return Err(invalid(format!("no roll-out `{name}` exists")));
     };
     let mut rollout = known.as_ref().clone();
     match (step, rollout.phase) {
-        (RolloutStep::Advance, RolloutPhase::Running | RolloutPhase::Paused) => {
+        (OperatorStep::Advance, RolloutPhase::Running | RolloutPhase::Paused) => {
             return advance(image, rollout);
         }
-        (RolloutStep::Pause, RolloutPhase::Running) => rollout.phase = RolloutPhase::Paused,
-        (RolloutStep::Resume, RolloutPhase::Paused | RolloutPhase::Braked) => {
+        (OperatorStep::Pause, RolloutPhase::Running) => rollout.phase = RolloutPhase::Paused,
+        (OperatorStep::Resume, RolloutPhase::Paused | RolloutPhase::Braked) => {
             rollout.phase = RolloutPhase::Running;
+            let stage = VersionStage::RollingOut;
+            return with_model(image, rollout, stage);
         }
         (
-            RolloutStep::Abort,
+            OperatorStep::Abort,
             RolloutPhase::Running | RolloutPhase::Paused | RolloutPhase::Braked,
         ) => {
             rollout.phase = RolloutPhase::Aborted;
-            let stage = VersionStage::Withdrawn;
-            let model = with_stage(image, &rollout.model, &rollout.candidate, stage)?;
-            return Ok(vec![
-                ConfigObject::Model(model),
-                ConfigObject::Rollout(rollout),
-            ]);
+            return with_model(image, rollout, VersionStage::Withdrawn);
         }
         (_, phase) => {
             let reason = format!("roll-out `{name}` is {phase:?}, which does not allow {step:?}");
@@ -115,7 +107,15 @@
         return Ok(vec![ConfigObject::Rollout(rollout)]);
     }
     rollout.phase = RolloutPhase::Completed;
-    let stage = VersionStage::Established;
+    with_model(image, rollout, VersionStage::Established)
+}
+
+/// Returns a roll-out and its model with the candidate in another stage.
+fn with_model(
+    image: &ConfigImage,
+    rollout: RolloutSpec,
+    stage: VersionStage,
+) -> Result<Vec<ConfigObject>, CoordinationError> {
     let model = with_stage(image, &rollout.model, &rollout.candidate, stage)?;
     Ok(vec![
         ConfigObject::Model(model),
--- a/galenamast/src/event_loop.rs
+++ b/galenamast/src/event_loop.rs
@@ -22,7 +22,9 @@
 use crate::transport::operator_server::start_operator_server;
 use crate::transport::quality_feed::{follow_answers, follow_brakes};
 use crate::transport::settings_reload::reload_settings;
-use crate::transport::{HostContext, TimerService, TransportError, start_fleet};
+use crate::transport::{
+    HostContext, TimerService, TransportError, start_duties, start_fleet, start_usage_peers,
+};
 
 /// Time between two looks at the requests that are still in flight during shutdown.
 const DRAIN_CHECK: Duration = Duration::from_millis(10);
@@ -65,6 +67,8 @@
         if let Some(answers) = context.take_answers() {
             tasks.push(tokio::spawn(follow_answers(context.clone(), answers)));
         }
+        tasks.extend(start_usage_peers(&context));
+        tasks.extend(start_duties(&context));
         if let Some(ledger) = context.ledger.clone() {
             tasks.push(tokio::spawn(ledger.run()));
         }
@@ -119,6 +123,9 @@
     pub async fn stop_unless(mut self, hurry: impl Future<Output = ()>) {
         self.context.leaving.store(true, Ordering::SeqCst);
         log_record(Level::Info, &LogRecord::HostLeaving);
+        if let Some(peers) = self.context.peers.get() {
+            peers.announce_leaving();
+        }
         tokio::select! {
             () = self.drain() => {}
             () = hurry => {}
@@ -127,6 +134,9 @@
             log_record(Level::Warn, &LogRecord::RequestAbandoned { request_id });
         }
         self.serving.abort();
+        if let Some(leases) = &self.context.leases {
+            leases.stop().await;
+        }
         if let Some(peers) = self.context.peers.get() {
             peers.leave().await;
         }
--- a/galenamast/src/protocol/log_record.rs
+++ b/galenamast/src/protocol/log_record.rs
@@ -4,7 +4,7 @@
 
 use crate::coordination::{BrakeNote, MemberStatus, PlacementMove, RolloutStep, UsageRecord};
 use crate::protocol::decision_record::DecisionRecord;
-use crate::state::{ConfigGeneration, DomainName, HostName, RequestId, RolloutName};
+use crate::state::{ConfigGeneration, DomainName, HostName, RequestId, RolloutName, WorkspaceName};
 
 /// A log line.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -94,6 +94,17 @@
         /// Explanation for a person.
         message: String,
     },
+    /// An operator resolved the claim of a non-idempotent request.
+    ClaimResolved {
+        /// Operator who resolved it.
+        author: String,
+        /// What was found out.
+        reason: String,
+        /// Workspace of the request.
+        workspace: WorkspaceName,
+        /// Whether the operator found that the request had run.
+        ran: bool,
+    },
     /// An operator drained or restored this host.
     HostDrained {
         /// Operator who did it.
--- a/galenamast/src/protocol/operator_objects.rs
+++ b/galenamast/src/protocol/operator_objects.rs
@@ -145,6 +145,8 @@
 
 /// Converts a workspace from the wire.
 fn workspace_from_wire(workspace: &wire::Workspace) -> Result<WorkspaceSpec, ProtocolError> {
+    let key_digests = workspace.key_digests.iter();
+    let key_digests = key_digests.map(|digest| digest_from_wire(digest));
     let mut spec = WorkspaceSpec {
         name: checked_name("workspace name", &workspace.name)?.into(),
         quality_target: workspace.quality_target_ratio,
@@ -165,11 +167,11 @@
             false => WithdrawnPolicy::Refuse,
         },
         cascades: workspace.cascades,
-        ..Default::default()
+        key_digests: key_digests.collect::<Result<_, _>>()?,
+        allowed: BTreeMap::new(),
+        services: names_from_wire("service name", &workspace.services)?,
+        hedged_tasks: names_from_wire("task name", &workspace.hedged_tasks)?,
     };
-    for digest in &workspace.key_digests {
-        spec.key_digests.push(digest_from_wire(digest)?);
-    }
     for name in &workspace.allowed {
         let key = version_from_wire(name)?;
         spec.allowed
@@ -177,17 +179,20 @@
             .or_default()
             .insert(key.version);
     }
-    for service in &workspace.services {
-        let name = checked_name("service name", service)?;
-        spec.services.insert(name.into());
-    }
-    for task in &workspace.hedged_tasks {
-        let name = checked_name("task name", task)?;
-        spec.hedged_tasks.insert(name.into());
-    }
     Ok(spec)
 }
 
+/// Converts names from the wire.
+fn names_from_wire<N, C>(what: &'static str, names: &[String]) -> Result<C, ProtocolError>
+where
+    N: for<'a> From<&'a str>,
+    C: FromIterator<N>,
+{
+    let checked = names.iter();
+    let checked = checked.map(|name| checked_name(what, name).map(N::from));
+    checked.collect()
+}
+
 /// Converts the digest of a key from the wire.
 ///
 /// # Errors
@@ -306,6 +311,7 @@
             .iter()
             .map(ToString::to_string)
             .collect(),
+        memory_mib: spec.memory_mib,
     }
 }
 
@@ -315,19 +321,15 @@
         wire::PoolKind::Unspecified | wire::PoolKind::Engine => PoolKind::Engine,
         wire::PoolKind::Service => PoolKind::Service,
     };
-    let mut spec = PoolSpec {
+    Ok(PoolSpec {
         name: checked_name("pool name", &pool.name)?.into(),
         kind,
         checks_fencing: pool.checks_fencing,
         slots_per_server: pool.slots_per_server,
         attempt_timeout: Duration::from_millis(pool.attempt_timeout_ms),
-        ..Default::default()
-    };
-    for server in &pool.drained_servers {
-        let name = checked_name("server name", server)?;
-        spec.drained_servers.insert(name.into());
-    }
-    Ok(spec)
+        drained_servers: names_from_wire("server name", &pool.drained_servers)?,
+        memory_mib: pool.memory_mib,
+    })
 }
 
 /// Converts a service for the wire.
--- a/galenamast/src/transport/host_context.rs
+++ b/galenamast/src/transport/host_context.rs
@@ -9,14 +9,16 @@
 
 use crate::config::Settings;
 use crate::coordination::{
-    AdmissionControl, CallPriority, ClaimRetention, CrashQuarantine, DirectoryEvent, UsageOrigin,
+    AdmissionControl, CallPriority, ClaimRetention, CrashQuarantine, DirectoryEvent, LeaseSettings,
+    UsageOrigin,
 };
-use crate::state::{ConfigImage, RouteTables};
+use crate::state::{ConfigImage, RouteTables, VersionKey};
 use crate::transport::backend_client::BackendClient;
 use crate::transport::claim_request::ClaimSettings;
 use crate::transport::claim_runner::ClaimRunner;
 use crate::transport::config_runner::ConfigRunner;
 use crate::transport::http_client::HttpClient;
+use crate::transport::lease_runner::LeaseRunner;
 use crate::transport::object_calls::ObjectCalls;
 use crate::transport::object_client::{CallLimits, ObjectClient};
 use crate::transport::peer_mesh::PeerMesh;
@@ -33,6 +35,9 @@
 /// Text that keeps the key of fingerprints apart from other uses of the session key.
 const FINGERPRINT_CONTEXT: &[u8] = b"galenamast crash fingerprint 1";
 
+/// Counts the rated answers of a version since any fixed point in time.
+pub type RatingsCall = Arc<dyn Fn(&VersionKey) -> u64 + Send + Sync>;
+
 /// Shared parts of a running entry host.
 pub struct HostContext {
     /// Settings that the host started with.
@@ -50,18 +55,24 @@
     pub backends: BackendClient,
     /// Client of the object API, if the settings name one.
     pub objects: Option<ObjectClient>,
+    /// Mesh of entry hosts, once the host has started.
+    pub peers: OnceLock<PeerMesh>,
+    /// Distribution of the configuration, once the host has started.
+    pub config: OnceLock<ConfigRunner>,
+    /// Leases of the host, if the settings name an object API.
+    pub leases: Option<LeaseRunner>,
     /// Claims of non-idempotent requests, if the settings name the object API.
     pub claims: Option<ClaimRunner>,
     /// Usage records, if the settings name the object API.
     pub ledger: Option<UsageLedger>,
+    /// Counts the rated answers of a version for roll-outs; empty until ratings are collected.
+    pub rated_answers: ArcSwapOption<RatingsCall>,
     /// Hands a usage record to another entry host of the failure domain; empty if there is none.
     pub usage_copy: Arc<ArcSwapOption<CopyCall>>,
-    /// Mesh of entry hosts, once the host has started.
-    pub peers: OnceLock<PeerMesh>,
-    /// Distribution of the configuration, once the host has started.
-    pub config: OnceLock<ConfigRunner>,
     /// HTTP client of the other services of the platform.
     pub client: HttpClient,
+    /// Whether an operator took the host out of the balancer.
+    pub draining: AtomicBool,
     /// Limits of the workspaces.
     pub admission: Mutex<AdmissionControl>,
     /// Requests that wait for a free server.
@@ -80,8 +91,6 @@
     server_events: mpsc::UnboundedSender<DirectoryEvent>,
     server_receiver: Mutex<Option<mpsc::UnboundedReceiver<DirectoryEvent>>>,
     fallback_key: [u8; 16],
-    /// Whether an operator took the host out of the balancer.
-    pub draining: AtomicBool,
     seeds: AtomicU64,
 }
 
@@ -103,6 +112,10 @@
             };
             ObjectClient::with_limits(client.clone(), address, limits, timers.clone())
         });
+        let leases = objects.as_ref().map(|objects| {
+            let host = &settings.host.name;
+            LeaseRunner::new(objects, timers.clone(), host, LeaseSettings::default())
+        });
         let usage_copy = Arc::new(ArcSwapOption::empty());
         let claims = objects
             .as_ref()
@@ -124,10 +137,13 @@
             claims,
             ledger,
             usage_copy,
+            rated_answers: ArcSwapOption::empty(),
             objects,
+            leases,
             peers: OnceLock::new(),
             config: OnceLock::new(),
             client,
+            draining: AtomicBool::new(false),
             admission: Mutex::default(),
             queue: QueueGate::new(settings.routing.max_queued as usize),
             board: RequestBoard::default(),
@@ -139,7 +155,6 @@
             answer_receiver: Mutex::new(Some(answer_receiver)),
             server_events,
             server_receiver: Mutex::new(Some(server_receiver)),
-            draining: AtomicBool::new(false),
             seeds: AtomicU64::new(rand::random()),
             caller_tls: ArcSwapOption::empty(),
             live: ArcSwap::from_pointee(settings.clone()),
@@ -194,10 +209,10 @@
         key
     }
 
-    /// Returns whether the host has a configuration and is not shutting down.
+    /// Returns whether the host has a configuration, is not drained and is not shutting down.
     pub fn is_ready(&self) -> bool {
-        let draining = self.draining.load(Ordering::Relaxed);
-        !draining && !self.is_leaving() && self.image.load().generation.0 > 0
+        let drained = self.draining.load(Ordering::Relaxed);
+        !drained && !self.is_leaving() && self.image.load().generation.0 > 0
     }
 
     /// Returns whether the host has begun to shut down.
--- a/galenamast/src/transport/queue_gate.rs
+++ b/galenamast/src/transport/queue_gate.rs
@@ -52,6 +52,11 @@
         self.lock().queue.set_limit(max_queued);
     }
 
+    /// Returns how many requests wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.load(Ordering::Relaxed)
+    }
+
     /// Adds a request; the channel says how its wait ends.
     pub fn join(&self, entry: QueueEntry) -> (QueueTicket, oneshot::Receiver<WaitEnd>) {
         let (sender, receiver) = oneshot::channel();
