--- a/galenamast/src/coordination/crash_quarantine.rs
+++ b/galenamast/src/coordination/crash_quarantine.rs
@@ -101,6 +101,11 @@
 }
 
 impl CrashQuarantine {
+    /// Returns how many fingerprints have a death on record.
+    pub fn accused(&self) -> usize {
+        self.accused.len()
+    }
+
     /// Creates a quarantine without any fingerprint.
     pub fn new(quarantine_time: Duration) -> Self {
         Self {
--- a/galenamast/src/transport/host_context.rs
+++ b/galenamast/src/transport/host_context.rs
@@ -66,6 +66,8 @@
     pub usage_copy: Arc<ArcSwapOption<CopyCall>>,
     /// HTTP client of the other services of the platform.
     pub client: HttpClient,
+    /// Whether an operator took the host out of the balancer.
+    pub draining: AtomicBool,
     /// Limits of the workspaces.
     pub admission: Mutex<AdmissionControl>,
     /// Requests that wait for a free server.
@@ -81,8 +83,6 @@
     server_events: mpsc::UnboundedSender<DirectoryEvent>,
     server_receiver: Mutex<Option<mpsc::UnboundedReceiver<DirectoryEvent>>>,
     fallback_key: [u8; 16],
-    /// Whether an operator took the host out of the balancer.
-    pub draining: AtomicBool,
     seeds: AtomicU64,
 }
 
@@ -134,6 +134,7 @@
             peers: OnceLock::new(),
             config: OnceLock::new(),
             client,
+            draining: AtomicBool::new(false),
             admission: Mutex::default(),
             queue: QueueGate::new(settings.routing.max_queued as usize),
             board: RequestBoard::default(),
@@ -143,7 +144,6 @@
             crash_notes: broadcast::channel(CRASH_NOTES).0,
             server_events,
             server_receiver: Mutex::new(Some(server_receiver)),
-            draining: AtomicBool::new(false),
             seeds: AtomicU64::new(rand::random()),
             settings,
         })
@@ -200,10 +200,10 @@
         key
     }
 
-    /// Returns whether the host has a configuration and is not shutting down.
+    /// Returns whether the host has a configuration, is not drained and is not shutting down.
     pub fn is_ready(&self) -> bool {
-        let draining = self.draining.load(Ordering::Relaxed);
-        !draining && !self.is_leaving() && self.image.load().generation.0 > 0
+        let drained = self.draining.load(Ordering::Relaxed);
+        !drained && !self.is_leaving() && self.image.load().generation.0 > 0
     }
 
     /// Returns whether the host has begun to shut down.
