Test roll-out steps of operators and the export of a served request

Cause: a resumed roll-out must bring its candidate back, and an export was tested on written batches only. Change: tests of each, with bounded waits.

--- a/galenamast/tests/operator/exports.rs
+++ b/galenamast/tests/operator/exports.rs
@@ -1,11 +1,16 @@
 //! Usage export and the keys of session tokens.
 
+use std::time::Duration;
+
 use galenamast::coordination::{BodyDigest, UsageBatch, UsageOrigin, UsageRecord};
-use galenamast::state::{AttemptId, RequestId, VersionKey};
-use galenamast::transport::{ClaimRequest, ClaimVerdict};
-use serde_json::Value;
+use galenamast::event_loop::EntryHost;
+use galenamast::state::{AttemptId, RequestId, ServerLife, VersionKey};
+use galenamast::transport::http_client::json_request;
+use galenamast::transport::{ClaimRequest, ClaimVerdict, HttpClient};
+use http::{Method, header};
+use serde_json::{Value, json};
 
-use crate::support::OperatorBench;
+use crate::support::{OperatorBench, WAIT_TIMEOUT};
 
 /// Returns a record of a workspace.
 fn record(workspace: &str, ended_unix_ms: u64) -> UsageRecord {
@@ -126,3 +131,44 @@
         "invalid: status is 42, but must be 200 to 599"
     );
 }
+
+#[tokio::test]
+async fn a_served_request_is_exported() {
+    let bench = OperatorBench::start().await;
+    let workspace = bench.deployment.options.workspaces[0].clone();
+    let servers = bench.deployment.engines.len();
+    let live = |host: &EntryHost| {
+        let tables = host.context().tables.load();
+        let servers = tables.servers.servers();
+        servers
+            .filter(|server| server.life == ServerLife::Live)
+            .count()
+    };
+    bench.wait_until(|host| live(host) >= servers).await;
+    let address = bench.host.caller_address().to_string();
+    let body = json!({ "model": "auto", "messages": [{ "role": "user", "content": "size?" }] });
+    let mut request = json_request(Method::POST, &address, "/v1/chat/completions", Some(&body))
+        .expect("the request can be built");
+    let key = format!("Bearer {workspace}-key")
+        .parse()
+        .expect("a key is a header value");
+    request.headers_mut().insert(header::AUTHORIZATION, key);
+    let response = HttpClient::new().send(&address, request).await;
+    let response = response.expect("the host answers");
+    assert_eq!(response.status(), 200);
+    let request_id = response.headers()["x-request-id"].clone();
+    let words = format!("usage --workspace {workspace}");
+    let export = async {
+        loop {
+            let result = bench.admin("read", &words).await;
+            if !result.output.is_empty() {
+                return result.json();
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let exported = tokio::time::timeout(WAIT_TIMEOUT, export)
+        .await
+        .expect("the record reaches the platform");
+    assert_eq!(exported["request_id"].as_str(), request_id.to_str().ok());
+}
--- a/galenamast/tests/operator/main.rs
+++ b/galenamast/tests/operator/main.rs
@@ -7,6 +7,7 @@
 mod metrics;
 mod refusals;
 mod rollout_script;
+mod rollout_steps;
 mod secrets;
 mod support;
 mod tls;
--- a/galenamast/tests/operator/secrets.rs
+++ b/galenamast/tests/operator/secrets.rs
@@ -10,7 +10,7 @@
 use log::LevelFilter;
 use serde_json::{Value, json};
 
-use crate::support::OperatorBench;
+use crate::support::{OperatorBench, WAIT_TIMEOUT};
 
 /// Text of a prompt that must not be logged.
 const PROMPT: &str = "the skier weighs seventy-two kilograms";
@@ -40,6 +40,7 @@
     let followed = tokio::select! {
         followed = followed => followed,
         () = asked => unreachable!("the asking never ends"),
+        () = tokio::time::sleep(WAIT_TIMEOUT) => panic!("no decision was followed"),
     };
     let decision = followed.json();
     let line = decision["line_json"].as_str().unwrap_or_default();
--- a/galenamast/tests/operator/support.rs
+++ b/galenamast/tests/operator/support.rs
@@ -13,7 +13,7 @@
 use tempfile::TempDir;
 
 /// Longest time that a test waits for something that must happen.
-const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
+pub(crate) const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Exit code and output of a command.
 #[derive(Debug)]
