Repeat a roll-out step under its change identifier in the script test

Cause: with the look-up of the identifier switched off in a trial, no test failed, because the writer resolves repeated changes whose plan does not depend on their own result. Change: the script repeats a pause under its identifier, which is answered and not refused. Conclusion: the look-up has its test; that it fails without it is still to be shown.

--- a/galenamast/tests/operator/rollout_script.rs
+++ b/galenamast/tests/operator/rollout_script.rs
@@ -51,8 +51,19 @@
         "{}",
         resume.error
     );
+    let pause = "rollout pause r1 --reason look --change-id p-1 --wait";
     let restart = bench.admin("operate", start).await;
     assert_eq!(restart.code, 0, "{}", restart.error);
+    assert_eq!(
+        bench.admin("operate", pause).await.json()["repeated"],
+        false
+    );
+    let repeated = bench.admin("operate", pause).await;
+    assert_eq!(
+        repeated.json()["repeated"],
+        true,
+        "a repeated step is answered, not refused"
+    );
     for _ in 0..2 {
         let advance = "rollout advance r1 --reason good --wait";
         assert_eq!(bench.admin("operate", advance).await.code, 0);
