--- a/galenamast/src/config/callers_settings.rs
+++ b/galenamast/src/config/callers_settings.rs
@@ -64,7 +64,7 @@
         default: "1048576",
         range: "1024 to 67108864",
         description: "Greatest size of a request body.",
-        reloadable: false,
+        reloadable: true,
         apply: |settings, text| {
             store(
                 &mut settings.callers.max_body_bytes,
@@ -94,7 +94,7 @@
         default: "10000",
         range: "1 to 1000000",
         description: "Greatest number of requests in flight on the host.",
-        reloadable: false,
+        reloadable: true,
         apply: |settings, text| {
             store(
                 &mut settings.callers.max_streams,
@@ -109,7 +109,7 @@
         default: "10s",
         range: "100ms to 5m",
         description: "Longest time that a caller may take to send a request.",
-        reloadable: false,
+        reloadable: true,
         apply: |settings, text| {
             store(
                 &mut settings.callers.read_timeout,
@@ -124,7 +124,7 @@
         default: "30s",
         range: "100ms to 10m",
         description: "Longest time that a caller may leave an answer unread.",
-        reloadable: false,
+        reloadable: true,
         apply: |settings, text| {
             store(
                 &mut settings.callers.write_timeout,
@@ -139,7 +139,7 @@
         default: "60s",
         range: "100ms to 1h",
         description: "Deadline of a request that names none.",
-        reloadable: false,
+        reloadable: true,
         apply: |settings, text| {
             store(
                 &mut settings.callers.default_deadline,
@@ -154,7 +154,7 @@
         default: "",
         range: "a readable file, or empty for none",
         description: "PEM file with the certificate chain for callers.",
-        reloadable: false,
+        reloadable: true,
         apply: |settings, text| {
             store(
                 &mut settings.callers.tls_certificate,
@@ -169,7 +169,7 @@
         default: "",
         range: "a readable file, or empty for none",
         description: "PEM file with the private key for callers.",
-        reloadable: false,
+        reloadable: true,
         apply: |settings, text| {
             store(
                 &mut settings.callers.tls_key,
--- a/galenamast/src/config/routing_settings.rs
+++ b/galenamast/src/config/routing_settings.rs
@@ -73,7 +73,7 @@
         default: "5s",
         range: "0s to 5m",
         description: "Longest time that a request waits for a free server.",
-        reloadable: false,
+        reloadable: true,
         apply: |settings, text| {
             store(
                 &mut settings.routing.queue_timeout,
@@ -88,7 +88,7 @@
         default: "2000",
         range: "0 to 100000",
         description: "Greatest number of requests that wait on the host.",
-        reloadable: false,
+        reloadable: true,
         apply: |settings, text| {
             store(
                 &mut settings.routing.max_queued,
@@ -103,7 +103,7 @@
         default: "10m",
         range: "1s to 24h",
         description: "Time for which a request that crashed two servers is refused.",
-        reloadable: false,
+        reloadable: true,
         apply: |settings, text| {
             store(
                 &mut settings.routing.quarantine_time,
--- a/galenamast/src/config/shutdown_settings.rs
+++ b/galenamast/src/config/shutdown_settings.rs
@@ -31,7 +31,7 @@
         default: "5s",
         range: "0s to 2m",
         description: "Time for which requests are still accepted after the host reports itself unready.",
-        reloadable: false,
+        reloadable: true,
         apply: |settings, text| {
             store(
                 &mut settings.shutdown.balancer_lag,
@@ -46,7 +46,7 @@
         default: "2m",
         range: "0s to 1h",
         description: "Longest time that requests in flight have to finish.",
-        reloadable: false,
+        reloadable: true,
         apply: |settings, text| {
             store(
                 &mut settings.shutdown.drain_timeout,
--- a/galenamast/tests/operator/log_lines.rs
+++ b/galenamast/tests/operator/log_lines.rs
@@ -21,7 +21,6 @@
         generation: ConfigGeneration(7),
         seed: 11,
         outcome: RouteOutcome::Refuse(RefusalReason::NoEligibleVersion),
-        reason: None,
         candidates: vec![VersionReport {
             version: VersionKey::new("advice", "small"),
             verdict: VersionVerdict::Braked,
