Judge ratings by two degrees of low ones and by the reference's recent mean

Change: low ratings of two degrees (1.5 and 3 deviations) against a floor of 0.02, 1.5 times the reference's share and three ratings that chance may have hidden; bets against the recent mean of the reference, scaled by the room above it. Six kinds of evidence share the false-alarm rate.

--- a/galenamast/src/coordination/evidence_test.rs
+++ b/galenamast/src/coordination/evidence_test.rs
@@ -15,6 +15,8 @@
 
 /// Sizes of the bets, each held through an epoch.
 const BET_SIZES: [f64; 6] = [0.95, 0.6, 0.4, 0.2, 0.1, 0.05];
+/// Least room above an accepted mean.
+const MIN_ROOM: f64 = 0.05;
 /// Time after which bets start anew, so that good answers of long ago don't hide bad ones.
 pub const EPOCH_LENGTH: Duration = Duration::from_secs(60);
 /// Epochs whose capital is kept and counted.
@@ -88,6 +90,16 @@
         self.bet(gain, now);
     }
 
+    /// Bets on a value of the subject against the mean of a reference, which is taken for known.
+    ///
+    /// The value is at most 1, so that the room above the mean bounds what a bet can lose, and the
+    /// bets may be larger than those on single values of a reference.
+    pub fn observe_below(&mut self, subject: f64, mean: f64, now: TimePoint) {
+        let accepted = mean - self.tolerated_loss;
+        let room = (1.0 - accepted).clamp(MIN_ROOM, 1.0);
+        self.bet(((accepted - subject) / room).max(-1.0), now);
+    }
+
     /// Bets on a gain of at least -1 whose expectation is at most zero under the null hypothesis.
     fn bet(&mut self, gain: f64, now: TimePoint) {
         self.advance(now);
--- a/galenamast/src/coordination/rollout_test.rs
+++ b/galenamast/src/coordination/rollout_test.rs
@@ -9,7 +9,7 @@
 use crate::state::{QualityOrigin, RolloutSpec, TaskName, TimePoint};
 
 /// Kinds of evidence among which the false-alarm rate is divided.
-const EVIDENCE_KINDS: f64 = 4.0;
+const EVIDENCE_KINDS: f64 = 6.0;
 /// Greatest rise of the error rate that is accepted.
 const TOLERATED_ERRORS: f64 = 0.01;
 /// Greatest rise of the share of slow answers that is accepted.
@@ -18,11 +18,18 @@
 const SLOW_RATIO: f64 = 2.0;
 /// Reference answers of a task that are needed before its answers are judged.
 const MIN_REFERENCE: u64 = 5;
-/// Standard deviations below the reference's mean from which a rating is low.
-const LOW_DEVIATIONS: f64 = 2.0;
+/// Standard deviations below the reference's mean from which a rating is low, and very low.
+const LOW_DEVIATIONS: [f64; 2] = [1.5, 3.0];
 /// Share of low ratings that is accepted: a floor and a multiple of the reference's.
-const LOW_RATE_FLOOR: f64 = 0.06;
+const LOW_RATE_FLOOR: f64 = 0.02;
 const LOW_RATE_RATIO: f64 = 1.5;
+/// Low ratings that may have been missed by chance among those of the reference.
+const MISSED_LOW_RATINGS: f64 = 3.0;
+/// Ratings that the recent mean of the reference remembers, and those it needs.
+const RECENT_MEMORY: f64 = 100.0;
+const MIN_RECENT: u64 = 30;
+/// Standard errors by which the recent mean of the reference is taken to be too high.
+const RECENT_ERRORS: f64 = 1.0;
 /// Reference ratings of a task that are needed to tell which ratings are low.
 const MIN_LOW_REFERENCE: u64 = 30;
 /// Own answers of a task that are needed as a reference for a version's later ones.
@@ -75,8 +82,10 @@
 pub struct TestDigest {
     /// Evidence on ratings.
     pub ratings: EvidenceDigest,
-    /// Evidence on low ratings.
-    pub low_ratings: EvidenceDigest,
+    /// Evidence on ratings against the recent mean of the reference.
+    pub recent_ratings: EvidenceDigest,
+    /// Evidence on low ratings, by degree.
+    pub low_ratings: [EvidenceDigest; LOW_DEVIATIONS.len()],
     /// Evidence on errors.
     pub errors: EvidenceDigest,
     /// Evidence on latency.
@@ -128,29 +137,48 @@
 struct LowReference {
     ratings: RunningMean,
     squares: RunningMean,
-    low: RunningMean,
+    low: [RunningMean; LOW_DEVIATIONS.len()],
+    recent: f64,
 }
 
 impl LowReference {
     /// Adds a rating.
-    fn add(&mut self, rating: f64, is_low: bool) {
+    fn add(&mut self, rating: f64) {
         if self.ratings.count >= MIN_REFERENCE {
-            self.low.add(f64::from(is_low));
+            let is_low = self.bounds().map(|bound| rating < bound);
+            for (low, is_low) in self.low.iter_mut().zip(is_low) {
+                low.add(f64::from(is_low));
+            }
         }
         self.ratings.add(rating);
         self.squares.add(rating * rating);
+        self.recent += (rating - self.recent) / (self.ratings.count as f64).min(RECENT_MEMORY);
     }
 
-    /// Returns the rating below which a rating is low.
-    fn bound(&self) -> f64 {
+    /// Returns the standard deviation of the ratings.
+    fn deviation(&self) -> f64 {
         let mean = self.ratings.mean;
-        let variance = (self.squares.mean - mean * mean).max(0.0);
-        mean - LOW_DEVIATIONS * variance.sqrt()
+        (self.squares.mean - mean * mean).max(0.0).sqrt()
+    }
+
+    /// Returns the ratings below which a rating is low, for each degree.
+    fn bounds(&self) -> [f64; LOW_DEVIATIONS.len()] {
+        let deviation = self.deviation();
+        LOW_DEVIATIONS.map(|times| self.ratings.mean - times * deviation)
+    }
+
+    /// Returns the shares of low ratings that are accepted, for each degree.
+    fn accepted_rates(&self) -> [f64; LOW_DEVIATIONS.len()] {
+        let missed = MISSED_LOW_RATINGS / self.ratings.count.max(1) as f64;
+        self.low
+            .map(|low| (LOW_RATE_FLOOR + missed + LOW_RATE_RATIO * low.mean).min(0.5))
     }
 
-    /// Returns the share of low ratings that is accepted.
-    fn accepted_rate(&self) -> f64 {
-        (LOW_RATE_FLOOR + LOW_RATE_RATIO * self.low.mean).min(0.5)
+    /// Returns a cautious estimate of the recent mean.
+    fn cautious_mean(&self) -> f64 {
+        // A moving average over n values has the variance of a mean over about 2n values.
+        let counted = (self.ratings.count as f64).min(2.0 * RECENT_MEMORY);
+        self.recent - RECENT_ERRORS * self.deviation() / counted.sqrt()
     }
 }
 
@@ -170,7 +198,8 @@
 pub struct RolloutTest {
     settings: TestSettings,
     ratings: EvidenceTest,
-    low_ratings: EvidenceTest,
+    recent_ratings: EvidenceTest,
+    low_ratings: [EvidenceTest; LOW_DEVIATIONS.len()],
     errors: EvidenceTest,
     latency: EvidenceTest,
     rating_references: BTreeMap<TaskName, Reference>,
@@ -186,7 +215,8 @@
         let test = |loss| EvidenceTest::new(settings.origin.clone(), loss, now);
         Self {
             ratings: test(settings.tolerated_loss),
-            low_ratings: test(0.0),
+            recent_ratings: test(settings.tolerated_loss),
+            low_ratings: LOW_DEVIATIONS.map(|_| test(0.0)),
             errors: test(TOLERATED_ERRORS),
             latency: test(TOLERATED_SLOWNESS),
             rating_references: BTreeMap::new(),
@@ -237,13 +267,18 @@
         let past = self.settings.against_past;
         let reference = self.low_references.entry(task.clone()).or_default();
         let needed = if past { MIN_HISTORY } else { MIN_LOW_REFERENCE };
-        let is_low = rating < reference.bound();
         if arm == TestArm::Candidate && reference.ratings.count >= needed {
-            self.low_ratings
-                .observe_event(is_low, reference.accepted_rate(), now);
+            let judged = reference.bounds().into_iter().zip(reference.accepted_rates());
+            for (test, (bound, accepted)) in self.low_ratings.iter_mut().zip(judged) {
+                test.observe_event(rating < bound, accepted, now);
+            }
+        }
+        if arm == TestArm::Candidate && !past && reference.ratings.count >= MIN_RECENT {
+            let mean = reference.cautious_mean();
+            self.recent_ratings.observe_below(rating, mean, now);
         }
         if arm == TestArm::Baseline || past {
-            reference.add(rating, is_low);
+            reference.add(rating);
         }
     }
 
@@ -263,9 +298,12 @@
     /// Returns what the evidence says.
     pub fn verdict(&self) -> TestVerdict {
         let threshold = (EVIDENCE_KINDS / self.settings.false_alarm_rate).ln();
+        let [low, very_low] = &self.low_ratings;
         let kinds = [
             (&self.ratings, TestVerdict::WorseRatings),
-            (&self.low_ratings, TestVerdict::MoreLowRatings),
+            (&self.recent_ratings, TestVerdict::WorseRatings),
+            (low, TestVerdict::MoreLowRatings),
+            (very_low, TestVerdict::MoreLowRatings),
             (&self.errors, TestVerdict::MoreErrors),
             (&self.latency, TestVerdict::Slower),
         ];
@@ -291,7 +329,8 @@
     pub fn digest(&self) -> TestDigest {
         TestDigest {
             ratings: self.ratings.digest(),
-            low_ratings: self.low_ratings.digest(),
+            recent_ratings: self.recent_ratings.digest(),
+            low_ratings: self.low_ratings.each_ref().map(EvidenceTest::digest),
             errors: self.errors.digest(),
             latency: self.latency.digest(),
         }
@@ -300,7 +339,10 @@
     /// Merges another host's evidence; repeats and reordering do no harm.
     pub fn merge(&mut self, digest: &TestDigest, now: TimePoint) -> TestVerdict {
         self.ratings.merge(&digest.ratings, now);
-        self.low_ratings.merge(&digest.low_ratings, now);
+        self.recent_ratings.merge(&digest.recent_ratings, now);
+        for (test, digest) in self.low_ratings.iter_mut().zip(&digest.low_ratings) {
+            test.merge(digest, now);
+        }
         self.errors.merge(&digest.errors, now);
         self.latency.merge(&digest.latency, now);
         self.verdict()
