Bound mixing by a workspace setting and spare work that may not be repeated

Change: `mixing_shortfall` of a workspace (0.15; 0 forbids mixing) with its key, its field on the wire and its check; only idempotent requests are mixed; no margin beyond the confidence bounds.

--- a/galenamast/src/config/workspace_fields.rs
+++ b/galenamast/src/config/workspace_fields.rs
@@ -140,4 +140,11 @@
         description: "Whether a request may be answered by a cascade of versions.",
         apply: |spec, _, text| store(&mut spec.cascades, flag(text)),
     },
+    ObjectField {
+        name: "mixing_shortfall",
+        default: "0.15",
+        range: "0 to 1",
+        description: "Greatest shortfall against the quality target at which a cheaper version takes a share of idempotent requests while the mean stays above the target; 0 for none.",
+        apply: |spec, _, text| store(&mut spec.mixing_shortfall, number(text, 0.0, 1.0)),
+    },
 ];
--- a/galenamast/src/coordination/config_check.rs
+++ b/galenamast/src/coordination/config_check.rs
@@ -130,6 +130,7 @@
             }
         }
         self.unit(&subject, "quality_target", workspace.quality_target);
+        self.unit(&subject, "mixing_shortfall", workspace.mixing_shortfall);
         for target in workspace.task_targets.values() {
             self.unit(&subject, "task_targets", *target);
         }
--- a/galenamast/src/protocol/operator_objects.rs
+++ b/galenamast/src/protocol/operator_objects.rs
@@ -140,6 +140,7 @@
         move_withdrawn_sessions: spec.withdrawn_session == WithdrawnPolicy::Move,
         hedged_tasks: spec.hedged_tasks.iter().map(ToString::to_string).collect(),
         cascades: spec.cascades,
+        mixing_shortfall_ratio: spec.mixing_shortfall,
     }
 }
 
@@ -167,6 +168,7 @@
             false => WithdrawnPolicy::Refuse,
         },
         cascades: workspace.cascades,
+        mixing_shortfall: workspace.mixing_shortfall_ratio,
         key_digests: key_digests.collect::<Result<_, _>>()?,
         allowed: BTreeMap::new(),
         services: names_from_wire("service name", &workspace.services)?,
--- a/galenamast/src/state/version_choice.rs
+++ b/galenamast/src/state/version_choice.rs
@@ -15,10 +15,6 @@
 const THIN_RATINGS: f64 = 60.0;
 /// Shortfall against the target up to which a version is explored.
 const EXPLORATION_SHORTFALL: f64 = 0.1;
-/// Shortfall against the target up to which a cheaper version is mixed in, at equal weights.
-const MIX_SHORTFALL: f64 = 0.25;
-/// Quality above the target that a mix aims at.
-const MIX_MARGIN: f64 = 0.006;
 /// Weight of relative latency against relative price, at equal weights.
 const LATENCY_TRADE: f64 = 0.05;
 
@@ -81,7 +77,9 @@
     }
     let alone = score(chosen, workspace);
     let cascade = cheapest_cascade(candidates, index, request, workspace, target);
+    // A single answer below the target must be one that the caller can ask for again.
     let mixed = established()
+        .filter(|_| request.idempotent)
         .filter_map(|(index, candidate)| {
             let mix = mix_with(candidate, chosen, workspace, target)?;
             Some((index, mix))
@@ -137,14 +135,16 @@
 ) -> Option<VersionMix> {
     let low = cheaper.report.quality_bound;
     let high = chosen.report.quality_bound;
-    let goal = target + MIX_MARGIN;
-    let shortfall = MIX_SHORTFALL / workspace.weights.exposure.max(1.0);
     let cheaper_score = score(cheaper, workspace);
     let chosen_score = score(chosen, workspace);
-    if low >= goal || high <= goal || target - low > shortfall || cheaper_score >= chosen_score {
+    if low >= target
+        || high <= target
+        || target - low > workspace.mixing_shortfall
+        || cheaper_score >= chosen_score
+    {
         return None;
     }
-    let share = (high - goal) / (high - low);
+    let share = (high - target) / (high - low);
     Some(VersionMix {
         share,
         score: share * cheaper_score + (1.0 - share) * chosen_score,
--- a/galenamast/src/state/workspace_spec.rs
+++ b/galenamast/src/state/workspace_spec.rs
@@ -8,6 +8,9 @@
 use crate::state::names::{ModelName, ServiceName, TaskName, VersionName, WorkspaceName};
 use crate::state::version_key::VersionKey;
 
+/// Shortfall against the target up to which a cheaper version is mixed in by default.
+const DEFAULT_MIXING_SHORTFALL: f64 = 0.15;
+
 /// Configuration of a workspace.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -34,6 +37,9 @@
     pub hedged_tasks: BTreeSet<TaskName>,
     /// Whether a request may be answered by a cascade of versions.
     pub cascades: bool,
+    /// Greatest shortfall against the quality target, from 0 to 1, at which a cheaper version takes
+    /// a share of idempotent requests while the mean stays above the target; 0 for none.
+    pub mixing_shortfall: f64,
 }
 
 impl Default for WorkspaceSpec {
@@ -50,6 +56,7 @@
             withdrawn_session: WithdrawnPolicy::Refuse,
             hedged_tasks: BTreeSet::new(),
             cascades: true,
+            mixing_shortfall: DEFAULT_MIXING_SHORTFALL,
         }
     }
 }
