Keep the share of a suspected roll-out small

Cause: until the evidence suffices, a candidate kept its full share, so that answers whose ratings were under way and, with slow harm, answers of little information came on top. Change: a candidate against which the evidence reaches a false-alarm rate of 0.2 takes at most 50 thousandths of new sessions on the host that knows so; hosts share their evidence.

--- a/galenamast/src/coordination/rollout_test.rs
+++ b/galenamast/src/coordination/rollout_test.rs
@@ -10,6 +10,8 @@
 
 /// Kinds of evidence among which the false-alarm rate is divided.
 const EVIDENCE_KINDS: f64 = 6.0;
+/// Chance that a version that is no worse is ever suspected.
+const SUSPICION_RATE: f64 = 0.2;
 /// Greatest rise of the error rate that is accepted.
 const TOLERATED_ERRORS: f64 = 0.01;
 /// Greatest rise of the share of slow answers that is accepted.
@@ -268,7 +270,10 @@
         let reference = self.low_references.entry(task.clone()).or_default();
         let needed = if past { MIN_HISTORY } else { MIN_LOW_REFERENCE };
         if arm == TestArm::Candidate && reference.ratings.count >= needed {
-            let judged = reference.bounds().into_iter().zip(reference.accepted_rates());
+            let judged = reference
+                .bounds()
+                .into_iter()
+                .zip(reference.accepted_rates());
             for (test, (bound, accepted)) in self.low_ratings.iter_mut().zip(judged) {
                 test.observe_event(rating < bound, accepted, now);
             }
@@ -297,7 +302,18 @@
 
     /// Returns what the evidence says.
     pub fn verdict(&self) -> TestVerdict {
-        let threshold = (EVIDENCE_KINDS / self.settings.false_alarm_rate).ln();
+        self.verdict_at(self.settings.false_alarm_rate)
+    }
+
+    /// Returns whether there is some evidence against the version, though it may not suffice.
+    pub fn is_suspect(&self) -> bool {
+        let rate = SUSPICION_RATE.max(self.settings.false_alarm_rate);
+        self.verdict_at(rate) != TestVerdict::Undecided
+    }
+
+    /// Returns what the evidence says at a false-alarm rate.
+    fn verdict_at(&self, rate: f64) -> TestVerdict {
+        let threshold = (EVIDENCE_KINDS / rate).ln();
         let [low, very_low] = &self.low_ratings;
         let kinds = [
             (&self.ratings, TestVerdict::WorseRatings),
--- a/galenamast/src/coordination/version_judge.rs
+++ b/galenamast/src/coordination/version_judge.rs
@@ -1,6 +1,6 @@
 //! Feeds each answer to the quality table and to the sequential tests.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -162,6 +162,15 @@
         Some(JudgeAction::Brake(note))
     }
 
+    /// Returns the versions under roll-out that there is some evidence against.
+    pub fn suspects(&self) -> BTreeSet<VersionKey> {
+        let suspected = self.tests.iter().filter(|((_, baseline), test)| {
+            let rolled_out = baseline.is_some();
+            rolled_out && test.is_suspect()
+        });
+        suspected.map(|((version, _), _)| version.clone()).collect()
+    }
+
     /// Returns this host's evidence, to tell other hosts.
     pub fn evidence(&self) -> Vec<VersionEvidence> {
         let tests = self.tests.iter();
--- a/galenamast/src/replay/replay_host.rs
+++ b/galenamast/src/replay/replay_host.rs
@@ -152,6 +152,7 @@
         let now = point_at(now_ms);
         self.judge.board.expire(now);
         self.tables.brakes = self.judge.board.active(now);
+        self.tables.suspects = self.judge.suspects();
     }
 
     /// Sets the age of the configuration.
--- a/galenamast/src/state/route_tables.rs
+++ b/galenamast/src/state/route_tables.rs
@@ -1,6 +1,6 @@
 //! The tables that a routing decision reads.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,6 +19,8 @@
     pub servers: ServerTable,
     /// Versions that are braked, with the time at which the brake expires.
     pub brakes: BTreeMap<VersionKey, TimePoint>,
+    /// Versions under roll-out with some evidence against them; their shares are kept small.
+    pub suspects: BTreeSet<VersionKey>,
     /// Time since the configuration was last confirmed to be the newest.
     pub config_age: Duration,
     /// Observed quality and latency of versions.
--- a/galenamast/src/state/version_filter.rs
+++ b/galenamast/src/state/version_filter.rs
@@ -14,6 +14,8 @@
 
 /// Standard errors below the mean at which a version's quality is judged, at equal weights.
 const CONFIDENCE_Z: f64 = 1.0;
+/// Greatest share of a version with some evidence against it, in thousandths.
+const SUSPECT_SHARE: u32 = 50;
 /// Salt of the draw for a roll-out's share.
 const SHARE_SALT: u64 = 0x7368_6172_6573_616c;
 
@@ -156,7 +158,10 @@
         return None;
     }
     let rollout = inputs.image.rollout_of(&key.model, &key.version);
-    let share = rollout.map_or(0, |rollout| rollout.current_share());
+    let mut share = rollout.map_or(0, |rollout| rollout.current_share());
+    if inputs.tables.suspects.contains(key) {
+        share = share.min(SUSPECT_SHARE);
+    }
     let draw = mix_hash(inputs.seed ^ SHARE_SALT) % 1_000;
     (draw >= u64::from(share)).then_some(VersionVerdict::OutsideShare)
 }
--- a/galenamast/src/transport/quality_feed.rs
+++ b/galenamast/src/transport/quality_feed.rs
@@ -123,9 +123,11 @@
         self.changed = false;
         let quality = Arc::new(self.table.clone());
         let brakes = self.judge.board.active(self.context.timers.now());
+        let suspects = self.judge.suspects();
         self.context.tables.rcu(|tables| RouteTables {
             quality: quality.clone(),
             brakes: brakes.clone(),
+            suspects: suspects.clone(),
             ..RouteTables::clone(tables)
         });
     }
