--- a/galenamast/src/coordination/member_table.rs
+++ b/galenamast/src/coordination/member_table.rs
@@ -29,6 +29,12 @@
         self.members.values().filter(|record| record.is_live())
     }
 
+    /// Returns the number of live hosts that are known, in all failure domains.
+    pub fn live_known(&self) -> usize {
+        let contacts = self.contacts.values();
+        self.live().count() + contacts.filter(|record| record.is_live()).count()
+    }
+
     /// Returns the live hosts of the own failure domain without the own host.
     pub fn live_peers(&self) -> impl Iterator<Item = &MemberRecord> {
         self.live().filter(|record| record.name != self.own)
--- a/galenamast/src/event_loop.rs
+++ b/galenamast/src/event_loop.rs
@@ -22,6 +22,7 @@
 use crate::transport::operator_server::start_operator_server;
 use crate::transport::quality_feed::{follow_answers, follow_brakes};
 use crate::transport::settings_reload::reload_settings;
+use crate::transport::statistics_reporter::report_statistics;
 use crate::transport::{
     HostContext, TimerService, TransportError, start_duties, start_fleet, start_usage_peers,
 };
@@ -64,6 +65,7 @@
         tasks.extend(start_fleet(&context)?);
         tasks.extend(start_usage_peers(&context));
         tasks.extend(start_duties(&context));
+        tasks.push(tokio::spawn(report_statistics(context.clone())));
         follow_crash_notes(&context);
         follow_brakes(&context);
         if let Some(answers) = context.take_answers() {
--- a/galenamast/src/protocol/log_record.rs
+++ b/galenamast/src/protocol/log_record.rs
@@ -73,6 +73,8 @@
         /// New status of the host.
         status: MemberStatus,
     },
+    /// What the host knows and what its control traffic costs, at a fixed period.
+    HostStatistics(HostStatistics),
     /// Something failed that the host recovers from by itself.
     Fault {
         /// Part of the host that met the fault.
@@ -116,6 +118,25 @@
     },
 }
 
+/// What an entry host knows and what its control traffic has cost since it started.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostStatistics {
+    /// Live entry hosts that are known: those of the own failure domain and the contacts elsewhere.
+    pub members: u64,
+    /// Bytes sent to other entry hosts, with an estimate of what the lower protocols add.
+    pub peer_bytes_sent: u64,
+    /// Bytes received from other entry hosts, with the same estimate.
+    pub peer_bytes_received: u64,
+    /// Calls of the object API that were sent.
+    pub platform_calls: u64,
+    /// Load reports that were asked for.
+    pub load_polls: u64,
+    /// Generation of the configuration in force.
+    pub generation: ConfigGeneration,
+    /// Time since that generation was confirmed to be the newest, in milliseconds.
+    pub config_age_ms: u64,
+}
+
 /// An accepted change of the configuration.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ChangeRecord {
--- a/galenamast/src/protocol/mod.rs
+++ b/galenamast/src/protocol/mod.rs
@@ -26,7 +26,7 @@
 pub use chat_text::ChatText;
 pub use decision_record::DecisionRecord;
 pub use log_explanation::{LogExplanation, explain_log};
-pub use log_record::{ChangeRecord, LogRecord};
+pub use log_record::{ChangeRecord, HostStatistics, LogRecord};
 pub use peer_envelope::{PeerMessage, decode_frame, encode_frame};
 pub use peer_request::{PeerReply, PeerRequest};
 pub use protocol_error::ProtocolError;
--- a/galenamast/src/transport/call_counters.rs
+++ b/galenamast/src/transport/call_counters.rs
@@ -51,6 +51,20 @@
     pub short_circuited: u64,
 }
 
+impl CallCounts {
+    /// Returns the number of calls that were sent.
+    ///
+    /// ```
+    /// use galenamast::transport::CallCounts;
+    ///
+    /// let counts = CallCounts { reads: 2, writes: 1, failures: 1, ..Default::default() };
+    /// assert_eq!(counts.sent(), 3);
+    /// ```
+    pub const fn sent(&self) -> u64 {
+        self.reads + self.writes + self.deletes + self.lists + self.watches
+    }
+}
+
 impl CallCounters {
     /// Counts a call that is sent.
     pub(crate) fn count(&self, kind: CallKind) {
--- a/galenamast/src/transport/host_context.rs
+++ b/galenamast/src/transport/host_context.rs
@@ -92,6 +92,8 @@
     server_receiver: Mutex<Option<mpsc::UnboundedReceiver<DirectoryEvent>>>,
     fallback_key: [u8; 16],
     seeds: AtomicU64,
+    /// Load reports that were asked for since the start.
+    pub load_polls: AtomicU64,
 }
 
 impl std::fmt::Debug for HostContext {
@@ -156,6 +158,7 @@
             server_events,
             server_receiver: Mutex::new(Some(server_receiver)),
             seeds: AtomicU64::new(rand::random()),
+            load_polls: AtomicU64::new(0),
             caller_tls: ArcSwapOption::empty(),
             live: ArcSwap::from_pointee(settings.clone()),
             settings,
--- a/galenamast/src/transport/host_list_poller.rs
+++ b/galenamast/src/transport/host_list_poller.rs
@@ -1,6 +1,7 @@
 //! Reads the host list and the servers' load reports, and publishes the server table.
 
 use std::collections::BTreeSet;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -128,6 +129,7 @@
     if !started {
         return;
     }
+    context.load_polls.fetch_add(1, Ordering::Relaxed);
     let (context, busy) = (context.clone(), busy.clone());
     let (name, address) = (name.clone(), address.to_owned());
     tokio::spawn(async move {
--- a/galenamast/src/transport/peer_mesh.rs
+++ b/galenamast/src/transport/peer_mesh.rs
@@ -48,6 +48,8 @@
 pub struct PeerCounts {
     /// Bytes sent, with an estimate of what the lower protocols add.
     pub bytes_sent: u64,
+    /// Bytes received, with the same estimate.
+    pub bytes_received: u64,
     /// Messages and replies sent.
     pub messages_sent: u64,
     /// Messages that were dropped because the byte rate was used up.
@@ -75,6 +77,7 @@
     soft_handlers: ArcSwap<Vec<SoftHandler>>,
     serial: AtomicU64,
     bytes_sent: AtomicU64,
+    bytes_received: AtomicU64,
     messages_sent: AtomicU64,
     dropped: AtomicU64,
     unreadable: AtomicU64,
@@ -124,6 +127,7 @@
             request_handlers: ArcSwap::default(),
             soft_handlers: ArcSwap::default(),
             bytes_sent: AtomicU64::new(0),
+            bytes_received: AtomicU64::new(0),
             messages_sent: AtomicU64::new(0),
             dropped: AtomicU64::new(0),
             unreadable: AtomicU64::new(0),
@@ -157,6 +161,7 @@
         let load = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
         PeerCounts {
             bytes_sent: load(&self.shared.bytes_sent),
+            bytes_received: load(&self.shared.bytes_received),
             messages_sent: load(&self.shared.messages_sent),
             dropped: load(&self.shared.dropped),
             unreadable: load(&self.shared.unreadable),
@@ -274,6 +279,7 @@
         sender.finish().map_err(|error| peer_error(host, &error))?;
         let reply = receiver.read_to_end(MAX_REPLY_BYTES).await;
         let reply = reply.map_err(|error| peer_error(host, &error))?;
+        self.count_received(reply.len());
         Ok(decode_frame(&reply)?.unwrap_or(PeerReply::Unsupported))
     }
 
@@ -327,6 +333,13 @@
         self.shared.messages_sent.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts a message, request or reply that arrived.
+    pub(crate) fn count_received(&self, bytes: usize) {
+        let bytes = u64::try_from(bytes + OVERHEAD_BYTES).unwrap_or(u64::MAX);
+        let received = &self.shared.bytes_received;
+        received.fetch_add(bytes, Ordering::Relaxed);
+    }
+
     /// Counts a message that could not be read.
     pub(crate) fn count_unreadable(&self) {
         self.shared.unreadable.fetch_add(1, Ordering::Relaxed);
--- a/galenamast/src/transport/peer_runner.rs
+++ b/galenamast/src/transport/peer_runner.rs
@@ -90,6 +90,7 @@
     {
         return;
     }
+    mesh.count_received(bytes.len());
     match decode_frame::<PeerMessage>(bytes) {
         Ok(Some(PeerMessage::Member(message))) if message.sender.name == link.host => {
             // A full queue drops the message, as the network might have done.
@@ -119,6 +120,7 @@
         mesh.count_unreadable();
         return;
     };
+    mesh.count_received(bytes.len());
     let reply = match decode_frame::<PeerRequest>(&bytes) {
         Ok(Some(request)) => answer(&mesh, &link, &request).await,
         _ => {
--- a/galenamast/tests/operator/log_lines.rs
+++ b/galenamast/tests/operator/log_lines.rs
@@ -7,7 +7,7 @@
     MemberStatus, MoveKind, MoveReason, PlacementMove, RolloutStep, UsageRecord,
 };
 use galenamast::logging::line_text;
-use galenamast::protocol::{ChangeRecord, DecisionRecord, LogRecord};
+use galenamast::protocol::{ChangeRecord, DecisionRecord, HostStatistics, LogRecord};
 use galenamast::state::{
     ConfigGeneration, RefusalReason, RequestId, RouteDecision, RouteOutcome, TimePoint, VersionKey,
     VersionReport, VersionVerdict,
@@ -111,6 +111,18 @@
                 status: MemberStatus::Suspect,
             },
         ),
+        (
+            "host_statistics",
+            LogRecord::HostStatistics(HostStatistics {
+                members: 9,
+                peer_bytes_sent: 52_000,
+                peer_bytes_received: 51_000,
+                platform_calls: 12,
+                load_polls: 40,
+                generation: ConfigGeneration(7),
+                config_age_ms: 350,
+            }),
+        ),
         (
             "fault",
             LogRecord::Fault {
