Share server loads, quality and evidence between entry hosts

Cause: every host polled every backend server, learned quality by itself alone, and rated_answers was never set, so that live roll-outs could not advance on ratings. Change: two hosts of a failure domain watch each server and share digests that each host passes on once; other domains get one summary per pool and version; a host that hears nothing asks for itself. Quality cells, evidence and counts of rated answers go to all hosts at a rate that falls with the size of the fleet; evidence from before a restart of the tests is refused.

--- a/galenamast/src/coordination/gossip_queue.rs
+++ b/galenamast/src/coordination/gossip_queue.rs
@@ -15,6 +15,11 @@
 /// Transmissions to other failure domains by each host.
 const FAR_TRANSMISSIONS: u32 = 3;
 
+/// Transmissions within a failure domain by each host of what is repeated often.
+const REPEATED_TRANSMISSIONS: u32 = 4;
+/// Transmissions to other failure domains by each host of what is repeated often.
+const REPEATED_FAR: u32 = 1;
+
 /// How far a piece of soft state spreads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum PeerScope {
@@ -22,6 +27,10 @@
     Domain,
     /// To all hosts.
     Fleet,
+    /// To most hosts of the own failure domain, for what is repeated often.
+    DomainOnce,
+    /// To most hosts, for what is repeated often.
+    FleetOnce,
 }
 
 /// A piece of soft state on its way; a host passes on what it cannot read itself.
@@ -80,15 +89,13 @@
             self.pending.pop_front();
         }
         let doublings = (hosts + 1).next_power_of_two().trailing_zeros().max(1);
-        let far = match item.scope {
-            PeerScope::Domain => 0,
-            PeerScope::Fleet => FAR_TRANSMISSIONS,
+        let (near, far) = match item.scope {
+            PeerScope::Domain => (doublings * NEAR_PER_DOUBLING, 0),
+            PeerScope::Fleet => (doublings * NEAR_PER_DOUBLING, FAR_TRANSMISSIONS),
+            PeerScope::DomainOnce => (REPEATED_TRANSMISSIONS, 0),
+            PeerScope::FleetOnce => (REPEATED_TRANSMISSIONS, REPEATED_FAR),
         };
-        self.pending.push_back(PendingItem {
-            item,
-            near: doublings * NEAR_PER_DOUBLING,
-            far,
-        });
+        self.pending.push_back(PendingItem { item, near, far });
         true
     }
 
--- a/galenamast/src/coordination/member_table.rs
+++ b/galenamast/src/coordination/member_table.rs
@@ -1,6 +1,6 @@
 //! The entry hosts that an entry host knows, as one immutable value.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::coordination::member_record::MemberRecord;
 use crate::state::{DomainName, HostName};
@@ -29,6 +29,13 @@
         self.members.values().filter(|record| record.is_live())
     }
 
+    /// Estimates the number of hosts in all failure domains, as if each were like the own one.
+    pub fn fleet_estimate(&self) -> usize {
+        let contacts = self.contacts.values().filter(|record| record.is_live());
+        let domains: BTreeSet<&DomainName> = contacts.map(|record| &record.domain).collect();
+        self.live().count() * (1 + domains.len())
+    }
+
     /// Returns the number of live hosts that are known, in all failure domains.
     pub fn live_known(&self) -> usize {
         let contacts = self.contacts.values();
--- a/galenamast/src/coordination/server_directory.rs
+++ b/galenamast/src/coordination/server_directory.rs
@@ -1,6 +1,7 @@
 //! Keeps what is known of the backend servers.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use crate::coordination::host_list::{HostList, HostListEntry};
 use crate::coordination::load_report::LoadReport;
@@ -14,6 +15,8 @@
     ListRead(HostList),
     /// A load report of a server arrived.
     Reported(ServerName, LoadReport),
+    /// Another host shared the load report of a server, with the age of the measurement.
+    Heard(ServerName, LoadReport, Duration),
     /// A connection to a server failed.
     ConnectFailed(ServerName),
     /// Time passed.
@@ -32,6 +35,7 @@
 struct DirectoryEntry {
     record: ServerRecord,
     machine: ServerMachine,
+    failed_at: Option<TimePoint>,
 }
 
 impl ServerDirectory {
@@ -47,8 +51,16 @@
     pub fn handle(&mut self, event: &DirectoryEvent, now: TimePoint) {
         match event {
             DirectoryEvent::ListRead(list) => self.apply_host_list(list, now),
-            DirectoryEvent::Reported(name, report) => self.apply_load(name, report, now),
-            DirectoryEvent::ConnectFailed(name) => self.step(name, LifeEvent::ConnectFailed, now),
+            DirectoryEvent::Reported(name, report) => {
+                self.apply_load(name, report, Duration::ZERO, now);
+            }
+            DirectoryEvent::Heard(name, report, age) => self.apply_heard(name, report, *age, now),
+            DirectoryEvent::ConnectFailed(name) => {
+                if let Some(entry) = self.entries.get_mut(name) {
+                    entry.failed_at = Some(now);
+                }
+                self.step(name, LifeEvent::ConnectFailed, now);
+            }
             DirectoryEvent::Tick => self.tick(now),
         }
     }
@@ -90,12 +102,33 @@
         let created = DirectoryEntry {
             record: new_record(entry),
             machine: ServerMachine::new(entry.incarnation, self.settings, now),
+            failed_at: None,
         };
         self.entries.insert(entry.name.clone(), created);
     }
 
-    /// Takes in a load report of a server.
-    fn apply_load(&mut self, name: &ServerName, report: &LoadReport, now: TimePoint) {
+    /// Takes in a load report that another host shared, unless a connection failed since.
+    fn apply_heard(
+        &mut self,
+        name: &ServerName,
+        report: &LoadReport,
+        age: Duration,
+        now: TimePoint,
+    ) {
+        let failed_at = self.entries.get(name).and_then(|entry| entry.failed_at);
+        if failed_at.is_none_or(|failed_at| failed_at < now - age) {
+            self.apply_load(name, report, age, now);
+        }
+    }
+
+    /// Takes in a load report of a server, with the age of the measurement.
+    fn apply_load(
+        &mut self,
+        name: &ServerName,
+        report: &LoadReport,
+        age: Duration,
+        now: TimePoint,
+    ) {
         let Some(entry) = self.entries.get_mut(name) else {
             return;
         };
@@ -111,7 +144,7 @@
         let record = &mut entry.record;
         record.load = report.load;
         record.versions.clone_from(&report.versions);
-        record.reported_at = now;
+        record.reported_at = now - age;
         record.own_at_report = record.in_flight.get();
         let event = LifeEvent::Reported {
             incarnation,
--- a/galenamast/src/coordination/version_judge.rs
+++ b/galenamast/src/coordination/version_judge.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::brake_board::{BRAKE_TIME, BrakeBoard, BrakeChoice, BrakeNote};
+use crate::coordination::evidence_news::EvidenceNews;
 use crate::coordination::rollout_test::{
     Observation, RolloutTest, TestArm, TestDigest, TestSettings, TestVerdict,
 };
@@ -61,6 +62,7 @@
 pub struct VersionJudge {
     origin: QualityOrigin,
     tests: BTreeMap<(VersionKey, Option<VersionKey>), RolloutTest>,
+    restarted: BTreeMap<VersionKey, ConfigGeneration>,
     /// Brakes known to this host.
     pub board: BrakeBoard,
 }
@@ -111,6 +113,11 @@
         seen: &Observation,
         now: TimePoint,
     ) -> TestVerdict {
+        self.test_of(rollout, now).observe(arm, seen, now)
+    }
+
+    /// Returns the test of a roll-out, a new one if there is none.
+    fn test_of(&mut self, rollout: &RolloutSpec, now: TimePoint) -> &mut RolloutTest {
         let (candidate, baseline) = rollout_keys(rollout);
         let settings = TestSettings {
             origin: self.origin.clone(),
@@ -119,8 +126,7 @@
             against_past: false,
         };
         let test = self.tests.entry((candidate, Some(baseline)));
-        let test = test.or_insert_with(|| RolloutTest::new(settings, now));
-        test.observe(arm, seen, now)
+        test.or_insert_with(|| RolloutTest::new(settings, now))
     }
 
     /// Feeds an answer to the test of a version against its own past.
@@ -174,6 +180,27 @@
             .collect()
     }
 
+    /// Merges the evidence of another host, unless it was gathered before the tests started anew.
+    pub fn merge_news(
+        &mut self,
+        news: &EvidenceNews,
+        image: &ConfigImage,
+        now: TimePoint,
+    ) -> Option<JudgeAction> {
+        let restarted = self.restarted.get(&news.version);
+        if news.origin == self.origin || restarted.is_some_and(|since| news.generation < *since) {
+            return None;
+        }
+        let tested = image.rollouts.values().filter(|rollout| is_tested(rollout));
+        for rollout in tested {
+            let (candidate, baseline) = rollout_keys(rollout);
+            if news.version == candidate && news.baseline.as_ref() == Some(&baseline) {
+                self.test_of(rollout, now);
+            }
+        }
+        self.merge_evidence(&news.unpack(), image, now)
+    }
+
     /// Merges another host's evidence; returns what follows.
     pub fn merge_evidence(
         &mut self,
@@ -203,6 +230,7 @@
     /// Starts the tests of a version anew and releases its earlier brakes.
     fn restart(&mut self, version: &VersionKey, generation: ConfigGeneration) {
         self.tests.retain(|(tested, _), _| tested != version);
+        self.restarted.insert(version.clone(), generation);
         self.board.supersede(version, generation);
     }
 
--- a/galenamast/src/event_loop.rs
+++ b/galenamast/src/event_loop.rs
@@ -17,7 +17,8 @@
 use crate::transport::caller_server::CallerServer;
 use crate::transport::caller_tls::load_tls;
 use crate::transport::crash_sharing::follow_crash_notes;
-use crate::transport::host_list_poller::{follow_servers, poll_host_list, poll_loads};
+use crate::transport::host_list_poller::{follow_servers, poll_host_list};
+use crate::transport::load_watcher::watch_loads;
 use crate::transport::metrics_reporter::{report_gauges, start_metrics};
 use crate::transport::operator_server::start_operator_server;
 use crate::transport::quality_feed::{follow_answers, follow_brakes};
@@ -55,14 +56,12 @@
         let listen = |source| TransportError::Listen { address, source };
         let listener = TcpListener::bind(address).await.map_err(listen)?;
         let caller_address = listener.local_addr().map_err(listen)?;
-        let mut tasks = vec![
-            tokio::spawn(poll_host_list(context.clone())),
-            tokio::spawn(poll_loads(context.clone())),
-        ];
+        let mut tasks = vec![tokio::spawn(poll_host_list(context.clone()))];
         if let Some(events) = context.take_server_events() {
             tasks.push(tokio::spawn(follow_servers(context.clone(), events)));
         }
         tasks.extend(start_fleet(&context)?);
+        tasks.push(tokio::spawn(watch_loads(context.clone())));
         tasks.extend(start_usage_peers(&context));
         tasks.extend(start_duties(&context));
         tasks.push(tokio::spawn(report_statistics(context.clone())));
--- a/galenamast/src/protocol/peer_envelope.rs
+++ b/galenamast/src/protocol/peer_envelope.rs
@@ -3,7 +3,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::{GossipItem, MemberMessage};
+use crate::coordination::{GossipItem, LoadEntry, MemberMessage};
 use crate::protocol::protocol_error::ProtocolError;
 
 /// Version of the framing; a host refuses messages of any other one.
@@ -19,6 +19,8 @@
     Member(MemberMessage),
     /// Pieces of soft state.
     Gossip(Vec<GossipItem>),
+    /// Measurements of the load of backend servers.
+    Loads(Vec<LoadEntry>),
 }
 
 /// Encodes a message.
--- a/galenamast/src/protocol/soft_state.rs
+++ b/galenamast/src/protocol/soft_state.rs
@@ -2,8 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::{BrakeNote, CrashNote};
-use crate::state::ConfigGeneration;
+use crate::coordination::{BrakeNote, CrashNote, EvidenceNews, PoolSummary, RatingNews};
+use crate::state::{ConfigGeneration, QualityDigest};
 
 /// A piece of soft state.
 ///
@@ -18,4 +18,12 @@
     Crash(CrashNote),
     /// A version takes no new work.
     Brake(BrakeNote),
+    /// The servers of a version in another failure domain.
+    Pool(PoolSummary),
+    /// Sums of ratings and latencies.
+    Quality(QualityDigest),
+    /// Evidence on a version.
+    Evidence(EvidenceNews),
+    /// Counts of rated answers.
+    Ratings(RatingNews),
 }
--- a/galenamast/src/state/quality_table.rs
+++ b/galenamast/src/state/quality_table.rs
@@ -111,6 +111,18 @@
         }
     }
 
+    /// Returns a copy that decides alike and keeps only the recent sums of this entry host.
+    pub fn snapshot(&self) -> Self {
+        let own = self.origins.get_key_value(&self.origin);
+        let own = own.map(|(origin, buckets)| (origin.clone(), buckets.clone()));
+        Self {
+            origin: self.origin.clone(),
+            origins: own.into_iter().collect(),
+            totals: self.totals.clone(),
+            epoch: self.epoch,
+        }
+    }
+
     /// Returns the sums of a version and task by length, and their weight now.
     pub fn task_sums(
         &self,
--- a/galenamast/src/transport/mod.rs
+++ b/galenamast/src/transport/mod.rs
@@ -29,6 +29,7 @@
 pub mod host_list_poller;
 pub mod http_client;
 pub mod lease_runner;
+pub mod load_watcher;
 pub mod metrics_catalogue;
 pub mod metrics_reporter;
 pub mod metrics_sink;
--- a/galenamast/src/transport/peer_mesh.rs
+++ b/galenamast/src/transport/peer_mesh.rs
@@ -7,14 +7,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use futures_util::future::BoxFuture;
 use tokio::sync::mpsc;
 
 use crate::config::Settings;
 use crate::coordination::{
-    ByteBudget, GossipItem, GossipQueue, MemberEvent, MemberRecord, MemberStatus, MemberTable,
-    PeerScope, PeerTarget,
+    ByteBudget, GossipItem, GossipQueue, LoadEntry, MemberEvent, MemberRecord, MemberStatus,
+    MemberTable, PeerScope, PeerTarget,
 };
 use crate::protocol::{PeerMessage, PeerReply, PeerRequest, SoftState, decode_frame, encode_frame};
 use crate::state::{DomainName, HostName};
@@ -40,6 +40,8 @@
 /// Answers requests of other hosts; `None` leaves the request to the next handler.
 pub type RequestHandler =
     Arc<dyn Fn(&HostName, &PeerRequest) -> Option<BoxFuture<'static, PeerReply>> + Send + Sync>;
+/// Takes in measurements of the load of backend servers.
+pub type LoadHandler = Arc<dyn Fn(Vec<LoadEntry>) + Send + Sync>;
 /// Takes in soft state of other hosts.
 pub type SoftHandler = Arc<dyn Fn(&HostName, &SoftState) + Send + Sync>;
 
@@ -75,6 +77,7 @@
     budget: Mutex<ByteBudget>,
     request_handlers: ArcSwap<Vec<RequestHandler>>,
     soft_handlers: ArcSwap<Vec<SoftHandler>>,
+    load_handler: ArcSwapOption<LoadHandler>,
     serial: AtomicU64,
     bytes_sent: AtomicU64,
     bytes_received: AtomicU64,
@@ -126,6 +129,7 @@
             budget: Mutex::new(budget),
             request_handlers: ArcSwap::default(),
             soft_handlers: ArcSwap::default(),
+            load_handler: ArcSwapOption::empty(),
             bytes_sent: AtomicU64::new(0),
             bytes_received: AtomicU64::new(0),
             messages_sent: AtomicU64::new(0),
@@ -203,6 +207,29 @@
         });
     }
 
+    /// Sets the handler of measurements of the load of backend servers.
+    pub fn on_loads(&self, handler: LoadHandler) {
+        self.shared.load_handler.store(Some(Arc::new(handler)));
+    }
+
+    /// Sends measurements to a live host of the own failure domain; they may be lost.
+    pub fn send_loads(&self, host: &HostName, entries: Vec<LoadEntry>) {
+        if let Some(record) = self.members().members.get(host) {
+            let target = PeerTarget {
+                name: Some(host.clone()),
+                address: record.address,
+            };
+            self.send(&target, &PeerMessage::Loads(entries));
+        }
+    }
+
+    /// Hands measurements to their handler.
+    pub(crate) fn deliver_loads(&self, entries: Vec<LoadEntry>) {
+        if let Some(handler) = self.shared.load_handler.load_full() {
+            handler(entries);
+        }
+    }
+
     /// Tells a piece of soft state to other hosts; it may be lost.
     ///
     /// # Errors
@@ -288,7 +315,7 @@
         let Ok(bytes) = encode_frame(message) else {
             return;
         };
-        let soft = matches!(message, PeerMessage::Gossip(_));
+        let soft = !matches!(message, PeerMessage::Member(_));
         let now = self.shared.timers.now();
         let size = bytes.len() + OVERHEAD_BYTES;
         if !lock(&self.shared.budget).take(size, soft, now) {
--- a/galenamast/src/transport/peer_runner.rs
+++ b/galenamast/src/transport/peer_runner.rs
@@ -105,6 +105,7 @@
                 }
             }
         }
+        Ok(Some(PeerMessage::Loads(entries))) => mesh.deliver_loads(entries),
         _ => mesh.count_unreadable(),
     }
 }
--- a/galenamast/src/transport/quality_feed.rs
+++ b/galenamast/src/transport/quality_feed.rs
@@ -1,16 +1,23 @@
-//! Feeds answers to the judge of versions, publishes quality and brakes, and shares brakes.
+//! Feeds answers to the judge of versions, publishes quality and brakes, and shares them.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use log::Level;
 use tokio::sync::mpsc;
 
-use crate::coordination::{BrakeNote, JudgeAction, PeerScope, RatedAnswer, VersionJudge};
+use crate::coordination::{
+    BrakeNote, JudgeAction, PeerScope, QualityExchange, QualityNews, RatedAnswer, RatingCounter,
+    VersionJudge,
+};
 use crate::logging::{log_fault, log_record};
 use crate::protocol::{LogRecord, SoftState};
-use crate::state::{ConfigImage, HostName, QualityOrigin, QualityTable, RouteTables};
-use crate::transport::host_context::HostContext;
+use crate::state::{
+    ConfigImage, HostName, QualityOrigin, QualityTable, RouteTables, TimePoint, VersionKey,
+};
+use crate::transport::host_context::{HostContext, RatingsCall};
 use crate::transport::peer_mesh::SoftHandler;
 
 /// Time between two publications of the quality table.
@@ -23,6 +30,8 @@
     Answer(RatedAnswer),
     /// Another entry host braked a version.
     Brake(BrakeNote),
+    /// Another entry host told of quality, evidence or counts.
+    News(QualityNews),
 }
 
 /// The judge with the table that it fills.
@@ -31,6 +40,9 @@
     judge: VersionJudge,
     table: QualityTable,
     image: Arc<ConfigImage>,
+    counter: RatingCounter,
+    exchange: QualityExchange,
+    rated: Arc<ArcSwap<BTreeMap<VersionKey, u64>>>,
     changed: bool,
 }
 
@@ -43,18 +55,28 @@
     let mut ticks = context.timers.subscribe(PUBLISH_PERIOD);
     let mut feed = QualityFeed {
         judge: VersionJudge::new(origin.clone()),
+        counter: RatingCounter::new(origin.clone()),
         table: QualityTable::new(origin),
+        exchange: QualityExchange::default(),
+        rated: Arc::default(),
         image: context.image.load_full(),
         changed: false,
         context,
     };
+    let rated = feed.rated.clone();
+    let call: RatingsCall =
+        Arc::new(move |version| rated.load().get(version).copied().unwrap_or_default());
+    feed.context.rated_answers.store(Some(Arc::new(call)));
     loop {
         tokio::select! {
             event = events.recv() => match event {
                 Some(event) => feed.handle(event),
                 None => return,
             },
-            _ = ticks.tick() => feed.publish(),
+            _ = ticks.tick() => {
+                feed.publish();
+                feed.tell_peers();
+            }
         }
     }
 }
@@ -67,11 +89,15 @@
         match event {
             FeedEvent::Answer(answer) => {
                 self.changed = true;
+                if answer.rating.is_some() {
+                    self.counter.count(&answer.version);
+                }
                 let (table, image) = (&mut self.table, &self.image);
                 if let Some(action) = self.judge.judge_rating(&answer, table, image, now) {
                     self.act(action);
                 }
             }
+            FeedEvent::News(news) => self.take_news(&news, now),
             FeedEvent::Brake(note) => {
                 if self.judge.board.apply(note, now) {
                     self.publish_now();
@@ -80,6 +106,42 @@
         }
     }
 
+    /// Takes in what another entry host told.
+    fn take_news(&mut self, news: &QualityNews, now: TimePoint) {
+        self.changed = true;
+        match news {
+            QualityNews::Cells(digest) => self.table.merge(digest, now),
+            QualityNews::Counts(counts) => self.counter.merge(counts),
+            QualityNews::Evidence(evidence) => {
+                let image = self.image.clone();
+                if let Some(action) = self.judge.merge_news(evidence, &image, now) {
+                    self.act(action);
+                }
+            }
+        }
+    }
+
+    /// Tells other entry hosts what changed here.
+    fn tell_peers(&mut self) {
+        let Some(mesh) = self.context.peers.get() else {
+            return;
+        };
+        let hosts = mesh.members().fleet_estimate();
+        let (generation, now) = (self.image.generation, self.context.timers.now());
+        let (table, judge, counter) = (&self.table, &self.judge, &self.counter);
+        let exchange = &mut self.exchange;
+        for news in exchange.round(table, judge, counter, generation, hosts, now) {
+            let state = match news {
+                QualityNews::Cells(digest) => SoftState::Quality(digest),
+                QualityNews::Evidence(evidence) => SoftState::Evidence(evidence),
+                QualityNews::Counts(counts) => SoftState::Ratings(counts),
+            };
+            if let Err(error) = mesh.broadcast(PeerScope::FleetOnce, &state) {
+                log_fault("quality", &error);
+            }
+        }
+    }
+
     /// Forgets what a new configuration superseded.
     fn adopt_image(&mut self) {
         let image = self.context.image.load_full();
@@ -121,7 +183,8 @@
     /// Publishes quality and brakes.
     fn publish_now(&mut self) {
         self.changed = false;
-        let quality = Arc::new(self.table.clone());
+        let quality = Arc::new(self.table.snapshot());
+        self.rated.store(Arc::new(self.counter.totals()));
         let brakes = self.judge.board.active(self.context.timers.now());
         self.context.tables.rcu(|tables| RouteTables {
             quality: quality.clone(),
@@ -131,17 +194,22 @@
     }
 }
 
-/// Takes in the brakes of other entry hosts from now on.
+/// Takes in the brakes and the quality of other entry hosts from now on.
 pub fn follow_brakes(context: &Arc<HostContext>) {
     let Some(mesh) = context.peers.get() else {
         return;
     };
     let events = context.answers.clone();
     let handler: SoftHandler = Arc::new(move |_: &HostName, state: &SoftState| {
-        if let SoftState::Brake(note) = state
-            && events.try_send(FeedEvent::Brake(note.clone())).is_err()
-        {
-            log_fault("quality", &"a brake was not taken in");
+        let event = match state {
+            SoftState::Brake(note) => FeedEvent::Brake(note.clone()),
+            SoftState::Quality(digest) => FeedEvent::News(QualityNews::Cells(digest.clone())),
+            SoftState::Evidence(news) => FeedEvent::News(QualityNews::Evidence(news.clone())),
+            SoftState::Ratings(news) => FeedEvent::News(QualityNews::Counts(news.clone())),
+            _ => return,
+        };
+        if events.try_send(event).is_err() {
+            log_fault("quality", &"news of another host was not taken in");
         }
     });
     mesh.on_soft_state(&handler);
--- /dev/null
+++ b/galenamast/tests/soft_state/main.rs
@@ -0,0 +1,4 @@
+//! Load, quality and demand that entry hosts tell each other and that may be lost.
+
+mod load_board;
+mod load_fleet;
