Test that brakes, evidence and counts reach all hosts

Cause: the exchange of quality had no test of its own. Change: tests sans I/O (evidence of three hosts brakes what none would; evidence from before a restart refused; only changes told; counts of long ago left out) and over loopback with three hosts in two domains.

--- a/galenamast/tests/soft_state/main.rs
+++ b/galenamast/tests/soft_state/main.rs
@@ -2,3 +2,4 @@
 
 mod load_board;
 mod load_fleet;
+mod quality;
--- /dev/null
+++ b/galenamast/tests/soft_state/quality.rs
@@ -0,0 +1,333 @@
+//! Brakes, evidence and counts of rated answers reach all hosts.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use galenamast::config::Settings;
+use galenamast::coordination::{
+    ChangeReceipt, JudgeAction, QualityExchange, QualityNews, RatedAnswer, RatingCounter,
+    RolloutStep, VersionJudge,
+};
+use galenamast::event_loop::EntryHost;
+use galenamast::state::{
+    ConfigGeneration, ConfigImage, ModelSpec, QualityOrigin, QualityTable, RolloutPhase,
+    RolloutSpec, TimePoint, VersionKey, VersionSpec, VersionStage,
+};
+use galenamast::transport::quality_feed::FeedEvent;
+use galenamast::transport::{RolloutRunner, RolloutSources};
+
+/// Ratings that a step of the roll-out needs.
+const MIN_RATINGS: u32 = 30;
+
+fn image(generation: u64) -> ConfigImage {
+    let version = |stage| VersionSpec {
+        pool: "advice".into(),
+        stage,
+        ..Default::default()
+    };
+    let model = ModelSpec {
+        name: "fit".into(),
+        versions: [
+            ("v1".into(), version(VersionStage::Established)),
+            ("v2".into(), version(VersionStage::RollingOut)),
+        ]
+        .into(),
+    };
+    let rollout = RolloutSpec {
+        name: "r".into(),
+        model: "fit".into(),
+        candidate: "v2".into(),
+        baseline: "v1".into(),
+        step_shares: vec![10, 100, 1_000],
+        phase: RolloutPhase::Running,
+        min_ratings: MIN_RATINGS,
+        min_step_time: Duration::ZERO,
+        ..Default::default()
+    };
+    ConfigImage {
+        generation: ConfigGeneration(generation),
+        models: [("fit".into(), Arc::new(model))].into(),
+        rollouts: [("r".into(), Arc::new(rollout))].into(),
+        ..Default::default()
+    }
+}
+
+fn answer(version: &str, rating: f64) -> RatedAnswer {
+    RatedAnswer {
+        version: VersionKey::new("fit", version),
+        task: "boots".into(),
+        prompt_tokens: 100,
+        rating: Some(rating),
+        ..Default::default()
+    }
+}
+
+/// What one host keeps of quality.
+struct Mind {
+    judge: VersionJudge,
+    table: QualityTable,
+    counter: RatingCounter,
+    exchange: QualityExchange,
+}
+
+impl Mind {
+    fn new(index: usize) -> Self {
+        let origin = QualityOrigin {
+            host: format!("host-{index}").as_str().into(),
+            incarnation: 1,
+        };
+        Self {
+            judge: VersionJudge::new(origin.clone()),
+            table: QualityTable::new(origin.clone()),
+            counter: RatingCounter::new(origin),
+            exchange: QualityExchange::default(),
+        }
+    }
+
+    fn observe(&mut self, answer: &RatedAnswer, now: TimePoint) -> Option<JudgeAction> {
+        self.counter.count(&answer.version);
+        self.judge
+            .judge_rating(answer, &mut self.table, &image(1), now)
+    }
+
+    fn tell(&mut self, generation: u64, now: TimePoint) -> Vec<QualityNews> {
+        let generation = ConfigGeneration(generation);
+        let (table, judge, counter) = (&self.table, &self.judge, &self.counter);
+        self.exchange
+            .round(table, judge, counter, generation, 3, now)
+    }
+
+    fn hear(&mut self, news: &[QualityNews], now: TimePoint) -> Vec<JudgeAction> {
+        let mut actions = Vec::new();
+        for piece in news {
+            match piece {
+                QualityNews::Cells(digest) => self.table.merge(digest, now),
+                QualityNews::Counts(counts) => self.counter.merge(counts),
+                QualityNews::Evidence(evidence) => {
+                    actions.extend(self.judge.merge_news(evidence, &image(1), now));
+                }
+            }
+        }
+        actions
+    }
+}
+
+/// Gives each of three hosts a few bad answers, none of which has enough to conclude.
+fn three_suspicious_hosts() -> Vec<Mind> {
+    let mut minds: Vec<Mind> = (0..3).map(Mind::new).collect();
+    for mind in &mut minds {
+        for _ in 0..12 {
+            let good = mind.observe(&answer("v1", 0.9), TimePoint::ZERO);
+            let bad = mind.observe(&answer("v2", 0.2), TimePoint::ZERO);
+            assert_eq!((good, bad), (None, None), "no host knows enough alone");
+        }
+    }
+    minds
+}
+
+#[test]
+fn evidence_of_three_hosts_brakes_what_none_would() {
+    let now = TimePoint::from_millis(5_000);
+    let mut minds = three_suspicious_hosts();
+    let news: Vec<_> = minds.iter_mut().map(|mind| mind.tell(1, now)).collect();
+    let mut last = minds.pop().expect("three");
+    let first = last.hear(&news[0], now);
+    assert!(first.is_empty(), "{first:?}");
+    assert!(last.hear(&news[0], now).is_empty(), "repeats add nothing");
+    let second = last.hear(&news[1], now);
+    assert!(
+        matches!(&second[..], [JudgeAction::Brake(note)] if note.version.version == "v2".into())
+    );
+    // A host without answers of its own concludes the same.
+    let mut idle = Mind::new(7);
+    let heard: Vec<_> = news.iter().flat_map(|news| idle.hear(news, now)).collect();
+    assert!(matches!(&heard[..], [JudgeAction::Brake(_)]), "{heard:?}");
+}
+
+#[test]
+fn evidence_from_before_the_tests_started_anew_is_refused() {
+    let now = TimePoint::from_millis(5_000);
+    let mut minds = three_suspicious_hosts();
+    let news: Vec<_> = minds.iter_mut().map(|mind| mind.tell(1, now)).collect();
+    let mut resumed = Mind::new(7);
+    let mut paused = image(4);
+    for rollout in paused.rollouts.values_mut() {
+        Arc::make_mut(rollout).phase = RolloutPhase::Paused;
+    }
+    resumed.judge.adopt_image(&paused, &image(5));
+    for told in &news {
+        assert!(resumed.hear(told, now).is_empty());
+    }
+}
+
+#[test]
+fn only_changes_are_told_and_their_rate_falls_with_the_fleet() {
+    let mut mind = Mind::new(0);
+    let mut now = TimePoint::from_millis(1_000);
+    mind.observe(&answer("v2", 0.5), now);
+    assert!(!mind.tell(1, now).is_empty());
+    now = now + Duration::from_secs(60);
+    assert!(mind.tell(1, now).is_empty(), "nothing changed");
+    let rounds = |hosts: usize| {
+        let mut mind = Mind::new(0);
+        let mut rounds = 0;
+        for second in 0..600 {
+            let now = TimePoint::from_millis(second * 1_000);
+            mind.observe(&answer("v2", 0.5), now);
+            let (table, judge, counter) = (&mind.table, &mind.judge, &mind.counter);
+            let news = mind
+                .exchange
+                .round(table, judge, counter, ConfigGeneration(1), hosts, now);
+            rounds += usize::from(!news.is_empty());
+        }
+        rounds
+    };
+    let (few, many) = (rounds(4), rounds(400));
+    assert!(few > 20 * many && many > 0, "{few} and {many} rounds");
+}
+
+#[test]
+fn counts_of_long_ago_do_not_advance_a_rollout() {
+    let now = TimePoint::from_millis(1_000);
+    let version = VersionKey::new("fit", "v2");
+    let mut mind = Mind::new(0);
+    (0..500).for_each(|_| mind.counter.count(&version));
+    let mut starting = Mind::new(1);
+    starting.hear(&mind.tell(1, now), now);
+    assert_eq!(starting.counter.total(&version), 0);
+    mind.counter.count(&version);
+    let later = now + Duration::from_secs(60);
+    let news = mind.tell(1, later);
+    starting.hear(&news, later);
+    starting.hear(&news, later);
+    assert_eq!(starting.counter.total(&version), 1);
+}
+
+/// Starts hosts that know each other and hold the image.
+async fn start_hosts(names: &[(&str, &str)]) -> Vec<EntryHost> {
+    let mut hosts: Vec<EntryHost> = Vec::new();
+    for (name, domain) in names {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut settings = Settings::default();
+        settings.host.name = (*name).into();
+        settings.host.domain = (*domain).into();
+        settings.callers.listen = any_port;
+        settings.operators.listen = any_port;
+        settings.peers.listen = any_port;
+        settings.peers.probe_period = Duration::from_millis(200);
+        settings.shutdown.balancer_lag = Duration::ZERO;
+        if let Some(first) = hosts.first() {
+            let mesh = first.context().peers.get().expect("started");
+            settings.peers.seeds = vec![mesh.address()];
+        }
+        let host = EntryHost::start(settings).await.expect("the host starts");
+        host.context().image.store(Arc::new(image(1)));
+        hosts.push(host);
+    }
+    wait_until("all hosts know each other", || {
+        hosts.iter().all(|host| {
+            let mesh = host.context().peers.get().expect("started");
+            mesh.members().live_known() == names.len()
+        })
+    })
+    .await;
+    hosts
+}
+
+/// Waits until something holds.
+async fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let waiting = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let waited = tokio::time::timeout(Duration::from_secs(60), waiting).await;
+    assert!(waited.is_ok(), "never came about: {what}");
+}
+
+/// Hands an answer to a host.
+async fn feed(host: &EntryHost, answer: RatedAnswer) {
+    let sent = host.context().answers.send(FeedEvent::Answer(answer)).await;
+    sent.expect("the feed runs");
+}
+
+const THREE_HOSTS: [(&str, &str); 3] = [
+    ("cumbre-1", "cumbre"),
+    ("cumbre-2", "cumbre"),
+    ("bosque-1", "bosque"),
+];
+
+#[tokio::test]
+async fn a_bad_version_seen_by_one_host_is_braked_on_all() {
+    let hosts = start_hosts(&THREE_HOSTS).await;
+    for _ in 0..100 {
+        feed(&hosts[0], answer("v1", 0.9)).await;
+        feed(&hosts[0], answer("v2", 0.2)).await;
+    }
+    let version = VersionKey::new("fit", "v2");
+    wait_until("the brake is in force on all hosts", || {
+        let braked = |host: &EntryHost| host.context().tables.load().brakes.contains_key(&version);
+        hosts.iter().all(braked)
+    })
+    .await;
+    let now = hosts[2].context().timers.now();
+    wait_until("the quality is known in the other domain", || {
+        let tables = hosts[2].context().tables.load();
+        tables
+            .quality
+            .task_sums(&version, &"boots".into(), now)
+            .is_some()
+    })
+    .await;
+    for host in hosts {
+        host.stop().await;
+    }
+}
+
+#[tokio::test]
+async fn a_rollout_advances_on_the_ratings_of_all_hosts() {
+    let hosts = start_hosts(&THREE_HOSTS).await;
+    let holder = hosts[0].context().clone();
+    let counted = holder.clone();
+    let sources = RolloutSources {
+        image: Arc::new(|| Arc::new(image(1))),
+        holds_lease: Arc::new(|_| true),
+        is_braked: Arc::new(|_| false),
+        ratings: Arc::new(move |version| {
+            let call = counted.rated_answers.load_full();
+            call.map_or(0, |call| call(version))
+        }),
+        has_capacity: Arc::new(|_| true),
+        apply: Arc::new(|change| {
+            let receipt = ChangeReceipt {
+                change_id: change.change_id,
+                generation: ConfigGeneration(2),
+                repeated: false,
+                entries: Vec::new(),
+            };
+            Box::pin(std::future::ready(Ok(receipt)))
+        }),
+    };
+    let mut runner = RolloutRunner::new("cumbre-1".into(), holder.timers.clone(), sources);
+    // The holder sees far fewer answers than a step needs.
+    for _ in 0..MIN_RATINGS / 5 {
+        feed(&hosts[0], answer("v2", 0.9)).await;
+    }
+    let mut advanced = Vec::new();
+    let advancing = async {
+        while advanced.is_empty() {
+            for host in &hosts[1..] {
+                feed(host, answer("v2", 0.9)).await;
+            }
+            advanced = runner.pass().await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let advancing = tokio::time::timeout(Duration::from_secs(60), advancing).await;
+    assert!(advancing.is_ok(), "the roll-out never advanced");
+    assert_eq!(advanced, [("r".into(), RolloutStep::Advance(1))]);
+    for host in hosts {
+        host.stop().await;
+    }
+}
