Share the limits of workspaces between entry hosts by demand

Cause: each host applied the whole limit of a workspace, so that a fleet admitted it as many times as it has hosts. Change: hosts tell each other the demand that they see; each takes its part by demand, counting for itself the least that it told within ten seconds and for others what it heard last.

--- a/galenamast/src/coordination/admission_control.rs
+++ b/galenamast/src/coordination/admission_control.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::coordination::retry_budget::RetryBudget;
+use crate::coordination::share_board::ShareBoard;
 use crate::state::{TimePoint, WorkspaceLimits, WorkspaceName};
 
 /// Time whose worth of requests a workspace may send at once.
@@ -23,6 +24,8 @@
 #[derive(Debug, Default)]
 pub struct AdmissionControl {
     workspaces: BTreeMap<WorkspaceName, WorkspaceUse>,
+    /// This host's shares of the limits.
+    pub shares: ShareBoard,
 }
 
 /// Use that one workspace makes of its limits.
@@ -35,6 +38,14 @@
 }
 
 impl AdmissionControl {
+    /// Creates the control of a host that takes these shares.
+    pub fn new(shares: ShareBoard) -> Self {
+        Self {
+            shares,
+            ..Default::default()
+        }
+    }
+
     /// Admits a request of a workspace, which is to be released at its end.
     ///
     /// # Errors
@@ -56,6 +67,8 @@
         limits: &WorkspaceLimits,
         now: TimePoint,
     ) -> Result<Arc<RetryBudget>, AdmissionRefusal> {
+        self.shares.observe(workspace);
+        let limits = &self.shares.limits(workspace, limits, now);
         let burst = (limits.requests_per_second * BURST_TIME.as_secs_f64()).max(1.0);
         let usage = self
             .workspaces
--- a/galenamast/src/event_loop.rs
+++ b/galenamast/src/event_loop.rs
@@ -17,6 +17,7 @@
 use crate::transport::caller_server::CallerServer;
 use crate::transport::caller_tls::load_tls;
 use crate::transport::crash_sharing::follow_crash_notes;
+use crate::transport::demand_runner::{follow_demand, tell_demand};
 use crate::transport::host_list_poller::{follow_servers, poll_host_list};
 use crate::transport::load_watcher::watch_loads;
 use crate::transport::metrics_reporter::{report_gauges, start_metrics};
@@ -67,6 +68,8 @@
         tasks.push(tokio::spawn(report_statistics(context.clone())));
         follow_crash_notes(&context);
         follow_brakes(&context);
+        follow_demand(&context);
+        tasks.push(tokio::spawn(tell_demand(context.clone())));
         if let Some(answers) = context.take_answers() {
             tasks.push(tokio::spawn(follow_answers(context.clone(), answers)));
         }
--- a/galenamast/src/protocol/soft_state.rs
+++ b/galenamast/src/protocol/soft_state.rs
@@ -2,7 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::{BrakeNote, CrashNote, EvidenceNews, PoolSummary, RatingNews};
+use crate::coordination::{
+    BrakeNote, CrashNote, DemandDigest, DomainDemand, EvidenceNews, PoolSummary, RatingNews,
+};
 use crate::state::{ConfigGeneration, QualityDigest};
 
 /// A piece of soft state.
@@ -26,4 +28,8 @@
     Evidence(EvidenceNews),
     /// Counts of rated answers.
     Ratings(RatingNews),
+    /// Demand of workspaces on one host, for its own failure domain.
+    Demand(DemandDigest),
+    /// Demand of workspaces in a failure domain, for the other ones.
+    DomainDemand(DomainDemand),
 }
--- a/galenamast/src/transport/host_context.rs
+++ b/galenamast/src/transport/host_context.rs
@@ -10,9 +10,9 @@
 use crate::config::Settings;
 use crate::coordination::{
     AdmissionControl, CallPriority, ClaimRetention, CrashQuarantine, DirectoryEvent, LeaseSettings,
-    UsageOrigin,
+    ShareBoard, UsageOrigin,
 };
-use crate::state::{ConfigImage, RouteTables, VersionKey};
+use crate::state::{ConfigImage, QualityOrigin, RouteTables, VersionKey};
 use crate::transport::backend_client::BackendClient;
 use crate::transport::claim_request::ClaimSettings;
 use crate::transport::claim_runner::ClaimRunner;
@@ -129,6 +129,11 @@
             domain: settings.host.domain.clone(),
             ..Default::default()
         };
+        let origin = QualityOrigin {
+            host: settings.host.name.clone(),
+            incarnation: timers.unix_millis(),
+        };
+        let shares = ShareBoard::new(origin, settings.host.domain.clone(), timers.now());
         let (answers, answer_receiver) = mpsc::channel(BUFFERED_ANSWERS);
         let (server_events, server_receiver) = mpsc::unbounded_channel();
         Arc::new(Self {
@@ -146,7 +151,7 @@
             config: OnceLock::new(),
             client,
             draining: AtomicBool::new(false),
-            admission: Mutex::default(),
+            admission: Mutex::new(AdmissionControl::new(shares)),
             queue: QueueGate::new(settings.routing.max_queued as usize),
             board: RequestBoard::default(),
             quarantine: Mutex::new(CrashQuarantine::new(settings.routing.quarantine_time)),
--- a/galenamast/src/transport/mod.rs
+++ b/galenamast/src/transport/mod.rs
@@ -23,6 +23,7 @@
 pub mod config_runner;
 pub mod config_writer;
 pub mod crash_sharing;
+pub mod demand_runner;
 pub mod domain_duties;
 pub mod duty_lease;
 pub mod host_context;
