Measure the bytes of all soft state by size of the fleet, and lower their rates

Change: a test that measures it in memory at 10, 40 and 80 hosts; summaries every 10 s, quality and demand at lower rates; transmissions to other domains are divided among the hosts of one.

--- a/galenamast/src/coordination/demand_teller.rs
+++ b/galenamast/src/coordination/demand_teller.rs
@@ -7,7 +7,7 @@
 use crate::state::{QualityOrigin, TimePoint, WorkspaceName};
 
 /// Bytes per second that demand may cost a host, told by all hosts and passed on by this one.
-const DEMAND_RATE: f64 = 2_000.0;
+const DEMAND_RATE: f64 = 1_200.0;
 /// Times that each host passes a digest on.
 const TRANSMISSIONS: f64 = 5.0;
 /// Shortest time between two digests.
--- a/galenamast/src/coordination/gossip_queue.rs
+++ b/galenamast/src/coordination/gossip_queue.rs
@@ -17,8 +17,8 @@
 
 /// Transmissions within a failure domain by each host of what is repeated often.
 const REPEATED_TRANSMISSIONS: u32 = 4;
-/// Transmissions to other failure domains by each host of what is repeated often.
-const REPEATED_FAR: u32 = 1;
+/// Transmissions to other failure domains by all hosts of one together of what is repeated often.
+const REPEATED_FAR: u32 = 12;
 
 /// How far a piece of soft state spreads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -89,11 +89,14 @@
             self.pending.pop_front();
         }
         let doublings = (hosts + 1).next_power_of_two().trailing_zeros().max(1);
+        let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+        let repeated_near = REPEATED_TRANSMISSIONS.min(hosts.saturating_sub(1));
+        let repeated_far = REPEATED_FAR.div_ceil(hosts.max(1));
         let (near, far) = match item.scope {
             PeerScope::Domain => (doublings * NEAR_PER_DOUBLING, 0),
             PeerScope::Fleet => (doublings * NEAR_PER_DOUBLING, FAR_TRANSMISSIONS),
-            PeerScope::DomainOnce => (REPEATED_TRANSMISSIONS, 0),
-            PeerScope::FleetOnce => (REPEATED_TRANSMISSIONS, REPEATED_FAR),
+            PeerScope::DomainOnce => (repeated_near, 0),
+            PeerScope::FleetOnce => (repeated_near, repeated_far),
         };
         self.pending.push_back(PendingItem { item, near, far });
         true
--- a/galenamast/src/coordination/load_event.rs
+++ b/galenamast/src/coordination/load_event.rs
@@ -29,7 +29,7 @@
             fanout: 3,
             share_period: Duration::from_secs(1),
             silence_bound: Duration::from_millis(2_500),
-            summary_bound: Duration::from_secs(15),
+            summary_bound: Duration::from_secs(30),
         }
     }
 }
--- a/galenamast/src/coordination/quality_exchange.rs
+++ b/galenamast/src/coordination/quality_exchange.rs
@@ -12,7 +12,7 @@
 };
 
 /// Bytes per second that quality may cost a host, told by all hosts and passed on by this one.
-const QUALITY_RATE: f64 = 6_000.0;
+const QUALITY_RATE: f64 = 2_500.0;
 /// Times that each host passes a message on.
 const TRANSMISSIONS: f64 = 5.0;
 /// Shortest time between two rounds.
--- a/galenamast/src/transport/load_watcher.rs
+++ b/galenamast/src/transport/load_watcher.rs
@@ -25,7 +25,7 @@
 /// Longest time until a server that is new on the list is asked.
 const NEWCOMER_PERIOD: Duration = Duration::from_millis(50);
 /// Time between two summaries for other failure domains that differ in load alone.
-const SUMMARY_PERIOD: Duration = Duration::from_secs(5);
+const SUMMARY_PERIOD: Duration = Duration::from_secs(10);
 /// Time between two looks at which servers a summary would name.
 const SUMMARY_CHECK: Duration = Duration::from_millis(500);
 /// Messages of other hosts that wait to be taken in.
--- a/galenamast/tests/soft_state/main.rs
+++ b/galenamast/tests/soft_state/main.rs
@@ -4,3 +4,4 @@
 mod load_board;
 mod load_fleet;
 mod quality;
+mod traffic;
--- /dev/null
+++ b/galenamast/tests/soft_state/traffic.rs
@@ -0,0 +1,264 @@
+//! Bytes that one entry host sends for all that hosts tell each other, by size of the fleet.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use galenamast::coordination::{
+    DemandDigest, DemandEntry, DomainDemand, GossipItem, GossipQueue, LoadSettings, MemberAction,
+    MemberEvent, MemberMachine, MemberRecord, MemberSettings, MemberStatus, PeerScope, PoolSummary,
+    QualityNews, ServerTag, ShareBoard,
+};
+use galenamast::protocol::{PeerMessage, SoftState, encode_frame};
+use galenamast::state::{HostName, QualityOrigin, ServerName, TimePoint, VersionKey};
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::load_fleet::{LoadFleet, OVERHEAD_BYTES};
+use crate::quality::{Mind, answer};
+
+/// Bytes per second that all control traffic of a host may cost.
+const TARGET: f64 = 19_000.0;
+/// Failure domains of the fleet.
+const DOMAINS: usize = 5;
+/// Backend servers of each failure domain.
+const SERVERS: usize = 120;
+/// Greatest size of the soft state in one message, in bytes.
+const MAX_GOSSIP_BYTES: usize = 1_050;
+/// Seed of the random choices.
+const SEED: u64 = 7;
+
+/// Returns the bytes per second that a host sends for the load of servers.
+fn load_rate(hosts: usize) -> f64 {
+    let mut fleet = LoadFleet::new(hosts, SERVERS, LoadSettings::default());
+    fleet.busy = true;
+    fleet.run(Duration::from_secs(5));
+    fleet.bytes = 0;
+    fleet.run(Duration::from_secs(20));
+    fleet.bytes as f64 / 20.0 / hosts as f64
+}
+
+/// Returns the bytes per second that a host sends for membership.
+fn member_rate(hosts: usize) -> f64 {
+    let address = |index: usize| SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16));
+    // The last ones are contacts in the other failure domains.
+    let count = hosts + 2 * (DOMAINS - 1);
+    let mut machines: Vec<MemberMachine> = (0..count)
+        .map(|index| {
+            let domain = if index < hosts {
+                0
+            } else {
+                1 + (index - hosts) / 2
+            };
+            let own = MemberRecord {
+                name: HostName::new(&format!("domain-{domain}-host-{index:02}")),
+                domain: format!("domain-{domain}").as_str().into(),
+                address: address(index),
+                incarnation: 1_700_000_000_000,
+                status: MemberStatus::Alive,
+            };
+            MemberMachine::new(own, MemberSettings::default(), SEED + index as u64)
+        })
+        .collect();
+    let mut wire: Vec<(usize, MemberEvent)> = (1..count)
+        .map(|index| (index, MemberEvent::Contact(address(0))))
+        .collect();
+    let mut bytes = 0;
+    for step in 0..900_u64 {
+        let now = TimePoint::from_millis(step * 100);
+        let mut events = std::mem::take(&mut wire);
+        events.extend((0..count).map(|index| (index, MemberEvent::Tick)));
+        for (index, event) in events {
+            for action in machines[index].handle(event, now) {
+                let MemberAction::Send(target, message) = action else {
+                    continue;
+                };
+                let size = encode_frame(&PeerMessage::Member(message.clone()));
+                if index < hosts && step >= 600 {
+                    bytes += size.expect("it encodes").len() + OVERHEAD_BYTES;
+                }
+                let to = usize::from(target.address.port() - 1_000);
+                wire.push((to, MemberEvent::Received(message)));
+            }
+        }
+    }
+    bytes as f64 / 30.0 / hosts as f64
+}
+
+/// Queues of soft state of one failure domain.
+struct GossipFleet {
+    queues: Vec<GossipQueue>,
+    generator: ChaCha8Rng,
+    serial: u64,
+    bytes: usize,
+}
+
+impl GossipFleet {
+    /// Hands a piece to the host that tells it, or that hears of it first.
+    fn tell(&mut self, host: usize, domain: usize, scope: PeerScope, state: &SoftState) {
+        let payload = encode_frame(state).expect("it encodes");
+        assert!(payload.len() <= 900, "a piece of {} bytes", payload.len());
+        self.serial += 1;
+        let hosts = self.queues.len();
+        let item = GossipItem {
+            origin: HostName::new(&format!("domain-{domain}-host-{host:02}")),
+            domain: format!("domain-{domain}").as_str().into(),
+            serial: (1_700_000_000_000 << 20) + self.serial,
+            scope,
+            payload,
+        };
+        self.queues[host].insert(item, hosts);
+    }
+
+    /// Lets every host pass on what waits: to two hosts near and one far away.
+    fn pass_on(&mut self) {
+        let hosts = self.queues.len();
+        for from in 0..hosts {
+            let mut others: Vec<usize> = (0..hosts).filter(|other| *other != from).collect();
+            others.shuffle(&mut self.generator);
+            for to in others.into_iter().take(2) {
+                let items = self.queues[from].take(false, MAX_GOSSIP_BYTES);
+                self.send(&items);
+                for item in items {
+                    self.queues[to].insert(item, hosts);
+                }
+            }
+            let items = self.queues[from].take(true, MAX_GOSSIP_BYTES);
+            self.send(&items);
+        }
+    }
+
+    /// Counts a message.
+    fn send(&mut self, items: &[GossipItem]) {
+        if !items.is_empty() {
+            let message = PeerMessage::Gossip(items.to_vec());
+            self.bytes += encode_frame(&message).expect("it encodes").len() + OVERHEAD_BYTES;
+        }
+    }
+}
+
+/// Returns the summaries of a failure domain.
+fn summaries(domain: usize) -> Vec<SoftState> {
+    let tag = |index| ServerTag::of_name(&ServerName::new(&format!("runner-{domain}-{index}")));
+    let tags: Vec<ServerTag> = (0..SERVERS).map(tag).collect();
+    let parts = tags.chunks(100).enumerate();
+    let summary = |(part, servers): (usize, &[ServerTag])| PoolSummary {
+        domain: format!("domain-{domain}").as_str().into(),
+        pool: "translate".into(),
+        version: Some(VersionKey::new("translate", "v12")),
+        part: part as u8,
+        running: 900,
+        waiting: 20,
+        servers: servers.to_vec(),
+    };
+    parts.map(|part| SoftState::Pool(summary(part))).collect()
+}
+
+/// Returns the demand of ten workspaces in a failure domain.
+fn domain_demand(domain: usize, sequence: u64) -> SoftState {
+    let entry = |index| DemandEntry {
+        workspace: format!("workspace-{index}").as_str().into(),
+        rate: 10.0,
+    };
+    SoftState::DomainDemand(DomainDemand {
+        domain: format!("domain-{domain}").as_str().into(),
+        hosts: 80,
+        digest: DemandDigest {
+            origin: QualityOrigin {
+                host: "domain-1-host-00".into(),
+                incarnation: 1_700_000_000_000,
+            },
+            sequence,
+            entries: (0..10).map(entry).collect(),
+        },
+    })
+}
+
+/// Returns the bytes per second that a host sends for summaries, quality and demand.
+fn gossip_rate(hosts: usize) -> f64 {
+    let fleet = hosts * DOMAINS;
+    let mut generator = ChaCha8Rng::seed_from_u64(SEED);
+    let mut minds: Vec<Mind> = (0..fleet).map(Mind::new).collect();
+    let mut boards: BTreeMap<usize, ShareBoard> = (0..hosts)
+        .map(|host| {
+            let origin = QualityOrigin {
+                host: HostName::new(&format!("domain-0-host-{host:02}")),
+                incarnation: 1_700_000_000_000,
+            };
+            let mut board = ShareBoard::new(origin, "domain-0".into(), TimePoint::ZERO);
+            let names = (0..hosts).map(|host| HostName::new(&format!("domain-0-host-{host:02}")));
+            board.set_members(&names.collect(), Default::default(), TimePoint::ZERO);
+            (host, board)
+        })
+        .collect();
+    let mut gossip = GossipFleet {
+        queues: vec![GossipQueue::default(); hosts],
+        generator: ChaCha8Rng::seed_from_u64(SEED),
+        serial: 0,
+        bytes: 0,
+    };
+    for second in 0..360_u64 {
+        if second == 180 {
+            gossip.bytes = 0;
+        }
+        let now = TimePoint::from_millis(second * 1_000);
+        for (index, mind) in minds.iter_mut().enumerate() {
+            // The hosts start within the first two minutes.
+            if second * 5 < (index as u64 * 7_919) % 600 {
+                continue;
+            }
+            let version = if generator.random_bool(0.5) {
+                "v1"
+            } else {
+                "v2"
+            };
+            mind.observe(&answer(version, 0.9), now);
+            let (host, domain) = (index % hosts, index / hosts);
+            for news in mind.tell_among(fleet, now) {
+                let state = match news {
+                    QualityNews::Cells(digest) => SoftState::Quality(digest),
+                    QualityNews::Evidence(evidence) => SoftState::Evidence(evidence),
+                    QualityNews::Counts(counts) => SoftState::Ratings(counts),
+                };
+                gossip.tell(host, domain, PeerScope::FleetOnce, &state);
+            }
+        }
+        for (host, board) in &mut boards {
+            for _ in 0..generator.random_range(0..10) {
+                let workspace = format!("workspace-{}", generator.random_range(0..10));
+                board.observe(&workspace.as_str().into());
+            }
+            if let Some(digest) = board.tick(now) {
+                gossip.tell(*host, 0, PeerScope::DomainOnce, &SoftState::Demand(digest));
+            }
+        }
+        for domain in 0..DOMAINS {
+            if second % 10 == domain as u64 {
+                for summary in summaries(domain) {
+                    gossip.tell(0, domain, PeerScope::FleetOnce, &summary);
+                }
+            }
+            if second % 5 == 0 {
+                let told = domain_demand(domain, second);
+                gossip.tell(0, domain, PeerScope::FleetOnce, &told);
+            }
+        }
+        (0..10).for_each(|_| gossip.pass_on());
+    }
+    gossip.bytes as f64 / 180.0 / hosts as f64
+}
+
+#[test]
+fn all_soft_state_fits_the_rate_at_eighty_hosts() {
+    println!(
+        "| hosts per domain | fleet | membership | loads | summaries, quality, demand | all |"
+    );
+    for hosts in [10, 40, 80] {
+        let (member, load, gossip) = (member_rate(hosts), load_rate(hosts), gossip_rate(hosts));
+        let total = member + load + gossip;
+        let fleet = hosts * DOMAINS;
+        println!("| {hosts} | {fleet} | {member:.0} | {load:.0} | {gossip:.0} | {total:.0} |");
+        assert!(total <= TARGET, "{total} bytes per second at {hosts} hosts");
+    }
+}
