Repeat brakes for hosts that started since, and test sharing between running hosts

Cause: a brake went out once, so that a host that started later sent the version new work; it also refused brakes of generations before its first configuration. Change: one host of each failure domain repeats the brakes in force every 10 s; the first configuration of a host supersedes nothing.

--- a/galenamast/src/coordination/version_judge.rs
+++ b/galenamast/src/coordination/version_judge.rs
@@ -216,6 +216,10 @@
 
     /// Forgets tests and brakes that a new configuration superseded.
     pub fn adopt_image(&mut self, before: &ConfigImage, after: &ConfigImage) {
+        // A host that starts has nothing to forget, and takes in brakes of earlier generations.
+        if before.generation == ConfigGeneration::default() {
+            return;
+        }
         for (name, rollout) in &after.rollouts {
             let known = before.rollouts.get(name);
             let restarted = known.is_none_or(|known| {
--- a/galenamast/src/transport/quality_feed.rs
+++ b/galenamast/src/transport/quality_feed.rs
@@ -10,7 +10,7 @@
 
 use crate::coordination::{
     BrakeNote, JudgeAction, PeerScope, QualityExchange, QualityNews, RatedAnswer, RatingCounter,
-    VersionJudge,
+    VersionJudge, rank_hosts,
 };
 use crate::logging::{log_fault, log_record};
 use crate::protocol::{LogRecord, SoftState};
@@ -23,6 +23,11 @@
 /// Time between two publications of the quality table.
 const PUBLISH_PERIOD: Duration = Duration::from_millis(250);
 
+/// Time between two repetitions of the brakes in force, for hosts that started since.
+const BRAKE_PERIOD: Duration = Duration::from_secs(10);
+/// Task name by which the host is chosen that repeats them in its failure domain.
+const BRAKE_TASK: &str = "brakes";
+
 /// News for the judge of versions.
 #[derive(Clone, Debug)]
 pub enum FeedEvent {
@@ -53,6 +58,7 @@
         incarnation: context.timers.unix_millis(),
     };
     let mut ticks = context.timers.subscribe(PUBLISH_PERIOD);
+    let mut repeats = context.timers.subscribe(BRAKE_PERIOD);
     let mut feed = QualityFeed {
         judge: VersionJudge::new(origin.clone()),
         counter: RatingCounter::new(origin.clone()),
@@ -73,6 +79,7 @@
                 Some(event) => feed.handle(event),
                 None => return,
             },
+            _ = repeats.tick() => feed.repeat_brakes(),
             _ = ticks.tick() => {
                 feed.publish();
                 feed.tell_peers();
@@ -121,6 +128,23 @@
         }
     }
 
+    /// Repeats the brakes in force, if this host is the one to do so.
+    fn repeat_brakes(&self) {
+        let Some(mesh) = self.context.peers.get() else {
+            return;
+        };
+        let members = mesh.members();
+        let names = members.live().map(|record| &record.name);
+        if rank_hosts(BRAKE_TASK, names).first() != Some(mesh.own()) {
+            return;
+        }
+        for note in self.judge.board.notes(self.context.timers.now()) {
+            if let Err(error) = mesh.broadcast(PeerScope::FleetOnce, &SoftState::Brake(note)) {
+                log_fault("quality", &error);
+            }
+        }
+    }
+
     /// Tells other entry hosts what changed here.
     fn tell_peers(&mut self) {
         let Some(mesh) = self.context.peers.get() else {
--- a/galenamast/tests/soft_state/main.rs
+++ b/galenamast/tests/soft_state/main.rs
@@ -3,5 +3,6 @@
 mod limits;
 mod load_board;
 mod load_fleet;
+mod load_sharing;
 mod quality;
 mod traffic;
--- a/galenamast/tests/soft_state/quality.rs
+++ b/galenamast/tests/soft_state/quality.rs
@@ -288,6 +288,19 @@
             .is_some()
     })
     .await;
+    // A host that starts after the brake was told learns of it too.
+    let mut settings = hosts[1].context().settings.clone();
+    settings.host.name = "cumbre-3".into();
+    let mesh = hosts[0].context().peers.get().expect("started");
+    settings.peers.seeds = vec![mesh.address()];
+    let late = EntryHost::start(settings).await.expect("the host starts");
+    late.context().image.store(Arc::new(image(3)));
+    wait_until("the brake is in force on the late host", || {
+        let tables = late.context().tables.load();
+        tables.brakes.contains_key(&version)
+    })
+    .await;
+    late.stop().await;
     for host in hosts {
         host.stop().await;
     }
