--- a/galenamast/src/coordination/share_board.rs
+++ b/galenamast/src/coordination/share_board.rs
@@ -214,7 +214,7 @@
             requests_per_second: limits.requests_per_second * share,
             // Every host may run one request, however small its share is.
             max_in_flight: in_flight.max(limits.max_in_flight.min(1)),
-            ..limits.clone()
+            ..*limits
         }
     }
 
--- a/galenamast/tests/soft_state/limits.rs
+++ b/galenamast/tests/soft_state/limits.rs
@@ -26,11 +26,16 @@
     Domain(DomainDemand),
 }
 
+/// Failure domain and number of a host.
+type HostPlace = (usize, usize);
+/// Messages with their receivers.
+type MailBag = Vec<(HostPlace, Mail)>;
+
 /// Hosts of three failure domains in memory.
 struct ShareFleet {
-    boards: BTreeMap<(usize, usize), ShareBoard>,
-    demand: BTreeMap<(usize, usize), u32>,
-    mail: BTreeMap<u64, Vec<((usize, usize), Mail)>>,
+    boards: BTreeMap<HostPlace, ShareBoard>,
+    demand: BTreeMap<HostPlace, u32>,
+    mail: BTreeMap<u64, MailBag>,
     second: u64,
     generator: ChaCha8Rng,
     /// Failure domain without contact to the others.
@@ -43,7 +48,7 @@
     "counter".into()
 }
 
-fn host_name(place: (usize, usize)) -> HostName {
+fn host_name(place: HostPlace) -> HostName {
     HostName::new(&format!("{}-{}", DOMAINS[place.0], place.1))
 }
 
@@ -71,7 +76,7 @@
     }
 
     /// Starts a host, or starts it again.
-    fn start(&mut self, place: (usize, usize), incarnation: u64) {
+    fn start(&mut self, place: HostPlace, incarnation: u64) {
         let origin = QualityOrigin {
             host: host_name(place),
             incarnation,
@@ -83,7 +88,7 @@
     }
 
     /// Tells a host who is live.
-    fn introduce(&mut self, place: (usize, usize)) {
+    fn introduce(&mut self, place: HostPlace) {
         let hosts: BTreeSet<HostName> = (0..HOSTS).map(|host| host_name((place.0, host))).collect();
         let others = (0..DOMAINS.len()).filter(|domain| *domain != place.0);
         let cut = self.cut;
@@ -135,7 +140,7 @@
     }
 
     /// Sends a message, which takes a random time.
-    fn post(&mut self, to: (usize, usize), mail: Mail) {
+    fn post(&mut self, to: HostPlace, mail: Mail) {
         let delay = self.generator.random_range(1..=MAX_DELAY);
         let arrival = self.mail.entry(self.second + delay).or_default();
         arrival.push((to, mail));
@@ -148,7 +153,7 @@
         boards.map(|board| board.share(&workspace(), now)).sum()
     }
 
-    fn share(&self, place: (usize, usize)) -> f64 {
+    fn share(&self, place: HostPlace) -> f64 {
         self.boards[&place].share(&workspace(), self.now())
     }
 
--- a/galenamast/tests/soft_state/load_board.rs
+++ b/galenamast/tests/soft_state/load_board.rs
@@ -37,6 +37,21 @@
     assert!(fleet.share(&server, told) >= 1.0);
 }
 
+#[test]
+fn without_sharing_hosts_ask_for_themselves() {
+    let settings = LoadSettings {
+        fanout: 0,
+        ..Default::default()
+    };
+    let mut fleet = LoadFleet::new(20, 30, settings);
+    fleet.run(Duration::from_secs(4));
+    let before = fleet.poll_count();
+    fleet.run(Duration::from_secs(20));
+    let polls = fleet.poll_count() - before;
+    // The bound that holds with sharing.
+    assert!(polls > 2 * 30 * 40 * 11 / 10, "{polls} polls");
+}
+
 #[test]
 fn leaving_spreads_before_the_next_round() {
     let mut fleet = LoadFleet::new(20, 5, LoadSettings::default());
