--- a/galenamast/src/cli.rs
+++ b/galenamast/src/cli.rs
@@ -4,7 +4,9 @@
 
 use clap::Command;
 
-use crate::commands::{EXIT_INVALID, check_config, serve};
+use crate::commands::{
+    EXIT_INVALID, admin, check_config, completions, docs, explain, keygen, replay, serve, trace,
+};
 
 /// Builds the command line.
 ///
@@ -22,6 +24,13 @@
         .arg_required_else_help(true)
         .subcommand(serve::command())
         .subcommand(check_config::command())
+        .subcommand(keygen::command())
+        .subcommand(admin::command())
+        .subcommand(completions::command())
+        .subcommand(docs::command())
+        .subcommand(explain::command())
+        .subcommand(replay::command())
+        .subcommand(trace::command())
 }
 
 /// Parses the process's arguments and runs the command that they name.
@@ -29,7 +38,14 @@
     let matches = build_command().get_matches();
     match matches.subcommand() {
         Some((serve::NAME, matches)) => serve::run(matches),
+        Some((keygen::NAME, matches)) => keygen::run(matches),
         Some((check_config::NAME, matches)) => check_config::run(matches),
+        Some((admin::NAME, matches)) => admin::run(matches),
+        Some((completions::NAME, matches)) => completions::run(matches, build_command()),
+        Some((docs::NAME, matches)) => docs::run(matches),
+        Some((explain::NAME, matches)) => explain::run(matches),
+        Some((replay::NAME, matches)) => replay::run(matches),
+        Some((trace::NAME, matches)) => trace::run(matches),
         _ => ExitCode::from(EXIT_INVALID),
     }
 }
--- a/galenamast/src/transport/object_client.rs
+++ b/galenamast/src/transport/object_client.rs
@@ -4,8 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use http::header::{HeaderName, HeaderValue};
-use http::{Method, StatusCode, header};
+use http::{Method, StatusCode};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -17,7 +16,10 @@
 use crate::protocol::ProtocolError;
 use crate::state::TimePoint;
 use crate::transport::call_counters::{CallCounters, CallCounts, CallKind};
-use crate::transport::http_client::{HttpClient, json_request, read_body, within};
+use crate::transport::http_client::{HttpClient, read_body, within};
+use crate::transport::object_request::{
+    CallAnswer, CallRequest, check_name, classify_write, is_transient, object_path,
+};
 use crate::transport::timer_service::TimerService;
 use crate::transport::transport_error::TransportError;
 
@@ -30,25 +32,12 @@
 /// Attempts to find out what an unsure write did.
 const RESOLVE_ATTEMPTS: u32 = 4;
 
-/// Answer of the object API to a write.
-#[derive(Debug, Deserialize)]
-struct WriteAnswer {
-    version: ObjectVersion,
-}
-
 /// Answer of the object API to a listing.
 #[derive(Debug, Deserialize)]
 struct ListAnswer {
     items: Vec<ObjectRecord>,
 }
 
-/// Answer of the object API to any call.
-#[derive(Debug)]
-struct CallAnswer {
-    status: StatusCode,
-    body: Vec<u8>,
-}
-
 /// Bounds on the calls of an object client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallLimits {
@@ -424,83 +413,6 @@
     }
 }
 
-/// A call of the object API.
-#[derive(Debug)]
-struct CallRequest<'a> {
-    kind: CallKind,
-    method: Method,
-    path: &'a str,
-    condition: Option<WriteCondition>,
-    value: Option<&'a Value>,
-}
-
-impl CallRequest<'_> {
-    /// Builds the HTTP request.
-    fn build(
-        &self,
-        address: &str,
-    ) -> Result<http::Request<http_body_util::Full<bytes::Bytes>>, TransportError> {
-        let mut request = json_request(self.method.clone(), address, self.path, self.value)?;
-        if let Some(condition) = self.condition {
-            let (name, expected) = condition_header(condition);
-            request.headers_mut().insert(name, expected);
-        }
-        Ok(request)
-    }
-}
-
-/// Returns the header that states a condition.
-fn condition_header(condition: WriteCondition) -> (HeaderName, HeaderValue) {
-    match condition {
-        WriteCondition::Absent => (header::IF_NONE_MATCH, HeaderValue::from_static("*")),
-        WriteCondition::At(version) => (header::IF_MATCH, HeaderValue::from(version.0)),
-    }
-}
-
-/// Returns the path of an object.
-fn object_path(key: &ObjectKey) -> Result<String, TransportError> {
-    check_name(&key.kind)?;
-    check_name(&key.name)?;
-    Ok(format!("/v1/objects/{}/{}", key.kind, key.name))
-}
-
-/// Refuses a name that would not be one segment of a path.
-fn check_name(name: &str) -> Result<(), ProtocolError> {
-    let allowed =
-        |character: char| character.is_ascii_alphanumeric() || "._-~:@".contains(character);
-    if !name.is_empty() && name.chars().all(allowed) {
-        return Ok(());
-    }
-    Err(ProtocolError::Invalid {
-        what: "object name",
-        reason: format!("`{name}` is empty or holds other than letters, digits and `._-~:@`"),
-    })
-}
-
-/// Returns whether a failed read may succeed when tried again.
-fn is_transient(error: &TransportError) -> bool {
-    match error {
-        TransportError::Connect { .. } | TransportError::Broken { .. } => true,
-        TransportError::Status { status, .. } => *status >= 500 || *status == 429,
-        _ => false,
-    }
-}
-
-/// Says what an answered write did.
-fn classify_write(status: StatusCode, body: &[u8]) -> WriteOutcome {
-    if status.is_success() {
-        return match serde_json::from_slice::<WriteAnswer>(body) {
-            Ok(answer) => WriteOutcome::Applied(answer.version),
-            Err(_) => WriteOutcome::Unsure,
-        };
-    }
-    match status {
-        StatusCode::PRECONDITION_FAILED | StatusCode::NOT_FOUND => WriteOutcome::Conflict,
-        status if status.is_client_error() => WriteOutcome::Rejected,
-        _ => WriteOutcome::Unsure,
-    }
-}
-
 /// Locks a value whose every change is whole, so that a panic elsewhere leaves it sound.
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- /dev/null
+++ b/galenamast/src/transport/operator_status.rs
@@ -0,0 +1,215 @@
+//! Operator call that reports what a host and its peers are doing.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, PoisonError};
+use std::time::Duration;
+
+use tonic::{Request, Response, Status, async_trait};
+
+use crate::coordination::DomainReach;
+use crate::generated::operator as wire;
+use crate::generated::operator::status_service_server::StatusService;
+use crate::protocol::operator_json::snake_name;
+use crate::protocol::operator_objects::{milliseconds, version_to_wire};
+use crate::protocol::operator_refusal::OperatorRefusal;
+use crate::protocol::operator_rollout::rollout_to_wire;
+use crate::protocol::operator_tokens::OperatorRole;
+use crate::state::{ConfigGeneration, ServerRecord};
+use crate::transport::host_context::HostContext;
+use crate::transport::operator_context::{OperatorContext, answer};
+
+/// Age beyond which news of a failure domain counts as not heard.
+const REACH_BOUND: Duration = Duration::from_secs(15);
+
+/// Serves the call that reports the state of a host.
+#[derive(Debug)]
+pub struct StatusCalls {
+    operator: Arc<OperatorContext>,
+}
+
+impl StatusCalls {
+    /// Creates the calls.
+    pub fn new(operator: Arc<OperatorContext>) -> Self {
+        Self { operator }
+    }
+
+    /// Reports the state of the called host.
+    fn report(
+        &self,
+        request: &Request<wire::GetStatusRequest>,
+    ) -> Result<wire::Status, OperatorRefusal> {
+        self.operator.authorise(request, OperatorRole::Read)?;
+        let asked = request.get_ref().generation.map(ConfigGeneration);
+        Ok(status_of(&self.operator.host, asked))
+    }
+}
+
+/// Describes a host.
+fn status_of(host: &HostContext, asked: Option<ConfigGeneration>) -> wire::Status {
+    let image = host.image.load();
+    let tables = host.tables.load();
+    let now = host.timers.now();
+    let draining = host.draining.load(Ordering::Relaxed);
+    let own = &host.settings.host;
+    let brakes = tables.brakes.iter().filter(|(_, expiry)| **expiry > now);
+    wire::Status {
+        host: own.name.to_string(),
+        domain: own.domain.to_string(),
+        program_version: env!("CARGO_PKG_VERSION").into(),
+        generation: image.generation.0,
+        ready: host.is_ready(),
+        draining,
+        hosts: host_statuses(host),
+        servers: tables
+            .servers
+            .servers()
+            .map(|server| server_status(server))
+            .collect(),
+        rollouts: image
+            .rollouts
+            .values()
+            .map(|spec| rollout_to_wire(spec))
+            .collect(),
+        brakes: brakes
+            .map(|(key, _)| wire::BrakeStatus {
+                version: Some(version_to_wire(key)),
+                ..Default::default()
+            })
+            .collect(),
+        leases: Vec::new(),
+        buffers: Some(buffer_status(host)),
+        propagation: Some(propagation_of(host, asked.unwrap_or(image.generation))),
+        freshness_age_ms: (image.generation.0 > 0).then(|| milliseconds(tables.config_age)),
+    }
+}
+
+/// Counts what waits and what is buffered.
+fn buffer_status(host: &HostContext) -> wire::BufferStatus {
+    let ledger = host.ledger.as_ref().map(|ledger| ledger.status());
+    let quarantine = host
+        .quarantine
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    wire::BufferStatus {
+        usage_held_bytes: ledger.as_ref().map_or(0, |status| status.held_bytes as u64),
+        usage_age_ms: ledger.map_or(0, |status| milliseconds(status.oldest_age)),
+        accused_requests: quarantine.accused() as u64,
+        queued_requests: host.queue.waiting() as u64,
+        requests_in_flight: host.board.len() as u64,
+    }
+}
+
+/// Describes a backend server.
+fn server_status(server: &ServerRecord) -> wire::ServerStatus {
+    wire::ServerStatus {
+        server: server.name.to_string(),
+        pool: server.pool.to_string(),
+        domain: server.domain.to_string(),
+        state: snake_name(&server.life),
+        running_requests: server.load.running,
+        queued_requests: server.load.waiting,
+    }
+}
+
+/// Says where a generation is in force, as far as the called host knows.
+///
+/// Known failure domains are those of hosts and backend servers.
+pub(crate) fn propagation_of(host: &HostContext, asked: ConfigGeneration) -> wire::Propagation {
+    let reaches = known_reaches(host);
+    let mut not_reached = known_domains(host);
+    for reach in &reaches {
+        not_reached.remove(reach.domain.as_str());
+    }
+    let in_force = |reach: &DomainReach| reach.hosts > 0 && reach.lowest >= asked;
+    wire::Propagation {
+        generation: asked.0,
+        everywhere: not_reached.is_empty() && reaches.iter().all(in_force),
+        domains: reaches
+            .iter()
+            .map(|reach| reach_to_wire(reach, asked))
+            .collect(),
+        domains_not_reached: not_reached.into_iter().collect(),
+    }
+}
+
+/// Lists what was heard lately of failure domains; a host that is alone in its own answers for it.
+fn known_reaches(host: &HostContext) -> Vec<DomainReach> {
+    let reaches = host.config.get().map(|config| config.reaches());
+    let mut reaches = reaches.unwrap_or_default();
+    reaches.retain(|reach| reach.age <= REACH_BOUND);
+    let own = &host.settings.host;
+    let peers = host.peers.get().map(|peers| peers.members());
+    let alone = peers.is_none_or(|members| members.live_peers().next().is_none());
+    if alone && !reaches.iter().any(|reach| reach.domain == own.domain) {
+        reaches.push(DomainReach {
+            domain: own.domain.clone(),
+            hosts: 1,
+            lowest: host.image.load().generation,
+            behind: vec![own.name.clone()],
+            age: Duration::ZERO,
+        });
+    }
+    reaches
+}
+
+/// Lists the failure domains of known hosts and backend servers.
+fn known_domains(host: &HostContext) -> BTreeSet<String> {
+    let tables = host.tables.load();
+    let servers = tables.servers.servers();
+    let mut domains: BTreeSet<String> = servers.map(|server| server.domain.to_string()).collect();
+    domains.insert(host.settings.host.domain.to_string());
+    if let Some(peers) = host.peers.get() {
+        let members = peers.members();
+        let contacts = members.contacts.values();
+        domains.extend(contacts.map(|record| record.domain.to_string()));
+    }
+    domains
+}
+
+/// Converts what was heard of a failure domain.
+fn reach_to_wire(reach: &DomainReach, asked: ConfigGeneration) -> wire::DomainPropagation {
+    let behind = reach.behind.iter().filter(|_| reach.lowest < asked);
+    wire::DomainPropagation {
+        domain: reach.domain.to_string(),
+        live_hosts: reach.hosts,
+        lowest_generation: reach.lowest.0,
+        hosts_behind: behind.map(ToString::to_string).collect(),
+        age_ms: milliseconds(reach.age),
+    }
+}
+
+/// Lists the entry hosts that the called host knows.
+fn host_statuses(host: &HostContext) -> Vec<wire::HostStatus> {
+    let own = &host.settings.host;
+    let generation = host.image.load().generation;
+    let mut statuses = vec![wire::HostStatus {
+        host: own.name.to_string(),
+        domain: own.domain.to_string(),
+        state: "alive".into(),
+        generation: Some(generation.0),
+    }];
+    let Some(peers) = host.peers.get() else {
+        return statuses;
+    };
+    let members = peers.members();
+    let known = members.members.values().chain(members.contacts.values());
+    let others = known.filter(|record| record.name != own.name);
+    statuses.extend(others.map(|record| wire::HostStatus {
+        host: record.name.to_string(),
+        domain: record.domain.to_string(),
+        state: snake_name(&record.status),
+        generation: None,
+    }));
+    statuses
+}
+
+#[async_trait]
+impl StatusService for StatusCalls {
+    async fn get_status(
+        &self,
+        request: Request<wire::GetStatusRequest>,
+    ) -> Result<Response<wire::Status>, Status> {
+        answer("GetStatus", self.report(&request))
+    }
+}
--- /dev/null
+++ b/galenamast/src/transport/request_runner.rs
@@ -0,0 +1,458 @@
+//! Runs one request: feeds its machine with what happens and performs the machine's actions.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::Level;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::coordination::{
+    AttemptFailure, AttemptNumber, ClaimEnd, QueueEntry, QueueTicket, RequestAction, RequestEvent,
+    RequestGuards, RequestMachine, RequestPlan, UsageRecord,
+};
+use crate::logging::log_record;
+use crate::protocol::{CallerError, ChatText, ErrorCode, LogRecord};
+use crate::state::{ConfigGeneration, PoolName, RouteTarget, RunState, VersionKey};
+use crate::transport::answer_report::{KeptEvents, rate_delivered, report_answer, report_rating};
+use crate::transport::backend_attempt::AttemptSignal;
+use crate::transport::caller_channel::CallerChannel;
+use crate::transport::caller_reply::{describe_failure, refuse};
+use crate::transport::caller_request::{RequestJob, RequestWork};
+use crate::transport::claim_request::ClaimVerdict;
+use crate::transport::host_context::HostContext;
+use crate::transport::queue_gate::WaitEnd;
+use crate::transport::rating_client::rate_answer;
+use crate::transport::request_attempts::{AttemptSet, RunningAttempt};
+use crate::transport::request_claim::RequestClaim;
+use crate::transport::request_router::{RouteAsk, make_decision};
+use crate::transport::request_session::token_for;
+
+/// Signals of attempts that wait to be handled; a full channel slows the servers down.
+const BUFFERED_SIGNALS: usize = 16;
+
+/// Something that the runner waits for beside its attempts.
+#[derive(Debug)]
+enum RunnerSignal {
+    /// An event for the machine.
+    Event(RequestEvent),
+    /// The claim was made or refused.
+    Claimed(ClaimVerdict),
+    /// A wait in the queue ended.
+    WaitEnded(WaitEnd),
+}
+
+/// Runs one request.
+#[derive(Debug)]
+pub struct RequestRunner {
+    context: Arc<HostContext>,
+    job: Arc<RequestJob>,
+    machine: RequestMachine,
+    channel: CallerChannel,
+    gone: CancellationToken,
+    attempts: AttemptSet,
+    claim: RequestClaim,
+    delivered: u64,
+    kept: KeptEvents,
+    rated: Option<AttemptNumber>,
+    claim_pending: bool,
+    released: bool,
+    ticket: Option<QueueTicket>,
+    waits: Vec<AbortOnDropHandle<()>>,
+    attempt_receiver: mpsc::Receiver<AttemptSignal>,
+    signal_sender: mpsc::UnboundedSender<RunnerSignal>,
+    signal_receiver: mpsc::UnboundedReceiver<RunnerSignal>,
+}
+
+impl RequestRunner {
+    /// Creates the runner of an admitted request.
+    pub fn new(
+        context: Arc<HostContext>,
+        job: RequestJob,
+        channel: CallerChannel,
+        gone: CancellationToken,
+    ) -> Self {
+        let plan = RequestPlan {
+            idempotent: job.route.idempotent,
+            needs_claim: job.idempotency_key.is_some(),
+            hedge_after: job.hedge_after,
+            deadline: job.deadline,
+            budget: job.admitted.budget.clone(),
+            guards: RequestGuards::default(),
+        };
+        let job = Arc::new(job);
+        let (attempt_sender, attempt_receiver) = mpsc::channel(BUFFERED_SIGNALS);
+        let (signal_sender, signal_receiver) = mpsc::unbounded_channel();
+        Self {
+            machine: RequestMachine::new(plan),
+            attempts: AttemptSet::new(context.clone(), job.clone(), attempt_sender),
+            claim: RequestClaim::new(context.clone(), job.clone()),
+            context,
+            job,
+            channel,
+            gone,
+            delivered: 0,
+            kept: KeptEvents::default(),
+            rated: None,
+            claim_pending: false,
+            released: false,
+            ticket: None,
+            waits: Vec::new(),
+            attempt_receiver,
+            signal_sender,
+            signal_receiver,
+        }
+    }
+
+    /// Runs the request to its end.
+    pub async fn run(mut self) {
+        self.feed(RequestEvent::Admitted).await;
+        let (mut deadline_open, mut caller_open) = (true, true);
+        while !self.machine.is_settled() || self.claim_pending {
+            let timers = self.context.timers.clone();
+            tokio::select! {
+                Some(signal) = self.attempt_receiver.recv() => self.take_attempt(signal).await,
+                Some(signal) = self.signal_receiver.recv() => self.take_signal(signal).await,
+                () = timers.sleep_until(self.job.deadline), if deadline_open => {
+                    deadline_open = false;
+                    self.feed(RequestEvent::DeadlinePassed).await;
+                }
+                () = self.gone.cancelled(), if caller_open => {
+                    caller_open = false;
+                    self.feed(RequestEvent::CallerGone).await;
+                }
+            }
+        }
+        if let Some(ticket) = self.ticket {
+            self.context.queue.leave(ticket);
+        }
+    }
+
+    /// Hands an event to the machine and performs its actions, until nothing follows.
+    async fn feed(&mut self, event: RequestEvent) {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            let now = self.context.timers.now();
+            for action in self.machine.handle(&event, now) {
+                if let Some(next) = self.perform(action).await {
+                    events.push_back(next);
+                }
+            }
+        }
+    }
+
+    /// Takes in what happened to an attempt; one that was given up is ignored.
+    async fn take_attempt(&mut self, signal: AttemptSignal) {
+        match signal {
+            AttemptSignal::Events { attempt, events } => {
+                self.pass_events(attempt, events).await;
+            }
+            AttemptSignal::Finished { attempt, reply } => {
+                if let Some(running) = self.attempts.get_mut(attempt) {
+                    running.reply = Some(reply);
+                    running.free_slot();
+                    if matches!(self.job.work, RequestWork::Chat(_)) {
+                        let (target, started_at) = (&running.target, running.started_at);
+                        let route = &self.job.route;
+                        report_answer(&self.context, route, &target.version, started_at);
+                    }
+                    self.feed(RequestEvent::AttemptFinished { attempt }).await;
+                }
+            }
+            AttemptSignal::Failed {
+                attempt,
+                failure,
+                server_dead,
+            } => {
+                self.attempts.note_failure(attempt, failure, server_dead);
+                let delivered = self.delivered;
+                self.feed(RequestEvent::AttemptFailed {
+                    attempt,
+                    failure,
+                    delivered,
+                })
+                .await;
+            }
+        }
+    }
+
+    /// Passes events of a streamed answer on to the caller.
+    async fn pass_events(&mut self, attempt: AttemptNumber, events: Vec<String>) {
+        if self.attempts.get(attempt).is_none() {
+            return;
+        }
+        self.feed(RequestEvent::AnswerStarted { attempt }).await;
+        let Some(running) = self.attempts.get(attempt) else {
+            return;
+        };
+        if !self.channel.is_streaming() && self.delivered == 0 {
+            let version = running.target.version.clone();
+            self.give_token(Some(&version));
+            self.channel.start_stream(Some(&version));
+        }
+        self.claim.keep_events(&events);
+        self.delivered += events.len() as u64;
+        let timeout = self.context.live().callers.write_timeout;
+        if !self.channel.send_events(&events, timeout).await {
+            self.gone.cancel();
+        }
+        self.kept.extend(events);
+    }
+
+    /// Takes in something else that was waited for.
+    async fn take_signal(&mut self, signal: RunnerSignal) {
+        let event = match signal {
+            RunnerSignal::Event(event) => event,
+            RunnerSignal::Claimed(verdict) => {
+                self.claim_pending = false;
+                RequestEvent::ClaimAnswered(self.claim.take_verdict(verdict))
+            }
+            RunnerSignal::WaitEnded(end) => {
+                self.ticket = None;
+                self.released = end == WaitEnd::Released;
+                match end {
+                    WaitEnd::Released => RequestEvent::QueueReleased,
+                    WaitEnd::Shed => RequestEvent::QueueExpired,
+                }
+            }
+        };
+        self.feed(event).await;
+    }
+
+    /// Performs an action; returns the event that follows at once.
+    async fn perform(&mut self, action: RequestAction) -> Option<RequestEvent> {
+        let timeout = self.context.live().callers.write_timeout;
+        match action {
+            RequestAction::Claim => {
+                self.claim_pending = true;
+                let claim = self.claim.make();
+                self.spawn_wait(async move { RunnerSignal::Claimed(claim.await) });
+            }
+            RequestAction::Route { excluded, version } => {
+                let ask = RouteAsk {
+                    job: &self.job,
+                    excluded,
+                    version,
+                    attempt: self.attempts.next_number(),
+                    released: std::mem::take(&mut self.released),
+                };
+                return Some(make_decision(&self.context, ask));
+            }
+            RequestAction::Wait(pool) => self.join_queue(pool),
+            RequestAction::Dispatch {
+                attempt,
+                target,
+                generation,
+                ..
+            } => return self.dispatch(attempt, target, generation),
+            RequestAction::Resume {
+                attempt,
+                target,
+                resume_from,
+            } => self.attempts.start(attempt, target, resume_from),
+            RequestAction::Cancel(attempt) => drop(self.attempts.remove(attempt)),
+            RequestAction::StartHedgeTimer(delay) => {
+                let timers = self.context.timers.clone();
+                self.spawn_wait(async move {
+                    timers.sleep(delay).await;
+                    RunnerSignal::Event(RequestEvent::HedgeDue)
+                });
+            }
+            RequestAction::Rate(attempt) => self.rate(attempt),
+            RequestAction::Bill(attempt) => self.bill(attempt).await,
+            RequestAction::CloseClaim(end) => self.close_claim(end).await,
+            RequestAction::Deliver(attempt) => {
+                if let Some(running) = self.attempts.remove(attempt) {
+                    if self.rated != Some(attempt) {
+                        self.rate_answer(&running);
+                    }
+                    self.deliver(running, timeout).await;
+                }
+            }
+            RequestAction::DeliverStored => self.deliver_stored(timeout).await,
+            RequestAction::Fail { reason, run } => {
+                let error = describe_failure(self.job.route.id, reason, run);
+                self.channel.send_error(error, timeout).await;
+            }
+        }
+        None
+    }
+
+    /// Gives the caller the whole answer of an attempt.
+    async fn deliver(&mut self, running: RunningAttempt, timeout: Duration) {
+        if self.channel.is_streaming() {
+            return self.channel.end_stream(timeout).await;
+        }
+        if let Some(reply) = running.reply {
+            let version = self.version_of(&running.target);
+            self.give_token(version.as_ref());
+            self.channel.send_whole(reply, version.as_ref());
+        }
+    }
+
+    /// Has a delivered answer rated.
+    fn rate_answer(&self, running: &RunningAttempt) {
+        let Some(version) = self.version_of(&running.target) else {
+            return;
+        };
+        let body = running.reply.as_ref().map(|reply| &reply.body);
+        let whole = body.and_then(|body| ChatText::decode(body));
+        let text = whole.map(|text| text.text()).or_else(|| self.kept.text());
+        if let Some(text) = text {
+            rate_delivered(&self.context, &self.job.route, &version, text);
+        }
+    }
+
+    /// Puts the session token on the answer.
+    fn give_token(&mut self, version: Option<&VersionKey>) {
+        let Some(version) = version else {
+            return;
+        };
+        let session = self.job.session.as_ref();
+        let workspace = &self.job.route.workspace;
+        if let Some(token) = token_for(&self.context, workspace, session, version) {
+            self.channel.set_session(token);
+        }
+    }
+
+    /// Gives the caller the outcome stored with the claim.
+    async fn deliver_stored(&mut self, timeout: Duration) {
+        if let Some((reply, version)) = self.claim.take_stored() {
+            return self.channel.send_whole(reply, version.as_ref());
+        }
+        let message = "the request ran before; its answer was too large to be kept";
+        let error = CallerError {
+            run: RunState::Run,
+            ..refuse(self.job.route.id, ErrorCode::Conflict, message)
+        };
+        self.channel.send_error(error, timeout).await;
+    }
+
+    /// Returns the version that an attempt ran; a plain service has none.
+    fn version_of(&self, target: &RouteTarget) -> Option<VersionKey> {
+        match self.job.work {
+            RequestWork::Chat(_) => Some(target.version.clone()),
+            RequestWork::Service(_) => None,
+        }
+    }
+
+    /// Writes back the end of the claim.
+    async fn close_claim(&mut self, end: ClaimEnd) {
+        let running = match end {
+            ClaimEnd::Answered(attempt) => self.attempts.get(attempt),
+            ClaimEnd::Unknown | ClaimEnd::NotRun => None,
+        };
+        let reply = running.and_then(|running| running.reply.clone());
+        let version = running.and_then(|running| self.version_of(&running.target));
+        self.claim.close(end, reply.as_ref(), version).await;
+    }
+
+    /// Lets the request wait for a server of a pool.
+    fn join_queue(&mut self, pool: PoolName) {
+        let context = &self.context;
+        let longest = context.timers.now() + context.live().routing.queue_timeout;
+        let deadline = self.job.deadline.min(longest);
+        let entry = QueueEntry {
+            ticket: QueueTicket::default(),
+            pool,
+            workspace: self.job.route.workspace.clone(),
+            weight: self.job.weight,
+            priority: self.job.route.priority,
+            deadline,
+        };
+        let (ticket, ended) = context.queue.join(entry);
+        self.ticket = Some(ticket);
+        let context = self.context.clone();
+        self.spawn_wait(async move {
+            let end = tokio::select! {
+                end = ended => end.unwrap_or(WaitEnd::Shed),
+                () = context.timers.sleep_until(deadline) => {
+                    context.queue.leave(ticket);
+                    WaitEnd::Shed
+                }
+            };
+            RunnerSignal::WaitEnded(end)
+        });
+    }
+
+    /// Sends an attempt unless the configuration changed since its decision or its claim lapsed.
+    fn dispatch(
+        &mut self,
+        attempt: AttemptNumber,
+        target: RouteTarget,
+        generation: ConfigGeneration,
+    ) -> Option<RequestEvent> {
+        if self.context.image.load().generation != generation {
+            return Some(RequestEvent::DecisionStale { attempt });
+        }
+        if !self.claim.may_dispatch() {
+            return Some(RequestEvent::AttemptFailed {
+                attempt,
+                failure: AttemptFailure::NotSent,
+                delivered: 0,
+            });
+        }
+        self.attempts.start(attempt, target, 0);
+        None
+    }
+
+    /// Has the answer of an attempt rated.
+    fn rate(&mut self, attempt: AttemptNumber) {
+        let running = self.attempts.get(attempt);
+        let reply = running.and_then(|running| running.reply.clone());
+        let context = self.context.clone();
+        let id = self.job.route.id;
+        let body = reply.map(|reply| reply.body).unwrap_or_default();
+        let version = running.map(|running| running.target.version.clone());
+        let job = self.job.clone();
+        self.rated = Some(attempt);
+        self.spawn_wait(async move {
+            let rating = rate_answer(&context, id, &body).await;
+            if let (Some(rating), Some(version)) = (rating, version) {
+                report_rating(&context, &job.route, &version, rating);
+            }
+            RunnerSignal::Event(RequestEvent::Rated { rating })
+        });
+    }
+
+    /// Records what the request is billed for; returns when the record is held.
+    async fn bill(&mut self, attempt: AttemptNumber) {
+        let Some(running) = self.attempts.get(attempt) else {
+            return;
+        };
+        let usage = running.reply.as_ref().map(|reply| reply.usage);
+        let usage = usage.unwrap_or_default();
+        let version = self.version_of(&running.target);
+        let image = self.context.image.load_full();
+        let spec = version.as_ref().and_then(|version| image.version(version));
+        let price = spec.map_or(0, |spec| {
+            spec.price_of(usage.prompt_tokens, usage.completion_tokens)
+        });
+        let record = UsageRecord {
+            request_id: self.job.route.id,
+            workspace: self.job.route.workspace.clone(),
+            task: self.job.route.task.clone(),
+            version,
+            input_tokens: usage.prompt_tokens,
+            output_tokens: usage.completion_tokens,
+            price,
+            ended_unix_ms: self.context.timers.unix_millis(),
+        };
+        log_record(Level::Info, &LogRecord::Usage(record.clone()));
+        if let Some(ledger) = &self.context.ledger {
+            ledger.record(record).await;
+        }
+    }
+
+    /// Waits apart from the runner and sends the result to it.
+    fn spawn_wait(&mut self, wait: impl Future<Output = RunnerSignal> + Send + 'static) {
+        let sender = self.signal_sender.clone();
+        let task = tokio::spawn(async move {
+            // A closed channel means that the request has ended.
+            let _ = sender.send(wait.await);
+        });
+        self.waits.push(AbortOnDropHandle::new(task));
+    }
+}
--- a/galenamast/src/transport/transport_error.rs
+++ b/galenamast/src/transport/transport_error.rs
@@ -1,6 +1,7 @@
 //! Errors of the transport layer.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use thiserror::Error;
@@ -65,6 +66,22 @@
         /// Address of the remote end.
         address: String,
     },
+    /// A certificate, key or TLS setting cannot be used.
+    #[error("cannot use the {what}: {reason}")]
+    Tls {
+        /// What cannot be used.
+        what: &'static str,
+        /// Why it cannot be used.
+        reason: String,
+    },
+    /// An entry host is not known or does not answer.
+    #[error("entry host {host} cannot be reached: {reason}")]
+    Peer {
+        /// Name or address of the host.
+        host: String,
+        /// Why it cannot be reached.
+        reason: String,
+    },
     /// A setting that the part needs is missing.
     #[error("the setting [{section}] {name} is needed")]
     MissingSetting {
@@ -73,6 +90,14 @@
         /// Name of the setting.
         name: &'static str,
     },
+    /// A certificate or its key cannot be used.
+    #[error("cannot use the certificate {} or its key: {source}", path.display())]
+    Certificate {
+        /// File of the certificate.
+        path: PathBuf,
+        /// Why it cannot be used.
+        source: std::io::Error,
+    },
     /// The coordination layer refused something.
     #[error(transparent)]
     Coordination(#[from] CoordinationError),
--- /dev/null
+++ b/galenamast/tests/operator/main.rs
@@ -0,0 +1,13 @@
+//! Tests of the operator protocol and the command `admin` against an entry host in this process.
+
+mod changes;
+mod declared;
+mod exports;
+mod log_lines;
+mod metrics;
+mod refusals;
+mod rollout_script;
+mod rollout_steps;
+mod secrets;
+mod support;
+mod tls;
--- /dev/null
+++ b/galenamast/tests/path/main.rs
@@ -0,0 +1,21 @@
+//! Tests of the request path.
+
+mod admission;
+mod backend_faults;
+mod bad_input;
+mod billing;
+mod claims;
+mod failure_table;
+mod machine_faults;
+mod machine_model;
+mod overload;
+mod quality;
+mod quarantine;
+mod reload;
+mod server_life;
+mod services;
+mod sessions;
+mod shutdown;
+mod streams;
+mod support;
+mod tls;
--- /dev/null
+++ b/galenamast/tests/promises/main.rs
@@ -0,0 +1,14 @@
+//! Tests of what must always hold, by promise, under faults.
+
+mod claim_faults;
+mod claims;
+mod duties;
+mod fencing;
+mod memory_objects;
+mod placement;
+mod platform;
+mod rollouts;
+mod sessions;
+mod support;
+mod usage;
+mod usage_faults;
