Measure streams by event and give the measured host a peer

Cause: a host alone in its failure domain writes each usage record through to the platform, which is not how the users run it, and the cost of a streamed event was not measured. Change: a second host of the domain holds the copies; the example reports the host's processor time per streamed event.

--- a/galenamast/examples/overhead.rs
+++ b/galenamast/examples/overhead.rs
@@ -40,6 +40,10 @@
 const TICKS_PER_SECOND: f64 = 100.0;
 /// Streams that are open at once when memory is measured.
 const OPEN_STREAMS: usize = 1_000;
+/// Time between two events of a stream when memory is measured.
+const STREAM_GAP: Duration = Duration::from_millis(26);
+/// Tokens of each answer.
+const STREAM_TOKENS: u32 = 128;
 /// Target for the added median, in microseconds.
 const TARGET_P50_MICROS: f64 = 300.0;
 /// Target for the added 99th percentile, in microseconds.
@@ -59,6 +63,13 @@
     model: &'static str,
 }
 
+/// What a stream costs the entry host.
+#[derive(Clone, Copy, Debug)]
+struct StreamCost {
+    bytes_per_stream: f64,
+    micros_per_event: f64,
+}
+
 /// What saturates the entry host.
 #[derive(Clone, Copy, Debug)]
 struct Saturation {
@@ -79,13 +90,16 @@
     };
     let deployment = other_runtime.block_on(Deployment::without_hosts(options))?;
     let engine_options = EngineOptions {
-        answer_tokens: 32,
+        answer_tokens: STREAM_TOKENS,
         ..deployment.options.engine.clone()
     };
     let engine = other_runtime.block_on(FakeEngine::start(engine_options));
     list_engine(&deployment, engine.address());
     let settings = deployment.host_settings("host-0", "cumbre");
     let host = host_runtime.block_on(EntryHost::start(settings))?;
+    // A second host of the failure domain holds the copies of usage records.
+    let peer_settings = deployment.host_settings("host-1", "cumbre");
+    let peer = other_runtime.block_on(EntryHost::start(peer_settings))?;
     let routed_target = CallTarget {
         address: host.caller_address(),
         model: "auto",
@@ -104,11 +118,11 @@
         direct.push(caller_runtime.block_on(run_round(direct_target, rate)));
         routed.push(caller_runtime.block_on(run_round(routed_target, rate)));
     }
-    let stream_bytes =
-        caller_runtime.block_on(measure_streams(&engine, direct_target, routed_target));
-    let report = build_report(saturation, rate, &direct, &routed, stream_bytes);
+    let stream = caller_runtime.block_on(measure_streams(&engine, direct_target, routed_target));
+    let report = build_report(saturation, rate, &direct, &routed, stream);
     print_report(&report, as_json);
     host_runtime.block_on(host.stop());
+    other_runtime.block_on(peer.stop());
     if report["met"] == true {
         Ok(())
     } else {
@@ -238,13 +252,23 @@
     Histogram::new_with_bounds(1, 60_000_000, 3).expect("the bounds are valid")
 }
 
-/// Opens streams to the engine and through the host, and returns the added bytes per stream.
-async fn measure_streams(engine: &FakeEngine, direct: CallTarget, routed: CallTarget) -> f64 {
-    engine.change(|options| options.token_gap = Duration::from_millis(100));
+/// Opens streams to the engine and through the host, and returns what each costs the host.
+async fn measure_streams(
+    engine: &FakeEngine,
+    direct: CallTarget,
+    routed: CallTarget,
+) -> StreamCost {
+    engine.change(|options| options.token_gap = STREAM_GAP);
     let direct_bytes = resident_growth(hold_streams(direct)).await;
+    let processor_before = host_processor_seconds();
     let routed_bytes = resident_growth(hold_streams(routed)).await;
+    let processor = host_processor_seconds() - processor_before;
     engine.change(|options| options.token_gap = Duration::ZERO);
-    (routed_bytes - direct_bytes).max(0.0) / OPEN_STREAMS as f64
+    let events = OPEN_STREAMS as f64 * f64::from(STREAM_TOKENS);
+    StreamCost {
+        bytes_per_stream: (routed_bytes - direct_bytes).max(0.0) / OPEN_STREAMS as f64,
+        micros_per_event: processor * 1e6 / events,
+    }
 }
 
 /// Opens all streams at once and reads them to their end.
@@ -333,7 +357,7 @@
     rate: f64,
     direct: &[RoundLatency],
     routed: &[RoundLatency],
-    stream_bytes: f64,
+    stream: StreamCost,
 ) -> Value {
     let added_p50 = differences(direct, routed, |round| round.p50);
     let added_p99 = differences(direct, routed, |round| round.p99);
@@ -348,7 +372,8 @@
         "added_p99_us": p99,
         "added_p50_us_rounds": added_p50,
         "added_p99_us_rounds": added_p99,
-        "added_bytes_per_open_stream": stream_bytes,
+        "added_bytes_per_open_stream": stream.bytes_per_stream,
+        "host_micros_per_stream_event": stream.micros_per_event,
         "met": p50 <= TARGET_P50_MICROS && p99 <= TARGET_P99_MICROS,
     })
 }
