Copy usage records to the peer in groups, outside the control byte rate

Cause: each answer waited for its own copy request, and the requests shared the byte rate for control messages (19 KB/s), so that at a few hundred requests a second answers waited out the hold timeout of 1 s. Ruled out: the platform's call budget, which binds only a host alone in its failure domain.

--- a/galenamast/examples/slopes.rs
+++ b/galenamast/examples/slopes.rs
@@ -93,7 +93,7 @@
         .worker_threads(1)
         .enable_all()
         .build()?;
-    Ok(runtime.block_on(event_loop::run(settings))?)
+    Ok(runtime.block_on(event_loop::run(settings, || None))?)
 }
 
 /// Returns the value that follows an option.
--- a/galenamast/src/protocol/peer_request.rs
+++ b/galenamast/src/protocol/peer_request.rs
@@ -25,8 +25,24 @@
         /// Digests of the objects.
         digests: Vec<ObjectDigest>,
     },
-    /// Asks the host to hold a copy of a usage record.
-    StoreUsage(UsageCopy),
+    /// Asks the host to hold copies of usage records.
+    StoreUsage(Vec<UsageCopy>),
+}
+
+impl PeerRequest {
+    /// Returns whether the number of such requests follows the callers' traffic.
+    ///
+    /// These are not held back by the byte rate for control messages.
+    ///
+    /// ```
+    /// use galenamast::protocol::PeerRequest;
+    ///
+    /// assert!(PeerRequest::StoreUsage(Vec::new()).follows_traffic());
+    /// assert!(!PeerRequest::ReadObjects { digests: Vec::new() }.follows_traffic());
+    /// ```
+    pub const fn follows_traffic(&self) -> bool {
+        matches!(self, Self::StoreUsage(_))
+    }
 }
 
 /// The reply of another entry host.
--- a/galenamast/src/transport/mod.rs
+++ b/galenamast/src/transport/mod.rs
@@ -68,6 +68,7 @@
 pub mod tls_keygen;
 pub mod tls_verifier;
 pub mod transport_error;
+pub mod usage_copier;
 pub mod usage_export;
 pub mod usage_ledger;
 pub mod usage_peers;
--- a/galenamast/src/transport/peer_mesh.rs
+++ b/galenamast/src/transport/peer_mesh.rs
@@ -46,8 +46,10 @@
 /// Bytes and messages since the start of the process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PeerCounts {
-    /// Bytes sent, with an estimate of what the lower protocols add.
+    /// Bytes of control messages sent, with an estimate of what the lower protocols add.
     pub bytes_sent: u64,
+    /// Bytes of requests and replies sent that follow the callers' traffic, with the same estimate.
+    pub traffic_bytes_sent: u64,
     /// Bytes received, with the same estimate.
     pub bytes_received: u64,
     /// Messages and replies sent.
@@ -77,6 +79,7 @@
     soft_handlers: ArcSwap<Vec<SoftHandler>>,
     serial: AtomicU64,
     bytes_sent: AtomicU64,
+    traffic_bytes_sent: AtomicU64,
     bytes_received: AtomicU64,
     messages_sent: AtomicU64,
     dropped: AtomicU64,
@@ -127,6 +130,7 @@
             request_handlers: ArcSwap::default(),
             soft_handlers: ArcSwap::default(),
             bytes_sent: AtomicU64::new(0),
+            traffic_bytes_sent: AtomicU64::new(0),
             bytes_received: AtomicU64::new(0),
             messages_sent: AtomicU64::new(0),
             dropped: AtomicU64::new(0),
@@ -161,6 +165,7 @@
         let load = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
         PeerCounts {
             bytes_sent: load(&self.shared.bytes_sent),
+            traffic_bytes_sent: load(&self.shared.traffic_bytes_sent),
             bytes_received: load(&self.shared.bytes_received),
             messages_sent: load(&self.shared.messages_sent),
             dropped: load(&self.shared.dropped),
@@ -267,7 +272,7 @@
         if self.shared.links.is_blocked(&address) {
             return Err(peer_error(host, &"the address is blocked"));
         }
-        self.wait_for_budget(bytes.len()).await;
+        self.meter(request, bytes.len()).await;
         let link = match self.shared.links.find(&address) {
             Some(link) if link.host == *host => link,
             _ => self.connect(address, Some(host)).await?,
@@ -312,9 +317,15 @@
         });
     }
 
-    /// Waits until the byte rate allows a request or reply, and counts it.
-    pub(crate) async fn wait_for_budget(&self, bytes: usize) {
+    /// Counts a request or its reply; one of control waits until the byte rate allows it.
+    pub(crate) async fn meter(&self, request: &PeerRequest, bytes: usize) {
         let size = bytes + OVERHEAD_BYTES;
+        if request.follows_traffic() {
+            let size = u64::try_from(size).unwrap_or(u64::MAX);
+            let sent = &self.shared.traffic_bytes_sent;
+            sent.fetch_add(size, Ordering::Relaxed);
+            return;
+        }
         loop {
             let now = self.shared.timers.now();
             let taken = lock(&self.shared.budget).borrow(size, now);
--- a/galenamast/src/transport/peer_runner.rs
+++ b/galenamast/src/transport/peer_runner.rs
@@ -120,18 +120,28 @@
         mesh.count_unreadable();
         return;
     };
-    mesh.count_received(bytes.len());
-    let reply = match decode_frame::<PeerRequest>(&bytes) {
-        Ok(Some(request)) => answer(&mesh, &link, &request).await,
-        _ => {
-            mesh.count_unreadable();
-            PeerReply::Unsupported
-        }
+    let Ok(Some(request)) = decode_frame::<PeerRequest>(&bytes) else {
+        mesh.count_unreadable();
+        return reply_unsupported(sender).await;
     };
+    if !request.follows_traffic() {
+        mesh.count_received(bytes.len());
+    }
+    let reply = answer(&mesh, &link, &request).await;
     let Ok(bytes) = encode_frame(&reply) else {
         return;
     };
-    mesh.wait_for_budget(bytes.len()).await;
+    mesh.meter(&request, bytes.len()).await;
+    if sender.write_all(&bytes).await.is_ok() {
+        let _ = sender.finish();
+    }
+}
+
+/// Answers a request that this release cannot read.
+async fn reply_unsupported(mut sender: quinn::SendStream) {
+    let Ok(bytes) = encode_frame(&PeerReply::Unsupported) else {
+        return;
+    };
     if sender.write_all(&bytes).await.is_ok() {
         let _ = sender.finish();
     }
--- a/galenamast/src/transport/usage_peers.rs
+++ b/galenamast/src/transport/usage_peers.rs
@@ -4,13 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::coordination::{UsageCopy, rank_hosts};
 use crate::protocol::{PeerReply, PeerRequest};
 use crate::state::HostName;
 use crate::transport::host_context::HostContext;
-use crate::transport::object_calls::CallFuture;
 use crate::transport::peer_mesh::{PeerMesh, RequestHandler};
-use crate::transport::usage_ledger::{CopyCall, UsageLedger};
+use crate::transport::usage_copier::UsageCopier;
+use crate::transport::usage_ledger::UsageLedger;
 
 /// Time between two looks at which hosts are gone.
 const WATCH_PERIOD: Duration = Duration::from_millis(500);
@@ -20,7 +19,8 @@
     let ledger = context.ledger.clone()?;
     let mesh = context.peers.get()?.clone();
     mesh.on_request(&copy_handler(&ledger));
-    context.usage_copy.store(Some(Arc::new(copy_call(&mesh))));
+    let copier = UsageCopier::start(&mesh);
+    context.usage_copy.store(Some(Arc::new(copier.copy_call())));
     let timers = context.timers.clone();
     Some(tokio::spawn(async move {
         let mut ticks = timers.subscribe(WATCH_PERIOD);
@@ -40,10 +40,12 @@
 fn copy_handler(ledger: &UsageLedger) -> RequestHandler {
     let ledger = ledger.clone();
     Arc::new(move |sender, request| {
-        let PeerRequest::StoreUsage(copy) = request else {
+        let PeerRequest::StoreUsage(copies) = request else {
             return None;
         };
-        let held = copy.origin.host == *sender && ledger.accept_copy(copy.clone());
+        let held = copies
+            .iter()
+            .all(|copy| copy.origin.host == *sender && ledger.accept_copy(copy.clone()));
         let reply = if held {
             PeerReply::Done
         } else {
@@ -53,26 +55,8 @@
     })
 }
 
-/// Returns the call that hands a record to the peer that holds this host's copies.
-fn copy_call(mesh: &PeerMesh) -> CopyCall {
-    let mesh = mesh.clone();
-    Arc::new(move |copy| hand_over(mesh.clone(), copy))
-}
-
-/// Hands a record to a peer; returns whether the peer holds it.
-fn hand_over(mesh: PeerMesh, copy: UsageCopy) -> CallFuture<bool> {
-    Box::pin(async move {
-        let task = format!("usage of {}", mesh.own());
-        let Some(peer) = rank_hosts(&task, &live_peers(&mesh)).into_iter().next() else {
-            return Ok(false);
-        };
-        let reply = mesh.request(&peer, PeerRequest::StoreUsage(copy)).await?;
-        Ok(reply == PeerReply::Done)
-    })
-}
-
 /// Returns the names of the live peers of the own failure domain.
-fn live_peers(mesh: &PeerMesh) -> BTreeSet<HostName> {
+pub(crate) fn live_peers(mesh: &PeerMesh) -> BTreeSet<HostName> {
     let members = mesh.members();
     members.live_peers().map(|peer| peer.name.clone()).collect()
 }
