Lift workspace limits when the overhead is measured

Cause: the example's saturation was the workspace's default limit of 1,000 requests/s, found by a profile that showed the host's threads mostly idle. Change: limits and slots that no measurement reaches.

--- a/galenamast/examples/overhead.rs
+++ b/galenamast/examples/overhead.rs
@@ -12,9 +12,11 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use galenamast::coordination::ConfigObject;
 use galenamast::event_loop::EntryHost;
+use galenamast::state::ConfigGeneration;
 use galenamast_fakes::{EngineOptions, FakeEngine, ListedHost};
-use galenamast_testbed::{Caller, Deployment, DeploymentOptions};
+use galenamast_testbed::{Caller, Deployment, DeploymentOptions, publish_config};
 use hdrhistogram::Histogram;
 use http::Method;
 use serde_json::{Value, json};
@@ -44,6 +46,10 @@
 const STREAM_GAP: Duration = Duration::from_millis(26);
 /// Tokens of each answer.
 const STREAM_TOKENS: u32 = 128;
+/// Rate that no measurement reaches, in requests per second.
+const UNLIMITED_RATE: f64 = 1_000_000.0;
+/// Requests in flight that no measurement reaches.
+const UNLIMITED_SLOTS: u32 = 100_000;
 /// Target for the added median, in microseconds.
 const TARGET_P50_MICROS: f64 = 300.0;
 /// Target for the added 99th percentile, in microseconds.
@@ -95,6 +101,7 @@
     };
     let engine = other_runtime.block_on(FakeEngine::start(engine_options));
     list_engine(&deployment, engine.address());
+    lift_limits(&deployment)?;
     let settings = deployment.host_settings("host-0", "cumbre");
     let host = host_runtime.block_on(EntryHost::start(settings))?;
     // A second host of the failure domain holds the copies of usage records.
@@ -154,6 +161,23 @@
     });
 }
 
+/// Lifts the limits of workspaces and servers, which are not what is measured.
+fn lift_limits(deployment: &Deployment) -> Result<(), Box<dyn Error>> {
+    let mut documents = deployment.default_documents();
+    for document in &mut documents {
+        match document {
+            ConfigObject::Workspace(workspace) => {
+                workspace.limits.requests_per_second = UNLIMITED_RATE;
+                workspace.limits.max_in_flight = UNLIMITED_SLOTS;
+            }
+            ConfigObject::Pool(pool) => pool.slots_per_server = UNLIMITED_SLOTS,
+            _ => {}
+        }
+    }
+    publish_config(&deployment.objects, ConfigGeneration(2), &documents)?;
+    Ok(())
+}
+
 /// Waits until requests are answered.
 async fn wait_until_served(target: CallTarget) {
     let caller = Caller::new("lodge-rental");
