--- a/fakes/src/fake_engine.rs
+++ b/fakes/src/fake_engine.rs
@@ -12,6 +12,7 @@
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use serde_json::{Value, json};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use crate::engine_answer::{AnswerPlan, stream_answer, whole_answer};
 use crate::fault_plan::FaultSwitch;
@@ -30,6 +31,8 @@
     pub answer_tokens: u32,
     /// Whether the engine refuses orders with an old fencing number.
     pub checks_fencing: bool,
+    /// Requests that the engine runs at once, read when it starts; others wait in order.
+    pub slots: Option<usize>,
 }
 
 impl Default for EngineOptions {
@@ -40,6 +43,7 @@
             token_gap: Duration::ZERO,
             answer_tokens: 8,
             checks_fencing: true,
+            slots: None,
         }
     }
 }
@@ -80,6 +84,7 @@
     runs: Mutex<Vec<EngineRun>>,
     cancelled: Mutex<BTreeSet<String>>,
     running: AtomicU32,
+    slots: Option<Arc<Semaphore>>,
     incarnation: AtomicU64,
     draining: AtomicBool,
     crashed: tokio_util::sync::CancellationToken,
@@ -105,6 +110,7 @@
     state: Arc<EngineState>,
     request_id: String,
     finished: bool,
+    slot: Option<OwnedSemaphorePermit>,
 }
 
 impl RunGuard {
@@ -115,6 +121,14 @@
             state: state.clone(),
             request_id: request_id.to_owned(),
             finished: false,
+            slot: None,
+        }
+    }
+
+    /// Waits for a slot and holds it.
+    async fn take_slot(&mut self) {
+        if let Some(slots) = self.state.slots.clone() {
+            self.slot = slots.acquire_owned().await.ok();
         }
     }
 
@@ -142,7 +156,9 @@
 impl FakeEngine {
     /// Starts an engine.
     pub async fn start(options: EngineOptions) -> Self {
+        let slots = options.slots.map(|count| Arc::new(Semaphore::new(count)));
         let state = Arc::new(EngineState {
+            slots,
             options: Mutex::new(options),
             engine_faults: Mutex::default(),
             runs: Mutex::default(),
@@ -307,7 +323,8 @@
     }
     let mut plan = state.plan_answer(&request_id, &version, quality);
     plan.first_event = resume_from;
-    let guard = RunGuard::start(&state, &request_id);
+    let mut guard = RunGuard::start(&state, &request_id);
+    guard.take_slot().await;
     if state.faults.loses_answer() {
         std::future::pending::<()>().await;
     }
