Keep goodput, shares and truth when a pool is overloaded

Cause: (1) a request waited until its deadline itself, was then dispatched and given up while the engine ran it; (2) a full queue refused a small workspace whose priority was no higher than that of the large one that filled it; (3) a request let out of the queue that found no server waited anew, was charged twice and lost its place; (4) Retry-After was always a second. Change: the wait ends early enough for the time that the pool's answers take (moving mean and deviation); a full queue sheds from workspaces over their share of the places, by priority there; a returning request keeps deadline and charge; Retry-After names the time that the queue needs. Tests: a model in virtual time (100 % against 130 % for a minute, long queue, short queue, a large workspace with high priority) and two cases of the queue.

--- a/galenamast/src/coordination/admission_queue.rs
+++ b/galenamast/src/coordination/admission_queue.rs
@@ -63,23 +63,30 @@
         self.max_entries = max_entries;
     }
 
-    /// Adds a request; when the queue is full, the least important one is shed.
+    /// Takes back the service of a request that was let out and found no server after all.
+    pub fn give_back(&mut self, entry: &QueueEntry) {
+        let served = self.served.entry(entry.pool.clone()).or_default();
+        if let Some(own) = served.get_mut(&entry.workspace) {
+            *own = (*own - 1.0 / entry.weight.max(MIN_WEIGHT)).max(0.0);
+        }
+    }
+
+    /// Adds a request; when the queue is full, one is shed: of the workspaces that hold more than
+    /// their share of the places the least important request.
     pub fn push(&mut self, entry: QueueEntry) -> QueueVerdict {
         self.join_service(&entry);
         if self.entries.len() < self.max_entries {
             self.entries.insert(entry.ticket, entry);
             return QueueVerdict::Queued;
         }
-        let Some(victim) = self.least_important() else {
-            return QueueVerdict::Rejected;
-        };
-        let victim = (victim.priority, victim.ticket);
-        if victim.0 >= entry.priority {
+        let newcomer = entry.ticket;
+        self.entries.insert(newcomer, entry);
+        let victim = self.least_important().unwrap_or(newcomer);
+        self.entries.remove(&victim);
+        if victim == newcomer {
             return QueueVerdict::Rejected;
         }
-        self.entries.remove(&victim.1);
-        self.entries.insert(entry.ticket, entry);
-        QueueVerdict::Displaced(victim.1)
+        QueueVerdict::Displaced(victim)
     }
 
     /// Starts the account of a workspace that did not wait at the least service of those that do.
@@ -102,18 +109,27 @@
         *own = own.max(least.unwrap_or(0.0));
     }
 
-    /// Finds the request that is shed first: low priority, then the longest line of a workspace.
-    fn least_important(&self) -> Option<&QueueEntry> {
+    /// Finds the request that is shed first: one of a workspace with more than its share of the
+    /// places, and among these low priority, then the longest line, then the newest.
+    fn least_important(&self) -> Option<QueueTicket> {
         let mut lines: BTreeMap<&WorkspaceName, f64> = BTreeMap::new();
+        let mut weights: BTreeMap<&WorkspaceName, f64> = BTreeMap::new();
         for entry in self.entries.values() {
-            *lines.entry(&entry.workspace).or_default() += 1.0 / entry.weight.max(MIN_WEIGHT);
+            let weight = entry.weight.max(MIN_WEIGHT);
+            *lines.entry(&entry.workspace).or_default() += 1.0 / weight;
+            weights.insert(&entry.workspace, weight);
         }
-        self.entries.values().min_by(|left, right| {
+        let share = self.max_entries as f64 / weights.values().sum::<f64>();
+        let over_share = |entry: &&QueueEntry| lines[&entry.workspace] > share;
+        let shed_first = |left: &&QueueEntry, right: &&QueueEntry| {
             let lowest = left.priority.cmp(&right.priority);
             let longest = lines[&right.workspace].total_cmp(&lines[&left.workspace]);
             let newest = right.ticket.cmp(&left.ticket);
             lowest.then(longest).then(newest)
-        })
+        };
+        let entries = self.entries.values();
+        let victim = entries.filter(over_share).min_by(shed_first);
+        victim.map(|entry| entry.ticket)
     }
 
     /// Takes out the next request for a pool: the workspace that had the least service for its
--- a/galenamast/src/coordination/mod.rs
+++ b/galenamast/src/coordination/mod.rs
@@ -45,6 +45,7 @@
 pub mod placement_input;
 pub mod placement_needs;
 pub mod placement_planner;
+pub mod pool_pace;
 pub mod rendezvous;
 pub mod request_failure;
 pub mod request_machine;
@@ -113,6 +114,7 @@
     ReplicaCount, VersionDemand,
 };
 pub use placement_planner::plan_placement;
+pub use pool_pace::PoolPace;
 pub use rendezvous::rank_hosts;
 pub use request_failure::{AttemptFailure, StartState, classify_failure};
 pub use request_machine::RequestMachine;
--- a/galenamast/src/transport/queue_gate.rs
+++ b/galenamast/src/transport/queue_gate.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use tokio::sync::oneshot;
 
-use crate::coordination::{AdmissionQueue, QueueEntry, QueueTicket, QueueVerdict};
+use crate::coordination::{AdmissionQueue, PoolPace, QueueEntry, QueueTicket, QueueVerdict};
 use crate::state::{PoolName, TimePoint};
 
 /// How a wait ended.
@@ -23,6 +24,7 @@
 pub struct QueueGate {
     waiting: AtomicUsize,
     line: Mutex<WaitLine>,
+    paces: Mutex<BTreeMap<PoolName, PoolPace>>,
 }
 
 /// The queue with the channel of each request in it.
@@ -44,6 +46,7 @@
         Self {
             waiting: AtomicUsize::new(0),
             line: Mutex::new(line),
+            paces: Mutex::default(),
         }
     }
 
@@ -82,6 +85,42 @@
         (ticket, receiver)
     }
 
+    /// Adds a request again that was let out and found no server.
+    pub fn rejoin(&self, entry: QueueEntry) -> (QueueTicket, oneshot::Receiver<WaitEnd>) {
+        self.lock().queue.give_back(&entry);
+        self.join(entry)
+    }
+
+    /// Takes in how long an answer of a pool took.
+    pub fn observe(&self, pool: &PoolName, service: Duration, now: TimePoint) {
+        let mut paces = self.lock_paces();
+        if let Some(pace) = paces.get_mut(pool) {
+            return pace.observe(service, now);
+        }
+        let pace = paces.entry(pool.clone()).or_default();
+        pace.observe(service, now);
+    }
+
+    /// Returns the time until which a request may wait and still be answered before its deadline.
+    pub fn wait_deadline(
+        &self,
+        pool: &PoolName,
+        now: TimePoint,
+        deadline: TimePoint,
+        longest: Duration,
+    ) -> TimePoint {
+        let paces = self.lock_paces();
+        let unknown = PoolPace::default();
+        let pace = paces.get(pool).unwrap_or(&unknown);
+        pace.wait_deadline(now, deadline, longest)
+    }
+
+    /// Returns the time in which the requests that wait for a pool are taken, if that is known.
+    pub fn expected_wait(&self, pool: &PoolName) -> Option<Duration> {
+        let waiting = self.lock().queue.waiting(pool);
+        self.lock_paces().get(pool)?.time_for(waiting + 1)
+    }
+
     /// Takes a request out.
     pub fn leave(&self, ticket: QueueTicket) {
         let mut line = self.lock();
@@ -122,6 +161,11 @@
         self.lock().queue.pools()
     }
 
+    /// Locks the averages of the pools.
+    fn lock_paces(&self) -> MutexGuard<'_, BTreeMap<PoolName, PoolPace>> {
+        self.paces.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the line.
     fn lock(&self) -> MutexGuard<'_, WaitLine> {
         self.line.lock().unwrap_or_else(PoisonError::into_inner)
--- a/galenamast/src/transport/request_attempts.rs
+++ b/galenamast/src/transport/request_attempts.rs
@@ -40,8 +40,19 @@
 }
 
 impl RunningAttempt {
+    /// Takes in the whole answer and gives back the place on the server.
+    pub fn finish(&mut self, reply: BackendReply) {
+        self.reply = Some(reply);
+        if let Some(slot) = &self.slot {
+            let now = slot.context.timers.now();
+            let service = now.since(self.started_at);
+            slot.context.queue.observe(&slot.pool, service, now);
+        }
+        self.free_slot();
+    }
+
     /// Gives back the place on the server.
-    pub fn free_slot(&mut self) {
+    fn free_slot(&mut self) {
         self.slot = None;
     }
 }
--- a/galenamast/src/transport/request_runner.rs
+++ b/galenamast/src/transport/request_runner.rs
@@ -10,12 +10,14 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::coordination::{
-    AttemptFailure, AttemptNumber, ClaimEnd, QueueEntry, QueueTicket, RequestAction, RequestEvent,
-    RequestGuards, RequestMachine, RequestPlan, UsageRecord,
+    AttemptFailure, AttemptNumber, ClaimEnd, FailureReason, QueueEntry, QueueTicket, RequestAction,
+    RequestEvent, RequestGuards, RequestMachine, RequestPlan, UsageRecord,
 };
 use crate::logging::log_record;
 use crate::protocol::{CallerError, ChatText, ErrorCode, LogRecord};
-use crate::state::{ConfigGeneration, PoolName, RouteTarget, RunState, VersionKey};
+use crate::state::{
+    ConfigGeneration, PoolName, RefusalReason, RouteTarget, RunState, TimePoint, VersionKey,
+};
 use crate::transport::answer_report::{KeptEvents, rate_delivered, report_answer, report_rating};
 use crate::transport::backend_attempt::AttemptSignal;
 use crate::transport::caller_channel::CallerChannel;
@@ -32,6 +34,8 @@
 
 /// Signals of attempts that wait to be handled; a full channel slows the servers down.
 const BUFFERED_SIGNALS: usize = 16;
+/// Longest time after which a caller is told to try again because servers are full.
+const LONGEST_RETRY: Duration = Duration::from_secs(60);
 
 /// Something that the runner waits for beside its attempts.
 #[derive(Debug)]
@@ -44,6 +48,13 @@
     WaitEnded(WaitEnd),
 }
 
+/// The wait of a request for a server of a pool.
+#[derive(Clone, Debug)]
+struct QueueWait {
+    pool: PoolName,
+    deadline: TimePoint,
+}
+
 /// Runs one request.
 #[derive(Debug)]
 pub struct RequestRunner {
@@ -59,6 +70,7 @@
     rated: Option<AttemptNumber>,
     claim_pending: bool,
     released: bool,
+    wait: Option<QueueWait>,
     ticket: Option<QueueTicket>,
     waits: Vec<AbortOnDropHandle<()>>,
     attempt_receiver: mpsc::Receiver<AttemptSignal>,
@@ -98,6 +110,7 @@
             rated: None,
             claim_pending: false,
             released: false,
+            wait: None,
             ticket: None,
             waits: Vec::new(),
             attempt_receiver,
@@ -151,8 +164,7 @@
             }
             AttemptSignal::Finished { attempt, reply } => {
                 if let Some(running) = self.attempts.get_mut(attempt) {
-                    running.reply = Some(reply);
-                    running.free_slot();
+                    running.finish(reply);
                     if matches!(self.job.work, RequestWork::Chat(_)) {
                         let (target, started_at) = (&running.target, running.started_at);
                         let route = &self.job.route;
@@ -273,7 +285,7 @@
             }
             RequestAction::DeliverStored => self.deliver_stored(timeout).await,
             RequestAction::Fail { reason, run } => {
-                let error = describe_failure(self.job.route.id, reason, run);
+                let error = self.describe_end(reason, run);
                 self.channel.send_error(error, timeout).await;
             }
         }
@@ -349,11 +361,21 @@
         self.claim.close(end, reply.as_ref(), version).await;
     }
 
-    /// Lets the request wait for a server of a pool.
+    /// Lets the request wait for a server of a pool; one that was let out keeps its place.
     fn join_queue(&mut self, pool: PoolName) {
-        let context = &self.context;
-        let longest = context.timers.now() + context.live().routing.queue_timeout;
-        let deadline = self.job.deadline.min(longest);
+        let kept = self.wait.take().filter(|wait| wait.pool == pool);
+        let returns = kept.is_some();
+        let now = self.context.timers.now();
+        let longest = self.context.live().routing.queue_timeout;
+        let queue = &self.context.queue;
+        let deadline = match kept {
+            Some(wait) => wait.deadline,
+            None => queue.wait_deadline(&pool, now, self.job.deadline, longest),
+        };
+        self.wait = Some(QueueWait {
+            pool: pool.clone(),
+            deadline,
+        });
         let entry = QueueEntry {
             ticket: QueueTicket::default(),
             pool,
@@ -362,7 +384,11 @@
             priority: self.job.route.priority,
             deadline,
         };
-        let (ticket, ended) = context.queue.join(entry);
+        let (ticket, ended) = if returns {
+            queue.rejoin(entry)
+        } else {
+            queue.join(entry)
+        };
         self.ticket = Some(ticket);
         let context = self.context.clone();
         self.spawn_wait(async move {
@@ -377,6 +403,22 @@
         });
     }
 
+    /// Describes why the request ends without a whole answer.
+    fn describe_end(&self, reason: FailureReason, run: RunState) -> CallerError {
+        let error = describe_failure(self.job.route.id, reason, run);
+        let expected = match (reason, &self.wait) {
+            (FailureReason::Refused(RefusalReason::Overloaded), Some(wait)) => {
+                self.context.queue.expected_wait(&wait.pool)
+            }
+            _ => None,
+        };
+        let expected = expected.map(|time| time.min(LONGEST_RETRY).as_millis() as u64);
+        CallerError {
+            retry_after_ms: error.retry_after_ms.max(expected),
+            ..error
+        }
+    }
+
     /// Sends an attempt unless the configuration changed since its decision or its claim lapsed.
     fn dispatch(
         &mut self,
@@ -394,6 +436,7 @@
                 delivered: 0,
             });
         }
+        self.wait = None;
         self.attempts.start(attempt, target, 0);
         None
     }
--- a/galenamast/tests/path/admission.rs
+++ b/galenamast/tests/path/admission.rs
@@ -119,3 +119,30 @@
     assert!(refused.header("retry-after").is_some());
     eventually("nothing is left in flight", || context.board.is_empty()).await;
 }
+
+#[test]
+fn a_full_queue_keeps_the_share_of_each_workspace() {
+    let mut queue = AdmissionQueue::new(4);
+    for ticket in 0..4 {
+        queue.push(entry(ticket, "large", RequestPriority::High));
+    }
+    let shed: Vec<QueueVerdict> = (4..7)
+        .map(|ticket| queue.push(entry(ticket, "small", RequestPriority::Low)))
+        .collect();
+    assert_eq!(shed[0], QueueVerdict::Displaced(QueueTicket(3)));
+    assert_eq!(shed[1], QueueVerdict::Displaced(QueueTicket(2)));
+    assert_eq!(shed[2], QueueVerdict::Rejected);
+}
+
+#[test]
+fn a_request_that_found_no_server_is_not_charged() {
+    let mut queue = AdmissionQueue::new(10);
+    queue.push(entry(1, "a", RequestPriority::Normal));
+    queue.push(entry(2, "b", RequestPriority::Normal));
+    let out = queue.pop(&"consejero".into(), TimePoint::ZERO);
+    let out = out.expect("a request waits");
+    assert_eq!(out.workspace.as_str(), "a");
+    queue.give_back(&out);
+    queue.push(out);
+    assert_eq!(pop(&mut queue).as_deref(), Some("a"));
+}
--- a/galenamast/tests/path/main.rs
+++ b/galenamast/tests/path/main.rs
@@ -9,6 +9,7 @@
 mod machine_faults;
 mod machine_model;
 mod overload;
+mod overload_model;
 mod quality;
 mod quarantine;
 mod reload;
