Write the engine's body without a copy of the conversation, and a log line at once

Cause: each attempt copied all messages to change the model's name before encoding them; the logger wrote text and line end of each line by calls of their own. Change: the body is encoded from borrowed fields; a line buffer gathers the pieces. What is sent and logged is unchanged. The effect was not measured.

--- a/galenamast/src/logging.rs
+++ b/galenamast/src/logging.rs
@@ -1,7 +1,7 @@
 //! JSON-lines logging through simplelog.
 
 use std::fs::OpenOptions;
-use std::io::{self, Write};
+use std::io::{self, LineWriter, Write};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, LazyLock, Mutex, OnceLock, PoisonError};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
@@ -19,6 +19,8 @@
 /// Target of every log line; other crates' lines are filtered out, so that each line is JSON.
 const LOG_TARGET: &str = "galenamast";
 
+/// Size of the buffer that gathers the pieces of a line, in bytes, so that it is written at once.
+const LINE_BUFFER_BYTES: usize = 16 * 1_024;
 /// Decisions that a slow reader may fall behind before it loses some.
 const DECISION_BACKLOG: usize = 1_024;
 
@@ -61,6 +63,7 @@
     };
     LOG_DECISIONS.store(settings.decisions, Ordering::Relaxed);
     // A second start in one process keeps the first logger, which tests rely on.
+    let writer = LineWriter::with_capacity(LINE_BUFFER_BYTES, writer);
     let _ = WriteLogger::init(settings.level, undecorated_config(), writer);
     Ok(())
 }
--- a/galenamast/src/protocol/chat_messages.rs
+++ b/galenamast/src/protocol/chat_messages.rs
@@ -24,6 +24,18 @@
     pub rest: Map<String, Value>,
 }
 
+/// A chat completion request as it goes to a model engine.
+#[derive(Debug, Serialize)]
+struct EngineRequest<'a> {
+    model: &'a str,
+    messages: &'a [ChatMessage],
+    stream: bool,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    max_tokens: Option<u32>,
+    #[serde(flatten)]
+    rest: &'a Map<String, Value>,
+}
+
 /// A message of a conversation.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ChatMessage {
@@ -67,6 +79,35 @@
         Ok(request)
     }
 
+    /// Encodes the request as it goes to a model engine, which is told the version to run.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a field cannot be written as JSON.
+    ///
+    /// ```
+    /// use galenamast::protocol::ChatRequest;
+    ///
+    /// let body = br#"{"model":"auto","messages":[{"role":"user","content":"boots?"}],"n":1}"#;
+    /// let request = ChatRequest::decode(body).unwrap();
+    /// let sent = ChatRequest::decode(&request.encode_for("advice@small").unwrap()).unwrap();
+    /// assert_eq!(sent.model, "advice@small");
+    /// assert_eq!((sent.messages, sent.rest), (request.messages, request.rest));
+    /// ```
+    pub fn encode_for(&self, version: &str) -> Result<Vec<u8>, ProtocolError> {
+        let request = EngineRequest {
+            model: version,
+            messages: &self.messages,
+            stream: self.stream,
+            max_tokens: self.max_tokens,
+            rest: &self.rest,
+        };
+        serde_json::to_vec(&request).map_err(|source| ProtocolError::Json {
+            what: "chat request",
+            source,
+        })
+    }
+
     /// Estimates the length of the prompt, in tokens, at four bytes a token.
     pub fn estimate_prompt_tokens(&self) -> u32 {
         let bytes: usize = self
--- a/galenamast/src/transport/request_attempts.rs
+++ b/galenamast/src/transport/request_attempts.rs
@@ -11,7 +11,6 @@
 
 use crate::coordination::{AttemptFailure, AttemptNumber, DirectoryEvent, ServerDeath};
 use crate::logging::log_fault;
-use crate::protocol::ChatRequest;
 use crate::state::{InFlightCounter, PoolName, RequestId, RouteTarget, ServerName, TimePoint};
 use crate::transport::answer_report::report_failure;
 use crate::transport::backend_attempt::{AttemptKind, AttemptSignal, AttemptTask};
@@ -206,11 +205,8 @@
         let job = &self.job;
         let (method, path, content_type, body) = match &job.work {
             RequestWork::Chat(chat) => {
-                let sent = ChatRequest {
-                    model: target.version.to_string(),
-                    ..chat.clone()
-                };
-                let body = serde_json::to_vec(&sent).unwrap_or_default();
+                let version = target.version.to_string();
+                let body = chat.encode_for(&version).unwrap_or_default();
                 let json = HeaderValue::from_static("application/json");
                 let path = CHAT_PATH.to_owned();
                 (Method::POST, path, Some(json), Bytes::from(body))
