Remove a second loader of the configuration that nothing called

Read badly: the loader in transport was a copy of the one that the tests use, and the host reads its configuration through the keeper. Behaviour unchanged.

--- a/galenamast/src/transport/mod.rs
+++ b/galenamast/src/transport/mod.rs
@@ -19,7 +19,6 @@
 pub mod claim_request;
 pub mod claim_runner;
 pub mod config_cleaner;
-pub mod config_loader;
 pub mod config_runner;
 pub mod config_writer;
 pub mod crash_sharing;
