Let the fetched configuration choose whom to ask next

Read badly: the keeper reached into five fields of its candidate to choose a source and to start over. Change: ConfigCandidate is a type of its own with these steps. Behaviour and tests unchanged.

--- a/galenamast/src/coordination/config_keeper.rs
+++ b/galenamast/src/coordination/config_keeper.rs
@@ -1,6 +1,6 @@
 //! Keeps the configuration of a host at the newest generation and knows how fresh it is.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,6 +8,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::coordination::config_candidate::ConfigCandidate;
 use crate::coordination::config_check::check_image;
 use crate::coordination::config_documents::{EncodedObject, ObjectDigest, assemble_image};
 use crate::coordination::config_event::{ConfigAction, ConfigEvent, ConfigSource};
@@ -25,10 +26,6 @@
 const FAILURES_TO_WIDEN: u32 = 2;
 /// Hosts of a failure domain that read the head themselves at a time when watchers fail.
 const FALLBACK_READERS: f64 = 4.0;
-/// Missing objects up to which the platform is asked first for a head that it offered.
-const FEW_OBJECTS: usize = 4;
-/// Hosts that are asked for objects before the platform is.
-const MAX_PEERS_TRIED: usize = 3;
 /// Time after which a fetch that got nowhere starts over.
 const FETCH_RETRY: Duration = Duration::from_secs(1);
 /// Time after which a fetch without any answer is given up.
@@ -55,19 +52,6 @@
     }
 }
 
-/// A newer configuration that is being fetched.
-#[derive(Clone, Debug)]
-struct ConfigCandidate {
-    generation: ConfigGeneration,
-    entries: BTreeMap<String, ObjectDigest>,
-    source: ConfigSource,
-    confirmed: ConfigFreshness,
-    tried: BTreeSet<HostName>,
-    tried_platform: bool,
-    since: TimePoint,
-    retry_at: Option<TimePoint>,
-}
-
 /// A newer generation that another host offered and whose entries were asked for.
 #[derive(Clone, Debug)]
 struct ConfigOffer {
@@ -248,10 +232,7 @@
         };
         let due = candidate.retry_at.is_some_and(|at| now >= at);
         if due || expired(candidate.since) {
-            candidate.retry_at = None;
-            candidate.since = now;
-            candidate.tried.clear();
-            candidate.tried_platform = false;
+            candidate.start_over(now);
             self.advance(None, now);
         }
     }
@@ -392,22 +373,14 @@
         if generation <= newest.max(current.unwrap_or_default()) {
             return;
         }
-        self.candidate = Some(ConfigCandidate {
-            generation,
-            entries,
-            source,
-            confirmed,
-            tried: BTreeSet::new(),
-            tried_platform: false,
-            since: now,
-            retry_at: None,
-        });
+        let candidate = ConfigCandidate::new(generation, entries, source, confirmed, now);
+        self.candidate = Some(candidate);
         self.advance(None, now);
     }
 
     /// Adopts the candidate if all its objects are held, or asks the next source for them.
     fn advance(&mut self, again: Option<ConfigSource>, now: TimePoint) {
-        let Some(candidate) = &self.candidate else {
+        let Some(candidate) = &mut self.candidate else {
             return;
         };
         let missing = self.store.missing(&candidate.entries);
@@ -415,10 +388,8 @@
             self.adopt();
             return;
         }
-        let source = again.or_else(|| self.next_source(missing.len()));
-        let Some(candidate) = &mut self.candidate else {
-            return;
-        };
+        let source = again
+            .or_else(|| candidate.next_source(missing.len(), &self.table, &mut self.generator));
         match source {
             Some(source) => {
                 candidate.since = now;
@@ -430,35 +401,6 @@
         }
     }
 
-    /// Chooses whom to ask next for the candidate's objects.
-    fn next_source(&mut self, missing: usize) -> Option<ConfigSource> {
-        let candidate = self.candidate.as_mut()?;
-        let offered_by_platform = candidate.source == ConfigSource::Platform;
-        let platform_first = offered_by_platform && missing <= FEW_OBJECTS;
-        if platform_first && !candidate.tried_platform {
-            candidate.tried_platform = true;
-            return Some(ConfigSource::Platform);
-        }
-        if let ConfigSource::Peer(host) = &candidate.source
-            && candidate.tried.insert(host.clone())
-        {
-            return Some(ConfigSource::Peer(host.clone()));
-        }
-        if candidate.tried.len() < MAX_PEERS_TRIED {
-            let peers = self.table.live_peers().map(|record| &record.name);
-            let peers = peers.filter(|name| !candidate.tried.contains(*name));
-            if let Some(host) = peers.choose(&mut self.generator) {
-                candidate.tried.insert(host.clone());
-                return Some(ConfigSource::Peer(host.clone()));
-            }
-        }
-        if candidate.tried_platform {
-            return None;
-        }
-        candidate.tried_platform = true;
-        Some(ConfigSource::Platform)
-    }
-
     /// Checks the candidate and puts it into force.
     fn adopt(&mut self) {
         let Some(candidate) = self.candidate.take() else {
--- a/galenamast/src/coordination/mod.rs
+++ b/galenamast/src/coordination/mod.rs
@@ -14,6 +14,7 @@
 pub mod claim_key;
 pub mod claim_machine;
 pub mod config_change;
+mod config_candidate;
 pub mod config_check;
 pub mod config_documents;
 pub mod config_event;
