Take queueing and billing out of the runner of a request

Change: RequestWait joins, rejoins and leaves the queue (also when dropped), and bill_request records the use. Behaviour and tests unchanged.

--- a/galenamast/src/transport/request_runner.rs
+++ b/galenamast/src/transport/request_runner.rs
@@ -4,20 +4,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::Level;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::coordination::{
-    AttemptFailure, AttemptNumber, ClaimEnd, FailureReason, QueueEntry, QueueTicket, RequestAction,
-    RequestEvent, RequestGuards, RequestMachine, RequestPlan, UsageRecord,
-};
-use crate::logging::log_record;
-use crate::protocol::{CallerError, ChatText, ErrorCode, LogRecord};
-use crate::state::{
-    ConfigGeneration, PoolName, RefusalReason, RouteTarget, RunState, TimePoint, VersionKey,
+    AttemptFailure, AttemptNumber, ClaimEnd, FailureReason, RequestAction, RequestEvent,
+    RequestGuards, RequestMachine, RequestPlan,
 };
+use crate::protocol::{CallerError, ChatText, ErrorCode};
+use crate::state::{ConfigGeneration, RefusalReason, RouteTarget, RunState, VersionKey};
 use crate::transport::answer_report::{KeptEvents, rate_delivered, report_answer, report_rating};
 use crate::transport::backend_attempt::AttemptSignal;
 use crate::transport::caller_channel::CallerChannel;
@@ -28,14 +24,14 @@
 use crate::transport::queue_gate::WaitEnd;
 use crate::transport::rating_client::rate_answer;
 use crate::transport::request_attempts::{AttemptSet, RunningAttempt};
+use crate::transport::request_billing::bill_request;
 use crate::transport::request_claim::RequestClaim;
 use crate::transport::request_router::{RouteAsk, make_decision};
 use crate::transport::request_session::token_for;
+use crate::transport::request_wait::RequestWait;
 
 /// Signals of attempts that wait to be handled; a full channel slows the servers down.
 const BUFFERED_SIGNALS: usize = 16;
-/// Longest time after which a caller is told to try again because servers are full.
-const LONGEST_RETRY: Duration = Duration::from_secs(60);
 
 /// Something that the runner waits for beside its attempts.
 #[derive(Debug)]
@@ -48,13 +44,6 @@
     WaitEnded(WaitEnd),
 }
 
-/// The wait of a request for a server of a pool.
-#[derive(Clone, Debug)]
-struct QueueWait {
-    pool: PoolName,
-    deadline: TimePoint,
-}
-
 /// Runs one request.
 #[derive(Debug)]
 pub struct RequestRunner {
@@ -69,9 +58,7 @@
     kept: KeptEvents,
     rated: Option<AttemptNumber>,
     claim_pending: bool,
-    released: bool,
-    wait: Option<QueueWait>,
-    ticket: Option<QueueTicket>,
+    wait: RequestWait,
     waits: Vec<AbortOnDropHandle<()>>,
     attempt_receiver: mpsc::Receiver<AttemptSignal>,
     signal_sender: mpsc::UnboundedSender<RunnerSignal>,
@@ -101,6 +88,7 @@
             machine: RequestMachine::new(plan),
             attempts: AttemptSet::new(context.clone(), job.clone(), attempt_sender),
             claim: RequestClaim::new(context.clone(), job.clone()),
+            wait: RequestWait::new(context.clone(), job.clone()),
             context,
             job,
             channel,
@@ -109,9 +97,6 @@
             kept: KeptEvents::default(),
             rated: None,
             claim_pending: false,
-            released: false,
-            wait: None,
-            ticket: None,
             waits: Vec::new(),
             attempt_receiver,
             signal_sender,
@@ -138,9 +123,6 @@
                 }
             }
         }
-        if let Some(ticket) = self.ticket {
-            self.context.queue.leave(ticket);
-        }
     }
 
     /// Hands an event to the machine and performs its actions, until nothing follows.
@@ -221,14 +203,7 @@
                 self.claim_pending = false;
                 RequestEvent::ClaimAnswered(self.claim.take_verdict(verdict))
             }
-            RunnerSignal::WaitEnded(end) => {
-                self.ticket = None;
-                self.released = end == WaitEnd::Released;
-                match end {
-                    WaitEnd::Released => RequestEvent::QueueReleased,
-                    WaitEnd::Shed => RequestEvent::QueueExpired,
-                }
-            }
+            RunnerSignal::WaitEnded(end) => self.wait.end(end),
         };
         self.feed(event).await;
     }
@@ -248,11 +223,14 @@
                     excluded,
                     version,
                     attempt: self.attempts.next_number(),
-                    released: std::mem::take(&mut self.released),
+                    released: self.wait.take_released(),
                 };
                 return Some(make_decision(&self.context, ask));
             }
-            RequestAction::Wait(pool) => self.join_queue(pool),
+            RequestAction::Wait(pool) => {
+                let end = self.wait.join(pool);
+                self.spawn_wait(async move { RunnerSignal::WaitEnded(end.await) });
+            }
             RequestAction::Dispatch {
                 attempt,
                 target,
@@ -361,58 +339,12 @@
         self.claim.close(end, reply.as_ref(), version).await;
     }
 
-    /// Lets the request wait for a server of a pool; one that was let out keeps its place.
-    fn join_queue(&mut self, pool: PoolName) {
-        let kept = self.wait.take().filter(|wait| wait.pool == pool);
-        let returns = kept.is_some();
-        let now = self.context.timers.now();
-        let longest = self.context.live().routing.queue_timeout;
-        let queue = &self.context.queue;
-        let deadline = match kept {
-            Some(wait) => wait.deadline,
-            None => queue.wait_deadline(&pool, now, self.job.deadline, longest),
-        };
-        self.wait = Some(QueueWait {
-            pool: pool.clone(),
-            deadline,
-        });
-        let entry = QueueEntry {
-            ticket: QueueTicket::default(),
-            pool,
-            workspace: self.job.route.workspace.clone(),
-            weight: self.job.weight,
-            priority: self.job.route.priority,
-            deadline,
-        };
-        let (ticket, ended) = if returns {
-            queue.rejoin(entry)
-        } else {
-            queue.join(entry)
-        };
-        self.ticket = Some(ticket);
-        let context = self.context.clone();
-        self.spawn_wait(async move {
-            let end = tokio::select! {
-                end = ended => end.unwrap_or(WaitEnd::Shed),
-                () = context.timers.sleep_until(deadline) => {
-                    context.queue.leave(ticket);
-                    WaitEnd::Shed
-                }
-            };
-            RunnerSignal::WaitEnded(end)
-        });
-    }
-
     /// Describes why the request ends without a whole answer.
     fn describe_end(&self, reason: FailureReason, run: RunState) -> CallerError {
         let error = describe_failure(self.job.route.id, reason, run);
-        let expected = match (reason, &self.wait) {
-            (FailureReason::Refused(RefusalReason::Overloaded), Some(wait)) => {
-                self.context.queue.expected_wait(&wait.pool)
-            }
-            _ => None,
-        };
-        let expected = expected.map(|time| time.min(LONGEST_RETRY).as_millis() as u64);
+        let overloaded = reason == FailureReason::Refused(RefusalReason::Overloaded);
+        let expected = self.wait.expected().filter(|_| overloaded);
+        let expected = expected.map(|time| time.as_millis() as u64);
         CallerError {
             retry_after_ms: error.retry_after_ms.max(expected),
             ..error
@@ -436,7 +368,7 @@
                 delivered: 0,
             });
         }
-        self.wait = None;
+        self.wait.give_up_place();
         self.attempts.start(attempt, target, 0);
         None
     }
@@ -466,27 +398,8 @@
             return;
         };
         let usage = running.reply.as_ref().map(|reply| reply.usage);
-        let usage = usage.unwrap_or_default();
         let version = self.version_of(&running.target);
-        let image = self.context.image.load_full();
-        let spec = version.as_ref().and_then(|version| image.version(version));
-        let price = spec.map_or(0, |spec| {
-            spec.price_of(usage.prompt_tokens, usage.completion_tokens)
-        });
-        let record = UsageRecord {
-            request_id: self.job.route.id,
-            workspace: self.job.route.workspace.clone(),
-            task: self.job.route.task.clone(),
-            version,
-            input_tokens: usage.prompt_tokens,
-            output_tokens: usage.completion_tokens,
-            price,
-            ended_unix_ms: self.context.timers.unix_millis(),
-        };
-        log_record(Level::Info, &LogRecord::Usage(record.clone()));
-        if let Some(ledger) = &self.context.ledger {
-            ledger.record(record).await;
-        }
+        bill_request(&self.context, &self.job, version, usage.unwrap_or_default()).await;
     }
 
     /// Waits apart from the runner and sends the result to it.
