--- a/galenamast/src/coordination/mod.rs
+++ b/galenamast/src/coordination/mod.rs
@@ -113,7 +113,6 @@
 pub use lease_document::{LeaseDocument, LeaseOwner, LeaseRecord, LeaseStatus};
 pub use lease_machine::LeaseMachine;
 pub use lease_messages::{LeaseAction, LeaseEvent, LeaseSettings};
-pub use lease_machine::{LeaseAction, LeaseEvent, LeaseMachine, LeaseSettings};
 pub use load_board::LoadBoard;
 pub use load_digest::{
     LoadEntry, PoolSummary, ServerSign, ServerTag, digest_versions, summarize_pools,
