--- a/galenamast/src/transport/request_runner.rs
+++ b/galenamast/src/transport/request_runner.rs
@@ -4,18 +4,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::Level;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::coordination::{
-    AttemptFailure, AttemptNumber, ClaimEnd, QueueEntry, QueueTicket, RequestAction, RequestEvent,
-    RequestGuards, RequestMachine, RequestPlan, UsageRecord,
+    AttemptFailure, AttemptNumber, ClaimEnd, FailureReason, RequestAction, RequestEvent,
+    RequestGuards, RequestMachine, RequestPlan,
 };
-use crate::logging::log_record;
-use crate::protocol::{CallerError, ChatText, ErrorCode, LogRecord};
-use crate::state::{ConfigGeneration, PoolName, RouteTarget, RunState, VersionKey};
+use crate::protocol::{CallerError, ChatText, ErrorCode};
+use crate::state::{ConfigGeneration, RefusalReason, RouteTarget, RunState, VersionKey};
 use crate::transport::answer_report::{KeptEvents, rate_delivered, report_answer, report_rating};
 use crate::transport::backend_attempt::AttemptSignal;
 use crate::transport::caller_channel::CallerChannel;
@@ -26,9 +24,11 @@
 use crate::transport::queue_gate::WaitEnd;
 use crate::transport::rating_client::rate_answer;
 use crate::transport::request_attempts::{AttemptSet, RunningAttempt};
+use crate::transport::request_billing::bill_request;
 use crate::transport::request_claim::RequestClaim;
 use crate::transport::request_router::{RouteAsk, make_decision};
 use crate::transport::request_session::token_for;
+use crate::transport::request_wait::RequestWait;
 
 /// Signals of attempts that wait to be handled; a full channel slows the servers down.
 const BUFFERED_SIGNALS: usize = 16;
@@ -58,8 +58,7 @@
     kept: KeptEvents,
     rated: Option<AttemptNumber>,
     claim_pending: bool,
-    released: bool,
-    ticket: Option<QueueTicket>,
+    wait: RequestWait,
     waits: Vec<AbortOnDropHandle<()>>,
     attempt_receiver: mpsc::Receiver<AttemptSignal>,
     signal_sender: mpsc::UnboundedSender<RunnerSignal>,
@@ -89,6 +88,7 @@
             machine: RequestMachine::new(plan),
             attempts: AttemptSet::new(context.clone(), job.clone(), attempt_sender),
             claim: RequestClaim::new(context.clone(), job.clone()),
+            wait: RequestWait::new(context.clone(), job.clone()),
             context,
             job,
             channel,
@@ -97,8 +97,6 @@
             kept: KeptEvents::default(),
             rated: None,
             claim_pending: false,
-            released: false,
-            ticket: None,
             waits: Vec::new(),
             attempt_receiver,
             signal_sender,
@@ -125,9 +123,6 @@
                 }
             }
         }
-        if let Some(ticket) = self.ticket {
-            self.context.queue.leave(ticket);
-        }
     }
 
     /// Hands an event to the machine and performs its actions, until nothing follows.
@@ -151,8 +146,7 @@
             }
             AttemptSignal::Finished { attempt, reply } => {
                 if let Some(running) = self.attempts.get_mut(attempt) {
-                    running.reply = Some(reply);
-                    running.free_slot();
+                    running.finish(reply);
                     if matches!(self.job.work, RequestWork::Chat(_)) {
                         let (target, started_at) = (&running.target, running.started_at);
                         let route = &self.job.route;
@@ -209,14 +203,7 @@
                 self.claim_pending = false;
                 RequestEvent::ClaimAnswered(self.claim.take_verdict(verdict))
             }
-            RunnerSignal::WaitEnded(end) => {
-                self.ticket = None;
-                self.released = end == WaitEnd::Released;
-                match end {
-                    WaitEnd::Released => RequestEvent::QueueReleased,
-                    WaitEnd::Shed => RequestEvent::QueueExpired,
-                }
-            }
+            RunnerSignal::WaitEnded(end) => self.wait.end(end),
         };
         self.feed(event).await;
     }
@@ -236,11 +223,14 @@
                     excluded,
                     version,
                     attempt: self.attempts.next_number(),
-                    released: std::mem::take(&mut self.released),
+                    released: self.wait.take_released(),
                 };
                 return Some(make_decision(&self.context, ask));
             }
-            RequestAction::Wait(pool) => self.join_queue(pool),
+            RequestAction::Wait(pool) => {
+                let end = self.wait.join(pool);
+                self.spawn_wait(async move { RunnerSignal::WaitEnded(end.await) });
+            }
             RequestAction::Dispatch {
                 attempt,
                 target,
@@ -273,7 +263,7 @@
             }
             RequestAction::DeliverStored => self.deliver_stored(timeout).await,
             RequestAction::Fail { reason, run } => {
-                let error = describe_failure(self.job.route.id, reason, run);
+                let error = self.describe_end(reason, run);
                 self.channel.send_error(error, timeout).await;
             }
         }
@@ -349,32 +339,16 @@
         self.claim.close(end, reply.as_ref(), version).await;
     }
 
-    /// Lets the request wait for a server of a pool.
-    fn join_queue(&mut self, pool: PoolName) {
-        let context = &self.context;
-        let longest = context.timers.now() + context.live().routing.queue_timeout;
-        let deadline = self.job.deadline.min(longest);
-        let entry = QueueEntry {
-            ticket: QueueTicket::default(),
-            pool,
-            workspace: self.job.route.workspace.clone(),
-            weight: self.job.weight,
-            priority: self.job.route.priority,
-            deadline,
-        };
-        let (ticket, ended) = context.queue.join(entry);
-        self.ticket = Some(ticket);
-        let context = self.context.clone();
-        self.spawn_wait(async move {
-            let end = tokio::select! {
-                end = ended => end.unwrap_or(WaitEnd::Shed),
-                () = context.timers.sleep_until(deadline) => {
-                    context.queue.leave(ticket);
-                    WaitEnd::Shed
-                }
-            };
-            RunnerSignal::WaitEnded(end)
-        });
+    /// Describes why the request ends without a whole answer.
+    fn describe_end(&self, reason: FailureReason, run: RunState) -> CallerError {
+        let error = describe_failure(self.job.route.id, reason, run);
+        let overloaded = reason == FailureReason::Refused(RefusalReason::Overloaded);
+        let expected = self.wait.expected().filter(|_| overloaded);
+        let expected = expected.map(|time| time.as_millis() as u64);
+        CallerError {
+            retry_after_ms: error.retry_after_ms.max(expected),
+            ..error
+        }
     }
 
     /// Sends an attempt unless the configuration changed since its decision or its claim lapsed.
@@ -394,6 +368,7 @@
                 delivered: 0,
             });
         }
+        self.wait.give_up_place();
         self.attempts.start(attempt, target, 0);
         None
     }
@@ -423,27 +398,8 @@
             return;
         };
         let usage = running.reply.as_ref().map(|reply| reply.usage);
-        let usage = usage.unwrap_or_default();
         let version = self.version_of(&running.target);
-        let image = self.context.image.load_full();
-        let spec = version.as_ref().and_then(|version| image.version(version));
-        let price = spec.map_or(0, |spec| {
-            spec.price_of(usage.prompt_tokens, usage.completion_tokens)
-        });
-        let record = UsageRecord {
-            request_id: self.job.route.id,
-            workspace: self.job.route.workspace.clone(),
-            task: self.job.route.task.clone(),
-            version,
-            input_tokens: usage.prompt_tokens,
-            output_tokens: usage.completion_tokens,
-            price,
-            ended_unix_ms: self.context.timers.unix_millis(),
-        };
-        log_record(Level::Info, &LogRecord::Usage(record.clone()));
-        if let Some(ledger) = &self.context.ledger {
-            ledger.record(record).await;
-        }
+        bill_request(&self.context, &self.job, version, usage.unwrap_or_default()).await;
     }
 
     /// Waits apart from the runner and sends the result to it.
