--- a/galenamast/src/protocol/soft_state.rs
+++ b/galenamast/src/protocol/soft_state.rs
@@ -2,8 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::{BrakeNote, CrashNote};
-use crate::state::ConfigGeneration;
+use crate::coordination::{
+    BrakeNote, CrashNote, DemandDigest, DomainDemand, EvidenceNews, PoolSummary, RatingNews,
+};
+use crate::state::{ConfigGeneration, QualityDigest};
 
 /// A piece of soft state.
 ///
@@ -18,4 +20,16 @@
     Crash(CrashNote),
     /// A version takes no new work.
     Brake(BrakeNote),
+    /// The servers of a version in another failure domain.
+    Pool(PoolSummary),
+    /// Sums of ratings and latencies.
+    Quality(QualityDigest),
+    /// Evidence on a version.
+    Evidence(EvidenceNews),
+    /// Counts of rated answers.
+    Ratings(RatingNews),
+    /// Demand of workspaces on one host, for its own failure domain.
+    Demand(DemandDigest),
+    /// Demand of workspaces in a failure domain, for the other ones.
+    DomainDemand(DomainDemand),
 }
--- a/galenamast/src/transport/peer_mesh.rs
+++ b/galenamast/src/transport/peer_mesh.rs
@@ -7,14 +7,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use futures_util::future::BoxFuture;
 use tokio::sync::mpsc;
 
 use crate::config::Settings;
 use crate::coordination::{
-    ByteBudget, GossipItem, GossipQueue, MemberEvent, MemberRecord, MemberStatus, MemberTable,
-    PeerScope, PeerTarget,
+    ByteBudget, GossipItem, GossipQueue, LoadEntry, MemberEvent, MemberRecord, MemberStatus,
+    MemberTable, PeerScope, PeerTarget,
 };
 use crate::protocol::{PeerMessage, PeerReply, PeerRequest, SoftState, decode_frame, encode_frame};
 use crate::state::{DomainName, HostName};
@@ -40,14 +40,18 @@
 /// Answers requests of other hosts; `None` leaves the request to the next handler.
 pub type RequestHandler =
     Arc<dyn Fn(&HostName, &PeerRequest) -> Option<BoxFuture<'static, PeerReply>> + Send + Sync>;
+/// Takes in measurements of the load of backend servers.
+pub type LoadHandler = Arc<dyn Fn(Vec<LoadEntry>) + Send + Sync>;
 /// Takes in soft state of other hosts.
 pub type SoftHandler = Arc<dyn Fn(&HostName, &SoftState) + Send + Sync>;
 
 /// Bytes and messages since the start of the process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PeerCounts {
-    /// Bytes sent, with an estimate of what the lower protocols add.
+    /// Bytes of control messages sent, with an estimate of what the lower protocols add.
     pub bytes_sent: u64,
+    /// Bytes of requests and replies sent that follow the callers' traffic, with the same estimate.
+    pub traffic_bytes_sent: u64,
     /// Bytes received, with the same estimate.
     pub bytes_received: u64,
     /// Messages and replies sent.
@@ -75,8 +79,10 @@
     budget: Mutex<ByteBudget>,
     request_handlers: ArcSwap<Vec<RequestHandler>>,
     soft_handlers: ArcSwap<Vec<SoftHandler>>,
+    load_handler: ArcSwapOption<LoadHandler>,
     serial: AtomicU64,
     bytes_sent: AtomicU64,
+    traffic_bytes_sent: AtomicU64,
     bytes_received: AtomicU64,
     messages_sent: AtomicU64,
     dropped: AtomicU64,
@@ -126,7 +132,9 @@
             budget: Mutex::new(budget),
             request_handlers: ArcSwap::default(),
             soft_handlers: ArcSwap::default(),
+            load_handler: ArcSwapOption::empty(),
             bytes_sent: AtomicU64::new(0),
+            traffic_bytes_sent: AtomicU64::new(0),
             bytes_received: AtomicU64::new(0),
             messages_sent: AtomicU64::new(0),
             dropped: AtomicU64::new(0),
@@ -161,6 +169,7 @@
         let load = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
         PeerCounts {
             bytes_sent: load(&self.shared.bytes_sent),
+            traffic_bytes_sent: load(&self.shared.traffic_bytes_sent),
             bytes_received: load(&self.shared.bytes_received),
             messages_sent: load(&self.shared.messages_sent),
             dropped: load(&self.shared.dropped),
@@ -203,6 +212,29 @@
         });
     }
 
+    /// Sets the handler of measurements of the load of backend servers.
+    pub fn on_loads(&self, handler: LoadHandler) {
+        self.shared.load_handler.store(Some(Arc::new(handler)));
+    }
+
+    /// Sends measurements to a live host of the own failure domain; they may be lost.
+    pub fn send_loads(&self, host: &HostName, entries: Vec<LoadEntry>) {
+        if let Some(record) = self.members().members.get(host) {
+            let target = PeerTarget {
+                name: Some(host.clone()),
+                address: record.address,
+            };
+            self.send(&target, &PeerMessage::Loads(entries));
+        }
+    }
+
+    /// Hands measurements to their handler.
+    pub(crate) fn deliver_loads(&self, entries: Vec<LoadEntry>) {
+        if let Some(handler) = self.shared.load_handler.load_full() {
+            handler(entries);
+        }
+    }
+
     /// Tells a piece of soft state to other hosts; it may be lost.
     ///
     /// # Errors
@@ -267,7 +299,7 @@
         if self.shared.links.is_blocked(&address) {
             return Err(peer_error(host, &"the address is blocked"));
         }
-        self.wait_for_budget(bytes.len()).await;
+        self.meter(request, bytes.len()).await;
         let link = match self.shared.links.find(&address) {
             Some(link) if link.host == *host => link,
             _ => self.connect(address, Some(host)).await?,
@@ -288,7 +320,7 @@
         let Ok(bytes) = encode_frame(message) else {
             return;
         };
-        let soft = matches!(message, PeerMessage::Gossip(_));
+        let soft = !matches!(message, PeerMessage::Member(_));
         let now = self.shared.timers.now();
         let size = bytes.len() + OVERHEAD_BYTES;
         if !lock(&self.shared.budget).take(size, soft, now) {
@@ -312,9 +344,15 @@
         });
     }
 
-    /// Waits until the byte rate allows a request or reply, and counts it.
-    pub(crate) async fn wait_for_budget(&self, bytes: usize) {
+    /// Counts a request or its reply; one of control waits until the byte rate allows it.
+    pub(crate) async fn meter(&self, request: &PeerRequest, bytes: usize) {
         let size = bytes + OVERHEAD_BYTES;
+        if request.follows_traffic() {
+            let size = u64::try_from(size).unwrap_or(u64::MAX);
+            let sent = &self.shared.traffic_bytes_sent;
+            sent.fetch_add(size, Ordering::Relaxed);
+            return;
+        }
         loop {
             let now = self.shared.timers.now();
             let taken = lock(&self.shared.budget).borrow(size, now);
