--- a/galenamast/src/coordination/evidence_news.rs
+++ b/galenamast/src/coordination/evidence_news.rs
@@ -12,6 +12,9 @@
 /// Epochs of each kind of evidence that are told: the current one and the one before it.
 const TOLD_EPOCHS: usize = 2;
 
+/// Kinds of evidence: ratings, recent ratings, low and very low ratings, errors and latency.
+const KINDS: usize = 6;
+
 /// Capital of one kind of evidence in one epoch, rounded to single precision.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PackedCapital {
@@ -34,10 +37,10 @@
     pub version: VersionKey,
     /// Version that it is compared with; `None` for its own past.
     pub baseline: Option<VersionKey>,
-    /// Current epoch of each kind: ratings, low ratings, errors, latency.
-    pub epochs: [u64; 4],
+    /// Current epoch of each kind: ratings, recent, low and very low ratings, errors, latency.
+    pub epochs: [u64; KINDS],
     /// Capital of each kind.
-    pub capital: [Vec<PackedCapital>; 4],
+    pub capital: Box<[Vec<PackedCapital>; KINDS]>,
 }
 
 impl EvidenceNews {
@@ -50,7 +53,7 @@
             version: evidence.version.clone(),
             baseline: evidence.baseline.clone(),
             epochs: kinds.map(|kind| kind.epoch),
-            capital: kinds.map(pack_kind),
+            capital: Box::new(kinds.map(pack_kind)),
         }
     }
 
@@ -66,25 +69,29 @@
             baseline: self.baseline.clone(),
             digest: TestDigest {
                 ratings: kind(0),
-                low_ratings: kind(1),
-                errors: kind(2),
-                latency: kind(3),
+                recent_ratings: kind(1),
+                low_ratings: [kind(2), kind(3)],
+                errors: kind(4),
+                latency: kind(5),
             },
         }
     }
 
     /// Returns the observations that the recent part rests on, by kind.
-    pub fn observations(&self) -> [u64; 4] {
+    pub fn observations(&self) -> [u64; KINDS] {
         let count = |kind: &Vec<PackedCapital>| kind.iter().map(|capital| capital.count).sum();
         self.capital.each_ref().map(count)
     }
 }
 
 /// Returns the kinds of evidence in the order in which they are told.
-fn kinds_of(digest: &TestDigest) -> [&EvidenceDigest; 4] {
+fn kinds_of(digest: &TestDigest) -> [&EvidenceDigest; KINDS] {
+    let [low, very_low] = &digest.low_ratings;
     [
         &digest.ratings,
-        &digest.low_ratings,
+        &digest.recent_ratings,
+        low,
+        very_low,
         &digest.errors,
         &digest.latency,
     ]
@@ -122,4 +129,4 @@
 }
 
 /// Observations by version and baseline that were told last.
-pub(crate) type ToldEvidence = BTreeMap<(VersionKey, Option<VersionKey>), [u64; 4]>;
+pub(crate) type ToldEvidence = BTreeMap<(VersionKey, Option<VersionKey>), [u64; KINDS]>;
--- a/galenamast/src/coordination/quality_exchange.rs
+++ b/galenamast/src/coordination/quality_exchange.rs
@@ -28,7 +28,7 @@
 /// Size of a cell's numbers, in bytes.
 const CELL_BYTES: usize = 40;
 /// Size of a version's evidence without names, in bytes.
-const EVIDENCE_BYTES: usize = 260;
+const EVIDENCE_BYTES: usize = 390;
 
 /// One piece of news for the other hosts.
 #[derive(Clone, Debug, PartialEq)]
