Cut, kill and replace whole hosts in a testbed, and check promises over nine of them

Cause: promises were shown per mechanism; no test ran nine hosts of several failure domains on real sockets and compared what callers got with what ran and what was billed. Change: the testbed gets a fleet whose hosts run on threads of their own, reach the object API through gates of their own and can be cut off, killed and replaced. Engines serve orders. Tests cover cut-off domains, replacement under load, start without the platform, withdrawal, a slow, silent or lossy platform and the loss of an engine. Before: no such test.

--- a/fakes/src/fake_engine.rs
+++ b/fakes/src/fake_engine.rs
@@ -14,6 +14,7 @@
 use serde_json::{Value, json};
 
 use crate::engine_answer::{AnswerPlan, stream_answer, whole_answer};
+use crate::engine_orders::{EngineOrders, OrderOptions, OrderedVersion};
 use crate::fault_plan::FaultSwitch;
 use crate::listener::FakeListener;
 
@@ -28,8 +29,10 @@
     pub token_gap: Duration,
     /// Tokens of each answer.
     pub answer_tokens: u32,
-    /// Whether the engine refuses orders with an old fencing number.
-    pub checks_fencing: bool,
+    /// How the engine takes orders; `None` if it takes none and serves all its versions.
+    ///
+    /// An engine that takes orders serves what it has loaded of its versions.
+    pub orders: Option<OrderOptions>,
 }
 
 impl Default for EngineOptions {
@@ -39,7 +42,7 @@
             first_token: Duration::ZERO,
             token_gap: Duration::ZERO,
             answer_tokens: 8,
-            checks_fencing: true,
+            orders: None,
         }
     }
 }
@@ -84,6 +87,7 @@
     draining: AtomicBool,
     crashed: tokio_util::sync::CancellationToken,
     faults: FaultSwitch,
+    orders: Option<Arc<EngineOrders>>,
 }
 
 /// A request that the engine started.
@@ -142,7 +146,9 @@
 impl FakeEngine {
     /// Starts an engine.
     pub async fn start(options: EngineOptions) -> Self {
+        let orders = options.orders.clone().map(EngineOrders::new);
         let state = Arc::new(EngineState {
+            orders: orders.clone(),
             options: Mutex::new(options),
             engine_faults: Mutex::default(),
             runs: Mutex::default(),
@@ -153,10 +159,13 @@
             crashed: tokio_util::sync::CancellationToken::new(),
             faults: FaultSwitch::default(),
         });
-        let routes = Router::new()
+        let mut routes = Router::new()
             .route("/v1/chat/completions", post(run_chat))
             .route("/load", get(report_load))
             .with_state(state.clone());
+        if let Some(orders) = &orders {
+            routes = routes.merge(orders.routes());
+        }
         let listener = FakeListener::start_until(routes, state.crashed.clone()).await;
         Self { state, listener }
     }
@@ -171,6 +180,11 @@
         &self.state.faults
     }
 
+    /// Returns the orders, if the engine takes any.
+    pub fn orders(&self) -> Option<&Arc<EngineOrders>> {
+        self.state.orders.as_ref()
+    }
+
     /// Changes the faults that only engines have.
     pub fn set_faults(&self, change: impl FnOnce(&mut EngineFaults)) {
         change(&mut lock(&self.state.engine_faults));
@@ -219,6 +233,21 @@
 }
 
 impl EngineState {
+    /// Returns the quality of the answers by version, for the versions that are served.
+    fn served(&self) -> BTreeMap<String, f64> {
+        let mut versions = lock(&self.options).versions.clone();
+        if let Some(orders) = &self.orders {
+            let loaded = orders.state().loaded;
+            versions.retain(|version, _| {
+                let names = version.split_once('@');
+                names.is_some_and(|(model, version)| {
+                    loaded.contains(&OrderedVersion::new(model, version))
+                })
+            });
+        }
+        versions
+    }
+
     /// Decides how the next answer goes.
     fn plan_answer(&self, request_id: &str, version: &str, quality: f64) -> AnswerPlan {
         let options = lock(&self.options).clone();
@@ -251,9 +280,8 @@
     if lock(&state.engine_faults).hang_load {
         std::future::pending::<()>().await;
     }
-    let options = lock(&state.options).clone();
-    let versions: Vec<Value> = options
-        .versions
+    let versions: Vec<Value> = state
+        .served()
         .keys()
         .filter_map(|version| version.split_once('@'))
         .map(|(model, version)| json!({ "model": model, "version": version }))
@@ -286,7 +314,7 @@
         return (StatusCode::SERVICE_UNAVAILABLE, [("x-not-started", "true")]).into_response();
     }
     let version = body["model"].as_str().unwrap_or_default().to_owned();
-    let quality = lock(&state.options).versions.get(&version).copied();
+    let quality = state.served().get(&version).copied();
     let Some(quality) = quality else {
         return (StatusCode::NOT_FOUND, [("x-not-started", "true")]).into_response();
     };
--- /dev/null
+++ b/galenamast/tests/fleet_failures/cuts.rs
@@ -0,0 +1,137 @@
+//! A failure domain that is cut off from its peers, from the platform, and from both.
+
+use std::time::{Duration, Instant};
+
+use galenamast::coordination::ConfigObject;
+use galenamast::state::{PoolSpec, VersionStage};
+use galenamast_testbed::{CutSide, Fleet, wait_until};
+
+use crate::ledger_check::{check_all, check_answered};
+use crate::support::{TRIAL_BOUND, admit, change, start_trial_fleet, withdraw};
+use crate::traffic::{Call, CallKind, CallSite, Traffic};
+
+/// Failure domain that is cut off.
+const CUT: &str = "jamnagar";
+/// Time from a cut until a version under roll-out takes no more work in the domain.
+const STOP_LIMIT: Duration = Duration::from_secs(10);
+
+/// Starts callers of the hosts that are to be cut off and callers of the others.
+fn start_callers(fleet: &Fleet) -> (Traffic, Traffic) {
+    let options = &fleet.deployment.options;
+    let (inside, outside): (Vec<_>, Vec<_>) =
+        fleet.hosts.values().partition(|host| host.domain == CUT);
+    let addresses = |hosts: Vec<&galenamast_testbed::FleetHost>| {
+        let hosts = hosts.into_iter();
+        hosts.map(|host| host.entry().caller_address()).collect()
+    };
+    (
+        Traffic::start(options, "inside", addresses(inside)),
+        Traffic::start(options, "outside", addresses(outside)),
+    )
+}
+
+/// Returns the chats and streams among some calls.
+fn idempotent(calls: &[Call]) -> Vec<Call> {
+    let idempotent = calls.iter().filter(|call| call.kind != CallKind::Claim);
+    idempotent.cloned().collect()
+}
+
+/// Sends the claims that were not answered again, to a host of the other side.
+async fn resend_claims(fleet: &Fleet, calls: &[Call]) -> Vec<Call> {
+    let site = CallSite::of(&fleet.deployment.options);
+    let target = fleet.address("rajkot-0");
+    let mut resent = Vec::new();
+    for call in calls {
+        if call.kind == CallKind::Claim && !call.is_answered() {
+            resent.push(Call::make(&site, CallKind::Claim, &call.key, target).await);
+        }
+    }
+    resent
+}
+
+/// Cuts the domain off in the middle of traffic, changes the configuration on the other side, heals,
+/// and checks every promise.
+async fn cut_and_heal(sides: &[CutSide]) {
+    let _admitted = admit().await;
+    let mut fleet = start_trial_fleet().await;
+    let (inside, outside) = start_callers(&fleet);
+    inside.go_on(5).await;
+    let before = inside.ended().len();
+    fleet.cut(CUT, sides);
+    let cut_at = Instant::now();
+    let isolated = sides.len() == 2;
+    if isolated {
+        wait_until("the domain knows that it is out of date", || {
+            let mut hosts = fleet.hosts_of(CUT);
+            hosts.all(|host| host.entry().context().tables.load().config_age > TRIAL_BOUND)
+        })
+        .await;
+    }
+    let withdrawn = withdraw(&fleet, "small").await;
+    let pool = PoolSpec {
+        name: "added-meanwhile".into(),
+        ..Default::default()
+    };
+    let added = change(&fleet, "add", vec![ConfigObject::Pool(pool)]).await;
+    let added = added.expect("the change is accepted").generation;
+    inside.go_on(5).await;
+    outside.go_on(5).await;
+    let during = inside.ended().split_off(before);
+    fleet.heal();
+    fleet.wait_for_generation(added).await;
+    inside.go_on(3).await;
+    let mut calls = inside.stop().await;
+    let outside = outside.stop().await;
+    // Established versions and idempotent work go on everywhere and all the time.
+    check_answered(&idempotent(&calls));
+    check_answered(&outside);
+    if isolated {
+        let late = during.iter().filter(|call| call.sent > cut_at + STOP_LIMIT);
+        let trial = late.filter(|call| call.version() == Some("trial")).count();
+        assert_eq!(
+            trial, 0,
+            "the version under roll-out goes on after its bound"
+        );
+        let last = during.iter().rfind(|call| call.kind == CallKind::Chat);
+        assert_ne!(last.and_then(Call::version), Some("trial"));
+    }
+    if sides.contains(&CutSide::Platform) {
+        let refused = |call: &&Call| call.kind == CallKind::Claim && call.is_refused();
+        assert!(
+            during.iter().any(|call| refused(&call)),
+            "no claim was refused"
+        );
+        let claims = calls.iter().filter(|call| call.kind == CallKind::Claim);
+        for call in claims.filter(|call| !call.is_answered()) {
+            assert!(call.reply.is_some(), "a caller got no answer: {call:?}");
+        }
+    } else {
+        check_answered(&calls);
+    }
+    // Nothing that was accepted reverts.
+    assert!(withdrawn < added);
+    for host in fleet.hosts.values() {
+        let image = host.entry().context().image.load();
+        assert!(image.pools.contains_key(&"added-meanwhile".into()));
+        let stage = image.models[&"advice".into()].versions[&"small".into()].stage;
+        assert_eq!(stage, VersionStage::Withdrawn);
+    }
+    calls.extend(resend_claims(&fleet, &calls).await);
+    calls.extend(outside);
+    check_all(fleet, &calls).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_domain_cut_off_from_its_peers_keeps_every_promise() {
+    cut_and_heal(&[CutSide::Peers]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_domain_cut_off_from_the_platform_keeps_every_promise() {
+    cut_and_heal(&[CutSide::Platform]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_domain_cut_off_from_both_keeps_every_promise() {
+    cut_and_heal(&[CutSide::Peers, CutSide::Platform]).await;
+}
--- /dev/null
+++ b/galenamast/tests/fleet_failures/main.rs
@@ -0,0 +1,11 @@
+//! What must always hold, over several entry hosts of several failure domains that fail.
+
+mod cuts;
+mod ledger_check;
+mod placement;
+mod platform;
+mod replacement;
+mod starting;
+mod support;
+mod traffic;
+mod withdrawal;
--- a/testbed/src/caller.rs
+++ b/testbed/src/caller.rs
@@ -33,6 +33,14 @@
         self.headers.get(name).map(String::as_str)
     }
 
+    /// Returns whether a streamed answer arrived whole.
+    pub fn ended(&self) -> bool {
+        let bytes = self.body.as_deref().unwrap_or_default();
+        String::from_utf8_lossy(bytes)
+            .trim_end()
+            .ends_with("data: [DONE]")
+    }
+
     /// Decodes the body as JSON; null if it is not.
     pub fn json(&self) -> Value {
         let bytes = self.body.as_deref().unwrap_or_default();
@@ -81,6 +89,24 @@
         .await
     }
 
+    /// Asks for a streamed chat answer and reads it to its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no answer arrives.
+    pub async fn stream(
+        &self,
+        host: SocketAddr,
+        content: &str,
+        headers: &[(&str, &str)],
+    ) -> Result<CallerReply, TransportError> {
+        let message = json!({ "role": "user", "content": content });
+        let body = json!({ "model": "auto", "stream": true, "messages": [message] });
+        let path = "/v1/chat/completions";
+        self.send(Method::POST, host, path, Some(&body), headers)
+            .await
+    }
+
     /// Sends any request and reads the whole answer.
     ///
     /// # Errors
--- /dev/null
+++ b/testbed/src/host_runtime.rs
@@ -0,0 +1,58 @@
+//! Threads of one entry host, which end with it however it ends.
+
+use std::future::Future;
+
+use tokio::runtime::{Builder, Runtime};
+
+/// Threads of one entry host.
+const HOST_THREADS: usize = 2;
+
+/// Runs one entry host; dropping it ends every task of the host at once.
+#[derive(Debug)]
+pub struct HostRuntime {
+    runtime: Option<Runtime>,
+}
+
+impl HostRuntime {
+    /// Starts the threads of a host.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no thread can be started.
+    pub fn start(name: &str) -> Self {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(HOST_THREADS)
+            .thread_name(name)
+            .enable_all()
+            .build();
+        Self {
+            runtime: Some(runtime.expect("threads can be started")),
+        }
+    }
+
+    /// Runs a task on the host's threads.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the task does.
+    pub async fn run<T: Send + 'static>(
+        &self,
+        task: impl Future<Output = T> + Send + 'static,
+    ) -> T {
+        let runtime = self.runtime.as_ref().expect("the host runs");
+        runtime.spawn(task).await.expect("the task ends")
+    }
+
+    /// Ends every task of the host at once; none gets to clean up after itself.
+    pub fn kill(self) {
+        drop(self);
+    }
+}
+
+impl Drop for HostRuntime {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
