--- a/galenamast/tests/fleet_failures/cuts.rs
+++ b/galenamast/tests/fleet_failures/cuts.rs
@@ -53,7 +53,7 @@
 /// and checks every promise.
 async fn cut_and_heal(sides: &[CutSide]) {
     let _admitted = admit().await;
-    let mut fleet = start_trial_fleet().await;
+    let mut fleet = start_trial_fleet(1_000).await;
     let (inside, outside) = start_callers(&fleet);
     inside.go_on(5).await;
     let before = inside.ended().len();
--- a/galenamast/tests/fleet_failures/placement.rs
+++ b/galenamast/tests/fleet_failures/placement.rs
@@ -1,5 +1,8 @@
 //! Placement in whole deployments.
 
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
 use galenamast::coordination::ConfigObject;
 use galenamast::state::{ConfigGeneration, VersionKey};
 use galenamast_fakes::OrderOptions;
@@ -9,6 +12,11 @@
 use crate::support::{admit, three_domains};
 use crate::traffic::{Call, CallKind, CallSite};
 
+/// Time for which the holder of a lease is paused, longer than the lease.
+const PAUSE: Duration = Duration::from_secs(30);
+/// Time that the paused holder gets to act late.
+const AFTER_PAUSE: Duration = Duration::from_secs(2);
+
 /// Describes one failure domain whose three engines serve nothing until they are ordered to.
 fn ordered_engines() -> DeploymentOptions {
     let mut options = three_domains();
@@ -32,9 +40,8 @@
     serving.map(|(name, _)| name.clone()).collect()
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn a_lost_engine_is_replaced_by_placement() {
-    let _admitted = admit().await;
+/// Starts hosts that place versions on engines.
+async fn start_placing() -> Fleet {
     let deployment = Deployment::without_hosts(ordered_engines()).await;
     let deployment = deployment.expect("the stand-ins start");
     let mut documents = deployment.default_documents();
@@ -44,17 +51,63 @@
         }
     }
     publish_config(&deployment.objects, ConfigGeneration(1), &documents).expect("it encodes");
-    let fleet = Fleet::start_on(deployment).await.expect("the hosts start");
-    let large = VersionKey::new("advice", "large");
-    fleet.wait_for_version(&large).await;
-    let lost = servers_of(&fleet.deployment, &large);
+    Fleet::start_on(deployment).await.expect("the hosts start")
+}
+
+/// Kills the engines that serve a version, and waits until another one does.
+async fn lose_engines(fleet: &Fleet, version: &VersionKey) {
+    let lost = servers_of(&fleet.deployment, version);
+    assert!(!lost.is_empty());
     for name in &lost {
         fleet.deployment.engines[name].kill();
     }
     wait_until("another engine serves the version", || {
-        !servers_of(&fleet.deployment, &large).is_empty()
+        !servers_of(&fleet.deployment, version).is_empty()
     })
     .await;
+}
+
+/// Returns the host that holds the placement of the failure domain.
+fn holder_of(fleet: &Fleet) -> Option<String> {
+    let domain = &fleet.deployment.options.domains[0];
+    let lease = fleet
+        .deployment
+        .objects
+        .get("lease", &format!("placement-{domain}"))?;
+    Some(lease["owner"]["host"].as_str()?.to_owned())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_holder_that_is_paused_gives_no_order_after_its_successor() {
+    let _admitted = admit().await;
+    let fleet = start_placing().await;
+    let large = VersionKey::new("advice", "large");
+    fleet.wait_for_version(&large).await;
+    let holder = holder_of(&fleet).expect("a host places versions");
+    fleet.hosts[&holder].pause(PAUSE);
+    let paused = Instant::now();
+    lose_engines(&fleet, &large).await;
+    let successor = holder_of(&fleet).expect("a host places versions");
+    assert_ne!(successor, holder);
+    tokio::time::sleep_until((paused + PAUSE + AFTER_PAUSE).into()).await;
+    for engine in fleet.deployment.engines.values() {
+        let taken = engine.orders().expect("the engine takes orders").taken();
+        assert!(taken.is_sorted_by_key(|order| order.term), "{taken:?}");
+        let last = taken.last().map(|order| order.term);
+        let late = taken.iter().filter(|order| Some(order.term) == last);
+        let holders: BTreeSet<_> = late.map(|order| &order.holder).collect();
+        assert!(holders.len() <= 1, "{holders:?} ordered in one term");
+    }
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_engine_is_replaced_by_placement() {
+    let _admitted = admit().await;
+    let fleet = start_placing().await;
+    let large = VersionKey::new("advice", "large");
+    fleet.wait_for_version(&large).await;
+    lose_engines(&fleet, &large).await;
     fleet.wait_for_version(&large).await;
     let site = CallSite::of(&fleet.deployment.options);
     let mut calls = Vec::new();
@@ -62,6 +115,5 @@
         calls.push(Call::make(&site, CallKind::Chat, &format!("call {index}"), host).await);
     }
     check_answered(&calls);
-    assert!(!lost.is_empty());
     fleet.stop().await;
 }
--- a/galenamast/tests/fleet_failures/support.rs
+++ b/galenamast/tests/fleet_failures/support.rs
@@ -5,7 +5,8 @@
 
 use galenamast::coordination::{ChangeReceipt, ChangeRefusal, ConfigChange, ConfigObject};
 use galenamast::state::{
-    ConfigGeneration, ModelSpec, RolloutSpec, VersionSpec, VersionStage, WorkspaceSpec,
+    ConfigGeneration, ModelSpec, RolloutSpec, SecretKey, SessionKeys, VersionSpec, VersionStage,
+    WorkspaceSpec,
 };
 use galenamast::transport::{ConfigWriter, HttpClient, ObjectClient, TimerService};
 use galenamast_fakes::EngineOptions;
@@ -66,17 +67,18 @@
     model
 }
 
-/// Writes a configuration in which `trial` takes all new work as long as it may.
-pub(crate) fn publish_trial(deployment: &Deployment) {
+/// Writes a configuration in which `trial` takes a share of new work, in thousandths, as long
+/// as it may.
+pub(crate) fn publish_trial(deployment: &Deployment, share: u32) {
     let rollout = RolloutSpec {
         name: "trial".into(),
         model: "advice".into(),
         candidate: "trial".into(),
         baseline: "large".into(),
-        step_shares: vec![1_000],
+        step_shares: vec![share],
         ..Default::default()
     };
-    let mut documents = deployment.default_documents();
+    let mut documents = keyed_documents(deployment);
     for document in &mut documents {
         match document {
             ConfigObject::Model(model) => *model = model_with(deployment, &[]),
@@ -91,18 +93,36 @@
     publish_config(&deployment.objects, ConfigGeneration(1), &documents).expect("it encodes");
 }
 
+/// Returns the default configuration with the keys that all hosts share.
+pub(crate) fn keyed_documents(deployment: &Deployment) -> Vec<ConfigObject> {
+    let mut documents = deployment.default_documents();
+    documents.push(ConfigObject::SessionKeys(SessionKeys {
+        current: SecretKey::from_bytes([9; 32]),
+        previous: None,
+    }));
+    documents
+}
+
 /// Starts nine hosts in three failure domains.
 pub(crate) async fn start_fleet() -> Fleet {
-    Fleet::start(three_domains())
-        .await
-        .expect("the hosts start")
+    start_with(three_domains()).await
+}
+
+/// Starts the hosts that some options describe.
+pub(crate) async fn start_with(options: DeploymentOptions) -> Fleet {
+    let deployment = Deployment::without_hosts(options).await;
+    let deployment = deployment.expect("the stand-ins start");
+    let documents = keyed_documents(&deployment);
+    publish_config(&deployment.objects, ConfigGeneration(1), &documents).expect("it encodes");
+    Fleet::start_on(deployment).await.expect("the hosts start")
 }
 
-/// Starts nine hosts in three failure domains, with a version under roll-out.
-pub(crate) async fn start_trial_fleet() -> Fleet {
+/// Starts nine hosts in three failure domains, with a version under roll-out that takes a
+/// share of new work, in thousandths.
+pub(crate) async fn start_trial_fleet(share: u32) -> Fleet {
     let deployment = Deployment::without_hosts(three_domains()).await;
     let deployment = deployment.expect("the stand-ins start");
-    publish_trial(&deployment);
+    publish_trial(&deployment, share);
     Fleet::start_on(deployment).await.expect("the hosts start")
 }
 
--- a/galenamast/tests/fleet_failures/withdrawal.rs
+++ b/galenamast/tests/fleet_failures/withdrawal.rs
@@ -49,7 +49,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_withdrawn_candidate_gets_no_new_work_in_a_domain_that_is_cut_off() {
     let _admitted = admit().await;
-    let mut fleet = start_trial_fleet().await;
+    let mut fleet = start_trial_fleet(1_000).await;
     let traffic = Traffic::start(&fleet.deployment.options, "load", fleet.addresses());
     traffic.go_on(10).await;
     assert!(!runs_of(&fleet, "trial").is_empty());
--- a/testbed/src/fleet.rs
+++ b/testbed/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use galenamast::config::Settings;
 use galenamast::coordination::MemberRecord;
@@ -9,6 +10,7 @@
 use galenamast::state::{ConfigGeneration, ServerLife, VersionKey};
 use galenamast::transport::{PeerMesh, TransportError};
 use galenamast_fakes::{EngineRun, ObjectGate};
+use tokio::task::JoinSet;
 
 use crate::deployment::{Deployment, DeploymentOptions};
 use crate::fleet_settings::tune_settings;
@@ -47,6 +49,11 @@
         self.entry.context().image.load().generation
     }
 
+    /// Holds all threads of the host for a time, as a paused machine would.
+    pub fn pause(&self, time: Duration) {
+        self.runtime.pause(time);
+    }
+
     /// Returns whether the host sees an engine of its domain that serves a version.
     fn sees(&self, version: &VersionKey) -> bool {
         let tables = self.entry.context().tables.load();
@@ -318,11 +325,27 @@
         .await;
     }
 
-    /// Stops all entry hosts gracefully and returns the stand-ins.
-    pub async fn stop(mut self) -> Deployment {
-        let names: Vec<String> = self.hosts.keys().cloned().collect();
-        for name in names {
-            self.stop_host(&name).await;
+    /// Stops all entry hosts gracefully and at once, and returns the stand-ins.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a host fails while it stops.
+    pub async fn stop(self) -> Deployment {
+        let mut stopping = JoinSet::new();
+        for host in self.hosts.into_values() {
+            let FleetHost {
+                entry,
+                runtime,
+                gate,
+                ..
+            } = host;
+            stopping.spawn(async move {
+                runtime.run(entry.stop()).await;
+                drop(gate);
+            });
+        }
+        while let Some(stopped) = stopping.join_next().await {
+            stopped.expect("the host stops");
         }
         self.deployment
     }
--- a/testbed/src/host_runtime.rs
+++ b/testbed/src/host_runtime.rs
@@ -1,6 +1,8 @@
 //! Threads of one entry host, which end with it however it ends.
 
 use std::future::Future;
+use std::sync::{Arc, Barrier};
+use std::time::Duration;
 
 use tokio::runtime::{Builder, Runtime};
 
@@ -43,6 +45,24 @@
         runtime.spawn(task).await.expect("the task ends")
     }
 
+    /// Holds all threads of the host for a time, as a paused machine would.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the host does not run.
+    pub fn pause(&self, time: Duration) {
+        let runtime = self.runtime.as_ref().expect("the host runs");
+        let barrier = Arc::new(Barrier::new(HOST_THREADS));
+        for _ in 0..HOST_THREADS {
+            let barrier = barrier.clone();
+            runtime.spawn(async move {
+                // Each thread takes one of these tasks, as none goes on before all are taken.
+                barrier.wait();
+                std::thread::sleep(time);
+            });
+        }
+    }
+
     /// Ends every task of the host at once; none gets to clean up after itself.
     pub fn kill(self) {
         drop(self);
