Tell hosts that start later of requests that servers died of

Cause: notes of such deaths went out once, by gossip. A host that started afterwards, or was cut off meanwhile, never got them, so that a poison request resent after every host was replaced killed again. Ruled out: telling all notes again by gossip from time to time, whose cost grows with hosts. Change: each host asks one random known host for its notes, every 250 ms until the first reply and every 5 s then; a reply holds at most 64 notes, and a known death keeps its expiry. Conclusion: the quarantine outlives the hosts that saw the deaths.

--- a/galenamast/src/coordination/crash_quarantine.rs
+++ b/galenamast/src/coordination/crash_quarantine.rs
@@ -166,6 +166,51 @@
         );
     }
 
+    /// Returns the deaths on record for a host that may not know them, the longest valid first.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use galenamast::coordination::{CrashFingerprint, CrashQuarantine, ServerDeath};
+    /// use galenamast::state::TimePoint;
+    ///
+    /// let mut quarantine = CrashQuarantine::new(Duration::from_secs(60));
+    /// let death = ServerDeath {
+    ///     server: "engine".into(),
+    ///     incarnation: 1,
+    ///     suspects: vec![CrashFingerprint(7)],
+    /// };
+    /// quarantine.record_death(&death, TimePoint::ZERO);
+    /// let notes = quarantine.notes(8, TimePoint::from_millis(10_000));
+    /// assert_eq!(notes[0].valid_for, Duration::from_secs(50));
+    /// ```
+    pub fn notes(&self, limit: usize, now: TimePoint) -> Vec<CrashNote> {
+        let mut notes = Vec::new();
+        for (fingerprint, deaths) in &self.accused {
+            let valid = deaths.iter().filter(|(_, entry)| entry.expiry > now);
+            notes.extend(valid.map(|((server, incarnation), entry)| CrashNote {
+                fingerprint: *fingerprint,
+                server: server.clone(),
+                incarnation: *incarnation,
+                points: entry.points,
+                valid_for: entry.expiry.since(now),
+            }));
+        }
+        notes.sort_by_key(|note| std::cmp::Reverse(note.valid_for));
+        notes.truncate(limit);
+        notes
+    }
+
+    /// Takes in a note that another host kept, unless the death is on record already.
+    pub fn learn_note(&mut self, note: &CrashNote, now: TimePoint) {
+        self.expire(now);
+        let death = (note.server.clone(), note.incarnation);
+        let deaths = self.accused.get(&note.fingerprint);
+        if !deaths.is_some_and(|deaths| deaths.contains_key(&death)) {
+            self.apply_note(note, now);
+        }
+    }
+
     /// Returns for how long a request is still refused.
     pub fn refused_for(&self, fingerprint: CrashFingerprint, now: TimePoint) -> Option<Duration> {
         let deaths = self.accused.get(&fingerprint)?;
--- a/galenamast/src/event_loop.rs
+++ b/galenamast/src/event_loop.rs
@@ -16,7 +16,7 @@
 use crate::protocol::LogRecord;
 use crate::transport::caller_server::CallerServer;
 use crate::transport::caller_tls::load_tls;
-use crate::transport::crash_sharing::follow_crash_notes;
+use crate::transport::crash_sharing::{exchange_crash_notes, follow_crash_notes};
 use crate::transport::host_list_poller::{follow_servers, poll_host_list, poll_loads};
 use crate::transport::metrics_reporter::{report_gauges, start_metrics};
 use crate::transport::operator_server::start_operator_server;
@@ -65,6 +65,7 @@
         tasks.extend(start_usage_peers(&context));
         tasks.extend(start_duties(&context));
         follow_crash_notes(&context);
+        tasks.push(tokio::spawn(exchange_crash_notes(context.clone())));
         follow_brakes(&context);
         if let Some(answers) = context.take_answers() {
             tasks.push(tokio::spawn(follow_answers(context.clone(), answers)));
--- a/galenamast/src/protocol/peer_request.rs
+++ b/galenamast/src/protocol/peer_request.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::{
-    ConfigEntries, ConfigNotice, ConfigProbe, EncodedObject, ObjectDigest, UsageCopy,
+    ConfigEntries, ConfigNotice, ConfigProbe, CrashNote, EncodedObject, ObjectDigest, UsageCopy,
 };
 use crate::state::ConfigGeneration;
 
@@ -27,6 +27,8 @@
     },
     /// Asks the host to hold a copy of a usage record.
     StoreUsage(UsageCopy),
+    /// Asks which requests servers died of.
+    ReadCrashNotes,
 }
 
 /// The reply of another entry host.
@@ -45,4 +47,6 @@
     ConfigEntries(ConfigEntries),
     /// Configuration objects.
     ConfigObjects(Vec<EncodedObject>),
+    /// Requests that servers died of, as many as fit.
+    CrashNotes(Vec<CrashNote>),
 }
--- a/galenamast/src/transport/crash_sharing.rs
+++ b/galenamast/src/transport/crash_sharing.rs
@@ -1,13 +1,21 @@
 //! Shares the fingerprints of requests that servers died of between entry hosts.
 
 use std::sync::{Arc, PoisonError};
+use std::time::Duration;
 
 use crate::coordination::{CrashNote, PeerScope};
 use crate::logging::log_fault;
-use crate::protocol::SoftState;
+use crate::protocol::{PeerReply, PeerRequest, SoftState};
 use crate::state::HostName;
 use crate::transport::host_context::HostContext;
-use crate::transport::peer_mesh::SoftHandler;
+use crate::transport::peer_mesh::{PeerMesh, RequestHandler, SoftHandler};
+
+/// Time between two looks for another host to ask until one has replied.
+const FIRST_ASK_PERIOD: Duration = Duration::from_millis(250);
+/// Time between two questions after that, for hosts that missed notes while they were cut off.
+const ASK_PERIOD: Duration = Duration::from_secs(5);
+/// Greatest number of notes in a reply.
+const MAX_NOTES: usize = 64;
 
 /// Takes in the notes of other entry hosts from now on.
 pub fn follow_crash_notes(context: &Arc<HostContext>) {
@@ -24,6 +32,69 @@
     mesh.on_soft_state(&handler);
 }
 
+/// Answers other hosts' questions for notes from now on, and asks for theirs until aborted.
+///
+/// Gossip reaches the hosts that run and can be reached when a server dies; the others ask.
+pub async fn exchange_crash_notes(context: Arc<HostContext>) {
+    let Some(mesh) = context.peers.get() else {
+        return;
+    };
+    mesh.on_request(&note_handler(&context));
+    let mut period = FIRST_ASK_PERIOD;
+    loop {
+        context.timers.sleep(period).await;
+        let Some(peer) = choose_peer(mesh, context.next_seed()) else {
+            continue;
+        };
+        let reply = mesh.request(&peer, PeerRequest::ReadCrashNotes).await;
+        if let Ok(PeerReply::CrashNotes(notes)) = reply {
+            period = ASK_PERIOD;
+            learn_crash_notes(&context, &notes);
+        }
+    }
+}
+
+/// Returns the handler that tells another host the notes of this one.
+fn note_handler(context: &Arc<HostContext>) -> RequestHandler {
+    let context = Arc::downgrade(context);
+    Arc::new(move |_, request| {
+        if *request != PeerRequest::ReadCrashNotes {
+            return None;
+        }
+        let context = context.upgrade()?;
+        let now = context.timers.now();
+        let quarantine = context.quarantine.lock();
+        let notes = quarantine
+            .unwrap_or_else(PoisonError::into_inner)
+            .notes(MAX_NOTES, now);
+        Some(Box::pin(std::future::ready(PeerReply::CrashNotes(notes))))
+    })
+}
+
+/// Chooses one of the known live hosts.
+fn choose_peer(mesh: &PeerMesh, seed: u64) -> Option<HostName> {
+    let members = mesh.members();
+    let contacts = members.contacts.values();
+    let contacts = contacts.filter(|record| record.is_live());
+    let known: Vec<&HostName> = members
+        .live_peers()
+        .chain(contacts)
+        .map(|record| &record.name)
+        .collect();
+    let index = usize::try_from(seed).unwrap_or_default() % known.len().max(1);
+    known.get(index).map(|name| HostName::clone(name))
+}
+
+/// Takes in the notes that another host kept.
+fn learn_crash_notes(context: &HostContext, notes: &[CrashNote]) {
+    let now = context.timers.now();
+    let quarantine = context.quarantine.lock();
+    let mut quarantine = quarantine.unwrap_or_else(PoisonError::into_inner);
+    for note in notes {
+        quarantine.learn_note(note, now);
+    }
+}
+
 /// Tells other entry hosts of requests that servers died of.
 pub fn share_crash_notes(context: &HostContext, notes: &[CrashNote]) {
     let Some(mesh) = context.peers.get() else {
