Report the propagation of changes and withdrawals

The example now runs with the defaults of periods and rates; its figures follow when that run has ended.

--- a/galenamast/examples/propagation.rs
+++ b/galenamast/examples/propagation.rs
@@ -11,6 +11,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use galenamast::config::Settings;
 use galenamast::coordination::{ConfigChange, ConfigObject};
 use galenamast::state::{ConfigGeneration, PoolSpec, VersionStage};
 use galenamast::transport::{ConfigWriter, HttpClient, ObjectClient, TimerService};
@@ -102,7 +103,8 @@
         let mut fleet = Fleet::without_hosts(deployment);
         for index in 0..HOSTS {
             let domain = &domains[index % domains.len()];
-            fleet.add(&format!("host-{index}"), domain).await?;
+            let name = format!("host-{index}");
+            fleet.add_with(&name, domain, use_defaults).await?;
         }
         fleet.wait_until_whole().await;
         Ok(Self {
@@ -173,7 +175,7 @@
         for name in names.iter().take(RESTARTS) {
             let domain = self.fleet.hosts[name].domain.clone();
             self.fleet.kill(name);
-            self.fleet.add(name, &domain).await?;
+            self.fleet.add_with(name, &domain, use_defaults).await?;
             let restarted = Instant::now();
             while restarted.elapsed() < RESTART_PERIOD {
                 figures.add(self.propagate().await?)?;
@@ -229,6 +231,15 @@
     }
 }
 
+/// Puts the default periods and rates in the place of those that tests use.
+fn use_defaults(settings: &mut Settings) {
+    let defaults = Settings::default();
+    settings.peers.probe_period = defaults.peers.probe_period;
+    settings.peers.suspicion_time = defaults.peers.suspicion_time;
+    settings.peers.bytes_per_second = defaults.peers.bytes_per_second;
+    settings.platform.calls_per_second = defaults.platform.calls_per_second;
+}
+
 /// Callers of all entry hosts.
 struct Callers {
     stopping: Arc<AtomicBool>,
