Ask several hosts for crash notes after a start (built, not tested)

Cause supposed: a host that has just started may ask one that knows no notes yet, and then waits 5 s before it asks again. Change: a host asks up to eight known hosts once each, 100 ms apart, and a random one every 5 s then. Measured: nothing; no test was run with this change. Conclusion: none yet.

--- a/galenamast/src/transport/crash_sharing.rs
+++ b/galenamast/src/transport/crash_sharing.rs
@@ -1,5 +1,6 @@
 //! Shares the fingerprints of requests that servers died of between entry hosts.
 
+use std::collections::BTreeSet;
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
@@ -10,8 +11,10 @@
 use crate::transport::host_context::HostContext;
 use crate::transport::peer_mesh::{PeerMesh, RequestHandler, SoftHandler};
 
-/// Time between two looks for another host to ask until one has replied.
-const FIRST_ASK_PERIOD: Duration = Duration::from_millis(250);
+/// Time between two questions of a host that has just started.
+const FIRST_ASK_PERIOD: Duration = Duration::from_millis(100);
+/// Hosts that a host asks after its start, as some of them may have started just before.
+const FIRST_ASKS: usize = 8;
 /// Time between two questions after that, for hosts that missed notes while they were cut off.
 const ASK_PERIOD: Duration = Duration::from_secs(5);
 /// Greatest number of notes in a reply.
@@ -40,17 +43,26 @@
         return;
     };
     mesh.on_request(&note_handler(&context));
-    let mut period = FIRST_ASK_PERIOD;
+    let mut asked = BTreeSet::new();
     loop {
-        context.timers.sleep(period).await;
-        let Some(peer) = choose_peer(mesh, context.next_seed()) else {
-            continue;
+        let known = known_hosts(mesh);
+        let starting = asked.len() < FIRST_ASKS;
+        let fresh = known.iter().find(|host| starting && !asked.contains(*host));
+        let seed = usize::try_from(context.next_seed()).unwrap_or_default();
+        let any = known.get(seed % known.len().max(1));
+        let period = if fresh.is_some() || known.is_empty() {
+            FIRST_ASK_PERIOD
+        } else {
+            ASK_PERIOD
         };
-        let reply = mesh.request(&peer, PeerRequest::ReadCrashNotes).await;
-        if let Ok(PeerReply::CrashNotes(notes)) = reply {
-            period = ASK_PERIOD;
-            learn_crash_notes(&context, &notes);
+        if let Some(peer) = fresh.or(any) {
+            let reply = mesh.request(peer, PeerRequest::ReadCrashNotes).await;
+            if let Ok(PeerReply::CrashNotes(notes)) = reply {
+                learn_crash_notes(&context, &notes);
+            }
+            asked.insert(peer.clone());
         }
+        context.timers.sleep(period).await;
     }
 }
 
@@ -71,18 +83,13 @@
     })
 }
 
-/// Chooses one of the known live hosts.
-fn choose_peer(mesh: &PeerMesh, seed: u64) -> Option<HostName> {
+/// Returns the names of the known live hosts.
+fn known_hosts(mesh: &PeerMesh) -> Vec<HostName> {
     let members = mesh.members();
     let contacts = members.contacts.values();
     let contacts = contacts.filter(|record| record.is_live());
-    let known: Vec<&HostName> = members
-        .live_peers()
-        .chain(contacts)
-        .map(|record| &record.name)
-        .collect();
-    let index = usize::try_from(seed).unwrap_or_default() % known.len().max(1);
-    known.get(index).map(|name| HostName::clone(name))
+    let known = members.live_peers().chain(contacts);
+    known.map(|record| record.name.clone()).collect()
 }
 
 /// Takes in the notes that another host kept.
