--- a/galenamast/src/event_loop.rs
+++ b/galenamast/src/event_loop.rs
@@ -16,7 +16,7 @@
 use crate::protocol::LogRecord;
 use crate::transport::caller_server::CallerServer;
 use crate::transport::caller_tls::load_tls;
-use crate::transport::crash_sharing::follow_crash_notes;
+use crate::transport::crash_sharing::{exchange_crash_notes, follow_crash_notes};
 use crate::transport::demand_runner::{follow_demand, tell_demand};
 use crate::transport::host_list_poller::{follow_servers, poll_host_list};
 use crate::transport::load_watcher::watch_loads;
@@ -67,6 +67,7 @@
         tasks.extend(start_duties(&context));
         tasks.push(tokio::spawn(report_statistics(context.clone())));
         follow_crash_notes(&context);
+        tasks.push(tokio::spawn(exchange_crash_notes(context.clone())));
         follow_brakes(&context);
         follow_demand(&context);
         tasks.push(tokio::spawn(tell_demand(context.clone())));
