Complete the quickstart with checked claims

Cause: the example sent requests and checked nothing but their status. Change: scenarios of both deployments in the testbed (cascade, session, claim and resend, roll-out that turns bad, usage export), run by the example, which exits with 1 if one does not hold, and by the test binary operator.

--- a/galenamast/examples/quickstart.rs
+++ b/galenamast/examples/quickstart.rs
@@ -1,48 +1,40 @@
-//! Runs the deployments of two organisations on embedded stand-ins and sends them requests.
+//! Runs the deployments of two organisations on embedded stand-ins and checks what is claimed of them.
+//!
+//! Exits with 1 if a claim does not hold.
 
-use std::error::Error;
+use std::process::ExitCode;
 
-use galenamast_testbed::{Caller, Deployment, DeploymentOptions};
-
-/// Requests that each workspace sends.
-const REQUESTS_PER_WORKSPACE: usize = 5;
+use galenamast_testbed::{
+    ScenarioError, ScenarioReport, check_brake, check_cascade, check_claim, check_session,
+    check_usage, start_advice, start_rollout,
+};
 
 #[tokio::main]
-async fn main() -> Result<(), Box<dyn Error>> {
-    println!("{:<16} {:<8} {:<8} answer", "workspace", "model", "version");
-    for options in [
-        DeploymentOptions::nieve_alta(),
-        DeploymentOptions::saurashtra(),
-    ] {
-        run_deployment(options).await?;
+async fn main() -> ExitCode {
+    let mut report = ScenarioReport::default();
+    let outcome = run_scenarios(&mut report).await;
+    print!("{report}");
+    if let Err(error) = &outcome {
+        eprintln!("quickstart: a scenario broke off: {error}");
+    }
+    for row in report.failures() {
+        eprintln!("quickstart: does not hold: {}: {}", row.claim, row.seen);
+    }
+    if outcome.is_err() || !report.failures().is_empty() {
+        return ExitCode::FAILURE;
     }
     println!("quickstart: ok");
-    Ok(())
+    ExitCode::SUCCESS
 }
 
-/// Sends the requests of every workspace through every entry host of a deployment.
-async fn run_deployment(options: DeploymentOptions) -> Result<(), Box<dyn Error>> {
-    let deployment = Deployment::start(options).await?;
-    let addresses = deployment.addresses();
-    for workspace in &deployment.options.workspaces {
-        let caller = Caller::new(workspace);
-        for host in addresses.iter().cycle().take(REQUESTS_PER_WORKSPACE) {
-            let reply = caller
-                .chat(*host, "which boot size?", &[("x-task", "fit")])
-                .await?;
-            if reply.status != 200 {
-                return Err(
-                    format!("{workspace}: status {}: {}", reply.status, reply.json()).into(),
-                );
-            }
-            let field = |name| reply.header(name).unwrap_or("-").to_owned();
-            let (model, version) = (field("x-model"), field("x-version"));
-            println!(
-                "{workspace:<16} {model:<8} {version:<8} {}",
-                reply.content()
-            );
-        }
-    }
-    deployment.stop().await;
-    Ok(())
+/// Runs the scenarios of both deployments.
+async fn run_scenarios(report: &mut ScenarioReport) -> Result<(), ScenarioError> {
+    let mut advice = start_advice().await?;
+    check_cascade(&mut advice, report).await?;
+    check_session(&mut advice, report).await?;
+    check_claim(&mut advice, report).await?;
+    check_usage(advice, report).await?;
+    let mut rollout = start_rollout().await?;
+    check_brake(&mut rollout, report).await?;
+    check_usage(rollout, report).await
 }
--- a/galenamast/tests/operator/main.rs
+++ b/galenamast/tests/operator/main.rs
@@ -5,6 +5,7 @@
 mod exports;
 mod log_lines;
 mod metrics;
+mod quickstart;
 mod refusals;
 mod rollout_script;
 mod rollout_steps;
