Show leases and the evidence of brakes in the status, and when settings take effect

Cause: the status left leases empty and brakes without origin; the settings page said that every key needs a restart; a signal that came between a host's start line and the signal's registration ended the process. Change: the lease runner keeps what it saw of each lease, the quality feed publishes the notes of brakes, SETTINGS.md has the column 'takes effect', and signals are registered before the host starts.

--- a/galenamast/src/commands/docs.rs
+++ b/galenamast/src/commands/docs.rs
@@ -63,8 +63,10 @@
     let mut text = String::from(
         "# Settings\n\n\
          The settings of an entry host are an INI file. `galenamast check-config FILE` checks it and\n\
-         names file, line, key and allowed range of each error. A change of a key takes effect when\n\
-         the host is restarted. This page is printed by `galenamast docs settings`.\n",
+         names file, line, key and allowed range of each error. The last column but one says when a changed\n\
+         key takes effect: at reload, which SIGHUP asks of a running host, or at restart. At SIGHUP the\n\
+         file is read and checked anew; if it has an error, the settings in force stay and the error is\n\
+         logged. This page is printed by `galenamast docs settings`.\n",
     );
     let mut section = "";
     for key in Settings::keys() {
@@ -72,7 +74,7 @@
             section = key.section;
             let _ = write!(
                 text,
-                "\n## [{section}]\n\n| key | unit | default | range | meaning |\n|---|---|---|---|---|\n"
+                "\n## [{section}]\n\n| key | unit | default | range | takes effect | meaning |\n|---|---|---|---|---|---|\n"
             );
         }
         setting_row(&mut text, &key);
@@ -84,11 +86,16 @@
 fn setting_row(text: &mut String, key: &SettingKey) {
     let _ = writeln!(
         text,
-        "| `{}` | {} | {} | {} | {} |",
+        "| `{}` | {} | {} | {} | {} | {} |",
         key.name,
         key.unit,
         default_cell(key.default),
         escaped(key.range),
+        if key.reloadable {
+            "at reload"
+        } else {
+            "at restart"
+        },
         escaped(key.description)
     );
 }
--- a/galenamast/src/config/setting_key.rs
+++ b/galenamast/src/config/setting_key.rs
@@ -20,7 +20,7 @@
     pub range: &'static str,
     /// What the value does.
     pub description: &'static str,
-    /// Whether a changed value takes effect without a restart; no key does so far.
+    /// Whether a changed value takes effect when the settings are reloaded.
     pub reloadable: bool,
     /// Applies a value; returns whether it is allowed.
     pub apply: fn(&mut Settings, &str) -> bool,
--- a/galenamast/src/event_loop.rs
+++ b/galenamast/src/event_loop.rs
@@ -182,16 +182,18 @@
     settings: Settings,
     read_again: impl Fn() -> Option<Settings> + Send + 'static,
 ) -> Result<(), TransportError> {
+    // Signals that come while the host starts wait until it runs.
+    let hangup = signal(SignalKind::hangup()).ok();
+    let mut terminate = signal(SignalKind::terminate()).ok();
+    let mut interrupt = signal(SignalKind::interrupt()).ok();
     let metrics = start_metrics(&settings.metrics);
     let mut host = EntryHost::start(settings).await?;
     if let Some(sink) = metrics {
         let reporting = report_gauges(host.context.clone(), sink);
         host.tasks.push(tokio::spawn(reporting));
     }
-    let reloading = follow_settings(host.context.clone(), read_again);
+    let reloading = follow_settings(host.context.clone(), hangup, read_again);
     host.tasks.push(tokio::spawn(reloading));
-    let mut terminate = signal(SignalKind::terminate()).ok();
-    let mut interrupt = signal(SignalKind::interrupt()).ok();
     wait_for_signal(&mut terminate, &mut interrupt).await;
     host.stop_unless(wait_for_signal(&mut terminate, &mut interrupt))
         .await;
@@ -199,8 +201,11 @@
 }
 
 /// Puts changed settings into force at each hang-up signal.
-async fn follow_settings(context: Arc<HostContext>, read_again: impl Fn() -> Option<Settings>) {
-    let mut hangup = signal(SignalKind::hangup()).ok();
+async fn follow_settings(
+    context: Arc<HostContext>,
+    mut hangup: Option<Signal>,
+    read_again: impl Fn() -> Option<Settings>,
+) {
     loop {
         receive(&mut hangup).await;
         let Some(changed) = read_again() else {
--- a/galenamast/src/transport/host_context.rs
+++ b/galenamast/src/transport/host_context.rs
@@ -9,8 +9,8 @@
 
 use crate::config::Settings;
 use crate::coordination::{
-    AdmissionControl, CallPriority, ClaimRetention, CrashQuarantine, DirectoryEvent, LeaseSettings,
-    UsageOrigin,
+    AdmissionControl, BrakeNote, CallPriority, ClaimRetention, CrashQuarantine, DirectoryEvent,
+    LeaseSettings, UsageOrigin,
 };
 use crate::state::{ConfigImage, RouteTables, VersionKey};
 use crate::transport::backend_client::BackendClient;
@@ -85,6 +85,8 @@
     pub leaving: AtomicBool,
     /// Answers for the judge of versions.
     pub answers: mpsc::Sender<FeedEvent>,
+    /// Brakes in force, with their origin and evidence.
+    pub brake_notes: ArcSwap<Vec<BrakeNote>>,
     /// Ratings that may be asked for at once.
     pub ratings: Arc<Semaphore>,
     answer_receiver: Mutex<Option<mpsc::Receiver<FeedEvent>>>,
@@ -151,6 +153,7 @@
             fallback_key: rand::random(),
             leaving: AtomicBool::new(false),
             answers,
+            brake_notes: ArcSwap::default(),
             ratings: Arc::new(Semaphore::new(MAX_RATINGS)),
             answer_receiver: Mutex::new(Some(answer_receiver)),
             server_events,
--- a/galenamast/src/transport/lease_runner.rs
+++ b/galenamast/src/transport/lease_runner.rs
@@ -1,6 +1,7 @@
 //! Runs the leases that an entry host holds or waits for.
 
-use std::sync::Arc;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use serde_json::Value;
@@ -15,6 +16,7 @@
 };
 use crate::logging::log_fault;
 use crate::state::{HostName, LeaseName};
+use crate::transport::lease_view::LeaseView;
 use crate::transport::object_client::ObjectClient;
 use crate::transport::timer_service::TimerService;
 
@@ -33,6 +35,7 @@
     settings: LeaseSettings,
     stopped: CancellationToken,
     running: Arc<tokio_util::task::TaskTracker>,
+    views: Arc<Mutex<BTreeMap<LeaseName, LeaseView>>>,
 }
 
 impl LeaseRunner {
@@ -54,6 +57,7 @@
             settings,
             stopped: CancellationToken::new(),
             running: Arc::default(),
+            views: Arc::default(),
         }
     }
 
@@ -72,6 +76,12 @@
         receiver
     }
 
+    /// Returns what the host last saw of each lease that it holds or contends for.
+    pub fn views(&self) -> Vec<LeaseView> {
+        let views = self.views.lock().unwrap_or_else(PoisonError::into_inner);
+        views.values().cloned().collect()
+    }
+
     /// Gives back all leases and waits until the platform knows, for a bounded time.
     pub async fn stop(&self) {
         self.stopped.cancel();
@@ -96,6 +106,7 @@
         loop {
             let mut action = machine.handle(&event, self.timers.now());
             self.publish(&machine, status);
+            self.note(name, &event, machine.status());
             let leaving = self.stopped.is_cancelled() || status.is_closed();
             if leaving && !released {
                 released = true;
@@ -103,7 +114,7 @@
                 self.publish(&machine, status);
             }
             event = match action {
-                LeaseAction::Finish => return,
+                LeaseAction::Finish => return self.forget(name),
                 LeaseAction::Read => self.read(&key).await,
                 LeaseAction::Write(condition, document) => {
                     let sent = self.timers.now();
@@ -134,6 +145,20 @@
         });
     }
 
+    /// Notes what was seen of a lease.
+    fn note(&self, name: &LeaseName, event: &LeaseEvent, status: LeaseStatus) {
+        let mut views = self.views.lock().unwrap_or_else(PoisonError::into_inner);
+        let view = views.entry(name.clone());
+        let view = view.or_insert_with(|| LeaseView::new(name.clone()));
+        view.update(event, status, &self.owner.host);
+    }
+
+    /// Forgets a lease for which the host no longer contends.
+    fn forget(&self, name: &LeaseName) {
+        let mut views = self.views.lock().unwrap_or_else(PoisonError::into_inner);
+        views.remove(name);
+    }
+
     /// Reads the lease.
     async fn read(&self, key: &ObjectKey) -> LeaseEvent {
         match self.objects.read(key).await {
--- a/galenamast/src/transport/operator_status.rs
+++ b/galenamast/src/transport/operator_status.rs
@@ -49,10 +49,8 @@
 fn status_of(host: &HostContext, asked: Option<ConfigGeneration>) -> wire::Status {
     let image = host.image.load();
     let tables = host.tables.load();
-    let now = host.timers.now();
     let draining = host.draining.load(Ordering::Relaxed);
     let own = &host.settings.host;
-    let brakes = tables.brakes.iter().filter(|(_, expiry)| **expiry > now);
     wire::Status {
         host: own.name.to_string(),
         domain: own.domain.to_string(),
@@ -71,19 +69,48 @@
             .values()
             .map(|spec| rollout_to_wire(spec))
             .collect(),
-        brakes: brakes
-            .map(|(key, _)| wire::BrakeStatus {
-                version: Some(version_to_wire(key)),
-                ..Default::default()
-            })
-            .collect(),
-        leases: Vec::new(),
+        brakes: brake_statuses(host),
+        leases: lease_statuses(host),
         buffers: Some(buffer_status(host)),
         propagation: Some(propagation_of(host, asked.unwrap_or(image.generation))),
         freshness_age_ms: (image.generation.0 > 0).then(|| milliseconds(tables.config_age)),
     }
 }
 
+/// Describes the brakes in force.
+fn brake_statuses(host: &HostContext) -> Vec<wire::BrakeStatus> {
+    let tables = host.tables.load();
+    let notes = host.brake_notes.load();
+    let now = host.timers.now();
+    let brakes = tables.brakes.iter().filter(|(_, expiry)| **expiry > now);
+    let described = brakes.map(|(key, _)| {
+        let note = notes.iter().find(|note| note.version == *key);
+        wire::BrakeStatus {
+            version: Some(version_to_wire(key)),
+            host: note.map(|note| note.origin.to_string()).unwrap_or_default(),
+            evidence: note
+                .map(|note| snake_name(&note.verdict))
+                .unwrap_or_default(),
+        }
+    });
+    described.collect()
+}
+
+/// Describes the leases that the host holds or contends for.
+fn lease_statuses(host: &HostContext) -> Vec<wire::LeaseStatus> {
+    let views = host.leases.as_ref().map(|leases| leases.views());
+    let now = host.timers.now();
+    let described = views.into_iter().flatten().map(|view| wire::LeaseStatus {
+        lease: view.lease.to_string(),
+        holder: view
+            .holder_at(now)
+            .map(ToString::to_string)
+            .unwrap_or_default(),
+        term: view.term,
+    });
+    described.collect()
+}
+
 /// Counts what waits and what is buffered.
 fn buffer_status(host: &HostContext) -> wire::BufferStatus {
     let ledger = host.ledger.as_ref().map(|ledger| ledger.status());
--- a/galenamast/src/transport/quality_feed.rs
+++ b/galenamast/src/transport/quality_feed.rs
@@ -122,7 +122,10 @@
     fn publish_now(&mut self) {
         self.changed = false;
         let quality = Arc::new(self.table.clone());
-        let brakes = self.judge.board.active(self.context.timers.now());
+        let now = self.context.timers.now();
+        let brakes = self.judge.board.active(now);
+        let notes = self.judge.board.notes(now);
+        self.context.brake_notes.store(Arc::new(notes));
         self.context.tables.rcu(|tables| RouteTables {
             quality: quality.clone(),
             brakes: brakes.clone(),
--- a/galenamast/tests/operator/main.rs
+++ b/galenamast/tests/operator/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the operator protocol and the command `admin` against an entry host in this process.
 
+mod brake_script;
 mod changes;
 mod declared;
 mod exports;
--- a/galenamast/tests/process/main.rs
+++ b/galenamast/tests/process/main.rs
@@ -1,6 +1,7 @@
 //! The whole path with entry hosts as separate processes.
 
 mod host_kills;
+mod settings_signal;
 
 use std::fs;
 use std::io::{BufRead, BufReader};
--- a/testbed/src/caller.rs
+++ b/testbed/src/caller.rs
@@ -52,9 +52,14 @@
 impl Caller {
     /// Creates a caller that presents the key of a workspace.
     pub fn new(workspace: &str) -> Self {
+        Self::with_key(&format!("{workspace}-key"))
+    }
+
+    /// Creates a caller that presents a key.
+    pub fn with_key(key: &str) -> Self {
         Self {
             client: HttpClient::new(),
-            key: format!("{workspace}-key"),
+            key: key.to_owned(),
         }
     }
 
