--- a/galenamast/src/event_loop.rs
+++ b/galenamast/src/event_loop.rs
@@ -16,7 +16,7 @@
 use crate::protocol::LogRecord;
 use crate::transport::caller_server::CallerServer;
 use crate::transport::caller_tls::load_tls;
-use crate::transport::crash_sharing::follow_crash_notes;
+use crate::transport::crash_sharing::{exchange_crash_notes, follow_crash_notes};
 use crate::transport::demand_runner::{follow_demand, tell_demand};
 use crate::transport::host_list_poller::{follow_servers, poll_host_list};
 use crate::transport::load_watcher::watch_loads;
@@ -67,6 +67,7 @@
         tasks.extend(start_duties(&context));
         tasks.push(tokio::spawn(report_statistics(context.clone())));
         follow_crash_notes(&context);
+        tasks.push(tokio::spawn(exchange_crash_notes(context.clone())));
         follow_brakes(&context);
         follow_demand(&context);
         tasks.push(tokio::spawn(tell_demand(context.clone())));
@@ -186,16 +187,18 @@
     settings: Settings,
     read_again: impl Fn() -> Option<Settings> + Send + 'static,
 ) -> Result<(), TransportError> {
+    // Signals that come while the host starts wait until it runs.
+    let hangup = signal(SignalKind::hangup()).ok();
+    let mut terminate = signal(SignalKind::terminate()).ok();
+    let mut interrupt = signal(SignalKind::interrupt()).ok();
     let metrics = start_metrics(&settings.metrics);
     let mut host = EntryHost::start(settings).await?;
     if let Some(sink) = metrics {
         let reporting = report_gauges(host.context.clone(), sink);
         host.tasks.push(tokio::spawn(reporting));
     }
-    let reloading = follow_settings(host.context.clone(), read_again);
+    let reloading = follow_settings(host.context.clone(), hangup, read_again);
     host.tasks.push(tokio::spawn(reloading));
-    let mut terminate = signal(SignalKind::terminate()).ok();
-    let mut interrupt = signal(SignalKind::interrupt()).ok();
     wait_for_signal(&mut terminate, &mut interrupt).await;
     host.stop_unless(wait_for_signal(&mut terminate, &mut interrupt))
         .await;
@@ -203,8 +206,11 @@
 }
 
 /// Puts changed settings into force at each hang-up signal.
-async fn follow_settings(context: Arc<HostContext>, read_again: impl Fn() -> Option<Settings>) {
-    let mut hangup = signal(SignalKind::hangup()).ok();
+async fn follow_settings(
+    context: Arc<HostContext>,
+    mut hangup: Option<Signal>,
+    read_again: impl Fn() -> Option<Settings>,
+) {
     loop {
         receive(&mut hangup).await;
         let Some(changed) = read_again() else {
