--- a/galenamast/src/cli.rs
+++ b/galenamast/src/cli.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use clap::Command;
+use clap::{ArgMatches, Command};
 
 use crate::commands::{
     EXIT_INVALID, admin, check_config, completions, docs, explain, keygen, replay, serve, trace,
@@ -33,9 +33,8 @@
         .subcommand(trace::command())
 }
 
-/// Parses the process's arguments and runs the command that they name.
-pub fn run_command() -> ExitCode {
-    let matches = build_command().get_matches();
+/// Runs the command that parsed arguments name.
+pub fn run_matches(matches: &ArgMatches) -> ExitCode {
     match matches.subcommand() {
         Some((serve::NAME, matches)) => serve::run(matches),
         Some((keygen::NAME, matches)) => keygen::run(matches),
--- /dev/null
+++ b/gateway/src/coordination/cascade/mod.rs
@@ -0,0 +1,5 @@
+//! Which model answers a request.
+
+mod model_choice;
+
+pub use model_choice::{CascadeSettings, confidence_bound, wants_larger};
--- /dev/null
+++ b/gateway/src/coordination/mod.rs
@@ -0,0 +1,7 @@
+//! Decisions: pure functions and machines without input, output or clocks.
+
+pub mod budgets;
+pub mod cascade;
+pub mod placement;
+pub mod requests;
+pub mod rollouts;
--- /dev/null
+++ b/gateway/src/coordination/placement/load_book.rs
@@ -0,0 +1,193 @@
+//! What a host has learnt of each backend server from its own requests.
+//!
+//! Answers servers that turn slow, fail part of their requests or go silent while their health is
+//! good: each shows within a few answers, loses work in proportion and gets it back by the answers
+//! to the requests that it still gets.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use galenamast::state::TimePoint;
+
+/// Settings of the estimates.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadSettings {
+    /// Weight of a new observation of speed.
+    pub speed_weight: f64,
+    /// Weight of a new observation of success or failure.
+    pub failure_weight: f64,
+    /// Time in which half of the belief in failures fades, so that a server is tried again.
+    pub failure_half_life: Duration,
+    /// Time for which an address that refuses connections is not tried.
+    pub refused_pause: Duration,
+}
+
+impl Default for LoadSettings {
+    fn default() -> Self {
+        Self {
+            speed_weight: 0.25,
+            failure_weight: 0.3,
+            failure_half_life: Duration::from_secs(3),
+            refused_pause: Duration::from_millis(700),
+        }
+    }
+}
+
+/// What is believed of one server.
+#[derive(Clone, Debug)]
+pub struct ServerLoad {
+    /// Requests of this host that it runs.
+    pub in_flight: u32,
+    /// Observed time to the first byte against the expected one; 1 is ordinary.
+    pub slowness: f64,
+    failures: f64,
+    failures_at: TimePoint,
+    paused_until: TimePoint,
+    last_break: Option<TimePoint>,
+}
+
+impl Default for ServerLoad {
+    fn default() -> Self {
+        Self {
+            in_flight: 0,
+            slowness: 1.0,
+            failures: 0.0,
+            failures_at: TimePoint::ZERO,
+            paused_until: TimePoint::ZERO,
+            last_break: None,
+        }
+    }
+}
+
+impl ServerLoad {
+    /// Returns the share of requests that is believed to fail now.
+    pub fn failure_share(&self, half_life: Duration, now: TimePoint) -> f64 {
+        let halves = now.since(self.failures_at).as_secs_f64() / half_life.as_secs_f64();
+        self.failures * 0.5_f64.powf(halves)
+    }
+}
+
+/// The beliefs about all servers.
+#[derive(Clone, Debug, Default)]
+pub struct LoadBook {
+    settings: LoadSettings,
+    loads: BTreeMap<Arc<str>, ServerLoad>,
+    expected: BTreeMap<(Arc<str>, u8), f64>,
+}
+
+impl LoadBook {
+    /// Creates a book without beliefs.
+    pub fn new(settings: LoadSettings) -> Self {
+        Self { settings, ..Self::default() }
+    }
+
+    /// Returns what is believed of a server.
+    pub fn load(&self, server: &str) -> ServerLoad {
+        self.loads.get(server).cloned().unwrap_or_default()
+    }
+
+    /// Returns the cost of giving a request to a server, in requests of an ordinary server.
+    pub fn cost(&self, server: &str, now: TimePoint) -> f64 {
+        let Some(load) = self.loads.get(server) else {
+            return 1.0;
+        };
+        let share = load.failure_share(self.settings.failure_half_life, now);
+        let success = (1.0 - share).max(0.05);
+        let paused = if now < load.paused_until { 100.0 } else { 1.0 };
+        f64::from(load.in_flight + 1) * load.slowness / (success * success) * paused
+    }
+
+    /// Returns whether a server is believed to be in order.
+    pub fn is_sound(&self, server: &str, now: TimePoint) -> bool {
+        let Some(load) = self.loads.get(server) else {
+            return true;
+        };
+        let share = load.failure_share(self.settings.failure_half_life, now);
+        share < 0.5 && load.slowness < 4.0 && now >= load.paused_until
+    }
+
+    /// Counts a request that is sent.
+    pub fn note_sent(&mut self, server: &Arc<str>) {
+        self.entry(server).in_flight += 1;
+    }
+
+    /// Counts a request that ended, however it did.
+    pub fn note_ended(&mut self, server: &Arc<str>) {
+        let load = self.entry(server);
+        load.in_flight = load.in_flight.saturating_sub(1);
+    }
+
+    /// Returns the expected time to the first byte of requests of a class and size.
+    pub fn expected_first(&self, class: &Arc<str>, size: u8) -> Option<Duration> {
+        let key = (class.clone(), size);
+        self.expected.get(&key).map(|seconds| Duration::from_secs_f64(*seconds))
+    }
+
+    /// Takes in the time to the first byte of an answer.
+    pub fn note_first(&mut self, server: &Arc<str>, class: &Arc<str>, size: u8, took: Duration) {
+        let weight = self.settings.speed_weight;
+        let took = took.as_secs_f64().max(0.000_1);
+        let expected = self.expected.entry((class.clone(), size)).or_insert(took);
+        let ratio = (took / *expected).clamp(0.1, 20.0);
+        // Outliers move the expectation little, so that one slow server does not become ordinary.
+        *expected += 0.05 * (took.min(*expected * 3.0) - *expected);
+        let load = self.entry(server);
+        load.slowness += weight * (ratio - load.slowness);
+        load.slowness = load.slowness.max(0.2);
+    }
+
+    /// Takes in that a request succeeded.
+    pub fn note_success(&mut self, server: &Arc<str>, now: TimePoint) {
+        self.note_outcome(server, 0.0, now);
+    }
+
+    /// Takes in that a request failed at a server.
+    pub fn note_failure(&mut self, server: &Arc<str>, now: TimePoint) {
+        self.note_outcome(server, 1.0, now);
+    }
+
+    /// Takes in that a request got no answer within the time that is usual.
+    pub fn note_silence(&mut self, server: &Arc<str>, now: TimePoint) {
+        self.note_outcome(server, 1.0, now);
+        let load = self.entry(server);
+        load.slowness = (load.slowness * 1.5).min(20.0);
+    }
+
+    /// Takes in that a server accepts no connection.
+    pub fn note_refused(&mut self, server: &Arc<str>, now: TimePoint) {
+        let pause = self.settings.refused_pause;
+        self.note_outcome(server, 1.0, now);
+        self.entry(server).paused_until = now + pause;
+    }
+
+    /// Forgets what was believed of a server that started anew; its requests in flight stay.
+    pub fn reset(&mut self, server: &Arc<str>) {
+        let load = self.entry(server);
+        *load = ServerLoad { in_flight: load.in_flight, ..ServerLoad::default() };
+    }
+
+    /// Forgets a server that is gone.
+    pub fn forget(&mut self, server: &str) {
+        if self.loads.get(server).is_some_and(|load| load.in_flight == 0) {
+            self.loads.remove(server);
+        }
+    }
+
+    /// Takes in a success or failure.
+    fn note_outcome(&mut self, server: &Arc<str>, failed: f64, now: TimePoint) {
+        let (weight, half_life) = (self.settings.failure_weight, self.settings.failure_half_life);
+        let load = self.entry(server);
+        let share = load.failure_share(half_life, now);
+        load.failures = share + weight * (failed - share);
+        load.failures_at = now;
+        if failed > 0.0 {
+            load.last_break = Some(now);
+        }
+    }
+
+    /// Returns the belief about a server, to change it.
+    fn entry(&mut self, server: &Arc<str>) -> &mut ServerLoad {
+        self.loads.entry(server.clone()).or_default()
+    }
+}
--- /dev/null
+++ b/gateway/src/coordination/requests/crash_book.rs
@@ -0,0 +1,92 @@
+//! Requests that crashed backend servers.
+//!
+//! Answers a request that kills each server that runs it and comes again at any host: what crashed
+//! two servers goes to no third. Hosts share what they saw; a host that cannot goes by its own.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use galenamast::state::TimePoint;
+
+/// Settings of the quarantine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CrashSettings {
+    /// Crashes after which a request is refused.
+    pub crashes: u32,
+    /// Time for which it is refused.
+    pub retention: Duration,
+    /// Requests that are remembered; the oldest yield.
+    pub capacity: usize,
+}
+
+impl Default for CrashSettings {
+    fn default() -> Self {
+        Self { crashes: 2, retention: Duration::from_secs(300), capacity: 4_096 }
+    }
+}
+
+/// What is known of one request.
+#[derive(Clone, Debug)]
+struct CrashEntry {
+    servers: Vec<Arc<str>>,
+    told: u32,
+    noted_at: TimePoint,
+}
+
+/// The requests that crashed servers.
+#[derive(Clone, Debug, Default)]
+pub struct CrashBook {
+    settings: CrashSettings,
+    entries: BTreeMap<u64, CrashEntry>,
+}
+
+impl CrashBook {
+    /// Creates an empty book.
+    pub fn new(settings: CrashSettings) -> Self {
+        Self { settings, entries: BTreeMap::new() }
+    }
+
+    /// Notes that a server crashed while it ran a request; returns the crashes that are known.
+    pub fn note_crash(&mut self, fingerprint: u64, server: &Arc<str>, now: TimePoint) -> u32 {
+        let entry = self.entry(fingerprint, now);
+        if !entry.servers.contains(server) {
+            entry.servers.push(server.clone());
+        }
+        entry.noted_at = now;
+        crashes_of(entry)
+    }
+
+    /// Takes in what another host noted.
+    pub fn note_told(&mut self, fingerprint: u64, crashes: u32, now: TimePoint) {
+        let entry = self.entry(fingerprint, now);
+        entry.told = entry.told.max(crashes);
+        entry.noted_at = now;
+    }
+
+    /// Returns whether a request is refused.
+    pub fn is_refused(&self, fingerprint: u64, now: TimePoint) -> bool {
+        let entry = self.entries.get(&fingerprint);
+        entry.is_some_and(|entry| {
+            let is_fresh = now.since(entry.noted_at) < self.settings.retention;
+            is_fresh && crashes_of(entry) >= self.settings.crashes
+        })
+    }
+
+    /// Returns the entry of a request.
+    fn entry(&mut self, fingerprint: u64, now: TimePoint) -> &mut CrashEntry {
+        if self.entries.len() >= self.settings.capacity && !self.entries.contains_key(&fingerprint) {
+            let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.noted_at);
+            if let Some(oldest) = oldest.map(|(key, _)| *key) {
+                self.entries.remove(&oldest);
+            }
+        }
+        let fresh = CrashEntry { servers: Vec::new(), told: 0, noted_at: now };
+        self.entries.entry(fingerprint).or_insert(fresh)
+    }
+}
+
+/// Returns the crashes that are known of a request.
+fn crashes_of(entry: &CrashEntry) -> u32 {
+    entry.told.max(u32::try_from(entry.servers.len()).unwrap_or(u32::MAX))
+}
--- /dev/null
+++ b/gateway/src/coordination/rollouts/mod.rs
@@ -0,0 +1,9 @@
+//! Roll-outs of new versions.
+
+mod rollout_board;
+mod session_book;
+mod version_trial;
+
+pub use rollout_board::{RolloutBoard, RolloutSettings, VersionRule};
+pub use session_book::SessionBook;
+pub use version_trial::{TrialSettings, VersionTrial};
--- /dev/null
+++ b/gateway/src/coordination/rollouts/session_book.rs
@@ -0,0 +1,39 @@
+//! The version that each live session was last served by.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use galenamast::state::TimePoint;
+
+/// Sessions that are remembered; beyond this the oldest are forgotten at once.
+const CAPACITY: usize = 8_192;
+
+/// Versions of live sessions.
+#[derive(Clone, Debug)]
+pub struct SessionBook {
+    lifetime: Duration,
+    sessions: BTreeMap<u64, (Arc<str>, TimePoint)>,
+}
+
+impl SessionBook {
+    /// Creates a book of sessions that end after a pause.
+    pub fn new(lifetime: Duration) -> Self {
+        Self { lifetime, sessions: BTreeMap::new() }
+    }
+
+    /// Notes the version that serves a session.
+    pub fn note(&mut self, session: u64, version: &Arc<str>, now: TimePoint) {
+        if self.sessions.len() >= CAPACITY {
+            let lifetime = self.lifetime;
+            self.sessions.retain(|_, (_, at)| now.since(*at) < lifetime);
+        }
+        self.sessions.insert(session, (version.clone(), now));
+    }
+
+    /// Returns the version of a live session.
+    pub fn version(&self, session: u64, now: TimePoint) -> Option<&Arc<str>> {
+        let (version, at) = self.sessions.get(&session)?;
+        (now.since(*at) < self.lifetime).then_some(version)
+    }
+}
--- /dev/null
+++ b/gateway/src/protocol/mod.rs
@@ -0,0 +1,16 @@
+//! Messages between callers, entry hosts, backend servers and the platform's store.
+
+mod event_splitter;
+mod forwarded_headers;
+mod gateway_record;
+mod platform_format;
+mod stored_object;
+
+pub use event_splitter::{EventSplitter, SplitError, StreamEvent};
+pub use forwarded_headers::{has_ambiguous_length, strip_connection_headers};
+pub use gateway_record::{DecisionInputs, GatewayRecord};
+pub use platform_format::{AnswerHead, FormatError, PlatformFormat};
+pub use stored_object::{
+    CrashNote, ObjectChange, ObjectChanges, ObjectKind, ObjectPage, ObjectQuery, RolloutOrder,
+    RolloutReport, RolloutState, StoredObject,
+};
--- /dev/null
+++ b/gateway/src/transport/attempt_runner.rs
@@ -0,0 +1,183 @@
+//! Sends a request to one backend server and judges the head of the answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use galenamast::state::TimePoint;
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+
+use crate::coordination::requests::AttemptOutcome;
+use crate::protocol::{AnswerHead, strip_connection_headers};
+use crate::state::{AttemptHead, ServerEntry};
+use crate::transport::connection_pool::BackendConnection;
+use crate::transport::flight_guard::FlightGuard;
+use crate::transport::gateway_context::GatewayContext;
+
+/// Greatest size of an answer that is not streamed, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 * 1_024 * 1_024;
+
+/// What is sent.
+#[derive(Debug)]
+pub(crate) struct AttemptCall<'a> {
+    /// Head of the caller's request.
+    pub(crate) parts: &'a Parts,
+    /// Body of the caller's request.
+    pub(crate) body: &'a Bytes,
+    /// Identifier of the caller's request.
+    pub(crate) request: &'a str,
+    /// What the host adds.
+    pub(crate) head: AttemptHead,
+    /// Whether only a connection that never carried a request may be used.
+    pub(crate) needs_fresh: bool,
+    /// Time for the head of the answer.
+    pub(crate) patience: Duration,
+}
+
+/// An answer whose head was read and is the server's to this request.
+#[derive(Debug)]
+pub(crate) struct OpenAnswer {
+    /// Server that answers.
+    pub(crate) server: ServerEntry,
+    /// Status of the answer.
+    pub(crate) status: StatusCode,
+    /// Headers that are passed on.
+    pub(crate) headers: HeaderMap,
+    /// What the head says.
+    pub(crate) head: AnswerHead,
+    /// The rest of the answer.
+    pub(crate) body: Incoming,
+    /// Time from the sending to the head.
+    pub(crate) took: Duration,
+    connection: BackendConnection,
+    _guard: FlightGuard,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub(crate) struct WholeAnswer {
+    /// Status of the answer.
+    pub(crate) status: StatusCode,
+    /// Headers that are passed on.
+    pub(crate) headers: HeaderMap,
+    /// Body of the answer.
+    pub(crate) body: Bytes,
+}
+
+impl OpenAnswer {
+    /// Reads the rest of an answer that is not streamed.
+    pub(crate) async fn read_whole(
+        self,
+        context: &GatewayContext,
+        deadline: TimePoint,
+    ) -> Result<WholeAnswer, AttemptOutcome> {
+        let reading = Limited::new(self.body, MAX_ANSWER_BYTES).collect();
+        let left = time_until(context, deadline);
+        let collected = tokio::time::timeout(left, reading).await;
+        let collected = collected.map_err(|_| AttemptOutcome::Silent)?;
+        let body = collected.map_err(|_| AttemptOutcome::Broken)?.to_bytes();
+        if !self.head.closes {
+            context.pool.keep(self.connection, self.head.idle_limit);
+        }
+        Ok(WholeAnswer { status: self.status, headers: self.headers, body })
+    }
+
+    /// Keeps the connection of an answer that was read to its end.
+    pub(crate) fn keep_connection(self, context: &GatewayContext) {
+        if !self.head.closes {
+            context.pool.keep(self.connection, self.head.idle_limit);
+        }
+    }
+}
+
+/// Returns the time that is left until a point in time.
+pub(crate) fn time_until(context: &GatewayContext, deadline: TimePoint) -> Duration {
+    deadline.since(context.now())
+}
+
+/// Sends a request to a server and reads the head of the answer.
+pub(crate) async fn run_attempt(
+    context: &Arc<GatewayContext>,
+    server: &ServerEntry,
+    call: AttemptCall<'_>,
+) -> Result<OpenAnswer, AttemptOutcome> {
+    let guard = FlightGuard::new(context, &server.id);
+    let pooled = if call.needs_fresh { None } else { context.pool.take(server.address) };
+    let mut connection = match pooled {
+        Some(connection) => connection,
+        None => {
+            let timeout = context.settings.connect_timeout.min(call.patience);
+            context.metrics.count("connections_total");
+            let opened = BackendConnection::open(server.address, timeout).await;
+            opened.map_err(|_| AttemptOutcome::NotSent)?
+        }
+    };
+    let request = build_request(context, server, &call).ok_or(AttemptOutcome::NotSent)?;
+    let sent_at = context.now();
+    let sending = connection.send(request);
+    let response = match tokio::time::timeout(call.patience, sending).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(_)) => return Err(AttemptOutcome::Broken),
+        Err(_) => return Err(AttemptOutcome::Silent),
+    };
+    let took = context.now().since(sent_at);
+    let (mut parts, body) = response.into_parts();
+    let head = (context.format.read_answer)(parts.status, &parts.headers);
+    check_head(&head, parts.status, call.request)?;
+    strip_connection_headers(&mut parts.headers);
+    parts.headers.remove(header::CONTENT_LENGTH);
+    Ok(OpenAnswer {
+        server: server.clone(),
+        status: parts.status,
+        headers: parts.headers,
+        head,
+        body,
+        took,
+        connection,
+        _guard: guard,
+    })
+}
+
+/// Checks that an answer is the server's to this request.
+fn check_head(head: &AnswerHead, status: StatusCode, request: &str) -> Result<(), AttemptOutcome> {
+    let is_own = head.request.as_deref().is_none_or(|answered| answered == request);
+    if !is_own {
+        return Err(AttemptOutcome::Garbled);
+    }
+    if head.wrong_server {
+        return Err(AttemptOutcome::WrongServer);
+    }
+    if head.not_run {
+        return Err(AttemptOutcome::Rejected);
+    }
+    if !head.signed || head.encoded || head.request.is_none() || status.is_informational() {
+        return Err(AttemptOutcome::Garbled);
+    }
+    Ok(())
+}
+
+/// Builds the request that is sent.
+fn build_request(
+    context: &GatewayContext,
+    server: &ServerEntry,
+    call: &AttemptCall<'_>,
+) -> Option<Request<Full<Bytes>>> {
+    let mut headers = call.parts.headers.clone();
+    strip_connection_headers(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    headers.remove(header::EXPECT);
+    (context.format.write_attempt)(&mut headers, &call.head);
+    if !headers.contains_key(header::HOST) {
+        let host = HeaderValue::from_str(&server.address.to_string()).ok()?;
+        headers.insert(header::HOST, host);
+    }
+    let path = call.parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.parts.method.clone();
+    *request.uri_mut() = path.parse().ok()?;
+    *request.headers_mut() = headers;
+    Some(request)
+}
--- /dev/null
+++ b/gateway/src/transport/caller_gate.rs
@@ -0,0 +1,134 @@
+//! Lets a caller's request in: checks its head, its route and its credential, and reads its body.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{Response, StatusCode, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+
+use crate::protocol::has_ambiguous_length;
+use crate::state::{CallerHead, RouteImage, ServiceRoute, WorkspaceEntry};
+use crate::transport::answer_body::{AnswerBody, not_run_answer, own_answer};
+use crate::transport::gateway_context::GatewayContext;
+use crate::transport::store_feeds::refresh_configuration;
+
+/// Time after which a host that knows no configuration may know one.
+const STARTING_PAUSE: Duration = Duration::from_millis(500);
+/// Time after which a host whose memory is taken may have room.
+const MEMORY_PAUSE: Duration = Duration::from_millis(700);
+
+/// What a request may do.
+#[derive(Clone, Debug)]
+pub(crate) struct Admission {
+    /// The configuration it was admitted by.
+    pub(crate) image: Arc<RouteImage>,
+    /// Its route.
+    pub(crate) route: Arc<ServiceRoute>,
+    /// The workspace that holds its credential.
+    pub(crate) workspace: Option<WorkspaceEntry>,
+}
+
+/// A request is answered by the host itself.
+pub(crate) type Refusal = Box<Response<AnswerBody>>;
+
+/// Finds the route and the workspace of a request; a refusal rests on a fresh configuration.
+pub(crate) async fn admit_head(
+    context: &GatewayContext,
+    parts: &Parts,
+    head: &CallerHead,
+) -> Result<Admission, Refusal> {
+    if has_ambiguous_length(&parts.headers) {
+        return Err(Box::new(own_answer(StatusCode::BAD_REQUEST, "the length is ambiguous")));
+    }
+    if head.request.is_none() {
+        return Err(Box::new(own_answer(StatusCode::BAD_REQUEST, "the request has no identifier")));
+    }
+    let first = check_image(context, parts, head);
+    let age = context.configuration_age();
+    let is_fresh = age.is_some_and(|age| age < context.settings.refusal_age);
+    match first {
+        Ok(admission) => Ok(admission),
+        Err(status) if is_fresh && status != StatusCode::SERVICE_UNAVAILABLE => {
+            Err(Box::new(refuse(status)))
+        }
+        Err(_) => {
+            let unknown = |_| Box::new(refuse(StatusCode::SERVICE_UNAVAILABLE));
+            refresh_configuration(context).await.map_err(unknown)?;
+            check_image(context, parts, head).map_err(|status| Box::new(refuse(status)))
+        }
+    }
+}
+
+/// Finds the route and the workspace of a request in the present configuration.
+fn check_image(
+    context: &GatewayContext,
+    parts: &Parts,
+    head: &CallerHead,
+) -> Result<Admission, StatusCode> {
+    let image = context.image.load_full().ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+    let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
+    let route = image.find_route(host, parts.uri.path()).ok_or(StatusCode::NOT_FOUND)?.clone();
+    let workspace = head.credential.as_deref().and_then(|key| image.find_workspace(key)).cloned();
+    if workspace.is_none() && image.needs_credentials && !route.public {
+        return Err(StatusCode::UNAUTHORIZED);
+    }
+    Ok(Admission { image, route, workspace })
+}
+
+/// Returns the refusal with a status.
+fn refuse(status: StatusCode) -> Response<AnswerBody> {
+    match status {
+        StatusCode::NOT_FOUND => own_answer(status, "no route leads there"),
+        StatusCode::UNAUTHORIZED => own_answer(status, "the credential is not known"),
+        _ => not_run_answer("the configuration is not known yet", STARTING_PAUSE),
+    }
+}
+
+/// A body that is held; its bytes are counted for as long as it is.
+#[derive(Debug)]
+pub(crate) struct HeldBody {
+    context: Arc<GatewayContext>,
+    counted: usize,
+    /// The bytes.
+    pub(crate) bytes: Bytes,
+}
+
+impl Drop for HeldBody {
+    fn drop(&mut self) {
+        self.context.buffered.fetch_sub(self.counted, Ordering::Relaxed);
+    }
+}
+
+/// Reads a body that is no larger than the configuration allows.
+pub(crate) async fn read_body(
+    context: &Arc<GatewayContext>,
+    image: &RouteImage,
+    parts: &Parts,
+    body: Incoming,
+) -> Result<HeldBody, Refusal> {
+    let limit = image.limits.body_bytes;
+    let stated = parts.headers.get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    let stated: Option<usize> = stated.and_then(|value| value.parse().ok());
+    let too_large = || Box::new(own_answer(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
+    if stated.is_some_and(|length| length > limit) {
+        return Err(too_large());
+    }
+    let held = context.buffered.load(Ordering::Relaxed);
+    if held + stated.unwrap_or(0) > context.settings.buffered_bytes {
+        return Err(Box::new(not_run_answer("the host has no room now", MEMORY_PAUSE)));
+    }
+    match Limited::new(body, limit).collect().await {
+        Ok(collected) => {
+            let bytes = collected.to_bytes();
+            context.buffered.fetch_add(bytes.len(), Ordering::Relaxed);
+            Ok(HeldBody { context: context.clone(), counted: bytes.len(), bytes })
+        }
+        Err(error) if error.is::<LengthLimitError>() => Err(too_large()),
+        Err(_) => Err(Box::new(own_answer(StatusCode::BAD_REQUEST, "the body broke off"))),
+    }
+}
--- /dev/null
+++ b/gateway/src/transport/gateway_context.rs
@@ -0,0 +1,162 @@
+//! What the parts of an entry host share.
+
+use std::collections::BTreeMap;
+use std::hash::Hasher;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use galenamast::state::TimePoint;
+use galenamast::transport::TimerService;
+use siphasher::sip::SipHasher13;
+use tokio::sync::Notify;
+
+use crate::coordination::budgets::{RepeatBudget, RepeatPurpose};
+use crate::coordination::placement::{LoadBook, ServerTable};
+use crate::coordination::requests::CrashBook;
+use crate::coordination::rollouts::RolloutBoard;
+use crate::protocol::PlatformFormat;
+use crate::state::RouteImage;
+use crate::transport::connection_pool::ConnectionPool;
+use crate::transport::gateway_metrics::GatewayMetrics;
+use crate::transport::gateway_settings::GatewaySettings;
+use crate::transport::store_client::StoreClient;
+
+/// What the parts of an entry host share.
+#[derive(Debug)]
+pub struct GatewayContext {
+    /// Settings of the process.
+    pub settings: GatewaySettings,
+    /// Formats of the platform.
+    pub format: PlatformFormat,
+    /// The source of time.
+    pub timers: TimerService,
+    /// Client of the store.
+    pub store: StoreClient,
+    /// Connections to backend servers.
+    pub pool: ConnectionPool,
+    /// The configuration in force.
+    pub image: ArcSwapOption<RouteImage>,
+    /// Counters and latencies.
+    pub metrics: GatewayMetrics,
+    /// Is told when a roll-out may need a report.
+    pub rollout_news: Notify,
+    /// When the store last confirmed the configuration.
+    pub confirmed_at: Mutex<Option<TimePoint>>,
+    /// Allows one read of the configuration at a time outside the watch.
+    pub refresh: tokio::sync::Mutex<()>,
+    /// Requests in flight.
+    pub in_flight: AtomicUsize,
+    /// Bodies of requests that are held, in bytes.
+    pub buffered: AtomicUsize,
+    /// Whether the process stops.
+    pub stopping: AtomicBool,
+    servers: Mutex<ServerTable>,
+    loads: Mutex<LoadBook>,
+    budgets: Mutex<BTreeMap<Arc<str>, RepeatBudget>>,
+    rollouts: Mutex<RolloutBoard>,
+    crashes: Mutex<CrashBook>,
+}
+
+impl GatewayContext {
+    /// Creates what the parts of a host share.
+    pub fn new(settings: GatewaySettings, format: PlatformFormat) -> Arc<Self> {
+        Arc::new(Self {
+            format,
+            timers: TimerService::system(),
+            store: StoreClient::new(settings.store, settings.connect_timeout),
+            pool: ConnectionPool::default(),
+            image: ArcSwapOption::empty(),
+            metrics: GatewayMetrics::default(),
+            rollout_news: Notify::new(),
+            confirmed_at: Mutex::new(None),
+            refresh: tokio::sync::Mutex::new(()),
+            in_flight: AtomicUsize::new(0),
+            buffered: AtomicUsize::new(0),
+            stopping: AtomicBool::new(false),
+            servers: Mutex::new(ServerTable::default()),
+            loads: Mutex::new(LoadBook::new(settings.loads)),
+            budgets: Mutex::new(BTreeMap::new()),
+            rollouts: Mutex::new(RolloutBoard::new(settings.rollouts)),
+            crashes: Mutex::new(CrashBook::new(settings.crashes)),
+            settings,
+        })
+    }
+
+    /// Returns the present time.
+    pub fn now(&self) -> TimePoint {
+        self.timers.now()
+    }
+
+    /// Locks the table of servers.
+    pub fn servers(&self) -> MutexGuard<'_, ServerTable> {
+        lock(&self.servers)
+    }
+
+    /// Locks the beliefs about servers.
+    pub fn loads(&self) -> MutexGuard<'_, LoadBook> {
+        lock(&self.loads)
+    }
+
+    /// Locks the roll-outs.
+    pub fn rollouts(&self) -> MutexGuard<'_, RolloutBoard> {
+        lock(&self.rollouts)
+    }
+
+    /// Locks the crashes.
+    pub fn crashes(&self) -> MutexGuard<'_, CrashBook> {
+        lock(&self.crashes)
+    }
+
+    /// Counts a request for a service.
+    pub fn note_request(&self, service: &Arc<str>) {
+        let now = self.now();
+        self.with_budget(service, |budget| budget.note_request(now));
+    }
+
+    /// Takes a repeat from a service's budget, if it allows one.
+    pub fn take_repeat(&self, service: &Arc<str>, purpose: RepeatPurpose) -> bool {
+        let now = self.now();
+        self.with_budget(service, |budget| budget.take_repeat(purpose, now))
+    }
+
+    /// Notes that the store confirmed the configuration just now.
+    pub fn confirm_configuration(&self) {
+        *lock(&self.confirmed_at) = Some(self.now());
+    }
+
+    /// Returns the time since the store confirmed the configuration.
+    pub fn configuration_age(&self) -> Option<Duration> {
+        let now = self.now();
+        lock(&self.confirmed_at).map(|at| now.since(at))
+    }
+
+    /// Returns whether the host takes new connections.
+    pub fn is_ready(&self) -> bool {
+        let has_image = self.image.load().is_some();
+        has_image && !self.stopping.load(Ordering::SeqCst) && !self.servers().is_empty()
+    }
+
+    /// Does something with a service's budget.
+    fn with_budget<T>(&self, service: &Arc<str>, act: impl FnOnce(&mut RepeatBudget) -> T) -> T {
+        let mut budgets = lock(&self.budgets);
+        let settings = self.settings.budget;
+        act(budgets.entry(service.clone()).or_insert_with(|| RepeatBudget::new(settings)))
+    }
+}
+
+/// Locks a value; one whose holder panicked is used as it is.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Returns a hash of some text, the same on all hosts.
+pub(crate) fn stable_hash(texts: &[&[u8]]) -> u64 {
+    let mut hasher = SipHasher13::new();
+    for text in texts {
+        hasher.write_usize(text.len());
+        hasher.write(text);
+    }
+    hasher.finish()
+}
--- /dev/null
+++ b/gateway/src/transport/gateway_host.rs
@@ -0,0 +1,143 @@
+//! A running entry host on a platform: starts its parts and stops them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use log::Level;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::protocol::{GatewayRecord, PlatformFormat};
+use crate::transport::caller_listener::CallerListener;
+use crate::transport::gateway_context::GatewayContext;
+use crate::transport::gateway_error::GatewayError;
+use crate::transport::gateway_settings::GatewaySettings;
+use crate::transport::ready_listener::serve_ready;
+use crate::transport::record_log::log_record;
+use crate::transport::rollout_writer::write_reports;
+use crate::transport::store_feeds::start_feeds;
+
+/// Time between looks at the connections that are still open while the host stops.
+const STOP_LOOK: Duration = Duration::from_millis(50);
+
+/// A running entry host.
+#[derive(Debug)]
+pub struct GatewayHost {
+    context: Arc<GatewayContext>,
+    callers: Arc<CallerListener>,
+    caller_address: SocketAddr,
+    ready_address: SocketAddr,
+    _tasks: Vec<AbortOnDropHandle<()>>,
+}
+
+impl GatewayHost {
+    /// Starts an entry host; returns when its sockets are open.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a socket cannot be opened.
+    pub async fn start(
+        settings: GatewaySettings,
+        format: PlatformFormat,
+    ) -> Result<Self, GatewayError> {
+        let (callers, caller_address) = listen(settings.callers).await?;
+        let (ready, ready_address) = listen(settings.ready).await?;
+        let context = GatewayContext::new(settings, format);
+        let listener = Arc::new(CallerListener {
+            context: context.clone(),
+            closing: CancellationToken::new(),
+            turning_away: CancellationToken::new(),
+            open: AtomicUsize::new(0),
+        });
+        let mut tasks = start_feeds(&context);
+        tasks.push(tokio::spawn(listener.clone().accept(callers)));
+        tasks.push(tokio::spawn(serve_ready(context.clone(), ready)));
+        tasks.push(tokio::spawn(write_reports(context.clone())));
+        let record = GatewayRecord::Started {
+            host: context.settings.host.clone(),
+            domain: context.settings.domain.clone(),
+            callers: caller_address.to_string(),
+        };
+        log_record(Level::Info, &record);
+        let tasks = tasks.into_iter().map(AbortOnDropHandle::new).collect();
+        Ok(Self { context, callers: listener, caller_address, ready_address, _tasks: tasks })
+    }
+
+    /// Returns the address that callers connect to.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Returns the address that tells whether the host takes new connections.
+    pub fn ready_address(&self) -> SocketAddr {
+        self.ready_address
+    }
+
+    /// Returns what the parts of the host share.
+    pub fn context(&self) -> &Arc<GatewayContext> {
+        &self.context
+    }
+
+    /// Stops the host after the requests in flight have ended, or when the time for that is over.
+    pub async fn stop(self) {
+        let stops_at = self.context.now() + self.context.settings.grace;
+        let in_flight = self.context.in_flight.load(Ordering::Relaxed);
+        log_record(Level::Info, &GatewayRecord::Stopping { in_flight });
+        self.context.stopping.store(true, Ordering::SeqCst);
+        let lag = self.context.settings.balancer_lag.min(self.context.settings.grace);
+        self.context.timers.sleep(lag).await;
+        self.callers.turning_away.cancel();
+        self.callers.closing.cancel();
+        while self.callers.open.load(Ordering::Relaxed) > 0 && self.context.now() < stops_at {
+            self.context.timers.sleep(STOP_LOOK).await;
+        }
+        let abandoned = self.callers.open.load(Ordering::Relaxed);
+        log_record(Level::Info, &GatewayRecord::Stopped { abandoned });
+    }
+}
+
+/// Opens a socket to listen on.
+async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), GatewayError> {
+    let failed = |source| GatewayError::Listen { address, source };
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?;
+    Ok((listener, bound))
+}
+
+/// Runs an entry host until the process is told to stop.
+///
+/// # Errors
+///
+/// Returns an error if the host cannot start.
+pub async fn run_gateway(
+    settings: GatewaySettings,
+    format: PlatformFormat,
+    read_again: impl Fn() -> Option<GatewaySettings>,
+) -> Result<(), GatewayError> {
+    let listen_to = |kind| signal(kind).map_err(GatewayError::Signals);
+    let mut hangup = listen_to(SignalKind::hangup())?;
+    let mut terminate = listen_to(SignalKind::terminate())?;
+    let mut interrupt = listen_to(SignalKind::interrupt())?;
+    let host = GatewayHost::start(settings, format).await?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            () = received(&mut hangup) => {
+                let valid = read_again().is_some();
+                log_record(Level::Info, &GatewayRecord::SettingsReloaded { valid });
+            }
+        }
+    }
+    host.stop().await;
+    Ok(())
+}
+
+/// Waits for a signal.
+async fn received(signal: &mut Signal) {
+    signal.recv().await;
+}
--- /dev/null
+++ b/gateway/src/transport/gateway_metrics.rs
@@ -0,0 +1,80 @@
+//! Counters and latency histograms, as a text page.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+/// Significant digits of the histograms.
+const DIGITS: u8 = 2;
+/// Quantiles that the page shows.
+const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 1.0];
+
+/// Values by name.
+#[derive(Debug, Default)]
+struct MetricValues {
+    counters: BTreeMap<String, u64>,
+    latencies: BTreeMap<String, Histogram<u64>>,
+}
+
+/// Counters and latency histograms.
+#[derive(Debug, Default)]
+pub struct GatewayMetrics {
+    values: Mutex<MetricValues>,
+}
+
+impl GatewayMetrics {
+    /// Adds one to a counter.
+    pub fn count(&self, name: &str) {
+        let mut values = self.values.lock().unwrap_or_else(PoisonError::into_inner);
+        match values.counters.get_mut(name) {
+            Some(counter) => *counter += 1,
+            None => {
+                values.counters.insert(name.to_owned(), 1);
+            }
+        }
+    }
+
+    /// Records a latency, which the page shows in milliseconds.
+    pub fn record(&self, name: &str, latency: Duration) {
+        let mut values = self.values.lock().unwrap_or_else(PoisonError::into_inner);
+        if !values.latencies.contains_key(name) {
+            let Ok(histogram) = Histogram::new(DIGITS) else {
+                return;
+            };
+            values.latencies.insert(name.to_owned(), histogram);
+        }
+        if let Some(histogram) = values.latencies.get_mut(name) {
+            let millis = u64::try_from(latency.as_millis()).unwrap_or(u64::MAX);
+            histogram.saturating_record(millis);
+        }
+    }
+
+    /// Returns the page.
+    ///
+    /// ```
+    /// use galenamast_gateway::transport::GatewayMetrics;
+    ///
+    /// let metrics = GatewayMetrics::default();
+    /// metrics.count("requests_total");
+    /// assert_eq!(metrics.page(), "requests_total 1\n");
+    /// ```
+    pub fn page(&self) -> String {
+        let values = self.values.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut page = String::new();
+        for (name, count) in &values.counters {
+            // Writing to a string does not fail.
+            let _ = writeln!(page, "{name} {count}");
+        }
+        for (name, histogram) in &values.latencies {
+            for quantile in QUANTILES {
+                let value = histogram.value_at_quantile(quantile);
+                let _ = writeln!(page, "{name}_ms{{quantile=\"{quantile}\"}} {value}");
+            }
+            let _ = writeln!(page, "{name}_count {}", histogram.len());
+        }
+        page
+    }
+}
--- /dev/null
+++ b/gateway/src/transport/gateway_settings.rs
@@ -0,0 +1,82 @@
+//! Settings of an entry host on a platform.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::coordination::budgets::BudgetSettings;
+use crate::coordination::cascade::CascadeSettings;
+use crate::coordination::placement::{LoadSettings, PickSettings};
+use crate::coordination::requests::CrashSettings;
+use crate::coordination::rollouts::RolloutSettings;
+
+/// Settings of an entry host on a platform.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewaySettings {
+    /// Name of the host.
+    pub host: Arc<str>,
+    /// Failure domain of the host.
+    pub domain: Arc<str>,
+    /// Address that callers are forwarded to.
+    pub callers: SocketAddr,
+    /// Address on which the host tells whether it takes new connections.
+    pub ready: SocketAddr,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Time from the request to stop until the last request is given up.
+    pub grace: Duration,
+    /// Time from the request to stop until new requests that may last long are turned away; the
+    /// balancer has turned to other hosts by then.
+    pub balancer_lag: Duration,
+    /// Bodies of requests that are held at once, in bytes.
+    pub buffered_bytes: usize,
+    /// Connections of callers that are held at once.
+    pub caller_connections: usize,
+    /// Time that a new connection to a backend server may take.
+    pub connect_timeout: Duration,
+    /// Longest time that the store holds a watch; bounds how long a silent connection is believed.
+    pub watch_wait: Duration,
+    /// Time for an answer of the store that is not a watch.
+    pub store_timeout: Duration,
+    /// Age of the last word of the store from which a refusal of a caller is checked first.
+    pub refusal_age: Duration,
+    /// Bounds on repeats.
+    pub budget: BudgetSettings,
+    /// Choice between models.
+    pub cascade: CascadeSettings,
+    /// Beliefs about servers.
+    pub loads: LoadSettings,
+    /// Choice of servers.
+    pub picks: PickSettings,
+    /// Roll-outs.
+    pub rollouts: RolloutSettings,
+    /// Requests that crash servers.
+    pub crashes: CrashSettings,
+}
+
+impl Default for GatewaySettings {
+    fn default() -> Self {
+        let anywhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
+            host: "entry-host".into(),
+            domain: "local".into(),
+            callers: anywhere,
+            ready: anywhere,
+            store: anywhere,
+            grace: Duration::from_secs(8),
+            balancer_lag: Duration::from_millis(2_800),
+            buffered_bytes: 64 * 1_024 * 1_024,
+            caller_connections: 1_500,
+            connect_timeout: Duration::from_millis(400),
+            watch_wait: Duration::from_millis(3_000),
+            store_timeout: Duration::from_millis(1_000),
+            refusal_age: Duration::from_secs(1),
+            budget: BudgetSettings::default(),
+            cascade: CascadeSettings::default(),
+            loads: LoadSettings::default(),
+            picks: PickSettings::default(),
+            rollouts: RolloutSettings::default(),
+            crashes: CrashSettings::default(),
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/transport/mod.rs
@@ -0,0 +1,30 @@
+//! Sockets: callers, backend servers, the platform's store, readiness and signals.
+
+mod answer_body;
+mod attempt_runner;
+mod caller_gate;
+mod caller_listener;
+mod connection_pool;
+mod flight_guard;
+mod gateway_context;
+mod gateway_error;
+mod gateway_host;
+mod gateway_metrics;
+mod gateway_settings;
+mod ready_listener;
+mod record_log;
+mod request_exchange;
+mod rollout_writer;
+mod store_client;
+mod store_feeds;
+mod store_follower;
+mod stream_relay;
+
+pub use connection_pool::{BackendConnection, ConnectionPool};
+pub use gateway_context::GatewayContext;
+pub use gateway_error::GatewayError;
+pub use gateway_host::{GatewayHost, run_gateway};
+pub use gateway_metrics::GatewayMetrics;
+pub use gateway_settings::GatewaySettings;
+pub use record_log::{RecordLog, log_record};
+pub use store_client::{StoreClient, StoreError};
--- /dev/null
+++ b/gateway/src/transport/record_log.rs
@@ -0,0 +1,132 @@
+//! Structured log lines on standard output that never block the process.
+
+use std::io::{self, Write};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use log::{Level, LevelFilter};
+use serde::Serialize;
+use simplelog::{ConfigBuilder, WriteLogger};
+
+use crate::protocol::GatewayRecord;
+
+/// Target of every log line; lines of other crates are left out, so that each line is JSON.
+const LOG_TARGET: &str = "galenamast_gateway";
+/// Lines that wait for a slow reader of standard output; more are left out and counted.
+const WAITING_LINES: usize = 2_048;
+/// Lines that are written within a second; more are left out and counted.
+const LINES_PER_SECOND: u64 = 400;
+
+/// Lines that were left out since the last line that said so.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+/// Second, since the Unix epoch, that `WRITTEN` counts for.
+static SECOND: AtomicU64 = AtomicU64::new(0);
+/// Lines that were written within the second.
+static WRITTEN: AtomicU64 = AtomicU64::new(0);
+
+/// A log line.
+#[derive(Serialize)]
+struct LogLine<'a> {
+    unix_ms: u64,
+    level: &'static str,
+    #[serde(flatten)]
+    record: &'a GatewayRecord,
+}
+
+/// The writer of log lines.
+#[derive(Debug)]
+pub struct RecordLog;
+
+impl RecordLog {
+    /// Starts writing lines to an output on a thread of its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the thread cannot be started.
+    pub fn start(mut output: impl Write + Send + 'static) -> io::Result<()> {
+        let (sender, receiver) = sync_channel::<Vec<u8>>(WAITING_LINES);
+        std::thread::Builder::new().name("log".into()).spawn(move || {
+            for line in receiver {
+                // Nobody can be told that the log cannot be written.
+                let _ = output.write_all(&line).and_then(|()| output.flush());
+            }
+        })?;
+        let config = ConfigBuilder::new()
+            .set_time_level(LevelFilter::Off)
+            .set_max_level(LevelFilter::Off)
+            .set_target_level(LevelFilter::Off)
+            .set_thread_level(LevelFilter::Off)
+            .set_location_level(LevelFilter::Off)
+            .add_filter_allow_str(LOG_TARGET)
+            .build();
+        let writer = QueueWriter { sender, line: Vec::new() };
+        // A second start in one process keeps the first logger, which tests rely on.
+        let _ = WriteLogger::init(LevelFilter::Info, config, writer);
+        Ok(())
+    }
+}
+
+/// Gathers a line and hands it to the thread that writes.
+struct QueueWriter {
+    sender: SyncSender<Vec<u8>>,
+    line: Vec<u8>,
+}
+
+impl Write for QueueWriter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(bytes);
+        if bytes.ends_with(b"\n") {
+            let line = std::mem::take(&mut self.line);
+            if let Err(TrySendError::Full(_)) = self.sender.try_send(line) {
+                DROPPED.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes a record as one JSON line, unless too many were written within this second.
+pub fn log_record(level: Level, record: &GatewayRecord) {
+    if !log::log_enabled!(target: LOG_TARGET, level) {
+        return;
+    }
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let unix_ms = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
+    if !admit_line(since.as_secs()) {
+        DROPPED.fetch_add(1, Ordering::Relaxed);
+        return;
+    }
+    let count = DROPPED.swap(0, Ordering::Relaxed);
+    if count > 0 {
+        write_line(unix_ms, Level::Warn, &GatewayRecord::LinesDropped { count });
+    }
+    write_line(unix_ms, level, record);
+}
+
+/// Returns whether another line may be written within this second.
+fn admit_line(second: u64) -> bool {
+    if SECOND.swap(second, Ordering::Relaxed) != second {
+        WRITTEN.store(0, Ordering::Relaxed);
+    }
+    WRITTEN.fetch_add(1, Ordering::Relaxed) < LINES_PER_SECOND
+}
+
+/// Writes a line.
+fn write_line(unix_ms: u64, level: Level, record: &GatewayRecord) {
+    let name = match level {
+        Level::Error => "error",
+        Level::Warn => "warn",
+        Level::Info => "info",
+        Level::Debug => "debug",
+        Level::Trace => "trace",
+    };
+    let line = LogLine { unix_ms, level: name, record };
+    if let Ok(text) = serde_json::to_string(&line) {
+        log::log!(target: LOG_TARGET, level, "{text}");
+    }
+}
--- /dev/null
+++ b/gateway/src/transport/request_exchange.rs
@@ -0,0 +1,583 @@
+//! The course of one request: attempts, cascades and the answer to the caller.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use galenamast::state::TimePoint;
+use http::request::Parts;
+use http::{Response, StatusCode};
+use log::Level;
+use rand::Rng;
+
+use crate::coordination::budgets::RepeatPurpose;
+use crate::coordination::cascade::{confidence_bound, wants_larger};
+use crate::coordination::placement::{PickQuery, ServerPick, pick_server};
+use crate::coordination::requests::{
+    AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, NextStep, final_answer, next_step,
+};
+use crate::coordination::rollouts::VersionRule;
+use crate::protocol::{DecisionInputs, GatewayRecord};
+use crate::state::{AttemptHead, CallerHead, RouteKind, ServerEntry, ServiceRoute};
+use crate::transport::answer_body::{AnswerBody, not_run_answer, own_answer, whole_body};
+use crate::transport::attempt_runner::{
+    AttemptCall, OpenAnswer, WholeAnswer, run_attempt, time_until,
+};
+use crate::transport::caller_gate::{Admission, HeldBody};
+use crate::transport::gateway_context::{GatewayContext, stable_hash};
+use crate::transport::record_log::log_record;
+use crate::transport::stream_relay::StreamRelay;
+
+/// Servers that are asked for one request at most, whether they run it or not.
+const MAX_ASKS: u32 = 6;
+/// Time before the deadline at which the caller is answered, so that the answer arrives.
+const ANSWER_MARGIN: Duration = Duration::from_millis(15);
+/// Times the usual time to the first byte after which a server is taken to be silent.
+const PATIENCE_RATIO: f64 = 4.0;
+/// Part of the goal that a whole answer is waited for before another server is asked.
+const WHOLE_GOAL_PART: f64 = 0.6;
+/// Part of the goal that a stream's first event is waited for before another server is asked.
+const STREAM_GOAL_PART: f64 = 1.0;
+/// Shortest time left in which another attempt is of use.
+const LEAST_TIME: Duration = Duration::from_millis(30);
+/// Pause before servers are looked for again when none takes work.
+const NO_SERVER_PAUSE: Duration = Duration::from_millis(600);
+/// Time after which a refused request may find room.
+const ROOM_PAUSE: Duration = Duration::from_millis(500);
+/// Urgency that engines take if none is stated; ranks beyond it are cut.
+const LEAST_URGENCY: u8 = 9;
+/// Width of the size classes of prompts, as a power of two in tokens.
+const SIZE_CLASS_SHIFT: u32 = 10;
+
+/// Why no answer is open.
+#[derive(Debug)]
+pub(crate) enum ExchangeEnd {
+    /// A server's failure is passed on.
+    Failure(WholeAnswer),
+    /// The host answers itself.
+    Own(FinalAnswer),
+    /// The request crashed servers before.
+    Quarantined,
+}
+
+/// One request.
+#[derive(Debug)]
+pub(crate) struct RequestExchange {
+    pub(crate) context: Arc<GatewayContext>,
+    pub(crate) route: Arc<ServiceRoute>,
+    pub(crate) request: Arc<str>,
+    pub(crate) deadline: TimePoint,
+    pub(crate) started_at: TimePoint,
+    pub(crate) tally: AttemptTally,
+    service: Arc<str>,
+    configuration: u64,
+    parts: Parts,
+    body: HeldBody,
+    head: CallerHead,
+    workspace: Option<Arc<str>>,
+    urgency: u8,
+    session: u64,
+    fingerprint: u64,
+    tried: Vec<Arc<str>>,
+    model: Option<Arc<str>>,
+    version: Option<Arc<str>>,
+    last_failure: Option<WholeAnswer>,
+}
+
+impl RequestExchange {
+    /// Creates the course of an admitted request.
+    pub(crate) fn new(
+        context: Arc<GatewayContext>,
+        admission: Admission,
+        parts: Parts,
+        body: HeldBody,
+        head: CallerHead,
+        started_at: TimePoint,
+    ) -> Self {
+        let Admission { image, route, workspace } = admission;
+        let request = head.request.clone().unwrap_or_default();
+        let session = match (&head.session, head.parts.last()) {
+            (Some(session), _) => stable_hash(&[session.as_bytes()]),
+            (None, Some(part)) => stable_hash(&[&part.digest.to_le_bytes()]),
+            (None, None) => stable_hash(&[request.as_bytes()]),
+        };
+        let workspace_name = workspace.as_ref().map(|entry| entry.name.clone());
+        let path = parts.uri.path().as_bytes();
+        let name = workspace_name.as_deref().unwrap_or_default().as_bytes();
+        let fingerprint = stable_hash(&[path, name, &body.bytes]);
+        let target = route.pick_target(session >> 20).map(|target| target.service.clone());
+        let allowed = head.time_allowed.unwrap_or(route.timeout).min(route.timeout);
+        let priority = workspace.and_then(|entry| entry.priority).unwrap_or(0);
+        Self {
+            deadline: started_at + allowed.saturating_sub(ANSWER_MARGIN),
+            service: target.unwrap_or_default(),
+            configuration: image.version,
+            model: route.models.first().filter(|_| head.any_model).cloned(),
+            urgency: route.priority.saturating_add(priority).min(LEAST_URGENCY),
+            workspace: workspace_name,
+            tally: AttemptTally::default(),
+            tried: Vec::new(),
+            version: None,
+            last_failure: None,
+            context,
+            route,
+            request,
+            started_at,
+            parts,
+            body,
+            head,
+            session,
+            fingerprint,
+        }
+    }
+
+    /// Runs the request and returns the answer for the caller.
+    pub(crate) async fn run(mut self) -> Response<AnswerBody> {
+        self.context.note_request(&self.service);
+        if self.route.kind == RouteKind::Stream {
+            return match self.open_stream(None).await {
+                Ok(answer) => self.start_relay(answer),
+                Err(end) => self.end(end),
+            };
+        }
+        match self.run_whole().await {
+            Ok(answer) => {
+                self.log_end(answer.status.as_u16(), "answered", 0);
+                whole_response(answer)
+            }
+            Err(end) => self.end(end),
+        }
+    }
+
+    /// Runs a request with a whole answer.
+    async fn run_whole(&mut self) -> Result<WholeAnswer, ExchangeEnd> {
+        loop {
+            let answer = self.open_answer(None).await?;
+            let server = answer.server.clone();
+            let (status, sent_took) = (answer.status, answer.took);
+            let read = answer.read_whole(&self.context, self.deadline).await;
+            match read {
+                Ok(whole) if !status.is_server_error() => {
+                    self.note_good(&server, sent_took);
+                    return Ok(whole);
+                }
+                Ok(whole) => {
+                    self.note_failed_answer(&server);
+                    self.last_failure = Some(whole);
+                    self.after_attempt(&server, AttemptOutcome::Failed, sent_took).await?;
+                }
+                Err(outcome) => self.after_attempt(&server, outcome, sent_took).await?,
+            }
+        }
+    }
+
+    /// Opens a streamed answer, with a larger model if the smaller one doubts its answer.
+    pub(crate) async fn open_stream(
+        &mut self,
+        resume_after: Option<u64>,
+    ) -> Result<OpenAnswer, ExchangeEnd> {
+        loop {
+            let answer = self.open_answer(resume_after).await?;
+            let (server, took) = (answer.server.clone(), answer.took);
+            if answer.status.is_server_error() || answer.status.is_client_error() {
+                self.note_failed_answer(&server);
+                match answer.read_whole(&self.context, self.deadline).await {
+                    Ok(whole) => self.last_failure = Some(whole),
+                    Err(outcome) => {
+                        self.after_attempt(&server, outcome, took).await?;
+                        continue;
+                    }
+                }
+                self.after_attempt(&server, AttemptOutcome::Failed, took).await?;
+                continue;
+            }
+            self.note_good(&server, took);
+            if resume_after.is_none() && self.asks_larger(&answer) {
+                self.tally.asks += 1;
+                self.tally.runs += 1;
+                self.log_attempt(&server, "doubted", took, "larger model");
+                self.model = self.route.models.last().cloned();
+                continue;
+            }
+            return Ok(answer);
+        }
+    }
+
+    /// Returns whether an answer is dropped for a run of the largest model.
+    fn asks_larger(&self, answer: &OpenAnswer) -> bool {
+        let settings = &self.context.settings.cascade;
+        let (Some(model), Some(confidence)) = (&self.model, answer.head.confidence) else {
+            return false;
+        };
+        if self.route.models.last() == Some(model) || self.tally.runs + 1 >= self.route.attempts {
+            return false;
+        }
+        let bound = confidence_bound(self.head.prompt_tokens, 0.0, settings);
+        let elapsed = self.context.now().since(self.started_at);
+        wants_larger(confidence, bound, elapsed, self.route.goal, settings)
+            && self.context.take_repeat(&self.service, RepeatPurpose::Cascade)
+    }
+
+    /// Sends attempts until one answers with a head that is the server's.
+    async fn open_answer(&mut self, resume_after: Option<u64>) -> Result<OpenAnswer, ExchangeEnd> {
+        loop {
+            if self.context.crashes().is_refused(self.fingerprint, self.context.now()) {
+                return Err(ExchangeEnd::Quarantined);
+            }
+            let left = time_until(&self.context, self.deadline);
+            if left < LEAST_TIME {
+                let is_unsent = self.tally.runs == 0;
+                let end = if is_unsent { FinalAnswer::NotRun } else { FinalAnswer::TimedOut };
+                return Err(ExchangeEnd::Own(end));
+            }
+            let Some(pick) = self.pick() else {
+                return Err(self.out_of_servers());
+            };
+            let server = pick.server.clone();
+            let patience = self.patience(left);
+            self.log_choice(&pick);
+            self.context.rollouts().note_session(self.session, &server.version, self.context.now());
+            let sent_at = self.context.now();
+            let call = AttemptCall {
+                parts: &self.parts,
+                body: &self.body.bytes,
+                request: &self.request,
+                needs_fresh: self.route.kind == RouteKind::Unsafe,
+                patience,
+                head: AttemptHead {
+                    server: server.id.clone(),
+                    time_left: left,
+                    workspace: self.workspace.clone(),
+                    model: self.model.clone(),
+                    urgency: Some(self.urgency).filter(|_| self.route.kind == RouteKind::Stream),
+                    resume_after,
+                },
+            };
+            match run_attempt(&self.context, &server, call).await {
+                Ok(answer) => return Ok(answer),
+                Err(outcome) => {
+                    let took = self.context.now().since(sent_at);
+                    self.after_attempt(&server, outcome, took).await?;
+                }
+            }
+        }
+    }
+
+    /// Takes in the end of an attempt; returns if another one may follow.
+    pub(crate) async fn after_attempt(
+        &mut self,
+        server: &ServerEntry,
+        outcome: AttemptOutcome,
+        took: Duration,
+    ) -> Result<(), ExchangeEnd> {
+        self.tally.note(outcome);
+        self.tried.push(server.id.clone());
+        self.note_outcome(server, outcome).await;
+        let limits = AttemptLimits {
+            repeatable: self.route.is_repeatable(),
+            runs: self.route.attempts,
+            asks: MAX_ASKS,
+        };
+        let step = match next_step(outcome, &self.tally, &limits) {
+            NextStep::Again(Some(purpose)) if !self.context.take_repeat(&self.service, purpose) => {
+                NextStep::End(final_answer(outcome, &self.tally))
+            }
+            step => step,
+        };
+        let name = match step {
+            NextStep::Again(_) => "another server",
+            NextStep::End(_) => "answer",
+        };
+        self.log_attempt(server, &format!("{outcome:?}"), took, name);
+        match step {
+            NextStep::Again(_) => Ok(()),
+            NextStep::End(FinalAnswer::ServerFailure) => Err(match self.last_failure.take() {
+                Some(failure) => ExchangeEnd::Failure(failure),
+                None => ExchangeEnd::Own(FinalAnswer::Unknown),
+            }),
+            NextStep::End(end) => Err(ExchangeEnd::Own(end)),
+        }
+    }
+
+    /// Tells the end when no server is left to ask.
+    fn out_of_servers(&mut self) -> ExchangeEnd {
+        match self.last_failure.take() {
+            Some(failure) => ExchangeEnd::Failure(failure),
+            None if self.tally.runs == 0 => ExchangeEnd::Own(FinalAnswer::NotRun),
+            None => ExchangeEnd::Own(FinalAnswer::Unknown),
+        }
+    }
+
+    /// Takes what an attempt's end says of the server into the host's beliefs.
+    async fn note_outcome(&self, server: &ServerEntry, outcome: AttemptOutcome) {
+        let now = self.context.now();
+        match outcome {
+            AttemptOutcome::NotSent => self.context.loads().note_refused(&server.id, now),
+            AttemptOutcome::WrongServer => self.context.servers().deny(&server.id, now),
+            AttemptOutcome::Silent => self.context.loads().note_silence(&server.id, now),
+            AttemptOutcome::Rejected | AttemptOutcome::Failed | AttemptOutcome::Garbled => {
+                self.context.loads().note_failure(&server.id, now);
+            }
+            AttemptOutcome::Broken => {
+                self.context.loads().note_failure(&server.id, now);
+                self.check_crash(server).await;
+            }
+        }
+    }
+
+    /// Finds out whether a server that broke a connection crashed, and notes the request if so.
+    async fn check_crash(&self, server: &ServerEntry) {
+        if is_alive(server).await {
+            return;
+        }
+        let now = self.context.now();
+        self.context.loads().note_refused(&server.id, now);
+        let crashes = self.context.crashes().note_crash(self.fingerprint, &server.id, now);
+        let fingerprint = format!("{:016x}", self.fingerprint);
+        log_record(Level::Warn, &GatewayRecord::CrashNoted { fingerprint, crashes });
+        if crashes >= 2 {
+            tell_crash(&self.context, self.fingerprint, crashes);
+        }
+    }
+
+    /// Takes a good answer into the host's beliefs.
+    fn note_good(&self, server: &ServerEntry, took: Duration) {
+        let (class, size) = self.class();
+        let usual = self.context.loads().expected_first(&class, size);
+        let now = self.context.now();
+        {
+            let mut loads = self.context.loads();
+            loads.note_first(&server.id, &class, size, took);
+            loads.note_success(&server.id, now);
+        }
+        let is_slow = self.context.rollouts().is_slow(&self.service, took, usual);
+        self.note_trial(server, is_slow);
+    }
+
+    /// Takes a server's failure into the judgement of its version.
+    fn note_failed_answer(&self, server: &ServerEntry) {
+        self.note_trial(server, true);
+    }
+
+    /// Takes an answer into the judgement of its version.
+    fn note_trial(&self, server: &ServerEntry, is_bad: bool) {
+        let (service, version) = (&self.service, &server.version);
+        let stopped =
+            self.context.rollouts().note_answer(service, version, &self.route.name, is_bad);
+        if let Some(evidence) = stopped {
+            let record = GatewayRecord::RolloutChanged {
+                service: service.clone(),
+                target: version.clone(),
+                state: "stopped by this host".into(),
+                share: 0,
+                evidence,
+            };
+            log_record(Level::Warn, &record);
+            self.context.rollout_news.notify_one();
+        }
+    }
+
+    /// Picks a server that was not tried and whose version may serve the session.
+    fn pick(&mut self) -> Option<ServerPick> {
+        let now = self.context.now();
+        let unix_ms = self.context.timers.unix_millis();
+        let rule = self.context.rollouts().rule(&self.service, self.session, now, unix_ms);
+        let servers = self.context.servers();
+        let serving = servers.serving(&self.service, now);
+        let affinity = self.head.parts.first().map(|part| {
+            let model = self.model.as_ref().or(self.head.model.as_ref());
+            part.digest ^ stable_hash(&[model.map_or(b"", |model| model.as_bytes())])
+        });
+        let query = PickQuery {
+            domain: &self.context.settings.domain,
+            affinity,
+            excluded: &self.tried,
+            points: rand::rng().random(),
+        };
+        let loads = self.context.loads();
+        let settings = &self.context.settings.picks;
+        let pick = preferred(&serving, &rule, self.version.as_ref())
+            .into_iter()
+            .find_map(|group| pick_server(&group, &query, &loads, settings, now))?;
+        self.version = Some(pick.server.version.clone());
+        Some(pick)
+    }
+
+    /// Returns how long the head of an answer is waited for.
+    fn patience(&self, left: Duration) -> Duration {
+        if !self.route.is_repeatable() || self.tally.runs + 1 >= self.route.attempts {
+            return left;
+        }
+        let (class, size) = self.class();
+        let usual = self.context.loads().expected_first(&class, size).unwrap_or_default();
+        let part = match self.route.kind {
+            RouteKind::Stream => STREAM_GOAL_PART,
+            RouteKind::Safe | RouteKind::Unsafe => WHOLE_GOAL_PART,
+        };
+        usual.mul_f64(PATIENCE_RATIO).max(self.route.goal.mul_f64(part)).min(left)
+    }
+
+    /// Returns the class of requests that this one's times are compared with.
+    fn class(&self) -> (Arc<str>, u8) {
+        let size = 32 - (self.head.prompt_tokens >> SIZE_CLASS_SHIFT).leading_zeros();
+        let class = self.model.as_ref().unwrap_or(&self.route.name).clone();
+        (class, u8::try_from(size).unwrap_or(u8::MAX))
+    }
+
+    /// Starts to pass the events of an answer on.
+    fn start_relay(self, answer: OpenAnswer) -> Response<AnswerBody> {
+        let (status, headers) = (answer.status, answer.headers.clone());
+        let resume_after = self.head.resume_after;
+        let body = StreamRelay::new(self, answer, resume_after).into_body();
+        let mut response = Response::new(body);
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        response
+    }
+
+    /// Answers the caller when no server's answer is delivered.
+    fn end(&self, end: ExchangeEnd) -> Response<AnswerBody> {
+        let (response, outcome) = match end {
+            ExchangeEnd::Failure(failure) => (whole_response(failure), "the server failed"),
+            ExchangeEnd::Quarantined if self.tally.runs == 0 => {
+                let text = "requests like this crashed servers";
+                (not_run_answer(text, Duration::from_secs(30)), text)
+            }
+            ExchangeEnd::Quarantined => {
+                let text = "the request crashed servers";
+                (own_answer(StatusCode::BAD_GATEWAY, text), text)
+            }
+            ExchangeEnd::Own(FinalAnswer::NotRun) => {
+                let text = "no server takes the request now; it did not run";
+                let pause = if self.tally.asks == 0 { NO_SERVER_PAUSE } else { ROOM_PAUSE };
+                (not_run_answer(text, pause), text)
+            }
+            ExchangeEnd::Own(FinalAnswer::TimedOut) => {
+                let text = "no whole answer came in time";
+                (own_answer(StatusCode::GATEWAY_TIMEOUT, text), text)
+            }
+            ExchangeEnd::Own(FinalAnswer::Unknown | FinalAnswer::ServerFailure) => {
+                let text = "no server gave a whole answer; the request may have run";
+                (own_answer(StatusCode::BAD_GATEWAY, text), text)
+            }
+        };
+        self.log_end(response.status().as_u16(), outcome, 0);
+        response
+    }
+
+    /// Logs a choice.
+    fn log_choice(&self, pick: &ServerPick) {
+        self.context.metrics.count("attempts_total");
+        let now = self.context.now();
+        let (class, size) = self.class();
+        let load = self.context.loads().load(&pick.server.id);
+        let predicted = self.context.loads().expected_first(&class, size).unwrap_or_default();
+        let age = self.context.servers().age(now).unwrap_or_default();
+        let record = GatewayRecord::AttemptChosen {
+            request: self.request.clone(),
+            route: self.route.name.clone(),
+            attempt: self.tally.asks + 1,
+            server: pick.server.id.clone(),
+            version: pick.server.version.clone(),
+            model: self.model.clone(),
+            inputs: DecisionInputs {
+                configuration: self.configuration,
+                servers_age_ms: millis(age),
+                candidates: pick.candidates,
+                in_flight: load.in_flight,
+                predicted_ms: millis(predicted.mul_f64(load.slowness)),
+            },
+        };
+        log_record(Level::Info, &record);
+    }
+
+    /// Logs the end of an attempt.
+    fn log_attempt(&self, server: &ServerEntry, outcome: &str, took: Duration, next: &'static str) {
+        self.context.metrics.count(&format!("attempts_{}_total", outcome.to_lowercase()));
+        let record = GatewayRecord::AttemptEnded {
+            request: self.request.clone(),
+            attempt: self.tally.asks,
+            server: server.id.clone(),
+            outcome: outcome.into(),
+            elapsed_ms: millis(took),
+            next,
+        };
+        log_record(Level::Info, &record);
+    }
+
+    /// Logs the end of the request.
+    pub(crate) fn log_end(&self, status: u16, outcome: &str, events: u64) {
+        let elapsed = self.context.now().since(self.started_at);
+        self.context.metrics.count(&format!("requests_{status}_total"));
+        self.context.metrics.record("request", elapsed);
+        let record = GatewayRecord::RequestEnded {
+            request: self.request.clone(),
+            route: Some(self.route.name.clone()),
+            status,
+            outcome: outcome.into(),
+            elapsed_ms: millis(elapsed),
+            attempts: self.tally.asks + 1,
+            events,
+        };
+        log_record(Level::Info, &record);
+    }
+}
+
+/// Returns the groups of servers that may serve, the preferred ones first.
+fn preferred<'a>(
+    serving: &[&'a ServerEntry],
+    rule: &VersionRule,
+    pinned: Option<&Arc<str>>,
+) -> Vec<Vec<&'a ServerEntry>> {
+    let with = |version: &Arc<str>| -> Vec<&'a ServerEntry> {
+        serving.iter().copied().filter(|entry| entry.version == *version).collect()
+    };
+    let without = |version: &Arc<str>| -> Vec<&'a ServerEntry> {
+        serving.iter().copied().filter(|entry| entry.version != *version).collect()
+    };
+    let mut groups = match rule {
+        VersionRule::Any => vec![serving.to_vec()],
+        VersionRule::Prefer(target) => vec![with(target), without(target)],
+        VersionRule::Spare(target) => vec![without(target), with(target)],
+        VersionRule::Never(target) => vec![without(target)],
+    };
+    // An attempt after the first stays with its version, unless that is no longer allowed.
+    if let (Some(version), VersionRule::Any) = (pinned, rule) {
+        groups.insert(0, with(version));
+    }
+    groups
+}
+
+/// Returns the answer that passes a server's whole answer on.
+fn whole_response(answer: WholeAnswer) -> Response<AnswerBody> {
+    let mut response = Response::new(whole_body(answer.body));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    response
+}
+
+/// Returns whether a server accepts connections.
+async fn is_alive(server: &ServerEntry) -> bool {
+    const PROBE: Duration = Duration::from_millis(150);
+    let connecting = tokio::net::TcpStream::connect(server.address);
+    matches!(tokio::time::timeout(PROBE, connecting).await, Ok(Ok(_)))
+}
+
+/// Tells other hosts of a request that crashed servers.
+fn tell_crash(context: &Arc<GatewayContext>, fingerprint: u64, crashes: u32) {
+    use crate::protocol::{CrashNote, ObjectKind};
+    let context = context.clone();
+    tokio::spawn(async move {
+        let body = (context.format.write_crash)(&CrashNote { fingerprint, crashes });
+        let path = (context.format.object_path)(ObjectKind::CrashNotes, "");
+        let timeout = context.settings.store_timeout;
+        if let Err(error) = context.store.call(http::Method::POST, &path, body, timeout).await {
+            let message = error.to_string();
+            log_record(Level::Warn, &GatewayRecord::Fault { part: "crash note", message });
+        }
+    });
+}
+
+/// Returns a duration in whole milliseconds.
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/gateway/src/transport/rollout_writer.rs
@@ -0,0 +1,87 @@
+//! Writes the reports of roll-outs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use log::Level;
+
+use crate::protocol::{GatewayRecord, ObjectKind, RolloutOrder, RolloutReport, RolloutState};
+use crate::transport::gateway_context::{GatewayContext, stable_hash};
+use crate::transport::record_log::log_record;
+
+/// Time between looks at the roll-outs.
+const LOOK_PERIOD: Duration = Duration::from_millis(200);
+/// Longest time that a host leaves the others to write first.
+const TURN_SPREAD: Duration = Duration::from_millis(900);
+
+/// Writes due reports for as long as the process runs.
+pub(crate) async fn write_reports(context: Arc<GatewayContext>) {
+    loop {
+        if !context.rollouts().is_busy() {
+            context.rollout_news.notified().await;
+        }
+        let now = context.now();
+        let due = context.rollouts().due_reports(now, context.timers.unix_millis());
+        for (order, report) in due {
+            // A bad version is stopped at once; for the rest, one host of many writes.
+            if report.state != RolloutState::RolledBack {
+                tokio::time::sleep(own_turn(&context, &order)).await;
+            }
+            let unix_ms = context.timers.unix_millis();
+            let still_due = context.rollouts().due_reports(context.now(), unix_ms);
+            let revision = order.revision;
+            if still_due.iter().any(|(order, due)| order.revision == revision && due.state == report.state) {
+                write_report(&context, &order, &report).await;
+            }
+        }
+        tokio::select! {
+            () = context.rollout_news.notified() => {}
+            () = tokio::time::sleep(LOOK_PERIOD) => {}
+        }
+    }
+}
+
+/// Returns how long this host leaves a write to others; the order of hosts changes each time.
+fn own_turn(context: &GatewayContext, order: &RolloutOrder) -> Duration {
+    let host = context.settings.host.as_bytes();
+    let point = stable_hash(&[host, &order.revision.to_le_bytes()]) % 1_000;
+    TURN_SPREAD.mul_f64(point as f64 / 1_000.0)
+}
+
+/// Writes one report on condition of the revision that it rests on.
+async fn write_report(context: &GatewayContext, order: &RolloutOrder, report: &RolloutReport) {
+    let path = (context.format.status_path)(ObjectKind::Rollouts, &order.name);
+    let body = (context.format.write_rollout)(order, report);
+    let timeout = context.settings.store_timeout;
+    let written = context.store.call(Method::PUT, &path, body, timeout).await;
+    let message = match written {
+        Ok((status, body)) if status.is_success() || status == StatusCode::CONFLICT => {
+            take_answer(context, &body);
+            return;
+        }
+        Ok((status, _)) => format!("the store answered with status {status}"),
+        // The write may have been executed; the watch tells.
+        Err(error) => error.to_string(),
+    };
+    log_record(Level::Warn, &GatewayRecord::Fault { part: "roll-out report", message });
+}
+
+/// Takes in the object as it is after a write or a refused one.
+fn take_answer(context: &GatewayContext, body: &[u8]) {
+    let object = (context.format.read_object)(body).ok();
+    let Some(order) = object.and_then(|object| (context.format.read_rollout)(&object)) else {
+        return;
+    };
+    let now = context.now();
+    if context.rollouts().take_order(order.clone(), now) {
+        let record = GatewayRecord::RolloutChanged {
+            service: order.service.clone(),
+            target: order.target,
+            state: format!("{:?}", order.state),
+            share: order.share,
+            evidence: context.rollouts().evidence(&order.service),
+        };
+        log_record(Level::Info, &record);
+    }
+}
--- /dev/null
+++ b/gateway/src/transport/store_feeds.rs
@@ -0,0 +1,193 @@
+//! Takes the news of the store into the host's beliefs.
+
+use std::sync::Arc;
+
+use log::Level;
+use tokio::task::JoinHandle;
+
+use crate::coordination::placement::TableChange;
+use crate::protocol::{FormatError, GatewayRecord, ObjectKind, ObjectQuery, StoredObject};
+use crate::state::{RouteImage, ServerEntry};
+use crate::transport::gateway_context::GatewayContext;
+use crate::transport::record_log::log_record;
+use crate::transport::store_client::StoreError;
+use crate::transport::store_follower::{KindNews, follow_kind};
+
+/// Name of the object that holds the configuration.
+const CONFIGURATION_NAME: &str = "main";
+
+/// Starts to follow the store.
+pub(crate) fn start_feeds(context: &Arc<GatewayContext>) -> Vec<JoinHandle<()>> {
+    let (images, servers) = (context.clone(), context.clone());
+    let (rollouts, crashes) = (context.clone(), context.clone());
+    let follow = |kind, part, take: Box<dyn Fn(KindNews) + Send + Sync>| {
+        tokio::spawn(follow_kind(context.clone(), kind, part, take))
+    };
+    vec![
+        follow(
+            ObjectKind::Configuration,
+            "configuration",
+            Box::new(move |news| take_configuration(&images, news)),
+        ),
+        follow(ObjectKind::Servers, "servers", Box::new(move |news| take_servers(&servers, news))),
+        follow(
+            ObjectKind::Rollouts,
+            "rollouts",
+            Box::new(move |news| take_rollouts(&rollouts, news)),
+        ),
+        follow(
+            ObjectKind::CrashNotes,
+            "crash notes",
+            Box::new(move |news| take_crashes(&crashes, news)),
+        ),
+    ]
+}
+
+/// Takes in news of the configuration.
+fn take_configuration(context: &GatewayContext, news: KindNews) {
+    match news {
+        KindNews::Listed(objects) => {
+            objects.iter().for_each(|object| adopt_object(context, object));
+            context.confirm_configuration();
+        }
+        KindNews::Changed(change) if !change.removed => adopt_object(context, &change.object),
+        KindNews::Confirmed => context.confirm_configuration(),
+        KindNews::Changed(_) | KindNews::Lost => {}
+    }
+}
+
+/// Puts a configuration into force unless a newer one is.
+fn adopt_object(context: &GatewayContext, object: &StoredObject) {
+    if *object.name != *CONFIGURATION_NAME {
+        return;
+    }
+    match (context.format.read_image)(object) {
+        Ok(image) => adopt_image(context, image),
+        Err(error) => log_fault("configuration", &error),
+    }
+}
+
+/// Puts an image into force unless a newer one is.
+fn adopt_image(context: &GatewayContext, image: RouteImage) {
+    let is_newer = |current: &Arc<RouteImage>| image.version > current.version;
+    if !context.image.load().as_ref().is_none_or(is_newer) {
+        return;
+    }
+    let routes = image.routes.values().map(Vec::len).sum();
+    let record = GatewayRecord::ConfigurationAdopted { version: image.version, routes };
+    context.image.store(Some(Arc::new(image)));
+    context.metrics.count("configurations_total");
+    log_record(Level::Info, &record);
+}
+
+/// Reads the configuration once, outside the watch.
+///
+/// # Errors
+///
+/// Returns an error if the store does not answer.
+pub(crate) async fn refresh_configuration(context: &GatewayContext) -> Result<(), StoreError> {
+    let asked_at = context.now();
+    let _turn = context.refresh.lock().await;
+    let confirmed_at = *context.confirmed_at.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    if confirmed_at.is_some_and(|at| at >= asked_at) {
+        return Ok(());
+    }
+    let query = ObjectQuery::List { kind: ObjectKind::Configuration, after: None };
+    let path = (context.format.query_path)(&query);
+    let body = context.store.read(&path, context.settings.store_timeout).await?;
+    let page = (context.format.read_page)(&body)?;
+    take_configuration(context, KindNews::Listed(page.objects));
+    Ok(())
+}
+
+/// Takes in news of the servers.
+fn take_servers(context: &GatewayContext, news: KindNews) {
+    let now = context.now();
+    let changes = match news {
+        KindNews::Listed(objects) => {
+            let entries = objects.iter().filter_map(|object| (context.format.read_server)(object));
+            context.servers().replace(entries.collect(), now)
+        }
+        KindNews::Changed(change) => {
+            let entry = (context.format.read_server)(&change.object).filter(|_| !change.removed);
+            let mut servers = context.servers();
+            match entry {
+                Some(entry) => vec![servers.upsert(entry)],
+                None => servers.remove(&change.object.name, now).into_iter().collect(),
+            }
+        }
+        KindNews::Confirmed => {
+            context.servers().confirm(now);
+            Vec::new()
+        }
+        KindNews::Lost => Vec::new(),
+    };
+    changes.iter().for_each(|(entry, change)| note_server(context, entry, *change));
+}
+
+/// Takes in a change of one server.
+fn note_server(context: &GatewayContext, entry: &ServerEntry, change: TableChange) {
+    match change {
+        TableChange::Same => return,
+        TableChange::Appeared => context.loads().reset(&entry.id),
+        TableChange::Draining => context.pool.clear(entry.address),
+        TableChange::Gone => {
+            context.pool.clear(entry.address);
+            context.loads().forget(&entry.id);
+        }
+    }
+    let record = GatewayRecord::ServerChanged {
+        server: entry.id.clone(),
+        service: entry.service.clone(),
+        version: entry.version.clone(),
+        state: change.name(),
+    };
+    log_record(Level::Info, &record);
+}
+
+/// Takes in news of roll-outs.
+fn take_rollouts(context: &GatewayContext, news: KindNews) {
+    let objects = match news {
+        KindNews::Listed(objects) => objects,
+        KindNews::Changed(change) if change.removed => {
+            context.rollouts().remove_order(&change.object.name);
+            return;
+        }
+        KindNews::Changed(change) => vec![change.object],
+        KindNews::Confirmed | KindNews::Lost => return,
+    };
+    let now = context.now();
+    for order in objects.iter().filter_map(|object| (context.format.read_rollout)(object)) {
+        let mut rollouts = context.rollouts();
+        if rollouts.take_order(order.clone(), now) {
+            let record = GatewayRecord::RolloutChanged {
+                service: order.service.clone(),
+                target: order.target.clone(),
+                state: format!("{:?}", order.state),
+                share: order.share,
+                evidence: rollouts.evidence(&order.service),
+            };
+            log_record(Level::Info, &record);
+        }
+    }
+    context.rollout_news.notify_one();
+}
+
+/// Takes in news of requests that crashed servers.
+fn take_crashes(context: &GatewayContext, news: KindNews) {
+    let objects = match news {
+        KindNews::Listed(objects) => objects,
+        KindNews::Changed(change) if !change.removed => vec![change.object],
+        KindNews::Changed(_) | KindNews::Confirmed | KindNews::Lost => return,
+    };
+    let now = context.now();
+    for note in objects.iter().filter_map(|object| (context.format.read_crash)(object)) {
+        context.crashes().note_told(note.fingerprint, note.crashes, now);
+    }
+}
+
+/// Logs a message that cannot be read.
+fn log_fault(part: &'static str, error: &FormatError) {
+    let record = GatewayRecord::Fault { part, message: error.to_string() };
+    log_record(Level::Warn, &record);
+}
--- /dev/null
+++ b/gateway/src/transport/store_follower.rs
@@ -0,0 +1,150 @@
+//! Follows the objects of one kind in the platform's store.
+
+use std::ops::ControlFlow;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::StatusCode;
+use log::Level;
+use rand::Rng;
+
+use crate::protocol::{GatewayRecord, ObjectChange, ObjectKind, ObjectQuery, StoredObject};
+use crate::transport::gateway_context::GatewayContext;
+use crate::transport::record_log::log_record;
+use crate::transport::store_client::StoreError;
+
+/// Shortest pause after a failed call; half to all of it is waited.
+const FIRST_PAUSE: Duration = Duration::from_millis(120);
+/// Longest pause after failed calls; a store that is back must be heard of within a second or two.
+const LONGEST_PAUSE: Duration = Duration::from_millis(900);
+/// Time beyond the wait of a watch after which its connection is taken to be dead.
+const WATCH_SLACK: Duration = Duration::from_millis(700);
+
+/// News of a kind of objects.
+#[derive(Debug)]
+pub enum KindNews {
+    /// All objects, read anew.
+    Listed(Vec<StoredObject>),
+    /// A change.
+    Changed(ObjectChange),
+    /// Nothing changed until now.
+    Confirmed,
+    /// The store does not answer.
+    Lost,
+}
+
+/// Follows a kind of objects for as long as the process runs.
+pub async fn follow_kind(
+    context: Arc<GatewayContext>,
+    kind: ObjectKind,
+    part: &'static str,
+    take_news: impl Fn(KindNews) + Send + Sync + 'static,
+) {
+    let mut contact = StoreContact { part, answers: true, pause: FIRST_PAUSE };
+    loop {
+        let revision = match list_kind(&context, kind).await {
+            Ok((objects, revision)) => {
+                contact.regained();
+                take_news(KindNews::Listed(objects));
+                revision
+            }
+            Err(error) => {
+                take_news(KindNews::Lost);
+                contact.lost(&error).await;
+                continue;
+            }
+        };
+        let mut revision = revision;
+        while let ControlFlow::Continue(next) =
+            watch_kind(&context, kind, revision, &take_news, &mut contact).await
+        {
+            revision = next;
+        }
+    }
+}
+
+/// Whether the store answers calls of one part, as far as the last one told.
+struct StoreContact {
+    part: &'static str,
+    answers: bool,
+    pause: Duration,
+}
+
+impl StoreContact {
+    /// Notes an answer.
+    fn regained(&mut self) {
+        self.pause = FIRST_PAUSE;
+        if !self.answers {
+            self.answers = true;
+            let record =
+                GatewayRecord::StoreContact { part: self.part, answers: true, reason: String::new() };
+            log_record(Level::Info, &record);
+        }
+    }
+
+    /// Notes a failed call and waits before the next one.
+    async fn lost(&mut self, error: &StoreError) {
+        if self.answers {
+            self.answers = false;
+            let reason = error.to_string();
+            let record = GatewayRecord::StoreContact { part: self.part, answers: false, reason };
+            log_record(Level::Warn, &record);
+        }
+        // Hosts that failed together come back apart.
+        let pause = self.pause.mul_f64(rand::rng().random_range(0.5..1.0));
+        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Reads all objects of a kind and the revision to watch from.
+async fn list_kind(
+    context: &GatewayContext,
+    kind: ObjectKind,
+) -> Result<(Vec<StoredObject>, u64), StoreError> {
+    let (mut objects, mut first_revision, mut after) = (Vec::new(), None, None);
+    loop {
+        let query = ObjectQuery::List { kind, after };
+        let path = (context.format.query_path)(&query);
+        let body = context.store.read(&path, context.settings.store_timeout).await?;
+        let page = (context.format.read_page)(&body)?;
+        let last = page.objects.last().map(|object| object.name.to_string());
+        objects.extend(page.objects);
+        // Changes made while later pages were read are seen again by the watch.
+        let revision = *first_revision.get_or_insert(page.revision);
+        if !page.has_more || last.is_none() {
+            return Ok((objects, revision));
+        }
+        after = last;
+    }
+}
+
+/// Waits for changes once; breaks if the kind has to be read anew.
+async fn watch_kind(
+    context: &GatewayContext,
+    kind: ObjectKind,
+    revision: u64,
+    take_news: &impl Fn(KindNews),
+    contact: &mut StoreContact,
+) -> ControlFlow<(), u64> {
+    let wait = context.settings.watch_wait;
+    let path = (context.format.query_path)(&ObjectQuery::Watch { kind, revision, wait });
+    let read = context.store.read(&path, wait + WATCH_SLACK).await;
+    let changes = read.and_then(|body| Ok((context.format.read_changes)(&body)?));
+    match changes {
+        Ok(changes) => {
+            contact.regained();
+            for change in changes.changes {
+                take_news(KindNews::Changed(change));
+            }
+            take_news(KindNews::Confirmed);
+            ControlFlow::Continue(changes.revision.max(revision))
+        }
+        Err(StoreError::Status(StatusCode::GONE)) => ControlFlow::Break(()),
+        Err(error) => {
+            take_news(KindNews::Lost);
+            contact.lost(&error).await;
+            ControlFlow::Continue(revision)
+        }
+    }
+}
--- /dev/null
+++ b/program/src/front.rs
@@ -0,0 +1,67 @@
+//! The command `front`, which runs an entry host on the users' platform.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use galenamast::commands::{EXIT_FAILED, EXIT_INVALID};
+use galenamast_gateway::transport::{GatewaySettings, RecordLog, run_gateway};
+use galenamast_platform::{PLATFORM, SETTINGS_VARIABLE, read_settings};
+
+/// Name of the command.
+pub(crate) const NAME: &str = "front";
+
+/// Builds the command's arguments.
+pub(crate) fn command() -> Command {
+    let settings = Arg::new("settings")
+        .long("settings")
+        .value_name("FILE")
+        .help("Settings file of the process; by default the one that GALENAMAST_SETTINGS names")
+        .value_parser(value_parser!(PathBuf));
+    let check = Arg::new("check")
+        .long("check")
+        .help("Check the settings and exit")
+        .action(ArgAction::SetTrue);
+    Command::new(NAME)
+        .about("Run an entry host on the users' platform")
+        .arg(settings)
+        .arg(check)
+}
+
+/// Runs the command.
+pub(crate) fn run(matches: &ArgMatches) -> ExitCode {
+    let named = matches.get_one::<PathBuf>("settings").cloned();
+    let Some(path) = named.or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from)) else {
+        eprintln!("galenamast: no settings file; give --settings or set {SETTINGS_VARIABLE}");
+        return ExitCode::from(EXIT_INVALID);
+    };
+    let settings = match read_settings(&path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("galenamast: {}: {error}", path.display());
+            return ExitCode::from(EXIT_INVALID);
+        }
+    };
+    if matches.get_flag("check") {
+        println!("{}: valid", path.display());
+        return ExitCode::SUCCESS;
+    }
+    match serve(settings, &path) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("galenamast: {error}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+/// Sets up logging and the runtime, and runs the entry host.
+fn serve(settings: GatewaySettings, path: &std::path::Path) -> Result<(), Box<dyn std::error::Error>> {
+    RecordLog::start(std::io::stdout())?;
+    // A process has a part of one core, so that more threads would only cost wake-ups.
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(run_gateway(settings, PLATFORM, || read_settings(path).ok()))?;
+    // Tasks that still wait, as those of silent connections, end with the process.
+    runtime.shutdown_background();
+    Ok(())
+}
--- /dev/null
+++ b/program/src/main.rs
@@ -0,0 +1,14 @@
+//! The `galenamast` program.
+
+mod front;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let command = galenamast::cli::build_command().subcommand(front::command());
+    let matches = command.get_matches();
+    match matches.subcommand() {
+        Some((front::NAME, matches)) => front::run(matches),
+        _ => galenamast::cli::run_matches(&matches),
+    }
+}
