--- a/gateway/src/coordination/rollouts/rollout_board.rs
+++ b/gateway/src/coordination/rollouts/rollout_board.rs
@@ -10,10 +10,12 @@
 use galenamast::state::TimePoint;
 
 use crate::coordination::rollouts::{SessionBook, TrialSettings, VersionTrial};
-use crate::protocol::{RolloutOrder, RolloutReport, RolloutState};
+use crate::state::{AnswerGrade, RolloutOrder, RolloutReport, RolloutState, TrialNote};
 
 /// Thousandths of the sessions, all of them.
 const ALL: u32 = 1_000;
+/// Counts of bad answers at which other hosts are told; far apart, since each telling is a call.
+const TOLD_COUNTS: [u32; 6] = [1, 2, 3, 5, 8, 13];
 
 /// Settings of a roll-out's course.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -141,30 +143,59 @@
         self.sessions.note(session, version, now);
     }
 
-    /// Takes in an answer of a service under roll-out; returns the evidence if it stops the version.
+    /// Takes in an answer of a service under roll-out; returns what other hosts should be told.
     pub fn note_answer(
         &mut self,
-        service: &str,
-        version: &Arc<str>,
+        service: &Arc<str>,
         route: &Arc<str>,
-        is_bad: bool,
-    ) -> Option<String> {
+        server: (&Arc<str>, &Arc<str>),
+        grade: AnswerGrade,
+    ) -> Option<TrialNote> {
+        let (server, version) = server;
         let view = self.views.get_mut(service)?;
         if view.order.state == RolloutState::Done || view.stopped {
             return None;
         }
         if *version != view.order.target {
-            view.trial.note_base(is_bad);
+            view.trial.note_base(grade);
             return None;
         }
-        view.trial.note_new(route, is_bad);
+        view.trial.note_new(route, server, grade);
         view.stopped = view.trial.is_bad();
-        view.stopped.then(|| view.trial.summary())
+        let counts = view.trial.own_counts();
+        let bad = counts.failures + counts.slow;
+        let is_worth_telling = grade != AnswerGrade::Good && TOLD_COUNTS.contains(&bad);
+        is_worth_telling.then(|| TrialNote { service: service.clone(), target: version.clone(), counts })
     }
 
-    /// Returns whether a time to the first byte counts as bad for a version under roll-out.
-    pub fn is_slow(&self, service: &str, took: Duration, usual: Option<Duration>) -> bool {
-        self.views.get(service).is_some_and(|view| view.trial.is_slow(took, usual))
+    /// Takes in what another host counted.
+    pub fn take_note(&mut self, host: &Arc<str>, note: &TrialNote) {
+        let Some(view) = self.views.get_mut(&note.service) else {
+            return;
+        };
+        if view.order.target != note.target || view.order.state == RolloutState::Done {
+            return;
+        }
+        view.trial.note_told(host, note.counts);
+        view.stopped |= view.trial.is_bad();
+    }
+
+    /// Grades an answer that is no failure by its time to the first byte.
+    pub fn grade(&self, service: &str, took: Duration, usual: Option<Duration>) -> AnswerGrade {
+        let view = self.views.get(service);
+        view.map_or(AnswerGrade::Good, |view| view.trial.grade(took, usual))
+    }
+
+    /// Returns whether this host has stopped a version itself.
+    pub fn is_stopped(&self, service: &str) -> bool {
+        self.views.get(service).is_some_and(|view| view.stopped)
+    }
+
+    /// Returns the version that is on trial, which a request that it failed is spared.
+    pub fn on_trial(&self, service: &str) -> Option<Arc<str>> {
+        let view = self.views.get(service)?;
+        let is_running = view.order.state == RolloutState::Running;
+        (is_running && view.order.share < ALL).then(|| view.order.target.clone())
     }
 
     /// Returns the reports that are due, each with the order it is about.
--- a/gateway/src/coordination/rollouts/version_trial.rs
+++ b/gateway/src/coordination/rollouts/version_trial.rs
@@ -1,48 +1,63 @@
 //! The judgement of a new version from its answers.
 //!
-//! Answers versions that fail or slow down at once, later, under load or on one route only: each
-//! route is judged by its latest answers, compared with those of the version before.
+//! Answers versions that fail or slow down at once, later, under load or on one route only. Each
+//! route is judged by its latest answers, compared with those of the version before. One host of
+//! many sees few answers of an unproven version, so that hosts tell one another what they saw.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::state::{AnswerGrade, GradeCounts};
+
 /// Settings of the judgement.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TrialSettings {
     /// Latest answers of a route that count.
     pub window: usize,
-    /// Bad answers that are needed for a verdict; fewer may be chance.
-    pub least_bad: usize,
-    /// Share of bad answers that is needed, above that of the version before.
-    pub least_share: f64,
-    /// Time to the first byte, against the usual, from which an answer counts as bad.
+    /// Failures that one host needs for a verdict; fewer may be chance.
+    pub own_failures: u32,
+    /// Failures that all hosts together need for a verdict.
+    pub told_failures: u32,
+    /// Share of failures that is needed, beyond twice that of the version before.
+    pub failure_share: f64,
+    /// Slow answers that are needed for a verdict.
+    pub slow_answers: u32,
+    /// Share of slow answers that is needed, beyond one and a half times that of the version before.
+    pub slow_share: f64,
+    /// Time to the first byte, against the usual, from which an answer is slow.
     pub slow_ratio: f64,
-    /// Time to the first byte below which no answer counts as slow.
+    /// Time to the first byte below which no answer is slow.
     pub slow_floor: Duration,
 }
 
 impl Default for TrialSettings {
     fn default() -> Self {
         Self {
-            window: 12,
-            least_bad: 3,
-            least_share: 0.25,
-            slow_ratio: 4.0,
-            slow_floor: Duration::from_millis(400),
+            window: 16,
+            own_failures: 3,
+            told_failures: 5,
+            failure_share: 0.15,
+            slow_answers: 6,
+            slow_share: 0.45,
+            slow_ratio: 3.0,
+            slow_floor: Duration::from_millis(150),
         }
     }
 }
 
+/// The latest answers of a route.
+type LatestAnswers = VecDeque<(AnswerGrade, Arc<str>)>;
+
 /// Evidence about a new version.
 #[derive(Clone, Debug, Default)]
 pub struct VersionTrial {
     settings: TrialSettings,
-    latest: BTreeMap<Arc<str>, VecDeque<bool>>,
-    base_answers: u32,
-    base_bad: u32,
-    answers: u32,
-    bad: u32,
+    latest: BTreeMap<Arc<str>, LatestAnswers>,
+    servers: BTreeSet<Arc<str>>,
+    base: GradeCounts,
+    own: GradeCounts,
+    told: BTreeMap<Arc<str>, GradeCounts>,
 }
 
 impl VersionTrial {
@@ -51,45 +66,95 @@
         Self { settings, ..Self::default() }
     }
 
+    /// Grades an answer that is no failure by its time to the first byte.
+    pub fn grade(&self, took: Duration, usual: Option<Duration>) -> AnswerGrade {
+        let settings = &self.settings;
+        let is_slow = usual.is_some_and(|usual| {
+            took > settings.slow_floor && took > usual.mul_f64(settings.slow_ratio)
+        });
+        if is_slow { AnswerGrade::Slow } else { AnswerGrade::Good }
+    }
+
     /// Takes in an answer of the version before.
-    pub fn note_base(&mut self, is_bad: bool) {
-        self.base_answers += 1;
-        self.base_bad += u32::from(is_bad);
+    pub fn note_base(&mut self, grade: AnswerGrade) {
+        self.base.note(grade);
     }
 
     /// Takes in an answer of the new version.
-    pub fn note_new(&mut self, route: &Arc<str>, is_bad: bool) {
-        self.answers += 1;
-        self.bad += u32::from(is_bad);
+    pub fn note_new(&mut self, route: &Arc<str>, server: &Arc<str>, grade: AnswerGrade) {
+        self.own.note(grade);
+        self.servers.insert(server.clone());
         let latest = self.latest.entry(route.clone()).or_default();
-        latest.push_back(is_bad);
+        latest.push_back((grade, server.clone()));
         if latest.len() > self.settings.window {
             latest.pop_front();
         }
     }
 
-    /// Returns whether a time to the first byte counts as bad against the usual one.
-    pub fn is_slow(&self, took: Duration, usual: Option<Duration>) -> bool {
-        usual.is_some_and(|usual| {
-            took > self.settings.slow_floor && took > usual.mul_f64(self.settings.slow_ratio)
-        })
+    /// Takes in what another host has counted so far.
+    pub fn note_told(&mut self, host: &Arc<str>, counts: GradeCounts) {
+        self.told.insert(host.clone(), counts);
+    }
+
+    /// Returns what this host has counted.
+    pub fn own_counts(&self) -> GradeCounts {
+        self.own
     }
 
     /// Returns whether the evidence says that the version is bad.
     pub fn is_bad(&self) -> bool {
-        let base_share = f64::from(self.base_bad) / f64::from(self.base_answers.max(1));
-        self.latest.values().any(|latest| {
-            let bad = latest.iter().filter(|is_bad| **is_bad).count();
-            let share = bad as f64 / latest.len().max(1) as f64;
-            bad >= self.settings.least_bad && share > base_share * 2.0 + self.settings.least_share
-        })
+        self.latest.values().any(|latest| self.is_route_bad(latest)) || self.is_told_bad()
+    }
+
+    /// Returns whether the latest answers of a route are bad.
+    fn is_route_bad(&self, latest: &LatestAnswers) -> bool {
+        let mut counts = GradeCounts::default();
+        latest.iter().for_each(|(grade, _)| counts.note(*grade));
+        let failing: BTreeSet<&Arc<str>> = latest
+            .iter()
+            .filter(|(grade, _)| *grade == AnswerGrade::Failed)
+            .map(|(_, server)| server)
+            .collect();
+        // One failing server of several is a broken server, not a bad version.
+        let is_spread = failing.len() > 1 || self.servers.len() == 1;
+        let fails = is_spread && self.fails(counts, self.settings.own_failures);
+        fails || self.is_slow(counts)
+    }
+
+    /// Returns whether what all hosts counted is bad.
+    fn is_told_bad(&self) -> bool {
+        if self.told.is_empty() {
+            return false;
+        }
+        let mut counts = self.own;
+        self.told.values().for_each(|told| counts.add(*told));
+        self.fails(counts, self.settings.told_failures) || self.is_slow(counts)
+    }
+
+    /// Returns whether counts hold too many failures.
+    fn fails(&self, counts: GradeCounts, least: u32) -> bool {
+        let bound = self.settings.failure_share + 2.0 * self.base.failure_share();
+        counts.failures >= least && counts.failure_share() > bound
+    }
+
+    /// Returns whether counts hold too many slow answers.
+    fn is_slow(&self, counts: GradeCounts) -> bool {
+        let bound = self.settings.slow_share + 1.5 * self.base.slow_share();
+        counts.slow >= self.settings.slow_answers && counts.slow_share() > bound
     }
 
     /// Tells the evidence in a log line.
     pub fn summary(&self) -> String {
+        let (own, base) = (self.own, self.base);
         format!(
-            "{} bad of {} new, {} bad of {} before",
-            self.bad, self.answers, self.base_bad, self.base_answers
+            "new: {} failed, {} slow of {}; before: {} failed, {} slow of {}; {} other hosts told",
+            own.failures,
+            own.slow,
+            own.answers,
+            base.failures,
+            base.slow,
+            base.answers,
+            self.told.len()
         )
     }
 }
--- a/gateway/src/protocol/mod.rs
+++ b/gateway/src/protocol/mod.rs
@@ -11,6 +11,5 @@
 pub use gateway_record::{DecisionInputs, GatewayRecord};
 pub use platform_format::{AnswerHead, FormatError, PlatformFormat};
 pub use stored_object::{
-    CrashNote, ObjectChange, ObjectChanges, ObjectKind, ObjectPage, ObjectQuery, RolloutOrder,
-    RolloutReport, RolloutState, StoredObject,
+    ObjectChange, ObjectChanges, ObjectKind, ObjectPage, ObjectQuery, StoredObject,
 };
--- a/gateway/src/protocol/platform_format.rs
+++ b/gateway/src/protocol/platform_format.rs
@@ -6,10 +6,11 @@
 use thiserror::Error;
 
 use crate::protocol::{
-    CrashNote, ObjectChanges, ObjectKind, ObjectPage, ObjectQuery, RolloutOrder, RolloutReport,
-    StoredObject,
+    ObjectChanges, ObjectKind, ObjectPage, ObjectQuery, StoredObject,
+};
+use crate::state::{
+    AttemptHead, CallerHead, HostNote, RolloutOrder, RolloutReport, RouteImage, ServerEntry,
 };
-use crate::state::{AttemptHead, CallerHead, RouteImage, ServerEntry};
 
 /// A message of the platform cannot be read.
 #[derive(Debug, Error)]
@@ -68,10 +69,10 @@
     pub read_rollout: fn(&StoredObject) -> Option<RolloutOrder>,
     /// Writes the report of a roll-out, on condition of the order's revision.
     pub write_rollout: fn(&RolloutOrder, &RolloutReport) -> Vec<u8>,
-    /// Reads a crash note.
-    pub read_crash: fn(&StoredObject) -> Option<CrashNote>,
-    /// Writes a new crash note.
-    pub write_crash: fn(&CrashNote) -> Vec<u8>,
+    /// Reads a note of a host.
+    pub read_note: fn(&StoredObject) -> Option<HostNote>,
+    /// Writes a new note.
+    pub write_note: fn(&HostNote) -> Vec<u8>,
     /// Reads the head of a caller's request.
     pub read_request: fn(&HeaderMap) -> CallerHead,
     /// Turns a caller's headers into those of an attempt.
--- a/gateway/src/transport/caller_listener.rs
+++ b/gateway/src/transport/caller_listener.rs
@@ -41,8 +41,10 @@
     pub(crate) context: Arc<GatewayContext>,
     /// Is cancelled when idle connections are to be closed.
     pub(crate) closing: CancellationToken,
-    /// Is cancelled when long requests are turned away.
-    pub(crate) turning_away: CancellationToken,
+    /// Is cancelled when streams are turned away.
+    pub(crate) streams_over: CancellationToken,
+    /// Is cancelled when all requests are turned away.
+    pub(crate) all_over: CancellationToken,
     /// Connections that are open.
     pub(crate) open: AtomicUsize,
 }
@@ -141,7 +143,8 @@
         head: &crate::state::CallerHead,
     ) -> Result<Admission, Refusal> {
         let admission = admit_head(&self.context, parts, head).await?;
-        if self.turning_away.is_cancelled() && admission.route.kind == RouteKind::Stream {
+        let is_stream = admission.route.kind == RouteKind::Stream;
+        if self.all_over.is_cancelled() || (is_stream && self.streams_over.is_cancelled()) {
             return Err(Box::new(not_run_answer("the host stops", STOPPING_PAUSE)));
         }
         Ok(admission)
--- a/gateway/src/transport/gateway_host.rs
+++ b/gateway/src/transport/gateway_host.rs
@@ -50,7 +50,8 @@
         let listener = Arc::new(CallerListener {
             context: context.clone(),
             closing: CancellationToken::new(),
-            turning_away: CancellationToken::new(),
+            streams_over: CancellationToken::new(),
+            all_over: CancellationToken::new(),
             open: AtomicUsize::new(0),
         });
         let mut tasks = start_feeds(&context);
@@ -90,9 +91,12 @@
         self.context.stopping.store(true, Ordering::SeqCst);
         let lag = self.context.settings.balancer_lag.min(self.context.settings.grace);
         self.context.timers.sleep(lag).await;
-        self.callers.turning_away.cancel();
+        self.callers.streams_over.cancel();
         self.callers.closing.cancel();
         while self.callers.open.load(Ordering::Relaxed) > 0 && self.context.now() < stops_at {
+            if stops_at.since(self.context.now()) < self.context.settings.last_entry {
+                self.callers.all_over.cancel();
+            }
             self.context.timers.sleep(STOP_LOOK).await;
         }
         let abandoned = self.callers.open.load(Ordering::Relaxed);
--- a/gateway/src/transport/gateway_settings.rs
+++ b/gateway/src/transport/gateway_settings.rs
@@ -28,6 +28,9 @@
     /// Time from the request to stop until new requests that may last long are turned away; the
     /// balancer has turned to other hosts by then.
     pub balancer_lag: Duration,
+    /// Time before the end of `grace` from which all requests are turned away; what was let in
+    /// before has this long to end.
+    pub last_entry: Duration,
     /// Bodies of requests that are held at once, in bytes.
     pub buffered_bytes: usize,
     /// Connections of callers that are held at once.
@@ -65,6 +68,7 @@
             store: anywhere,
             grace: Duration::from_secs(8),
             balancer_lag: Duration::from_millis(2_800),
+            last_entry: Duration::from_millis(2_200),
             buffered_bytes: 64 * 1_024 * 1_024,
             caller_connections: 1_500,
             connect_timeout: Duration::from_millis(400),
--- a/gateway/src/transport/mod.rs
+++ b/gateway/src/transport/mod.rs
@@ -11,6 +11,7 @@
 mod gateway_host;
 mod gateway_metrics;
 mod gateway_settings;
+mod host_notes;
 mod ready_listener;
 mod record_log;
 mod request_exchange;
--- a/gateway/src/transport/request_exchange.rs
+++ b/gateway/src/transport/request_exchange.rs
@@ -17,13 +17,17 @@
 };
 use crate::coordination::rollouts::VersionRule;
 use crate::protocol::{DecisionInputs, GatewayRecord};
-use crate::state::{AttemptHead, CallerHead, RouteKind, ServerEntry, ServiceRoute};
+use crate::state::{
+    AnswerGrade, AttemptHead, CallerHead, CrashNote, NoteContent, RouteKind, ServerEntry,
+    ServiceRoute,
+};
 use crate::transport::answer_body::{AnswerBody, not_run_answer, own_answer, whole_body};
 use crate::transport::attempt_runner::{
     AttemptCall, OpenAnswer, WholeAnswer, run_attempt, time_until,
 };
 use crate::transport::caller_gate::{Admission, HeldBody};
 use crate::transport::gateway_context::{GatewayContext, stable_hash};
+use crate::transport::host_notes::tell_hosts;
 use crate::transport::record_log::log_record;
 use crate::transport::stream_relay::StreamRelay;
 
@@ -81,6 +85,8 @@
     model: Option<Arc<str>>,
     version: Option<Arc<str>>,
     last_failure: Option<WholeAnswer>,
+    // A version on trial that failed the request, which goes to the one before.
+    spared: Option<Arc<str>>,
 }
 
 impl RequestExchange {
@@ -118,6 +124,7 @@
             tried: Vec::new(),
             version: None,
             last_failure: None,
+            spared: None,
             context,
             route,
             request,
@@ -335,7 +342,8 @@
         let fingerprint = format!("{:016x}", self.fingerprint);
         log_record(Level::Warn, &GatewayRecord::CrashNoted { fingerprint, crashes });
         if crashes >= 2 {
-            tell_crash(&self.context, self.fingerprint, crashes);
+            let note = CrashNote { fingerprint: self.fingerprint, crashes };
+            tell_hosts(&self.context, NoteContent::Crash(note));
         }
     }
 
@@ -349,27 +357,33 @@
             loads.note_first(&server.id, &class, size, took);
             loads.note_success(&server.id, now);
         }
-        let is_slow = self.context.rollouts().is_slow(&self.service, took, usual);
-        self.note_trial(server, is_slow);
+        let grade = self.context.rollouts().grade(&self.service, took, usual);
+        self.note_trial(server, grade);
     }
 
     /// Takes a server's failure into the judgement of its version.
-    fn note_failed_answer(&self, server: &ServerEntry) {
-        self.note_trial(server, true);
+    fn note_failed_answer(&mut self, server: &ServerEntry) {
+        self.note_trial(server, AnswerGrade::Failed);
+        let on_trial = self.context.rollouts().on_trial(&self.service);
+        self.spared = on_trial.filter(|version| *version == server.version).or(self.spared.take());
     }
 
     /// Takes an answer into the judgement of its version.
-    fn note_trial(&self, server: &ServerEntry, is_bad: bool) {
-        let (service, version) = (&self.service, &server.version);
-        let stopped =
-            self.context.rollouts().note_answer(service, version, &self.route.name, is_bad);
-        if let Some(evidence) = stopped {
+    fn note_trial(&self, server: &ServerEntry, grade: AnswerGrade) {
+        let named = (&server.id, &server.version);
+        let mut rollouts = self.context.rollouts();
+        let was_stopped = rollouts.is_stopped(&self.service);
+        let note = rollouts.note_answer(&self.service, &self.route.name, named, grade);
+        if let Some(note) = note {
+            tell_hosts(&self.context, NoteContent::Trial(note));
+        }
+        if rollouts.is_stopped(&self.service) && !was_stopped {
             let record = GatewayRecord::RolloutChanged {
-                service: service.clone(),
-                target: version.clone(),
+                service: self.service.clone(),
+                target: server.version.clone(),
                 state: "stopped by this host".into(),
                 share: 0,
-                evidence,
+                evidence: rollouts.evidence(&self.service),
             };
             log_record(Level::Warn, &record);
             self.context.rollout_news.notify_one();
@@ -380,7 +394,10 @@
     fn pick(&mut self) -> Option<ServerPick> {
         let now = self.context.now();
         let unix_ms = self.context.timers.unix_millis();
-        let rule = self.context.rollouts().rule(&self.service, self.session, now, unix_ms);
+        let rule = match &self.spared {
+            Some(version) => VersionRule::Spare(version.clone()),
+            None => self.context.rollouts().rule(&self.service, self.session, now, unix_ms),
+        };
         let servers = self.context.servers();
         let serving = servers.serving(&self.service, now);
         let affinity = self.head.parts.first().map(|part| {
@@ -562,21 +579,6 @@
     matches!(tokio::time::timeout(PROBE, connecting).await, Ok(Ok(_)))
 }
 
-/// Tells other hosts of a request that crashed servers.
-fn tell_crash(context: &Arc<GatewayContext>, fingerprint: u64, crashes: u32) {
-    use crate::protocol::{CrashNote, ObjectKind};
-    let context = context.clone();
-    tokio::spawn(async move {
-        let body = (context.format.write_crash)(&CrashNote { fingerprint, crashes });
-        let path = (context.format.object_path)(ObjectKind::CrashNotes, "");
-        let timeout = context.settings.store_timeout;
-        if let Err(error) = context.store.call(http::Method::POST, &path, body, timeout).await {
-            let message = error.to_string();
-            log_record(Level::Warn, &GatewayRecord::Fault { part: "crash note", message });
-        }
-    });
-}
-
 /// Returns a duration in whole milliseconds.
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
--- a/gateway/src/transport/rollout_writer.rs
+++ b/gateway/src/transport/rollout_writer.rs
@@ -6,7 +6,8 @@
 use http::{Method, StatusCode};
 use log::Level;
 
-use crate::protocol::{GatewayRecord, ObjectKind, RolloutOrder, RolloutReport, RolloutState};
+use crate::protocol::{GatewayRecord, ObjectKind};
+use crate::state::{RolloutOrder, RolloutReport, RolloutState};
 use crate::transport::gateway_context::{GatewayContext, stable_hash};
 use crate::transport::record_log::log_record;
 
--- a/gateway/src/transport/store_feeds.rs
+++ b/gateway/src/transport/store_feeds.rs
@@ -7,7 +7,7 @@
 
 use crate::coordination::placement::TableChange;
 use crate::protocol::{FormatError, GatewayRecord, ObjectKind, ObjectQuery, StoredObject};
-use crate::state::{RouteImage, ServerEntry};
+use crate::state::{NoteContent, RouteImage, ServerEntry};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
 use crate::transport::store_client::StoreError;
@@ -19,7 +19,7 @@
 /// Starts to follow the store.
 pub(crate) fn start_feeds(context: &Arc<GatewayContext>) -> Vec<JoinHandle<()>> {
     let (images, servers) = (context.clone(), context.clone());
-    let (rollouts, crashes) = (context.clone(), context.clone());
+    let (rollouts, notes) = (context.clone(), context.clone());
     let follow = |kind, part, take: Box<dyn Fn(KindNews) + Send + Sync>| {
         tokio::spawn(follow_kind(context.clone(), kind, part, take))
     };
@@ -35,11 +35,7 @@
             "rollouts",
             Box::new(move |news| take_rollouts(&rollouts, news)),
         ),
-        follow(
-            ObjectKind::CrashNotes,
-            "crash notes",
-            Box::new(move |news| take_crashes(&crashes, news)),
-        ),
+        follow(ObjectKind::HostNotes, "host notes", Box::new(move |news| take_notes(&notes, news))),
     ]
 }
 
@@ -173,17 +169,26 @@
     context.rollout_news.notify_one();
 }
 
-/// Takes in news of requests that crashed servers.
-fn take_crashes(context: &GatewayContext, news: KindNews) {
+/// Takes in what other hosts tell.
+fn take_notes(context: &GatewayContext, news: KindNews) {
     let objects = match news {
         KindNews::Listed(objects) => objects,
         KindNews::Changed(change) if !change.removed => vec![change.object],
         KindNews::Changed(_) | KindNews::Confirmed | KindNews::Lost => return,
     };
     let now = context.now();
-    for note in objects.iter().filter_map(|object| (context.format.read_crash)(object)) {
-        context.crashes().note_told(note.fingerprint, note.crashes, now);
+    for note in objects.iter().filter_map(|object| (context.format.read_note)(object)) {
+        if note.host == context.settings.host {
+            continue;
+        }
+        match note.content {
+            NoteContent::Crash(crash) => {
+                context.crashes().note_told(crash.fingerprint, crash.crashes, now);
+            }
+            NoteContent::Trial(trial) => context.rollouts().take_note(&note.host, &trial),
+        }
     }
+    context.rollout_news.notify_one();
 }
 
 /// Logs a message that cannot be read.
