--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -11,6 +11,8 @@
     pub configuration: u64,
     /// Milliseconds since the list of servers was last confirmed.
     pub servers_age_ms: u64,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
     /// Servers that could have been chosen.
     pub candidates: usize,
     /// Requests of this host that the chosen server runs.
@@ -118,6 +120,8 @@
         outcome: String,
         /// Milliseconds since its head was read.
         elapsed_ms: u64,
+        /// Milliseconds until the answer's head was read, if one was delivered.
+        head_ms: Option<u64>,
         /// Attempts.
         attempts: u32,
         /// Events that were delivered.
--- a/gateway/src/transport/caller_listener.rs
+++ b/gateway/src/transport/caller_listener.rs
@@ -185,6 +185,7 @@
         status: status.as_u16(),
         outcome: "not admitted".into(),
         elapsed_ms: u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
+        head_ms: None,
         attempts: 0,
         events: 0,
     };
--- a/gateway/src/transport/request_exchange.rs
+++ b/gateway/src/transport/request_exchange.rs
@@ -85,6 +85,7 @@
     model: Option<Arc<str>>,
     version: Option<Arc<str>>,
     last_failure: Option<WholeAnswer>,
+    head_after: Option<Duration>,
     // A version on trial that failed the request, which goes to the one before.
     spared: Option<Arc<str>>,
 }
@@ -124,6 +125,7 @@
             tried: Vec::new(),
             version: None,
             last_failure: None,
+            head_after: None,
             spared: None,
             context,
             route,
@@ -441,7 +443,8 @@
     }
 
     /// Starts to pass the events of an answer on.
-    fn start_relay(self, answer: OpenAnswer) -> Response<AnswerBody> {
+    fn start_relay(mut self, answer: OpenAnswer) -> Response<AnswerBody> {
+        self.head_after = Some(self.context.now().since(self.started_at));
         let (status, headers) = (answer.status, answer.headers.clone());
         let resume_after = self.head.resume_after;
         let body = StreamRelay::new(self, answer, resume_after).into_body();
@@ -499,6 +502,7 @@
             inputs: DecisionInputs {
                 configuration: self.configuration,
                 servers_age_ms: millis(age),
+                prompt_tokens: self.head.prompt_tokens,
                 candidates: pick.candidates,
                 in_flight: load.in_flight,
                 predicted_ms: millis(predicted.mul_f64(load.slowness)),
@@ -532,6 +536,7 @@
             status,
             outcome: outcome.into(),
             elapsed_ms: millis(elapsed),
+            head_ms: self.head_after.map(millis),
             attempts: self.tally.asks + 1,
             events,
         };
