--- a/gateway/src/coordination/placement/load_book.rs
+++ b/gateway/src/coordination/placement/load_book.rs
@@ -5,10 +5,17 @@
 //! to the requests that it still gets.
 
 use std::collections::BTreeMap;
+use std::hash::Hasher;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use galenamast::state::TimePoint;
+use serde::{Deserialize, Serialize};
+use siphasher::sip::SipHasher13;
+
+/// Tokens whose reading takes as long as what does not depend on the prompt.
+const FIXED_TOKENS: f64 = 500.0;
 
 /// Settings of the estimates.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -21,6 +28,16 @@
     pub failure_half_life: Duration,
     /// Time for which an address that refuses connections is not tried.
     pub refused_pause: Duration,
+    /// Cost of an address that refuses connections, in seconds.
+    pub paused_cost: f64,
+    /// Cost of a server that fails all requests, in seconds, beside what is divided by its success.
+    pub failure_cost: f64,
+    /// Seconds by which each request that a server has delays the next one.
+    pub request_drag: f64,
+    /// Seconds a token of a class of which nothing is known yet.
+    pub first_pace: f64,
+    /// Time for which the word of another host counts.
+    pub told_lifetime: Duration,
 }
 
 impl Default for LoadSettings {
@@ -30,6 +47,11 @@
             failure_weight: 0.3,
             failure_half_life: Duration::from_secs(3),
             refused_pause: Duration::from_millis(700),
+            paused_cost: 30.0,
+            failure_cost: 1.0,
+            request_drag: 0.03,
+            first_pace: 0.000_02,
+            told_lifetime: Duration::from_millis(1_500),
         }
     }
 }
@@ -37,8 +59,10 @@
 /// What is believed of one server.
 #[derive(Clone, Debug)]
 pub struct ServerLoad {
-    /// Requests of this host that it runs.
+    /// Requests of this host that it has.
     pub in_flight: u32,
+    /// Work of those whose answer has not begun, in seconds of an ordinary server.
+    pub waiting_work: f64,
     /// Observed time to the first byte against the expected one; 1 is ordinary.
     pub slowness: f64,
     failures: f64,
@@ -51,6 +75,7 @@
     fn default() -> Self {
         Self {
             in_flight: 0,
+            waiting_work: 0.0,
             slowness: 1.0,
             failures: 0.0,
             failures_at: TimePoint::ZERO,
@@ -74,6 +99,26 @@
     settings: LoadSettings,
     loads: BTreeMap<Arc<str>, ServerLoad>,
     expected: BTreeMap<(Arc<str>, u8), f64>,
+    paces: BTreeMap<Arc<str>, f64>,
+    peers: BTreeMap<SocketAddr, (BTreeMap<u32, ServerShare>, TimePoint)>,
+}
+
+/// What one host has sent to one server.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ServerShare {
+    /// Short hash of the server's identifier.
+    pub server: u32,
+    /// Requests that the server has.
+    pub in_flight: u32,
+    /// Work of those whose answer has not begun, in seconds of an ordinary server.
+    pub waiting_work: f64,
+}
+
+/// Returns the short hash of a server's identifier, the same on all hosts.
+fn share_key(server: &str) -> u32 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(server.as_bytes());
+    (hasher.finish() >> 32) as u32
 }
 
 impl LoadBook {
@@ -87,15 +132,65 @@
         self.loads.get(server).cloned().unwrap_or_default()
     }
 
-    /// Returns the cost of giving a request to a server, in requests of an ordinary server.
-    pub fn cost(&self, server: &str, now: TimePoint) -> f64 {
-        let Some(load) = self.loads.get(server) else {
-            return 1.0;
+    /// Returns the seconds after which a server would begin with a request that takes `work`
+    /// seconds; servers that fail or refuse cost more.
+    pub fn cost(&self, server: &Arc<str>, work: f64, lanes: f64, now: TimePoint) -> f64 {
+        let told = self.told(server, now);
+        let load = self.loads.get(server);
+        let waiting = load.map_or(0.0, |load| load.waiting_work) + told.waiting_work;
+        let running = load.map_or(0, |load| load.in_flight) + told.in_flight;
+        let drag = f64::from(running) * self.settings.request_drag;
+        let slowness = load.map_or(1.0, |load| load.slowness);
+        let seconds = ((waiting + drag) / lanes + work) * slowness;
+        let Some(load) = load else {
+            return seconds;
         };
         let share = load.failure_share(self.settings.failure_half_life, now);
         let success = (1.0 - share).max(0.05);
-        let paused = if now < load.paused_until { 100.0 } else { 1.0 };
-        f64::from(load.in_flight + 1) * load.slowness / (success * success) * paused
+        let paused = if now < load.paused_until { self.settings.paused_cost } else { 0.0 };
+        (seconds + self.settings.failure_cost * share) / (success * success) + paused
+    }
+
+    /// Returns what other hosts have sent to a server.
+    fn told(&self, server: &Arc<str>, now: TimePoint) -> ServerShare {
+        let key = share_key(server);
+        let mut sum = ServerShare { server: key, ..ServerShare::default() };
+        for (shares, at) in self.peers.values() {
+            if now.since(*at) > self.settings.told_lifetime {
+                continue;
+            }
+            if let Some(share) = shares.get(&key) {
+                sum.in_flight += share.in_flight;
+                sum.waiting_work += share.waiting_work;
+            }
+        }
+        sum
+    }
+
+    /// Takes in what another host has sent where.
+    pub fn note_told(&mut self, peer: SocketAddr, shares: &[ServerShare], now: TimePoint) {
+        let by_server = shares.iter().map(|share| (share.server, share.clone())).collect();
+        self.peers.insert(peer, (by_server, now));
+        let lifetime = self.settings.told_lifetime;
+        self.peers.retain(|_, (_, at)| now.since(*at) <= lifetime);
+    }
+
+    /// Returns what this host has sent where, for other hosts.
+    pub fn own_shares(&self) -> Vec<ServerShare> {
+        let in_use = self.loads.iter().filter(|(_, load)| load.in_flight > 0);
+        in_use
+            .map(|(server, load)| ServerShare {
+                server: share_key(server),
+                in_flight: load.in_flight,
+                waiting_work: load.waiting_work,
+            })
+            .collect()
+    }
+
+    /// Returns the work of a request of a class, in seconds of an ordinary server.
+    pub fn work(&self, class: &Arc<str>, tokens: u32) -> f64 {
+        let pace = self.paces.get(class).copied().unwrap_or(self.settings.first_pace);
+        (f64::from(tokens) + FIXED_TOKENS) * pace
     }
 
     /// Returns whether a server is believed to be in order.
@@ -107,9 +202,17 @@
         share < 0.5 && load.slowness < 4.0 && now >= load.paused_until
     }
 
-    /// Counts a request that is sent.
-    pub fn note_sent(&mut self, server: &Arc<str>) {
-        self.entry(server).in_flight += 1;
+    /// Counts a request that is sent, with its work.
+    pub fn note_sent(&mut self, server: &Arc<str>, work: f64) {
+        let load = self.entry(server);
+        load.in_flight += 1;
+        load.waiting_work += work;
+    }
+
+    /// Counts the work of a request whose answer began, or that ended before.
+    pub fn note_begun(&mut self, server: &Arc<str>, work: f64) {
+        let load = self.entry(server);
+        load.waiting_work = (load.waiting_work - work).max(0.0);
     }
 
     /// Counts a request that ended, however it did.
@@ -124,10 +227,22 @@
         self.expected.get(&key).map(|seconds| Duration::from_secs_f64(*seconds))
     }
 
-    /// Takes in the time to the first byte of an answer.
-    pub fn note_first(&mut self, server: &Arc<str>, class: &Arc<str>, size: u8, took: Duration) {
+    /// Takes in the time to the first byte of an answer to a prompt of some tokens.
+    pub fn note_first(
+        &mut self,
+        server: &Arc<str>,
+        class: &Arc<str>,
+        size: u8,
+        tokens: u32,
+        took: Duration,
+    ) {
         let weight = self.settings.speed_weight;
         let took = took.as_secs_f64().max(0.000_1);
+        let pace = took / (f64::from(tokens) + FIXED_TOKENS);
+        let known = self.paces.entry(class.clone()).or_insert(pace);
+        // The pace without waiting is wanted: short times move it fast, long ones slowly.
+        let pace_weight = if pace < *known { 0.2 } else { 0.01 };
+        *known += pace_weight * (pace - *known);
         let expected = self.expected.entry((class.clone(), size)).or_insert(took);
         let ratio = (took / *expected).clamp(0.1, 20.0);
         // Outliers move the expectation little, so that one slow server does not become ordinary.
--- a/gateway/src/coordination/placement/server_pick.rs
+++ b/gateway/src/coordination/placement/server_pick.rs
@@ -1,8 +1,9 @@
 //! The choice of a backend server.
 //!
-//! Answers hot prompt parts and herds of hosts: requests that share a prompt part go to the few
-//! servers that rank first by a hash of it, among these to the one that costs least by what this
-//! host has learnt; two drawn at random are compared, so that hosts with the same beliefs part.
+//! Answers hot prompt parts, uneven failure domains and herds of hosts: each server is priced in
+//! seconds until it would begin to answer, by what all hosts have sent there. A server that has
+//! read the prompt's first part begins sooner; one of another failure domain costs the bytes
+//! between the domains. Small random differences keep hosts with the same beliefs apart.
 
 use std::hash::Hasher;
 use std::sync::Arc;
@@ -16,15 +17,19 @@
 /// Settings of the choice.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PickSettings {
-    /// Servers that requests with one prompt part are spread over.
+    /// Servers that are expected to keep a prompt part.
     pub spread: usize,
-    /// Cost at which a server of the own failure domain is passed over for another's, in requests.
-    pub own_domain_cost: f64,
+    /// Part of the reading that is left where the prompt part is kept.
+    pub kept_part: f64,
+    /// Cost of a server in another failure domain, in seconds.
+    pub domain_cost: f64,
+    /// Random difference of costs, as a part of them.
+    pub jitter: f64,
 }
 
 impl Default for PickSettings {
     fn default() -> Self {
-        Self { spread: 3, own_domain_cost: 24.0 }
+        Self { spread: 3, kept_part: 0.3, domain_cost: 0.3, jitter: 0.1 }
     }
 }
 
@@ -35,10 +40,12 @@
     pub domain: &'a str,
     /// Digest of the prompt part that requests share; `None` for plain services.
     pub affinity: Option<u64>,
+    /// Work of the request, in seconds of an ordinary server.
+    pub work: f64,
     /// Servers that were tried.
     pub excluded: &'a [Arc<str>],
-    /// Two random numbers.
-    pub points: [u64; 2],
+    /// A random number.
+    pub point: u64,
 }
 
 /// A chosen server.
@@ -48,6 +55,8 @@
     pub server: ServerEntry,
     /// Servers that could have been chosen.
     pub candidates: usize,
+    /// Seconds until it is predicted to begin to answer.
+    pub cost: f64,
 }
 
 /// Picks a server among those that take work.
@@ -60,41 +69,27 @@
 ) -> Option<ServerPick> {
     let fresh = |entry: &&&ServerEntry| !query.excluded.contains(&entry.id);
     let mut candidates: Vec<&ServerEntry> = serving.iter().filter(fresh).copied().collect();
-    if candidates.is_empty() {
-        return None;
-    }
-    let sound: Vec<&ServerEntry> =
-        candidates.iter().copied().filter(|entry| loads.is_sound(&entry.id, now)).collect();
-    if !sound.is_empty() {
-        candidates = sound;
-    }
-    let total = candidates.len();
-    let near: Vec<&ServerEntry> =
-        candidates.iter().copied().filter(|entry| *entry.domain == *query.domain).collect();
-    let cost = |entry: &&ServerEntry| loads.cost(&entry.id, now);
-    let is_near_free = near.iter().any(|entry| cost(entry) < settings.own_domain_cost);
-    if is_near_free {
-        candidates = near;
-    }
     if let Some(part) = query.affinity {
         candidates.sort_by_key(|entry| std::cmp::Reverse(rank(part, &entry.id)));
-        candidates.truncate(settings.spread.max(1));
     }
-    let first = candidates[index(query.points[0], candidates.len())];
-    let second = candidates[index(query.points[1], candidates.len())];
-    let chosen = if cost(&second) < cost(&first) { second } else { first };
-    Some(ServerPick { server: chosen.clone(), candidates: total })
+    let priced = candidates.iter().enumerate().map(|(place, entry)| {
+        let is_kept = query.affinity.is_some() && place < settings.spread;
+        let work = if is_kept { query.work * settings.kept_part } else { query.work };
+        // A plain service runs as many requests side by side as it has slots.
+        let lanes = if query.affinity.is_some() { 1.0 } else { f64::from(entry.slots.max(1)) };
+        let far = if *entry.domain == *query.domain { 0.0 } else { settings.domain_cost };
+        let cost = loads.cost(&entry.id, work, lanes, now) + far;
+        let point = rank(query.point, &entry.id) as f64 / u64::MAX as f64;
+        (cost * (1.0 + settings.jitter * point), *entry)
+    });
+    let (cost, server) = priced.min_by(|(left, _), (right, _)| left.total_cmp(right))?;
+    Some(ServerPick { server: server.clone(), candidates: candidates.len(), cost })
 }
 
-/// Returns the rank of a server for a prompt part.
-fn rank(part: u64, server: &str) -> u64 {
+/// Returns the rank of a server for a number.
+fn rank(number: u64, server: &str) -> u64 {
     let mut hasher = SipHasher13::new();
-    hasher.write_u64(part);
+    hasher.write_u64(number);
     hasher.write(server.as_bytes());
     hasher.finish()
 }
-
-/// Maps a random number to an index.
-fn index(point: u64, len: usize) -> usize {
-    usize::try_from(point % len as u64).unwrap_or(0)
-}
--- a/gateway/src/protocol/platform_format.rs
+++ b/gateway/src/protocol/platform_format.rs
@@ -71,8 +71,8 @@
     pub write_rollout: fn(&RolloutOrder, &RolloutReport) -> Vec<u8>,
     /// Reads a note of a host.
     pub read_note: fn(&StoredObject) -> Option<HostNote>,
-    /// Writes a new note.
-    pub write_note: fn(&HostNote) -> Vec<u8>,
+    /// Writes a note; returns its object's name and its body.
+    pub write_note: fn(&HostNote) -> (String, Vec<u8>),
     /// Reads the head of a caller's request.
     pub read_request: fn(&HeaderMap) -> CallerHead,
     /// Turns a caller's headers into those of an attempt.
--- a/gateway/src/state/host_note.rs
+++ b/gateway/src/state/host_note.rs
@@ -1,5 +1,6 @@
 //! What hosts tell one another.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crate::state::GradeCounts;
@@ -24,6 +25,15 @@
     pub counts: GradeCounts,
 }
 
+/// Where a host is reached by the others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostPresence {
+    /// Address for datagrams.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: Arc<str>,
+}
+
 /// What a host tells the others.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum NoteContent {
@@ -31,6 +41,8 @@
     Crash(CrashNote),
     /// A version on trial answered badly.
     Trial(TrialNote),
+    /// The host serves.
+    Presence(HostPresence),
 }
 
 /// A note of a host.
--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -33,6 +33,8 @@
     pub(crate) head: AttemptHead,
     /// Whether only a connection that never carried a request may be used.
     pub(crate) needs_fresh: bool,
+    /// Work of the request, in seconds of an ordinary server.
+    pub(crate) work: f64,
     /// Time for the head of the answer.
     pub(crate) patience: Duration,
 }
@@ -104,7 +106,7 @@
     server: &ServerEntry,
     call: AttemptCall<'_>,
 ) -> Result<OpenAnswer, AttemptOutcome> {
-    let guard = FlightGuard::new(context, &server.id);
+    let mut guard = FlightGuard::new(context, &server.id, call.work);
     let pooled = if call.needs_fresh { None } else { context.pool.take(server.address) };
     let mut connection = match pooled {
         Some(connection) => connection,
@@ -124,6 +126,7 @@
         Err(_) => return Err(AttemptOutcome::Silent),
     };
     let took = context.now().since(sent_at);
+    guard.note_begun();
     let (mut parts, body) = response.into_parts();
     let head = (context.format.read_answer)(parts.status, &parts.headers);
     check_head(&head, parts.status, call.request)?;
--- a/gateway/src/transport/flight_guard.rs
+++ b/gateway/src/transport/flight_guard.rs
@@ -9,18 +9,26 @@
 pub(crate) struct FlightGuard {
     context: Arc<GatewayContext>,
     server: Arc<str>,
+    waiting_work: f64,
 }
 
 impl FlightGuard {
-    /// Counts a request that is sent to a server.
-    pub(crate) fn new(context: &Arc<GatewayContext>, server: &Arc<str>) -> Self {
-        context.loads().note_sent(server);
-        Self { context: context.clone(), server: server.clone() }
+    /// Counts a request that is sent to a server, with its work in seconds.
+    pub(crate) fn new(context: &Arc<GatewayContext>, server: &Arc<str>, work: f64) -> Self {
+        context.loads().note_sent(server, work);
+        Self { context: context.clone(), server: server.clone(), waiting_work: work }
+    }
+
+    /// Counts the request as begun.
+    pub(crate) fn note_begun(&mut self) {
+        let work = std::mem::take(&mut self.waiting_work);
+        self.context.loads().note_begun(&self.server, work);
     }
 }
 
 impl Drop for FlightGuard {
     fn drop(&mut self) {
+        self.note_begun();
         self.context.loads().note_ended(&self.server);
     }
 }
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -17,7 +17,7 @@
 use crate::coordination::requests::CrashBook;
 use crate::coordination::rollouts::RolloutBoard;
 use crate::protocol::PlatformFormat;
-use crate::state::RouteImage;
+use crate::state::{HostPresence, RouteImage};
 use crate::transport::connection_pool::ConnectionPool;
 use crate::transport::gateway_metrics::GatewayMetrics;
 use crate::transport::gateway_settings::GatewaySettings;
@@ -57,6 +57,7 @@
     budgets: Mutex<BTreeMap<Arc<str>, RepeatBudget>>,
     rollouts: Mutex<RolloutBoard>,
     crashes: Mutex<CrashBook>,
+    peers: Mutex<BTreeMap<Arc<str>, HostPresence>>,
 }
 
 impl GatewayContext {
@@ -80,6 +81,7 @@
             budgets: Mutex::new(BTreeMap::new()),
             rollouts: Mutex::new(RolloutBoard::new(settings.rollouts)),
             crashes: Mutex::new(CrashBook::new(settings.crashes)),
+            peers: Mutex::new(BTreeMap::new()),
             settings,
         })
     }
@@ -109,6 +111,11 @@
         lock(&self.crashes)
     }
 
+    /// Locks the other hosts by name.
+    pub fn peers(&self) -> MutexGuard<'_, BTreeMap<Arc<str>, HostPresence>> {
+        lock(&self.peers)
+    }
+
     /// Counts a request for a service.
     pub fn note_request(&self, service: &Arc<str>) {
         let now = self.now();
--- a/gateway/src/transport/gateway_host.rs
+++ b/gateway/src/transport/gateway_host.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use log::Level;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
@@ -16,6 +16,7 @@
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::gateway_error::GatewayError;
 use crate::transport::gateway_settings::GatewaySettings;
+use crate::transport::load_sharing::share_loads;
 use crate::transport::ready_listener::serve_ready;
 use crate::transport::record_log::log_record;
 use crate::transport::rollout_writer::write_reports;
@@ -46,6 +47,9 @@
     ) -> Result<Self, GatewayError> {
         let (callers, caller_address) = listen(settings.callers).await?;
         let (ready, ready_address) = listen(settings.ready).await?;
+        let failed = |address| move |source| GatewayError::Listen { address, source };
+        let bound = UdpSocket::bind(settings.peers).await.map_err(failed(settings.peers))?;
+        let datagrams = Arc::new(bound);
         let context = GatewayContext::new(settings, format);
         let listener = Arc::new(CallerListener {
             context: context.clone(),
@@ -58,6 +62,7 @@
         tasks.push(tokio::spawn(listener.clone().accept(callers)));
         tasks.push(tokio::spawn(serve_ready(context.clone(), ready)));
         tasks.push(tokio::spawn(write_reports(context.clone())));
+        tasks.push(tokio::spawn(share_loads(context.clone(), datagrams)));
         let record = GatewayRecord::Started {
             host: context.settings.host.clone(),
             domain: context.settings.domain.clone(),
--- a/gateway/src/transport/gateway_settings.rs
+++ b/gateway/src/transport/gateway_settings.rs
@@ -21,6 +21,8 @@
     pub callers: SocketAddr,
     /// Address on which the host tells whether it takes new connections.
     pub ready: SocketAddr,
+    /// Address for datagrams between hosts.
+    pub peers: SocketAddr,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Time from the request to stop until the last request is given up.
@@ -65,6 +67,7 @@
             domain: "local".into(),
             callers: anywhere,
             ready: anywhere,
+            peers: anywhere,
             store: anywhere,
             grace: Duration::from_secs(8),
             balancer_lag: Duration::from_millis(2_800),
--- a/gateway/src/transport/mod.rs
+++ b/gateway/src/transport/mod.rs
@@ -12,6 +12,7 @@
 mod gateway_metrics;
 mod gateway_settings;
 mod host_notes;
+mod load_sharing;
 mod ready_listener;
 mod record_log;
 mod request_exchange;
--- a/gateway/src/transport/request_exchange.rs
+++ b/gateway/src/transport/request_exchange.rs
@@ -252,6 +252,7 @@
                 request: &self.request,
                 needs_fresh: self.route.kind == RouteKind::Unsafe,
                 patience,
+                work: self.work(),
                 head: AttemptHead {
                     server: server.id.clone(),
                     time_left: left,
@@ -356,7 +357,7 @@
         let now = self.context.now();
         {
             let mut loads = self.context.loads();
-            loads.note_first(&server.id, &class, size, took);
+            loads.note_first(&server.id, &class, size, self.head.prompt_tokens, took);
             loads.note_success(&server.id, now);
         }
         let grade = self.context.rollouts().grade(&self.service, took, usual);
@@ -406,11 +407,13 @@
             let model = self.model.as_ref().or(self.head.model.as_ref());
             part.digest ^ stable_hash(&[model.map_or(b"", |model| model.as_bytes())])
         });
+        let work = self.work();
         let query = PickQuery {
+            work,
             domain: &self.context.settings.domain,
             affinity,
             excluded: &self.tried,
-            points: rand::rng().random(),
+            point: rand::rng().random(),
         };
         let loads = self.context.loads();
         let settings = &self.context.settings.picks;
@@ -435,6 +438,12 @@
         usual.mul_f64(PATIENCE_RATIO).max(self.route.goal.mul_f64(part)).min(left)
     }
 
+    /// Returns the work of the request, in seconds of an ordinary server.
+    fn work(&self) -> f64 {
+        let (class, _) = self.class();
+        self.context.loads().work(&class, self.head.prompt_tokens)
+    }
+
     /// Returns the class of requests that this one's times are compared with.
     fn class(&self) -> (Arc<str>, u8) {
         let size = 32 - (self.head.prompt_tokens >> SIZE_CLASS_SHIFT).leading_zeros();
@@ -488,9 +497,7 @@
     fn log_choice(&self, pick: &ServerPick) {
         self.context.metrics.count("attempts_total");
         let now = self.context.now();
-        let (class, size) = self.class();
         let load = self.context.loads().load(&pick.server.id);
-        let predicted = self.context.loads().expected_first(&class, size).unwrap_or_default();
         let age = self.context.servers().age(now).unwrap_or_default();
         let record = GatewayRecord::AttemptChosen {
             request: self.request.clone(),
@@ -505,7 +512,7 @@
                 prompt_tokens: self.head.prompt_tokens,
                 candidates: pick.candidates,
                 in_flight: load.in_flight,
-                predicted_ms: millis(predicted.mul_f64(load.slowness)),
+                predicted_ms: (pick.cost * 1_000.0) as u64,
             },
         };
         log_record(Level::Info, &record);
--- a/gateway/src/transport/store_feeds.rs
+++ b/gateway/src/transport/store_feeds.rs
@@ -185,6 +185,9 @@
             NoteContent::Crash(crash) => {
                 context.crashes().note_told(crash.fingerprint, crash.crashes, now);
             }
+            NoteContent::Presence(presence) => {
+                context.peers().insert(note.host, presence);
+            }
             NoteContent::Trial(trial) => context.rollouts().take_note(&note.host, &trial),
         }
     }
