--- a/gateway/src/coordination/rollouts/rollout_board.rs
+++ b/gateway/src/coordination/rollouts/rollout_board.rs
@@ -133,14 +133,42 @@
         let is_new = match self.sessions.version(session, now) {
             Some(version) if *version == target => true,
             Some(_) if elapsed_part(view, now, unix_ms) < 0.5 => false,
-            _ => u32::try_from(session % u64::from(ALL)).unwrap_or(0) < view.order.share,
+            _ => place(session) < view.order.share,
         };
         if is_new { VersionRule::Prefer(target) } else { VersionRule::Spare(target) }
     }
 
-    /// Notes the version that serves a session.
-    pub fn note_session(&mut self, session: u64, version: &Arc<str>, now: TimePoint) {
+    /// Notes the version that serves a session; returns whether other hosts must be told, since
+    /// they would give the session to the version on trial.
+    pub fn note_session(
+        &mut self,
+        service: &str,
+        session: u64,
+        version: &Arc<str>,
+        now: TimePoint,
+    ) -> bool {
         self.sessions.note(session, version, now);
+        let view = self.views.get(service).filter(|view| is_open(view));
+        view.is_some_and(|view| {
+            *version != view.order.target && place(session) < self.settings.trial_share
+        })
+    }
+
+    /// Returns the live sessions that a version on trial must leave to the version before.
+    pub fn held_sessions(&self, service: &str, now: TimePoint) -> Vec<u64> {
+        let Some(view) = self.views.get(service).filter(|view| is_open(view)) else {
+            return Vec::new();
+        };
+        let held = self.sessions.live(now).filter(|(session, version)| {
+            **version != view.order.target && place(*session) < self.settings.trial_share
+        });
+        held.map(|(session, _)| session).collect()
+    }
+
+    /// Takes in sessions that other hosts serve by the version before.
+    pub fn take_held(&mut self, sessions: &[u64], now: TimePoint) {
+        let before: Arc<str> = "".into();
+        sessions.iter().for_each(|session| self.sessions.note(*session, &before, now));
     }
 
     /// Takes in an answer of a service under roll-out; returns what other hosts should be told.
@@ -220,6 +248,16 @@
     }
 }
 
+/// Returns the place of a session among all, in thousandths; the same on all hosts.
+fn place(session: u64) -> u32 {
+    u32::try_from(session % u64::from(ALL)).unwrap_or(0)
+}
+
+/// Returns whether a roll-out has not ended.
+const fn is_open(view: &RolloutView) -> bool {
+    matches!(view.order.state, RolloutState::Ordered | RolloutState::Running)
+}
+
 /// Returns the part of a roll-out's time that has passed.
 fn elapsed_part(view: &RolloutView, now: TimePoint, unix_ms: u64) -> f64 {
     let duration = view.order.duration.as_secs_f64().max(0.001);
--- a/gateway/src/coordination/rollouts/session_book.rs
+++ b/gateway/src/coordination/rollouts/session_book.rs
@@ -31,6 +31,13 @@
         self.sessions.insert(session, (version.clone(), now));
     }
 
+    /// Returns the live sessions that a version serves.
+    pub fn live(&self, now: TimePoint) -> impl Iterator<Item = (u64, &Arc<str>)> {
+        let is_live = move |at: &TimePoint| now.since(*at) < self.lifetime;
+        let live = self.sessions.iter().filter(move |(_, (_, at))| is_live(at));
+        live.map(|(session, (version, _))| (*session, version))
+    }
+
     /// Returns the version of a live session.
     pub fn version(&self, session: u64, now: TimePoint) -> Option<&Arc<str>> {
         let (version, at) = self.sessions.get(&session)?;
--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -82,6 +82,8 @@
         request: Arc<str>,
         /// Route.
         route: Arc<str>,
+        /// Hash of the session.
+        session: String,
         /// Number of the attempt.
         attempt: u32,
         /// Server.
--- a/gateway/src/protocol/mod.rs
+++ b/gateway/src/protocol/mod.rs
@@ -3,12 +3,14 @@
 mod event_splitter;
 mod forwarded_headers;
 mod gateway_record;
+mod peer_message;
 mod platform_format;
 mod stored_object;
 
 pub use event_splitter::{EventSplitter, SplitError, StreamEvent};
 pub use forwarded_headers::{has_ambiguous_length, strip_connection_headers};
 pub use gateway_record::{DecisionInputs, GatewayRecord};
+pub use peer_message::PeerMessage;
 pub use platform_format::{AnswerHead, FormatError, PlatformFormat};
 pub use stored_object::{
     ObjectChange, ObjectChanges, ObjectKind, ObjectPage, ObjectQuery, StoredObject,
--- /dev/null
+++ b/gateway/src/protocol/peer_message.rs
@@ -0,0 +1,14 @@
+//! What hosts tell one another by datagram; all of it may be lost.
+
+use serde::{Deserialize, Serialize};
+
+use crate::coordination::placement::ServerShare;
+
+/// A datagram.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// What the host has sent where.
+    Loads(Vec<ServerShare>),
+    /// Sessions that are served by the version before a roll-out.
+    HeldSessions(Vec<u64>),
+}
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -10,7 +10,7 @@
 use galenamast::state::TimePoint;
 use galenamast::transport::TimerService;
 use siphasher::sip::SipHasher13;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 
 use crate::coordination::budgets::{RepeatBudget, RepeatPurpose};
 use crate::coordination::placement::{LoadBook, ServerTable};
@@ -40,6 +40,8 @@
     pub image: ArcSwapOption<RouteImage>,
     /// Counters and latencies.
     pub metrics: GatewayMetrics,
+    /// Sessions that other hosts have to be told of.
+    pub held: (mpsc::UnboundedSender<Vec<u64>>, Mutex<Option<mpsc::UnboundedReceiver<Vec<u64>>>>),
     /// Is told when a roll-out may need a report.
     pub rollout_news: Notify,
     /// When the store last confirmed the configuration.
@@ -63,7 +65,9 @@
 impl GatewayContext {
     /// Creates what the parts of a host share.
     pub fn new(settings: GatewaySettings, format: PlatformFormat) -> Arc<Self> {
+        let (held_sender, held_receiver) = mpsc::unbounded_channel();
         Arc::new(Self {
+            held: (held_sender, Mutex::new(Some(held_receiver))),
             format,
             timers: TimerService::system(),
             store: StoreClient::new(settings.store, settings.connect_timeout),
@@ -116,6 +120,17 @@
         lock(&self.peers)
     }
 
+    /// Has other hosts told of sessions that the version before a roll-out serves.
+    pub fn tell_held(&self, sessions: Vec<u64>) {
+        // Nobody listens while the host stops, when others take over.
+        let _ = self.held.0.send(sessions);
+    }
+
+    /// Takes the receiving end of the sessions to tell of, once.
+    pub(crate) fn take_held(&self) -> Option<mpsc::UnboundedReceiver<Vec<u64>>> {
+        lock(&self.held.1).take()
+    }
+
     /// Counts a request for a service.
     pub fn note_request(&self, service: &Arc<str>) {
         let now = self.now();
--- a/gateway/src/transport/load_sharing.rs
+++ b/gateway/src/transport/load_sharing.rs
@@ -11,8 +11,7 @@
 use rand::Rng;
 use tokio::net::UdpSocket;
 
-use crate::coordination::placement::ServerShare;
-use crate::protocol::GatewayRecord;
+use crate::protocol::{GatewayRecord, PeerMessage};
 use crate::state::{HostNote, HostPresence, NoteContent};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::host_notes::write_note;
@@ -28,6 +27,8 @@
 const DATAGRAM_HEAD: usize = 28;
 /// Greatest size of a datagram that is read.
 const MAX_DATAGRAM: usize = 8 * 1_024;
+/// Sessions that one datagram tells of.
+const SESSIONS_PER_DATAGRAM: usize = 100;
 /// Pause before the presence is announced again after a failed call.
 const ANNOUNCE_PAUSE: Duration = Duration::from_secs(2);
 
@@ -36,7 +37,8 @@
     let receiving = take_shares(&context, &socket);
     let telling = tell_shares(&context, &socket);
     let announcing = announce(&context, &socket);
-    tokio::join!(receiving, telling, announcing);
+    let holding = tell_held(&context, &socket);
+    tokio::join!(receiving, telling, announcing, holding);
 }
 
 /// Writes the host's address to the store, once.
@@ -65,8 +67,13 @@
             tokio::time::sleep(Duration::from_millis(1)).await;
             continue;
         };
-        match postcard::from_bytes::<Vec<ServerShare>>(&buffer[..length]) {
-            Ok(shares) => context.loads().note_told(peer, &shares, context.now()),
+        match postcard::from_bytes(&buffer[..length]) {
+            Ok(PeerMessage::Loads(shares)) => {
+                context.loads().note_told(peer, &shares, context.now());
+            }
+            Ok(PeerMessage::HeldSessions(sessions)) => {
+                context.rollouts().take_held(&sessions, context.now());
+            }
             Err(_) => context.metrics.count("datagrams_unreadable_total"),
         }
     }
@@ -79,7 +86,7 @@
     loop {
         let shares = context.loads().own_shares();
         let is_idle = shares.is_empty();
-        let Ok(message) = postcard::to_stdvec(&shares) else {
+        let Ok(message) = postcard::to_stdvec(&PeerMessage::Loads(shares)) else {
             return;
         };
         let is_far_round = round % FAR_ROUNDS == 0;
@@ -99,6 +106,24 @@
     }
 }
 
+/// Tells other hosts of sessions that the version before a roll-out serves.
+async fn tell_held(context: &GatewayContext, socket: &UdpSocket) {
+    let Some(mut receiver) = context.take_held() else {
+        return;
+    };
+    while let Some(sessions) = receiver.recv().await {
+        for part in sessions.chunks(SESSIONS_PER_DATAGRAM) {
+            let Ok(message) = postcard::to_stdvec(&PeerMessage::HeldSessions(part.to_vec())) else {
+                continue;
+            };
+            for peer in peers_of_round(context, true).keys() {
+                // A datagram that is lost may move a session; few are.
+                let _ = socket.send_to(&message, peer).await;
+            }
+        }
+    }
+}
+
 /// Returns the hosts that are told in a round.
 fn peers_of_round(context: &GatewayContext, is_far_round: bool) -> BTreeMap<SocketAddr, ()> {
     let peers = context.peers();
--- a/gateway/src/transport/request_exchange.rs
+++ b/gateway/src/transport/request_exchange.rs
@@ -244,7 +244,7 @@
             let server = pick.server.clone();
             let patience = self.patience(left);
             self.log_choice(&pick);
-            self.context.rollouts().note_session(self.session, &server.version, self.context.now());
+            self.note_session(&server);
             let sent_at = self.context.now();
             let call = AttemptCall {
                 parts: &self.parts,
@@ -350,6 +350,15 @@
         }
     }
 
+    /// Notes which version serves the session, here and, where it matters, at other hosts.
+    fn note_session(&self, server: &ServerEntry) {
+        let (service, version, now) = (&self.service, &server.version, self.context.now());
+        let is_held = self.context.rollouts().note_session(service, self.session, version, now);
+        if is_held {
+            self.context.tell_held(vec![self.session]);
+        }
+    }
+
     /// Takes a good answer into the host's beliefs.
     fn note_good(&self, server: &ServerEntry, took: Duration) {
         let (class, size) = self.class();
@@ -502,6 +511,7 @@
         let record = GatewayRecord::AttemptChosen {
             request: self.request.clone(),
             route: self.route.name.clone(),
+            session: format!("{:016x}", self.session),
             attempt: self.tally.asks + 1,
             server: pick.server.id.clone(),
             version: pick.server.version.clone(),
--- a/gateway/src/transport/store_feeds.rs
+++ b/gateway/src/transport/store_feeds.rs
@@ -164,6 +164,10 @@
                 evidence: rollouts.evidence(&order.service),
             };
             log_record(Level::Info, &record);
+            let held = rollouts.held_sessions(&order.service, now);
+            if !held.is_empty() {
+                context.tell_held(held);
+            }
         }
     }
     context.rollout_news.notify_one();
