--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -10,7 +10,7 @@
 use galenamast::state::TimePoint;
 use galenamast::transport::TimerService;
 use siphasher::sip::SipHasher13;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::coordination::budgets::{RepeatBudget, RepeatPurpose};
 use crate::coordination::placement::{LoadBook, ServerTable};
@@ -42,6 +42,8 @@
     pub metrics: GatewayMetrics,
     /// Sessions that other hosts have to be told of.
     pub held: (mpsc::UnboundedSender<Vec<u64>>, Mutex<Option<mpsc::UnboundedReceiver<Vec<u64>>>>),
+    /// Counts how often a part heard the store again after it had not.
+    pub store_returns: watch::Sender<u64>,
     /// Is told when a roll-out may need a report.
     pub rollout_news: Notify,
     /// When the store last confirmed the configuration.
@@ -74,6 +76,7 @@
             pool: ConnectionPool::default(),
             image: ArcSwapOption::empty(),
             metrics: GatewayMetrics::default(),
+            store_returns: watch::Sender::new(0),
             rollout_news: Notify::new(),
             confirmed_at: Mutex::new(None),
             refresh: tokio::sync::Mutex::new(()),
--- a/gateway/src/transport/store_follower.rs
+++ b/gateway/src/transport/store_follower.rs
@@ -7,6 +7,7 @@
 use http::StatusCode;
 use log::Level;
 use rand::Rng;
+use tokio::sync::watch;
 
 use crate::protocol::{GatewayRecord, ObjectChange, ObjectKind, ObjectQuery, StoredObject};
 use crate::transport::gateway_context::GatewayContext;
@@ -17,6 +18,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(120);
 /// Longest pause after failed calls; a store that is back must be heard of within a second or two.
 const LONGEST_PAUSE: Duration = Duration::from_millis(900);
+/// Wait of the first watch after a failed call; a store that is back is heard of soon.
+const RETURN_WAIT: Duration = Duration::from_millis(200);
 /// Time beyond the wait of a watch after which its connection is taken to be dead.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 
@@ -40,7 +43,9 @@
     part: &'static str,
     take_news: impl Fn(KindNews) + Send + Sync + 'static,
 ) {
-    let mut contact = StoreContact { part, answers: true, pause: FIRST_PAUSE };
+    let returns = context.store_returns.subscribe();
+    let mut contact =
+        StoreContact { context: context.clone(), part, answers: true, pause: FIRST_PAUSE, returns };
     loop {
         let revision = match list_kind(&context, kind).await {
             Ok((objects, revision)) => {
@@ -65,9 +70,11 @@
 
 /// Whether the store answers calls of one part, as far as the last one told.
 struct StoreContact {
+    context: Arc<GatewayContext>,
     part: &'static str,
     answers: bool,
     pause: Duration,
+    returns: watch::Receiver<u64>,
 }
 
 impl StoreContact {
@@ -79,7 +86,18 @@
             let record =
                 GatewayRecord::StoreContact { part: self.part, answers: true, reason: String::new() };
             log_record(Level::Info, &record);
+            self.context.store_returns.send_modify(|count| *count += 1);
+            self.returns.mark_unchanged();
+        }
+    }
+
+    /// Waits until another part hears the store again, if this one does not hear it.
+    async fn heard_elsewhere(&mut self) {
+        if self.answers {
+            std::future::pending::<()>().await;
         }
+        // The sender lives as long as the process.
+        let _ = self.returns.changed().await;
     }
 
     /// Notes a failed call and waits before the next one.
@@ -93,7 +111,10 @@
         // Hosts that failed together come back apart.
         let pause = self.pause.mul_f64(rand::rng().random_range(0.5..1.0));
         self.pause = (self.pause * 2).min(LONGEST_PAUSE);
-        tokio::time::sleep(pause).await;
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = self.heard_elsewhere() => self.pause = FIRST_PAUSE,
+        }
     }
 }
 
@@ -127,9 +148,13 @@
     take_news: &impl Fn(KindNews),
     contact: &mut StoreContact,
 ) -> ControlFlow<(), u64> {
-    let wait = context.settings.watch_wait;
+    let wait = if contact.answers { context.settings.watch_wait } else { RETURN_WAIT };
     let path = (context.format.query_path)(&ObjectQuery::Watch { kind, revision, wait });
-    let read = context.store.read(&path, wait + WATCH_SLACK).await;
+    let read = tokio::select! {
+        read = context.store.read(&path, wait + WATCH_SLACK) => read,
+        // The call may hang on a connection that is dead; the next one goes through.
+        () = contact.heard_elsewhere() => return ControlFlow::Continue(revision),
+    };
     let changes = read.and_then(|body| Ok((context.format.read_changes)(&body)?));
     match changes {
         Ok(changes) => {
