--- a/gateway/src/transport/request_exchange.rs
+++ b/gateway/src/transport/request_exchange.rs
@@ -212,7 +212,7 @@
     }
 
     /// Returns whether an answer is dropped for a run of the largest model.
-    fn asks_larger(&self, answer: &OpenAnswer) -> bool {
+    fn asks_larger(&mut self, answer: &OpenAnswer) -> bool {
         let settings = &self.context.settings.cascade;
         let (Some(model), Some(confidence)) = (&self.model, answer.head.confidence) else {
             return false;
@@ -220,7 +220,11 @@
         if self.route.models.last() == Some(model) || self.tally.runs + 1 >= self.route.attempts {
             return false;
         }
-        let bound = confidence_bound(self.head.prompt_tokens, 0.0, settings);
+        let smaller = self.model.replace(self.route.models[self.route.models.len() - 1].clone());
+        let predicted = self.find_server().map_or(f64::INFINITY, |pick| pick.cost);
+        self.model = smaller;
+        let pressure = predicted / self.route.goal.as_secs_f64();
+        let bound = confidence_bound(self.head.prompt_tokens, pressure, settings);
         let elapsed = self.context.now().since(self.started_at);
         wants_larger(confidence, bound, elapsed, self.route.goal, settings)
             && self.context.take_repeat(&self.service, RepeatPurpose::Cascade)
@@ -404,6 +408,13 @@
 
     /// Picks a server that was not tried and whose version may serve the session.
     fn pick(&mut self) -> Option<ServerPick> {
+        let pick = self.find_server()?;
+        self.version = Some(pick.server.version.clone());
+        Some(pick)
+    }
+
+    /// Finds the server that would begin soonest among those whose version may serve the session.
+    fn find_server(&self) -> Option<ServerPick> {
         let now = self.context.now();
         let unix_ms = self.context.timers.unix_millis();
         let rule = match &self.spared {
@@ -426,11 +437,9 @@
         };
         let loads = self.context.loads();
         let settings = &self.context.settings.picks;
-        let pick = preferred(&serving, &rule, self.version.as_ref())
+        preferred(&serving, &rule, self.version.as_ref())
             .into_iter()
-            .find_map(|group| pick_server(&group, &query, &loads, settings, now))?;
-        self.version = Some(pick.server.version.clone());
-        Some(pick)
+            .find_map(|group| pick_server(&group, &query, &loads, settings, now))
     }
 
     /// Returns how long the head of an answer is waited for.
