--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -124,6 +124,8 @@
         elapsed_ms: u64,
         /// Milliseconds until the answer's head was read, if one was delivered.
         head_ms: Option<u64>,
+        /// Longest pause between events in milliseconds.
+        pause_ms: u64,
         /// Attempts.
         attempts: u32,
         /// Events that were delivered.
--- a/gateway/src/transport/caller_listener.rs
+++ b/gateway/src/transport/caller_listener.rs
@@ -186,6 +186,7 @@
         outcome: "not admitted".into(),
         elapsed_ms: u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
         head_ms: None,
+        pause_ms: 0,
         attempts: 0,
         events: 0,
     };
--- a/gateway/src/transport/request_exchange.rs
+++ b/gateway/src/transport/request_exchange.rs
@@ -86,6 +86,7 @@
     version: Option<Arc<str>>,
     last_failure: Option<WholeAnswer>,
     head_after: Option<Duration>,
+    pub(crate) longest_pause: Duration,
     // A version on trial that failed the request, which goes to the one before.
     spared: Option<Arc<str>>,
 }
@@ -126,6 +127,7 @@
             version: None,
             last_failure: None,
             head_after: None,
+            longest_pause: Duration::ZERO,
             spared: None,
             context,
             route,
@@ -563,6 +565,7 @@
             outcome: outcome.into(),
             elapsed_ms: millis(elapsed),
             head_ms: self.head_after.map(millis),
+            pause_ms: millis(self.longest_pause),
             attempts: self.tally.asks + 1,
             events,
         };
--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use futures_util::stream;
+use galenamast::state::TimePoint;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 
@@ -37,12 +38,15 @@
     last_id: Option<u64>,
     waiting: VecDeque<Bytes>,
     delivered: u64,
+    heard_at: TimePoint,
 }
 
 impl StreamRelay {
     /// Creates the relay of an answer; `last_id` is the last event that the caller has.
     pub(crate) fn new(exchange: RequestExchange, answer: OpenAnswer, last_id: Option<u64>) -> Self {
+        let heard_at = exchange.context.now();
         Self {
+            heard_at,
             exchange,
             answer: Some(answer),
             splitter: EventSplitter::default(),
@@ -103,6 +107,10 @@
 
     /// Takes in bytes of the answer.
     fn take_bytes(&mut self, bytes: &[u8]) -> RelayStep {
+        let now = self.exchange.context.now();
+        let pause = now.since(self.heard_at);
+        self.heard_at = now;
+        self.exchange.longest_pause = self.exchange.longest_pause.max(pause);
         let Ok(events) = self.splitter.push(bytes) else {
             return RelayStep::Ended(AttemptOutcome::Garbled);
         };
