--- a/gateway/src/coordination/rollouts/rollout_board.rs
+++ b/gateway/src/coordination/rollouts/rollout_board.rs
@@ -4,6 +4,7 @@
 //! of the revision it has seen; a host stops a bad version alone on its own evidence.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -197,7 +198,7 @@
     }
 
     /// Takes in what another host counted.
-    pub fn take_note(&mut self, host: &Arc<str>, note: &TrialNote) {
+    pub fn take_note(&mut self, host: SocketAddr, note: &TrialNote) {
         let Some(view) = self.views.get_mut(&note.service) else {
             return;
         };
--- a/gateway/src/coordination/rollouts/version_trial.rs
+++ b/gateway/src/coordination/rollouts/version_trial.rs
@@ -5,6 +5,7 @@
 //! many sees few answers of an unproven version, so that hosts tell one another what they saw.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -57,7 +58,7 @@
     servers: BTreeSet<Arc<str>>,
     base: GradeCounts,
     own: GradeCounts,
-    told: BTreeMap<Arc<str>, GradeCounts>,
+    told: BTreeMap<SocketAddr, GradeCounts>,
 }
 
 impl VersionTrial {
@@ -92,8 +93,8 @@
     }
 
     /// Takes in what another host has counted so far.
-    pub fn note_told(&mut self, host: &Arc<str>, counts: GradeCounts) {
-        self.told.insert(host.clone(), counts);
+    pub fn note_told(&mut self, host: SocketAddr, counts: GradeCounts) {
+        self.told.insert(host, counts);
     }
 
     /// Returns what this host has counted.
--- a/gateway/src/protocol/platform_format.rs
+++ b/gateway/src/protocol/platform_format.rs
@@ -9,7 +9,7 @@
     ObjectChanges, ObjectKind, ObjectPage, ObjectQuery, StoredObject,
 };
 use crate::state::{
-    AttemptHead, CallerHead, HostNote, RolloutOrder, RolloutReport, RouteImage, ServerEntry,
+    AttemptHead, CallerHead, HostPresence, RolloutOrder, RolloutReport, RouteImage, ServerEntry,
 };
 
 /// A message of the platform cannot be read.
@@ -69,10 +69,10 @@
     pub read_rollout: fn(&StoredObject) -> Option<RolloutOrder>,
     /// Writes the report of a roll-out, on condition of the order's revision.
     pub write_rollout: fn(&RolloutOrder, &RolloutReport) -> Vec<u8>,
-    /// Reads a note of a host.
-    pub read_note: fn(&StoredObject) -> Option<HostNote>,
-    /// Writes a note; returns its object's name and its body.
-    pub write_note: fn(&HostNote) -> (String, Vec<u8>),
+    /// Reads where a host is reached.
+    pub read_presence: fn(&StoredObject) -> Option<HostPresence>,
+    /// Writes where a host is reached; its object has the host's name.
+    pub write_presence: fn(&HostPresence) -> Vec<u8>,
     /// Reads the head of a caller's request.
     pub read_request: fn(&HeaderMap) -> CallerHead,
     /// Turns a caller's headers into those of an attempt.
--- a/gateway/src/protocol/stored_object.rs
+++ b/gateway/src/protocol/stored_object.rs
@@ -14,8 +14,8 @@
     Servers,
     /// Roll-outs.
     Rollouts,
-    /// What hosts tell one another.
-    HostNotes,
+    /// Where hosts are reached.
+    Hosts,
 }
 
 /// A read of the store.
@@ -27,6 +27,8 @@
         kind: ObjectKind,
         /// Name after which the page starts.
         after: Option<String>,
+        /// Whether an answer that is seconds old will do, which is cheaper.
+        stale: bool,
     },
     /// The changes of a kind since a revision.
     Watch {
--- a/gateway/src/state/answer_grade.rs
+++ b/gateway/src/state/answer_grade.rs
@@ -1,5 +1,7 @@
 //! How good the answers of a version are.
 
+use serde::{Deserialize, Serialize};
+
 /// How good an answer was.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerGrade {
@@ -12,7 +14,7 @@
 }
 
 /// Counts of answers by grade.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GradeCounts {
     /// All answers.
     pub answers: u32,
--- a/gateway/src/state/host_note.rs
+++ b/gateway/src/state/host_note.rs
@@ -3,10 +3,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::state::GradeCounts;
 
 /// A request that crashed servers.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashNote {
     /// Fingerprint of the request.
     pub fingerprint: u64,
@@ -15,7 +17,7 @@
 }
 
 /// What a host has counted of a version on trial.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TrialNote {
     /// Service of the version.
     pub service: Arc<str>,
@@ -28,28 +30,10 @@
 /// Where a host is reached by the others.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HostPresence {
+    /// Name of the host.
+    pub host: Arc<str>,
     /// Address for datagrams.
     pub address: SocketAddr,
     /// Failure domain.
     pub domain: Arc<str>,
 }
-
-/// What a host tells the others.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum NoteContent {
-    /// A request crashed servers.
-    Crash(CrashNote),
-    /// A version on trial answered badly.
-    Trial(TrialNote),
-    /// The host serves.
-    Presence(HostPresence),
-}
-
-/// A note of a host.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct HostNote {
-    /// The host that wrote it.
-    pub host: Arc<str>,
-    /// What it tells.
-    pub content: NoteContent,
-}
--- a/gateway/src/state/mod.rs
+++ b/gateway/src/state/mod.rs
@@ -9,7 +9,7 @@
 mod service_route;
 
 pub use answer_grade::{AnswerGrade, GradeCounts};
-pub use host_note::{CrashNote, HostNote, HostPresence, NoteContent, TrialNote};
+pub use host_note::{CrashNote, HostPresence, TrialNote};
 pub use rollout_order::{RolloutOrder, RolloutReport, RolloutState};
 pub use caller_head::{AttemptHead, CallerHead, PromptPart};
 pub use route_image::{CallerLimits, CredentialDigest, RouteImage, WorkspaceEntry};
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -16,7 +16,7 @@
 use crate::coordination::placement::{LoadBook, ServerTable};
 use crate::coordination::requests::CrashBook;
 use crate::coordination::rollouts::RolloutBoard;
-use crate::protocol::PlatformFormat;
+use crate::protocol::{PeerMessage, PlatformFormat};
 use crate::state::{HostPresence, RouteImage};
 use crate::transport::connection_pool::ConnectionPool;
 use crate::transport::gateway_metrics::GatewayMetrics;
@@ -40,8 +40,8 @@
     pub image: ArcSwapOption<RouteImage>,
     /// Counters and latencies.
     pub metrics: GatewayMetrics,
-    /// Sessions that other hosts have to be told of.
-    pub held: (mpsc::UnboundedSender<Vec<u64>>, Mutex<Option<mpsc::UnboundedReceiver<Vec<u64>>>>),
+    /// What all other hosts have to be told.
+    peer_news: (mpsc::UnboundedSender<PeerMessage>, Mutex<Option<mpsc::UnboundedReceiver<PeerMessage>>>),
     /// Counts how often a part heard the store again after it had not.
     pub store_returns: watch::Sender<u64>,
     /// Is told when a roll-out may need a report.
@@ -67,9 +67,9 @@
 impl GatewayContext {
     /// Creates what the parts of a host share.
     pub fn new(settings: GatewaySettings, format: PlatformFormat) -> Arc<Self> {
-        let (held_sender, held_receiver) = mpsc::unbounded_channel();
+        let (news_sender, news_receiver) = mpsc::unbounded_channel();
         Arc::new(Self {
-            held: (held_sender, Mutex::new(Some(held_receiver))),
+            peer_news: (news_sender, Mutex::new(Some(news_receiver))),
             format,
             timers: TimerService::system(),
             store: StoreClient::new(settings.store, settings.connect_timeout),
@@ -123,15 +123,15 @@
         lock(&self.peers)
     }
 
-    /// Has other hosts told of sessions that the version before a roll-out serves.
-    pub fn tell_held(&self, sessions: Vec<u64>) {
+    /// Has all other hosts told something.
+    pub fn tell_peers(&self, message: PeerMessage) {
         // Nobody listens while the host stops, when others take over.
-        let _ = self.held.0.send(sessions);
+        let _ = self.peer_news.0.send(message);
     }
 
-    /// Takes the receiving end of the sessions to tell of, once.
-    pub(crate) fn take_held(&self) -> Option<mpsc::UnboundedReceiver<Vec<u64>>> {
-        lock(&self.held.1).take()
+    /// Takes the receiving end of what other hosts have to be told, once.
+    pub(crate) fn take_peer_news(&self) -> Option<mpsc::UnboundedReceiver<PeerMessage>> {
+        lock(&self.peer_news.1).take()
     }
 
     /// Counts a request for a service.
--- a/gateway/src/transport/gateway_host.rs
+++ b/gateway/src/transport/gateway_host.rs
@@ -16,7 +16,7 @@
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::gateway_error::GatewayError;
 use crate::transport::gateway_settings::GatewaySettings;
-use crate::transport::load_sharing::share_loads;
+use crate::transport::peer_exchange::exchange_with_peers;
 use crate::transport::ready_listener::serve_ready;
 use crate::transport::record_log::log_record;
 use crate::transport::rollout_writer::write_reports;
@@ -62,7 +62,7 @@
         tasks.push(tokio::spawn(listener.clone().accept(callers)));
         tasks.push(tokio::spawn(serve_ready(context.clone(), ready)));
         tasks.push(tokio::spawn(write_reports(context.clone())));
-        tasks.push(tokio::spawn(share_loads(context.clone(), datagrams)));
+        tasks.push(tokio::spawn(exchange_with_peers(context.clone(), datagrams)));
         let record = GatewayRecord::Started {
             host: context.settings.host.clone(),
             domain: context.settings.domain.clone(),
--- a/gateway/src/transport/gateway_settings.rs
+++ b/gateway/src/transport/gateway_settings.rs
@@ -39,8 +39,6 @@
     pub caller_connections: usize,
     /// Time that a new connection to a backend server may take.
     pub connect_timeout: Duration,
-    /// Longest time that the store holds a watch; bounds how long a silent connection is believed.
-    pub watch_wait: Duration,
     /// Time for an answer of the store that is not a watch.
     pub store_timeout: Duration,
     /// Age of the last word of the store from which a refusal of a caller is checked first.
@@ -75,7 +73,6 @@
             buffered_bytes: 64 * 1_024 * 1_024,
             caller_connections: 1_500,
             connect_timeout: Duration::from_millis(400),
-            watch_wait: Duration::from_millis(3_000),
             store_timeout: Duration::from_millis(1_000),
             refusal_age: Duration::from_secs(1),
             budget: BudgetSettings::default(),
--- /dev/null
+++ b/gateway/src/transport/peer_exchange.rs
@@ -0,0 +1,212 @@
+//! Tells other hosts by datagram what this one has sent where and what it has found out.
+//!
+//! The word of other hosts is a hint: it is used for a second or two, and nothing depends on it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use log::Level;
+use rand::Rng;
+use tokio::net::UdpSocket;
+
+use crate::protocol::{GatewayRecord, ObjectKind, ObjectQuery, PeerMessage};
+use crate::state::HostPresence;
+use crate::transport::gateway_context::GatewayContext;
+use crate::transport::record_log::log_record;
+use crate::transport::store_client::StoreError;
+
+/// Time between datagrams to a host of the own failure domain.
+const NEAR_PERIOD: Duration = Duration::from_millis(100);
+/// Rounds of the own failure domain for one round of the others, whose bytes are dear.
+const FAR_ROUNDS: u32 = 4;
+/// Bytes that a host may send in a second for this; more hosts are told more seldom.
+const BYTES_PER_SECOND: usize = 19_000;
+/// Bytes of a datagram beside its content.
+const DATAGRAM_HEAD: usize = 28;
+/// Greatest size of a datagram that is read.
+const MAX_DATAGRAM: usize = 8 * 1_024;
+/// Sessions that one datagram tells of.
+const SESSIONS_PER_DATAGRAM: usize = 100;
+/// Copies of news that are told once.
+const NEWS_COPIES: usize = 2;
+/// Pause between the first two reads of the hosts' addresses, when all hosts start.
+const FIRST_HOSTS_PAUSE: Duration = Duration::from_millis(1_500);
+/// Longest pause between reads of the hosts' addresses.
+const HOSTS_PAUSE: Duration = Duration::from_secs(8);
+
+/// Announces the host, tells others what it sent where and takes in what they tell.
+pub(crate) async fn exchange_with_peers(context: Arc<GatewayContext>, socket: Arc<UdpSocket>) {
+    let receiving = take_shares(&context, &socket);
+    let telling = tell_shares(&context, &socket);
+    let following = follow_hosts(&context, &socket);
+    let news = tell_news(&context, &socket);
+    tokio::join!(receiving, telling, following, news);
+}
+
+/// Writes the host's address to the store, and reads those of the others from time to time.
+async fn follow_hosts(context: &GatewayContext, socket: &UdpSocket) {
+    let Ok(address) = socket.local_addr() else {
+        return;
+    };
+    let (host, domain) = (context.settings.host.clone(), context.settings.domain.clone());
+    let presence = HostPresence { host, address, domain };
+    let mut is_announced = false;
+    let mut pause = FIRST_HOSTS_PAUSE;
+    loop {
+        if !is_announced {
+            is_announced = note_fault(announce(context, &presence).await);
+        }
+        note_fault(read_hosts(context).await);
+        let spread = rand::rng().random_range(0.75..1.25);
+        tokio::time::sleep(pause.mul_f64(spread)).await;
+        pause = (pause * 2).min(HOSTS_PAUSE);
+    }
+}
+
+/// Writes the host's address; what an earlier process of the host wrote is replaced.
+async fn announce(context: &GatewayContext, presence: &HostPresence) -> Result<(), StoreError> {
+    let body = (context.format.write_presence)(presence);
+    let timeout = context.settings.store_timeout;
+    let path = (context.format.object_path)(ObjectKind::Hosts, "");
+    let (status, _) = context.store.call(Method::POST, &path, body.clone(), timeout).await?;
+    if status.is_success() {
+        return Ok(());
+    }
+    if status != StatusCode::CONFLICT {
+        return Err(StoreError::Status(status));
+    }
+    let path = (context.format.object_path)(ObjectKind::Hosts, &presence.host);
+    match context.store.call(Method::PUT, &path, body, timeout).await? {
+        (status, _) if status.is_success() => Ok(()),
+        (status, _) => Err(StoreError::Status(status)),
+    }
+}
+
+/// Reads the addresses of all hosts; seconds of age do no harm.
+async fn read_hosts(context: &GatewayContext) -> Result<(), StoreError> {
+    let mut after = None;
+    let mut peers = BTreeMap::new();
+    loop {
+        let query = ObjectQuery::List { kind: ObjectKind::Hosts, after, stale: true };
+        let path = (context.format.query_path)(&query);
+        let body = context.store.read(&path, context.settings.store_timeout).await?;
+        let page = (context.format.read_page)(&body)?;
+        let presences = page.objects.iter().filter_map(context.format.read_presence);
+        peers.extend(presences.map(|presence| (presence.host.clone(), presence)));
+        after = page.objects.last().map(|object| object.name.to_string());
+        if !page.has_more || after.is_none() {
+            *context.peers() = peers;
+            return Ok(());
+        }
+    }
+}
+
+/// Logs a failed call; returns whether it succeeded.
+fn note_fault(result: Result<(), StoreError>) -> bool {
+    if let Err(error) = &result {
+        let record = GatewayRecord::Fault { part: "hosts", message: error.to_string() };
+        log_record(Level::Warn, &record);
+    }
+    result.is_ok()
+}
+
+/// Takes in what other hosts tell.
+async fn take_shares(context: &GatewayContext, socket: &UdpSocket) {
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    loop {
+        let Ok((length, peer)) = socket.recv_from(&mut buffer).await else {
+            // An error is the echo of a datagram to a host that is gone.
+            tokio::time::sleep(Duration::from_millis(1)).await;
+            continue;
+        };
+        match postcard::from_bytes(&buffer[..length]) {
+            Ok(PeerMessage::Loads(shares)) => {
+                context.loads().note_told(peer, &shares, context.now());
+            }
+            Ok(PeerMessage::Crash(note)) => {
+                context.crashes().note_told(note.fingerprint, note.crashes, context.now());
+            }
+            Ok(PeerMessage::Trial(note)) => {
+                context.rollouts().take_note(peer, &note);
+                context.rollout_news.notify_one();
+            }
+            Ok(PeerMessage::HeldSessions(sessions)) => {
+                context.rollouts().take_held(&sessions, context.now());
+            }
+            Err(_) => context.metrics.count("datagrams_unreadable_total"),
+        }
+    }
+}
+
+/// Tells other hosts what this one has sent where.
+async fn tell_shares(context: &GatewayContext, socket: &UdpSocket) {
+    let mut round = rand::rng().random_range(0..FAR_ROUNDS);
+    let mut said_nothing = false;
+    loop {
+        let shares = context.loads().own_shares();
+        let is_idle = shares.is_empty();
+        let Ok(message) = postcard::to_stdvec(&PeerMessage::Loads(shares)) else {
+            return;
+        };
+        let is_far_round = round % FAR_ROUNDS == 0;
+        let peers = peers_of_round(context, is_far_round);
+        // A host without requests says so once.
+        if !(is_idle && said_nothing) {
+            for peer in peers.keys() {
+                // A datagram that is lost is followed by the next one.
+                let _ = socket.send_to(&message, peer).await;
+            }
+        }
+        said_nothing = is_idle && (is_far_round || said_nothing);
+        round = round.wrapping_add(1);
+        let bytes = peers.len() * (message.len() + DATAGRAM_HEAD);
+        let least = Duration::from_secs_f64(bytes as f64 / BYTES_PER_SECOND as f64);
+        tokio::time::sleep(NEAR_PERIOD.max(least)).await;
+    }
+}
+
+/// Tells all other hosts what is not repeated by itself, more than once against loss.
+async fn tell_news(context: &GatewayContext, socket: &UdpSocket) {
+    let Some(mut receiver) = context.take_peer_news() else {
+        return;
+    };
+    while let Some(news) = receiver.recv().await {
+        let copies = if matches!(news, PeerMessage::HeldSessions(_)) { 1 } else { NEWS_COPIES };
+        for part in split_news(news) {
+            let Ok(message) = postcard::to_stdvec(&part) else {
+                continue;
+            };
+            for _ in 0..copies {
+                for peer in peers_of_round(context, true).keys() {
+                    // A datagram that is lost is a hint less.
+                    let _ = socket.send_to(&message, peer).await;
+                }
+            }
+        }
+    }
+}
+
+/// Splits news that do not fit one datagram.
+fn split_news(news: PeerMessage) -> Vec<PeerMessage> {
+    match news {
+        PeerMessage::HeldSessions(sessions) => sessions
+            .chunks(SESSIONS_PER_DATAGRAM)
+            .map(|part| PeerMessage::HeldSessions(part.to_vec()))
+            .collect(),
+        other => vec![other],
+    }
+}
+
+/// Returns the hosts that are told in a round.
+fn peers_of_round(context: &GatewayContext, is_far_round: bool) -> BTreeMap<SocketAddr, ()> {
+    let peers = context.peers();
+    let own = &context.settings.host;
+    let domain = &context.settings.domain;
+    let told = peers.iter().filter(|(host, presence)| {
+        *host != own && (is_far_round || presence.domain == *domain)
+    });
+    told.map(|(_, presence)| (presence.address, ())).collect()
+}
--- a/gateway/src/transport/request_exchange.rs
+++ b/gateway/src/transport/request_exchange.rs
@@ -16,9 +16,9 @@
     AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, NextStep, final_answer, next_step,
 };
 use crate::coordination::rollouts::VersionRule;
-use crate::protocol::{DecisionInputs, GatewayRecord};
+use crate::protocol::{DecisionInputs, GatewayRecord, PeerMessage};
 use crate::state::{
-    AnswerGrade, AttemptHead, CallerHead, CrashNote, NoteContent, RouteKind, ServerEntry,
+    AnswerGrade, AttemptHead, CallerHead, CrashNote, RouteKind, ServerEntry,
     ServiceRoute,
 };
 use crate::transport::answer_body::{AnswerBody, not_run_answer, own_answer, whole_body};
@@ -27,7 +27,6 @@
 };
 use crate::transport::caller_gate::{Admission, HeldBody};
 use crate::transport::gateway_context::{GatewayContext, stable_hash};
-use crate::transport::host_notes::tell_hosts;
 use crate::transport::record_log::log_record;
 use crate::transport::stream_relay::StreamRelay;
 
@@ -352,7 +351,7 @@
         log_record(Level::Warn, &GatewayRecord::CrashNoted { fingerprint, crashes });
         if crashes >= 2 {
             let note = CrashNote { fingerprint: self.fingerprint, crashes };
-            tell_hosts(&self.context, NoteContent::Crash(note));
+            self.context.tell_peers(PeerMessage::Crash(note));
         }
     }
 
@@ -361,7 +360,7 @@
         let (service, version, now) = (&self.service, &server.version, self.context.now());
         let is_held = self.context.rollouts().note_session(service, self.session, version, now);
         if is_held {
-            self.context.tell_held(vec![self.session]);
+            self.context.tell_peers(PeerMessage::HeldSessions(vec![self.session]));
         }
     }
 
@@ -393,7 +392,7 @@
         let was_stopped = rollouts.is_stopped(&self.service);
         let note = rollouts.note_answer(&self.service, &self.route.name, named, grade);
         if let Some(note) = note {
-            tell_hosts(&self.context, NoteContent::Trial(note));
+            self.context.tell_peers(PeerMessage::Trial(note));
         }
         if rollouts.is_stopped(&self.service) && !was_stopped {
             let record = GatewayRecord::RolloutChanged {
--- a/gateway/src/transport/store_feeds.rs
+++ b/gateway/src/transport/store_feeds.rs
@@ -1,41 +1,56 @@
 //! Takes the news of the store into the host's beliefs.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use log::Level;
 use tokio::task::JoinHandle;
 
 use crate::coordination::placement::TableChange;
-use crate::protocol::{FormatError, GatewayRecord, ObjectKind, ObjectQuery, StoredObject};
-use crate::state::{NoteContent, RouteImage, ServerEntry};
+use crate::protocol::{
+    FormatError, GatewayRecord, ObjectKind, ObjectQuery, PeerMessage, StoredObject,
+};
+use crate::state::{RouteImage, ServerEntry};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
 use crate::transport::store_client::StoreError;
-use crate::transport::store_follower::{KindNews, follow_kind};
+use crate::transport::store_follower::{FollowedKind, KindNews, follow_kind};
 
 /// Name of the object that holds the configuration.
 const CONFIGURATION_NAME: &str = "main";
 
+/// Rest after a change of the configuration; well within the time in which it must be in force.
+const CONFIGURATION_REST: Duration = Duration::from_millis(350);
+/// Rest after a change of the servers; well within the time in which a leaving one must be left.
+const SERVERS_REST: Duration = Duration::from_millis(600);
+/// Rest after a change of the roll-outs; well within the time in which a bad version must be left.
+const ROLLOUTS_REST: Duration = Duration::from_millis(400);
+/// Wait of a watch whose news bind a host within seconds, which bounds how long a connection that
+/// went silent is believed.
+const SHORT_WAIT: Duration = Duration::from_millis(3_000);
+/// Wait of a watch whose news have more time.
+const LONG_WAIT: Duration = Duration::from_millis(4_500);
+
 /// Starts to follow the store.
 pub(crate) fn start_feeds(context: &Arc<GatewayContext>) -> Vec<JoinHandle<()>> {
     let (images, servers) = (context.clone(), context.clone());
-    let (rollouts, notes) = (context.clone(), context.clone());
-    let follow = |kind, part, take: Box<dyn Fn(KindNews) + Send + Sync>| {
-        tokio::spawn(follow_kind(context.clone(), kind, part, take))
+    let rollouts = context.clone();
+    let follow = |followed, take: Box<dyn Fn(KindNews) + Send + Sync>| {
+        tokio::spawn(follow_kind(context.clone(), followed, take))
     };
     vec![
         follow(
-            ObjectKind::Configuration,
-            "configuration",
+            FollowedKind { kind: ObjectKind::Configuration, part: "configuration", rest: CONFIGURATION_REST, wait: SHORT_WAIT },
             Box::new(move |news| take_configuration(&images, news)),
         ),
-        follow(ObjectKind::Servers, "servers", Box::new(move |news| take_servers(&servers, news))),
         follow(
-            ObjectKind::Rollouts,
-            "rollouts",
+            FollowedKind { kind: ObjectKind::Servers, part: "servers", rest: SERVERS_REST, wait: SHORT_WAIT },
+            Box::new(move |news| take_servers(&servers, news)),
+        ),
+        follow(
+            FollowedKind { kind: ObjectKind::Rollouts, part: "rollouts", rest: ROLLOUTS_REST, wait: LONG_WAIT },
             Box::new(move |news| take_rollouts(&rollouts, news)),
         ),
-        follow(ObjectKind::HostNotes, "host notes", Box::new(move |news| take_notes(&notes, news))),
     ]
 }
 
@@ -88,7 +103,7 @@
     if confirmed_at.is_some_and(|at| at >= asked_at) {
         return Ok(());
     }
-    let query = ObjectQuery::List { kind: ObjectKind::Configuration, after: None };
+    let query = ObjectQuery::List { kind: ObjectKind::Configuration, after: None, stale: false };
     let path = (context.format.query_path)(&query);
     let body = context.store.read(&path, context.settings.store_timeout).await?;
     let page = (context.format.read_page)(&body)?;
@@ -166,33 +181,8 @@
             log_record(Level::Info, &record);
             let held = rollouts.held_sessions(&order.service, now);
             if !held.is_empty() {
-                context.tell_held(held);
-            }
-        }
-    }
-    context.rollout_news.notify_one();
-}
-
-/// Takes in what other hosts tell.
-fn take_notes(context: &GatewayContext, news: KindNews) {
-    let objects = match news {
-        KindNews::Listed(objects) => objects,
-        KindNews::Changed(change) if !change.removed => vec![change.object],
-        KindNews::Changed(_) | KindNews::Confirmed | KindNews::Lost => return,
-    };
-    let now = context.now();
-    for note in objects.iter().filter_map(|object| (context.format.read_note)(object)) {
-        if note.host == context.settings.host {
-            continue;
-        }
-        match note.content {
-            NoteContent::Crash(crash) => {
-                context.crashes().note_told(crash.fingerprint, crash.crashes, now);
-            }
-            NoteContent::Presence(presence) => {
-                context.peers().insert(note.host, presence);
+                context.tell_peers(PeerMessage::HeldSessions(held));
             }
-            NoteContent::Trial(trial) => context.rollouts().take_note(&note.host, &trial),
         }
     }
     context.rollout_news.notify_one();
--- a/gateway/src/transport/store_follower.rs
+++ b/gateway/src/transport/store_follower.rs
@@ -23,9 +23,22 @@
 /// Time beyond the wait of a watch after which its connection is taken to be dead.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 
+/// A kind of objects that is followed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FollowedKind {
+    /// The kind.
+    pub(crate) kind: ObjectKind,
+    /// Its name in logs.
+    pub(crate) part: &'static str,
+    /// Rest after a change before the next call, which gathers what changes meanwhile.
+    pub(crate) rest: Duration,
+    /// Longest time that the store holds a call.
+    pub(crate) wait: Duration,
+}
+
 /// News of a kind of objects.
 #[derive(Debug)]
-pub enum KindNews {
+pub(crate) enum KindNews {
     /// All objects, read anew.
     Listed(Vec<StoredObject>),
     /// A change.
@@ -37,12 +50,12 @@
 }
 
 /// Follows a kind of objects for as long as the process runs.
-pub async fn follow_kind(
+pub(crate) async fn follow_kind(
     context: Arc<GatewayContext>,
-    kind: ObjectKind,
-    part: &'static str,
+    followed: FollowedKind,
     take_news: impl Fn(KindNews) + Send + Sync + 'static,
 ) {
+    let FollowedKind { kind, part, .. } = followed;
     let returns = context.store_returns.subscribe();
     let mut contact =
         StoreContact { context: context.clone(), part, answers: true, pause: FIRST_PAUSE, returns };
@@ -61,7 +74,7 @@
         };
         let mut revision = revision;
         while let ControlFlow::Continue(next) =
-            watch_kind(&context, kind, revision, &take_news, &mut contact).await
+            watch_kind(&context, &followed, revision, &take_news, &mut contact).await
         {
             revision = next;
         }
@@ -125,7 +138,7 @@
 ) -> Result<(Vec<StoredObject>, u64), StoreError> {
     let (mut objects, mut first_revision, mut after) = (Vec::new(), None, None);
     loop {
-        let query = ObjectQuery::List { kind, after };
+        let query = ObjectQuery::List { kind, after, stale: false };
         let path = (context.format.query_path)(&query);
         let body = context.store.read(&path, context.settings.store_timeout).await?;
         let page = (context.format.read_page)(&body)?;
@@ -143,12 +156,13 @@
 /// Waits for changes once; breaks if the kind has to be read anew.
 async fn watch_kind(
     context: &GatewayContext,
-    kind: ObjectKind,
+    followed: &FollowedKind,
     revision: u64,
     take_news: &impl Fn(KindNews),
     contact: &mut StoreContact,
 ) -> ControlFlow<(), u64> {
-    let wait = if contact.answers { context.settings.watch_wait } else { RETURN_WAIT };
+    let wait = if contact.answers { followed.wait } else { RETURN_WAIT };
+    let kind = followed.kind;
     let path = (context.format.query_path)(&ObjectQuery::Watch { kind, revision, wait });
     let read = tokio::select! {
         read = context.store.read(&path, wait + WATCH_SLACK) => read,
@@ -159,10 +173,15 @@
     match changes {
         Ok(changes) => {
             contact.regained();
+            let is_news = !changes.changes.is_empty();
             for change in changes.changes {
                 take_news(KindNews::Changed(change));
             }
             take_news(KindNews::Confirmed);
+            if is_news {
+                // What changes meanwhile comes with one call.
+                tokio::time::sleep(followed.rest).await;
+            }
             ControlFlow::Continue(changes.revision.max(revision))
         }
         Err(StoreError::Status(StatusCode::GONE)) => ControlFlow::Break(()),
