--- a/gateway/src/coordination/budgets/repeat_budget.rs
+++ b/gateway/src/coordination/budgets/repeat_budget.rs
@@ -75,7 +75,10 @@
 impl RepeatBudget {
     /// Creates an unused budget.
     pub fn new(settings: BudgetSettings) -> Self {
-        Self { settings, slots: VecDeque::new() }
+        Self {
+            settings,
+            slots: VecDeque::new(),
+        }
     }
 
     /// Counts a request of a caller.
@@ -106,12 +109,20 @@
     /// Returns the slot of the present and forgets those outside the window.
     fn slot(&mut self, now: TimePoint) -> &mut BudgetSlot {
         let window = self.settings.window;
-        while self.slots.front().is_some_and(|slot| now.since(slot.starts_at) > window) {
+        while self
+            .slots
+            .front()
+            .is_some_and(|slot| now.since(slot.starts_at) > window)
+        {
             self.slots.pop_front();
         }
         let is_current = |slot: &BudgetSlot| now.since(slot.starts_at) < SLOT;
         if !self.slots.back().is_some_and(is_current) {
-            self.slots.push_back(BudgetSlot { starts_at: now, requests: 0, repeats: 0 });
+            self.slots.push_back(BudgetSlot {
+                starts_at: now,
+                requests: 0,
+                repeats: 0,
+            });
         }
         let last = self.slots.len() - 1;
         &mut self.slots[last]
--- a/gateway/src/coordination/placement/load_book.rs
+++ b/gateway/src/coordination/placement/load_book.rs
@@ -124,7 +124,10 @@
 impl LoadBook {
     /// Creates a book without beliefs.
     pub fn new(settings: LoadSettings) -> Self {
-        Self { settings, ..Self::default() }
+        Self {
+            settings,
+            ..Self::default()
+        }
     }
 
     /// Returns what is believed of a server.
@@ -147,14 +150,21 @@
         };
         let share = load.failure_share(self.settings.failure_half_life, now);
         let success = (1.0 - share).max(0.05);
-        let paused = if now < load.paused_until { self.settings.paused_cost } else { 0.0 };
+        let paused = if now < load.paused_until {
+            self.settings.paused_cost
+        } else {
+            0.0
+        };
         (seconds + self.settings.failure_cost * share) / (success * success) + paused
     }
 
     /// Returns what other hosts have sent to a server.
     fn told(&self, server: &Arc<str>, now: TimePoint) -> ServerShare {
         let key = share_key(server);
-        let mut sum = ServerShare { server: key, ..ServerShare::default() };
+        let mut sum = ServerShare {
+            server: key,
+            ..ServerShare::default()
+        };
         for (shares, at) in self.peers.values() {
             if now.since(*at) > self.settings.told_lifetime {
                 continue;
@@ -169,7 +179,10 @@
 
     /// Takes in what another host has sent where.
     pub fn note_told(&mut self, peer: SocketAddr, shares: &[ServerShare], now: TimePoint) {
-        let by_server = shares.iter().map(|share| (share.server, share.clone())).collect();
+        let by_server = shares
+            .iter()
+            .map(|share| (share.server, share.clone()))
+            .collect();
         self.peers.insert(peer, (by_server, now));
         let lifetime = self.settings.told_lifetime;
         self.peers.retain(|_, (_, at)| now.since(*at) <= lifetime);
@@ -189,7 +202,11 @@
 
     /// Returns the work of a request of a class, in seconds of an ordinary server.
     pub fn work(&self, class: &Arc<str>, tokens: u32) -> f64 {
-        let pace = self.paces.get(class).copied().unwrap_or(self.settings.first_pace);
+        let pace = self
+            .paces
+            .get(class)
+            .copied()
+            .unwrap_or(self.settings.first_pace);
         (f64::from(tokens) + FIXED_TOKENS) * pace
     }
 
@@ -224,7 +241,9 @@
     /// Returns the expected time to the first byte of requests of a class and size.
     pub fn expected_first(&self, class: &Arc<str>, size: u8) -> Option<Duration> {
         let key = (class.clone(), size);
-        self.expected.get(&key).map(|seconds| Duration::from_secs_f64(*seconds))
+        self.expected
+            .get(&key)
+            .map(|seconds| Duration::from_secs_f64(*seconds))
     }
 
     /// Takes in the time to the first byte of an answer to a prompt of some tokens.
@@ -279,19 +298,29 @@
     /// Forgets what was believed of a server that started anew; its requests in flight stay.
     pub fn reset(&mut self, server: &Arc<str>) {
         let load = self.entry(server);
-        *load = ServerLoad { in_flight: load.in_flight, ..ServerLoad::default() };
+        *load = ServerLoad {
+            in_flight: load.in_flight,
+            ..ServerLoad::default()
+        };
     }
 
     /// Forgets a server that is gone.
     pub fn forget(&mut self, server: &str) {
-        if self.loads.get(server).is_some_and(|load| load.in_flight == 0) {
+        if self
+            .loads
+            .get(server)
+            .is_some_and(|load| load.in_flight == 0)
+        {
             self.loads.remove(server);
         }
     }
 
     /// Takes in a success or failure.
     fn note_outcome(&mut self, server: &Arc<str>, failed: f64, now: TimePoint) {
-        let (weight, half_life) = (self.settings.failure_weight, self.settings.failure_half_life);
+        let (weight, half_life) = (
+            self.settings.failure_weight,
+            self.settings.failure_half_life,
+        );
         let load = self.entry(server);
         let share = load.failure_share(half_life, now);
         load.failures = share + weight * (failed - share);
--- a/gateway/src/coordination/placement/server_pick.rs
+++ b/gateway/src/coordination/placement/server_pick.rs
@@ -3,7 +3,7 @@
 //! Answers hot prompt parts, uneven failure domains and herds of hosts: each server is priced in
 //! seconds until it would begin to answer, by what all hosts have sent there. A server that has
 //! read the prompt's first part begins sooner; one of another failure domain costs the bytes
-//! between the domains. Small random differences keep hosts with the same beliefs apart.
+//! between the domains.
 
 use std::hash::Hasher;
 use std::sync::Arc;
@@ -23,13 +23,15 @@
     pub kept_part: f64,
     /// Cost of a server in another failure domain, in seconds.
     pub domain_cost: f64,
-    /// Random difference of costs, as a part of them.
-    pub jitter: f64,
 }
 
 impl Default for PickSettings {
     fn default() -> Self {
-        Self { spread: 3, kept_part: 0.3, domain_cost: 0.3, jitter: 0.1 }
+        Self {
+            spread: 3,
+            kept_part: 0.3,
+            domain_cost: 0.3,
+        }
     }
 }
 
@@ -72,18 +74,41 @@
     if let Some(part) = query.affinity {
         candidates.sort_by_key(|entry| std::cmp::Reverse(rank(part, &entry.id)));
     }
+    let total = candidates.len();
+    let kept = if query.affinity.is_some() {
+        settings.spread.min(total)
+    } else {
+        0
+    };
+    // Among servers that cost the same, each request has its own order.
+    candidates[kept..].sort_by_key(|entry| rank(query.point, &entry.id));
     let priced = candidates.iter().enumerate().map(|(place, entry)| {
-        let is_kept = query.affinity.is_some() && place < settings.spread;
-        let work = if is_kept { query.work * settings.kept_part } else { query.work };
+        let is_kept = place < kept;
+        let work = if is_kept {
+            query.work * settings.kept_part
+        } else {
+            query.work
+        };
         // A plain service runs as many requests side by side as it has slots.
-        let lanes = if query.affinity.is_some() { 1.0 } else { f64::from(entry.slots.max(1)) };
-        let far = if *entry.domain == *query.domain { 0.0 } else { settings.domain_cost };
+        let lanes = if query.affinity.is_some() {
+            1.0
+        } else {
+            f64::from(entry.slots.max(1))
+        };
+        let far = if *entry.domain == *query.domain {
+            0.0
+        } else {
+            settings.domain_cost
+        };
         let cost = loads.cost(&entry.id, work, lanes, now) + far;
-        let point = rank(query.point, &entry.id) as f64 / u64::MAX as f64;
-        (cost * (1.0 + settings.jitter * point), *entry)
+        (cost, *entry)
     });
     let (cost, server) = priced.min_by(|(left, _), (right, _)| left.total_cmp(right))?;
-    Some(ServerPick { server: server.clone(), candidates: candidates.len(), cost })
+    Some(ServerPick {
+        server: server.clone(),
+        candidates: total,
+        cost,
+    })
 }
 
 /// Returns the rank of a server for a number.
--- a/gateway/src/coordination/placement/server_table.rs
+++ b/gateway/src/coordination/placement/server_table.rs
@@ -60,8 +60,12 @@
     ) -> Vec<(ServerEntry, TableChange)> {
         let mut changes = Vec::new();
         let listed: Vec<Arc<str>> = list.iter().map(|entry| entry.id.clone()).collect();
-        let missing: Vec<Arc<str>> =
-            self.entries.keys().filter(|id| !listed.contains(id)).cloned().collect();
+        let missing: Vec<Arc<str>> = self
+            .entries
+            .keys()
+            .filter(|id| !listed.contains(id))
+            .cloned()
+            .collect();
         for id in missing {
             changes.extend(self.remove(&id, now));
         }
@@ -138,7 +142,10 @@
         if !listed.is_empty() {
             return listed;
         }
-        let fresh = self.lapsed.values().filter(|(_, at)| now.since(*at) < LAPSED_USE);
+        let fresh = self
+            .lapsed
+            .values()
+            .filter(|(_, at)| now.since(*at) < LAPSED_USE);
         fresh.map(|(entry, _)| entry).filter(takes_work).collect()
     }
 }
--- a/gateway/src/coordination/requests/crash_book.rs
+++ b/gateway/src/coordination/requests/crash_book.rs
@@ -22,7 +22,11 @@
 
 impl Default for CrashSettings {
     fn default() -> Self {
-        Self { crashes: 2, retention: Duration::from_secs(300), capacity: 4_096 }
+        Self {
+            crashes: 2,
+            retention: Duration::from_secs(300),
+            capacity: 4_096,
+        }
     }
 }
 
@@ -44,7 +48,10 @@
 impl CrashBook {
     /// Creates an empty book.
     pub fn new(settings: CrashSettings) -> Self {
-        Self { settings, entries: BTreeMap::new() }
+        Self {
+            settings,
+            entries: BTreeMap::new(),
+        }
     }
 
     /// Notes that a server crashed while it ran a request; returns the crashes that are known.
@@ -75,18 +82,25 @@
 
     /// Returns the entry of a request.
     fn entry(&mut self, fingerprint: u64, now: TimePoint) -> &mut CrashEntry {
-        if self.entries.len() >= self.settings.capacity && !self.entries.contains_key(&fingerprint) {
+        if self.entries.len() >= self.settings.capacity && !self.entries.contains_key(&fingerprint)
+        {
             let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.noted_at);
             if let Some(oldest) = oldest.map(|(key, _)| *key) {
                 self.entries.remove(&oldest);
             }
         }
-        let fresh = CrashEntry { servers: Vec::new(), told: 0, noted_at: now };
+        let fresh = CrashEntry {
+            servers: Vec::new(),
+            told: 0,
+            noted_at: now,
+        };
         self.entries.entry(fingerprint).or_insert(fresh)
     }
 }
 
 /// Returns the crashes that are known of a request.
 fn crashes_of(entry: &CrashEntry) -> u32 {
-    entry.told.max(u32::try_from(entry.servers.len()).unwrap_or(u32::MAX))
+    entry
+        .told
+        .max(u32::try_from(entry.servers.len()).unwrap_or(u32::MAX))
 }
--- a/gateway/src/coordination/rollouts/rollout_board.rs
+++ b/gateway/src/coordination/rollouts/rollout_board.rs
@@ -87,7 +87,11 @@
     /// Creates a board without roll-outs.
     pub fn new(settings: RolloutSettings) -> Self {
         let sessions = SessionBook::new(settings.session_pause);
-        Self { settings, views: BTreeMap::new(), sessions }
+        Self {
+            settings,
+            views: BTreeMap::new(),
+            sessions,
+        }
     }
 
     /// Takes in an order or a report; returns whether it changes what is believed.
@@ -95,7 +99,9 @@
         let known = self.views.get_mut(&order.service);
         match known {
             Some(view) if view.order.revision >= order.revision => false,
-            Some(view) if view.order.target == order.target && order.state != RolloutState::Ordered => {
+            Some(view)
+                if view.order.target == order.target && order.state != RolloutState::Ordered =>
+            {
                 let changed = (view.order.state, view.order.share) != (order.state, order.share);
                 view.order = order;
                 changed
@@ -136,7 +142,11 @@
             Some(_) if elapsed_part(view, now, unix_ms) < 0.5 => false,
             _ => place(session) < view.order.share,
         };
-        if is_new { VersionRule::Prefer(target) } else { VersionRule::Spare(target) }
+        if is_new {
+            VersionRule::Prefer(target)
+        } else {
+            VersionRule::Spare(target)
+        }
     }
 
     /// Notes the version that serves a session; returns whether other hosts must be told, since
@@ -169,7 +179,9 @@
     /// Takes in sessions that other hosts serve by the version before.
     pub fn take_held(&mut self, sessions: &[u64], now: TimePoint) {
         let before: Arc<str> = "".into();
-        sessions.iter().for_each(|session| self.sessions.note(*session, &before, now));
+        sessions
+            .iter()
+            .for_each(|session| self.sessions.note(*session, &before, now));
     }
 
     /// Takes in an answer of a service under roll-out; returns what other hosts should be told.
@@ -194,7 +206,11 @@
         let counts = view.trial.own_counts();
         let bad = counts.failures + counts.slow;
         let is_worth_telling = grade != AnswerGrade::Good && TOLD_COUNTS.contains(&bad);
-        is_worth_telling.then(|| TrialNote { service: service.clone(), target: version.clone(), counts })
+        is_worth_telling.then(|| TrialNote {
+            service: service.clone(),
+            target: version.clone(),
+            counts,
+        })
     }
 
     /// Takes in what another host counted.
@@ -239,13 +255,19 @@
     /// Returns whether any roll-out is under way.
     pub fn is_busy(&self) -> bool {
         self.views.values().any(|view| {
-            matches!(view.order.state, RolloutState::Ordered | RolloutState::Running)
+            matches!(
+                view.order.state,
+                RolloutState::Ordered | RolloutState::Running
+            )
         })
     }
 
     /// Tells the evidence about a service's roll-out.
     pub fn evidence(&self, service: &str) -> String {
-        self.views.get(service).map(|view| view.trial.summary()).unwrap_or_default()
+        self.views
+            .get(service)
+            .map(|view| view.trial.summary())
+            .unwrap_or_default()
     }
 }
 
@@ -256,7 +278,10 @@
 
 /// Returns whether a roll-out has not ended.
 const fn is_open(view: &RolloutView) -> bool {
-    matches!(view.order.state, RolloutState::Ordered | RolloutState::Running)
+    matches!(
+        view.order.state,
+        RolloutState::Ordered | RolloutState::Running
+    )
 }
 
 /// Returns the part of a roll-out's time that has passed.
@@ -267,8 +292,12 @@
         return own / duration;
     }
     // A host that started later goes by the stated beginning, unless clocks disagree wildly.
-    let stated = unix_ms.checked_sub(view.order.began_ms).filter(|_| view.order.began_ms > 0);
-    let stated = stated.map(|millis| millis as f64 / 1_000.0).filter(|past| *past < duration * 2.0);
+    let stated = unix_ms
+        .checked_sub(view.order.began_ms)
+        .filter(|_| view.order.began_ms > 0);
+    let stated = stated
+        .map(|millis| millis as f64 / 1_000.0)
+        .filter(|past| *past < duration * 2.0);
     stated.map_or(own, |stated| stated.max(own)) / duration
 }
 
@@ -284,7 +313,11 @@
         state,
         share,
         target: order.target.clone(),
-        began_ms: if order.began_ms > 0 { order.began_ms } else { unix_ms },
+        began_ms: if order.began_ms > 0 {
+            order.began_ms
+        } else {
+            unix_ms
+        },
     };
     match order.state {
         RolloutState::Done | RolloutState::RolledBack => None,
--- a/gateway/src/coordination/rollouts/session_book.rs
+++ b/gateway/src/coordination/rollouts/session_book.rs
@@ -19,7 +19,10 @@
 impl SessionBook {
     /// Creates a book of sessions that end after a pause.
     pub fn new(lifetime: Duration) -> Self {
-        Self { lifetime, sessions: BTreeMap::new() }
+        Self {
+            lifetime,
+            sessions: BTreeMap::new(),
+        }
     }
 
     /// Notes the version that serves a session.
--- a/gateway/src/coordination/rollouts/version_trial.rs
+++ b/gateway/src/coordination/rollouts/version_trial.rs
@@ -64,7 +64,10 @@
 impl VersionTrial {
     /// Creates a trial without evidence.
     pub fn new(settings: TrialSettings) -> Self {
-        Self { settings, ..Self::default() }
+        Self {
+            settings,
+            ..Self::default()
+        }
     }
 
     /// Grades an answer that is no failure by its time to the first byte.
@@ -73,7 +76,11 @@
         let is_slow = usual.is_some_and(|usual| {
             took > settings.slow_floor && took > usual.mul_f64(settings.slow_ratio)
         });
-        if is_slow { AnswerGrade::Slow } else { AnswerGrade::Good }
+        if is_slow {
+            AnswerGrade::Slow
+        } else {
+            AnswerGrade::Good
+        }
     }
 
     /// Takes in an answer of the version before.
--- a/gateway/src/protocol/event_splitter.rs
+++ b/gateway/src/protocol/event_splitter.rs
@@ -69,7 +69,10 @@
     /// Finds the end of the first event.
     fn find_end(&mut self) -> Option<usize> {
         let mut line_start = self.searched;
-        while let Some(offset) = self.buffer[line_start..].iter().position(|byte| *byte == b'\n') {
+        while let Some(offset) = self.buffer[line_start..]
+            .iter()
+            .position(|byte| *byte == b'\n')
+        {
             let line = &self.buffer[line_start..line_start + offset];
             let next = line_start + offset + 1;
             let is_blank = line.is_empty() || line == b"\r";
--- a/gateway/src/protocol/platform_format.rs
+++ b/gateway/src/protocol/platform_format.rs
@@ -5,9 +5,7 @@
 use http::{HeaderMap, StatusCode};
 use thiserror::Error;
 
-use crate::protocol::{
-    ObjectChanges, ObjectKind, ObjectPage, ObjectQuery, StoredObject,
-};
+use crate::protocol::{ObjectChanges, ObjectKind, ObjectPage, ObjectQuery, StoredObject};
 use crate::state::{
     AttemptHead, CallerHead, HostPresence, RolloutOrder, RolloutReport, RouteImage, ServerEntry,
 };
--- a/gateway/src/state/mod.rs
+++ b/gateway/src/state/mod.rs
@@ -9,9 +9,9 @@
 mod service_route;
 
 pub use answer_grade::{AnswerGrade, GradeCounts};
+pub use caller_head::{AttemptHead, CallerHead, PromptPart};
 pub use host_note::{CrashNote, HostPresence, TrialNote};
 pub use rollout_order::{RolloutOrder, RolloutReport, RolloutState};
-pub use caller_head::{AttemptHead, CallerHead, PromptPart};
 pub use route_image::{CallerLimits, CredentialDigest, RouteImage, WorkspaceEntry};
 pub use server_entry::ServerEntry;
 pub use service_route::{EngineModel, RouteKind, RouteTarget, ServiceRoute, ServiceSpec};
--- a/gateway/src/state/route_image.rs
+++ b/gateway/src/state/route_image.rs
@@ -79,7 +79,9 @@
         let host = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
         let path = path.split('?').next().unwrap_or(path);
         let of_host = self.routes.get(host.as_str())?;
-        of_host.iter().find(|route| path.starts_with(&*route.path_prefix))
+        of_host
+            .iter()
+            .find(|route| path.starts_with(&*route.path_prefix))
     }
 
     /// Finds the workspace that holds a credential.
--- a/gateway/src/state/service_route.rs
+++ b/gateway/src/state/service_route.rs
@@ -66,7 +66,11 @@
 
     /// Picks a target by weight; `point` is a uniformly distributed number.
     pub fn pick_target(&self, point: u64) -> Option<&RouteTarget> {
-        let total: u64 = self.targets.iter().map(|target| u64::from(target.weight)).sum();
+        let total: u64 = self
+            .targets
+            .iter()
+            .map(|target| u64::from(target.weight))
+            .sum();
         if total == 0 {
             return self.targets.first();
         }
--- a/gateway/src/transport/answer_body.rs
+++ b/gateway/src/transport/answer_body.rs
@@ -22,7 +22,9 @@
 
 /// Returns a body of known bytes.
 pub(crate) fn whole_body(bytes: Bytes) -> AnswerBody {
-    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
 }
 
 /// Returns an answer of the host itself.
--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -84,7 +84,11 @@
         if !self.head.closes {
             context.pool.keep(self.connection, self.head.idle_limit);
         }
-        Ok(WholeAnswer { status: self.status, headers: self.headers, body })
+        Ok(WholeAnswer {
+            status: self.status,
+            headers: self.headers,
+            body,
+        })
     }
 
     /// Keeps the connection of an answer that was read to its end.
@@ -107,7 +111,11 @@
     call: AttemptCall<'_>,
 ) -> Result<OpenAnswer, AttemptOutcome> {
     let mut guard = FlightGuard::new(context, &server.id, call.work);
-    let pooled = if call.needs_fresh { None } else { context.pool.take(server.address) };
+    let pooled = if call.needs_fresh {
+        None
+    } else {
+        context.pool.take(server.address)
+    };
     let mut connection = match pooled {
         Some(connection) => connection,
         None => {
@@ -146,7 +154,10 @@
 
 /// Checks that an answer is the server's to this request.
 fn check_head(head: &AnswerHead, status: StatusCode, request: &str) -> Result<(), AttemptOutcome> {
-    let is_own = head.request.as_deref().is_none_or(|answered| answered == request);
+    let is_own = head
+        .request
+        .as_deref()
+        .is_none_or(|answered| answered == request);
     if !is_own {
         return Err(AttemptOutcome::Garbled);
     }
@@ -177,7 +188,11 @@
         let host = HeaderValue::from_str(&server.address.to_string()).ok()?;
         headers.insert(header::HOST, host);
     }
-    let path = call.parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let path = call
+        .parts
+        .uri
+        .path_and_query()
+        .map_or("/", |path| path.as_str());
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.parts.method.clone();
     *request.uri_mut() = path.parse().ok()?;
--- a/gateway/src/transport/caller_gate.rs
+++ b/gateway/src/transport/caller_gate.rs
@@ -42,10 +42,16 @@
     head: &CallerHead,
 ) -> Result<Admission, Refusal> {
     if has_ambiguous_length(&parts.headers) {
-        return Err(Box::new(own_answer(StatusCode::BAD_REQUEST, "the length is ambiguous")));
+        return Err(Box::new(own_answer(
+            StatusCode::BAD_REQUEST,
+            "the length is ambiguous",
+        )));
     }
     if head.request.is_none() {
-        return Err(Box::new(own_answer(StatusCode::BAD_REQUEST, "the request has no identifier")));
+        return Err(Box::new(own_answer(
+            StatusCode::BAD_REQUEST,
+            "the request has no identifier",
+        )));
     }
     let first = check_image(context, parts, head);
     let age = context.configuration_age();
@@ -69,15 +75,32 @@
     parts: &Parts,
     head: &CallerHead,
 ) -> Result<Admission, StatusCode> {
-    let image = context.image.load_full().ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
-    let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    let image = context
+        .image
+        .load_full()
+        .ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+    let host = parts
+        .headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok());
     let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
-    let route = image.find_route(host, parts.uri.path()).ok_or(StatusCode::NOT_FOUND)?.clone();
-    let workspace = head.credential.as_deref().and_then(|key| image.find_workspace(key)).cloned();
+    let route = image
+        .find_route(host, parts.uri.path())
+        .ok_or(StatusCode::NOT_FOUND)?
+        .clone();
+    let workspace = head
+        .credential
+        .as_deref()
+        .and_then(|key| image.find_workspace(key))
+        .cloned();
     if workspace.is_none() && image.needs_credentials && !route.public {
         return Err(StatusCode::UNAUTHORIZED);
     }
-    Ok(Admission { image, route, workspace })
+    Ok(Admission {
+        image,
+        route,
+        workspace,
+    })
 }
 
 /// Returns the refusal with a status.
@@ -100,7 +123,9 @@
 
 impl Drop for HeldBody {
     fn drop(&mut self) {
-        self.context.buffered.fetch_sub(self.counted, Ordering::Relaxed);
+        self.context
+            .buffered
+            .fetch_sub(self.counted, Ordering::Relaxed);
     }
 }
 
@@ -112,23 +137,41 @@
     body: Incoming,
 ) -> Result<HeldBody, Refusal> {
     let limit = image.limits.body_bytes;
-    let stated = parts.headers.get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    let stated = parts
+        .headers
+        .get(header::CONTENT_LENGTH)
+        .and_then(|value| value.to_str().ok());
     let stated: Option<usize> = stated.and_then(|value| value.parse().ok());
-    let too_large = || Box::new(own_answer(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
+    let too_large = || {
+        Box::new(own_answer(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the body is too large",
+        ))
+    };
     if stated.is_some_and(|length| length > limit) {
         return Err(too_large());
     }
     let held = context.buffered.load(Ordering::Relaxed);
     if held + stated.unwrap_or(0) > context.settings.buffered_bytes {
-        return Err(Box::new(not_run_answer("the host has no room now", MEMORY_PAUSE)));
+        return Err(Box::new(not_run_answer(
+            "the host has no room now",
+            MEMORY_PAUSE,
+        )));
     }
     match Limited::new(body, limit).collect().await {
         Ok(collected) => {
             let bytes = collected.to_bytes();
             context.buffered.fetch_add(bytes.len(), Ordering::Relaxed);
-            Ok(HeldBody { context: context.clone(), counted: bytes.len(), bytes })
+            Ok(HeldBody {
+                context: context.clone(),
+                counted: bytes.len(),
+                bytes,
+            })
         }
         Err(error) if error.is::<LengthLimitError>() => Err(too_large()),
-        Err(_) => Err(Box::new(own_answer(StatusCode::BAD_REQUEST, "the body broke off"))),
+        Err(_) => Err(Box::new(own_answer(
+            StatusCode::BAD_REQUEST,
+            "the body broke off",
+        ))),
     }
 }
--- a/gateway/src/transport/caller_listener.rs
+++ b/gateway/src/transport/caller_listener.rs
@@ -75,7 +75,13 @@
         // Without these the connection works, only slower or longer.
         let _ = stream.set_nodelay(true);
         let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNREAD));
-        let limits = self.context.image.load().as_ref().map(|image| image.limits).unwrap_or_default();
+        let limits = self
+            .context
+            .image
+            .load()
+            .as_ref()
+            .map(|image| image.limits)
+            .unwrap_or_default();
         let mut builder = http1::Builder::new();
         builder
             .timer(TokioTimer::new())
@@ -177,7 +183,9 @@
     status: StatusCode,
     started_at: TimePoint,
 ) {
-    context.metrics.count(&format!("requests_{}_total", status.as_u16()));
+    context
+        .metrics
+        .count(&format!("requests_{}_total", status.as_u16()));
     let elapsed = context.now().since(started_at);
     let record = GatewayRecord::RequestEnded {
         request: request.cloned().unwrap_or_default(),
--- a/gateway/src/transport/connection_pool.rs
+++ b/gateway/src/transport/connection_pool.rs
@@ -50,10 +50,14 @@
     /// Returns an error if the peer does not accept it in time.
     pub async fn open(address: SocketAddr, timeout: Duration) -> io::Result<Self> {
         let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
-        let stream = connecting.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        let stream = connecting
+            .await
+            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         let socket = SockRef::from(&stream);
-        let keepalive = TcpKeepalive::new().with_time(KEEPALIVE).with_interval(KEEPALIVE);
+        let keepalive = TcpKeepalive::new()
+            .with_time(KEEPALIVE)
+            .with_interval(KEEPALIVE);
         socket.set_tcp_keepalive(&keepalive.with_retries(KEEPALIVE_PROBES))?;
         socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
         let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
@@ -62,7 +66,12 @@
             // The error reaches whoever waits for the answer.
             let _ = connection.await;
         });
-        Ok(Self { address, reused: false, sender, _driver: AbortOnDropHandle::new(driver) })
+        Ok(Self {
+            address,
+            reused: false,
+            sender,
+            _driver: AbortOnDropHandle::new(driver),
+        })
     }
 
     /// Sends a request and waits for the head of the answer.
@@ -118,12 +127,18 @@
         let connections = idle.entry(connection.address).or_default();
         connections.retain(|entry| entry.expires_at > now);
         if connections.len() < IDLE_CONNECTIONS {
-            connections.push(IdleConnection { connection, expires_at: now + limit });
+            connections.push(IdleConnection {
+                connection,
+                expires_at: now + limit,
+            });
         }
     }
 
     /// Closes the idle connections to an address.
     pub fn clear(&self, address: SocketAddr) {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
+        self.idle
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .remove(&address);
     }
 }
--- a/gateway/src/transport/flight_guard.rs
+++ b/gateway/src/transport/flight_guard.rs
@@ -16,7 +16,11 @@
     /// Counts a request that is sent to a server, with its work in seconds.
     pub(crate) fn new(context: &Arc<GatewayContext>, server: &Arc<str>, work: f64) -> Self {
         context.loads().note_sent(server, work);
-        Self { context: context.clone(), server: server.clone(), waiting_work: work }
+        Self {
+            context: context.clone(),
+            server: server.clone(),
+            waiting_work: work,
+        }
     }
 
     /// Counts the request as begun.
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -41,7 +41,10 @@
     /// Counters and latencies.
     pub metrics: GatewayMetrics,
     /// What all other hosts have to be told.
-    peer_news: (mpsc::UnboundedSender<PeerMessage>, Mutex<Option<mpsc::UnboundedReceiver<PeerMessage>>>),
+    peer_news: (
+        mpsc::UnboundedSender<PeerMessage>,
+        Mutex<Option<mpsc::UnboundedReceiver<PeerMessage>>>,
+    ),
     /// Counts how often a part heard the store again after it had not.
     pub store_returns: watch::Sender<u64>,
     /// Is told when a roll-out may need a report.
@@ -167,7 +170,9 @@
     fn with_budget<T>(&self, service: &Arc<str>, act: impl FnOnce(&mut RepeatBudget) -> T) -> T {
         let mut budgets = lock(&self.budgets);
         let settings = self.settings.budget;
-        act(budgets.entry(service.clone()).or_insert_with(|| RepeatBudget::new(settings)))
+        act(budgets
+            .entry(service.clone())
+            .or_insert_with(|| RepeatBudget::new(settings)))
     }
 }
 
--- a/gateway/src/transport/gateway_host.rs
+++ b/gateway/src/transport/gateway_host.rs
@@ -48,7 +48,9 @@
         let (callers, caller_address) = listen(settings.callers).await?;
         let (ready, ready_address) = listen(settings.ready).await?;
         let failed = |address| move |source| GatewayError::Listen { address, source };
-        let bound = UdpSocket::bind(settings.peers).await.map_err(failed(settings.peers))?;
+        let bound = UdpSocket::bind(settings.peers)
+            .await
+            .map_err(failed(settings.peers))?;
         let datagrams = Arc::new(bound);
         let context = GatewayContext::new(settings, format);
         let listener = Arc::new(CallerListener {
@@ -62,7 +64,10 @@
         tasks.push(tokio::spawn(listener.clone().accept(callers)));
         tasks.push(tokio::spawn(serve_ready(context.clone(), ready)));
         tasks.push(tokio::spawn(write_reports(context.clone())));
-        tasks.push(tokio::spawn(exchange_with_peers(context.clone(), datagrams)));
+        tasks.push(tokio::spawn(exchange_with_peers(
+            context.clone(),
+            datagrams,
+        )));
         let record = GatewayRecord::Started {
             host: context.settings.host.clone(),
             domain: context.settings.domain.clone(),
@@ -70,7 +75,13 @@
         };
         log_record(Level::Info, &record);
         let tasks = tasks.into_iter().map(AbortOnDropHandle::new).collect();
-        Ok(Self { context, callers: listener, caller_address, ready_address, _tasks: tasks })
+        Ok(Self {
+            context,
+            callers: listener,
+            caller_address,
+            ready_address,
+            _tasks: tasks,
+        })
     }
 
     /// Returns the address that callers connect to.
@@ -94,7 +105,11 @@
         let in_flight = self.context.in_flight.load(Ordering::Relaxed);
         log_record(Level::Info, &GatewayRecord::Stopping { in_flight });
         self.context.stopping.store(true, Ordering::SeqCst);
-        let lag = self.context.settings.balancer_lag.min(self.context.settings.grace);
+        let lag = self
+            .context
+            .settings
+            .balancer_lag
+            .min(self.context.settings.grace);
         self.context.timers.sleep(lag).await;
         self.callers.streams_over.cancel();
         self.callers.closing.cancel();
--- a/gateway/src/transport/gateway_settings.rs
+++ b/gateway/src/transport/gateway_settings.rs
@@ -39,6 +39,12 @@
     pub caller_connections: usize,
     /// Time that a new connection to a backend server may take.
     pub connect_timeout: Duration,
+    /// Time without a usable store connection after which a host is bound to nothing new.
+    pub contact: Duration,
+    /// Time within which a configuration or a leaving server binds a host.
+    pub configuration_bound: Duration,
+    /// Time within which a bad version must be left.
+    pub rollback_bound: Duration,
     /// Time for an answer of the store that is not a watch.
     pub store_timeout: Duration,
     /// Age of the last word of the store from which a refusal of a caller is checked first.
@@ -73,6 +79,9 @@
             buffered_bytes: 64 * 1_024 * 1_024,
             caller_connections: 1_500,
             connect_timeout: Duration::from_millis(400),
+            contact: Duration::from_secs(3),
+            configuration_bound: Duration::from_secs(2),
+            rollback_bound: Duration::from_secs(5),
             store_timeout: Duration::from_millis(1_000),
             refusal_age: Duration::from_secs(1),
             budget: BudgetSettings::default(),
--- a/gateway/src/transport/peer_exchange.rs
+++ b/gateway/src/transport/peer_exchange.rs
@@ -20,10 +20,13 @@
 
 /// Time between datagrams to a host of the own failure domain.
 const NEAR_PERIOD: Duration = Duration::from_millis(100);
-/// Rounds of the own failure domain for one round of the others, whose bytes are dear.
-const FAR_ROUNDS: u32 = 4;
-/// Bytes that a host may send in a second for this; more hosts are told more seldom.
-const BYTES_PER_SECOND: usize = 19_000;
+/// Time between datagrams to a host of another failure domain, to which bytes are dear.
+const FAR_PERIOD: Duration = Duration::from_millis(400);
+/// Bytes that a host sends in a second within its failure domain; more hosts are told more seldom.
+/// With those across it stays within the 19 KB that a host may spend on control.
+const NEAR_BYTES_PER_SECOND: f64 = 13_000.0;
+/// Bytes that a host sends in a second across failure domains.
+const FAR_BYTES_PER_SECOND: f64 = 4_000.0;
 /// Bytes of a datagram beside its content.
 const DATAGRAM_HEAD: usize = 28;
 /// Greatest size of a datagram that is read.
@@ -37,13 +40,23 @@
 /// Longest pause between reads of the hosts' addresses.
 const HOSTS_PAUSE: Duration = Duration::from_secs(8);
 
+/// Hosts that are told something together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PeerReach {
+    /// Those of the own failure domain.
+    OwnDomain,
+    /// Those of all others.
+    OtherDomains,
+}
+
 /// Announces the host, tells others what it sent where and takes in what they tell.
 pub(crate) async fn exchange_with_peers(context: Arc<GatewayContext>, socket: Arc<UdpSocket>) {
     let receiving = take_shares(&context, &socket);
-    let telling = tell_shares(&context, &socket);
+    let near = tell_loads(&context, &socket, PeerReach::OwnDomain);
+    let far = tell_loads(&context, &socket, PeerReach::OtherDomains);
     let following = follow_hosts(&context, &socket);
     let news = tell_news(&context, &socket);
-    tokio::join!(receiving, telling, following, news);
+    tokio::join!(receiving, near, far, following, news);
 }
 
 /// Writes the host's address to the store, and reads those of the others from time to time.
@@ -51,8 +64,15 @@
     let Ok(address) = socket.local_addr() else {
         return;
     };
-    let (host, domain) = (context.settings.host.clone(), context.settings.domain.clone());
-    let presence = HostPresence { host, address, domain };
+    let (host, domain) = (
+        context.settings.host.clone(),
+        context.settings.domain.clone(),
+    );
+    let presence = HostPresence {
+        host,
+        address,
+        domain,
+    };
     let mut is_announced = false;
     let mut pause = FIRST_HOSTS_PAUSE;
     loop {
@@ -71,7 +91,10 @@
     let body = (context.format.write_presence)(presence);
     let timeout = context.settings.store_timeout;
     let path = (context.format.object_path)(ObjectKind::Hosts, "");
-    let (status, _) = context.store.call(Method::POST, &path, body.clone(), timeout).await?;
+    let (status, _) = context
+        .store
+        .call(Method::POST, &path, body.clone(), timeout)
+        .await?;
     if status.is_success() {
         return Ok(());
     }
@@ -79,7 +102,11 @@
         return Err(StoreError::Status(status));
     }
     let path = (context.format.object_path)(ObjectKind::Hosts, &presence.host);
-    match context.store.call(Method::PUT, &path, body, timeout).await? {
+    match context
+        .store
+        .call(Method::PUT, &path, body, timeout)
+        .await?
+    {
         (status, _) if status.is_success() => Ok(()),
         (status, _) => Err(StoreError::Status(status)),
     }
@@ -90,9 +117,16 @@
     let mut after = None;
     let mut peers = BTreeMap::new();
     loop {
-        let query = ObjectQuery::List { kind: ObjectKind::Hosts, after, stale: true };
+        let query = ObjectQuery::List {
+            kind: ObjectKind::Hosts,
+            after,
+            stale: true,
+        };
         let path = (context.format.query_path)(&query);
-        let body = context.store.read(&path, context.settings.store_timeout).await?;
+        let body = context
+            .store
+            .read(&path, context.settings.store_timeout)
+            .await?;
         let page = (context.format.read_page)(&body)?;
         let presences = page.objects.iter().filter_map(context.format.read_presence);
         peers.extend(presences.map(|presence| (presence.host.clone(), presence)));
@@ -107,7 +141,10 @@
 /// Logs a failed call; returns whether it succeeded.
 fn note_fault(result: Result<(), StoreError>) -> bool {
     if let Err(error) = &result {
-        let record = GatewayRecord::Fault { part: "hosts", message: error.to_string() };
+        let record = GatewayRecord::Fault {
+            part: "hosts",
+            message: error.to_string(),
+        };
         log_record(Level::Warn, &record);
     }
     result.is_ok()
@@ -127,7 +164,9 @@
                 context.loads().note_told(peer, &shares, context.now());
             }
             Ok(PeerMessage::Crash(note)) => {
-                context.crashes().note_told(note.fingerprint, note.crashes, context.now());
+                context
+                    .crashes()
+                    .note_told(note.fingerprint, note.crashes, context.now());
             }
             Ok(PeerMessage::Trial(note)) => {
                 context.rollouts().take_note(peer, &note);
@@ -141,9 +180,12 @@
     }
 }
 
-/// Tells other hosts what this one has sent where.
-async fn tell_shares(context: &GatewayContext, socket: &UdpSocket) {
-    let mut round = rand::rng().random_range(0..FAR_ROUNDS);
+/// Tells some of the other hosts, again and again, what this one has sent where.
+async fn tell_loads(context: &GatewayContext, socket: &UdpSocket, reach: PeerReach) {
+    let (period, bytes_per_second) = match reach {
+        PeerReach::OwnDomain => (NEAR_PERIOD, NEAR_BYTES_PER_SECOND),
+        PeerReach::OtherDomains => (FAR_PERIOD, FAR_BYTES_PER_SECOND),
+    };
     let mut said_nothing = false;
     loop {
         let shares = context.loads().own_shares();
@@ -151,20 +193,18 @@
         let Ok(message) = postcard::to_stdvec(&PeerMessage::Loads(shares)) else {
             return;
         };
-        let is_far_round = round % FAR_ROUNDS == 0;
-        let peers = peers_of_round(context, is_far_round);
+        let peers = peers_within(context, reach);
         // A host without requests says so once.
         if !(is_idle && said_nothing) {
-            for peer in peers.keys() {
+            for peer in &peers {
                 // A datagram that is lost is followed by the next one.
                 let _ = socket.send_to(&message, peer).await;
             }
         }
-        said_nothing = is_idle && (is_far_round || said_nothing);
-        round = round.wrapping_add(1);
+        said_nothing = is_idle;
         let bytes = peers.len() * (message.len() + DATAGRAM_HEAD);
-        let least = Duration::from_secs_f64(bytes as f64 / BYTES_PER_SECOND as f64);
-        tokio::time::sleep(NEAR_PERIOD.max(least)).await;
+        let least = Duration::from_secs_f64(bytes as f64 / bytes_per_second);
+        tokio::time::sleep(period.max(least)).await;
     }
 }
 
@@ -174,13 +214,21 @@
         return;
     };
     while let Some(news) = receiver.recv().await {
-        let copies = if matches!(news, PeerMessage::HeldSessions(_)) { 1 } else { NEWS_COPIES };
+        let copies = if matches!(news, PeerMessage::HeldSessions(_)) {
+            1
+        } else {
+            NEWS_COPIES
+        };
         for part in split_news(news) {
             let Ok(message) = postcard::to_stdvec(&part) else {
                 continue;
             };
             for _ in 0..copies {
-                for peer in peers_of_round(context, true).keys() {
+                let near = peers_within(context, PeerReach::OwnDomain);
+                for peer in near
+                    .iter()
+                    .chain(&peers_within(context, PeerReach::OtherDomains))
+                {
                     // A datagram that is lost is a hint less.
                     let _ = socket.send_to(&message, peer).await;
                 }
@@ -200,13 +248,13 @@
     }
 }
 
-/// Returns the hosts that are told in a round.
-fn peers_of_round(context: &GatewayContext, is_far_round: bool) -> BTreeMap<SocketAddr, ()> {
+/// Returns the addresses of other hosts.
+fn peers_within(context: &GatewayContext, reach: PeerReach) -> Vec<SocketAddr> {
+    let (host, domain) = (&context.settings.host, &context.settings.domain);
     let peers = context.peers();
-    let own = &context.settings.host;
-    let domain = &context.settings.domain;
-    let told = peers.iter().filter(|(host, presence)| {
-        *host != own && (is_far_round || presence.domain == *domain)
+    let told = peers.values().filter(|peer| {
+        let is_near = peer.domain == *domain;
+        peer.host != *host && is_near == (reach == PeerReach::OwnDomain)
     });
-    told.map(|(_, presence)| (presence.address, ())).collect()
+    told.map(|peer| peer.address).collect()
 }
--- a/gateway/src/transport/ready_listener.rs
+++ b/gateway/src/transport/ready_listener.rs
@@ -32,7 +32,9 @@
             let mut builder = http1::Builder::new();
             builder.timer(TokioTimer::new());
             // A broken connection of the balancer needs no answer.
-            let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+            let _ = builder
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
         });
     }
 }
--- a/gateway/src/transport/record_log.rs
+++ b/gateway/src/transport/record_log.rs
@@ -46,12 +46,14 @@
     /// Returns an error if the thread cannot be started.
     pub fn start(mut output: impl Write + Send + 'static) -> io::Result<()> {
         let (sender, receiver) = sync_channel::<Vec<u8>>(WAITING_LINES);
-        std::thread::Builder::new().name("log".into()).spawn(move || {
-            for line in receiver {
-                // Nobody can be told that the log cannot be written.
-                let _ = output.write_all(&line).and_then(|()| output.flush());
-            }
-        })?;
+        std::thread::Builder::new()
+            .name("log".into())
+            .spawn(move || {
+                for line in receiver {
+                    // Nobody can be told that the log cannot be written.
+                    let _ = output.write_all(&line).and_then(|()| output.flush());
+                }
+            })?;
         let config = ConfigBuilder::new()
             .set_time_level(LevelFilter::Off)
             .set_max_level(LevelFilter::Off)
@@ -60,7 +62,10 @@
             .set_location_level(LevelFilter::Off)
             .add_filter_allow_str(LOG_TARGET)
             .build();
-        let writer = QueueWriter { sender, line: Vec::new() };
+        let writer = QueueWriter {
+            sender,
+            line: Vec::new(),
+        };
         // A second start in one process keeps the first logger, which tests rely on.
         let _ = WriteLogger::init(LevelFilter::Info, config, writer);
         Ok(())
@@ -95,7 +100,9 @@
     if !log::log_enabled!(target: LOG_TARGET, level) {
         return;
     }
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     let unix_ms = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
     if !admit_line(since.as_secs()) {
         DROPPED.fetch_add(1, Ordering::Relaxed);
@@ -125,7 +132,11 @@
         Level::Debug => "debug",
         Level::Trace => "trace",
     };
-    let line = LogLine { unix_ms, level: name, record };
+    let line = LogLine {
+        unix_ms,
+        level: name,
+        record,
+    };
     if let Ok(text) = serde_json::to_string(&line) {
         log::log!(target: LOG_TARGET, level, "{text}");
     }
--- a/gateway/src/transport/request_exchange.rs
+++ b/gateway/src/transport/request_exchange.rs
@@ -18,8 +18,7 @@
 use crate::coordination::rollouts::VersionRule;
 use crate::protocol::{DecisionInputs, GatewayRecord, PeerMessage};
 use crate::state::{
-    AnswerGrade, AttemptHead, CallerHead, CrashNote, RouteKind, ServerEntry,
-    ServiceRoute,
+    AnswerGrade, AttemptHead, CallerHead, CrashNote, RouteKind, ServerEntry, ServiceRoute,
 };
 use crate::transport::answer_body::{AnswerBody, not_run_answer, own_answer, whole_body};
 use crate::transport::attempt_runner::{
@@ -100,7 +99,11 @@
         head: CallerHead,
         started_at: TimePoint,
     ) -> Self {
-        let Admission { image, route, workspace } = admission;
+        let Admission {
+            image,
+            route,
+            workspace,
+        } = admission;
         let request = head.request.clone().unwrap_or_default();
         let session = match (&head.session, head.parts.last()) {
             (Some(session), _) => stable_hash(&[session.as_bytes()]),
@@ -111,8 +114,13 @@
         let path = parts.uri.path().as_bytes();
         let name = workspace_name.as_deref().unwrap_or_default().as_bytes();
         let fingerprint = stable_hash(&[path, name, &body.bytes]);
-        let target = route.pick_target(session >> 20).map(|target| target.service.clone());
-        let allowed = head.time_allowed.unwrap_or(route.timeout).min(route.timeout);
+        let target = route
+            .pick_target(session >> 20)
+            .map(|target| target.service.clone());
+        let allowed = head
+            .time_allowed
+            .unwrap_or(route.timeout)
+            .min(route.timeout);
         let priority = workspace.and_then(|entry| entry.priority).unwrap_or(0);
         Self {
             deadline: started_at + allowed.saturating_sub(ANSWER_MARGIN),
@@ -173,7 +181,8 @@
                 Ok(whole) => {
                     self.note_failed_answer(&server);
                     self.last_failure = Some(whole);
-                    self.after_attempt(&server, AttemptOutcome::Failed, sent_took).await?;
+                    self.after_attempt(&server, AttemptOutcome::Failed, sent_took)
+                        .await?;
                 }
                 Err(outcome) => self.after_attempt(&server, outcome, sent_took).await?,
             }
@@ -197,7 +206,8 @@
                         continue;
                     }
                 }
-                self.after_attempt(&server, AttemptOutcome::Failed, took).await?;
+                self.after_attempt(&server, AttemptOutcome::Failed, took)
+                    .await?;
                 continue;
             }
             self.note_good(&server, took);
@@ -221,26 +231,38 @@
         if self.route.models.last() == Some(model) || self.tally.runs + 1 >= self.route.attempts {
             return false;
         }
-        let smaller = self.model.replace(self.route.models[self.route.models.len() - 1].clone());
+        let smaller = self
+            .model
+            .replace(self.route.models[self.route.models.len() - 1].clone());
         let predicted = self.find_server().map_or(f64::INFINITY, |pick| pick.cost);
         self.model = smaller;
         let pressure = predicted / self.route.goal.as_secs_f64();
         let bound = confidence_bound(self.head.prompt_tokens, pressure, settings);
         let elapsed = self.context.now().since(self.started_at);
         wants_larger(confidence, bound, elapsed, self.route.goal, settings)
-            && self.context.take_repeat(&self.service, RepeatPurpose::Cascade)
+            && self
+                .context
+                .take_repeat(&self.service, RepeatPurpose::Cascade)
     }
 
     /// Sends attempts until one answers with a head that is the server's.
     async fn open_answer(&mut self, resume_after: Option<u64>) -> Result<OpenAnswer, ExchangeEnd> {
         loop {
-            if self.context.crashes().is_refused(self.fingerprint, self.context.now()) {
+            if self
+                .context
+                .crashes()
+                .is_refused(self.fingerprint, self.context.now())
+            {
                 return Err(ExchangeEnd::Quarantined);
             }
             let left = time_until(&self.context, self.deadline);
             if left < LEAST_TIME {
                 let is_unsent = self.tally.runs == 0;
-                let end = if is_unsent { FinalAnswer::NotRun } else { FinalAnswer::TimedOut };
+                let end = if is_unsent {
+                    FinalAnswer::NotRun
+                } else {
+                    FinalAnswer::TimedOut
+                };
                 return Err(ExchangeEnd::Own(end));
             }
             let Some(pick) = self.pick() else {
@@ -346,11 +368,23 @@
         }
         let now = self.context.now();
         self.context.loads().note_refused(&server.id, now);
-        let crashes = self.context.crashes().note_crash(self.fingerprint, &server.id, now);
+        let crashes = self
+            .context
+            .crashes()
+            .note_crash(self.fingerprint, &server.id, now);
         let fingerprint = format!("{:016x}", self.fingerprint);
-        log_record(Level::Warn, &GatewayRecord::CrashNoted { fingerprint, crashes });
+        log_record(
+            Level::Warn,
+            &GatewayRecord::CrashNoted {
+                fingerprint,
+                crashes,
+            },
+        );
         if crashes >= 2 {
-            let note = CrashNote { fingerprint: self.fingerprint, crashes };
+            let note = CrashNote {
+                fingerprint: self.fingerprint,
+                crashes,
+            };
             self.context.tell_peers(PeerMessage::Crash(note));
         }
     }
@@ -358,9 +392,13 @@
     /// Notes which version serves the session, here and, where it matters, at other hosts.
     fn note_session(&self, server: &ServerEntry) {
         let (service, version, now) = (&self.service, &server.version, self.context.now());
-        let is_held = self.context.rollouts().note_session(service, self.session, version, now);
+        let is_held = self
+            .context
+            .rollouts()
+            .note_session(service, self.session, version, now);
         if is_held {
-            self.context.tell_peers(PeerMessage::HeldSessions(vec![self.session]));
+            self.context
+                .tell_peers(PeerMessage::HeldSessions(vec![self.session]));
         }
     }
 
@@ -382,7 +420,9 @@
     fn note_failed_answer(&mut self, server: &ServerEntry) {
         self.note_trial(server, AnswerGrade::Failed);
         let on_trial = self.context.rollouts().on_trial(&self.service);
-        self.spared = on_trial.filter(|version| *version == server.version).or(self.spared.take());
+        self.spared = on_trial
+            .filter(|version| *version == server.version)
+            .or(self.spared.take());
     }
 
     /// Takes an answer into the judgement of its version.
@@ -420,7 +460,10 @@
         let unix_ms = self.context.timers.unix_millis();
         let rule = match &self.spared {
             Some(version) => VersionRule::Spare(version.clone()),
-            None => self.context.rollouts().rule(&self.service, self.session, now, unix_ms),
+            None => self
+                .context
+                .rollouts()
+                .rule(&self.service, self.session, now, unix_ms),
         };
         let servers = self.context.servers();
         let serving = servers.serving(&self.service, now);
@@ -449,12 +492,19 @@
             return left;
         }
         let (class, size) = self.class();
-        let usual = self.context.loads().expected_first(&class, size).unwrap_or_default();
+        let usual = self
+            .context
+            .loads()
+            .expected_first(&class, size)
+            .unwrap_or_default();
         let part = match self.route.kind {
             RouteKind::Stream => STREAM_GOAL_PART,
             RouteKind::Safe | RouteKind::Unsafe => WHOLE_GOAL_PART,
         };
-        usual.mul_f64(PATIENCE_RATIO).max(self.route.goal.mul_f64(part)).min(left)
+        usual
+            .mul_f64(PATIENCE_RATIO)
+            .max(self.route.goal.mul_f64(part))
+            .min(left)
     }
 
     /// Returns the work of the request, in seconds of an ordinary server.
@@ -496,7 +546,11 @@
             }
             ExchangeEnd::Own(FinalAnswer::NotRun) => {
                 let text = "no server takes the request now; it did not run";
-                let pause = if self.tally.asks == 0 { NO_SERVER_PAUSE } else { ROOM_PAUSE };
+                let pause = if self.tally.asks == 0 {
+                    NO_SERVER_PAUSE
+                } else {
+                    ROOM_PAUSE
+                };
                 (not_run_answer(text, pause), text)
             }
             ExchangeEnd::Own(FinalAnswer::TimedOut) => {
@@ -540,7 +594,9 @@
 
     /// Logs the end of an attempt.
     fn log_attempt(&self, server: &ServerEntry, outcome: &str, took: Duration, next: &'static str) {
-        self.context.metrics.count(&format!("attempts_{}_total", outcome.to_lowercase()));
+        self.context
+            .metrics
+            .count(&format!("attempts_{}_total", outcome.to_lowercase()));
         let record = GatewayRecord::AttemptEnded {
             request: self.request.clone(),
             attempt: self.tally.asks,
@@ -555,7 +611,9 @@
     /// Logs the end of the request.
     pub(crate) fn log_end(&self, status: u16, outcome: &str, events: u64) {
         let elapsed = self.context.now().since(self.started_at);
-        self.context.metrics.count(&format!("requests_{status}_total"));
+        self.context
+            .metrics
+            .count(&format!("requests_{status}_total"));
         self.context.metrics.record("request", elapsed);
         let record = GatewayRecord::RequestEnded {
             request: self.request.clone(),
@@ -579,10 +637,18 @@
     pinned: Option<&Arc<str>>,
 ) -> Vec<Vec<&'a ServerEntry>> {
     let with = |version: &Arc<str>| -> Vec<&'a ServerEntry> {
-        serving.iter().copied().filter(|entry| entry.version == *version).collect()
+        serving
+            .iter()
+            .copied()
+            .filter(|entry| entry.version == *version)
+            .collect()
     };
     let without = |version: &Arc<str>| -> Vec<&'a ServerEntry> {
-        serving.iter().copied().filter(|entry| entry.version != *version).collect()
+        serving
+            .iter()
+            .copied()
+            .filter(|entry| entry.version != *version)
+            .collect()
     };
     let mut groups = match rule {
         VersionRule::Any => vec![serving.to_vec()],
--- a/gateway/src/transport/rollout_writer.rs
+++ b/gateway/src/transport/rollout_writer.rs
@@ -23,7 +23,9 @@
             context.rollout_news.notified().await;
         }
         let now = context.now();
-        let due = context.rollouts().due_reports(now, context.timers.unix_millis());
+        let due = context
+            .rollouts()
+            .due_reports(now, context.timers.unix_millis());
         for (order, report) in due {
             // A bad version is stopped at once; for the rest, one host of many writes.
             if report.state != RolloutState::RolledBack {
@@ -32,7 +34,10 @@
             let unix_ms = context.timers.unix_millis();
             let still_due = context.rollouts().due_reports(context.now(), unix_ms);
             let revision = order.revision;
-            if still_due.iter().any(|(order, due)| order.revision == revision && due.state == report.state) {
+            if still_due
+                .iter()
+                .any(|(order, due)| order.revision == revision && due.state == report.state)
+            {
                 write_report(&context, &order, &report).await;
             }
         }
@@ -65,7 +70,13 @@
         // The write may have been executed; the watch tells.
         Err(error) => error.to_string(),
     };
-    log_record(Level::Warn, &GatewayRecord::Fault { part: "roll-out report", message });
+    log_record(
+        Level::Warn,
+        &GatewayRecord::Fault {
+            part: "roll-out report",
+            message,
+        },
+    );
 }
 
 /// Takes in the object as it is after a write or a refused one.
--- a/gateway/src/transport/store_client.rs
+++ b/gateway/src/transport/store_client.rs
@@ -44,7 +44,11 @@
 impl StoreClient {
     /// Creates a client of the store at an address.
     pub fn new(address: SocketAddr, connect_timeout: Duration) -> Self {
-        Self { address, connect_timeout, pool: ConnectionPool::default() }
+        Self {
+            address,
+            connect_timeout,
+            pool: ConnectionPool::default(),
+        }
     }
 
     /// Makes a call and returns the answer's status and body.
@@ -60,7 +64,9 @@
         timeout: Duration,
     ) -> Result<(StatusCode, Bytes), StoreError> {
         let calling = self.call_unbounded(method, path, body);
-        tokio::time::timeout(timeout, calling).await.unwrap_or(Err(StoreError::Silent))
+        tokio::time::timeout(timeout, calling)
+            .await
+            .unwrap_or(Err(StoreError::Silent))
     }
 
     /// Makes a read and returns the body of an answer with status 200.
@@ -96,8 +102,12 @@
         let broken = |error: hyper::Error| StoreError::Broken(error.to_string());
         let response = connection.send(request).await.map_err(broken)?;
         let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
-        let body = body.map_err(|error| StoreError::Broken(error.to_string()))?.to_bytes();
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+            .collect()
+            .await;
+        let body = body
+            .map_err(|error| StoreError::Broken(error.to_string()))?
+            .to_bytes();
         self.pool.keep(connection, None);
         Ok((status, body))
     }
--- a/gateway/src/transport/store_feeds.rs
+++ b/gateway/src/transport/store_feeds.rs
@@ -25,40 +25,61 @@
 const SERVERS_REST: Duration = Duration::from_millis(600);
 /// Rest after a change of the roll-outs; well within the time in which a bad version must be left.
 const ROLLOUTS_REST: Duration = Duration::from_millis(400);
-/// Wait of a watch whose news bind a host within seconds, which bounds how long a connection that
-/// went silent is believed.
-const SHORT_WAIT: Duration = Duration::from_millis(3_000);
-/// Wait of a watch whose news have more time.
-const LONG_WAIT: Duration = Duration::from_millis(4_500);
+/// Part of the time in which a silent connection may pass unnoticed that a watch waits; the rest is
+/// for noticing, connecting and reading anew.
+const WATCH_PART: f64 = 0.65;
 
 /// Starts to follow the store.
 pub(crate) fn start_feeds(context: &Arc<GatewayContext>) -> Vec<JoinHandle<()>> {
     let (images, servers) = (context.clone(), context.clone());
     let rollouts = context.clone();
+    let settings = &context.settings;
     let follow = |followed, take: Box<dyn Fn(KindNews) + Send + Sync>| {
         tokio::spawn(follow_kind(context.clone(), followed, take))
     };
     vec![
         follow(
-            FollowedKind { kind: ObjectKind::Configuration, part: "configuration", rest: CONFIGURATION_REST, wait: SHORT_WAIT },
+            FollowedKind {
+                kind: ObjectKind::Configuration,
+                part: "configuration",
+                rest: CONFIGURATION_REST,
+                wait: watch_wait(context, settings.configuration_bound),
+            },
             Box::new(move |news| take_configuration(&images, news)),
         ),
         follow(
-            FollowedKind { kind: ObjectKind::Servers, part: "servers", rest: SERVERS_REST, wait: SHORT_WAIT },
+            FollowedKind {
+                kind: ObjectKind::Servers,
+                part: "servers",
+                rest: SERVERS_REST,
+                wait: watch_wait(context, settings.configuration_bound),
+            },
             Box::new(move |news| take_servers(&servers, news)),
         ),
         follow(
-            FollowedKind { kind: ObjectKind::Rollouts, part: "rollouts", rest: ROLLOUTS_REST, wait: LONG_WAIT },
+            FollowedKind {
+                kind: ObjectKind::Rollouts,
+                part: "rollouts",
+                rest: ROLLOUTS_REST,
+                wait: watch_wait(context, settings.rollback_bound),
+            },
             Box::new(move |news| take_rollouts(&rollouts, news)),
         ),
     ]
 }
 
+/// Returns the longest wait of a watch whose news bind the host within a time.
+fn watch_wait(context: &GatewayContext, bound: Duration) -> Duration {
+    (context.settings.contact + bound).mul_f64(WATCH_PART)
+}
+
 /// Takes in news of the configuration.
 fn take_configuration(context: &GatewayContext, news: KindNews) {
     match news {
         KindNews::Listed(objects) => {
-            objects.iter().for_each(|object| adopt_object(context, object));
+            objects
+                .iter()
+                .for_each(|object| adopt_object(context, object));
             context.confirm_configuration();
         }
         KindNews::Changed(change) if !change.removed => adopt_object(context, &change.object),
@@ -85,7 +106,10 @@
         return;
     }
     let routes = image.routes.values().map(Vec::len).sum();
-    let record = GatewayRecord::ConfigurationAdopted { version: image.version, routes };
+    let record = GatewayRecord::ConfigurationAdopted {
+        version: image.version,
+        routes,
+    };
     context.image.store(Some(Arc::new(image)));
     context.metrics.count("configurations_total");
     log_record(Level::Info, &record);
@@ -99,13 +123,23 @@
 pub(crate) async fn refresh_configuration(context: &GatewayContext) -> Result<(), StoreError> {
     let asked_at = context.now();
     let _turn = context.refresh.lock().await;
-    let confirmed_at = *context.confirmed_at.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let confirmed_at = *context
+        .confirmed_at
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner);
     if confirmed_at.is_some_and(|at| at >= asked_at) {
         return Ok(());
     }
-    let query = ObjectQuery::List { kind: ObjectKind::Configuration, after: None, stale: false };
+    let query = ObjectQuery::List {
+        kind: ObjectKind::Configuration,
+        after: None,
+        stale: false,
+    };
     let path = (context.format.query_path)(&query);
-    let body = context.store.read(&path, context.settings.store_timeout).await?;
+    let body = context
+        .store
+        .read(&path, context.settings.store_timeout)
+        .await?;
     let page = (context.format.read_page)(&body)?;
     take_configuration(context, KindNews::Listed(page.objects));
     Ok(())
@@ -116,7 +150,9 @@
     let now = context.now();
     let changes = match news {
         KindNews::Listed(objects) => {
-            let entries = objects.iter().filter_map(|object| (context.format.read_server)(object));
+            let entries = objects
+                .iter()
+                .filter_map(|object| (context.format.read_server)(object));
             context.servers().replace(entries.collect(), now)
         }
         KindNews::Changed(change) => {
@@ -124,7 +160,10 @@
             let mut servers = context.servers();
             match entry {
                 Some(entry) => vec![servers.upsert(entry)],
-                None => servers.remove(&change.object.name, now).into_iter().collect(),
+                None => servers
+                    .remove(&change.object.name, now)
+                    .into_iter()
+                    .collect(),
             }
         }
         KindNews::Confirmed => {
@@ -133,7 +172,9 @@
         }
         KindNews::Lost => Vec::new(),
     };
-    changes.iter().for_each(|(entry, change)| note_server(context, entry, *change));
+    changes
+        .iter()
+        .for_each(|(entry, change)| note_server(context, entry, *change));
 }
 
 /// Takes in a change of one server.
@@ -168,7 +209,10 @@
         KindNews::Confirmed | KindNews::Lost => return,
     };
     let now = context.now();
-    for order in objects.iter().filter_map(|object| (context.format.read_rollout)(object)) {
+    for order in objects
+        .iter()
+        .filter_map(|object| (context.format.read_rollout)(object))
+    {
         let mut rollouts = context.rollouts();
         if rollouts.take_order(order.clone(), now) {
             let record = GatewayRecord::RolloutChanged {
@@ -190,6 +234,9 @@
 
 /// Logs a message that cannot be read.
 fn log_fault(part: &'static str, error: &FormatError) {
-    let record = GatewayRecord::Fault { part, message: error.to_string() };
+    let record = GatewayRecord::Fault {
+        part,
+        message: error.to_string(),
+    };
     log_record(Level::Warn, &record);
 }
--- a/gateway/src/transport/store_follower.rs
+++ b/gateway/src/transport/store_follower.rs
@@ -57,8 +57,13 @@
 ) {
     let FollowedKind { kind, part, .. } = followed;
     let returns = context.store_returns.subscribe();
-    let mut contact =
-        StoreContact { context: context.clone(), part, answers: true, pause: FIRST_PAUSE, returns };
+    let mut contact = StoreContact {
+        context: context.clone(),
+        part,
+        answers: true,
+        pause: FIRST_PAUSE,
+        returns,
+    };
     loop {
         let revision = match list_kind(&context, kind).await {
             Ok((objects, revision)) => {
@@ -96,8 +101,11 @@
         self.pause = FIRST_PAUSE;
         if !self.answers {
             self.answers = true;
-            let record =
-                GatewayRecord::StoreContact { part: self.part, answers: true, reason: String::new() };
+            let record = GatewayRecord::StoreContact {
+                part: self.part,
+                answers: true,
+                reason: String::new(),
+            };
             log_record(Level::Info, &record);
             self.context.store_returns.send_modify(|count| *count += 1);
             self.returns.mark_unchanged();
@@ -118,7 +126,11 @@
         if self.answers {
             self.answers = false;
             let reason = error.to_string();
-            let record = GatewayRecord::StoreContact { part: self.part, answers: false, reason };
+            let record = GatewayRecord::StoreContact {
+                part: self.part,
+                answers: false,
+                reason,
+            };
             log_record(Level::Warn, &record);
         }
         // Hosts that failed together come back apart.
@@ -138,9 +150,16 @@
 ) -> Result<(Vec<StoredObject>, u64), StoreError> {
     let (mut objects, mut first_revision, mut after) = (Vec::new(), None, None);
     loop {
-        let query = ObjectQuery::List { kind, after, stale: false };
+        let query = ObjectQuery::List {
+            kind,
+            after,
+            stale: false,
+        };
         let path = (context.format.query_path)(&query);
-        let body = context.store.read(&path, context.settings.store_timeout).await?;
+        let body = context
+            .store
+            .read(&path, context.settings.store_timeout)
+            .await?;
         let page = (context.format.read_page)(&body)?;
         let last = page.objects.last().map(|object| object.name.to_string());
         objects.extend(page.objects);
@@ -161,9 +180,17 @@
     take_news: &impl Fn(KindNews),
     contact: &mut StoreContact,
 ) -> ControlFlow<(), u64> {
-    let wait = if contact.answers { followed.wait } else { RETURN_WAIT };
+    let wait = if contact.answers {
+        followed.wait
+    } else {
+        RETURN_WAIT
+    };
     let kind = followed.kind;
-    let path = (context.format.query_path)(&ObjectQuery::Watch { kind, revision, wait });
+    let path = (context.format.query_path)(&ObjectQuery::Watch {
+        kind,
+        revision,
+        wait,
+    });
     let read = tokio::select! {
         read = context.store.read(&path, wait + WATCH_SLACK) => read,
         // The call may hang on a connection that is dead; the next one goes through.
--- a/program/src/front.rs
+++ b/program/src/front.rs
@@ -31,7 +31,8 @@
 /// Runs the command.
 pub(crate) fn run(matches: &ArgMatches) -> ExitCode {
     let named = matches.get_one::<PathBuf>("settings").cloned();
-    let Some(path) = named.or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from)) else {
+    let Some(path) = named.or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from))
+    else {
         eprintln!("galenamast: no settings file; give --settings or set {SETTINGS_VARIABLE}");
         return ExitCode::from(EXIT_INVALID);
     };
@@ -56,10 +57,15 @@
 }
 
 /// Sets up logging and the runtime, and runs the entry host.
-fn serve(settings: GatewaySettings, path: &std::path::Path) -> Result<(), Box<dyn std::error::Error>> {
+fn serve(
+    settings: GatewaySettings,
+    path: &std::path::Path,
+) -> Result<(), Box<dyn std::error::Error>> {
     RecordLog::start(std::io::stdout())?;
     // A process has a part of one core, so that more threads would only cost wake-ups.
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     runtime.block_on(run_gateway(settings, PLATFORM, || read_settings(path).ok()))?;
     // Tasks that still wait, as those of silent connections, end with the process.
     runtime.shutdown_background();
