--- a/gateway/src/transport/answer_body.rs
+++ b/gateway/src/transport/answer_body.rs
@@ -15,10 +15,10 @@
 /// A streamed answer ended before it was whole; the connection is closed without its end mark.
 #[derive(Debug, Error)]
 #[error("the answer broke off")]
-pub struct BrokenAnswer;
+pub(crate) struct BrokenAnswer;
 
 /// Body of an answer.
-pub type AnswerBody = UnsyncBoxBody<Bytes, BrokenAnswer>;
+pub(crate) type AnswerBody = UnsyncBoxBody<Bytes, BrokenAnswer>;
 
 /// Returns a body of known bytes.
 pub(crate) fn whole_body(bytes: Bytes) -> AnswerBody {
--- a/gateway/src/transport/caller_listener.rs
+++ b/gateway/src/transport/caller_listener.rs
@@ -96,6 +96,12 @@
         });
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
+        if self.closing.is_cancelled() {
+            // Its first answer closes a connection that comes so late; closing it before would
+            // leave the caller without a word.
+            let _ = connection.await;
+            return;
+        }
         // The caller sees how a connection breaks; the host has nothing to add.
         tokio::select! {
             _ = connection.as_mut() => return,
--- a/gateway/src/transport/peer_exchange.rs
+++ b/gateway/src/transport/peer_exchange.rs
@@ -77,9 +77,9 @@
     let mut pause = FIRST_HOSTS_PAUSE;
     loop {
         if !is_announced {
-            is_announced = note_fault(announce(context, &presence).await);
+            is_announced = note_fault(&announce(context, &presence).await);
         }
-        note_fault(read_hosts(context).await);
+        note_fault(&read_hosts(context).await);
         let spread = rand::rng().random_range(0.75..1.25);
         tokio::time::sleep(pause.mul_f64(spread)).await;
         pause = (pause * 2).min(HOSTS_PAUSE);
@@ -139,8 +139,8 @@
 }
 
 /// Logs a failed call; returns whether it succeeded.
-fn note_fault(result: Result<(), StoreError>) -> bool {
-    if let Err(error) = &result {
+fn note_fault(result: &Result<(), StoreError>) -> bool {
+    if let Err(error) = result {
         let record = GatewayRecord::Fault {
             part: "hosts",
             message: error.to_string(),
--- /dev/null
+++ b/gateway/tests/decisions/budget.rs
@@ -0,0 +1,77 @@
+//! Load pattern: a retry storm. Servers fail everything, so that each request wants repeats.
+
+use std::time::Duration;
+
+use galenamast::state::TimePoint;
+use galenamast_gateway::coordination::budgets::{BudgetSettings, RepeatBudget, RepeatPurpose};
+use proptest::prelude::*;
+
+/// Hosts that share the bound in these tests.
+const HOSTS: usize = 9;
+
+#[test]
+fn a_storm_stays_below_the_shared_bound_in_every_window() {
+    let settings = BudgetSettings::default();
+    let mut budgets = vec![RepeatBudget::new(settings); HOSTS];
+    let mut sent: Vec<(u64, bool)> = Vec::new();
+    for millis in (0..60_000).step_by(20) {
+        let now = TimePoint::from_millis(millis);
+        let host = (millis as usize / 20) % HOSTS;
+        budgets[host].note_request(now);
+        sent.push((millis, false));
+        for _ in 0..5 {
+            if budgets[host].take_repeat(RepeatPurpose::Failure, now) {
+                sent.push((millis, true));
+            }
+        }
+    }
+    let window = u64::try_from(settings.window.as_millis()).expect("a short window");
+    for end in (window..60_000).step_by(500) {
+        let inside: Vec<bool> = sent
+            .iter()
+            .filter(|(at, _)| (end - window..end).contains(at))
+            .map(|(_, is_repeat)| *is_repeat)
+            .collect();
+        let repeats = inside.iter().filter(|is_repeat| **is_repeat).count();
+        let requests = inside.len() - repeats;
+        let bound = settings.ratio * requests as f64 + settings.slack;
+        assert!(
+            f64::from(u32::try_from(repeats).unwrap_or(u32::MAX)) <= bound,
+            "{} repeats, bound {bound}",
+            repeats
+        );
+        assert!(repeats > 0);
+    }
+}
+
+#[test]
+fn cascades_leave_a_part_for_failures() {
+    let mut budget = RepeatBudget::new(BudgetSettings::default());
+    let now = TimePoint::from_millis(1);
+    for _ in 0..100 {
+        budget.note_request(now);
+    }
+    while budget.take_repeat(RepeatPurpose::Cascade, now) {}
+    assert!(!budget.take_repeat(RepeatPurpose::Hedge, now));
+    assert!(budget.take_repeat(RepeatPurpose::Failure, now));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: prop::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+    #[test]
+    fn repeats_never_exceed_the_hosts_part(steps in prop::collection::vec((0u64..400, any::<bool>()), 1..300)) {
+        let settings = BudgetSettings::default();
+        let mut budget = RepeatBudget::new(settings);
+        let (mut now, mut requests, mut repeats) = (TimePoint::ZERO, 0u32, 0u32);
+        for (pause, is_request) in steps {
+            now = now + Duration::from_millis(pause);
+            if is_request {
+                budget.note_request(now);
+                requests += 1;
+            } else if budget.take_repeat(RepeatPurpose::Failure, now) {
+                repeats += 1;
+            }
+        }
+        prop_assert!(f64::from(repeats) <= settings.ratio * f64::from(requests) + 1.0);
+    }
+}
--- /dev/null
+++ b/gateway/tests/decisions/cascade.rs
@@ -0,0 +1,46 @@
+//! Load pattern: engines under pressure. Second runs of the largest model would sink them.
+
+use std::time::Duration;
+
+use galenamast_gateway::coordination::cascade::{CascadeSettings, confidence_bound, wants_larger};
+
+#[test]
+fn fewer_answers_are_doubted_the_longer_the_larger_model_takes() {
+    let settings = CascadeSettings::default();
+    let doubted = |pressure| {
+        let bound = confidence_bound(2_000, pressure, &settings);
+        (0..=100)
+            .filter(|confidence| f64::from(*confidence) < bound)
+            .count()
+    };
+    let counts: Vec<usize> = [0.0, 0.3, 0.6, 0.9, 1.5].into_iter().map(doubted).collect();
+    assert!(
+        counts.windows(2).all(|pair| pair[1] < pair[0]),
+        "{counts:?}"
+    );
+    assert_eq!(
+        counts[4], 0,
+        "a run that begins after the goal is of no use"
+    );
+}
+
+#[test]
+fn no_second_run_without_time_left() {
+    let settings = CascadeSettings::default();
+    let goal = Duration::from_secs(2);
+    assert!(wants_larger(
+        5.0,
+        70.0,
+        Duration::from_millis(200),
+        goal,
+        &settings
+    ));
+    assert!(!wants_larger(
+        5.0,
+        70.0,
+        Duration::from_millis(1_600),
+        goal,
+        &settings
+    ));
+    assert!(!wants_larger(80.0, 70.0, Duration::ZERO, goal, &settings));
+}
--- /dev/null
+++ b/gateway/tests/decisions/crashes.rs
@@ -0,0 +1,50 @@
+//! Load pattern: a request that kills each server that runs it, and comes again at any host.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use galenamast::state::TimePoint;
+use galenamast_gateway::coordination::requests::{CrashBook, CrashSettings};
+
+#[test]
+fn what_crashed_two_servers_goes_to_no_third() {
+    let mut book = CrashBook::new(CrashSettings::default());
+    let now = TimePoint::from_millis(10);
+    let (first, second): (Arc<str>, Arc<str>) = ("i-1".into(), "i-2".into());
+    book.note_crash(1, &first, now);
+    book.note_crash(1, &first, now);
+    assert!(
+        !book.is_refused(1, now),
+        "one server that breaks twice is no evidence"
+    );
+    book.note_crash(1, &second, now);
+    assert!(book.is_refused(1, now));
+    assert!(!book.is_refused(2, now));
+    assert!(!book.is_refused(1, now + Duration::from_secs(3_600)));
+}
+
+#[test]
+fn the_word_of_another_host_counts() {
+    let mut book = CrashBook::new(CrashSettings::default());
+    let now = TimePoint::from_millis(10);
+    book.note_told(9, 2, now);
+    assert!(book.is_refused(9, now));
+}
+
+#[test]
+fn memory_is_bounded() {
+    let settings = CrashSettings {
+        capacity: 10,
+        ..CrashSettings::default()
+    };
+    let mut book = CrashBook::new(settings);
+    for number in 0..1_000 {
+        book.note_told(number, 2, TimePoint::from_millis(number));
+    }
+    let now = TimePoint::from_millis(1_000);
+    let kept = (0..1_000)
+        .filter(|number| book.is_refused(*number, now))
+        .count();
+    assert_eq!(kept, 10);
+    assert!(book.is_refused(999, now));
+}
--- /dev/null
+++ b/gateway/tests/decisions/events.rs
@@ -0,0 +1,50 @@
+//! Streams that come in any pieces.
+
+use galenamast_gateway::protocol::EventSplitter;
+use proptest::prelude::*;
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: prop::test_runner::RngSeed::Fixed(3), ..ProptestConfig::default() })]
+    #[test]
+    fn events_do_not_depend_on_how_bytes_are_cut(
+        texts in prop::collection::vec("[a-z ]{0,20}", 1..12),
+        cuts in prop::collection::vec(1usize..9, 1..200),
+        carriage in any::<bool>(),
+    ) {
+        let end = if carriage { "\r\n" } else { "\n" };
+        let mut stream = String::new();
+        for (number, text) in texts.iter().enumerate() {
+            stream.push_str(&format!("id: {number}{end}data: {text}{end}{end}"));
+        }
+        let mut splitter = EventSplitter::default();
+        let mut events = Vec::new();
+        let (mut rest, mut cuts) = (stream.as_bytes(), cuts.into_iter().cycle());
+        while !rest.is_empty() {
+            let size = cuts.next().unwrap_or(1).min(rest.len());
+            events.extend(splitter.push(&rest[..size]).expect("short events"));
+            rest = &rest[size..];
+        }
+        let ids: Vec<_> = events.iter().map(|event| event.id).collect();
+        let expected: Vec<_> = (0..texts.len() as u64).map(Some).collect();
+        prop_assert_eq!(ids, expected);
+        let joined: Vec<u8> = events.iter().flat_map(|event| event.bytes.to_vec()).collect();
+        prop_assert_eq!(joined, stream.into_bytes());
+        prop_assert!(!splitter.has_rest());
+    }
+
+    #[test]
+    fn arbitrary_bytes_do_no_harm(pieces in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..64), 0..32)) {
+        let mut splitter = EventSplitter::default();
+        for piece in pieces {
+            let _ = splitter.push(&piece);
+        }
+    }
+}
+
+#[test]
+fn an_endless_event_is_refused() {
+    let mut splitter = EventSplitter::default();
+    let piece = [b'x'; 4_096];
+    let refused = (0..1_000).any(|_| splitter.push(&piece).is_err());
+    assert!(refused);
+}
--- /dev/null
+++ b/gateway/tests/decisions/main.rs
@@ -0,0 +1,12 @@
+//! The decisions of an entry host, each under the load pattern that it answers.
+
+mod budget;
+mod cascade;
+mod crashes;
+mod events;
+mod outcomes;
+mod placement;
+mod rollout_board;
+mod routes;
+mod table;
+mod trial;
--- /dev/null
+++ b/gateway/tests/decisions/outcomes.rs
@@ -0,0 +1,68 @@
+//! What follows from the end of an attempt, for all ends and kinds of request.
+
+use galenamast_gateway::coordination::requests::{
+    AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, NextStep, final_answer, next_step,
+};
+
+/// All ends of an attempt.
+const ALL: [AttemptOutcome; 7] = [
+    AttemptOutcome::NotSent,
+    AttemptOutcome::Rejected,
+    AttemptOutcome::WrongServer,
+    AttemptOutcome::Failed,
+    AttemptOutcome::Garbled,
+    AttemptOutcome::Broken,
+    AttemptOutcome::Silent,
+];
+
+#[test]
+fn whatever_happens_a_request_that_may_not_repeat_runs_at_most_once() {
+    let limits = AttemptLimits {
+        repeatable: false,
+        runs: 1,
+        asks: 6,
+    };
+    for first in ALL {
+        for second in ALL {
+            let mut tally = AttemptTally::default();
+            tally.note(first);
+            if let NextStep::Again(_) = next_step(first, &tally, &limits) {
+                tally.note(second);
+            }
+            assert!(tally.runs <= 1, "{first:?} {second:?}");
+        }
+    }
+}
+
+#[test]
+fn not_run_is_only_said_if_nothing_ran() {
+    for first in ALL {
+        for second in ALL {
+            let mut tally = AttemptTally::default();
+            tally.note(first);
+            tally.note(second);
+            let is_said = final_answer(second, &tally) == FinalAnswer::NotRun;
+            let may_have_run = first.may_have_run() || second.may_have_run();
+            assert!(!(is_said && may_have_run), "{first:?} {second:?}");
+        }
+    }
+}
+
+#[test]
+fn runs_and_asks_are_bounded() {
+    let limits = AttemptLimits {
+        repeatable: true,
+        runs: 3,
+        asks: 6,
+    };
+    for outcome in ALL {
+        let mut tally = AttemptTally::default();
+        loop {
+            tally.note(outcome);
+            if let NextStep::End(_) = next_step(outcome, &tally, &limits) {
+                break;
+            }
+        }
+        assert!(tally.runs <= 3 && tally.asks <= 6, "{outcome:?}: {tally:?}");
+    }
+}
--- /dev/null
+++ b/gateway/tests/decisions/placement.rs
@@ -0,0 +1,190 @@
+//! Load patterns: a burst over many hosts, a hot prompt part, a shift between failure domains, a
+//! slow server, a server that fails.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use galenamast::state::TimePoint;
+use galenamast_gateway::coordination::placement::{
+    LoadBook, LoadSettings, PickQuery, PickSettings, pick_server,
+};
+use galenamast_gateway::state::ServerEntry;
+use rand::{Rng, SeedableRng};
+
+/// Work of a request in these tests, in seconds.
+const WORK: f64 = 0.1;
+
+/// Returns servers, three a failure domain.
+fn servers(domains: &[&str]) -> Vec<ServerEntry> {
+    let mut servers = Vec::new();
+    for domain in domains {
+        for _ in 0..3 {
+            let number = servers.len();
+            servers.push(ServerEntry {
+                id: format!("i-{number}").into(),
+                service: "engines".into(),
+                address: SocketAddr::from(([127, 0, 0, 1], 9_000 + number as u16)),
+                domain: (*domain).into(),
+                version: "v1".into(),
+                slots: 64,
+                draining: false,
+                born_ms: None,
+            });
+        }
+    }
+    servers
+}
+
+/// Sends requests of a prompt part from one host; returns how many went to each server.
+fn send(
+    book: &mut LoadBook,
+    servers: &[ServerEntry],
+    requests: usize,
+    part: impl Fn(usize) -> u64,
+) -> BTreeMap<Arc<str>, usize> {
+    let serving: Vec<&ServerEntry> = servers.iter().collect();
+    let now = TimePoint::from_millis(1);
+    let mut counts = BTreeMap::new();
+    for number in 0..requests {
+        let query = PickQuery {
+            domain: "north",
+            affinity: Some(part(number)),
+            work: WORK,
+            excluded: &[],
+            point: number as u64,
+        };
+        let pick = pick_server(&serving, &query, book, &PickSettings::default(), now)
+            .expect("servers are left");
+        book.note_sent(&pick.server.id, WORK);
+        *counts.entry(pick.server.id).or_insert(0) += 1;
+    }
+    counts
+}
+
+#[test]
+fn a_hot_prompt_part_spreads_when_its_servers_have_much_to_do() {
+    let servers = servers(&["north", "south", "west"]);
+    let mut book = LoadBook::new(LoadSettings::default());
+    let counts = send(&mut book, &servers, 90, |_| 7);
+    let most = counts.values().max().copied().unwrap_or(0);
+    assert!(counts.len() >= 6, "{counts:?}");
+    assert!(most <= 30, "{counts:?}");
+}
+
+#[test]
+fn few_requests_of_a_part_stay_where_it_is_kept() {
+    let servers = servers(&["north"]);
+    let mut book = LoadBook::new(LoadSettings::default());
+    let counts = send(&mut book, &servers, 2, |_| 7);
+    assert!(counts.len() <= 2, "{counts:?}");
+}
+
+/// Hosts that do not tell one another what they sent load the same servers.
+#[test]
+fn hosts_that_tell_one_another_share_a_burst_evenly() {
+    let all = servers(&["north", "south", "west"]);
+    let most = |is_told: bool| {
+        let mut books = vec![LoadBook::new(LoadSettings::default()); 9];
+        let mut total: BTreeMap<Arc<str>, f64> = BTreeMap::new();
+        let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(5);
+        for round in 0..20 {
+            let now = TimePoint::from_millis(1 + round);
+            for host in 0..books.len() {
+                let part = random.random_range(0..4u64);
+                let counts = send(&mut books[host], &all, 1, |_| part);
+                for (server, count) in counts {
+                    *total.entry(server).or_default() += count as f64;
+                }
+                if is_told {
+                    let shares = books[host].own_shares();
+                    let peer = SocketAddr::from(([127, 0, 0, 1], host as u16));
+                    for (other, book) in books.iter_mut().enumerate() {
+                        if other != host {
+                            book.note_told(peer, &shares, now);
+                        }
+                    }
+                }
+            }
+        }
+        total.values().copied().fold(0.0, f64::max)
+    };
+    let (told, untold) = (most(true), most(false));
+    assert!(
+        told * 1.3 < untold,
+        "the busiest server: {told} told, {untold} not"
+    );
+}
+
+#[test]
+fn what_another_host_told_long_ago_does_not_count() {
+    let all = servers(&["north"]);
+    let mut busy = LoadBook::new(LoadSettings::default());
+    for _ in 0..50 {
+        busy.note_sent(&all[0].id, WORK);
+    }
+    let mut book = LoadBook::new(LoadSettings::default());
+    let peer = SocketAddr::from(([127, 0, 0, 1], 1));
+    let told_at = TimePoint::from_millis(10);
+    book.note_told(peer, &busy.own_shares(), told_at);
+    let cost = |at| book.cost(&all[0].id, WORK, 1.0, at);
+    assert!(cost(told_at) > 3.0);
+    assert!(cost(told_at + Duration::from_secs(5)) < 0.2);
+}
+
+#[test]
+fn a_slow_server_loses_work_in_proportion_and_gets_it_back() {
+    let all = servers(&["north"]);
+    let mut book = LoadBook::new(LoadSettings::default());
+    let class: Arc<str> = "small".into();
+    for _ in 0..30 {
+        for (number, server) in all.iter().enumerate() {
+            let took = if number == 0 { 800 } else { 100 };
+            book.note_first(&server.id, &class, 1, 1_000, Duration::from_millis(took));
+        }
+    }
+    let now = TimePoint::from_millis(1);
+    let cost = |book: &LoadBook, number: usize| book.cost(&all[number].id, WORK, 1.0, now);
+    assert!(cost(&book, 0) > 2.0 * cost(&book, 1));
+    for _ in 0..30 {
+        for server in &all {
+            book.note_first(&server.id, &class, 1, 1_000, Duration::from_millis(100));
+        }
+    }
+    assert!(cost(&book, 0) < 1.5 * cost(&book, 1));
+}
+
+#[test]
+fn a_server_that_fails_is_passed_over_and_tried_again() {
+    let all = servers(&["north"]);
+    let mut book = LoadBook::new(LoadSettings::default());
+    let now = TimePoint::from_millis(1_000);
+    for _ in 0..5 {
+        book.note_failure(&all[0].id, now);
+    }
+    let healthy = book.cost(&all[1].id, WORK, 1.0, now);
+    assert!(book.cost(&all[0].id, WORK, 1.0, now) > 10.0 * healthy);
+    let later = now + Duration::from_secs(30);
+    assert!(book.cost(&all[0].id, WORK, 1.0, later) < 1.5 * healthy);
+}
+
+#[test]
+fn a_domain_without_room_goes_across() {
+    let all = servers(&["north", "south"]);
+    let mut book = LoadBook::new(LoadSettings::default());
+    let counts = send(&mut book, &all, 3, |number| number as u64);
+    assert!(
+        counts
+            .keys()
+            .all(|id| all[..3].iter().any(|server| server.id == *id)),
+        "{counts:?}"
+    );
+    let counts = send(&mut book, &all, 40, |number| number as u64);
+    assert!(
+        counts
+            .keys()
+            .any(|id| all[3..].iter().any(|server| server.id == *id)),
+        "{counts:?}"
+    );
+}
