--- a/gateway/src/coordination/requests/crash_book.rs
+++ b/gateway/src/coordination/requests/crash_book.rs
@@ -2,13 +2,17 @@
 //!
 //! Answers a request that kills each server that runs it and comes again at any host: what crashed
 //! two servers goes to no third. Hosts share what they saw; a host that cannot goes by its own.
+//! Servers that break together, as when a failure domain is cut off, were crashed by no request.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use galenamast::state::TimePoint;
 
+/// Breaks that are remembered; a cut of many servers shows in far fewer.
+const REMEMBERED_BREAKS: usize = 256;
+
 /// Settings of the quarantine.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CrashSettings {
@@ -18,6 +22,8 @@
     pub retention: Duration,
     /// Requests that are remembered; the oldest yield.
     pub capacity: usize,
+    /// Time within which breaks of several servers have one cause.
+    pub together: Duration,
 }
 
 impl Default for CrashSettings {
@@ -26,6 +32,7 @@
             crashes: 2,
             retention: Duration::from_secs(300),
             capacity: 4_096,
+            together: Duration::from_millis(150),
         }
     }
 }
@@ -33,7 +40,7 @@
 /// What is known of one request.
 #[derive(Clone, Debug)]
 struct CrashEntry {
-    servers: Vec<Arc<str>>,
+    servers: Vec<(Arc<str>, TimePoint)>,
     told: u32,
     noted_at: TimePoint,
 }
@@ -43,6 +50,7 @@
 pub struct CrashBook {
     settings: CrashSettings,
     entries: BTreeMap<u64, CrashEntry>,
+    breaks: VecDeque<(Arc<str>, TimePoint)>,
 }
 
 impl CrashBook {
@@ -50,18 +58,28 @@
     pub fn new(settings: CrashSettings) -> Self {
         Self {
             settings,
-            entries: BTreeMap::new(),
+            ..Self::default()
         }
     }
 
+    /// Notes that a connection to a server broke, whatever request it carried.
+    pub fn note_break(&mut self, server: &Arc<str>, now: TimePoint) {
+        if self.breaks.len() >= REMEMBERED_BREAKS {
+            self.breaks.pop_front();
+        }
+        self.breaks.push_back((server.clone(), now));
+    }
+
     /// Notes that a server crashed while it ran a request; returns the crashes that are known.
     pub fn note_crash(&mut self, fingerprint: u64, server: &Arc<str>, now: TimePoint) -> u32 {
         let entry = self.entry(fingerprint, now);
-        if !entry.servers.contains(server) {
-            entry.servers.push(server.clone());
+        if !entry.servers.iter().any(|(known, _)| known == server) {
+            entry.servers.push((server.clone(), now));
         }
         entry.noted_at = now;
-        crashes_of(entry)
+        self.entries
+            .get(&fingerprint)
+            .map_or(0, |entry| self.crashes_of(entry))
     }
 
     /// Takes in what another host noted.
@@ -76,7 +94,7 @@
         let entry = self.entries.get(&fingerprint);
         entry.is_some_and(|entry| {
             let is_fresh = now.since(entry.noted_at) < self.settings.retention;
-            is_fresh && crashes_of(entry) >= self.settings.crashes
+            is_fresh && self.crashes_of(entry) >= self.settings.crashes
         })
     }
 
@@ -96,11 +114,23 @@
         };
         self.entries.entry(fingerprint).or_insert(fresh)
     }
-}
 
-/// Returns the crashes that are known of a request.
-fn crashes_of(entry: &CrashEntry) -> u32 {
-    entry
-        .told
-        .max(u32::try_from(entry.servers.len()).unwrap_or(u32::MAX))
+    /// Returns the crashes that are known of a request.
+    fn crashes_of(&self, entry: &CrashEntry) -> u32 {
+        let own = entry
+            .servers
+            .iter()
+            .filter(|(_, at)| !self.broke_together(entry, *at))
+            .count();
+        entry.told.max(u32::try_from(own).unwrap_or(u32::MAX))
+    }
+
+    /// Returns whether servers that did not run the request broke at the same moment.
+    fn broke_together(&self, entry: &CrashEntry, at: TimePoint) -> bool {
+        self.breaks.iter().any(|(server, broke_at)| {
+            let apart = broke_at.since(at).max(at.since(*broke_at));
+            let ran_it = entry.servers.iter().any(|(known, _)| known == server);
+            apart <= self.settings.together && !ran_it
+        })
+    }
 }
--- a/gateway/src/transport/request_exchange.rs
+++ b/gateway/src/transport/request_exchange.rs
@@ -356,6 +356,7 @@
             }
             AttemptOutcome::Broken => {
                 self.context.loads().note_failure(&server.id, now);
+                self.context.crashes().note_break(&server.id, now);
                 self.check_crash(server).await;
             }
         }
--- a/gateway/tests/decisions/crashes.rs
+++ b/gateway/tests/decisions/crashes.rs
@@ -48,3 +48,32 @@
     assert_eq!(kept, 10);
     assert!(book.is_refused(999, now));
 }
+
+/// A failure domain was cut off by resets: requests that met two of its servers were refused as if
+/// they had crashed them.
+#[test]
+fn servers_that_break_together_were_crashed_by_no_request() {
+    let mut book = CrashBook::new(CrashSettings::default());
+    let cut_at = TimePoint::from_millis(33_500);
+    let servers: Vec<Arc<str>> = ["i-1", "i-2", "i-3"].map(Arc::from).to_vec();
+    for (number, server) in servers.iter().enumerate() {
+        book.note_break(server, cut_at + Duration::from_millis(number as u64));
+    }
+    book.note_crash(1, &servers[0], cut_at);
+    book.note_crash(1, &servers[1], cut_at + Duration::from_millis(9));
+    assert!(!book.is_refused(1, cut_at + Duration::from_millis(10)));
+}
+
+#[test]
+fn a_request_that_crashes_one_server_after_the_other_is_still_refused() {
+    let mut book = CrashBook::new(CrashSettings::default());
+    let start = TimePoint::from_millis(10_000);
+    for (number, server) in ["i-1", "i-2"].map(Arc::<str>::from).iter().enumerate() {
+        let now = start + Duration::from_millis(40 * number as u64);
+        // Other requests of the server break with it.
+        book.note_break(server, now);
+        book.note_break(server, now);
+        book.note_crash(1, server, now);
+    }
+    assert!(book.is_refused(1, start + Duration::from_millis(90)));
+}
