--- a/gateway/src/coordination/placement/load_book.rs
+++ b/gateway/src/coordination/placement/load_book.rs
@@ -138,13 +138,9 @@
     /// Returns the seconds after which a server would begin with a request that takes `work`
     /// seconds; servers that fail or refuse cost more.
     pub fn cost(&self, server: &Arc<str>, work: f64, lanes: f64, now: TimePoint) -> f64 {
-        let told = self.told(server, now);
         let load = self.loads.get(server);
-        let waiting = load.map_or(0.0, |load| load.waiting_work) + told.waiting_work;
-        let running = load.map_or(0, |load| load.in_flight) + told.in_flight;
-        let drag = f64::from(running) * self.settings.request_drag;
         let slowness = load.map_or(1.0, |load| load.slowness);
-        let seconds = ((waiting + drag) / lanes + work) * slowness;
+        let seconds = (self.queue(server, lanes, now) + work) * slowness;
         let Some(load) = load else {
             return seconds;
         };
@@ -158,6 +154,17 @@
         (seconds + self.settings.failure_cost * share) / (success * success) + paused
     }
 
+    /// Returns the seconds for which what a server has delays the next request, if the server is
+    /// an ordinary one.
+    pub fn queue(&self, server: &Arc<str>, lanes: f64, now: TimePoint) -> f64 {
+        let told = self.told(server, now);
+        let load = self.loads.get(server);
+        let waiting = load.map_or(0.0, |load| load.waiting_work) + told.waiting_work;
+        let running = load.map_or(0, |load| load.in_flight) + told.in_flight;
+        let drag = f64::from(running) * self.settings.request_drag;
+        (waiting + drag) / lanes
+    }
+
     /// Returns what other hosts have sent to a server.
     fn told(&self, server: &Arc<str>, now: TimePoint) -> ServerShare {
         let key = share_key(server);
--- a/gateway/src/coordination/placement/server_pick.rs
+++ b/gateway/src/coordination/placement/server_pick.rs
@@ -57,8 +57,10 @@
     pub server: ServerEntry,
     /// Servers that could have been chosen.
     pub candidates: usize,
-    /// Seconds until it is predicted to begin to answer.
+    /// Seconds until it is predicted to begin to answer, with what else is held against it.
     pub cost: f64,
+    /// Seconds until an ordinary server that keeps nothing of the prompt would begin.
+    pub ordinary: f64,
 }
 
 /// Picks a server among those that take work.
@@ -89,12 +91,7 @@
         } else {
             query.work
         };
-        // A plain service runs as many requests side by side as it has slots.
-        let lanes = if query.affinity.is_some() {
-            1.0
-        } else {
-            f64::from(entry.slots.max(1))
-        };
+        let lanes = lanes_of(query, entry);
         let far = if *entry.domain == *query.domain {
             0.0
         } else {
@@ -108,9 +105,19 @@
         server: server.clone(),
         candidates: total,
         cost,
+        ordinary: loads.queue(&server.id, lanes_of(query, server), now) + query.work,
     })
 }
 
+/// Returns how many requests a server runs side by side without delaying one another.
+fn lanes_of(query: &PickQuery<'_>, server: &ServerEntry) -> f64 {
+    match query.affinity {
+        // An engine reads one prompt after the other.
+        Some(_) => 1.0,
+        None => f64::from(server.slots.max(1)),
+    }
+}
+
 /// Returns the rank of a server for a number.
 fn rank(number: u64, server: &str) -> u64 {
     let mut hasher = SipHasher13::new();
--- a/gateway/src/coordination/rollouts/rollout_board.rs
+++ b/gateway/src/coordination/rollouts/rollout_board.rs
@@ -225,10 +225,21 @@
         view.stopped |= view.trial.is_bad();
     }
 
-    /// Grades an answer that is no failure by its time to the first byte.
-    pub fn grade(&self, service: &str, took: Duration, usual: Option<Duration>) -> AnswerGrade {
-        let view = self.views.get(service);
-        view.map_or(AnswerGrade::Good, |view| view.trial.grade(took, usual))
+    /// Grades an answer that is no failure by its time to the first byte against the predicted one.
+    pub fn grade(
+        &mut self,
+        service: &str,
+        version: &Arc<str>,
+        took: Duration,
+        predicted: Duration,
+    ) -> AnswerGrade {
+        let Some(view) = self.views.get_mut(service) else {
+            return AnswerGrade::Good;
+        };
+        if *version != view.order.target {
+            view.trial.note_pace(took, predicted);
+        }
+        view.trial.grade(took, predicted)
     }
 
     /// Returns whether this host has stopped a version itself.
--- a/gateway/src/transport/request_exchange.rs
+++ b/gateway/src/transport/request_exchange.rs
@@ -84,6 +84,8 @@
     version: Option<Arc<str>>,
     last_failure: Option<WholeAnswer>,
     head_after: Option<Duration>,
+    // Time to the first byte that an ordinary server was predicted to take.
+    predicted: Duration,
     pub(crate) longest_pause: Duration,
     // A version on trial that failed the request, which goes to the one before.
     spared: Option<Arc<str>>,
@@ -134,6 +136,7 @@
             version: None,
             last_failure: None,
             head_after: None,
+            predicted: Duration::ZERO,
             longest_pause: Duration::ZERO,
             spared: None,
             context,
@@ -406,14 +409,17 @@
     /// Takes a good answer into the host's beliefs.
     fn note_good(&self, server: &ServerEntry, took: Duration) {
         let (class, size) = self.class();
-        let usual = self.context.loads().expected_first(&class, size);
         let now = self.context.now();
         {
             let mut loads = self.context.loads();
             loads.note_first(&server.id, &class, size, self.head.prompt_tokens, took);
             loads.note_success(&server.id, now);
         }
-        let grade = self.context.rollouts().grade(&self.service, took, usual);
+        let version = &server.version;
+        let grade = self
+            .context
+            .rollouts()
+            .grade(&self.service, version, took, self.predicted);
         self.note_trial(server, grade);
     }
 
@@ -452,6 +458,7 @@
     fn pick(&mut self) -> Option<ServerPick> {
         let pick = self.find_server()?;
         self.version = Some(pick.server.version.clone());
+        self.predicted = Duration::from_secs_f64(pick.ordinary);
         Some(pick)
     }
 
