--- a/gateway/src/transport/request_exchange.rs
+++ b/gateway/src/transport/request_exchange.rs
@@ -162,7 +162,7 @@
         }
         match self.run_whole().await {
             Ok(answer) => {
-                self.log_end(answer.status.as_u16(), "answered", 0);
+                self.log_end(answer.status.as_u16(), "answered", self.tally.asks + 1, 0);
                 whole_response(answer)
             }
             Err(end) => self.end(end),
@@ -570,7 +570,7 @@
                 (own_answer(StatusCode::BAD_GATEWAY, text), text)
             }
         };
-        self.log_end(response.status().as_u16(), outcome, 0);
+        self.log_end(response.status().as_u16(), outcome, self.tally.asks, 0);
         response
     }
 
@@ -617,7 +617,7 @@
     }
 
     /// Logs the end of the request.
-    pub(crate) fn log_end(&self, status: u16, outcome: &str, events: u64) {
+    pub(crate) fn log_end(&self, status: u16, outcome: &str, attempts: u32, events: u64) {
         let elapsed = self.context.now().since(self.started_at);
         self.context
             .metrics
@@ -631,7 +631,7 @@
             elapsed_ms: millis(elapsed),
             head_ms: self.head_after.map(millis),
             pause_ms: millis(self.longest_pause),
-            attempts: self.tally.asks + 1,
+            attempts,
             events,
         };
         log_record(Level::Info, &record);
--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -169,13 +169,17 @@
 
     /// Logs that the answer broke off.
     fn broken(&self, outcome: &'static str) -> BrokenAnswer {
-        self.exchange.log_end(200, outcome, self.delivered);
+        let attempts = self.exchange.tally.asks;
+        self.exchange
+            .log_end(200, outcome, attempts, self.delivered);
         BrokenAnswer
     }
 
     /// Takes in that the answer is whole.
     fn finish(&mut self) {
-        self.exchange.log_end(200, "answered", self.delivered);
+        let attempts = self.exchange.tally.asks + 1;
+        self.exchange
+            .log_end(200, "answered", attempts, self.delivered);
         if let Some(answer) = self.answer.take() {
             answer.keep_connection(&self.exchange.context);
         }
