--- a/galenamast/tests/docs/commands.rs
+++ b/galenamast/tests/docs/commands.rs
@@ -5,6 +5,7 @@
 use crate::support::{pages, root};
 
 /// Beginnings of a command line of the program, longest first.
+const PACKAGES: [&str; 4] = ["galenamast", "gateway", "platform", "program"];
 const PROGRAMS: [&str; 3] = ["cargo run --release -- ", "cargo run -- ", "galenamast "];
 
 /// Splits a command line into words; quotes hold words together.
@@ -75,12 +76,15 @@
             }
             for pair in words.windows(2) {
                 let file = match pair {
-                    ["--example", name] => format!("galenamast/examples/{name}.rs"),
-                    ["--test", name] => format!("galenamast/tests/{name}/main.rs"),
-                    ["--bench", name] => format!("galenamast/benches/{name}.rs"),
+                    ["--example", name] => format!("examples/{name}.rs"),
+                    ["--test", name] => format!("tests/{name}/main.rs"),
+                    ["--bench", name] => format!("benches/{name}.rs"),
                     _ => continue,
                 };
-                assert!(root().join(&file).exists(), "{}: {line}", path.display());
+                let holders = PACKAGES
+                    .iter()
+                    .filter(|package| root().join(package).join(&file).exists());
+                assert_eq!(holders.count(), 1, "{}: {line}", path.display());
             }
         }
     }
--- /dev/null
+++ b/gateway/src/coordination/rollouts/version_groups.rs
@@ -0,0 +1,39 @@
+//! The servers of a service by what a roll-out says of their versions.
+
+use std::sync::Arc;
+
+use crate::coordination::rollouts::VersionRule;
+use crate::state::ServerEntry;
+
+/// Returns the groups of servers that may serve, the preferred ones first.
+pub fn version_groups<'a>(
+    serving: &[&'a ServerEntry],
+    rule: &VersionRule,
+    pinned: Option<&Arc<str>>,
+) -> Vec<Vec<&'a ServerEntry>> {
+    let with = |version: &Arc<str>| -> Vec<&'a ServerEntry> {
+        serving
+            .iter()
+            .copied()
+            .filter(|entry| entry.version == *version)
+            .collect()
+    };
+    let without = |version: &Arc<str>| -> Vec<&'a ServerEntry> {
+        serving
+            .iter()
+            .copied()
+            .filter(|entry| entry.version != *version)
+            .collect()
+    };
+    let mut groups = match rule {
+        VersionRule::Any => vec![serving.to_vec()],
+        VersionRule::Prefer(target) => vec![with(target), without(target)],
+        VersionRule::Spare(target) => vec![without(target), with(target)],
+        VersionRule::Never(target) => vec![without(target)],
+    };
+    // An attempt after the first stays with its version, unless that is no longer allowed.
+    if let (Some(version), VersionRule::Any) = (pinned, rule) {
+        groups.insert(0, with(version));
+    }
+    groups
+}
--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -6,13 +6,14 @@
 use bytes::Bytes;
 use galenamast::state::TimePoint;
 use http::request::Parts;
-use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 
 use crate::coordination::requests::AttemptOutcome;
 use crate::protocol::{AnswerHead, strip_connection_headers};
 use crate::state::{AttemptHead, ServerEntry};
+use crate::transport::answer_body::{AnswerBody, whole_body};
 use crate::transport::connection_pool::BackendConnection;
 use crate::transport::flight_guard::FlightGuard;
 use crate::transport::gateway_context::GatewayContext;
@@ -99,6 +100,16 @@
     }
 }
 
+impl WholeAnswer {
+    /// Returns the answer that passes this one on.
+    pub(crate) fn into_response(self) -> Response<AnswerBody> {
+        let mut response = Response::new(whole_body(self.body));
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers;
+        response
+    }
+}
+
 /// Returns the time that is left until a point in time.
 pub(crate) fn time_until(context: &GatewayContext, deadline: TimePoint) -> Duration {
     deadline.since(context.now())
--- a/gateway/src/transport/connection_pool.rs
+++ b/gateway/src/transport/connection_pool.rs
@@ -27,6 +27,8 @@
 const USUAL_IDLE: Duration = Duration::from_secs(3);
 /// Part of a stated idle time that is used, so that a request does not cross the server's close.
 const IDLE_PART: f64 = 0.6;
+/// Time for a probe of an address; a server that is alive accepts far sooner.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Idle connections that are kept for one address.
 const IDLE_CONNECTIONS: usize = 12;
 
@@ -142,3 +144,9 @@
             .remove(&address);
     }
 }
+
+/// Returns whether an address accepts connections at once.
+pub(crate) async fn accepts_connections(address: SocketAddr) -> bool {
+    let connecting = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address));
+    matches!(connecting.await, Ok(Ok(_)))
+}
--- a/gateway/src/transport/request_exchange.rs
+++ b/gateway/src/transport/request_exchange.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use galenamast::state::TimePoint;
+use http::Response;
 use http::request::Parts;
-use http::{Response, StatusCode};
 use log::Level;
 use rand::Rng;
 
@@ -15,16 +15,18 @@
 use crate::coordination::requests::{
     AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, NextStep, final_answer, next_step,
 };
-use crate::coordination::rollouts::VersionRule;
+use crate::coordination::rollouts::{VersionRule, version_groups};
 use crate::protocol::{DecisionInputs, GatewayRecord, PeerMessage};
 use crate::state::{
     AnswerGrade, AttemptHead, CallerHead, CrashNote, RouteKind, ServerEntry, ServiceRoute,
 };
-use crate::transport::answer_body::{AnswerBody, not_run_answer, own_answer, whole_body};
+use crate::transport::answer_body::AnswerBody;
 use crate::transport::attempt_runner::{
     AttemptCall, OpenAnswer, WholeAnswer, run_attempt, time_until,
 };
 use crate::transport::caller_gate::{Admission, HeldBody};
+use crate::transport::connection_pool::accepts_connections;
+use crate::transport::exchange_end::ExchangeEnd;
 use crate::transport::gateway_context::{GatewayContext, stable_hash};
 use crate::transport::record_log::log_record;
 use crate::transport::stream_relay::StreamRelay;
@@ -41,26 +43,11 @@
 const STREAM_GOAL_PART: f64 = 1.0;
 /// Shortest time left in which another attempt is of use.
 const LEAST_TIME: Duration = Duration::from_millis(30);
-/// Pause before servers are looked for again when none takes work.
-const NO_SERVER_PAUSE: Duration = Duration::from_millis(600);
-/// Time after which a refused request may find room.
-const ROOM_PAUSE: Duration = Duration::from_millis(500);
 /// Urgency that engines take if none is stated; ranks beyond it are cut.
 const LEAST_URGENCY: u8 = 9;
 /// Width of the size classes of prompts, as a power of two in tokens.
 const SIZE_CLASS_SHIFT: u32 = 10;
 
-/// Why no answer is open.
-#[derive(Debug)]
-pub(crate) enum ExchangeEnd {
-    /// A server's failure is passed on.
-    Failure(WholeAnswer),
-    /// The host answers itself.
-    Own(FinalAnswer),
-    /// The request crashed servers before.
-    Quarantined,
-}
-
 /// One request.
 #[derive(Debug)]
 pub(crate) struct RequestExchange {
@@ -163,7 +150,7 @@
         match self.run_whole().await {
             Ok(answer) => {
                 self.log_end(answer.status.as_u16(), "answered", self.tally.asks + 1, 0);
-                whole_response(answer)
+                answer.into_response()
             }
             Err(end) => self.end(end),
         }
@@ -367,7 +354,7 @@
 
     /// Finds out whether a server that broke a connection crashed, and notes the request if so.
     async fn check_crash(&self, server: &ServerEntry) {
-        if is_alive(server).await {
+        if accepts_connections(server.address).await {
             return;
         }
         let now = self.context.now();
@@ -489,7 +476,7 @@
         };
         let loads = self.context.loads();
         let settings = &self.context.settings.picks;
-        preferred(&serving, &rule, self.version.as_ref())
+        version_groups(&serving, &rule, self.version.as_ref())
             .into_iter()
             .find_map(|group| pick_server(&group, &query, &loads, settings, now))
     }
@@ -542,34 +529,7 @@
 
     /// Answers the caller when no server's answer is delivered.
     fn end(&self, end: ExchangeEnd) -> Response<AnswerBody> {
-        let (response, outcome) = match end {
-            ExchangeEnd::Failure(failure) => (whole_response(failure), "the server failed"),
-            ExchangeEnd::Quarantined if self.tally.runs == 0 => {
-                let text = "requests like this crashed servers";
-                (not_run_answer(text, Duration::from_secs(30)), text)
-            }
-            ExchangeEnd::Quarantined => {
-                let text = "the request crashed servers";
-                (own_answer(StatusCode::BAD_GATEWAY, text), text)
-            }
-            ExchangeEnd::Own(FinalAnswer::NotRun) => {
-                let text = "no server takes the request now; it did not run";
-                let pause = if self.tally.asks == 0 {
-                    NO_SERVER_PAUSE
-                } else {
-                    ROOM_PAUSE
-                };
-                (not_run_answer(text, pause), text)
-            }
-            ExchangeEnd::Own(FinalAnswer::TimedOut) => {
-                let text = "no whole answer came in time";
-                (own_answer(StatusCode::GATEWAY_TIMEOUT, text), text)
-            }
-            ExchangeEnd::Own(FinalAnswer::Unknown | FinalAnswer::ServerFailure) => {
-                let text = "no server gave a whole answer; the request may have run";
-                (own_answer(StatusCode::BAD_GATEWAY, text), text)
-            }
-        };
+        let (response, outcome) = end.into_answer(&self.tally);
         self.log_end(response.status().as_u16(), outcome, self.tally.asks, 0);
         response
     }
@@ -638,54 +598,6 @@
     }
 }
 
-/// Returns the groups of servers that may serve, the preferred ones first.
-fn preferred<'a>(
-    serving: &[&'a ServerEntry],
-    rule: &VersionRule,
-    pinned: Option<&Arc<str>>,
-) -> Vec<Vec<&'a ServerEntry>> {
-    let with = |version: &Arc<str>| -> Vec<&'a ServerEntry> {
-        serving
-            .iter()
-            .copied()
-            .filter(|entry| entry.version == *version)
-            .collect()
-    };
-    let without = |version: &Arc<str>| -> Vec<&'a ServerEntry> {
-        serving
-            .iter()
-            .copied()
-            .filter(|entry| entry.version != *version)
-            .collect()
-    };
-    let mut groups = match rule {
-        VersionRule::Any => vec![serving.to_vec()],
-        VersionRule::Prefer(target) => vec![with(target), without(target)],
-        VersionRule::Spare(target) => vec![without(target), with(target)],
-        VersionRule::Never(target) => vec![without(target)],
-    };
-    // An attempt after the first stays with its version, unless that is no longer allowed.
-    if let (Some(version), VersionRule::Any) = (pinned, rule) {
-        groups.insert(0, with(version));
-    }
-    groups
-}
-
-/// Returns the answer that passes a server's whole answer on.
-fn whole_response(answer: WholeAnswer) -> Response<AnswerBody> {
-    let mut response = Response::new(whole_body(answer.body));
-    *response.status_mut() = answer.status;
-    *response.headers_mut() = answer.headers;
-    response
-}
-
-/// Returns whether a server accepts connections.
-async fn is_alive(server: &ServerEntry) -> bool {
-    const PROBE: Duration = Duration::from_millis(150);
-    let connecting = tokio::net::TcpStream::connect(server.address);
-    matches!(tokio::time::timeout(PROBE, connecting).await, Ok(Ok(_)))
-}
-
 /// Returns a duration in whole milliseconds.
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
