--- a/gateway/src/transport/caller_listener.rs
+++ b/gateway/src/transport/caller_listener.rs
@@ -154,10 +154,15 @@
         parts: &http::request::Parts,
         head: &crate::state::CallerHead,
     ) -> Result<Admission, Refusal> {
+        let stops = || Box::new(not_run_answer("the host stops", STOPPING_PAUSE));
+        // Before anything that may wait, as a look into the store does.
+        if self.all_over.is_cancelled() {
+            return Err(stops());
+        }
         let admission = admit_head(&self.context, parts, head).await?;
         let is_stream = admission.route.kind == RouteKind::Stream;
         if self.all_over.is_cancelled() || (is_stream && self.streams_over.is_cancelled()) {
-            return Err(Box::new(not_run_answer("the host stops", STOPPING_PAUSE)));
+            return Err(stops());
         }
         Ok(admission)
     }
