--- a/gateway/src/protocol/platform_format.rs
+++ b/gateway/src/protocol/platform_format.rs
@@ -45,7 +45,7 @@
 /// How the messages of a platform are read and written.
 #[derive(Clone, Copy, Debug)]
 pub struct PlatformFormat {
-    /// Path on which backend servers tell their health.
+    /// Path on which the host tells whether it takes new connections.
     pub ready_path: &'static str,
     /// Returns the path and query of a read.
     pub query_path: fn(&ObjectQuery) -> String,
