Place prompts where engines keep them, for each model

Cause: of the shared parts of prompts that came again, a quarter met an engine that kept them. The pressure that turns a second run away held the run's own reading against it, and 30 ms for each running request, which logs do not show.

Ruled out: bounds of confidence alone (80/60, 70/60, 60/60), surer homes, waiting work at 0.6.

Evidence about kept parts travels in the datagrams of the loads.

--- a/gateway/src/coordination/cascade/model_choice.rs
+++ b/gateway/src/coordination/cascade/model_choice.rs
@@ -2,7 +2,8 @@
 //!
 //! Answers calm load and mass load alike: a larger model is asked when the smaller one doubts its
 //! answer, and the doubt that it takes grows with the prompt, which the larger model reads slowly,
-//! and with the pressure on the engines.
+//! and with the queues at the engines. A second run that would not begin within the goal is of no
+//! use, however short the queues.
 
 use std::time::Duration;
 
@@ -17,7 +18,8 @@
     pub short_tokens: f64,
     /// Prompts from this size on are dear to read again.
     pub long_tokens: f64,
-    /// Part of the goal that must be left for a second run to be of use.
+    /// Part of the goal that must be left when the second run begins to answer; absorbs what the
+    /// prediction misses.
     pub least_time_part: f64,
 }
 
@@ -28,12 +30,13 @@
             long_bound: 40.0,
             short_tokens: 4_000.0,
             long_tokens: 12_000.0,
-            least_time_part: 0.25,
+            least_time_part: 0.2,
         }
     }
 }
 
-/// Returns the confidence below which a larger model is asked; `pressure` runs from 0 to 1.
+/// Returns the confidence below which a larger model is asked; `pressure` is the time in the queue
+/// as a part of the goal, from 0 to 1.
 ///
 /// ```
 /// use galenamast_gateway::coordination::cascade::{CascadeSettings, confidence_bound};
@@ -49,14 +52,15 @@
     (settings.short_bound - drop) * (1.0 - pressure.clamp(0.0, 1.0))
 }
 
-/// Returns whether an answer of the smaller model is dropped for a run of the larger one.
+/// Returns whether an answer of the smaller model is dropped for a run of the larger one, which is
+/// predicted to begin to answer `ready_in` after the caller sent the request.
 pub fn wants_larger(
     confidence: f64,
     bound: f64,
-    elapsed: Duration,
+    ready_in: Duration,
     goal: Duration,
     settings: &CascadeSettings,
 ) -> bool {
     let least = goal.mul_f64(settings.least_time_part);
-    confidence < bound && elapsed + least < goal
+    confidence < bound && ready_in.saturating_add(least) < goal
 }
--- a/gateway/src/coordination/placement/load_book.rs
+++ b/gateway/src/coordination/placement/load_book.rs
@@ -5,17 +5,17 @@
 //! to the requests that it still gets.
 
 use std::collections::BTreeMap;
-use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use galenamast::state::TimePoint;
 use serde::{Deserialize, Serialize};
-use siphasher::sip::SipHasher13;
+
+use crate::coordination::placement::server_tag;
 
 /// Tokens whose reading takes as long as what does not depend on the prompt.
-const FIXED_TOKENS: f64 = 500.0;
+pub(super) const FIXED_TOKENS: f64 = 500.0;
 
 /// Settings of the estimates.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -49,7 +49,7 @@
             refused_pause: Duration::from_millis(700),
             paused_cost: 30.0,
             failure_cost: 1.0,
-            request_drag: 0.03,
+            request_drag: 0.005,
             first_pace: 0.000_02,
             told_lifetime: Duration::from_millis(1_500),
         }
@@ -114,13 +114,6 @@
     pub waiting_work: f64,
 }
 
-/// Returns the short hash of a server's identifier, the same on all hosts.
-fn share_key(server: &str) -> u32 {
-    let mut hasher = SipHasher13::new();
-    hasher.write(server.as_bytes());
-    (hasher.finish() >> 32) as u32
-}
-
 impl LoadBook {
     /// Creates a book without beliefs.
     pub fn new(settings: LoadSettings) -> Self {
@@ -167,7 +160,7 @@
 
     /// Returns what other hosts have sent to a server.
     fn told(&self, server: &Arc<str>, now: TimePoint) -> ServerShare {
-        let key = share_key(server);
+        let key = server_tag(server);
         let mut sum = ServerShare {
             server: key,
             ..ServerShare::default()
@@ -200,7 +193,7 @@
         let in_use = self.loads.iter().filter(|(_, load)| load.in_flight > 0);
         in_use
             .map(|(server, load)| ServerShare {
-                server: share_key(server),
+                server: server_tag(server),
                 in_flight: load.in_flight,
                 waiting_work: load.waiting_work,
             })
--- a/gateway/src/coordination/placement/server_pick.rs
+++ b/gateway/src/coordination/placement/server_pick.rs
@@ -1,36 +1,45 @@
 //! The choice of a backend server.
 //!
 //! Answers hot prompt parts, uneven failure domains and herds of hosts: each server is priced in
-//! seconds until it would begin to answer, by what all hosts have sent there. A server that has
-//! read the prompt's first part begins sooner; one of another failure domain costs the bytes
-//! between the domains.
+//! seconds until it would begin to answer, by what all hosts have sent there. A server that keeps
+//! the beginning of the prompt begins sooner and saves the model's price of reading; one of another
+//! failure domain costs the bytes between the domains. So a prompt that is dear to read goes where
+//! it is kept, and one that is cheap to read stays in its domain.
 
+use std::collections::BTreeMap;
 use std::hash::Hasher;
 use std::sync::Arc;
 
 use galenamast::state::TimePoint;
 use siphasher::sip::SipHasher13;
 
-use crate::coordination::placement::LoadBook;
+use crate::coordination::placement::load_book::FIXED_TOKENS;
+use crate::coordination::placement::{LoadBook, PromptPath, server_tag};
 use crate::state::ServerEntry;
 
 /// Settings of the choice.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PickSettings {
-    /// Servers that are expected to keep a prompt part.
-    pub spread: usize,
-    /// Part of the reading that is left where the prompt part is kept.
-    pub kept_part: f64,
-    /// Cost of a server in another failure domain, in seconds.
-    pub domain_cost: f64,
+    /// Likelihood that an engine keeps what it was seen to read.
+    pub kept_share: f64,
+    /// Likelihood that the one engine to which all hosts send a beginning keeps it.
+    pub home_share: f64,
+    /// Likelihood that the engine to which the hosts of a domain send a beginning keeps it.
+    pub domain_home_share: f64,
+    /// Seconds that are worth one unit of price.
+    pub seconds_per_price: f64,
+    /// Price of a byte between failure domains, by the users' sheet.
+    pub byte_price: f64,
 }
 
 impl Default for PickSettings {
     fn default() -> Self {
         Self {
-            spread: 3,
-            kept_part: 0.3,
-            domain_cost: 0.3,
+            kept_share: 0.85,
+            home_share: 0.6,
+            domain_home_share: 0.35,
+            seconds_per_price: 4.0,
+            byte_price: 5.5e-6,
         }
     }
 }
@@ -40,9 +49,17 @@
 pub struct PickQuery<'a> {
     /// Failure domain of the host.
     pub domain: &'a str,
-    /// Digest of the prompt part that requests share; `None` for plain services.
-    pub affinity: Option<u64>,
-    /// Work of the request, in seconds of an ordinary server.
+    /// The prompt as the model reads it; `None` for plain services.
+    pub prompt: Option<&'a PromptPath>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Tokens of the prompt that engines were seen to read, by short name.
+    pub kept: BTreeMap<u32, u32>,
+    /// Price of a token that is read.
+    pub read_price: f64,
+    /// Bytes of the request and of its answer.
+    pub bytes: f64,
+    /// Work of the request if nothing is kept, in seconds of an ordinary server.
     pub work: f64,
     /// Servers that were tried.
     pub excluded: &'a [Arc<str>],
@@ -57,10 +74,12 @@
     pub server: ServerEntry,
     /// Servers that could have been chosen.
     pub candidates: usize,
-    /// Seconds until it is predicted to begin to answer, with what else is held against it.
-    pub cost: f64,
+    /// Seconds until it is predicted to begin to answer; servers that fail or refuse count more.
+    pub wait: f64,
     /// Seconds until an ordinary server that keeps nothing of the prompt would begin.
     pub ordinary: f64,
+    /// Work of the request there, in seconds of an ordinary server.
+    pub work: f64,
 }
 
 /// Picks a server among those that take work.
@@ -73,45 +92,85 @@
 ) -> Option<ServerPick> {
     let fresh = |entry: &&&ServerEntry| !query.excluded.contains(&entry.id);
     let mut candidates: Vec<&ServerEntry> = serving.iter().filter(fresh).copied().collect();
-    if let Some(part) = query.affinity {
-        candidates.sort_by_key(|entry| std::cmp::Reverse(rank(part, &entry.id)));
-    }
-    let total = candidates.len();
-    let kept = if query.affinity.is_some() {
-        settings.spread.min(total)
-    } else {
-        0
-    };
     // Among servers that cost the same, each request has its own order.
-    candidates[kept..].sort_by_key(|entry| rank(query.point, &entry.id));
-    let priced = candidates.iter().enumerate().map(|(place, entry)| {
-        let is_kept = place < kept;
-        let work = if is_kept {
-            query.work * settings.kept_part
-        } else {
-            query.work
-        };
-        let lanes = lanes_of(query, entry);
+    candidates.sort_by_cached_key(|entry| rank(query.point, &entry.id));
+    let homes = find_homes(&candidates, query);
+    let far_cost = query.bytes * settings.byte_price * settings.seconds_per_price;
+    let priced = candidates.iter().map(|entry| {
+        let kept = kept_tokens(entry, query, &homes, settings);
+        let read = f64::from(query.prompt_tokens) - kept;
+        let work = query.work * (1.0 - kept / (f64::from(query.prompt_tokens) + FIXED_TOKENS));
         let far = if *entry.domain == *query.domain {
             0.0
         } else {
-            settings.domain_cost
+            far_cost
         };
-        let cost = loads.cost(&entry.id, work, lanes, now) + far;
-        (cost, *entry)
+        let reading = read * query.read_price * settings.seconds_per_price;
+        let wait = loads.cost(&entry.id, work, lanes_of(query, entry), now);
+        (wait + far + reading, wait, work, *entry)
     });
-    let (cost, server) = priced.min_by(|(left, _), (right, _)| left.total_cmp(right))?;
+    let (_, wait, work, server) = priced.min_by(|left, right| left.0.total_cmp(&right.0))?;
     Some(ServerPick {
         server: server.clone(),
-        candidates: total,
-        cost,
+        candidates: candidates.len(),
+        wait,
         ordinary: loads.queue(&server.id, lanes_of(query, server), now) + query.work,
+        work,
     })
 }
 
+/// The servers to which hosts that know nothing send the beginning of a prompt.
+#[derive(Debug, Default)]
+struct PromptHomes {
+    tokens: f64,
+    overall: Arc<str>,
+    by_domain: BTreeMap<Arc<str>, Arc<str>>,
+}
+
+/// Finds the servers to which hosts that know nothing send the beginning of a prompt.
+fn find_homes(candidates: &[&ServerEntry], query: &PickQuery<'_>) -> PromptHomes {
+    let Some(home) = query.prompt.and_then(PromptPath::home) else {
+        return PromptHomes::default();
+    };
+    let mut ranked: Vec<(u64, &ServerEntry)> = candidates
+        .iter()
+        .map(|entry| (rank(home.key, &entry.id), *entry))
+        .collect();
+    ranked.sort_by_key(|(rank, _)| *rank);
+    let by_domain = ranked
+        .iter()
+        .map(|(_, entry)| (entry.domain.clone(), entry.id.clone()));
+    PromptHomes {
+        tokens: f64::from(home.tokens),
+        overall: ranked
+            .last()
+            .map_or_else(Arc::default, |(_, entry)| entry.id.clone()),
+        // The last of a domain, which is its highest, stays.
+        by_domain: by_domain.collect(),
+    }
+}
+
+/// Returns the tokens of a prompt that a server is expected to keep.
+fn kept_tokens(
+    entry: &ServerEntry,
+    query: &PickQuery<'_>,
+    homes: &PromptHomes,
+    settings: &PickSettings,
+) -> f64 {
+    let seen = query.kept.get(&server_tag(&entry.id)).copied().unwrap_or(0);
+    let likelihood = if homes.overall == entry.id {
+        settings.home_share
+    } else if homes.by_domain.get(&entry.domain) == Some(&entry.id) {
+        settings.domain_home_share
+    } else {
+        0.0
+    };
+    (f64::from(seen) * settings.kept_share).max(homes.tokens * likelihood)
+}
+
 /// Returns how many requests a server runs side by side without delaying one another.
 fn lanes_of(query: &PickQuery<'_>, server: &ServerEntry) -> f64 {
-    match query.affinity {
+    match query.prompt {
         // An engine reads one prompt after the other.
         Some(_) => 1.0,
         None => f64::from(server.slots.max(1)),
--- /dev/null
+++ b/gateway/src/coordination/placement/server_tag.rs
@@ -0,0 +1,19 @@
+//! Short names of backend servers, for datagrams.
+
+use std::hash::Hasher;
+
+use siphasher::sip::SipHasher13;
+
+/// Returns the short hash of a server's identifier, the same on all hosts.
+///
+/// ```
+/// use galenamast_gateway::coordination::placement::server_tag;
+///
+/// assert_eq!(server_tag("i-1"), server_tag("i-1"));
+/// assert_ne!(server_tag("i-1"), server_tag("i-2"));
+/// ```
+pub fn server_tag(server: &str) -> u32 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(server.as_bytes());
+    (hasher.finish() >> 32) as u32
+}
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::coordination::budgets::{RepeatBudget, RepeatPurpose};
-use crate::coordination::placement::{LoadBook, ServerTable};
+use crate::coordination::placement::{KeptParts, LoadBook, ServerTable};
 use crate::coordination::requests::CrashBook;
 use crate::coordination::rollouts::RolloutBoard;
 use crate::protocol::{PeerMessage, PlatformFormat};
@@ -61,6 +61,7 @@
     pub stopping: AtomicBool,
     servers: Mutex<ServerTable>,
     loads: Mutex<LoadBook>,
+    kept: Mutex<KeptParts>,
     budgets: Mutex<BTreeMap<Arc<str>, RepeatBudget>>,
     rollouts: Mutex<RolloutBoard>,
     crashes: Mutex<CrashBook>,
@@ -88,6 +89,7 @@
             stopping: AtomicBool::new(false),
             servers: Mutex::new(ServerTable::default()),
             loads: Mutex::new(LoadBook::new(settings.loads)),
+            kept: Mutex::new(KeptParts::new(settings.kept)),
             budgets: Mutex::new(BTreeMap::new()),
             rollouts: Mutex::new(RolloutBoard::new(settings.rollouts)),
             crashes: Mutex::new(CrashBook::new(settings.crashes)),
@@ -111,6 +113,11 @@
         lock(&self.loads)
     }
 
+    /// Locks the beliefs about kept parts of prompts.
+    pub fn kept(&self) -> MutexGuard<'_, KeptParts> {
+        lock(&self.kept)
+    }
+
     /// Locks the roll-outs.
     pub fn rollouts(&self) -> MutexGuard<'_, RolloutBoard> {
         lock(&self.rollouts)
--- a/gateway/src/transport/gateway_settings.rs
+++ b/gateway/src/transport/gateway_settings.rs
@@ -6,7 +6,7 @@
 
 use crate::coordination::budgets::BudgetSettings;
 use crate::coordination::cascade::CascadeSettings;
-use crate::coordination::placement::{LoadSettings, PickSettings};
+use crate::coordination::placement::{KeptSettings, LoadSettings, PickSettings};
 use crate::coordination::requests::CrashSettings;
 use crate::coordination::rollouts::RolloutSettings;
 
@@ -55,6 +55,8 @@
     pub cascade: CascadeSettings,
     /// Beliefs about servers.
     pub loads: LoadSettings,
+    /// Beliefs about kept parts of prompts.
+    pub kept: KeptSettings,
     /// Choice of servers.
     pub picks: PickSettings,
     /// Roll-outs.
@@ -87,6 +89,7 @@
             budget: BudgetSettings::default(),
             cascade: CascadeSettings::default(),
             loads: LoadSettings::default(),
+            kept: KeptSettings::default(),
             picks: PickSettings::default(),
             rollouts: RolloutSettings::default(),
             crashes: CrashSettings::default(),
--- a/gateway/src/transport/peer_exchange.rs
+++ b/gateway/src/transport/peer_exchange.rs
@@ -160,8 +160,10 @@
             continue;
         };
         match postcard::from_bytes(&buffer[..length]) {
-            Ok(PeerMessage::Loads(shares)) => {
-                context.loads().note_told(peer, &shares, context.now());
+            Ok(PeerMessage::Sent { loads, reads }) => {
+                let now = context.now();
+                context.loads().note_told(peer, &loads, now);
+                context.kept().note_told(&reads, now);
             }
             Ok(PeerMessage::Crash(note)) => {
                 context
@@ -187,10 +189,13 @@
         PeerReach::OtherDomains => (FAR_PERIOD, FAR_BYTES_PER_SECOND),
     };
     let mut said_nothing = false;
+    let mut told_reads = 0;
     loop {
-        let shares = context.loads().own_shares();
-        let is_idle = shares.is_empty();
-        let Ok(message) = postcard::to_stdvec(&PeerMessage::Loads(shares)) else {
+        let loads = context.loads().own_shares();
+        let (reads, count) = context.kept().own_reads_since(told_reads);
+        told_reads = count;
+        let is_idle = loads.is_empty() && reads.is_empty();
+        let Ok(message) = postcard::to_stdvec(&PeerMessage::Sent { loads, reads }) else {
             return;
         };
         let peers = peers_within(context, reach);
--- a/gateway/src/transport/request_exchange.rs
+++ b/gateway/src/transport/request_exchange.rs
@@ -11,14 +11,15 @@
 
 use crate::coordination::budgets::RepeatPurpose;
 use crate::coordination::cascade::{confidence_bound, wants_larger};
-use crate::coordination::placement::{PickQuery, ServerPick, pick_server};
+use crate::coordination::placement::{PickQuery, PromptPath, ServerPick, pick_server};
 use crate::coordination::requests::{
     AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, NextStep, final_answer, next_step,
 };
 use crate::coordination::rollouts::{VersionRule, version_groups};
 use crate::protocol::{DecisionInputs, GatewayRecord, PeerMessage};
 use crate::state::{
-    AnswerGrade, AttemptHead, CallerHead, CrashNote, RouteKind, ServerEntry, ServiceRoute,
+    AnswerGrade, AttemptHead, CallerHead, CrashNote, EngineModel, RouteImage, RouteKind,
+    ServerEntry, ServiceRoute,
 };
 use crate::transport::answer_body::AnswerBody;
 use crate::transport::attempt_runner::{
@@ -48,6 +49,15 @@
 /// Width of the size classes of prompts, as a power of two in tokens.
 const SIZE_CLASS_SHIFT: u32 = 10;
 
+/// Tokens that a model's price is stated for.
+const TOKENS_PER_PRICE: f64 = 1_000.0;
+/// Part of a generated token's price that a token costs that is read.
+const READ_PART: f64 = 0.25;
+/// Bytes of an answer for a token; an event of three tokens takes some fifty bytes.
+const BYTES_PER_TOKEN: f64 = 17.0;
+/// Bytes of the heads of a request and of its answer.
+const FIXED_BYTES: f64 = 700.0;
+
 /// One request.
 #[derive(Debug)]
 pub(crate) struct RequestExchange {
@@ -58,7 +68,7 @@
     pub(crate) started_at: TimePoint,
     pub(crate) tally: AttemptTally,
     service: Arc<str>,
-    configuration: u64,
+    image: Arc<RouteImage>,
     parts: Parts,
     body: HeldBody,
     head: CallerHead,
@@ -114,7 +124,7 @@
         Self {
             deadline: started_at + allowed.saturating_sub(ANSWER_MARGIN),
             service: target.unwrap_or_default(),
-            configuration: image.version,
+            image,
             model: route.models.first().filter(|_| head.any_model).cloned(),
             urgency: route.priority.saturating_add(priority).min(LEAST_URGENCY),
             workspace: workspace_name,
@@ -224,12 +234,18 @@
         let smaller = self
             .model
             .replace(self.route.models[self.route.models.len() - 1].clone());
-        let predicted = self.find_server().map_or(f64::INFINITY, |pick| pick.cost);
+        let pick = self.find_server();
         self.model = smaller;
-        let pressure = predicted / self.route.goal.as_secs_f64();
+        let Some(pick) = pick else {
+            return false;
+        };
+        let goal = self.route.goal.as_secs_f64();
+        let pressure = (pick.wait - pick.work).max(0.0) / goal;
         let bound = confidence_bound(self.head.prompt_tokens, pressure, settings);
         let elapsed = self.context.now().since(self.started_at);
-        wants_larger(confidence, bound, elapsed, self.route.goal, settings)
+        let ready_in =
+            elapsed.saturating_add(Duration::try_from_secs_f64(pick.wait).unwrap_or(Duration::MAX));
+        wants_larger(confidence, bound, ready_in, self.route.goal, settings)
             && self
                 .context
                 .take_repeat(&self.service, RepeatPurpose::Cascade)
@@ -262,6 +278,7 @@
             let patience = self.patience(left);
             self.log_choice(&pick);
             self.note_session(&server);
+            self.note_read(&server);
             let sent_at = self.context.now();
             let call = AttemptCall {
                 parts: &self.parts,
@@ -269,7 +286,7 @@
                 request: &self.request,
                 needs_fresh: self.route.kind == RouteKind::Unsafe,
                 patience,
-                work: self.work(),
+                work: pick.work,
                 head: AttemptHead {
                     server: server.id.clone(),
                     time_left: left,
@@ -462,15 +479,19 @@
         };
         let servers = self.context.servers();
         let serving = servers.serving(&self.service, now);
-        let affinity = self.head.parts.first().map(|part| {
-            let model = self.model.as_ref().or(self.head.model.as_ref());
-            part.digest ^ stable_hash(&[model.map_or(b"", |model| model.as_bytes())])
-        });
-        let work = self.work();
+        let prompt = self.prompt_path();
+        let kept = prompt
+            .as_ref()
+            .map(|path| self.context.kept().kept_tokens(path, now));
+        let answer_bytes = f64::from(self.head.answer_tokens) * BYTES_PER_TOKEN;
         let query = PickQuery {
-            work,
+            work: self.work(),
             domain: &self.context.settings.domain,
-            affinity,
+            prompt: prompt.as_ref(),
+            prompt_tokens: self.head.prompt_tokens,
+            kept: kept.unwrap_or_default(),
+            read_price: self.read_price(),
+            bytes: self.body.bytes.len() as f64 + answer_bytes + FIXED_BYTES,
             excluded: &self.tried,
             point: rand::rng().random(),
         };
@@ -481,6 +502,36 @@
             .find_map(|group| pick_server(&group, &query, &loads, settings, now))
     }
 
+    /// Returns the model that the request names or that was chosen for it.
+    fn named_model(&self) -> &str {
+        let model = self.model.as_deref().or(self.head.model.as_deref());
+        model.unwrap_or_default()
+    }
+
+    /// Returns the prompt as the model reads it; `None` on plain services.
+    fn prompt_path(&self) -> Option<PromptPath> {
+        let has_parts = !self.head.parts.is_empty();
+        has_parts.then(|| PromptPath::new(self.named_model(), &self.head.parts))
+    }
+
+    /// Returns the price of a token that the model reads.
+    fn read_price(&self) -> f64 {
+        let service = self.image.services.get(&self.service);
+        let model = service.and_then(|service| {
+            let named = |model: &&EngineModel| *model.name == *self.named_model();
+            service.models.iter().find(named)
+        });
+        model.map_or(0.0, |model| model.cost / TOKENS_PER_PRICE * READ_PART)
+    }
+
+    /// Notes what an engine reads.
+    fn note_read(&self, server: &ServerEntry) {
+        if let Some(path) = self.prompt_path() {
+            let now = self.context.now();
+            self.context.kept().note_read(&path, &server.id, now);
+        }
+    }
+
     /// Returns how long the head of an answer is waited for.
     fn patience(&self, left: Duration) -> Duration {
         if !self.route.is_repeatable() || self.tally.runs + 1 >= self.route.attempts {
@@ -549,12 +600,12 @@
             version: pick.server.version.clone(),
             model: self.model.clone(),
             inputs: DecisionInputs {
-                configuration: self.configuration,
+                configuration: self.image.version,
                 servers_age_ms: millis(age),
                 prompt_tokens: self.head.prompt_tokens,
                 candidates: pick.candidates,
                 in_flight: load.in_flight,
-                predicted_ms: (pick.cost * 1_000.0) as u64,
+                predicted_ms: (pick.wait * 1_000.0) as u64,
             },
         };
         log_record(Level::Info, &record);
--- a/gateway/src/transport/store_feeds.rs
+++ b/gateway/src/transport/store_feeds.rs
@@ -181,11 +181,15 @@
 fn note_server(context: &GatewayContext, entry: &ServerEntry, change: TableChange) {
     match change {
         TableChange::Same => return,
-        TableChange::Appeared => context.loads().reset(&entry.id),
+        TableChange::Appeared => {
+            context.loads().reset(&entry.id);
+            context.kept().forget(&entry.id);
+        }
         TableChange::Draining => context.pool.clear(entry.address),
         TableChange::Gone => {
             context.pool.clear(entry.address);
             context.loads().forget(&entry.id);
+            context.kept().forget(&entry.id);
         }
     }
     let record = GatewayRecord::ServerChanged {
--- a/gateway/tests/decisions/cascade.rs
+++ b/gateway/tests/decisions/cascade.rs
@@ -44,3 +44,16 @@
     ));
     assert!(!wants_larger(80.0, 70.0, Duration::ZERO, goal, &settings));
 }
+
+/// Load pattern: the longest prompts on idle engines. The larger model reads them in time, so that
+/// their size alone is no reason against it; what it would read past the goal is.
+#[test]
+fn a_long_prompt_on_idle_engines_is_read_again_if_the_goal_allows_it() {
+    let settings = CascadeSettings::default();
+    let goal = Duration::from_secs(3);
+    let bound = confidence_bound(30_000, 0.0, &settings);
+    let is_run =
+        |ready_in| wants_larger(5.0, bound, Duration::from_millis(ready_in), goal, &settings);
+    assert!(is_run(2_200));
+    assert!(!is_run(2_900));
+}
--- a/gateway/tests/decisions/placement.rs
+++ b/gateway/tests/decisions/placement.rs
@@ -8,14 +8,72 @@
 
 use galenamast::state::TimePoint;
 use galenamast_gateway::coordination::placement::{
-    LoadBook, LoadSettings, PickQuery, PickSettings, pick_server,
+    KeptParts, KeptSettings, LoadBook, LoadSettings, PartRead, PickQuery, PickSettings, PromptPath,
+    ServerPick, pick_server,
 };
-use galenamast_gateway::state::ServerEntry;
+use galenamast_gateway::state::{PromptPart, ServerEntry};
 use rand::{Rng, SeedableRng};
 
 /// Work of a request in these tests, in seconds.
 const WORK: f64 = 0.1;
 
+/// Tokens of a prompt in these tests.
+const TOKENS: u32 = 17_000;
+/// Tokens of the part that requests share.
+const SHARED_TOKENS: u32 = 13_000;
+/// Price of a token that a large model reads.
+const LARGE_PRICE: f64 = 3e-5;
+
+/// Returns a prompt of a shared part and one of its own.
+fn prompt(model: &str, shared: u64, own: u64) -> PromptPath {
+    let parts = [
+        (shared, SHARED_TOKENS),
+        (1_000_000 + own, TOKENS - SHARED_TOKENS),
+    ];
+    PromptPath::new(
+        model,
+        &parts.map(|(digest, tokens)| PromptPart { digest, tokens }),
+    )
+}
+
+/// Picks a server for a prompt on a host that knows what engines keep.
+fn pick_kept(
+    servers: &[ServerEntry],
+    kept: &KeptParts,
+    path: &PromptPath,
+    (work, read_price): (f64, f64),
+    now: TimePoint,
+) -> ServerPick {
+    let serving: Vec<&ServerEntry> = servers.iter().collect();
+    let query = PickQuery {
+        domain: "north",
+        prompt: Some(path),
+        prompt_tokens: TOKENS,
+        kept: kept.kept_tokens(path, now),
+        read_price,
+        work,
+        bytes: 20_000.0,
+        ..PickQuery::default()
+    };
+    let book = LoadBook::new(LoadSettings::default());
+    pick_server(&serving, &query, &book, &PickSettings::default(), now).expect("servers are left")
+}
+
+/// Returns beliefs in which an engine of another domain than "north", which is not where hosts that
+/// know nothing would send the prompt, keeps its shared part, and that engine.
+fn kept_far(servers: &[ServerEntry], model: &str, now: TimePoint) -> (KeptParts, ServerEntry) {
+    let path = prompt(model, 7, 0);
+    let unknown = KeptParts::new(KeptSettings::default());
+    let home = pick_kept(servers, &unknown, &path, (0.0, LARGE_PRICE), now).server;
+    let far = servers
+        .iter()
+        .find(|server| &*server.domain != "north" && server.id != home.id);
+    let far = far.expect("another domain has servers").clone();
+    let mut kept = KeptParts::new(KeptSettings::default());
+    kept.note_read(&path, &far.id, now);
+    (kept, far)
+}
+
 /// Returns servers, three a failure domain.
 fn servers(domains: &[&str]) -> Vec<ServerEntry> {
     let mut servers = Vec::new();
@@ -48,12 +106,15 @@
     let now = TimePoint::from_millis(1);
     let mut counts = BTreeMap::new();
     for number in 0..requests {
+        let prompt = prompt("small", part(number), number as u64);
         let query = PickQuery {
             domain: "north",
-            affinity: Some(part(number)),
+            prompt: Some(&prompt),
+            prompt_tokens: TOKENS,
             work: WORK,
-            excluded: &[],
+            bytes: 20_000.0,
             point: number as u64,
+            ..PickQuery::default()
         };
         let pick = pick_server(&serving, &query, book, &PickSettings::default(), now)
             .expect("servers are left");
@@ -188,3 +249,94 @@
         "{counts:?}"
     );
 }
+
+/// A prompt that is dear to read again, kept in another failure domain only.
+#[test]
+fn a_prompt_that_is_dear_to_read_goes_where_it_is_kept() {
+    let all = servers(&["north", "south", "west"]);
+    let now = TimePoint::from_millis(1);
+    let (kept, far) = kept_far(&all, "large", now);
+    let path = prompt("large", 7, 1);
+    let pick = pick_kept(&all, &kept, &path, (1.0, LARGE_PRICE), now);
+    assert_eq!(pick.server.id, far.id);
+    assert!(pick.work < 0.5, "the kept part is not read: {}", pick.work);
+}
+
+/// A prompt that a small model reads at a trifle, kept in another failure domain only.
+#[test]
+fn a_prompt_that_is_cheap_to_read_stays_in_its_domain() {
+    let all = servers(&["north", "south", "west"]);
+    let now = TimePoint::from_millis(1);
+    let (kept, _) = kept_far(&all, "small", now);
+    let path = prompt("small", 7, 1);
+    let pick = pick_kept(&all, &kept, &path, (0.02, 0.0), now);
+    assert_eq!(&*pick.server.domain, "north");
+}
+
+#[test]
+fn what_one_model_read_is_not_kept_for_another() {
+    let all = servers(&["north", "south", "west"]);
+    let now = TimePoint::from_millis(1);
+    let (kept, _) = kept_far(&all, "small", now);
+    assert!(!kept.kept_tokens(&prompt("small", 7, 1), now).is_empty());
+    assert!(kept.kept_tokens(&prompt("large", 7, 1), now).is_empty());
+}
+
+/// Prompts of one part that arrive at many hosts: each host follows what the others had read.
+#[test]
+fn hosts_that_tell_one_another_read_a_part_once() {
+    let all = servers(&["north", "south", "west"]);
+    let now = TimePoint::from_millis(1);
+    let (teller, far) = kept_far(&all, "large", now);
+    let (reads, count) = teller.own_reads_since(0);
+    assert_eq!((reads.len(), count), (1, 1));
+    let mut listener = KeptParts::new(KeptSettings::default());
+    listener.note_told(&reads, now);
+    let path = prompt("large", 7, 1);
+    let pick = pick_kept(&all, &listener, &path, (1.0, LARGE_PRICE), now);
+    assert_eq!(pick.server.id, far.id);
+    assert_eq!(teller.own_reads_since(count), (Vec::new(), 1));
+}
+
+#[test]
+fn an_engine_that_started_anew_keeps_nothing() {
+    let all = servers(&["north", "south", "west"]);
+    let now = TimePoint::from_millis(1);
+    let (mut kept, far) = kept_far(&all, "large", now);
+    kept.forget(&far.id);
+    assert!(kept.kept_tokens(&prompt("large", 7, 1), now).is_empty());
+}
+
+#[test]
+fn what_nobody_used_for_long_is_not_believed_to_be_kept() {
+    let all = servers(&["north", "south", "west"]);
+    let now = TimePoint::from_millis(1);
+    let (kept, _) = kept_far(&all, "large", now);
+    let later = now + KeptSettings::default().lifetime + Duration::from_millis(1);
+    assert!(kept.kept_tokens(&prompt("large", 7, 1), later).is_empty());
+}
+
+/// Ten times the prompts that are remembered: the oldest yield, in what is believed and in what
+/// waits to be told.
+#[test]
+fn what_is_remembered_of_prompts_is_bounded() {
+    let settings = KeptSettings {
+        capacity: 10,
+        told_capacity: 4,
+        ..KeptSettings::default()
+    };
+    let mut kept = KeptParts::new(settings);
+    let now = TimePoint::from_millis(1);
+    for shared in 0..100 {
+        kept.note_read(&prompt("large", shared, shared), "i-1", now);
+    }
+    let remembered = (0..100).filter(|shared| {
+        let path = prompt("large", *shared, *shared);
+        !kept.kept_tokens(&path, now).is_empty()
+    });
+    assert_eq!(remembered.count(), 5, "each prompt has two beginnings");
+    let (reads, count) = kept.own_reads_since(0);
+    assert_eq!((reads.len(), count), (4, 100));
+    let newest: Vec<PartRead> = kept.own_reads_since(98).0;
+    assert_eq!(newest, reads[2..]);
+}
