Ask a lost server's neighbours before a request is blamed

Ruled out: counting crashes only if sent one after the other (a request sent on a pooled connection to a cut server breaks after a millisecond, as a crash does).

Now two neighbours of the lost server are asked for a connection; if they are lost too, nobody is blamed.

--- a/gateway/src/coordination/placement/server_table.rs
+++ b/gateway/src/coordination/placement/server_table.rs
@@ -128,6 +128,11 @@
         self.entries.get(id)
     }
 
+    /// Returns all servers that are listed.
+    pub fn listed(&self) -> impl Iterator<Item = &ServerEntry> + Clone {
+        self.entries.values()
+    }
+
     /// Returns the servers of a service that take work, or those that lapsed a moment ago if no
     /// other is left.
     pub fn serving(&self, service: &str, now: TimePoint) -> Vec<&ServerEntry> {
--- a/gateway/src/transport/request_exchange.rs
+++ b/gateway/src/transport/request_exchange.rs
@@ -14,6 +14,7 @@
 use crate::coordination::placement::{PickQuery, PromptPath, ServerPick, pick_server};
 use crate::coordination::requests::{
     AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, NextStep, final_answer, next_step,
+    pick_witnesses,
 };
 use crate::coordination::rollouts::{VersionRule, version_groups};
 use crate::protocol::{DecisionInputs, GatewayRecord, PeerMessage};
@@ -376,6 +377,11 @@
         }
         let now = self.context.now();
         self.context.loads().note_refused(&server.id, now);
+        if self.is_cut_off(server).await {
+            self.context.metrics.count("cuts_seen_total");
+            return;
+        }
+        let now = self.context.now();
         let crashes = self
             .context
             .crashes()
@@ -397,6 +403,17 @@
         }
     }
 
+    /// Returns whether a lost server's neighbours are lost too.
+    async fn is_cut_off(&self, server: &ServerEntry) -> bool {
+        let witnesses = pick_witnesses(self.context.servers().listed(), server, &self.tried);
+        for witness in &witnesses {
+            if accepts_connections(witness.address).await {
+                return false;
+            }
+        }
+        !witnesses.is_empty()
+    }
+
     /// Notes which version serves the session, here and, where it matters, at other hosts.
     fn note_session(&self, server: &ServerEntry) {
         let (service, version, now) = (&self.service, &server.version, self.context.now());
--- a/gateway/tests/decisions/crashes.rs
+++ b/gateway/tests/decisions/crashes.rs
@@ -4,7 +4,22 @@
 use std::time::Duration;
 
 use galenamast::state::TimePoint;
-use galenamast_gateway::coordination::requests::{CrashBook, CrashSettings};
+use galenamast_gateway::coordination::requests::{CrashBook, CrashSettings, pick_witnesses};
+use galenamast_gateway::state::ServerEntry;
+
+/// Returns a server of a failure domain.
+fn server(id: &str, domain: &str) -> ServerEntry {
+    ServerEntry {
+        id: id.into(),
+        service: "desk".into(),
+        address: ([127, 0, 0, 1], 9_000).into(),
+        domain: domain.into(),
+        version: "v1".into(),
+        slots: 6,
+        draining: false,
+        born_ms: None,
+    }
+}
 
 #[test]
 fn what_crashed_two_servers_goes_to_no_third() {
@@ -77,3 +92,35 @@
     }
     assert!(book.is_refused(1, start + Duration::from_millis(90)));
 }
+
+/// A cut shows in neighbours: those of the lost server's domain that the request did not meet.
+#[test]
+fn a_lost_server_is_witnessed_by_its_neighbours() {
+    let mut all = vec![
+        server("i-1", "south"),
+        server("i-2", "south"),
+        server("i-3", "south"),
+    ];
+    all.push(server("i-4", "south"));
+    all.push(server("i-5", "north"));
+    all[3].draining = true;
+    let names = |tried: &[Arc<str>]| {
+        let picked = pick_witnesses(all.iter(), &all[0], tried);
+        picked
+            .iter()
+            .map(|entry| entry.id.to_string())
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(
+        names(&[]),
+        ["i-2", "i-3"],
+        "those that leave are no witnesses"
+    );
+    assert_eq!(names(&["i-2".into()]), ["i-3"]);
+    assert_eq!(
+        names(&["i-2".into(), "i-3".into()]),
+        ["i-5"],
+        "or any other"
+    );
+    assert!(pick_witnesses(all[..1].iter(), &all[0], &[]).is_empty());
+}
