Rest and wait on the store by what binds, and hear roll-outs late when idle

The rests after a change were fixed at 350 and 600 ms whatever the bounds, and the watch of the roll-outs came back every few seconds though none was under way.

Rests are 0.3 of the bound; the idle watch of the roll-outs waits 15 s. What a silent connection could hide for so long is heard with the other parts' return, or asked for when a server of an unknown version appears.

--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -49,6 +49,8 @@
     pub store_returns: watch::Sender<u64>,
     /// Is told when a roll-out may need a report.
     pub rollout_news: Notify,
+    /// Tells that a server of an unknown version appeared.
+    pub version_seen: Arc<Notify>,
     /// When the store last confirmed the configuration.
     pub confirmed_at: Mutex<Option<TimePoint>>,
     /// Allows one read of the configuration at a time outside the watch.
@@ -82,6 +84,7 @@
             metrics: GatewayMetrics::default(),
             store_returns: watch::Sender::new(0),
             rollout_news: Notify::new(),
+            version_seen: Arc::default(),
             confirmed_at: Mutex::new(None),
             refresh: tokio::sync::Mutex::new(()),
             in_flight: AtomicUsize::new(0),
--- a/gateway/src/transport/store_feeds.rs
+++ b/gateway/src/transport/store_feeds.rs
@@ -19,12 +19,14 @@
 /// Name of the object that holds the configuration.
 const CONFIGURATION_NAME: &str = "main";
 
-/// Rest after a change of the configuration; well within the time in which it must be in force.
-const CONFIGURATION_REST: Duration = Duration::from_millis(350);
-/// Rest after a change of the servers; well within the time in which a leaving one must be left.
-const SERVERS_REST: Duration = Duration::from_millis(600);
+/// Part of the time in which a change binds the host that it rests after a change; the rest is for
+/// the next call and for a slow store.
+const REST_PART: f64 = 0.3;
 /// Rest after a change of the roll-outs; well within the time in which a bad version must be left.
 const ROLLOUTS_REST: Duration = Duration::from_millis(400);
+/// Wait of the watch of the roll-outs while none is under way. A silent connection may hide an order
+/// for so long; the servers of the new version show it.
+const IDLE_WAIT: Duration = Duration::from_secs(15);
 /// Part of the time in which a silent connection may pass unnoticed that a watch waits; the rest is
 /// for noticing, connecting and reading anew.
 const WATCH_PART: f64 = 0.65;
@@ -32,8 +34,10 @@
 /// Starts to follow the store.
 pub(crate) fn start_feeds(context: &Arc<GatewayContext>) -> Vec<JoinHandle<()>> {
     let (images, servers) = (context.clone(), context.clone());
-    let rollouts = context.clone();
-    let settings = &context.settings;
+    let (rollouts, orders) = (context.clone(), context.clone());
+    let bound = context.settings.configuration_bound;
+    let binding_wait = watch_wait(context, bound);
+    let order_wait = watch_wait(context, context.settings.rollback_bound);
     let follow = |followed, take: Box<dyn Fn(KindNews) + Send + Sync>| {
         tokio::spawn(follow_kind(context.clone(), followed, take))
     };
@@ -42,8 +46,9 @@
             FollowedKind {
                 kind: ObjectKind::Configuration,
                 part: "configuration",
-                rest: CONFIGURATION_REST,
-                wait: watch_wait(context, settings.configuration_bound),
+                rest: bound.mul_f64(REST_PART),
+                wait: Box::new(move || binding_wait),
+                wake: Arc::default(),
             },
             Box::new(move |news| take_configuration(&images, news)),
         ),
@@ -51,8 +56,9 @@
             FollowedKind {
                 kind: ObjectKind::Servers,
                 part: "servers",
-                rest: SERVERS_REST,
-                wait: watch_wait(context, settings.configuration_bound),
+                rest: bound.mul_f64(REST_PART),
+                wait: Box::new(move || binding_wait),
+                wake: Arc::default(),
             },
             Box::new(move |news| take_servers(&servers, news)),
         ),
@@ -61,7 +67,14 @@
                 kind: ObjectKind::Rollouts,
                 part: "rollouts",
                 rest: ROLLOUTS_REST,
-                wait: watch_wait(context, settings.rollback_bound),
+                wait: Box::new(move || {
+                    if orders.rollouts().is_busy() {
+                        order_wait
+                    } else {
+                        IDLE_WAIT
+                    }
+                }),
+                wake: context.version_seen.clone(),
             },
             Box::new(move |news| take_rollouts(&rollouts, news)),
         ),
@@ -184,6 +197,7 @@
         TableChange::Appeared => {
             context.loads().reset(&entry.id);
             context.kept().forget(&entry.id);
+            check_version(context, entry);
         }
         TableChange::Draining => context.pool.clear(entry.address),
         TableChange::Gone => {
@@ -201,6 +215,17 @@
     log_record(Level::Info, &record);
 }
 
+/// Asks for the roll-outs if a server appears whose version none is known to bring in.
+fn check_version(context: &GatewayContext, entry: &ServerEntry) {
+    let is_new = context
+        .servers()
+        .listed()
+        .any(|other| other.service == entry.service && other.version != entry.version);
+    if is_new && !context.rollouts().is_busy() {
+        context.version_seen.notify_one();
+    }
+}
+
 /// Takes in news of roll-outs.
 fn take_rollouts(context: &GatewayContext, news: KindNews) {
     let objects = match news {
--- a/gateway/src/transport/store_follower.rs
+++ b/gateway/src/transport/store_follower.rs
@@ -7,7 +7,7 @@
 use http::StatusCode;
 use log::Level;
 use rand::Rng;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::protocol::{GatewayRecord, ObjectChange, ObjectKind, ObjectQuery, StoredObject};
 use crate::transport::gateway_context::GatewayContext;
@@ -24,7 +24,6 @@
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 
 /// A kind of objects that is followed.
-#[derive(Clone, Copy, Debug)]
 pub(crate) struct FollowedKind {
     /// The kind.
     pub(crate) kind: ObjectKind,
@@ -32,8 +31,10 @@
     pub(crate) part: &'static str,
     /// Rest after a change before the next call, which gathers what changes meanwhile.
     pub(crate) rest: Duration,
-    /// Longest time that the store holds a call.
-    pub(crate) wait: Duration,
+    /// Returns the longest time that the store may hold the next call.
+    pub(crate) wait: Box<dyn Fn() -> Duration + Send + Sync>,
+    /// Wakes the follower to read the kind anew.
+    pub(crate) wake: Arc<Notify>,
 }
 
 /// News of a kind of objects.
@@ -112,11 +113,9 @@
         }
     }
 
-    /// Waits until another part hears the store again, if this one does not hear it.
+    /// Waits until another part hears the store again. A call that this part waits for may hang on
+    /// a connection that died with that part's.
     async fn heard_elsewhere(&mut self) {
-        if self.answers {
-            std::future::pending::<()>().await;
-        }
         // The sender lives as long as the process.
         let _ = self.returns.changed().await;
     }
@@ -181,7 +180,7 @@
     contact: &mut StoreContact,
 ) -> ControlFlow<(), u64> {
     let wait = if contact.answers {
-        followed.wait
+        (followed.wait)()
     } else {
         RETURN_WAIT
     };
@@ -193,8 +192,8 @@
     });
     let read = tokio::select! {
         read = context.store.read(&path, wait + WATCH_SLACK) => read,
-        // The call may hang on a connection that is dead; the next one goes through.
         () = contact.heard_elsewhere() => return ControlFlow::Continue(revision),
+        () = followed.wake.notified() => return ControlFlow::Break(()),
     };
     let changes = read.and_then(|body| Ok((context.format.read_changes)(&body)?));
     match changes {
