--- a/gateway/src/coordination/placement/load_book.rs
+++ b/gateway/src/coordination/placement/load_book.rs
@@ -36,6 +36,8 @@
     pub request_drag: f64,
     /// Seconds a token of a class of which nothing is known yet.
     pub first_pace: f64,
+    /// Weight of a new observation of what a prediction missed.
+    pub excess_weight: f64,
     /// Time for which the word of another host counts.
     pub told_lifetime: Duration,
 }
@@ -51,6 +53,7 @@
             failure_cost: 1.0,
             request_drag: 0.005,
             first_pace: 0.000_02,
+            excess_weight: 0.1,
             told_lifetime: Duration::from_millis(1_500),
         }
     }
@@ -100,6 +103,7 @@
     loads: BTreeMap<Arc<str>, ServerLoad>,
     expected: BTreeMap<(Arc<str>, u8), f64>,
     paces: BTreeMap<Arc<str>, f64>,
+    excesses: BTreeMap<Arc<str>, f64>,
     peers: BTreeMap<SocketAddr, (BTreeMap<u32, ServerShare>, TimePoint)>,
 }
 
@@ -271,6 +275,19 @@
         load.slowness = load.slowness.max(0.2);
     }
 
+    /// Returns the seconds by which answers of a route lately began later than predicted; engines
+    /// that are full keep less urgent routes waiting in ways that no host sees.
+    pub fn excess(&self, route: &str) -> f64 {
+        self.excesses.get(route).copied().unwrap_or(0.0).max(0.0)
+    }
+
+    /// Takes in when an answer of a route began, against the predicted seconds.
+    pub fn note_prediction(&mut self, route: &Arc<str>, predicted: f64, took: Duration) {
+        let missed = took.as_secs_f64() - predicted;
+        let excess = self.excesses.entry(route.clone()).or_insert(0.0);
+        *excess += self.settings.excess_weight * (missed - *excess);
+    }
+
     /// Takes in that a request succeeded.
     pub fn note_success(&mut self, server: &Arc<str>, now: TimePoint) {
         self.note_outcome(server, 0.0, now);
--- a/gateway/src/transport/request_exchange.rs
+++ b/gateway/src/transport/request_exchange.rs
@@ -84,6 +84,8 @@
     head_after: Option<Duration>,
     // Time to the first byte that an ordinary server was predicted to take.
     predicted: Duration,
+    // Seconds to the first byte that the chosen server was predicted to take.
+    wait: f64,
     pub(crate) longest_pause: Duration,
     // A version on trial that failed the request, which goes to the one before.
     spared: Option<Arc<str>>,
@@ -135,6 +137,7 @@
             last_failure: None,
             head_after: None,
             predicted: Duration::ZERO,
+            wait: 0.0,
             longest_pause: Duration::ZERO,
             spared: None,
             context,
@@ -241,11 +244,13 @@
             return false;
         };
         let goal = self.route.goal.as_secs_f64();
-        let pressure = (pick.wait - pick.work).max(0.0) / goal;
+        let excess = self.context.loads().excess(&self.route.name);
+        let pressure = ((pick.wait - pick.work).max(0.0) + excess) / goal;
         let bound = confidence_bound(self.head.prompt_tokens, pressure, settings);
         let elapsed = self.context.now().since(self.started_at);
-        let ready_in =
-            elapsed.saturating_add(Duration::try_from_secs_f64(pick.wait).unwrap_or(Duration::MAX));
+        let ready_in = elapsed.saturating_add(
+            Duration::try_from_secs_f64(pick.wait + excess).unwrap_or(Duration::MAX),
+        );
         wants_larger(confidence, bound, ready_in, self.route.goal, settings)
             && self
                 .context
@@ -435,6 +440,7 @@
             let mut loads = self.context.loads();
             loads.note_first(&server.id, &class, size, self.head.prompt_tokens, took);
             loads.note_success(&server.id, now);
+            loads.note_prediction(&self.route.name, self.wait, took);
         }
         let version = &server.version;
         let grade = self
@@ -480,6 +486,7 @@
         let pick = self.find_server()?;
         self.version = Some(pick.server.version.clone());
         self.predicted = Duration::from_secs_f64(pick.ordinary);
+        self.wait = pick.wait;
         Some(pick)
     }
 
