While the store is away one part of a host tries it

While the store was down each of a host's three watches tried it every 0.7 s; the writer of roll-out reports tried as often as it looked, all hosts alike; and 240 of 901 reads of the configuration were made to check refusals although the last word was younger than what binds a host.

The watch of the configuration finds the store again and tells the other parts; reports are retried with doubling pauses and at the store's return; a refusal is checked if the last word is older than three quarters of the bound.

--- a/gateway/src/transport/caller_gate.rs
+++ b/gateway/src/transport/caller_gate.rs
@@ -55,7 +55,7 @@
     }
     let first = check_image(context, parts, head);
     let age = context.configuration_age();
-    let is_fresh = age.is_some_and(|age| age < context.settings.refusal_age);
+    let is_fresh = age.is_some_and(|age| age < context.settings.refusal_age());
     match first {
         Ok(admission) => Ok(admission),
         Err(status) if is_fresh && status != StatusCode::SERVICE_UNAVAILABLE => {
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -47,6 +47,8 @@
     ),
     /// Counts how often a part heard the store again after it had not.
     pub store_returns: watch::Sender<u64>,
+    /// Whether the part that finds the store again hears it.
+    pub store_answers: AtomicBool,
     /// Is told when a roll-out may need a report.
     pub rollout_news: Notify,
     /// Tells that a server of an unknown version appeared.
@@ -83,6 +85,7 @@
             image: ArcSwapOption::empty(),
             metrics: GatewayMetrics::default(),
             store_returns: watch::Sender::new(0),
+            store_answers: AtomicBool::new(true),
             rollout_news: Notify::new(),
             version_seen: Arc::default(),
             confirmed_at: Mutex::new(None),
--- a/gateway/src/transport/gateway_settings.rs
+++ b/gateway/src/transport/gateway_settings.rs
@@ -10,6 +10,10 @@
 use crate::coordination::requests::CrashSettings;
 use crate::coordination::rollouts::RolloutSettings;
 
+/// Part of the time in which a configuration binds a host for which the store's last word is enough
+/// to refuse a caller; what was changed since binds no host yet.
+const REFUSAL_PART: f64 = 0.75;
+
 /// Settings of an entry host on a platform.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -47,8 +51,6 @@
     pub rollback_bound: Duration,
     /// Time for an answer of the store that is not a watch.
     pub store_timeout: Duration,
-    /// Age of the last word of the store from which a refusal of a caller is checked first.
-    pub refusal_age: Duration,
     /// Bounds on repeats.
     pub budget: BudgetSettings,
     /// Choice between models.
@@ -65,6 +67,14 @@
     pub crashes: CrashSettings,
 }
 
+impl GatewaySettings {
+    /// Returns the age of the last word of the store from which a refusal of a caller is checked
+    /// first.
+    pub fn refusal_age(&self) -> Duration {
+        self.configuration_bound.mul_f64(REFUSAL_PART)
+    }
+}
+
 impl Default for GatewaySettings {
     fn default() -> Self {
         let anywhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
@@ -85,7 +95,6 @@
             configuration_bound: Duration::from_secs(2),
             rollback_bound: Duration::from_secs(5),
             store_timeout: Duration::from_millis(1_000),
-            refusal_age: Duration::from_secs(1),
             budget: BudgetSettings::default(),
             cascade: CascadeSettings::default(),
             loads: LoadSettings::default(),
--- a/gateway/src/transport/rollout_writer.rs
+++ b/gateway/src/transport/rollout_writer.rs
@@ -5,6 +5,7 @@
 
 use http::{Method, StatusCode};
 use log::Level;
+use rand::Rng;
 
 use crate::protocol::{GatewayRecord, ObjectKind};
 use crate::state::{RolloutOrder, RolloutReport, RolloutState};
@@ -13,11 +14,15 @@
 
 /// Time between looks at the roll-outs.
 const LOOK_PERIOD: Duration = Duration::from_millis(200);
+/// Longest pause after failed writes; all hosts try, and each waits for the store's return too.
+const LONGEST_PAUSE: Duration = Duration::from_millis(3_200);
 /// Longest time that a host leaves the others to write first.
 const TURN_SPREAD: Duration = Duration::from_millis(900);
 
 /// Writes due reports for as long as the process runs.
 pub(crate) async fn write_reports(context: Arc<GatewayContext>) {
+    let mut returns = context.store_returns.subscribe();
+    let mut pause = LOOK_PERIOD;
     loop {
         if !context.rollouts().is_busy() {
             context.rollout_news.notified().await;
@@ -26,6 +31,7 @@
         let due = context
             .rollouts()
             .due_reports(now, context.timers.unix_millis());
+        let mut failed = false;
         for (order, report) in due {
             // A bad version is stopped at once; for the rest, one host of many writes.
             if report.state != RolloutState::RolledBack {
@@ -38,9 +44,21 @@
                 .iter()
                 .any(|(order, due)| order.revision == revision && due.state == report.state)
             {
-                write_report(&context, &order, &report).await;
+                failed |= !write_report(&context, &order, &report).await;
             }
         }
+        if failed {
+            pause = (pause * 2).min(LONGEST_PAUSE);
+            let spread = rand::rng().random_range(0.5..1.0);
+            tokio::select! {
+                // The sender lives as long as the process.
+                _ = returns.changed() => {}
+                () = tokio::time::sleep(pause.mul_f64(spread)) => {}
+            }
+            continue;
+        }
+        pause = LOOK_PERIOD;
+        returns.mark_unchanged();
         tokio::select! {
             () = context.rollout_news.notified() => {}
             () = tokio::time::sleep(LOOK_PERIOD) => {}
@@ -55,8 +73,13 @@
     TURN_SPREAD.mul_f64(point as f64 / 1_000.0)
 }
 
-/// Writes one report on condition of the revision that it rests on.
-async fn write_report(context: &GatewayContext, order: &RolloutOrder, report: &RolloutReport) {
+/// Writes one report on condition of the revision that it rests on; returns whether the store
+/// answered.
+async fn write_report(
+    context: &GatewayContext,
+    order: &RolloutOrder,
+    report: &RolloutReport,
+) -> bool {
     let path = (context.format.status_path)(ObjectKind::Rollouts, &order.name);
     let body = (context.format.write_rollout)(order, report);
     let timeout = context.settings.store_timeout;
@@ -64,7 +87,7 @@
     let message = match written {
         Ok((status, body)) if status.is_success() || status == StatusCode::CONFLICT => {
             take_answer(context, &body);
-            return;
+            return true;
         }
         Ok((status, _)) => format!("the store answered with status {status}"),
         // The write may have been executed; the watch tells.
@@ -77,6 +100,7 @@
             message,
         },
     );
+    false
 }
 
 /// Takes in the object as it is after a write or a refused one.
--- a/gateway/src/transport/store_feeds.rs
+++ b/gateway/src/transport/store_feeds.rs
@@ -48,6 +48,7 @@
                 part: "configuration",
                 rest: bound.mul_f64(REST_PART),
                 wait: Box::new(move || binding_wait),
+                leads: true,
                 wake: Arc::default(),
             },
             Box::new(move |news| take_configuration(&images, news)),
@@ -58,6 +59,7 @@
                 part: "servers",
                 rest: bound.mul_f64(REST_PART),
                 wait: Box::new(move || binding_wait),
+                leads: false,
                 wake: Arc::default(),
             },
             Box::new(move |news| take_servers(&servers, news)),
@@ -74,6 +76,7 @@
                         IDLE_WAIT
                     }
                 }),
+                leads: false,
                 wake: context.version_seen.clone(),
             },
             Box::new(move |news| take_rollouts(&rollouts, news)),
--- a/gateway/src/transport/store_follower.rs
+++ b/gateway/src/transport/store_follower.rs
@@ -2,6 +2,7 @@
 
 use std::ops::ControlFlow;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::StatusCode;
@@ -18,6 +19,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(120);
 /// Longest pause after failed calls; a store that is back must be heard of within a second or two.
 const LONGEST_PAUSE: Duration = Duration::from_millis(900);
+/// Pause of the parts that leave it to the leading one to find the store again.
+const FOLLOWING_PAUSE: Duration = Duration::from_secs(6);
 /// Wait of the first watch after a failed call; a store that is back is heard of soon.
 const RETURN_WAIT: Duration = Duration::from_millis(200);
 /// Time beyond the wait of a watch after which its connection is taken to be dead.
@@ -33,6 +36,8 @@
     pub(crate) rest: Duration,
     /// Returns the longest time that the store may hold the next call.
     pub(crate) wait: Box<dyn Fn() -> Duration + Send + Sync>,
+    /// Whether this part finds the store again for all parts.
+    pub(crate) leads: bool,
     /// Wakes the follower to read the kind anew.
     pub(crate) wake: Arc<Notify>,
 }
@@ -61,6 +66,7 @@
     let mut contact = StoreContact {
         context: context.clone(),
         part,
+        leads: followed.leads,
         answers: true,
         pause: FIRST_PAUSE,
         returns,
@@ -91,6 +97,7 @@
 struct StoreContact {
     context: Arc<GatewayContext>,
     part: &'static str,
+    leads: bool,
     answers: bool,
     pause: Duration,
     returns: watch::Receiver<u64>,
@@ -102,6 +109,9 @@
         self.pause = FIRST_PAUSE;
         if !self.answers {
             self.answers = true;
+            if self.leads {
+                self.context.store_answers.store(true, Ordering::Relaxed);
+            }
             let record = GatewayRecord::StoreContact {
                 part: self.part,
                 answers: true,
@@ -124,6 +134,9 @@
     async fn lost(&mut self, error: &StoreError) {
         if self.answers {
             self.answers = false;
+            if self.leads {
+                self.context.store_answers.store(false, Ordering::Relaxed);
+            }
             let reason = error.to_string();
             let record = GatewayRecord::StoreContact {
                 part: self.part,
@@ -132,8 +145,10 @@
             };
             log_record(Level::Warn, &record);
         }
+        let is_led = !self.leads && !self.context.store_answers.load(Ordering::Relaxed);
+        let pause = if is_led { FOLLOWING_PAUSE } else { self.pause };
         // Hosts that failed together come back apart.
-        let pause = self.pause.mul_f64(rand::rng().random_range(0.5..1.0));
+        let pause = pause.mul_f64(rand::rng().random_range(0.5..1.0));
         self.pause = (self.pause * 2).min(LONGEST_PAUSE);
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
