Trace the refusals of workspaces while hosts are replaced; list the cause

Cause, found and not mended: a host that starts has an even share for ten seconds, and its own demand counts once it was told for a whole window, which is a second or more later. In between its share is a ninetieth. A first telling that counts after eight seconds closes the gap and keeps the property of the sum, but shows that hosts repeat no unchanged demand to one that starts anew, whose share then is too large.

--- a/galenamast/tests/soft_state/limits.rs
+++ b/galenamast/tests/soft_state/limits.rs
@@ -247,6 +247,24 @@
     }
 }
 
+/// Between the end of its first window and the time for which it has told its demand, a host that
+/// replaced another counted no demand of its own: for a second it refused nearly all requests.
+#[test]
+fn a_host_that_replaces_another_never_falls_far_below_an_even_share() {
+    let mut fleet = ShareFleet::new(4);
+    fleet.demand.values_mut().for_each(|demand| *demand = 20);
+    fleet.run(60);
+    fleet.start((0, 1), 2);
+    let even = 1.0 / (HOSTS * DOMAINS.len()) as f64;
+    for second in 1..=3 * SHARE_WINDOW.as_secs() {
+        fleet.step();
+        let share = fleet.share((0, 1));
+        assert!(share > 0.7 * even, "after {second} s: {share}");
+        let total = fleet.total_share();
+        assert!(total <= 1.0 + DOMAIN_TOLERANCE + 2.0 * even, "{total}");
+    }
+}
+
 #[test]
 fn admission_uses_the_share() {
     let limits = WorkspaceLimits {
