Choose a server in a tenth of the time; measure it

What hosts tell is summed as it comes in; homes are found in one pass, and the random order decides only ties.

--- /dev/null
+++ b/gateway/benches/pick_decision.rs
@@ -0,0 +1,86 @@
+//! Time of the choice of a server against servers and hosts.
+
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use criterion::{BenchmarkId, Criterion};
+use galenamast::state::TimePoint;
+use galenamast_gateway::coordination::placement::{
+    KeptParts, KeptSettings, LoadBook, LoadSettings, PickQuery, PickSettings, PromptPath,
+    pick_server,
+};
+use galenamast_gateway::state::{PromptPart, ServerEntry};
+
+/// Failure domains that the servers are spread over.
+const DOMAINS: usize = 4;
+/// Servers that each host has sent work to.
+const LOADED: usize = 8;
+/// Sizes of the fleet, as servers and hosts.
+const FLEETS: [(usize, usize); 3] = [(9, 9), (90, 63), (600, 400)];
+
+/// Returns the servers of a fleet.
+fn servers(count: usize) -> Vec<ServerEntry> {
+    let server = |number: usize| ServerEntry {
+        id: format!("i-{number}").into(),
+        service: "engines".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000 + number as u16)),
+        domain: format!("domain-{}", number % DOMAINS).into(),
+        version: "v1".into(),
+        slots: 64,
+        draining: false,
+        born_ms: None,
+    };
+    (0..count).map(server).collect()
+}
+
+/// Returns what a host believes after all others told what they sent.
+fn beliefs(servers: &[ServerEntry], hosts: usize, now: TimePoint) -> LoadBook {
+    let mut book = LoadBook::new(LoadSettings::default());
+    for host in 0..hosts {
+        let mut other = LoadBook::new(LoadSettings::default());
+        for load in 0..LOADED {
+            let server = &servers[(host * LOADED + load) % servers.len()];
+            other.note_sent(&server.id, 0.1);
+        }
+        let peer = SocketAddr::from(([127, 0, 0, 1], 1_000 + host as u16));
+        book.note_told(peer, &other.own_shares(), now);
+    }
+    book
+}
+
+fn main() {
+    let mut criterion = Criterion::default()
+        .measurement_time(Duration::from_secs(2))
+        .warm_up_time(Duration::from_millis(500))
+        .configure_from_args();
+    let now = TimePoint::from_millis(1_000);
+    let parts = [(7, 13_000), (8, 4_000)].map(|(digest, tokens)| PromptPart { digest, tokens });
+    let path = PromptPath::new("large", &parts);
+    let mut group = criterion.benchmark_group("pick_decision");
+    for (count, hosts) in FLEETS {
+        let servers = servers(count);
+        let serving: Vec<&ServerEntry> = servers.iter().collect();
+        let book = beliefs(&servers, hosts, now);
+        let mut kept = KeptParts::new(KeptSettings::default());
+        kept.note_read(&path, &servers[count / 2].id, now);
+        let settings = PickSettings::default();
+        group.bench_function(BenchmarkId::new("servers", count), |bencher| {
+            bencher.iter(|| {
+                let query = PickQuery {
+                    domain: "domain-0",
+                    prompt: Some(&path),
+                    prompt_tokens: 17_000,
+                    kept: kept.kept_tokens(&path, now),
+                    read_price: 3e-5,
+                    bytes: 20_000.0,
+                    work: 0.5,
+                    ..PickQuery::default()
+                };
+                black_box(pick_server(&serving, &query, &book, &settings, now))
+            });
+        });
+    }
+    group.finish();
+    criterion.final_summary();
+}
--- a/gateway/src/coordination/placement/load_book.rs
+++ b/gateway/src/coordination/placement/load_book.rs
@@ -104,7 +104,31 @@
     expected: BTreeMap<(Arc<str>, u8), f64>,
     paces: BTreeMap<Arc<str>, f64>,
     excesses: BTreeMap<Arc<str>, f64>,
-    peers: BTreeMap<SocketAddr, (BTreeMap<u32, ServerShare>, TimePoint)>,
+    peers: BTreeMap<SocketAddr, ToldShares>,
+    // Sums of what the hosts told, and until when all of it counts.
+    told: BTreeMap<u32, ServerShare>,
+    told_until: Option<TimePoint>,
+}
+
+/// What one host told.
+#[derive(Clone, Debug)]
+struct ToldShares {
+    shares: Vec<ServerShare>,
+    at: TimePoint,
+}
+
+impl ServerShare {
+    /// Adds what another host has sent to the server.
+    fn add(&mut self, other: &Self) {
+        self.in_flight += other.in_flight;
+        self.waiting_work += other.waiting_work;
+    }
+
+    /// Takes away what a host had sent to the server.
+    fn remove(&mut self, other: &Self) {
+        self.in_flight = self.in_flight.saturating_sub(other.in_flight);
+        self.waiting_work = (self.waiting_work - other.waiting_work).max(0.0);
+    }
 }
 
 /// What one host has sent to one server.
@@ -136,11 +160,11 @@
     /// seconds; servers that fail or refuse cost more.
     pub fn cost(&self, server: &Arc<str>, work: f64, lanes: f64, now: TimePoint) -> f64 {
         let load = self.loads.get(server);
-        let slowness = load.map_or(1.0, |load| load.slowness);
-        let seconds = (self.queue(server, lanes, now) + work) * slowness;
+        let queue = self.queue_of(load, server, lanes, now);
         let Some(load) = load else {
-            return seconds;
+            return queue + work;
         };
+        let seconds = (queue + work) * load.slowness;
         let share = load.failure_share(self.settings.failure_half_life, now);
         let success = (1.0 - share).max(0.05);
         let paused = if now < load.paused_until {
@@ -154,8 +178,12 @@
     /// Returns the seconds for which what a server has delays the next request, if the server is
     /// an ordinary one.
     pub fn queue(&self, server: &Arc<str>, lanes: f64, now: TimePoint) -> f64 {
-        let told = self.told(server, now);
-        let load = self.loads.get(server);
+        self.queue_of(self.loads.get(server), server, lanes, now)
+    }
+
+    /// Returns the seconds for which what a server with a known load has delays the next request.
+    fn queue_of(&self, load: Option<&ServerLoad>, server: &str, lanes: f64, now: TimePoint) -> f64 {
+        let told = self.told(server_tag(server), now);
         let waiting = load.map_or(0.0, |load| load.waiting_work) + told.waiting_work;
         let running = load.map_or(0, |load| load.in_flight) + told.in_flight;
         let drag = f64::from(running) * self.settings.request_drag;
@@ -163,33 +191,56 @@
     }
 
     /// Returns what other hosts have sent to a server.
-    fn told(&self, server: &Arc<str>, now: TimePoint) -> ServerShare {
-        let key = server_tag(server);
-        let mut sum = ServerShare {
-            server: key,
-            ..ServerShare::default()
-        };
-        for (shares, at) in self.peers.values() {
-            if now.since(*at) > self.settings.told_lifetime {
-                continue;
-            }
-            if let Some(share) = shares.get(&key) {
-                sum.in_flight += share.in_flight;
-                sum.waiting_work += share.waiting_work;
+    fn told(&self, server: u32, now: TimePoint) -> ServerShare {
+        if self.told_until.is_none_or(|until| now <= until) {
+            return self.told.get(&server).cloned().unwrap_or_default();
+        }
+        let fresh = self.peers.values().filter(|told| self.is_fresh(told, now));
+        let mut sum = ServerShare::default();
+        for share in fresh.flat_map(|told| &told.shares) {
+            if share.server == server {
+                sum.add(share);
             }
         }
         sum
     }
 
+    /// Returns whether what a host told still counts.
+    fn is_fresh(&self, told: &ToldShares, now: TimePoint) -> bool {
+        now.since(told.at) <= self.settings.told_lifetime
+    }
+
     /// Takes in what another host has sent where.
     pub fn note_told(&mut self, peer: SocketAddr, shares: &[ServerShare], now: TimePoint) {
-        let by_server = shares
-            .iter()
-            .map(|share| (share.server, share.clone()))
-            .collect();
-        self.peers.insert(peer, (by_server, now));
+        let told = ToldShares {
+            shares: shares.to_vec(),
+            at: now,
+        };
+        let before = self.peers.insert(peer, told);
+        for share in before.iter().flat_map(|told| &told.shares) {
+            if let Some(sum) = self.told.get_mut(&share.server) {
+                sum.remove(share);
+            }
+        }
+        for share in shares {
+            self.told.entry(share.server).or_default().add(share);
+        }
+        self.drop_stale(now);
+    }
+
+    /// Drops what was told too long ago; choices are fast only after it.
+    pub fn drop_stale(&mut self, now: TimePoint) {
+        if self.told_until.is_some_and(|until| now <= until) {
+            return;
+        }
         let lifetime = self.settings.told_lifetime;
-        self.peers.retain(|_, (_, at)| now.since(*at) <= lifetime);
+        self.peers.retain(|_, told| now.since(told.at) <= lifetime);
+        self.told.clear();
+        for share in self.peers.values().flat_map(|told| &told.shares) {
+            self.told.entry(share.server).or_default().add(share);
+        }
+        let oldest = self.peers.values().map(|told| told.at).min();
+        self.told_until = oldest.map(|at| at + lifetime);
     }
 
     /// Returns what this host has sent where, for other hosts.
--- a/gateway/src/coordination/placement/server_pick.rs
+++ b/gateway/src/coordination/placement/server_pick.rs
@@ -90,10 +90,8 @@
     settings: &PickSettings,
     now: TimePoint,
 ) -> Option<ServerPick> {
-    let fresh = |entry: &&&ServerEntry| !query.excluded.contains(&entry.id);
-    let mut candidates: Vec<&ServerEntry> = serving.iter().filter(fresh).copied().collect();
-    // Among servers that cost the same, each request has its own order.
-    candidates.sort_by_cached_key(|entry| rank(query.point, &entry.id));
+    let is_fresh = |entry: &&&ServerEntry| !query.excluded.contains(&entry.id);
+    let candidates: Vec<&ServerEntry> = serving.iter().filter(is_fresh).copied().collect();
     let homes = find_homes(&candidates, query);
     let far_cost = query.bytes * settings.byte_price * settings.seconds_per_price;
     let priced = candidates.iter().map(|entry| {
@@ -109,7 +107,12 @@
         let wait = loads.cost(&entry.id, work, lanes_of(query, entry), now);
         (wait + far + reading, wait, work, *entry)
     });
-    let (_, wait, work, server) = priced.min_by(|left, right| left.0.total_cmp(&right.0))?;
+    // Among servers that cost the same, each request has its own order.
+    let order = |entry: &ServerEntry| rank(query.point, &entry.id);
+    let (_, wait, work, server) = priced.min_by(|left, right| {
+        let by_cost = left.0.total_cmp(&right.0);
+        by_cost.then_with(|| order(left.3).cmp(&order(right.3)))
+    })?;
     Some(ServerPick {
         server: server.clone(),
         candidates: candidates.len(),
@@ -121,32 +124,28 @@
 
 /// The servers to which hosts that know nothing send the beginning of a prompt.
 #[derive(Debug, Default)]
-struct PromptHomes {
+struct PromptHomes<'a> {
     tokens: f64,
-    overall: Arc<str>,
-    by_domain: BTreeMap<Arc<str>, Arc<str>>,
+    overall: &'a str,
+    by_domain: BTreeMap<&'a str, (u64, &'a str)>,
 }
 
 /// Finds the servers to which hosts that know nothing send the beginning of a prompt.
-fn find_homes(candidates: &[&ServerEntry], query: &PickQuery<'_>) -> PromptHomes {
+fn find_homes<'a>(candidates: &[&'a ServerEntry], query: &PickQuery<'_>) -> PromptHomes<'a> {
     let Some(home) = query.prompt.and_then(PromptPath::home) else {
         return PromptHomes::default();
     };
-    let mut ranked: Vec<(u64, &ServerEntry)> = candidates
-        .iter()
-        .map(|entry| (rank(home.key, &entry.id), *entry))
-        .collect();
-    ranked.sort_by_key(|(rank, _)| *rank);
-    let by_domain = ranked
-        .iter()
-        .map(|(_, entry)| (entry.domain.clone(), entry.id.clone()));
+    let mut by_domain = BTreeMap::<&str, (u64, &str)>::new();
+    for entry in candidates {
+        let ranked = (rank(home.key, &entry.id), &*entry.id);
+        let highest = by_domain.entry(&entry.domain).or_insert(ranked);
+        *highest = ranked.max(*highest);
+    }
+    let overall = by_domain.values().max();
     PromptHomes {
         tokens: f64::from(home.tokens),
-        overall: ranked
-            .last()
-            .map_or_else(Arc::default, |(_, entry)| entry.id.clone()),
-        // The last of a domain, which is its highest, stays.
-        by_domain: by_domain.collect(),
+        overall: overall.map_or("", |(_, id)| id),
+        by_domain,
     }
 }
 
@@ -154,13 +153,18 @@
 fn kept_tokens(
     entry: &ServerEntry,
     query: &PickQuery<'_>,
-    homes: &PromptHomes,
+    homes: &PromptHomes<'_>,
     settings: &PickSettings,
 ) -> f64 {
-    let seen = query.kept.get(&server_tag(&entry.id)).copied().unwrap_or(0);
-    let likelihood = if homes.overall == entry.id {
+    let seen = if query.kept.is_empty() {
+        0
+    } else {
+        query.kept.get(&server_tag(&entry.id)).copied().unwrap_or(0)
+    };
+    let home_here = homes.by_domain.get(&*entry.domain).map(|(_, id)| *id);
+    let likelihood = if *homes.overall == *entry.id {
         settings.home_share
-    } else if homes.by_domain.get(&entry.domain) == Some(&entry.id) {
+    } else if home_here == Some(&*entry.id) {
         settings.domain_home_share
     } else {
         0.0
--- a/gateway/src/transport/request_exchange.rs
+++ b/gateway/src/transport/request_exchange.rs
@@ -519,7 +519,8 @@
             excluded: &self.tried,
             point: rand::rng().random(),
         };
-        let loads = self.context.loads();
+        let mut loads = self.context.loads();
+        loads.drop_stale(now);
         let settings = &self.context.settings.picks;
         version_groups(&serving, &rule, self.version.as_ref())
             .into_iter()
--- a/gateway/tests/decisions/placement.rs
+++ b/gateway/tests/decisions/placement.rs
@@ -340,3 +340,44 @@
     let newest: Vec<PartRead> = kept.own_reads_since(98).0;
     assert_eq!(newest, reads[2..]);
 }
+
+#[test]
+fn the_newest_word_of_a_host_replaces_the_one_before() {
+    let all = servers(&["north"]);
+    let mut book = LoadBook::new(LoadSettings::default());
+    let peers = [1, 2].map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    let told = |requests: usize| {
+        let mut other = LoadBook::new(LoadSettings::default());
+        (0..requests).for_each(|_| other.note_sent(&all[0].id, WORK));
+        other.own_shares()
+    };
+    let now = TimePoint::from_millis(10);
+    let queue = |book: &LoadBook| book.queue(&all[0].id, 1.0, now);
+    book.note_told(peers[0], &told(40), now);
+    book.note_told(peers[1], &told(10), now);
+    let both = queue(&book);
+    assert!(both > 50.0 * WORK, "{both}");
+    book.note_told(peers[0], &told(0), now);
+    let one = queue(&book);
+    assert!(one > 10.0 * WORK && one < 12.0 * WORK, "{one}");
+    book.note_told(peers[1], &told(10), now);
+    assert!((queue(&book) - one).abs() < 1e-6);
+}
+
+/// Load pattern: full engines that serve other routes first. What predictions missed lately shows
+/// it, and is forgotten when they hold again.
+#[test]
+fn what_predictions_of_a_route_missed_is_learnt_and_forgotten() {
+    let mut book = LoadBook::new(LoadSettings::default());
+    let (late, other): (Arc<str>, Arc<str>) = ("late".into(), "other".into());
+    for _ in 0..40 {
+        book.note_prediction(&late, 0.1, Duration::from_millis(1_100));
+        book.note_prediction(&other, 0.1, Duration::from_millis(50));
+    }
+    assert!((book.excess(&late) - 1.0).abs() < 0.05);
+    assert_eq!(book.excess(&other), 0.0, "an early answer is no credit");
+    for _ in 0..60 {
+        book.note_prediction(&late, 0.1, Duration::from_millis(100));
+    }
+    assert!(book.excess(&late) < 0.05);
+}
