Read a refused page again, not the whole list

Lists come in pages of some dozens; hosts that start together ask for more pages than the store allows, and each refused page had the host begin anew, for ever.

The refused page is read again after a pause. Test: a store that refuses each fourth call and 500 servers; without the mend the host never knew them (20 s), with it within seconds.

--- a/gateway/src/transport/store_follower.rs
+++ b/gateway/src/transport/store_follower.rs
@@ -23,6 +23,8 @@
 const FOLLOWING_PAUSE: Duration = Duration::from_secs(6);
 /// Wait of the first watch after a failed call; a store that is back is heard of soon.
 const RETURN_WAIT: Duration = Duration::from_millis(200);
+/// Failures of one page in a row after which a list is begun anew; its history may be gone by then.
+const MAX_PAGE_FAILURES: u32 = 12;
 /// Time beyond the wait of a watch after which its connection is taken to be dead.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 
@@ -72,7 +74,7 @@
         returns,
     };
     loop {
-        let revision = match list_kind(&context, kind).await {
+        let revision = match list_kind(&context, kind, &mut contact).await {
             Ok((objects, revision)) => {
                 contact.regained();
                 take_news(KindNews::Listed(objects));
@@ -157,24 +159,33 @@
     }
 }
 
-/// Reads all objects of a kind and the revision to watch from.
+/// Reads all objects of a kind and the revision to watch from. A page that fails is read again, not
+/// those before it: hosts that start together may ask for more pages than the store allows.
 async fn list_kind(
     context: &GatewayContext,
     kind: ObjectKind,
+    contact: &mut StoreContact,
 ) -> Result<(Vec<StoredObject>, u64), StoreError> {
     let (mut objects, mut first_revision, mut after) = (Vec::new(), None, None);
+    let mut failures = 0;
     loop {
         let query = ObjectQuery::List {
             kind,
-            after,
+            after: after.clone(),
             stale: false,
         };
         let path = (context.format.query_path)(&query);
-        let body = context
-            .store
-            .read(&path, context.settings.store_timeout)
-            .await?;
-        let page = (context.format.read_page)(&body)?;
+        let read = context.store.read(&path, context.settings.store_timeout);
+        let page = match read.await {
+            Ok(body) => (context.format.read_page)(&body)?,
+            Err(error) if first_revision.is_some() && failures < MAX_PAGE_FAILURES => {
+                failures += 1;
+                contact.lost(&error).await;
+                continue;
+            }
+            Err(error) => return Err(error),
+        };
+        failures = 0;
         let last = page.objects.last().map(|object| object.name.to_string());
         objects.extend(page.objects);
         // Changes made while later pages were read are seen again by the watch.
