--- a/gateway/src/coordination/placement/load_book.rs
+++ b/gateway/src/coordination/placement/load_book.rs
@@ -71,7 +71,6 @@
     failures: f64,
     failures_at: TimePoint,
     paused_until: TimePoint,
-    last_break: Option<TimePoint>,
 }
 
 impl Default for ServerLoad {
@@ -83,7 +82,6 @@
             failures: 0.0,
             failures_at: TimePoint::ZERO,
             paused_until: TimePoint::ZERO,
-            last_break: None,
         }
     }
 }
@@ -393,9 +391,6 @@
         let share = load.failure_share(half_life, now);
         load.failures = share + weight * (failed - share);
         load.failures_at = now;
-        if failed > 0.0 {
-            load.last_break = Some(now);
-        }
     }
 
     /// Returns the belief about a server, to change it.
--- a/gateway/src/state/service_route.rs
+++ b/gateway/src/state/service_route.rs
@@ -98,8 +98,6 @@
 pub struct ServiceSpec {
     /// Name of the service.
     pub name: Arc<str>,
-    /// Connections that one of its servers accepts from all hosts together.
-    pub connection_limit: u32,
     /// Requests that one of its engines runs at once; `None` if they are no engines.
     pub engine_slots: Option<u32>,
     /// Models of its engines.
--- /dev/null
+++ b/gateway/src/transport/crash_check.rs
@@ -0,0 +1,66 @@
+//! Whether a server that broke a connection was crashed by the request that it had.
+
+use std::sync::Arc;
+
+use log::Level;
+
+use crate::coordination::requests::pick_witnesses;
+use crate::protocol::{GatewayRecord, PeerMessage};
+use crate::state::{CrashNote, ServerEntry};
+use crate::transport::connection_pool::accepts_connections;
+use crate::transport::gateway_context::GatewayContext;
+use crate::transport::record_log::log_record;
+
+/// Crashes from which on other hosts are told of a request.
+const TOLD_CRASHES: u32 = 2;
+
+/// A server whose connection broke while it had a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LostServer<'a> {
+    /// The server.
+    pub(crate) server: &'a ServerEntry,
+    /// Servers that the request was sent to.
+    pub(crate) tried: &'a [Arc<str>],
+    /// Fingerprint of the request.
+    pub(crate) fingerprint: u64,
+}
+
+/// Finds out whether a server crashed alone, and notes the request if so.
+pub(crate) async fn check_crash(context: &GatewayContext, lost: LostServer<'_>) {
+    if accepts_connections(lost.server.address).await {
+        return;
+    }
+    context.loads().note_refused(&lost.server.id, context.now());
+    if is_cut_off(context, lost).await {
+        context.metrics.count("cuts_seen_total");
+        return;
+    }
+    let (fingerprint, server) = (lost.fingerprint, &lost.server.id);
+    let now = context.now();
+    let crashes = context.crashes().note_crash(fingerprint, server, now);
+    log_record(
+        Level::Warn,
+        &GatewayRecord::CrashNoted {
+            fingerprint: format!("{fingerprint:016x}"),
+            crashes,
+        },
+    );
+    if crashes >= TOLD_CRASHES {
+        let note = CrashNote {
+            fingerprint,
+            crashes,
+        };
+        context.tell_peers(PeerMessage::Crash(note));
+    }
+}
+
+/// Returns whether a lost server's neighbours are lost too.
+async fn is_cut_off(context: &GatewayContext, lost: LostServer<'_>) -> bool {
+    let witnesses = pick_witnesses(context.servers().listed(), lost.server, lost.tried);
+    for witness in &witnesses {
+        if accepts_connections(witness.address).await {
+            return false;
+        }
+    }
+    !witnesses.is_empty()
+}
--- a/gateway/src/transport/mod.rs
+++ b/gateway/src/transport/mod.rs
@@ -5,6 +5,7 @@
 mod caller_gate;
 mod caller_listener;
 mod connection_pool;
+mod crash_check;
 mod exchange_end;
 mod flight_guard;
 mod gateway_context;
--- a/gateway/src/transport/request_exchange.rs
+++ b/gateway/src/transport/request_exchange.rs
@@ -14,20 +14,19 @@
 use crate::coordination::placement::{PickQuery, PromptPath, ServerPick, pick_server};
 use crate::coordination::requests::{
     AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, NextStep, final_answer, next_step,
-    pick_witnesses,
 };
 use crate::coordination::rollouts::{VersionRule, version_groups};
 use crate::protocol::{DecisionInputs, GatewayRecord, PeerMessage};
 use crate::state::{
-    AnswerGrade, AttemptHead, CallerHead, CrashNote, EngineModel, RouteImage, RouteKind,
-    ServerEntry, ServiceRoute,
+    AnswerGrade, AttemptHead, CallerHead, EngineModel, RouteImage, RouteKind, ServerEntry,
+    ServiceRoute,
 };
 use crate::transport::answer_body::AnswerBody;
 use crate::transport::attempt_runner::{
     AttemptCall, OpenAnswer, WholeAnswer, run_attempt, time_until,
 };
 use crate::transport::caller_gate::{Admission, HeldBody};
-use crate::transport::connection_pool::accepts_connections;
+use crate::transport::crash_check::{LostServer, check_crash};
 use crate::transport::exchange_end::ExchangeEnd;
 use crate::transport::gateway_context::{GatewayContext, stable_hash};
 use crate::transport::record_log::log_record;
@@ -370,53 +369,14 @@
             AttemptOutcome::Broken => {
                 self.context.loads().note_failure(&server.id, now);
                 self.context.crashes().note_break(&server.id, now);
-                self.check_crash(server).await;
-            }
-        }
-    }
-
-    /// Finds out whether a server that broke a connection crashed, and notes the request if so.
-    async fn check_crash(&self, server: &ServerEntry) {
-        if accepts_connections(server.address).await {
-            return;
-        }
-        let now = self.context.now();
-        self.context.loads().note_refused(&server.id, now);
-        if self.is_cut_off(server).await {
-            self.context.metrics.count("cuts_seen_total");
-            return;
-        }
-        let now = self.context.now();
-        let crashes = self
-            .context
-            .crashes()
-            .note_crash(self.fingerprint, &server.id, now);
-        let fingerprint = format!("{:016x}", self.fingerprint);
-        log_record(
-            Level::Warn,
-            &GatewayRecord::CrashNoted {
-                fingerprint,
-                crashes,
-            },
-        );
-        if crashes >= 2 {
-            let note = CrashNote {
-                fingerprint: self.fingerprint,
-                crashes,
-            };
-            self.context.tell_peers(PeerMessage::Crash(note));
-        }
-    }
-
-    /// Returns whether a lost server's neighbours are lost too.
-    async fn is_cut_off(&self, server: &ServerEntry) -> bool {
-        let witnesses = pick_witnesses(self.context.servers().listed(), server, &self.tried);
-        for witness in &witnesses {
-            if accepts_connections(witness.address).await {
-                return false;
+                let lost = LostServer {
+                    server,
+                    tried: &self.tried,
+                    fingerprint: self.fingerprint,
+                };
+                check_crash(&self.context, lost).await;
             }
         }
-        !witnesses.is_empty()
     }
 
     /// Notes which version serves the session, here and, where it matters, at other hosts.
