--- /dev/null
+++ b/gateway/src/transport/request_exchange/choice.rs
@@ -0,0 +1,166 @@
+//! Which server and which model run a request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::coordination::budgets::RepeatPurpose;
+use crate::coordination::cascade::{confidence_bound, wants_larger};
+use crate::coordination::placement::{PickQuery, PromptPath, ServerPick, pick_server};
+use crate::coordination::rollouts::{VersionRule, version_groups};
+use crate::state::{EngineModel, RouteKind};
+use crate::transport::attempt_runner::OpenAnswer;
+use crate::transport::request_exchange::RequestExchange;
+
+/// Times the usual time to the first byte after which a server is taken to be silent.
+const PATIENCE_RATIO: f64 = 4.0;
+/// Part of the goal that a whole answer is waited for before another server is asked.
+const WHOLE_GOAL_PART: f64 = 0.6;
+/// Part of the goal that a stream's first event is waited for before another server is asked.
+const STREAM_GOAL_PART: f64 = 1.0;
+/// Width of the size classes of prompts, as a power of two in tokens.
+const SIZE_CLASS_SHIFT: u32 = 10;
+/// Tokens that a model's price is stated for.
+const TOKENS_PER_PRICE: f64 = 1_000.0;
+/// Part of a generated token's price that a token costs that is read.
+const READ_PART: f64 = 0.25;
+/// Bytes of an answer for a token; an event of three tokens takes some fifty bytes.
+const BYTES_PER_TOKEN: f64 = 17.0;
+/// Bytes of the heads of a request and of its answer.
+const FIXED_BYTES: f64 = 700.0;
+
+impl RequestExchange {
+    /// Returns whether an answer is dropped for a run of the largest model.
+    pub(super) fn asks_larger(&mut self, answer: &OpenAnswer) -> bool {
+        let settings = &self.context.settings.cascade;
+        let (Some(model), Some(confidence)) = (&self.model, answer.head.confidence) else {
+            return false;
+        };
+        if self.route.models.last() == Some(model) || self.tally.runs + 1 >= self.route.attempts {
+            return false;
+        }
+        let smaller = self
+            .model
+            .replace(self.route.models[self.route.models.len() - 1].clone());
+        let pick = self.find_server();
+        self.model = smaller;
+        let Some(pick) = pick else {
+            return false;
+        };
+        let goal = self.route.goal.as_secs_f64();
+        let excess = self.context.loads().excess(&self.route.name);
+        let pressure = ((pick.wait - pick.work).max(0.0) + excess) / goal;
+        let bound = confidence_bound(self.head.prompt_tokens, pressure, settings);
+        let elapsed = self.context.now().since(self.started_at);
+        let ready_in = elapsed.saturating_add(
+            Duration::try_from_secs_f64(pick.wait + excess).unwrap_or(Duration::MAX),
+        );
+        wants_larger(confidence, bound, ready_in, self.route.goal, settings)
+            && self
+                .context
+                .take_repeat(&self.service, RepeatPurpose::Cascade)
+    }
+
+    /// Picks a server that was not tried and whose version may serve the session.
+    pub(super) fn pick(&mut self) -> Option<ServerPick> {
+        let pick = self.find_server()?;
+        self.version = Some(pick.server.version.clone());
+        self.predicted = Duration::from_secs_f64(pick.ordinary);
+        self.wait = pick.wait;
+        Some(pick)
+    }
+
+    /// Finds the server that would begin soonest among those whose version may serve the session.
+    pub(super) fn find_server(&self) -> Option<ServerPick> {
+        let now = self.context.now();
+        let unix_ms = self.context.timers.unix_millis();
+        let rule = match &self.spared {
+            Some(version) => VersionRule::Spare(version.clone()),
+            None => self
+                .context
+                .rollouts()
+                .rule(&self.service, self.session, now, unix_ms),
+        };
+        let servers = self.context.servers();
+        let serving = servers.serving(&self.service, now);
+        let prompt = self.prompt_path();
+        let kept = prompt
+            .as_ref()
+            .map(|path| self.context.kept().kept_tokens(path, now));
+        let answer_bytes = f64::from(self.head.answer_tokens) * BYTES_PER_TOKEN;
+        let query = PickQuery {
+            work: self.work(),
+            domain: &self.context.settings.domain,
+            prompt: prompt.as_ref(),
+            prompt_tokens: self.head.prompt_tokens,
+            kept: kept.unwrap_or_default(),
+            read_price: self.read_price(),
+            bytes: self.body.bytes.len() as f64 + answer_bytes + FIXED_BYTES,
+            excluded: &self.tried,
+            point: rand::rng().random(),
+        };
+        let mut loads = self.context.loads();
+        loads.drop_stale(now);
+        let settings = &self.context.settings.picks;
+        version_groups(&serving, &rule, self.version.as_ref())
+            .into_iter()
+            .find_map(|group| pick_server(&group, &query, &loads, settings, now))
+    }
+
+    /// Returns the model that the request names or that was chosen for it.
+    pub(super) fn named_model(&self) -> &str {
+        let model = self.model.as_deref().or(self.head.model.as_deref());
+        model.unwrap_or_default()
+    }
+
+    /// Returns the prompt as the model reads it; `None` on plain services.
+    pub(super) fn prompt_path(&self) -> Option<PromptPath> {
+        let has_parts = !self.head.parts.is_empty();
+        has_parts.then(|| PromptPath::new(self.named_model(), &self.head.parts))
+    }
+
+    /// Returns the price of a token that the model reads.
+    pub(super) fn read_price(&self) -> f64 {
+        let service = self.image.services.get(&self.service);
+        let model = service.and_then(|service| {
+            let named = |model: &&EngineModel| *model.name == *self.named_model();
+            service.models.iter().find(named)
+        });
+        model.map_or(0.0, |model| model.cost / TOKENS_PER_PRICE * READ_PART)
+    }
+
+    /// Returns how long the head of an answer is waited for.
+    pub(super) fn patience(&self, left: Duration) -> Duration {
+        if !self.route.is_repeatable() || self.tally.runs + 1 >= self.route.attempts {
+            return left;
+        }
+        let (class, size) = self.class();
+        let usual = self
+            .context
+            .loads()
+            .expected_first(&class, size)
+            .unwrap_or_default();
+        let part = match self.route.kind {
+            RouteKind::Stream => STREAM_GOAL_PART,
+            RouteKind::Safe | RouteKind::Unsafe => WHOLE_GOAL_PART,
+        };
+        usual
+            .mul_f64(PATIENCE_RATIO)
+            .max(self.route.goal.mul_f64(part))
+            .min(left)
+    }
+
+    /// Returns the work of the request, in seconds of an ordinary server.
+    pub(super) fn work(&self) -> f64 {
+        let (class, _) = self.class();
+        self.context.loads().work(&class, self.head.prompt_tokens)
+    }
+
+    /// Returns the class of requests that this one's times are compared with.
+    pub(super) fn class(&self) -> (Arc<str>, u8) {
+        let size = 32 - (self.head.prompt_tokens >> SIZE_CLASS_SHIFT).leading_zeros();
+        let class = self.model.as_ref().unwrap_or(&self.route.name).clone();
+        (class, u8::try_from(size).unwrap_or(u8::MAX))
+    }
+}
--- /dev/null
+++ b/gateway/src/transport/request_exchange/records.rs
@@ -0,0 +1,87 @@
+//! The log lines of a request.
+
+use std::time::Duration;
+
+use log::Level;
+
+use crate::coordination::placement::ServerPick;
+use crate::protocol::{DecisionInputs, GatewayRecord};
+use crate::state::ServerEntry;
+use crate::transport::record_log::log_record;
+use crate::transport::request_exchange::RequestExchange;
+
+impl RequestExchange {
+    /// Logs a choice.
+    pub(super) fn log_choice(&self, pick: &ServerPick) {
+        self.context.metrics.count("attempts_total");
+        let now = self.context.now();
+        let load = self.context.loads().load(&pick.server.id);
+        let age = self.context.servers().age(now).unwrap_or_default();
+        let record = GatewayRecord::AttemptChosen {
+            request: self.request.clone(),
+            route: self.route.name.clone(),
+            session: format!("{:016x}", self.session),
+            attempt: self.tally.asks + 1,
+            server: pick.server.id.clone(),
+            version: pick.server.version.clone(),
+            model: self.model.clone(),
+            inputs: DecisionInputs {
+                configuration: self.image.version,
+                servers_age_ms: millis(age),
+                prompt_tokens: self.head.prompt_tokens,
+                candidates: pick.candidates,
+                in_flight: load.in_flight,
+                predicted_ms: (pick.wait * 1_000.0) as u64,
+            },
+        };
+        log_record(Level::Info, &record);
+    }
+
+    /// Logs the end of an attempt.
+    pub(super) fn log_attempt(
+        &self,
+        server: &ServerEntry,
+        outcome: &str,
+        took: Duration,
+        next: &'static str,
+    ) {
+        self.context
+            .metrics
+            .count(&format!("attempts_{}_total", outcome.to_lowercase()));
+        let record = GatewayRecord::AttemptEnded {
+            request: self.request.clone(),
+            attempt: self.tally.asks,
+            server: server.id.clone(),
+            outcome: outcome.into(),
+            elapsed_ms: millis(took),
+            next,
+        };
+        log_record(Level::Info, &record);
+    }
+
+    /// Logs the end of the request.
+    pub(crate) fn log_end(&self, status: u16, outcome: &str, attempts: u32, events: u64) {
+        let elapsed = self.context.now().since(self.started_at);
+        self.context
+            .metrics
+            .count(&format!("requests_{status}_total"));
+        self.context.metrics.record("request", elapsed);
+        let record = GatewayRecord::RequestEnded {
+            request: self.request.clone(),
+            route: Some(self.route.name.clone()),
+            status,
+            outcome: outcome.into(),
+            elapsed_ms: millis(elapsed),
+            head_ms: self.head_after.map(millis),
+            pause_ms: millis(self.longest_pause),
+            attempts,
+            events,
+        };
+        log_record(Level::Info, &record);
+    }
+}
+
+/// Returns a duration in whole milliseconds.
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
