Close the gap in the share of a host that starts

Cause: a host that starts has an even share of a workspace's limit for ten seconds. Its own demand counted only once it was told for a whole window, a second or more later; for that long its share was a ninetieth. Its first telling was a mean that began at zero, and hosts never repeated unchanged demand, so that a new host took the others for idle.

Now a first telling counts after eight seconds, in which all news arrive; the first second's demand is the first mean; unchanged demand is told again every four seconds, in the room that changes leave.

--- a/galenamast/src/coordination/demand_teller.rs
+++ b/galenamast/src/coordination/demand_teller.rs
@@ -16,6 +16,9 @@
 const SILENT_RATE: f64 = 0.05;
 /// Times that each change is told, in case one is lost.
 const REPEATS: u32 = 2;
+/// Time after which unchanged demand is told once more, for hosts that started since; they count
+/// their own demand only later.
+const RETELL_TIME: Duration = Duration::from_secs(4);
 /// Greatest size of the entries of a digest, in bytes.
 const MAX_ENTRY_BYTES: usize = 600;
 /// Size of a digest around its entries, in bytes.
@@ -26,6 +29,7 @@
 struct ToldDemand {
     rate: f32,
     repeats: u32,
+    at: TimePoint,
 }
 
 /// Tells changes of demand at a bounded rate.
@@ -67,23 +71,36 @@
             if silent || (rate - told).abs() > self.tolerance * told {
                 let rate = rate as f32;
                 let repeats = REPEATS;
-                self.told
-                    .insert(workspace.clone(), ToldDemand { rate, repeats });
+                let told = ToldDemand {
+                    rate,
+                    repeats,
+                    at: now,
+                };
+                self.told.insert(workspace.clone(), told);
             }
         }
         let mut bytes = 0;
         let mut entries = Vec::new();
-        for (workspace, told) in &mut self.told {
-            let size = workspace.as_str().len() + 6;
-            if told.repeats == 0 || bytes + size > MAX_ENTRY_BYTES {
-                continue;
+        // Changes go first; what is unchanged takes the room that they leave.
+        for is_change in [true, false] {
+            for (workspace, told) in &mut self.told {
+                let size = workspace.as_str().len() + 6;
+                let is_due = if is_change {
+                    told.repeats > 0
+                } else {
+                    told.rate > 0.0 && now.since(told.at) >= RETELL_TIME
+                };
+                if !is_due || bytes + size > MAX_ENTRY_BYTES {
+                    continue;
+                }
+                told.repeats = told.repeats.saturating_sub(1);
+                told.at = now;
+                bytes += size;
+                entries.push(DemandEntry {
+                    workspace: workspace.clone(),
+                    rate: told.rate,
+                });
             }
-            told.repeats -= 1;
-            bytes += size;
-            entries.push(DemandEntry {
-                workspace: workspace.clone(),
-                rate: told.rate,
-            });
         }
         if entries.is_empty() {
             return None;
--- a/galenamast/src/coordination/share_board.rs
+++ b/galenamast/src/coordination/share_board.rs
@@ -16,6 +16,10 @@
 
 /// Time within which a change of demand is heard everywhere.
 pub const SHARE_WINDOW: Duration = Duration::from_secs(10);
+/// Time after which a workspace's first telling has been heard everywhere: two messages of three
+/// seconds and two ticks. Shorter than the window, so that a host which is told of within two
+/// seconds of its start goes from the even share to its own without a gap.
+const FIRST_TELLING: Duration = Duration::from_secs(8);
 /// Time for which the demand of a host that went away still counts.
 pub const AWAY_TIME: Duration = Duration::from_secs(60);
 /// Part of a limit that is divided evenly among all hosts, whatever the demand.
@@ -111,7 +115,12 @@
         let mut rates = BTreeMap::new();
         for (workspace, own) in &mut self.own {
             let last = f64::from(std::mem::take(&mut own.offered));
-            own.rate = (1.0 - LAST_WEIGHT) * own.rate + LAST_WEIGHT * last;
+            // The first second is all that is known; a mean from zero would understate it for long.
+            own.rate = if own.rate > 0.0 {
+                (1.0 - LAST_WEIGHT) * own.rate + LAST_WEIGHT * last
+            } else {
+                last
+            };
             rates.insert(workspace.clone(), own.rate);
         }
         let digest = self.teller.tell(&self.origin, &rates, self.members, now)?;
@@ -252,7 +261,7 @@
             if over {
                 continue;
             }
-            if index == 0 && now.since(*at) <= SHARE_WINDOW {
+            if index == 0 && now.since(*at) <= FIRST_TELLING {
                 return 0.0;
             }
             least = Some(least.map_or(*rate, |least| least.min(*rate)));
