Log why a model was chosen, what an engine keeps, and cuts

A line for each judgement of a smaller model's answer (confidence, bound, when the second run would begin, what predictions missed, outcome), the kept tokens among the inputs of a choice, and a line when a server is lost together with its neighbours.

--- a/gateway/src/coordination/placement/server_pick.rs
+++ b/gateway/src/coordination/placement/server_pick.rs
@@ -80,6 +80,8 @@
     pub ordinary: f64,
     /// Work of the request there, in seconds of an ordinary server.
     pub work: f64,
+    /// Tokens of the prompt that the server is expected to keep.
+    pub kept_tokens: u32,
 }
 
 /// Picks a server among those that take work.
@@ -105,23 +107,41 @@
         };
         let reading = read * query.read_price * settings.seconds_per_price;
         let wait = loads.cost(&entry.id, work, lanes_of(query, entry), now);
-        (wait + far + reading, wait, work, *entry)
+        PricedServer {
+            entry,
+            price: wait + far + reading,
+            wait,
+            work,
+            kept,
+        }
     });
     // Among servers that cost the same, each request has its own order.
-    let order = |entry: &ServerEntry| rank(query.point, &entry.id);
-    let (_, wait, work, server) = priced.min_by(|left, right| {
-        let by_cost = left.0.total_cmp(&right.0);
-        by_cost.then_with(|| order(left.3).cmp(&order(right.3)))
+    let order = |priced: &PricedServer<'_>| rank(query.point, &priced.entry.id);
+    let best = priced.min_by(|left, right| {
+        let by_price = left.price.total_cmp(&right.price);
+        by_price.then_with(|| order(left).cmp(&order(right)))
     })?;
+    let server = best.entry;
     Some(ServerPick {
         server: server.clone(),
         candidates: candidates.len(),
-        wait,
+        wait: best.wait,
         ordinary: loads.queue(&server.id, lanes_of(query, server), now) + query.work,
-        work,
+        work: best.work,
+        kept_tokens: best.kept as u32,
     })
 }
 
+/// A server with what it would cost.
+#[derive(Clone, Copy, Debug)]
+struct PricedServer<'a> {
+    entry: &'a ServerEntry,
+    price: f64,
+    wait: f64,
+    work: f64,
+    kept: f64,
+}
+
 /// The servers to which hosts that know nothing send the beginning of a prompt.
 #[derive(Debug, Default)]
 struct PromptHomes<'a> {
--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -17,6 +17,8 @@
     pub candidates: usize,
     /// Requests of this host that the chosen server runs.
     pub in_flight: u32,
+    /// Tokens of the prompt that the chosen server is expected to keep.
+    pub kept_tokens: u32,
     /// Predicted milliseconds until the answer starts.
     pub predicted_ms: u64,
 }
@@ -95,6 +97,23 @@
         /// What the choice rested on.
         inputs: DecisionInputs,
     },
+    /// A smaller model's answer was kept, or dropped for a run of the largest one.
+    ModelJudged {
+        /// Identifier of the request.
+        request: Arc<str>,
+        /// Model that answered.
+        model: Arc<str>,
+        /// Its confidence, from 0 to 100.
+        confidence: f64,
+        /// Confidence below which the largest model is wanted.
+        bound: f64,
+        /// Milliseconds after the request at which the second run is predicted to begin.
+        ready_ms: u64,
+        /// Milliseconds by which answers of the route lately began later than predicted.
+        excess_ms: u64,
+        /// Whether the largest model is asked; a spent budget of repeats forbids it too.
+        asks_larger: bool,
+    },
     /// An attempt ended without a delivered answer.
     AttemptEnded {
         /// Identifier of the request.
@@ -151,6 +170,13 @@
         /// Servers that it crashed.
         crashes: u32,
     },
+    /// A server was lost together with its neighbours, so that no request is blamed.
+    CutSeen {
+        /// Server that was lost.
+        server: Arc<str>,
+        /// Failure domain of the server.
+        domain: Arc<str>,
+    },
     /// Something failed that the host recovers from.
     Fault {
         /// Part that met it.
--- a/gateway/src/transport/crash_check.rs
+++ b/gateway/src/transport/crash_check.rs
@@ -33,6 +33,11 @@
     context.loads().note_refused(&lost.server.id, context.now());
     if is_cut_off(context, lost).await {
         context.metrics.count("cuts_seen_total");
+        let record = GatewayRecord::CutSeen {
+            server: lost.server.id.clone(),
+            domain: lost.server.domain.clone(),
+        };
+        log_record(Level::Warn, &record);
         return;
     }
     let (fingerprint, server) = (lost.fingerprint, &lost.server.id);
--- a/gateway/src/transport/request_exchange/choice.rs
+++ b/gateway/src/transport/request_exchange/choice.rs
@@ -12,6 +12,7 @@
 use crate::state::{EngineModel, RouteKind};
 use crate::transport::attempt_runner::OpenAnswer;
 use crate::transport::request_exchange::RequestExchange;
+use crate::transport::request_exchange::records::ModelJudgement;
 
 /// Times the usual time to the first byte after which a server is taken to be silent.
 const PATIENCE_RATIO: f64 = 4.0;
@@ -34,17 +35,15 @@
     /// Returns whether an answer is dropped for a run of the largest model.
     pub(super) fn asks_larger(&mut self, answer: &OpenAnswer) -> bool {
         let settings = &self.context.settings.cascade;
-        let (Some(model), Some(confidence)) = (&self.model, answer.head.confidence) else {
+        let (Some(model), Some(confidence)) = (self.model.clone(), answer.head.confidence) else {
             return false;
         };
-        if self.route.models.last() == Some(model) || self.tally.runs + 1 >= self.route.attempts {
+        if self.route.models.last() == Some(&model) || self.tally.runs + 1 >= self.route.attempts {
             return false;
         }
-        let smaller = self
-            .model
-            .replace(self.route.models[self.route.models.len() - 1].clone());
+        self.model = self.route.models.last().cloned();
         let pick = self.find_server();
-        self.model = smaller;
+        self.model = Some(model.clone());
         let Some(pick) = pick else {
             return false;
         };
@@ -53,13 +52,21 @@
         let pressure = ((pick.wait - pick.work).max(0.0) + excess) / goal;
         let bound = confidence_bound(self.head.prompt_tokens, pressure, settings);
         let elapsed = self.context.now().since(self.started_at);
-        let ready_in = elapsed.saturating_add(
-            Duration::try_from_secs_f64(pick.wait + excess).unwrap_or(Duration::MAX),
-        );
-        wants_larger(confidence, bound, ready_in, self.route.goal, settings)
+        let begins_in = Duration::try_from_secs_f64(pick.wait + excess).unwrap_or(Duration::MAX);
+        let ready_in = elapsed.saturating_add(begins_in);
+        let asks_larger = wants_larger(confidence, bound, ready_in, self.route.goal, settings)
             && self
                 .context
-                .take_repeat(&self.service, RepeatPurpose::Cascade)
+                .take_repeat(&self.service, RepeatPurpose::Cascade);
+        self.log_judgement(&ModelJudgement {
+            model,
+            confidence,
+            bound,
+            ready_in,
+            excess,
+            asks_larger,
+        });
+        asks_larger
     }
 
     /// Picks a server that was not tried and whose version may serve the session.
--- a/gateway/src/transport/request_exchange/records.rs
+++ b/gateway/src/transport/request_exchange/records.rs
@@ -1,5 +1,6 @@
 //! The log lines of a request.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use log::Level;
@@ -10,7 +11,33 @@
 use crate::transport::record_log::log_record;
 use crate::transport::request_exchange::RequestExchange;
 
+/// What was decided about a smaller model's answer, and why.
+#[derive(Clone, Debug)]
+pub(super) struct ModelJudgement {
+    pub(super) model: Arc<str>,
+    pub(super) confidence: f64,
+    pub(super) bound: f64,
+    pub(super) ready_in: Duration,
+    // Seconds by which answers of the route lately began later than predicted.
+    pub(super) excess: f64,
+    pub(super) asks_larger: bool,
+}
+
 impl RequestExchange {
+    /// Logs what was decided about a smaller model's answer.
+    pub(super) fn log_judgement(&self, judgement: &ModelJudgement) {
+        let record = GatewayRecord::ModelJudged {
+            request: self.request.clone(),
+            model: judgement.model.clone(),
+            confidence: judgement.confidence,
+            bound: judgement.bound.round(),
+            ready_ms: millis(judgement.ready_in),
+            excess_ms: (judgement.excess * 1_000.0) as u64,
+            asks_larger: judgement.asks_larger,
+        };
+        log_record(Level::Info, &record);
+    }
+
     /// Logs a choice.
     pub(super) fn log_choice(&self, pick: &ServerPick) {
         self.context.metrics.count("attempts_total");
@@ -31,6 +58,7 @@
                 prompt_tokens: self.head.prompt_tokens,
                 candidates: pick.candidates,
                 in_flight: load.in_flight,
+                kept_tokens: pick.kept_tokens,
                 predicted_ms: (pick.wait * 1_000.0) as u64,
             },
         };
