Let unchanged demand take a quarter of what a large fleet may tell

Cause: at 80 hosts a digest takes up to 80 s of its rate; one that repeats unchanged demand would let a change wait as long. It is repeated at most every fourth digest's time. At the tests' sizes nothing changes (a second a digest).

--- a/galenamast/src/coordination/demand_teller.rs
+++ b/galenamast/src/coordination/demand_teller.rs
@@ -19,6 +19,9 @@
 /// Time after which unchanged demand is told once more, for hosts that started since; they count
 /// their own demand only later.
 const RETELL_TIME: Duration = Duration::from_secs(4);
+/// Least number of digests' times between two tellings of unchanged demand, so that a change in a
+/// large fleet seldom waits behind one.
+const RETELL_PACES: u32 = 4;
 /// Greatest size of the entries of a digest, in bytes.
 const MAX_ENTRY_BYTES: usize = 600;
 /// Size of a digest around its entries, in bytes.
@@ -39,6 +42,7 @@
     told: BTreeMap<WorkspaceName, ToldDemand>,
     sequence: u64,
     next: TimePoint,
+    pace: Duration,
 }
 
 impl DemandTeller {
@@ -81,6 +85,7 @@
         }
         let mut bytes = 0;
         let mut entries = Vec::new();
+        let retell_time = RETELL_TIME.max(self.pace * RETELL_PACES);
         // Changes go first; what is unchanged takes the room that they leave.
         for is_change in [true, false] {
             for (workspace, told) in &mut self.told {
@@ -88,7 +93,7 @@
                 let is_due = if is_change {
                     told.repeats > 0
                 } else {
-                    told.rate > 0.0 && now.since(told.at) >= RETELL_TIME
+                    told.rate > 0.0 && now.since(told.at) >= retell_time
                 };
                 if !is_due || bytes + size > MAX_ENTRY_BYTES {
                     continue;
@@ -108,7 +113,8 @@
         self.sequence += 1;
         let rate = DEMAND_RATE / (TRANSMISSIONS * tellers.max(1) as f64);
         let pace = Duration::from_secs_f64((bytes + ENVELOPE_BYTES) as f64 / rate);
-        self.next = now + pace.max(MIN_PERIOD);
+        self.pace = pace.max(MIN_PERIOD);
+        self.next = now + self.pace;
         Some(DemandDigest {
             origin: origin.clone(),
             sequence: self.sequence,
