--- a/gateway/src/coordination/placement/load_book.rs
+++ b/gateway/src/coordination/placement/load_book.rs
@@ -118,7 +118,8 @@
 impl ServerShare {
     /// Adds what another host has sent to the server.
     fn add(&mut self, other: &Self) {
-        self.in_flight += other.in_flight;
+        // A senseless word of another host must not end this one.
+        self.in_flight = self.in_flight.saturating_add(other.in_flight);
         self.waiting_work += other.waiting_work;
     }
 
@@ -183,7 +184,9 @@
     fn queue_of(&self, load: Option<&ServerLoad>, server: &str, lanes: f64, now: TimePoint) -> f64 {
         let told = self.told(server_tag(server), now);
         let waiting = load.map_or(0.0, |load| load.waiting_work) + told.waiting_work;
-        let running = load.map_or(0, |load| load.in_flight) + told.in_flight;
+        let running = load
+            .map_or(0, |load| load.in_flight)
+            .saturating_add(told.in_flight);
         let drag = f64::from(running) * self.settings.request_drag;
         (waiting + drag) / lanes
     }
--- a/gateway/tests/decisions/placement.rs
+++ b/gateway/tests/decisions/placement.rs
@@ -381,3 +381,19 @@
     }
     assert!(book.excess(&late) < 0.05);
 }
+
+/// A datagram with senseless figures must not end the host that reads it.
+#[test]
+fn senseless_words_of_hosts_do_not_overflow() {
+    let all = servers(&["north"]);
+    let mut book = LoadBook::new(LoadSettings::default());
+    book.note_sent(&all[0].id, WORK);
+    let mut share = book.own_shares()[0].clone();
+    share.in_flight = u32::MAX;
+    let now = TimePoint::from_millis(10);
+    for port in 1..4 {
+        let peer = SocketAddr::from(([127, 0, 0, 1], port));
+        book.note_told(peer, std::slice::from_ref(&share), now);
+    }
+    assert!(book.queue(&all[0].id, 1.0, now).is_finite());
+}
