Reject at once what no server would begin before its deadline

Cause: the request path sent each request to the cheapest server, however long the predicted wait. In a burst, or after most engines were lost, callers waited until their deadlines passed, and engines worked for callers who had left. `Retry-After` was 0.5 or 0.6 s whatever the load.

Change: `coordination/admission` decides on the forecast: the earliest start of all servers (own and reported load, without the penalties of failing servers) and the route's recent excess, against the time left, by a margin of twice the mean prediction error. Nothing is rejected while any server has a free slot, or after a first attempt. `Retry-After` is the forecast, at most a third of the caller's time left. The record `request_rejected` holds the forecast.

Result: replay of a burst at twice the capacity of two engines: more than twice as many requests are served in time, and no caller waits in vain; with the decision off the same replay fails. Not built: a queue at the host in order of value.

--- a/gateway/src/coordination/mod.rs
+++ b/gateway/src/coordination/mod.rs
@@ -1,5 +1,6 @@
 //! Decision logic: pure functions and state machines without I/O or clocks.
 
+pub mod admission;
 pub mod budgets;
 pub mod cascade;
 pub mod placement;
--- a/gateway/src/coordination/placement/load_estimator.rs
+++ b/gateway/src/coordination/placement/load_estimator.rs
@@ -95,6 +95,17 @@
     }
 }
 
+/// Estimates for one request on one server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServerEstimate {
+    /// Seconds until the server begins to answer, if it answers.
+    pub starts_in: f64,
+    /// The same, and higher for a server that fails or refuses connections.
+    pub cost: f64,
+    /// Requests in flight on the server, those of other hosts included.
+    pub in_flight: u32,
+}
+
 /// Load estimates for all servers, including what other hosts report.
 #[derive(Clone, Debug, Default)]
 pub struct LoadEstimator {
@@ -103,6 +114,7 @@
     expected: BTreeMap<(Arc<str>, u8), f64>,
     token_times: BTreeMap<Arc<str>, f64>,
     excesses: BTreeMap<Arc<str>, f64>,
+    prediction_errors: BTreeMap<Arc<str>, f64>,
     peer_loads: BTreeMap<SocketAddr, PeerLoads>,
     // Totals of the peers' reports by server, and the time until which every report is valid.
     remote_totals: BTreeMap<u32, HostLoad>,
@@ -159,12 +171,31 @@
     /// Returns the predicted seconds until a server begins to answer a request of `work` seconds.
     /// Servers that fail or refuse connections cost more.
     pub fn cost(&self, server: &Arc<str>, work: f64, concurrency: f64, now: TimePoint) -> f64 {
+        self.estimate(server, work, concurrency, now).cost
+    }
+
+    /// Returns the estimates for a request of `work` seconds on a server.
+    pub fn estimate(
+        &self,
+        server: &Arc<str>,
+        work: f64,
+        concurrency: f64,
+        now: TimePoint,
+    ) -> ServerEstimate {
         let load = self.loads.get(server);
-        let queue_delay = self.queue_delay_of(load, server, concurrency, now);
+        let remote = self.remote_load(short_server_id(server), now);
+        let in_flight = load.map_or(0, |load| load.in_flight);
+        let in_flight = in_flight.saturating_add(remote.in_flight);
+        let waiting = load.map_or(0.0, |load| load.waiting_work) + remote.waiting_work;
+        let seconds = self.delay(waiting, in_flight, concurrency) + work;
         let Some(load) = load else {
-            return queue_delay + work;
+            return ServerEstimate {
+                starts_in: seconds,
+                cost: seconds,
+                in_flight,
+            };
         };
-        let seconds = (queue_delay + work) * load.slowness;
+        let seconds = seconds * load.slowness;
         let share = load.failure_share(self.settings.failure_half_life, now);
         let success = (1.0 - share).max(0.05);
         let paused = if now < load.paused_until {
@@ -172,30 +203,29 @@
         } else {
             0.0
         };
-        (seconds + self.settings.failure_cost * share) / (success * success) + paused
+        let failing = (seconds + self.settings.failure_cost * share) / (success * success);
+        ServerEstimate {
+            starts_in: seconds,
+            cost: failing + paused,
+            in_flight,
+        }
     }
 
     /// Returns the seconds by which a server's current load delays the next request, assuming a
     /// typical server.
     pub fn queue_delay(&self, server: &Arc<str>, concurrency: f64, now: TimePoint) -> f64 {
-        self.queue_delay_of(self.loads.get(server), server, concurrency, now)
-    }
-
-    /// Returns the queue delay of a server whose own load is already looked up.
-    fn queue_delay_of(
-        &self,
-        load: Option<&ServerLoad>,
-        server: &str,
-        concurrency: f64,
-        now: TimePoint,
-    ) -> f64 {
+        let load = self.loads.get(server);
         let remote = self.remote_load(short_server_id(server), now);
         let waiting = load.map_or(0.0, |load| load.waiting_work) + remote.waiting_work;
         let running = load
             .map_or(0, |load| load.in_flight)
             .saturating_add(remote.in_flight);
-        let running_delay = f64::from(running) * self.settings.per_request_delay;
-        (waiting + running_delay) / concurrency
+        self.delay(waiting, running, concurrency)
+    }
+
+    /// Returns the seconds by which waiting work and requests in flight delay the next request.
+    fn delay(&self, waiting_work: f64, in_flight: u32, concurrency: f64) -> f64 {
+        (waiting_work + f64::from(in_flight) * self.settings.per_request_delay) / concurrency
     }
 
     /// Returns the load that other hosts put on a server.
@@ -346,11 +376,19 @@
         self.excesses.get(route).copied().unwrap_or(0.0).max(0.0)
     }
 
+    /// Returns the mean absolute error of a route's recent predictions, in seconds.
+    pub fn prediction_error(&self, route: &str) -> f64 {
+        self.prediction_errors.get(route).copied().unwrap_or(0.0)
+    }
+
     /// Records when an answer of a route began, against the predicted seconds.
     pub fn record_prediction(&mut self, route: &Arc<str>, predicted: f64, took: Duration) {
+        let weight = self.settings.excess_weight;
         let missed = took.as_secs_f64() - predicted;
         let excess = self.excesses.entry(route.clone()).or_insert(0.0);
-        *excess += self.settings.excess_weight * (missed - *excess);
+        *excess += weight * (missed - *excess);
+        let error = self.prediction_errors.entry(route.clone()).or_insert(0.0);
+        *error += weight * (missed.abs() - *error);
     }
 
     /// Records a successful request.
--- a/gateway/src/coordination/placement/mod.rs
+++ b/gateway/src/coordination/placement/mod.rs
@@ -7,7 +7,7 @@
 mod server_table;
 mod short_server_id;
 
-pub use load_estimator::{HostLoad, LoadEstimator, LoadSettings, ServerLoad};
+pub use load_estimator::{HostLoad, LoadEstimator, LoadSettings, ServerEstimate, ServerLoad};
 pub use prefix_cache_index::{PrefixCacheIndex, PrefixCacheSettings, PrefixRead};
 pub use prompt_prefixes::{PromptPrefix, PromptPrefixes};
 pub use server_pick::{PickQuery, PickSettings, ServerPick, pick_server};
--- a/gateway/src/coordination/placement/server_pick.rs
+++ b/gateway/src/coordination/placement/server_pick.rs
@@ -83,6 +83,10 @@
     pub work: f64,
     /// Tokens of the prompt that the server is expected to cache.
     pub kept_tokens: u32,
+    /// Seconds until the first of all candidates would begin to answer, if it answers.
+    pub earliest_start: f64,
+    /// Whether any candidate runs fewer requests than it has slots.
+    pub has_free_slot: bool,
 }
 
 /// Picks the cheapest server that was not tried yet; `None` if there is none.
@@ -97,6 +101,7 @@
     let candidates: Vec<&ServerEntry> = serving.iter().filter(is_untried).copied().collect();
     let homes = find_homes(&candidates, query);
     let cross_domain_cost = query.bytes * settings.byte_price * settings.seconds_per_price;
+    let (mut earliest_start, mut has_free_slot) = (f64::INFINITY, false);
     let priced = candidates.iter().map(|entry| {
         let kept = kept_tokens(entry, query, &homes, settings);
         let read_tokens = f64::from(query.prompt_tokens) - kept;
@@ -107,11 +112,13 @@
             cross_domain_cost
         };
         let read_cost = read_tokens * query.read_price * settings.seconds_per_price;
-        let wait = loads.cost(&entry.id, work, concurrency_of(query, entry), now);
+        let estimate = loads.estimate(&entry.id, work, concurrency_of(query, entry), now);
+        earliest_start = earliest_start.min(estimate.starts_in);
+        has_free_slot |= estimate.in_flight < entry.slots;
         PricedServer {
             entry,
-            price: wait + transfer_cost + read_cost,
-            wait,
+            price: estimate.cost + transfer_cost + read_cost,
+            wait: estimate.cost,
             work,
             kept,
         }
@@ -131,6 +138,8 @@
             + query.work,
         work: best.work,
         kept_tokens: best.kept as u32,
+        earliest_start,
+        has_free_slot,
     })
 }
 
--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -97,6 +97,19 @@
         /// Inputs of the choice.
         inputs: DecisionInputs,
     },
+    /// A request was rejected because no server would begin it before its deadline.
+    RequestRejected {
+        /// Identifier of the request.
+        request: Arc<str>,
+        /// Name of the route.
+        route: Arc<str>,
+        /// Predicted time until the first of the servers begins, in milliseconds.
+        starts_in_ms: u64,
+        /// Mean error of the route's recent predictions, in milliseconds.
+        error_ms: u64,
+        /// Time left until the deadline, in milliseconds.
+        left_ms: u64,
+    },
     /// The smaller model's answer was kept, or dropped in order to run the largest model.
     ModelJudged {
         /// Identifier of the request.
--- a/gateway/src/transport/exchange_failure.rs
+++ b/gateway/src/transport/exchange_failure.rs
@@ -8,10 +8,6 @@
 use crate::transport::attempt_runner::CompleteResponse;
 use crate::transport::response_body::{ResponseBody, host_response, not_run_response};
 
-/// `Retry-After` when there is no server to send the request to.
-const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(600);
-/// `Retry-After` when servers were asked but none ran the request.
-const BUSY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// `Retry-After` for a request that crashed servers; it is refused for at least this long.
 const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(30);
 
@@ -22,15 +18,19 @@
     ServerResponse(CompleteResponse),
     /// The host responds itself.
     HostResponse(FinalAnswer),
+    /// No server would begin the request before its deadline.
+    Overloaded,
     /// The request is quarantined because it crashed servers.
     Quarantined,
 }
 
 impl ExchangeFailure {
-    /// Returns the response for the caller and the `outcome` for the log.
+    /// Returns the response for the caller and the `outcome` for the log. A caller whose request did
+    /// not run is told to return after `retry_after`.
     pub(crate) fn into_response(
         self,
         tally: &AttemptTally,
+        retry_after: Duration,
     ) -> (Response<ResponseBody>, &'static str) {
         match self {
             ExchangeFailure::ServerResponse(failure) => {
@@ -44,14 +44,13 @@
                 let text = "the request crashed servers";
                 (host_response(StatusCode::BAD_GATEWAY, text), text)
             }
+            ExchangeFailure::Overloaded => {
+                let text = "no server would begin in time; the request did not run";
+                (not_run_response(text, retry_after), text)
+            }
             ExchangeFailure::HostResponse(FinalAnswer::NotRun) => {
                 let text = "no server takes the request now; it did not run";
-                let pause = if tally.tries == 0 {
-                    NO_SERVER_RETRY_AFTER
-                } else {
-                    BUSY_RETRY_AFTER
-                };
-                (not_run_response(text, pause), text)
+                (not_run_response(text, retry_after), text)
             }
             ExchangeFailure::HostResponse(FinalAnswer::TimedOut) => {
                 let text = "no whole answer came in time";
--- a/gateway/src/transport/gateway_settings.rs
+++ b/gateway/src/transport/gateway_settings.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::coordination::admission::AdmissionSettings;
 use crate::coordination::budgets::BudgetSettings;
 use crate::coordination::cascade::CascadeSettings;
 use crate::coordination::placement::{LoadSettings, PickSettings, PrefixCacheSettings};
@@ -52,6 +53,8 @@
     pub rollback_bound: Duration,
     /// Timeout for calls to the store other than watches.
     pub store_timeout: Duration,
+    /// Rejection of requests that cannot be served in time.
+    pub admission: AdmissionSettings,
     /// Limits on retries.
     pub budget: BudgetSettings,
     /// Choice between a smaller and a larger model.
@@ -95,6 +98,7 @@
             configuration_bound: Duration::from_secs(2),
             rollback_bound: Duration::from_secs(5),
             store_timeout: Duration::from_millis(1_000),
+            admission: AdmissionSettings::default(),
             budget: BudgetSettings::default(),
             cascade: CascadeSettings::default(),
             loads: LoadSettings::default(),
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -61,6 +61,8 @@
     typical_first_byte: Duration,
     // Predicted seconds to the first byte on the chosen server.
     predicted_wait: f64,
+    // Predicted seconds until the first of all servers begins; `None` until a server was found.
+    earliest_start: Option<f64>,
     pub(crate) longest_gap: Duration,
     // A version on trial that failed this request; further attempts go to the version before it.
     avoided_version: Option<Arc<str>>,
@@ -113,6 +115,7 @@
             head_latency: None,
             typical_first_byte: Duration::ZERO,
             predicted_wait: 0.0,
+            earliest_start: None,
             longest_gap: Duration::ZERO,
             avoided_version: None,
             context,
@@ -233,6 +236,9 @@
             let Some(pick) = self.pick() else {
                 return Err(self.no_server_left());
             };
+            if self.is_overloaded(&pick, remaining) {
+                return Err(ExchangeFailure::Overloaded);
+            }
             let server = pick.server.clone();
             let head_timeout = self.head_timeout(remaining);
             self.log_choice(&pick);
@@ -325,7 +331,7 @@
 
     /// Logs the final outcome and returns the response for it.
     fn end(&self, end: ExchangeFailure) -> Response<ResponseBody> {
-        let (response, outcome) = end.into_response(&self.tally);
+        let (response, outcome) = end.into_response(&self.tally, self.retry_after());
         self.log_end(response.status().as_u16(), outcome, self.tally.tries, 0);
         response
     }
--- a/gateway/src/transport/request_exchange/request_log.rs
+++ b/gateway/src/transport/request_exchange/request_log.rs
@@ -5,6 +5,7 @@
 
 use log::Level;
 
+use crate::coordination::admission::ServiceForecast;
 use crate::coordination::placement::ServerPick;
 use crate::protocol::{DecisionInputs, GatewayRecord};
 use crate::state::ServerEntry;
@@ -38,6 +39,19 @@
         log_record(Level::Info, &record);
     }
 
+    /// Logs a request that is rejected because no server would begin it before its deadline.
+    pub(super) fn log_rejection(&self, forecast: &ServiceForecast, time_left: Duration) {
+        self.context.metrics.increment("requests_rejected_total");
+        let record = GatewayRecord::RequestRejected {
+            request: self.request.clone(),
+            route: self.route.name.clone(),
+            starts_in_ms: (forecast.starts_in * 1_000.0) as u64,
+            error_ms: (forecast.error * 1_000.0) as u64,
+            left_ms: millis(time_left),
+        };
+        log_record(Level::Info, &record);
+    }
+
     /// Logs the server chosen for an attempt and what the choice rests on.
     pub(super) fn log_choice(&self, pick: &ServerPick) {
         self.context.metrics.increment("attempts_total");
--- a/gateway/src/transport/request_exchange/server_choice.rs
+++ b/gateway/src/transport/request_exchange/server_choice.rs
@@ -5,15 +5,22 @@
 
 use rand::Rng;
 
+use crate::coordination::admission::{
+    AdmissionVerdict, ServiceForecast, decide_admission, retry_pause,
+};
 use crate::coordination::budgets::RetryPurpose;
 use crate::coordination::cascade::{confidence_bound, should_escalate};
 use crate::coordination::placement::{PickQuery, PromptPrefixes, ServerPick, pick_server};
 use crate::coordination::rollouts::{VersionRule, version_groups};
 use crate::state::{EngineModel, RouteKind};
-use crate::transport::attempt_runner::OpenResponse;
+use crate::transport::attempt_runner::{OpenResponse, remaining_time};
 use crate::transport::request_exchange::RequestExchange;
 use crate::transport::request_exchange::request_log::CascadeDecision;
 
+/// `Retry-After` when there is no server to send the request to, in seconds.
+const NO_SERVER_RETRY_SECONDS: f64 = 0.6;
+/// Shortest `Retry-After` when servers refused the request, in seconds.
+const BUSY_RETRY_SECONDS: f64 = 0.5;
 /// Multiple of the expected time to the first byte after which another server is tried.
 const HEAD_TIMEOUT_FACTOR: f64 = 4.0;
 /// Fraction of the route's goal for which the response to a plain request is awaited at least
@@ -80,9 +87,45 @@
         self.version = Some(pick.server.version.clone());
         self.typical_first_byte = Duration::from_secs_f64(pick.typical_wait);
         self.predicted_wait = pick.wait;
+        self.earliest_start = Some(pick.earliest_start);
         Some(pick)
     }
 
+    /// Returns whether no server is predicted to begin the request before its deadline. Only a
+    /// request that has not been offered to a server is rejected for that.
+    pub(super) fn is_overloaded(&self, pick: &ServerPick, time_left: Duration) -> bool {
+        if self.tally.tries > 0 {
+            return false;
+        }
+        let (excess, error) = {
+            let loads = self.context.loads();
+            let route = &self.route.name;
+            (loads.excess(route), loads.prediction_error(route))
+        };
+        let forecast = ServiceForecast {
+            starts_in: pick.earliest_start + excess,
+            error,
+            has_free_slot: pick.has_free_slot,
+        };
+        let settings = &self.context.settings.admission;
+        let is_overloaded =
+            decide_admission(&forecast, time_left, settings) == AdmissionVerdict::Reject;
+        if is_overloaded {
+            self.log_rejection(&forecast, time_left);
+        }
+        is_overloaded
+    }
+
+    /// Returns how long the caller of a request that did not run should pause.
+    pub(super) fn retry_after(&self) -> Duration {
+        let time_left = remaining_time(&self.context, self.deadline);
+        let starts_in = match self.earliest_start {
+            Some(seconds) => seconds.max(BUSY_RETRY_SECONDS),
+            None => NO_SERVER_RETRY_SECONDS,
+        };
+        retry_pause(starts_in, time_left, &self.context.settings.admission)
+    }
+
     /// Finds the server that `pick_server` prefers among those that were not tried and whose
     /// version may serve the session.
     pub(super) fn find_server(&self) -> Option<ServerPick> {
--- a/gateway/tests/decisions/main.rs
+++ b/gateway/tests/decisions/main.rs
@@ -1,5 +1,6 @@
 //! Tests of an entry host's decisions, each under the load pattern that the decision must handle.
 
+mod admission;
 mod budget;
 mod cascade;
 mod crashes;
