Share confirmations of the store's content within a failure domain

Each host kept three watches that returned after 0.65 of the bounds, because a connection may die unnoticed, and read the configuration again before each refusal; each batch of changes woke all of them.

Change: watches and first lists accept stale data, which costs a tenth, and wait 28 s. One small read of current data gives the store's revision; a host that knows all changes up to it is confirmed. Usually one host of a failure domain makes that call and reports by datagram up to which revision it knows all changes; the others are confirmed if they know as much, read for themselves if they lag, and confirm by themselves if they hear nothing for 0.55 to 0.8 of the bound. So the bounds rest on no report and on no watch. The addresses of hosts are watched in place of listed; a host that restarts does not write an unchanged entry; hosts take turns over more time to write a roll-out's report.

Tests of gateway and platform pass.

--- a/gateway/src/coordination/mod.rs
+++ b/gateway/src/coordination/mod.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 pub mod budgets;
 pub mod cascade;
+pub mod freshness;
 pub mod placement;
 pub mod requests;
 pub mod rollouts;
--- a/gateway/src/coordination/placement/server_table.rs
+++ b/gateway/src/coordination/placement/server_table.rs
@@ -48,7 +48,6 @@
     entries: BTreeMap<Arc<str>, ServerEntry>,
     lapsed: BTreeMap<Arc<str>, (ServerEntry, TimePoint)>,
     reused: BTreeMap<Arc<str>, TimePoint>,
-    confirmed_at: Option<TimePoint>,
 }
 
 impl ServerTable {
@@ -73,7 +72,6 @@
         for entry in list {
             changes.push(self.upsert(entry));
         }
-        self.confirmed_at = Some(now);
         changes.retain(|(_, change)| *change != TableChange::Same);
         changes
     }
@@ -110,16 +108,6 @@
         self.reused.insert(id.clone(), now);
     }
 
-    /// Records that the list is current.
-    pub fn confirm(&mut self, now: TimePoint) {
-        self.confirmed_at = Some(now);
-    }
-
-    /// Returns the time since the list was last confirmed; `None` if it never was.
-    pub fn age(&self, now: TimePoint) -> Option<Duration> {
-        self.confirmed_at.map(|at| now.since(at))
-    }
-
     /// Returns whether no server is listed.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
--- a/gateway/src/protocol/peer_message.rs
+++ b/gateway/src/protocol/peer_message.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::placement::{HostLoad, PrefixRead};
-use crate::state::{CrashReport, TrialReport};
+use crate::state::{CrashReport, FreshnessReport, TrialReport};
 
 /// Contents of a datagram. It is encoded by position, so the order of variants and fields is fixed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -21,4 +21,6 @@
     Trial(TrialReport),
     /// Sessions that the previous version serves during a roll-out.
     HeldSessions(Vec<u64>),
+    /// The host knew all changes of the store a short time ago. Sent within a failure domain.
+    Freshness(FreshnessReport),
 }
--- a/gateway/src/protocol/stored_object.rs
+++ b/gateway/src/protocol/stored_object.rs
@@ -5,6 +5,8 @@
 
 use serde_json::Value;
 
+use crate::state::FollowedKind;
+
 /// Kinds of objects that an entry host uses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ObjectKind {
@@ -18,6 +20,16 @@
     Hosts,
 }
 
+impl From<FollowedKind> for ObjectKind {
+    fn from(kind: FollowedKind) -> Self {
+        match kind {
+            FollowedKind::Configuration => Self::Configuration,
+            FollowedKind::Servers => Self::Servers,
+            FollowedKind::Rollouts => Self::Rollouts,
+        }
+    }
+}
+
 /// A read of the store.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ObjectQuery {
@@ -38,6 +50,8 @@
         revision: u64,
         /// Longest time for which the store holds the call open.
         wait: Duration,
+        /// Whether an answer that is seconds old is acceptable; such a watch is cheaper.
+        stale: bool,
     },
 }
 
--- /dev/null
+++ b/gateway/src/state/freshness_report.rs
@@ -0,0 +1,30 @@
+//! How current a host's knowledge of the store is.
+
+use serde::{Deserialize, Serialize};
+
+/// Kinds of objects whose changes a host must apply within a bound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum FollowedKind {
+    /// The configuration.
+    Configuration,
+    /// Backend servers.
+    Servers,
+    /// Roll-outs.
+    Rollouts,
+}
+
+impl FollowedKind {
+    /// All kinds, in the order of [`FreshnessReport::changed`].
+    pub const ALL: [Self; 3] = [Self::Configuration, Self::Servers, Self::Rollouts];
+}
+
+/// A host's statement that it knew all changes of the store a short time ago.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FreshnessReport {
+    /// Revision of the store up to which the host knew all changes.
+    pub revision: u64,
+    /// Revision of the latest change of each kind, in the order of [`FollowedKind::ALL`].
+    pub changed: [u64; 3],
+    /// Time since then, in milliseconds.
+    pub age_ms: u32,
+}
--- a/gateway/src/state/mod.rs
+++ b/gateway/src/state/mod.rs
@@ -3,6 +3,7 @@
 mod answer_grade;
 mod caller_head;
 mod config_snapshot;
+mod freshness_report;
 mod host_report;
 mod rollout_order;
 mod server_entry;
@@ -11,6 +12,7 @@
 pub use answer_grade::{AnswerGrade, GradeCounts};
 pub use caller_head::{AttemptHead, CallerHead, PromptPart};
 pub use config_snapshot::{CallerLimits, ConfigSnapshot, CredentialDigest, WorkspaceEntry};
+pub use freshness_report::{FollowedKind, FreshnessReport};
 pub use host_report::{CrashReport, HostPresence, TrialReport};
 pub use rollout_order::{RolloutOrder, RolloutReport, RolloutState};
 pub use server_entry::ServerEntry;
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -13,14 +13,16 @@
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::coordination::budgets::{RetryBudget, RetryPurpose};
+use crate::coordination::freshness::{FreshnessSettings, StoreFreshness};
 use crate::coordination::placement::{LoadEstimator, PrefixCacheIndex, ServerTable};
 use crate::coordination::requests::CrashTracker;
 use crate::coordination::rollouts::RolloutTracker;
 use crate::protocol::{PeerMessage, PlatformFormat};
-use crate::state::{ConfigSnapshot, HostPresence};
+use crate::state::{ConfigSnapshot, FollowedKind, HostPresence};
 use crate::transport::connection_pool::ConnectionPool;
 use crate::transport::gateway_metrics::GatewayMetrics;
 use crate::transport::gateway_settings::GatewaySettings;
+use crate::transport::kind_reads::KindReads;
 use crate::transport::store_client::StoreClient;
 
 /// Shared state of an entry host's tasks.
@@ -45,7 +47,7 @@
         mpsc::UnboundedSender<PeerMessage>,
         Mutex<Option<mpsc::UnboundedReceiver<PeerMessage>>>,
     ),
-    /// Counts how often a store follower reached the store again after a failure.
+    /// Counts how often a part of the host reached the store again after a failure.
     pub store_recoveries: watch::Sender<u64>,
     /// Whether the leading store follower reached the store with its last call.
     pub store_reachable: AtomicBool,
@@ -53,8 +55,12 @@
     pub rollout_changed: Notify,
     /// Notified when a server appears whose version no known roll-out introduces.
     pub unknown_version_seen: Arc<Notify>,
-    /// When the store last confirmed the configuration; `None` before the first time.
-    pub confirmed_at: Mutex<Option<TimePoint>>,
+    /// Requests to the followers to read what changed.
+    pub(crate) kind_reads: KindReads,
+    /// Notified when a kind of objects was listed.
+    pub(crate) kind_listed: Notify,
+    /// Notified when another host reported to know later changes of the store.
+    pub(crate) peer_ahead: Notify,
     /// Serializes reads of the configuration outside the watch.
     pub refresh_lock: tokio::sync::Mutex<()>,
     /// Number of requests whose response has not started.
@@ -68,6 +74,7 @@
     prefix_cache: Mutex<PrefixCacheIndex>,
     budgets: Mutex<BTreeMap<Arc<str>, RetryBudget>>,
     rollouts: Mutex<RolloutTracker>,
+    freshness: Mutex<StoreFreshness>,
     crashes: Mutex<CrashTracker>,
     peers: Mutex<BTreeMap<Arc<str>, HostPresence>>,
 }
@@ -88,7 +95,13 @@
             store_reachable: AtomicBool::new(true),
             rollout_changed: Notify::new(),
             unknown_version_seen: Arc::default(),
-            confirmed_at: Mutex::new(None),
+            kind_reads: KindReads::default(),
+            kind_listed: Notify::new(),
+            peer_ahead: Notify::new(),
+            freshness: Mutex::new(StoreFreshness::new(FreshnessSettings::new(
+                settings.configuration_bound,
+                host_rank(&settings.host),
+            ))),
             refresh_lock: tokio::sync::Mutex::new(()),
             in_flight: AtomicUsize::new(0),
             buffered_body_bytes: AtomicUsize::new(0),
@@ -129,6 +142,11 @@
         lock(&self.rollouts)
     }
 
+    /// Locks the state of what is known of the store, and since when.
+    pub fn freshness(&self) -> MutexGuard<'_, StoreFreshness> {
+        lock(&self.freshness)
+    }
+
     /// Locks the record of requests that crash servers.
     pub fn crashes(&self) -> MutexGuard<'_, CrashTracker> {
         lock(&self.crashes)
@@ -162,22 +180,22 @@
         self.with_budget(service, |budget| budget.take_retry(purpose, now))
     }
 
-    /// Records that the store confirmed the configuration just now.
-    pub fn record_configuration_confirmed(&self) {
-        *lock(&self.confirmed_at) = Some(self.now());
-    }
-
-    /// Returns the time since the store last confirmed the configuration; `None` if it never did.
+    /// Returns the time since the configuration was last confirmed to be the store's; `None` if it
+    /// never was.
     pub fn configuration_age(&self) -> Option<Duration> {
         let now = self.now();
-        lock(&self.confirmed_at).map(|at| now.since(at))
+        self.freshness().age(FollowedKind::Configuration, now)
     }
 
-    /// Returns whether the host is ready for new connections: it has a configuration, knows servers
-    /// and is not stopping.
+    /// Returns whether the host is ready for new connections: it has a configuration, knows servers,
+    /// has confirmed that both are the store's, and is not stopping.
     pub fn is_ready(&self) -> bool {
+        let is_confirmed = self.freshness().oldest_age(self.now()).is_some();
         let has_snapshot = self.snapshot.load().is_some();
-        has_snapshot && !self.stopping.load(Ordering::SeqCst) && !self.servers().is_empty()
+        is_confirmed
+            && has_snapshot
+            && !self.stopping.load(Ordering::SeqCst)
+            && !self.servers().is_empty()
     }
 
     /// Runs `act` on a service's retry budget, which is created on first use.
@@ -190,6 +208,11 @@
     }
 }
 
+/// Returns the rank of a host among the hosts of its failure domain, from 0 to 1.
+fn host_rank(host: &str) -> f64 {
+    stable_hash(&[host.as_bytes()]) as f64 / u64::MAX as f64
+}
+
 /// Locks a mutex; a value whose holder panicked is used as it is.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/gateway/src/transport/gateway_host.rs
+++ b/gateway/src/transport/gateway_host.rs
@@ -20,6 +20,7 @@
 use crate::transport::ready_listener::serve_readiness;
 use crate::transport::record_log::log_record;
 use crate::transport::rollout_writer::write_reports;
+use crate::transport::store_confirmer::{catch_up_with_peers, confirm_store};
 use crate::transport::store_feeds::start_store_feeds;
 
 /// Interval at which a stopping host checks for open connections.
@@ -65,6 +66,8 @@
         tasks.push(tokio::spawn(serve_readiness(context.clone(), ready)));
         tasks.push(tokio::spawn(write_reports(context.clone())));
         tasks.push(tokio::spawn(run_peer_gossip(context.clone(), datagrams)));
+        tasks.push(tokio::spawn(confirm_store(context.clone())));
+        tasks.push(tokio::spawn(catch_up_with_peers(context.clone())));
         let record = GatewayRecord::Started {
             host: context.settings.host.clone(),
             domain: context.settings.domain.clone(),
--- a/gateway/src/transport/peer_gossip.rs
+++ b/gateway/src/transport/peer_gossip.rs
@@ -15,7 +15,7 @@
 use tokio::net::UdpSocket;
 
 use crate::protocol::{GatewayRecord, ObjectKind, ObjectQuery, PeerMessage};
-use crate::state::HostPresence;
+use crate::state::{FreshnessReport, HostPresence};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
 use crate::transport::store_client::StoreError;
@@ -38,11 +38,13 @@
 const SESSIONS_PER_DATAGRAM: usize = 100;
 /// Copies sent of a queued message other than held sessions.
 const MESSAGE_COPIES: usize = 2;
-/// Interval between the first two reads of the hosts' addresses, while all hosts start. It doubles
-/// after each read.
-const INITIAL_HOSTS_INTERVAL: Duration = Duration::from_millis(1_500);
-/// Longest interval between reads of the hosts' addresses.
-const MAX_HOSTS_INTERVAL: Duration = Duration::from_secs(8);
+/// Pause after the first read of the hosts' addresses, while all hosts start. It doubles after each
+/// read.
+const INITIAL_HOSTS_PAUSE: Duration = Duration::from_millis(1_500);
+/// Longest pause between reads of the hosts' addresses.
+const MAX_HOSTS_PAUSE: Duration = Duration::from_secs(8);
+/// Wait of the watch of the hosts' addresses.
+const HOSTS_WATCH_WAIT: Duration = Duration::from_secs(25);
 
 /// A group of other hosts that datagrams are sent to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,15 +80,20 @@
         domain,
     };
     let mut is_announced = false;
-    let mut interval = INITIAL_HOSTS_INTERVAL;
+    // Revision to watch from; `None` if the hosts must be listed.
+    let mut revision = None;
+    let mut pause = INITIAL_HOSTS_PAUSE;
     loop {
         if !is_announced {
-            is_announced = log_failure(&announce(context, &presence).await);
+            is_announced = log_failure(&announce(context, &presence).await).is_some();
         }
-        log_failure(&read_hosts(context).await);
+        revision = match revision {
+            Some(revision) => log_failure(&watch_hosts(context, revision).await),
+            None => log_failure(&list_hosts(context).await),
+        };
         let jitter = rand::rng().random_range(0.75..1.25);
-        tokio::time::sleep(interval.mul_f64(jitter)).await;
-        interval = (interval * 2).min(MAX_HOSTS_INTERVAL);
+        tokio::time::sleep(pause.mul_f64(jitter)).await;
+        pause = (pause * 2).min(MAX_HOSTS_PAUSE);
     }
 }
 
@@ -95,7 +102,7 @@
     let body = (context.format.write_presence)(presence);
     let timeout = context.settings.store_timeout;
     let path = (context.format.object_path)(ObjectKind::Hosts, "");
-    let (status, _) = context
+    let (status, stored) = context
         .store
         .call(Method::POST, &path, body.clone(), timeout)
         .await?;
@@ -105,6 +112,14 @@
     if status != StatusCode::CONFLICT {
         return Err(StoreError::Status(status));
     }
+    let stored = (context.format.read_object)(&stored).ok();
+    if stored
+        .and_then(|object| (context.format.read_presence)(&object))
+        .as_ref()
+        == Some(presence)
+    {
+        return Ok(());
+    }
     let path = (context.format.object_path)(ObjectKind::Hosts, &presence.host);
     match context
         .store
@@ -116,10 +131,12 @@
     }
 }
 
-/// Reads the addresses of all hosts; data that is seconds old is good enough.
-async fn read_hosts(context: &GatewayContext) -> Result<(), StoreError> {
+/// Lists the addresses of all hosts, and returns the revision to watch from; data that is seconds
+/// old is good enough.
+async fn list_hosts(context: &GatewayContext) -> Result<u64, StoreError> {
     let mut after = None;
     let mut peers = BTreeMap::new();
+    let mut revision = u64::MAX;
     loop {
         let query = ObjectQuery::List {
             kind: ObjectKind::Hosts,
@@ -134,16 +151,38 @@
         let page = (context.format.read_page)(&body)?;
         let presences = page.objects.iter().filter_map(context.format.read_presence);
         peers.extend(presences.map(|presence| (presence.host.clone(), presence)));
+        revision = revision.min(page.revision);
         after = page.objects.last().map(|object| object.name.to_string());
         if !page.has_more || after.is_none() {
             *context.peers() = peers;
-            return Ok(());
+            return Ok(revision);
         }
     }
 }
 
-/// Logs the error of a failed call; returns whether the call succeeded.
-fn log_failure(result: &Result<(), StoreError>) -> bool {
+/// Waits for changes of the hosts' addresses, and returns the revision to go on from.
+async fn watch_hosts(context: &GatewayContext, revision: u64) -> Result<u64, StoreError> {
+    let path = (context.format.query_path)(&ObjectQuery::Watch {
+        kind: ObjectKind::Hosts,
+        revision,
+        wait: HOSTS_WATCH_WAIT,
+        stale: true,
+    });
+    let timeout = HOSTS_WATCH_WAIT + context.settings.store_timeout;
+    let body = context.store.read(&path, timeout).await?;
+    let changes = (context.format.read_changes)(&body)?;
+    let mut peers = context.peers();
+    for change in &changes.changes {
+        match (context.format.read_presence)(&change.object).filter(|_| !change.removed) {
+            Some(presence) => peers.insert(presence.host.clone(), presence),
+            None => peers.remove(&change.object.name),
+        };
+    }
+    Ok(changes.revision.max(revision))
+}
+
+/// Logs the error of a failed call; returns its value if it succeeded.
+fn log_failure<T: Copy>(result: &Result<T, StoreError>) -> Option<T> {
     if let Err(error) = result {
         let record = GatewayRecord::Fault {
             part: "hosts",
@@ -151,7 +190,7 @@
         };
         log_record(Level::Warn, &record);
     }
-    result.is_ok()
+    result.as_ref().ok().copied()
 }
 
 /// Receives messages of other hosts and applies them.
@@ -183,11 +222,24 @@
                     .rollouts()
                     .record_held_sessions(&sessions, context.now());
             }
+            Ok(PeerMessage::Freshness(report)) => record_freshness(context, peer, &report),
             Err(_) => context.metrics.increment("datagrams_unreadable_total"),
         }
     }
 }
 
+/// Applies the report of another host of this failure domain about what it knows of the store.
+fn record_freshness(context: &GatewayContext, peer: SocketAddr, report: &FreshnessReport) {
+    if !peer_addresses(context, PeerScope::OwnDomain).contains(&peer) {
+        context.metrics.increment("datagrams_of_strangers_total");
+        return;
+    }
+    let is_behind = context.freshness().record_report(report, context.now());
+    if is_behind {
+        context.peer_ahead.notify_one();
+    }
+}
+
 /// Periodically sends a group of hosts the load that this host puts on servers, and which prompts
 /// it sent to which engine since the last datagram.
 async fn send_loads(context: &GatewayContext, socket: &UdpSocket, scope: PeerScope) {
@@ -220,7 +272,7 @@
     }
 }
 
-/// Sends queued messages to all other hosts. All but held sessions go out more than once, because
+/// Sends queued messages to other hosts. All but held sessions go out more than once, because
 /// datagrams may be lost and these messages are not repeated later.
 async fn send_outbox(context: &GatewayContext, socket: &UdpSocket) {
     let Some(mut receiver) = context.take_peer_outbox() else {
@@ -237,11 +289,7 @@
                 continue;
             };
             for _ in 0..copies {
-                let same_domain = peer_addresses(context, PeerScope::OwnDomain);
-                for peer in same_domain
-                    .iter()
-                    .chain(&peer_addresses(context, PeerScope::OtherDomains))
-                {
+                for peer in recipients(context, &part) {
                     // Losing a datagram only loses a hint.
                     let _ = socket.send_to(&message, peer).await;
                 }
@@ -250,6 +298,15 @@
     }
 }
 
+/// Returns the addresses of the hosts that a queued message goes to.
+fn recipients(context: &GatewayContext, message: &PeerMessage) -> Vec<SocketAddr> {
+    let mut addresses = peer_addresses(context, PeerScope::OwnDomain);
+    if !matches!(message, PeerMessage::Freshness(_)) {
+        addresses.extend(peer_addresses(context, PeerScope::OtherDomains));
+    }
+    addresses
+}
+
 /// Splits a message that may not fit in one datagram.
 fn split_message(message: PeerMessage) -> Vec<PeerMessage> {
     match message {
--- a/gateway/src/transport/request_admission.rs
+++ b/gateway/src/transport/request_admission.rs
@@ -79,6 +79,8 @@
     let snapshot = context
         .snapshot
         .load_full()
+        // A configuration that was read stale and not confirmed yet may be too old to serve by.
+        .filter(|_| context.configuration_age().is_some())
         .ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
     let host = parts
         .headers
--- a/gateway/src/transport/request_exchange/request_log.rs
+++ b/gateway/src/transport/request_exchange/request_log.rs
@@ -8,7 +8,7 @@
 use crate::coordination::admission::ServiceForecast;
 use crate::coordination::placement::ServerPick;
 use crate::protocol::{DecisionInputs, GatewayRecord};
-use crate::state::ServerEntry;
+use crate::state::{FollowedKind, ServerEntry};
 use crate::transport::record_log::log_record;
 use crate::transport::request_exchange::RequestExchange;
 
@@ -57,7 +57,7 @@
         self.context.metrics.increment("attempts_total");
         let now = self.context.now();
         let load = self.context.loads().load(&pick.server.id);
-        let age = self.context.servers().age(now).unwrap_or_default();
+        let age = self.context.freshness().age(FollowedKind::Servers, now);
         let record = GatewayRecord::AttemptChosen {
             request: self.request.clone(),
             route: self.route.name.clone(),
@@ -68,7 +68,7 @@
             model: self.model.clone(),
             inputs: DecisionInputs {
                 configuration: self.snapshot.version,
-                servers_age_ms: millis(age),
+                servers_age_ms: millis(age.unwrap_or_default()),
                 prompt_tokens: self.head.prompt_tokens,
                 candidates: pick.candidates,
                 in_flight: load.in_flight,
--- a/gateway/src/transport/rollout_writer.rs
+++ b/gateway/src/transport/rollout_writer.rs
@@ -17,8 +17,12 @@
 /// Longest delay after failed writes. All hosts retry, and each also retries when a follower
 /// reaches the store again.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(3_200);
+/// Longest time a host waits for another host to write the report first, for each known host.
+const WRITE_DELAY_PER_HOST: Duration = Duration::from_millis(100);
 /// Longest time a host waits for another host to write the report first.
-const MAX_WRITE_DELAY: Duration = Duration::from_millis(900);
+const MAX_WRITE_DELAY: Duration = Duration::from_secs(4);
+/// Part of that time for the report of a bad version, which every host stops to use by itself.
+const BAD_VERSION_DELAY_PART: f64 = 0.25;
 
 /// Writes due reports until the task is dropped.
 pub(crate) async fn write_reports(context: Arc<GatewayContext>) {
@@ -34,10 +38,8 @@
             .due_reports(now, context.timers.unix_millis());
         let mut failed = false;
         for (order, report) in due {
-            // Every host reports a bad version at once; other reports are left to one host.
-            if report.state != RolloutState::RolledBack {
-                tokio::time::sleep(write_delay(&context, &order)).await;
-            }
+            // Usually the first host writes the report for all.
+            tokio::time::sleep(write_delay(&context, &order, report.state)).await;
             let unix_ms = context.timers.unix_millis();
             let still_due = context.rollouts().due_reports(context.now(), unix_ms);
             let revision = order.revision;
@@ -68,10 +70,18 @@
 }
 
 /// Returns how long this host waits before a write. The order of hosts differs for each revision.
-fn write_delay(context: &GatewayContext, order: &RolloutOrder) -> Duration {
+fn write_delay(context: &GatewayContext, order: &RolloutOrder, state: RolloutState) -> Duration {
     let host = context.settings.host.as_bytes();
     let permille = stable_hash(&[host, &order.revision.to_le_bytes()]) % 1_000;
-    MAX_WRITE_DELAY.mul_f64(permille as f64 / 1_000.0)
+    let hosts = u32::try_from(context.peers().len()).unwrap_or(u32::MAX);
+    let longest = WRITE_DELAY_PER_HOST
+        .saturating_mul(hosts)
+        .min(MAX_WRITE_DELAY);
+    let part = match state {
+        RolloutState::RolledBack => BAD_VERSION_DELAY_PART,
+        _ => 1.0,
+    };
+    longest.mul_f64(part * permille as f64 / 1_000.0)
 }
 
 /// Writes one report, conditional on the revision of the order. Returns whether the store wrote it
--- a/gateway/src/transport/store_client.rs
+++ b/gateway/src/transport/store_client.rs
@@ -64,9 +64,14 @@
         timeout: Duration,
     ) -> Result<(StatusCode, Bytes), StoreError> {
         let response = self.call_without_timeout(method, path, body);
-        tokio::time::timeout(timeout, response)
+        let result = tokio::time::timeout(timeout, response)
             .await
-            .unwrap_or(Err(StoreError::TimedOut))
+            .unwrap_or(Err(StoreError::TimedOut));
+        if result.is_err() {
+            // Idle connections may have gone silent at the same time.
+            self.pool.clear(self.address);
+        }
+        result
     }
 
     /// Makes a read and returns the body of a response with status 200.
--- a/gateway/src/transport/store_feeds.rs
+++ b/gateway/src/transport/store_feeds.rs
@@ -8,9 +8,9 @@
 
 use crate::coordination::placement::TableChange;
 use crate::protocol::{
-    FormatError, GatewayRecord, ObjectKind, ObjectQuery, PeerMessage, StoredObject,
+    FormatError, GatewayRecord, ObjectKind, ObjectPage, ObjectQuery, PeerMessage, StoredObject,
 };
-use crate::state::{ConfigSnapshot, ServerEntry};
+use crate::state::{ConfigSnapshot, FollowedKind, ServerEntry};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
 use crate::transport::store_client::StoreError;
@@ -22,74 +22,54 @@
 /// Fraction of the time within which a change must be applied that a follower pauses after a
 /// change; the remainder is for the next call and for a slow store.
 const SETTLE_FRACTION: f64 = 0.3;
-/// Pause after a change of the roll-outs; far below the time within which a bad version must be
-/// left.
-const ROLLOUTS_SETTLE_DELAY: Duration = Duration::from_millis(400);
-/// Wait of the roll-out watch while no roll-out is under way. A broken connection may go unnoticed,
-/// and hide an order, for this long; servers of the new version reveal the order earlier.
-const IDLE_WATCH_WAIT: Duration = Duration::from_secs(15);
-/// Fraction of the time for which a broken connection may go unnoticed that a watch waits; the
-/// remainder is for noticing it, reconnecting and reading again.
-const WATCH_WAIT_FRACTION: f64 = 0.65;
-
+/// Pause after a change of the roll-outs. It is short, as hosts that do not see yet that another
+/// wrote a report write it too.
+const ROLLOUTS_SETTLE_DELAY: Duration = Duration::from_millis(100);
 /// Starts the followers of the configuration, the servers and the roll-outs.
 pub(crate) fn start_store_feeds(context: &Arc<GatewayContext>) -> Vec<JoinHandle<()>> {
-    let (config_context, server_context) = (context.clone(), context.clone());
-    let (rollout_context, wait_context) = (context.clone(), context.clone());
-    let bound = context.settings.configuration_bound;
-    let config_wait = watch_wait(context, bound);
-    let rollout_wait = watch_wait(context, context.settings.rollback_bound);
-    let spawn_feed = |feed, apply: Box<dyn Fn(KindUpdate) + Send + Sync>| {
-        tokio::spawn(follow_kind(context.clone(), feed, apply))
+    let settle_delay = context
+        .settings
+        .configuration_bound
+        .mul_f64(SETTLE_FRACTION);
+    let spawn_feed = |feed, apply: fn(&GatewayContext, KindUpdate)| {
+        let apply_context = context.clone();
+        let apply_update = move |update| apply(&apply_context, update);
+        tokio::spawn(follow_kind(context.clone(), feed, apply_update))
     };
     vec![
         spawn_feed(
             KindFeed {
-                kind: ObjectKind::Configuration,
+                kind: FollowedKind::Configuration,
                 part: "configuration",
-                settle_delay: bound.mul_f64(SETTLE_FRACTION),
-                wait: Box::new(move || config_wait),
+                settle_delay,
                 is_leader: true,
                 relist: Arc::default(),
             },
-            Box::new(move |update| apply_configuration(&config_context, update)),
+            apply_configuration,
         ),
         spawn_feed(
             KindFeed {
-                kind: ObjectKind::Servers,
+                kind: FollowedKind::Servers,
                 part: "servers",
-                settle_delay: bound.mul_f64(SETTLE_FRACTION),
-                wait: Box::new(move || config_wait),
+                settle_delay,
                 is_leader: false,
                 relist: Arc::default(),
             },
-            Box::new(move |update| apply_servers(&server_context, update)),
+            apply_servers,
         ),
         spawn_feed(
             KindFeed {
-                kind: ObjectKind::Rollouts,
+                kind: FollowedKind::Rollouts,
                 part: "rollouts",
                 settle_delay: ROLLOUTS_SETTLE_DELAY,
-                wait: Box::new(move || {
-                    if wait_context.rollouts().has_open() {
-                        rollout_wait
-                    } else {
-                        IDLE_WATCH_WAIT
-                    }
-                }),
                 is_leader: false,
                 relist: context.unknown_version_seen.clone(),
             },
-            Box::new(move |update| apply_rollouts(&rollout_context, update)),
+            apply_rollouts,
         ),
     ]
 }
 
-/// Returns the longest wait of a watch whose changes must be applied within `bound`.
-fn watch_wait(context: &GatewayContext, bound: Duration) -> Duration {
-    (context.settings.contact_timeout + bound).mul_f64(WATCH_WAIT_FRACTION)
-}
-
 /// Applies an update of the configuration.
 fn apply_configuration(context: &GatewayContext, update: KindUpdate) {
     match update {
@@ -97,13 +77,11 @@
             objects
                 .iter()
                 .for_each(|object| adopt_configuration(context, object));
-            context.record_configuration_confirmed();
         }
         KindUpdate::Changed(change) if !change.removed => {
             adopt_configuration(context, &change.object);
         }
-        KindUpdate::Confirmed => context.record_configuration_confirmed(),
-        KindUpdate::Changed(_) | KindUpdate::Lost => {}
+        KindUpdate::Changed(_) => {}
     }
 }
 
@@ -143,13 +121,11 @@
 pub(crate) async fn refresh_configuration(context: &GatewayContext) -> Result<(), StoreError> {
     let requested_at = context.now();
     let _guard = context.refresh_lock.lock().await;
-    let confirmed_at = *context
-        .confirmed_at
-        .lock()
-        .unwrap_or_else(std::sync::PoisonError::into_inner);
-    if confirmed_at.is_some_and(|at| at >= requested_at) {
+    let waited = context.now().since(requested_at);
+    if context.configuration_age().is_some_and(|age| age <= waited) {
         return Ok(());
     }
+    let started_at = context.now();
     let query = ObjectQuery::List {
         kind: ObjectKind::Configuration,
         after: None,
@@ -161,10 +137,27 @@
         .read(&path, context.settings.store_timeout)
         .await?;
     let page = (context.format.read_page)(&body)?;
+    let kind = FollowedKind::Configuration;
+    record_current_page(context, kind, &page);
     apply_configuration(context, KindUpdate::Listed(page.objects));
+    context.freshness().record_read(kind, started_at);
     Ok(())
 }
 
+/// Applies the roll-outs that the store listed, all on one page and not stale.
+pub(crate) fn apply_current_rollouts(context: &GatewayContext, page: ObjectPage) {
+    record_current_page(context, FollowedKind::Rollouts, &page);
+    apply_rollouts(context, KindUpdate::Listed(page.objects));
+}
+
+/// Records that all changes of a kind up to the revision of its only page are known.
+fn record_current_page(context: &GatewayContext, kind: FollowedKind, page: &ObjectPage) {
+    let revisions = page.objects.iter().map(|object| object.revision);
+    context
+        .freshness()
+        .record_changes(kind, revisions, page.revision);
+}
+
 /// Applies an update of the servers.
 fn apply_servers(context: &GatewayContext, update: KindUpdate) {
     let now = context.now();
@@ -186,11 +179,6 @@
                     .collect(),
             }
         }
-        KindUpdate::Confirmed => {
-            context.servers().confirm(now);
-            Vec::new()
-        }
-        KindUpdate::Lost => Vec::new(),
     };
     changes
         .iter()
@@ -243,7 +231,6 @@
             return;
         }
         KindUpdate::Changed(change) => vec![change.object],
-        KindUpdate::Confirmed | KindUpdate::Lost => return,
     };
     let now = context.now();
     for order in objects
--- a/gateway/src/transport/store_follower.rs
+++ b/gateway/src/transport/store_follower.rs
@@ -8,10 +8,12 @@
 use http::StatusCode;
 use log::Level;
 use rand::Rng;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
-use crate::protocol::{GatewayRecord, ObjectChange, ObjectKind, ObjectQuery, StoredObject};
+use crate::protocol::{GatewayRecord, ObjectChange, ObjectChanges, ObjectQuery, StoredObject};
+use crate::state::FollowedKind;
 use crate::transport::gateway_context::GatewayContext;
+use crate::transport::kind_reads::ReadRequest;
 use crate::transport::record_log::log_record;
 use crate::transport::store_client::StoreError;
 
@@ -26,19 +28,22 @@
 /// Consecutive failures of one page after which a list starts over; the history of changes since
 /// its first page may be gone by then.
 const MAX_PAGE_FAILURES: u32 = 12;
+/// Wait of a watch. Its connection may break unnoticed for as long; a confirmation notices that a
+/// change did not arrive.
+const WATCH_WAIT: Duration = Duration::from_secs(28);
+/// Wait of a read of the changes until now.
+const IMMEDIATE_WAIT: Duration = Duration::from_millis(1);
 /// Time beyond the wait of a watch after which its connection is considered dead.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 
 /// A kind of objects to follow, and how.
 pub(crate) struct KindFeed {
     /// Kind of the objects.
-    pub(crate) kind: ObjectKind,
+    pub(crate) kind: FollowedKind,
     /// Name of the kind in logs.
     pub(crate) part: &'static str,
     /// Pause after a change before the next watch, which then returns all changes made meanwhile.
     pub(crate) settle_delay: Duration,
-    /// Returns the longest time that the store may hold the next watch.
-    pub(crate) wait: Box<dyn Fn() -> Duration + Send + Sync>,
     /// Whether this follower retries quickly on behalf of all followers while the store fails.
     pub(crate) is_leader: bool,
     /// Notified to have the follower list the kind again.
@@ -52,50 +57,183 @@
     Listed(Vec<StoredObject>),
     /// One object changed or was removed.
     Changed(ObjectChange),
-    /// All changes until now have been delivered.
-    Confirmed,
-    /// A call to the store failed.
-    Lost,
 }
 
 /// Follows a kind of objects until the task is dropped, and passes each update to `apply_update`.
+///
+/// Lists and watches may return stale data, which is cheaper; `store_confirmer` requests a read of
+/// current data where it matters.
 pub(crate) async fn follow_kind(
     context: Arc<GatewayContext>,
     feed: KindFeed,
     apply_update: impl Fn(KindUpdate) + Send + Sync + 'static,
 ) {
-    let KindFeed { kind, part, .. } = feed;
-    let store_recoveries = context.store_recoveries.subscribe();
-    let mut contact = StoreContact {
+    let Some(requests) = context.kind_reads.take_receiver(feed.kind) else {
+        return;
+    };
+    let contact = StoreContact {
         context: context.clone(),
-        part,
+        part: feed.part,
         is_leader: feed.is_leader,
         is_reachable: true,
         retry_delay: INITIAL_RETRY_DELAY,
-        store_recoveries,
+        store_recoveries: context.store_recoveries.subscribe(),
     };
+    let mut follower = KindFollower {
+        context,
+        feed,
+        contact,
+        requests,
+        apply_update,
+    };
+    // The history since a stale list may be gone by the time of the watch.
+    let mut stale = true;
     loop {
-        let revision = match list_kind(&context, kind, &mut contact).await {
-            Ok((objects, revision)) => {
-                contact.record_success();
-                apply_update(KindUpdate::Listed(objects));
-                revision
+        let mut revision = follower.list(std::mem::take(&mut stale)).await;
+        while let ControlFlow::Continue(next) = follower.watch(revision).await {
+            revision = next;
+        }
+    }
+}
+
+/// Follows one kind of objects.
+struct KindFollower<F> {
+    context: Arc<GatewayContext>,
+    feed: KindFeed,
+    contact: StoreContact,
+    requests: mpsc::UnboundedReceiver<ReadRequest>,
+    apply_update: F,
+}
+
+impl<F: Fn(KindUpdate)> KindFollower<F> {
+    /// Lists the kind until that succeeds, and returns the revision to watch from.
+    async fn list(&mut self, stale: bool) -> u64 {
+        let kind = self.feed.kind;
+        loop {
+            match list_kind(&self.context, kind, stale, &mut self.contact).await {
+                Ok((objects, revision)) => {
+                    self.contact.record_success();
+                    (self.apply_update)(KindUpdate::Listed(objects));
+                    self.context.freshness().record_listed(kind, revision);
+                    self.context.kind_listed.notify_one();
+                    return revision;
+                }
+                Err(error) => self.contact.record_failure(&error).await,
+            }
+        }
+    }
+
+    /// Makes one watch and returns the revision to go on from; breaks if the kind must be listed
+    /// again.
+    async fn watch(&mut self, revision: u64) -> ControlFlow<(), u64> {
+        let wait = if self.contact.is_reachable {
+            WATCH_WAIT
+        } else {
+            RECOVERY_WATCH_WAIT
+        };
+        let started_at = self.context.now();
+        let read = tokio::select! {
+            read = read_changes(&self.context, self.feed.kind, revision, wait, true) => read,
+            Some(request) = self.requests.recv() => return self.read_now(revision, request).await,
+            () = self.contact.recovered_elsewhere() => return ControlFlow::Continue(revision),
+            () = self.feed.relist.notified() => return ControlFlow::Break(()),
+        };
+        let has_changes = matches!(&read, Ok(changes) if !changes.changes.is_empty());
+        let returned_early = read.is_ok() && self.context.now().since(started_at) < wait / 2;
+        let next = self.apply_changes(revision, read).await?;
+        // The next watch returns everything that changes meanwhile. A watch that returns early
+        // without changes is answered from data older than `revision`.
+        if has_changes || returned_early {
+            return self.settle(next).await;
+        }
+        ControlFlow::Continue(next)
+    }
+
+    /// Pauses after a change, unless a read is requested.
+    async fn settle(&mut self, revision: u64) -> ControlFlow<(), u64> {
+        let request = tokio::select! {
+            () = tokio::time::sleep(self.feed.settle_delay) => None,
+            request = self.requests.recv() => request,
+        };
+        match request {
+            Some(request) => self.read_now(revision, request).await,
+            None => ControlFlow::Continue(revision),
+        }
+    }
+
+    /// Reads what changed since `revision`, once for all requests.
+    async fn read_now(&mut self, revision: u64, request: ReadRequest) -> ControlFlow<(), u64> {
+        let mut requests = vec![request];
+        while let Ok(request) = self.requests.try_recv() {
+            requests.push(request);
+        }
+        let stale = requests.iter().all(|request| request.stale);
+        let (kind, started_at) = (self.feed.kind, self.context.now());
+        let read = read_changes(&self.context, kind, revision, IMMEDIATE_WAIT, stale).await;
+        if read.is_err() {
+            requests.clear();
+        }
+        let next = self.apply_changes(revision, read).await?;
+        if !stale && !requests.is_empty() {
+            self.context.freshness().record_read(kind, started_at);
+        }
+        for request in requests {
+            // The requester may have stopped waiting.
+            let _ = request.done.send(());
+        }
+        ControlFlow::Continue(next)
+    }
+
+    /// Applies the changes that a call returned, or waits after its failure.
+    async fn apply_changes(
+        &mut self,
+        revision: u64,
+        read: Result<ObjectChanges, StoreError>,
+    ) -> ControlFlow<(), u64> {
+        match read {
+            Ok(changes) => {
+                self.contact.record_success();
+                let revisions: Vec<u64> = changes
+                    .changes
+                    .iter()
+                    .map(|change| change.object.revision)
+                    .collect();
+                for change in changes.changes {
+                    (self.apply_update)(KindUpdate::Changed(change));
+                }
+                let kind = self.feed.kind;
+                self.context
+                    .freshness()
+                    .record_changes(kind, revisions, changes.revision);
+                ControlFlow::Continue(changes.revision.max(revision))
             }
+            Err(StoreError::Status(StatusCode::GONE)) => ControlFlow::Break(()),
             Err(error) => {
-                apply_update(KindUpdate::Lost);
-                contact.record_failure(&error).await;
-                continue;
+                self.contact.record_failure(&error).await;
+                ControlFlow::Continue(revision)
             }
-        };
-        let mut revision = revision;
-        while let ControlFlow::Continue(next) =
-            watch_kind(&context, &feed, revision, &apply_update, &mut contact).await
-        {
-            revision = next;
         }
     }
 }
 
+/// Reads the changes of a kind since a revision; the store answers after `wait` at the latest.
+async fn read_changes(
+    context: &GatewayContext,
+    kind: FollowedKind,
+    revision: u64,
+    wait: Duration,
+    stale: bool,
+) -> Result<ObjectChanges, StoreError> {
+    let path = (context.format.query_path)(&ObjectQuery::Watch {
+        kind: kind.into(),
+        revision,
+        wait,
+        stale,
+    });
+    let body = context.store.read(&path, wait + WATCH_SLACK).await?;
+    Ok((context.format.read_changes)(&body)?)
+}
+
 /// Whether the store responded to the last call of one follower.
 struct StoreContact {
     context: Arc<GatewayContext>,
@@ -167,28 +305,30 @@
     }
 }
 
-/// Lists all objects of a kind and returns them with the revision to watch from.
+/// Lists all objects of a kind and returns them with the revision to watch from, the lowest of its
+/// pages.
 ///
 /// A page that fails is read again without those before it: hosts that start at the same time may
 /// request more pages than the store allows.
 async fn list_kind(
     context: &GatewayContext,
-    kind: ObjectKind,
+    kind: FollowedKind,
+    stale: bool,
     contact: &mut StoreContact,
 ) -> Result<(Vec<StoredObject>, u64), StoreError> {
-    let (mut objects, mut first_revision, mut after) = (Vec::new(), None, None);
+    let (mut objects, mut lowest_revision, mut after) = (Vec::new(), None, None);
     let mut failures = 0;
     loop {
         let query = ObjectQuery::List {
-            kind,
+            kind: kind.into(),
             after: after.clone(),
-            stale: false,
+            stale,
         };
         let path = (context.format.query_path)(&query);
         let read = context.store.read(&path, context.settings.store_timeout);
         let page = match read.await {
             Ok(body) => (context.format.read_page)(&body)?,
-            Err(error) if first_revision.is_some() && failures < MAX_PAGE_FAILURES => {
+            Err(error) if lowest_revision.is_some() && failures < MAX_PAGE_FAILURES => {
                 failures += 1;
                 contact.record_failure(&error).await;
                 continue;
@@ -198,59 +338,13 @@
         failures = 0;
         let last = page.objects.last().map(|object| object.name.to_string());
         objects.extend(page.objects);
-        // The watch returns changes made while later pages were read.
-        let revision = *first_revision.get_or_insert(page.revision);
+        // The watch returns changes made while the pages were read.
+        let revision =
+            lowest_revision.map_or(page.revision, |lowest: u64| lowest.min(page.revision));
+        lowest_revision = Some(revision);
         if !page.has_more || last.is_none() {
             return Ok((objects, revision));
         }
         after = last;
     }
 }
-
-/// Makes one watch and returns the revision to go on from; breaks if the kind must be listed again.
-async fn watch_kind(
-    context: &GatewayContext,
-    feed: &KindFeed,
-    revision: u64,
-    apply_update: &impl Fn(KindUpdate),
-    contact: &mut StoreContact,
-) -> ControlFlow<(), u64> {
-    let wait = if contact.is_reachable {
-        (feed.wait)()
-    } else {
-        RECOVERY_WATCH_WAIT
-    };
-    let kind = feed.kind;
-    let path = (context.format.query_path)(&ObjectQuery::Watch {
-        kind,
-        revision,
-        wait,
-    });
-    let read = tokio::select! {
-        read = context.store.read(&path, wait + WATCH_SLACK) => read,
-        () = contact.recovered_elsewhere() => return ControlFlow::Continue(revision),
-        () = feed.relist.notified() => return ControlFlow::Break(()),
-    };
-    let changes = read.and_then(|body| Ok((context.format.read_changes)(&body)?));
-    match changes {
-        Ok(changes) => {
-            contact.record_success();
-            let has_changes = !changes.changes.is_empty();
-            for change in changes.changes {
-                apply_update(KindUpdate::Changed(change));
-            }
-            apply_update(KindUpdate::Confirmed);
-            if has_changes {
-                // The next watch returns everything that changes meanwhile.
-                tokio::time::sleep(feed.settle_delay).await;
-            }
-            ControlFlow::Continue(changes.revision.max(revision))
-        }
-        Err(StoreError::Status(StatusCode::GONE)) => ControlFlow::Break(()),
-        Err(error) => {
-            apply_update(KindUpdate::Lost);
-            contact.record_failure(&error).await;
-            ControlFlow::Continue(revision)
-        }
-    }
-}
--- a/gateway/tests/decisions/main.rs
+++ b/gateway/tests/decisions/main.rs
@@ -5,6 +5,7 @@
 mod cascade;
 mod crashes;
 mod events;
+mod freshness;
 mod outcomes;
 mod placement;
 mod rollout_tracker;
