Ask an unreachable store by its cheapest call, and once for all that wait

A new server of another version made each host list the roll-outs again.

Change: one failed read answers all refusals that wait, and the next is preceded by a stale one; reads after reports begin stale and end at the first failure; a requested read ends a follower's sleep; the roll-outs are read stale, the next confirmation shows what is missed; a restarted host finds its own entry in the list in place of writing it.

--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -53,16 +53,15 @@
     pub store_reachable: AtomicBool,
     /// Notified when a roll-out may need a report.
     pub rollout_changed: Notify,
-    /// Notified when a server appears whose version no known roll-out introduces.
-    pub unknown_version_seen: Arc<Notify>,
     /// Requests to the followers to read what changed.
     pub(crate) kind_reads: KindReads,
     /// Notified when a kind of objects was listed.
     pub(crate) kind_listed: Notify,
     /// Notified when another host reported to know later changes of the store.
     pub(crate) peer_ahead: Notify,
-    /// Serializes reads of the configuration outside the watch.
-    pub refresh_lock: tokio::sync::Mutex<()>,
+    /// When the last read of the configuration outside the watch failed; `None` if it succeeded.
+    /// Locked during such a read, so that there is one at a time.
+    pub(crate) refresh_failed_at: tokio::sync::Mutex<Option<TimePoint>>,
     /// Number of requests whose response has not started.
     pub in_flight: AtomicUsize,
     /// Total size of the request bodies in memory, in bytes.
@@ -94,7 +93,6 @@
             store_recoveries: watch::Sender::new(0),
             store_reachable: AtomicBool::new(true),
             rollout_changed: Notify::new(),
-            unknown_version_seen: Arc::default(),
             kind_reads: KindReads::default(),
             kind_listed: Notify::new(),
             peer_ahead: Notify::new(),
@@ -102,7 +100,7 @@
                 settings.configuration_bound,
                 host_rank(&settings.host),
             ))),
-            refresh_lock: tokio::sync::Mutex::new(()),
+            refresh_failed_at: tokio::sync::Mutex::new(None),
             in_flight: AtomicUsize::new(0),
             buffered_body_bytes: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
--- a/gateway/src/transport/kind_reads.rs
+++ b/gateway/src/transport/kind_reads.rs
@@ -62,11 +62,15 @@
         receiver
     }
 
-    /// Has all kinds read; returns whether their changes were applied within `timeout`.
-    pub(crate) async fn read_all(&self, stale: bool, timeout: Duration) -> bool {
-        let reads = FollowedKind::ALL.map(|kind| self.request(kind, stale));
-        let [configuration, servers, rollouts] = reads;
-        let all = async { tokio::try_join!(configuration, servers, rollouts) };
+    /// Has some kinds read; returns whether their changes were applied within `timeout`.
+    pub(crate) async fn read(
+        &self,
+        kinds: &[FollowedKind],
+        stale: bool,
+        timeout: Duration,
+    ) -> bool {
+        let reads = kinds.iter().map(|kind| self.request(*kind, stale));
+        let all = futures_util::future::try_join_all(reads);
         matches!(tokio::time::timeout(timeout, all).await, Ok(Ok(_)))
     }
 }
--- a/gateway/src/transport/peer_gossip.rs
+++ b/gateway/src/transport/peer_gossip.rs
@@ -84,13 +84,15 @@
     let mut revision = None;
     let mut pause = INITIAL_HOSTS_PAUSE;
     loop {
-        if !is_announced {
-            is_announced = log_failure(&announce(context, &presence).await).is_some();
-        }
         revision = match revision {
             Some(revision) => log_failure(&watch_hosts(context, revision).await),
             None => log_failure(&list_hosts(context).await),
         };
+        // A process that takes over from an earlier one of this host finds its entry in the list.
+        is_announced |= context.peers().get(&presence.host) == Some(&presence);
+        if !is_announced {
+            is_announced = log_failure(&announce(context, &presence).await).is_some();
+        }
         let jitter = rand::rng().random_range(0.75..1.25);
         tokio::time::sleep(pause.mul_f64(jitter)).await;
         pause = (pause * 2).min(MAX_HOSTS_PAUSE);
--- a/gateway/src/transport/store_confirmer.rs
+++ b/gateway/src/transport/store_confirmer.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 
 use crate::protocol::{GatewayRecord, ObjectKind, ObjectQuery, PeerMessage};
+use crate::state::FollowedKind;
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
 use crate::transport::store_client::StoreError;
@@ -79,15 +80,19 @@
     if !page.has_more {
         apply_current_rollouts(context, page);
     }
-    let is_confirmed = || context.freshness().confirm_revision(revision, started_at);
     // Stale data usually contains the changes that are not known yet.
-    if is_confirmed() || (context.kind_reads.read_all(true, timeout).await && is_confirmed()) {
-        return Ok(());
-    }
-    if context.kind_reads.read_all(false, timeout).await {
-        return Ok(());
+    for accepts_stale in [true, false] {
+        if context.freshness().confirm_revision(revision, started_at) {
+            return Ok(());
+        }
+        let reads = context
+            .kind_reads
+            .read(&FollowedKind::ALL, accepts_stale, timeout);
+        if !reads.await {
+            return Err(StoreError::TimedOut);
+        }
     }
-    Err(StoreError::TimedOut)
+    Ok(())
 }
 
 /// Waits before the next confirmation: until a follower reaches the store again, or for the delay.
@@ -127,11 +132,19 @@
         context.peer_ahead.notified().await;
         let part = rand::rng().random_range(CATCH_UP_PARTS);
         tokio::time::sleep(context.settings.configuration_bound.mul_f64(part)).await;
-        let lagging = context.freshness().lagging_kinds(context.now());
-        for kind in lagging {
-            context.metrics.increment("kinds_read_after_reports_total");
-            // The follower applies and logs what it reads.
-            drop(context.kind_reads.request(kind, false));
+        // Stale data usually contains what another host knows. If the store does not answer, the
+        // next confirmation reads what is missed.
+        for accepts_stale in [true, false] {
+            let lagging = context.freshness().lagging_kinds(context.now());
+            if lagging.is_empty() {
+                break;
+            }
+            context.metrics.increment("reads_after_reports_total");
+            let timeout = context.settings.store_timeout;
+            let reads = context.kind_reads.read(&lagging, accepts_stale, timeout);
+            if !reads.await {
+                break;
+            }
         }
     }
 }
--- a/gateway/src/transport/store_feeds.rs
+++ b/gateway/src/transport/store_feeds.rs
@@ -43,7 +43,6 @@
                 part: "configuration",
                 settle_delay,
                 is_leader: true,
-                relist: Arc::default(),
             },
             apply_configuration,
         ),
@@ -53,7 +52,6 @@
                 part: "servers",
                 settle_delay,
                 is_leader: false,
-                relist: Arc::default(),
             },
             apply_servers,
         ),
@@ -63,7 +61,6 @@
                 part: "rollouts",
                 settle_delay: ROLLOUTS_SETTLE_DELAY,
                 is_leader: false,
-                relist: context.unknown_version_seen.clone(),
             },
             apply_rollouts,
         ),
@@ -113,30 +110,26 @@
 }
 
 /// Reads the configuration outside the watch, unless the store confirms it while this waits for
-/// another such read.
+/// another such read. One read serves all requests that wait, also if it fails; after a failure, a
+/// cheaper call asks first whether the store answers.
 ///
 /// # Errors
 ///
 /// Returns an error if the store cannot be read or its response cannot be decoded.
 pub(crate) async fn refresh_configuration(context: &GatewayContext) -> Result<(), StoreError> {
     let requested_at = context.now();
-    let _guard = context.refresh_lock.lock().await;
+    let mut failed_at = context.refresh_failed_at.lock().await;
+    if failed_at.is_some_and(|at| at >= requested_at) {
+        return Err(StoreError::TimedOut);
+    }
     let waited = context.now().since(requested_at);
     if context.configuration_age().is_some_and(|age| age <= waited) {
         return Ok(());
     }
     let started_at = context.now();
-    let query = ObjectQuery::List {
-        kind: ObjectKind::Configuration,
-        after: None,
-        stale: false,
-    };
-    let path = (context.format.query_path)(&query);
-    let body = context
-        .store
-        .read(&path, context.settings.store_timeout)
-        .await?;
-    let page = (context.format.read_page)(&body)?;
+    let read = read_current_configuration(context, failed_at.is_some()).await;
+    *failed_at = read.is_err().then(|| context.now());
+    let page = read?;
     let kind = FollowedKind::Configuration;
     record_current_page(context, kind, &page);
     apply_configuration(context, KindUpdate::Listed(page.objects));
@@ -144,6 +137,25 @@
     Ok(())
 }
 
+/// Reads the configuration. If `probes_first`, a cheaper call is made before.
+async fn read_current_configuration(
+    context: &GatewayContext,
+    probes_first: bool,
+) -> Result<ObjectPage, StoreError> {
+    let timeout = context.settings.store_timeout;
+    let path = |kind, stale| {
+        let after = None;
+        (context.format.query_path)(&ObjectQuery::List { kind, after, stale })
+    };
+    if probes_first {
+        let probe = path(ObjectKind::Rollouts, true);
+        context.store.read(&probe, timeout).await?;
+    }
+    let current = path(ObjectKind::Configuration, false);
+    let body = context.store.read(&current, timeout).await?;
+    Ok((context.format.read_page)(&body)?)
+}
+
 /// Applies the roll-outs that the store listed, all on one page and not stale.
 pub(crate) fn apply_current_rollouts(context: &GatewayContext, page: ObjectPage) {
     record_current_page(context, FollowedKind::Rollouts, &page);
@@ -218,7 +230,8 @@
         .listed()
         .any(|other| other.service == entry.service && other.version != entry.version);
     if is_new && !context.rollouts().has_open() {
-        context.unknown_version_seen.notify_one();
+        // The follower applies and logs what it reads; the next confirmation reads what is missed.
+        drop(context.kind_reads.request(FollowedKind::Rollouts, true));
     }
 }
 
--- a/gateway/src/transport/store_follower.rs
+++ b/gateway/src/transport/store_follower.rs
@@ -8,7 +8,7 @@
 use http::StatusCode;
 use log::Level;
 use rand::Rng;
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{mpsc, watch};
 
 use crate::protocol::{GatewayRecord, ObjectChange, ObjectChanges, ObjectQuery, StoredObject};
 use crate::state::FollowedKind;
@@ -46,8 +46,6 @@
     pub(crate) settle_delay: Duration,
     /// Whether this follower retries quickly on behalf of all followers while the store fails.
     pub(crate) is_leader: bool,
-    /// Notified to have the follower list the kind again.
-    pub(crate) relist: Arc<Notify>,
 }
 
 /// An update about a kind of objects.
@@ -84,6 +82,7 @@
         feed,
         contact,
         requests,
+        next_request: None,
         apply_update,
     };
     // The history since a stale list may be gone by the time of the watch.
@@ -102,6 +101,8 @@
     feed: KindFeed,
     contact: StoreContact,
     requests: mpsc::UnboundedReceiver<ReadRequest>,
+    // A request that ended the wait after a failed call.
+    next_request: Option<ReadRequest>,
     apply_update: F,
 }
 
@@ -126,6 +127,9 @@
     /// Makes one watch and returns the revision to go on from; breaks if the kind must be listed
     /// again.
     async fn watch(&mut self, revision: u64) -> ControlFlow<(), u64> {
+        if let Some(request) = self.next_request.take() {
+            return self.read_now(revision, request).await;
+        }
         let wait = if self.contact.is_reachable {
             WATCH_WAIT
         } else {
@@ -136,7 +140,6 @@
             read = read_changes(&self.context, self.feed.kind, revision, wait, true) => read,
             Some(request) = self.requests.recv() => return self.read_now(revision, request).await,
             () = self.contact.recovered_elsewhere() => return ControlFlow::Continue(revision),
-            () = self.feed.relist.notified() => return ControlFlow::Break(()),
         };
         let has_changes = matches!(&read, Ok(changes) if !changes.changes.is_empty());
         let returned_early = read.is_ok() && self.context.now().since(started_at) < wait / 2;
@@ -209,7 +212,11 @@
             }
             Err(StoreError::Status(StatusCode::GONE)) => ControlFlow::Break(()),
             Err(error) => {
-                self.contact.record_failure(&error).await;
+                // Whoever requests a read has just reached the store.
+                tokio::select! {
+                    () = self.contact.record_failure(&error) => {}
+                    request = self.requests.recv() => self.next_request = request,
+                }
                 ControlFlow::Continue(revision)
             }
         }
