Share the slack of the retry budget among the hosts of any fleet

Cause: each host used a 64th of the slack. 295 hosts could together use 4.6 times the slack, which the unused part of the ratio does not cover, and 8 hosts left seven eighths of it unused in a burst of failures.

Change: a host uses its share of 0.8 of the slack by the number of hosts in the store's list, which also contains hosts that are gone; 400 are assumed until the list was read.

The property test's bound is now the formula's, as exact as before (the share of nine hosts is above 1).

--- a/gateway/src/coordination/budgets/retry_budget.rs
+++ b/gateway/src/coordination/budgets/retry_budget.rs
@@ -1,8 +1,8 @@
 //! Limits retries, so that failures do not grow into a retry storm.
 //!
 //! All hosts share one limit per service: in any window, retries stay below a ratio of the requests
-//! plus a slack. Each host applies the ratio to its own requests and uses a small part of the
-//! slack, so that the sum holds without coordination. Failures have priority over cascades, which
+//! plus a slack. Each host applies the ratio to its own requests and uses an equal share of the
+//! slack, so that the sum holds without coordination in a fleet of any size. Failures have priority over cascades, which
 //! must leave a part of the budget unused.
 
 use std::collections::VecDeque;
@@ -36,8 +36,10 @@
     /// Part of the ratio that this host uses; the rest covers the counting error at the window's
     /// edges.
     pub local_ratio_part: f64,
-    /// Part of the slack that one host uses; its inverse is the largest supported fleet.
-    pub local_slack_part: f64,
+    /// Part of the slack that all known hosts share; the rest is for hosts that are not known yet.
+    pub shared_slack_part: f64,
+    /// Number of hosts that is assumed until their list was read.
+    pub assumed_hosts: usize,
     /// Part of the budget that cascades may use; the rest is reserved for failures.
     pub cascade_part: f64,
     /// Part of the budget that hedges may use.
@@ -51,7 +53,8 @@
             slack: 50.0,
             window: Duration::from_secs(10),
             local_ratio_part: 0.85,
-            local_slack_part: 1.0 / 64.0,
+            shared_slack_part: 0.8,
+            assumed_hosts: 400,
             cascade_part: 0.8,
             hedge_part: 0.3,
         }
@@ -87,8 +90,9 @@
         self.slot(now).requests += 1;
     }
 
-    /// Takes a retry from the budget; returns whether it allows one.
-    pub fn take_retry(&mut self, purpose: RetryPurpose, now: TimePoint) -> bool {
+    /// Takes a retry from the budget of a fleet with a number of known hosts, 0 if none is known yet;
+    /// returns whether it allows one.
+    pub fn take_retry(&mut self, purpose: RetryPurpose, hosts: usize, now: TimePoint) -> bool {
         self.slot(now);
         let requests: u32 = self.slots.iter().map(|slot| slot.requests).sum();
         let retries: u32 = self.slots.iter().map(|slot| slot.retries).sum();
@@ -99,7 +103,13 @@
             RetryPurpose::Hedge => settings.hedge_part,
         };
         let earned = settings.ratio * settings.local_ratio_part * f64::from(requests);
-        let bound = (earned + settings.slack * settings.local_slack_part) * part;
+        let hosts = if hosts == 0 {
+            settings.assumed_hosts
+        } else {
+            hosts
+        };
+        let slack = settings.slack * settings.shared_slack_part / hosts as f64;
+        let bound = (earned + slack) * part;
         if f64::from(retries) + 1.0 > bound {
             return false;
         }
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -175,7 +175,8 @@
     /// Takes one retry from a service's budget; returns false if the budget does not allow it.
     pub fn take_retry(&self, service: &Arc<str>, purpose: RetryPurpose) -> bool {
         let now = self.now();
-        self.with_budget(service, |budget| budget.take_retry(purpose, now))
+        let hosts = self.peers().len();
+        self.with_budget(service, |budget| budget.take_retry(purpose, hosts, now))
     }
 
     /// Returns the time since the configuration was last confirmed to be the store's; `None` if it
--- a/gateway/tests/decisions/budget.rs
+++ b/gateway/tests/decisions/budget.rs
@@ -11,16 +11,25 @@
 
 #[test]
 fn retry_storm_stays_within_the_fleet_budget_in_every_window() {
-    let settings = BudgetSettings::default();
-    let mut budgets = vec![RetryBudget::new(settings); HOSTS];
+    check_retry_storm(HOSTS, 50.0);
+    check_retry_storm(295, 630.0);
+}
+
+/// Checks that a retry storm stays within the budget of a fleet of a size.
+fn check_retry_storm(hosts: usize, slack: f64) {
+    let settings = BudgetSettings {
+        slack,
+        ..BudgetSettings::default()
+    };
+    let mut budgets = vec![RetryBudget::new(settings); hosts];
     let mut sent: Vec<(u64, bool)> = Vec::new();
     for millis in (0..60_000).step_by(20) {
         let now = TimePoint::from_millis(millis);
-        let host = (millis as usize / 20) % HOSTS;
+        let host = (millis as usize / 20) % hosts;
         budgets[host].record_request(now);
         sent.push((millis, false));
         for _ in 0..5 {
-            if budgets[host].take_retry(RetryPurpose::Failure, now) {
+            if budgets[host].take_retry(RetryPurpose::Failure, hosts, now) {
                 sent.push((millis, true));
             }
         }
@@ -38,7 +47,7 @@
         let bound = settings.ratio * requests as f64 + settings.slack;
         assert!(
             f64::from(u32::try_from(repeats).unwrap_or(u32::MAX)) <= bound,
-            "{} repeats, bound {bound}",
+            "{hosts} hosts: {} repeats, bound {bound}",
             repeats
         );
         assert!(repeats > 0);
@@ -52,9 +61,9 @@
     for _ in 0..100 {
         budget.record_request(now);
     }
-    while budget.take_retry(RetryPurpose::Cascade, now) {}
-    assert!(!budget.take_retry(RetryPurpose::Hedge, now));
-    assert!(budget.take_retry(RetryPurpose::Failure, now));
+    while budget.take_retry(RetryPurpose::Cascade, HOSTS, now) {}
+    assert!(!budget.take_retry(RetryPurpose::Hedge, HOSTS, now));
+    assert!(budget.take_retry(RetryPurpose::Failure, HOSTS, now));
 }
 
 proptest! {
@@ -69,10 +78,11 @@
             if is_request {
                 budget.record_request(now);
                 requests += 1;
-            } else if budget.take_retry(RetryPurpose::Failure, now) {
+            } else if budget.take_retry(RetryPurpose::Failure, HOSTS, now) {
                 repeats += 1;
             }
         }
-        prop_assert!(f64::from(repeats) <= settings.ratio * f64::from(requests) + 1.0);
+        let slack = settings.slack * settings.shared_slack_part / HOSTS as f64;
+        prop_assert!(f64::from(repeats) <= settings.ratio * f64::from(requests) + slack);
     }
 }
