Leave a failure domain after three servers of it accept no connection

With 40 servers a domain, a host learns of each by a failed connection of 400 ms, and tried each again after 0.7 s.

Change: three different servers of a domain without an answer in between make a host avoid the domain for 0.7 s, doubling up to 2.8 s; a single server's pause doubles in the same way; an answer, or a restart of the server, ends it.

Result: the replay of a cut domain (six domains of 40 servers, 100 requests in 5 s): no request fails and at most 12 attempts do; with the mechanism off more than 5 requests and 60 attempts fail.

--- a/gateway/src/coordination/placement/load_estimator.rs
+++ b/gateway/src/coordination/placement/load_estimator.rs
@@ -12,7 +12,7 @@
 use galenamast::state::TimePoint;
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::placement::short_server_id;
+use crate::coordination::placement::{DomainReach, DomainReachSettings, short_server_id};
 
 /// Fixed cost of a request, as the number of prompt tokens that take as long to read.
 pub(super) const FIXED_COST_TOKENS: f64 = 500.0;
@@ -26,8 +26,13 @@
     pub failure_weight: f64,
     /// Half-life of the failure estimate. It decays so that a failing server is tried again.
     pub failure_half_life: Duration,
-    /// Time for which an address that refused a connection is avoided.
+    /// Time for which an address that refused a connection is avoided; it doubles with each further
+    /// refusal.
     pub connect_failure_pause: Duration,
+    /// Longest time for which such an address is avoided.
+    pub max_connect_failure_pause: Duration,
+    /// Avoidance of failure domains whose servers accept no connections.
+    pub domain_reach: DomainReachSettings,
     /// Cost added to a server whose address refused a connection, in seconds.
     pub paused_cost: f64,
     /// Cost added in proportion to a server's failure share, in seconds. The sum is also divided by
@@ -50,6 +55,8 @@
             failure_weight: 0.3,
             failure_half_life: Duration::from_secs(3),
             connect_failure_pause: Duration::from_millis(700),
+            max_connect_failure_pause: Duration::from_millis(2_800),
+            domain_reach: DomainReachSettings::default(),
             paused_cost: 30.0,
             failure_cost: 1.0,
             per_request_delay: 0.005,
@@ -71,6 +78,7 @@
     pub slowness: f64,
     failures: f64,
     failures_at: TimePoint,
+    pause: Duration,
     paused_until: TimePoint,
 }
 
@@ -82,6 +90,7 @@
             slowness: 1.0,
             failures: 0.0,
             failures_at: TimePoint::ZERO,
+            pause: Duration::ZERO,
             paused_until: TimePoint::ZERO,
         }
     }
@@ -119,6 +128,7 @@
     // Totals of the peers' reports by server, and the time until which every report is valid.
     remote_totals: BTreeMap<u32, HostLoad>,
     remote_valid_until: Option<TimePoint>,
+    domain_reach: DomainReach,
 }
 
 /// The latest load report of one host.
@@ -159,10 +169,26 @@
     pub fn new(settings: LoadSettings) -> Self {
         Self {
             settings,
+            domain_reach: DomainReach::new(settings.domain_reach),
             ..Self::default()
         }
     }
 
+    /// Returns the failure domains with servers that accept no connections.
+    pub fn domain_reach_mut(&mut self) -> &mut DomainReach {
+        &mut self.domain_reach
+    }
+
+    /// Returns the cost of sending a request to a failure domain, in seconds; 0 unless it is
+    /// avoided.
+    pub fn domain_cost(&self, domain: &str, now: TimePoint) -> f64 {
+        if self.domain_reach.is_avoided(domain, now) {
+            self.settings.paused_cost
+        } else {
+            0.0
+        }
+    }
+
     /// Returns the estimates for a server, or the defaults if it has none.
     pub fn load(&self, server: &str) -> ServerLoad {
         self.loads.get(server).cloned().unwrap_or_default()
@@ -394,6 +420,7 @@
     /// Records a successful request.
     pub fn record_success(&mut self, server: &Arc<str>, now: TimePoint) {
         self.record_outcome(server, 0.0, now);
+        self.entry(server).pause = Duration::ZERO;
     }
 
     /// Records a failed request.
@@ -410,9 +437,15 @@
 
     /// Records that a server refused a connection.
     pub fn record_connect_failure(&mut self, server: &Arc<str>, now: TimePoint) {
-        let pause = self.settings.connect_failure_pause;
+        let shortest = self.settings.connect_failure_pause;
+        let longest = self.settings.max_connect_failure_pause;
         self.record_outcome(server, 1.0, now);
-        self.entry(server).paused_until = now + pause;
+        let load = self.entry(server);
+        // Attempts that were sent together count as one failure.
+        if now >= load.paused_until {
+            load.pause = (load.pause * 2).clamp(shortest, longest);
+        }
+        load.paused_until = now + load.pause;
     }
 
     /// Resets the estimates of a server that restarted; its requests in flight stay counted.
--- a/gateway/src/coordination/placement/mod.rs
+++ b/gateway/src/coordination/placement/mod.rs
@@ -1,5 +1,6 @@
 //! Selects the backend server that runs a request.
 
+mod domain_reach;
 mod load_estimator;
 mod prefix_cache_index;
 mod prompt_prefixes;
@@ -7,6 +8,7 @@
 mod server_table;
 mod short_server_id;
 
+pub use domain_reach::{DomainReach, DomainReachSettings};
 pub use load_estimator::{HostLoad, LoadEstimator, LoadSettings, ServerEstimate, ServerLoad};
 pub use prefix_cache_index::{PrefixCacheIndex, PrefixCacheSettings, PrefixRead};
 pub use prompt_prefixes::{PromptPrefix, PromptPrefixes};
--- a/gateway/src/coordination/placement/server_pick.rs
+++ b/gateway/src/coordination/placement/server_pick.rs
@@ -115,10 +115,11 @@
         let estimate = loads.estimate(&entry.id, work, concurrency_of(query, entry), now);
         earliest_start = earliest_start.min(estimate.starts_in);
         has_free_slot |= estimate.in_flight < entry.slots;
+        let wait = estimate.cost + loads.domain_cost(&entry.domain, now);
         PricedServer {
             entry,
-            price: estimate.cost + transfer_cost + read_cost,
-            wait: estimate.cost,
+            price: wait + transfer_cost + read_cost,
+            wait,
             work,
             kept,
         }
--- a/gateway/src/transport/request_exchange/feedback.rs
+++ b/gateway/src/transport/request_exchange/feedback.rs
@@ -16,7 +16,12 @@
     pub(super) async fn record_outcome(&self, server: &ServerEntry, outcome: AttemptOutcome) {
         let now = self.context.now();
         match outcome {
-            AttemptOutcome::NotSent => self.context.loads().record_connect_failure(&server.id, now),
+            AttemptOutcome::NotSent => {
+                let mut loads = self.context.loads();
+                loads.record_connect_failure(&server.id, now);
+                let reach = loads.domain_reach_mut();
+                reach.record_unreachable(&server.domain, &server.id, now);
+            }
             AttemptOutcome::WrongServer => self.context.servers().mark_reused(&server.id, now),
             AttemptOutcome::Silent => self.context.loads().record_timeout(&server.id, now),
             AttemptOutcome::Rejected | AttemptOutcome::Failed | AttemptOutcome::Garbled => {
@@ -58,6 +63,7 @@
             let mut loads = self.context.loads();
             loads.record_first_byte(&server.id, &class, size, self.head.prompt_tokens, latency);
             loads.record_success(&server.id, now);
+            loads.domain_reach_mut().record_answer(&server.domain);
             loads.record_prediction(&self.route.name, self.predicted_wait, latency);
         }
         let version = &server.version;
--- a/gateway/tests/decisions/placement.rs
+++ b/gateway/tests/decisions/placement.rs
@@ -8,8 +8,8 @@
 
 use galenamast::state::TimePoint;
 use galenamast_gateway::coordination::placement::{
-    LoadEstimator, LoadSettings, PickQuery, PickSettings, PrefixCacheIndex, PrefixCacheSettings,
-    PrefixRead, PromptPrefixes, ServerPick, pick_server,
+    DomainReachSettings, LoadEstimator, LoadSettings, PickQuery, PickSettings, PrefixCacheIndex,
+    PrefixCacheSettings, PrefixRead, PromptPrefixes, ServerPick, pick_server,
 };
 use galenamast_gateway::state::{PromptPart, ServerEntry};
 use rand::{Rng, SeedableRng};
@@ -413,3 +413,102 @@
     }
     assert!(estimator.queue_delay(&all[0].id, 1.0, now).is_finite());
 }
+
+/// A host of a failure domain with forty servers and five other domains like it. Its own domain is
+/// cut off from it for five seconds; each request tries six servers at most.
+fn replay_cut_domain(settings: LoadSettings) -> (usize, usize) {
+    let mut all = Vec::new();
+    for domain in ["north", "south", "west", "east", "harbour", "airport"] {
+        for number in 0..40 {
+            all.push(ServerEntry {
+                id: format!("i-{domain}-{number}").into(),
+                domain: domain.into(),
+                ..servers(&[domain])[0].clone()
+            });
+        }
+    }
+    let serving: Vec<&ServerEntry> = all.iter().collect();
+    let mut estimator = LoadEstimator::new(settings);
+    let (mut failed_requests, mut failed_attempts) = (0, 0);
+    for number in 0..100u64 {
+        let now = TimePoint::from_millis(50 * (number + 1));
+        let mut tried: Vec<Arc<str>> = Vec::new();
+        while tried.len() < 6 {
+            let query = PickQuery {
+                domain: "north",
+                work: WORK,
+                bytes: 20_000.0,
+                excluded: &tried,
+                tie_breaker: number,
+                ..PickQuery::default()
+            };
+            let pick = pick_server(&serving, &query, &estimator, &PickSettings::default(), now);
+            let server = pick.expect("a server is listed").server;
+            if &*server.domain != "north" {
+                break;
+            }
+            failed_attempts += 1;
+            estimator.record_connect_failure(&server.id, now);
+            let reach = estimator.domain_reach_mut();
+            reach.record_unreachable(&server.domain, &server.id, now);
+            tried.push(server.id.clone());
+        }
+        failed_requests += usize::from(tried.len() == 6);
+    }
+    (failed_requests, failed_attempts)
+}
+
+#[test]
+fn requests_leave_a_domain_that_is_cut_off_at_once() {
+    let (failed_requests, failed_attempts) = replay_cut_domain(LoadSettings::default());
+    assert_eq!(failed_requests, 0);
+    assert!(failed_attempts <= 12, "{failed_attempts}");
+    let never_avoided = LoadSettings {
+        domain_reach: DomainReachSettings {
+            min_unreachable: usize::MAX,
+            ..DomainReachSettings::default()
+        },
+        ..LoadSettings::default()
+    };
+    let (failed_requests, failed_attempts) = replay_cut_domain(never_avoided);
+    assert!(failed_requests > 5 && failed_attempts > 60);
+}
+
+#[test]
+fn domain_is_used_again_once_a_server_answers() {
+    let servers = servers(&["north"]);
+    let mut estimator = LoadEstimator::new(LoadSettings::default());
+    let now = TimePoint::from_millis(1);
+    let north = servers[0].domain.clone();
+    for server in &servers {
+        let reach = estimator.domain_reach_mut();
+        reach.record_unreachable(&north, &server.id, now);
+    }
+    assert!(estimator.domain_cost("north", now) > 0.0);
+    assert_eq!(estimator.domain_cost("south", now), 0.0);
+    estimator.domain_reach_mut().record_answer("north");
+    assert_eq!(estimator.domain_cost("north", now), 0.0);
+}
+
+/// A server that accepts no connection is tried ever more seldom, and as often as before after it
+/// restarted.
+#[test]
+fn server_that_refuses_connections_is_tried_more_seldom_each_time() {
+    let server: Arc<str> = "i-1".into();
+    let settings = LoadSettings::default();
+    let mut estimator = LoadEstimator::new(settings);
+    let mut pauses = Vec::new();
+    let mut now = TimePoint::from_millis(1);
+    for _ in 0..4 {
+        estimator.record_connect_failure(&server, now);
+        let failed_at = now;
+        while estimator.cost(&server, WORK, 1.0, now) >= settings.paused_cost {
+            now = now + Duration::from_millis(100);
+        }
+        pauses.push(now.since(failed_at));
+    }
+    assert!(pauses[1] > pauses[0] && pauses[2] > pauses[1], "{pauses:?}");
+    assert!(pauses[3] <= settings.max_connect_failure_pause + Duration::from_millis(100));
+    estimator.reset(&server);
+    assert!(estimator.cost(&server, WORK, 1.0, now) < 1.0);
+}
