Confirm a host by an earlier report once it catches up with it

Cause: while servers start or are released, each report names a change that the other hosts' watches have not returned yet.

Change: the report that was ahead is kept with its time; a host that then knows the change is confirmed as of that time.

The new unit test fails without it. Tests of gateway and platform pass.

--- a/gateway/src/coordination/freshness/store_freshness.rs
+++ b/gateway/src/coordination/freshness/store_freshness.rs
@@ -54,12 +54,26 @@
     complete: u64,
     /// Revision after which the kind has not changed, up to `complete`.
     changed: u64,
-    /// Highest revision of a change that another host reported.
+    /// Highest revision of a change that another host reported and this one does not know; 0 if there
+    /// is none.
     reported: u64,
+    /// When that host's knowledge was confirmed.
+    reported_at: TimePoint,
     confirmed_at: Option<TimePoint>,
     read_at: Option<TimePoint>,
 }
 
+impl KindProgress {
+    /// Records that all changes up to a revision are known, which may be what another host reported.
+    fn complete_to(&mut self, revision: u64) {
+        self.complete = self.complete.max(revision);
+        if self.reported > 0 && self.complete >= self.reported {
+            self.reported = 0;
+            self.confirmed_at = self.confirmed_at.max(Some(self.reported_at));
+        }
+    }
+}
+
 /// Tracks up to which revision a host knows all changes of the store.
 #[derive(Clone, Debug)]
 pub struct StoreFreshness {
@@ -89,7 +103,7 @@
             // A list does not tell when the last object was removed.
             progress.changed = revision;
         }
-        progress.complete = progress.complete.max(revision);
+        progress.complete_to(revision);
     }
 
     /// Records the changes of a kind up to a revision, each by its own revision.
@@ -103,13 +117,13 @@
         for change in changes {
             if change > progress.complete {
                 progress.changed = change;
-                progress.complete = change;
+                progress.complete_to(change);
             }
             if change > self.known {
                 self.above_gap.insert(change);
             }
         }
-        progress.complete = progress.complete.max(revision);
+        progress.complete_to(revision);
         while self.above_gap.len() > MAX_REVISIONS_ABOVE_GAP {
             self.above_gap.pop_first();
         }
@@ -132,7 +146,7 @@
             return false;
         }
         for progress in self.kinds.values_mut() {
-            progress.complete = progress.complete.max(revision);
+            progress.complete_to(revision);
             progress.confirmed_at = progress.confirmed_at.max(Some(at));
         }
         true
@@ -148,7 +162,10 @@
                 continue;
             };
             if changed > progress.complete {
-                progress.reported = progress.reported.max(changed);
+                if changed > progress.reported {
+                    progress.reported = changed;
+                    progress.reported_at = confirmed_at;
+                }
                 is_behind = true;
                 continue;
             }
--- a/gateway/tests/decisions/freshness.rs
+++ b/gateway/tests/decisions/freshness.rs
@@ -165,6 +165,30 @@
     assert_eq!(freshness.lagging_kinds(later).len(), 3);
 }
 
+/// Servers change all the time while many of them start; a host's watch returns the changes later
+/// than a report announces them.
+#[test]
+fn host_that_catches_up_is_confirmed_by_the_report_that_was_ahead() {
+    let mut freshness = host(0);
+    let reported_at = TimePoint::from_millis(2_000);
+    let report = FreshnessReport {
+        revision: 110,
+        changed: [90, 108, 80],
+        age_ms: 0,
+    };
+    assert!(freshness.record_report(&report, reported_at));
+    let now = TimePoint::from_millis(2_600);
+    assert_eq!(
+        freshness.oldest_age(now),
+        Some(Duration::from_millis(2_600))
+    );
+    freshness.record_changes(FollowedKind::Servers, [104], 106);
+    assert_eq!(freshness.lagging_kinds(now), [FollowedKind::Servers]);
+    freshness.record_changes(FollowedKind::Servers, [108], 108);
+    assert!(freshness.lagging_kinds(now).is_empty());
+    assert_eq!(freshness.oldest_age(now), Some(Duration::from_millis(600)));
+}
+
 #[test]
 fn old_report_does_not_make_knowledge_younger() {
     let mut freshness = host(0);
