Do not take servers for idle because nobody reports their load

Cause: with 295 hosts a datagram reaches hosts of other failure domains each 12 s and is valid for 1.5 s. Servers of the own domain showed the load that its 48 hosts report, those of the five others looked idle, so that most requests went across domains, to engines that their own domain filled as well.

Change: while fewer than half of the known hosts report, servers of other domains are assumed to have the mean queue of this domain's, up to 1.5 s; a domain with longer queues still sends requests across.

--- a/gateway/src/coordination/placement/load_estimator.rs
+++ b/gateway/src/coordination/placement/load_estimator.rs
@@ -207,13 +207,27 @@
         work: f64,
         concurrency: f64,
         now: TimePoint,
+    ) -> ServerEstimate {
+        self.estimate_at_least(server, work, concurrency, 0.0, now)
+    }
+
+    /// Returns the estimates for a request of `work` seconds on a server whose queue delays it by at
+    /// least `min_delay` seconds.
+    pub fn estimate_at_least(
+        &self,
+        server: &Arc<str>,
+        work: f64,
+        concurrency: f64,
+        min_delay: f64,
+        now: TimePoint,
     ) -> ServerEstimate {
         let load = self.loads.get(server);
         let remote = self.remote_load(short_server_id(server), now);
         let in_flight = load.map_or(0, |load| load.in_flight);
         let in_flight = in_flight.saturating_add(remote.in_flight);
         let waiting = load.map_or(0.0, |load| load.waiting_work) + remote.waiting_work;
-        let seconds = self.delay(waiting, in_flight, concurrency) + work;
+        let delay = self.delay(waiting, in_flight, concurrency);
+        let seconds = delay.max(min_delay) + work;
         let Some(load) = load else {
             return ServerEstimate {
                 starts_in: seconds,
@@ -277,6 +291,12 @@
         now.since(peer.at) <= self.settings.remote_lifetime
     }
 
+    /// Returns the number of hosts whose last report is still valid.
+    pub fn reporting_hosts(&self, now: TimePoint) -> usize {
+        let peers = self.peer_loads.values();
+        peers.filter(|peer| self.is_fresh(peer, now)).count()
+    }
+
     /// Replaces the load report of another host.
     pub fn record_remote(&mut self, peer: SocketAddr, loads: &[HostLoad], now: TimePoint) {
         let reported = PeerLoads {
--- a/gateway/src/coordination/placement/server_pick.rs
+++ b/gateway/src/coordination/placement/server_pick.rs
@@ -5,7 +5,8 @@
 //! it. A server that caches a prefix of the prompt begins sooner and saves the model's price of
 //! reading it; a server of another failure domain costs the bytes transferred between the domains.
 //! So a prompt that is expensive to read goes where it is cached, and one that is cheap to read
-//! stays in its domain.
+//! stays in its domain. In a fleet too large for all hosts to report to one another, servers of other
+//! domains are not taken for idle because nobody reports their load.
 
 use std::collections::BTreeMap;
 use std::hash::Hasher;
@@ -31,6 +32,9 @@
     pub seconds_per_price: f64,
     /// Price of one byte between failure domains, from the users' price sheet.
     pub byte_price: f64,
+    /// Longest queue, in seconds, that servers of other failure domains are assumed to have because
+    /// those of this one have it.
+    pub max_assumed_delay: f64,
 }
 
 impl Default for PickSettings {
@@ -41,6 +45,7 @@
             domain_home_hit_probability: 0.35,
             seconds_per_price: 4.0,
             byte_price: 5.5e-6,
+            max_assumed_delay: 1.5,
         }
     }
 }
@@ -62,6 +67,9 @@
     pub bytes: f64,
     /// Work of the request if nothing is cached, in seconds on a typical server.
     pub work: f64,
+    /// Whether servers of other failure domains are assumed to be as loaded as those of this one,
+    /// because most hosts do not report their load to this host.
+    pub assumes_equal_load: bool,
     /// Servers that were already tried.
     pub excluded: &'a [Arc<str>],
     /// Random number that orders servers of equal price.
@@ -101,18 +109,23 @@
     let candidates: Vec<&ServerEntry> = serving.iter().filter(is_untried).copied().collect();
     let homes = find_homes(&candidates, query);
     let cross_domain_cost = query.bytes * settings.byte_price * settings.seconds_per_price;
+    let assumed_delay = assumed_delay(&candidates, query, loads, settings, now);
     let (mut earliest_start, mut has_free_slot) = (f64::INFINITY, false);
     let priced = candidates.iter().map(|entry| {
         let kept = kept_tokens(entry, query, &homes, settings);
         let read_tokens = f64::from(query.prompt_tokens) - kept;
         let work = query.work * (1.0 - kept / (f64::from(query.prompt_tokens) + FIXED_COST_TOKENS));
-        let transfer_cost = if *entry.domain == *query.domain {
-            0.0
-        } else {
-            cross_domain_cost
-        };
         let read_cost = read_tokens * query.read_price * settings.seconds_per_price;
-        let estimate = loads.estimate(&entry.id, work, concurrency_of(query, entry), now);
+        let is_local = *entry.domain == *query.domain;
+        let transfer_cost = if is_local { 0.0 } else { cross_domain_cost };
+        let min_delay = if is_local { 0.0 } else { assumed_delay };
+        let estimate = loads.estimate_at_least(
+            &entry.id,
+            work,
+            concurrency_of(query, entry),
+            min_delay,
+            now,
+        );
         earliest_start = earliest_start.min(estimate.starts_in);
         has_free_slot |= estimate.in_flight < entry.slots;
         let wait = estimate.cost + loads.domain_cost(&entry.domain, now);
@@ -144,6 +157,28 @@
     })
 }
 
+/// Returns the queue, in seconds, that servers of other failure domains are assumed to have: the
+/// mean of this domain's, if the hosts of the others do not report their load.
+fn assumed_delay(
+    candidates: &[&ServerEntry],
+    query: &PickQuery<'_>,
+    loads: &LoadEstimator,
+    settings: &PickSettings,
+    now: TimePoint,
+) -> f64 {
+    if !query.assumes_equal_load {
+        return 0.0;
+    }
+    let (mut sum, mut count) = (0.0, 0u32);
+    for entry in candidates {
+        if *entry.domain == *query.domain {
+            sum += loads.queue_delay(&entry.id, concurrency_of(query, entry), now);
+            count += 1;
+        }
+    }
+    (sum / f64::from(count.max(1))).min(settings.max_assumed_delay)
+}
+
 /// A candidate with its price in seconds.
 #[derive(Clone, Copy, Debug)]
 struct PricedServer<'a> {
--- a/gateway/src/transport/request_exchange/server_choice.rs
+++ b/gateway/src/transport/request_exchange/server_choice.rs
@@ -145,7 +145,8 @@
             .as_ref()
             .map(|prompt| self.context.prefix_cache().kept_tokens(prompt, now));
         let answer_bytes = f64::from(self.head.answer_tokens) * BYTES_PER_TOKEN;
-        let query = PickQuery {
+        let known_hosts = self.context.peers().len();
+        let mut query = PickQuery {
             work: self.work(),
             domain: &self.context.settings.domain,
             prompt: prompt.as_ref(),
@@ -153,11 +154,13 @@
             kept: kept.unwrap_or_default(),
             read_price: self.read_price(),
             bytes: self.body.bytes.len() as f64 + answer_bytes + HEADER_OVERHEAD_BYTES,
+            assumes_equal_load: false,
             excluded: &self.tried,
             tie_breaker: rand::rng().random(),
         };
         let mut loads = self.context.loads();
         loads.drop_stale(now);
+        query.assumes_equal_load = loads.reporting_hosts(now) * 2 < known_hosts;
         let settings = &self.context.settings.placement;
         version_groups(&serving, &rule, self.version.as_ref())
             .into_iter()
--- a/gateway/tests/decisions/placement.rs
+++ b/gateway/tests/decisions/placement.rs
@@ -512,3 +512,81 @@
     estimator.reset(&server);
     assert!(estimator.cost(&server, WORK, 1.0, now) < 1.0);
 }
+
+/// Six domains of fifty hosts and forty engines each, all equally loaded. Hosts hear the load reports
+/// of their own domain only. Returns the share of requests that leave their domain.
+fn share_of_requests_sent_across(assumes_equal_load: bool) -> f64 {
+    let domains = ["north", "south", "west", "east", "harbour", "airport"];
+    let mut all = Vec::new();
+    for domain in domains {
+        for number in 0..40 {
+            all.push(ServerEntry {
+                id: format!("i-{domain}-{number}").into(),
+                domain: domain.into(),
+                ..servers(&[domain])[0].clone()
+            });
+        }
+    }
+    let serving: Vec<&ServerEntry> = all.iter().collect();
+    let now = TimePoint::from_millis(10);
+    let mut estimator = LoadEstimator::new(LoadSettings::default());
+    let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(9);
+    // What the other hosts of the domain report: each engine has two to eight requests.
+    let mut others = LoadEstimator::new(LoadSettings::default());
+    for server in all.iter().filter(|server| &*server.domain == "north") {
+        for _ in 0..random.random_range(2..9) {
+            others.record_sent(&server.id, WORK);
+        }
+    }
+    let peer = SocketAddr::from(([127, 0, 0, 1], 1));
+    estimator.record_remote(peer, &others.local_loads(), now);
+    let mut sent_across = 0;
+    for number in 0..200u64 {
+        let query = PickQuery {
+            domain: "north",
+            work: WORK,
+            bytes: 3_000.0,
+            prompt: Some(&prompt("small", number, number)),
+            prompt_tokens: TOKENS,
+            assumes_equal_load,
+            tie_breaker: number,
+            ..PickQuery::default()
+        };
+        let pick = pick_server(&serving, &query, &estimator, &PickSettings::default(), now);
+        let server = pick.expect("a server is listed").server;
+        sent_across += u32::from(&*server.domain != "north");
+    }
+    f64::from(sent_across) / 200.0
+}
+
+#[test]
+fn domains_whose_load_is_not_reported_are_not_taken_for_idle() {
+    let (assumed, idle) = (
+        share_of_requests_sent_across(true),
+        share_of_requests_sent_across(false),
+    );
+    assert!(assumed < 0.4, "{assumed}");
+    assert!(idle > 0.7, "{idle}");
+}
+
+/// The assumption must not keep requests in a domain that is far busier than any queue seen in
+/// equally loaded fleets.
+#[test]
+fn overloaded_domain_sends_requests_across_although_no_load_is_reported() {
+    let servers = servers(&["north", "south"]);
+    let serving: Vec<&ServerEntry> = servers.iter().collect();
+    let mut estimator = LoadEstimator::new(LoadSettings::default());
+    for server in servers.iter().filter(|server| &*server.domain == "north") {
+        (0..40).for_each(|_| estimator.record_sent(&server.id, WORK));
+    }
+    let query = PickQuery {
+        domain: "north",
+        prompt: Some(&prompt("small", 1, 1)),
+        work: WORK,
+        assumes_equal_load: true,
+        ..PickQuery::default()
+    };
+    let now = TimePoint::from_millis(10);
+    let pick = pick_server(&serving, &query, &estimator, &PickSettings::default(), now);
+    assert_eq!(&*pick.expect("a server is listed").server.domain, "south");
+}
