Let confirmations wait for the leading follower while the store does not answer

Change: while the leading follower fails, a confirmation waits until it reaches the store, at most 6 s.

Tests of gateway and platform pass.

--- a/gateway/src/transport/store_confirmer.rs
+++ b/gateway/src/transport/store_confirmer.rs
@@ -2,6 +2,7 @@
 //! its failure domain.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use log::Level;
@@ -19,6 +20,8 @@
 const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(120);
 /// Longest delay after failed confirmations.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(900);
+/// Delay while the leading follower fails; this part relies on it to reach the store.
+const LEADER_FAILING_DELAY: Duration = Duration::from_secs(6);
 /// Parts of the bound on applying changes between which a host waits for its own watch to return
 /// what another host reported.
 const CATCH_UP_PARTS: std::ops::Range<f64> = 0.05..0.2;
@@ -96,8 +99,14 @@
 }
 
 /// Waits before the next confirmation: until a follower reaches the store again, or for the delay.
+/// While the leading follower fails, which retries by cheaper calls, the delay is long.
 async fn wait_for_store(context: &GatewayContext, retry_delay: Duration) {
     let mut store_recoveries = context.store_recoveries.subscribe();
+    let retry_delay = if context.store_reachable.load(Ordering::Relaxed) {
+        retry_delay
+    } else {
+        LEADER_FAILING_DELAY
+    };
     let retry_delay = retry_delay.mul_f64(rand::rng().random_range(0.5..1.0));
     tokio::select! {
         () = tokio::time::sleep(retry_delay) => {}
