--- a/gateway/src/transport/store_confirmer.rs
+++ b/gateway/src/transport/store_confirmer.rs
@@ -62,8 +62,9 @@
     }
 }
 
-/// Reads the store's revision, and all kinds if any change up to it is not known yet. The store is
-/// first asked by a cheaper call if it did not answer the last time.
+/// Reads the store's revision by a list of the roll-outs, which is short, and all kinds if any change
+/// up to it is not known yet. The store is first asked by a cheaper call if it did not answer the
+/// last time.
 async fn confirm_once(context: &GatewayContext, is_reachable: bool) -> Result<(), StoreError> {
     let timeout = context.settings.store_timeout;
     let rollouts = |stale| {
--- a/gateway/src/transport/store_follower.rs
+++ b/gateway/src/transport/store_follower.rs
@@ -85,7 +85,7 @@
         next_request: None,
         apply_update,
     };
-    // The history since a stale list may be gone by the time of the watch.
+    // Only the first list may be stale: one after status 410 may name a lost revision again.
     let mut stale = true;
     loop {
         let mut revision = follower.list(std::mem::take(&mut stale)).await;
