Log the limits that servers name in their answers

Cause: no line and no counter shows whether an answer named a limit or whether a host read it, so that the incident's hypotheses cannot be told apart. Change: the header is decoded into the server's demand. A host logs when it reads another limit, counts answers with one, and states the limit known of the chosen server with each choice. No choice changes.

--- a/gateway/src/coordination/mod.rs
+++ b/gateway/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 pub mod budgets;
 pub mod cascade;
 pub mod freshness;
+pub mod permits;
 pub mod placement;
 pub mod requests;
 pub mod rollouts;
--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -15,6 +15,9 @@
     pub prompt_tokens: u32,
     /// Number of servers that could have been chosen.
     pub candidates: usize,
+    /// Limit that the chosen server names, in requests per second; left out if it names none.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub server_limit: Option<f64>,
     /// Requests of this host that are in flight on the chosen server.
     pub in_flight: u32,
     /// Tokens of the prompt that the chosen server is expected to cache.
@@ -69,6 +72,15 @@
         /// State of the server after the change.
         state: &'static str,
     },
+    /// A server named another limit in its answer, or none any more.
+    ServerLimited {
+        /// Identifier of the server.
+        server: Arc<str>,
+        /// Limit before, in requests per second, if there was one.
+        from: Option<f64>,
+        /// Limit from now on, in requests per second; `None` if it ended.
+        to: Option<f64>,
+    },
     /// The store stopped or resumed answering.
     StoreContact {
         /// Which data is read.
--- a/gateway/src/protocol/platform_format.rs
+++ b/gateway/src/protocol/platform_format.rs
@@ -7,7 +7,8 @@
 
 use crate::protocol::{ObjectChanges, ObjectKind, ObjectPage, ObjectQuery, StoredObject};
 use crate::state::{
-    AttemptHead, CallerHead, ConfigSnapshot, HostPresence, RolloutOrder, RolloutReport, ServerEntry,
+    AttemptHead, CallerHead, ConfigSnapshot, HostPresence, RolloutOrder, RolloutReport,
+    ServerDemand, ServerEntry,
 };
 
 /// A message of the platform cannot be read.
@@ -38,6 +39,8 @@
     pub idle_limit: Option<Duration>,
     /// Whether the server closes the connection after the answer.
     pub closes: bool,
+    /// What the server asks of the hosts.
+    pub demand: ServerDemand,
     /// Whether the body has a content encoding; no backend server uses one.
     pub encoded: bool,
 }
--- a/gateway/src/state/mod.rs
+++ b/gateway/src/state/mod.rs
@@ -6,6 +6,7 @@
 mod freshness_report;
 mod host_report;
 mod rollout_order;
+mod server_demand;
 mod server_entry;
 mod service_route;
 
@@ -15,5 +16,6 @@
 pub use freshness_report::{FollowedKind, FreshnessReport};
 pub use host_report::{CrashReport, HostPresence, TrialReport};
 pub use rollout_order::{RolloutOrder, RolloutReport, RolloutState};
+pub use server_demand::ServerDemand;
 pub use server_entry::ServerEntry;
 pub use service_route::{EngineModel, RouteKind, RouteTarget, ServiceRoute, ServiceSpec};
--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -9,13 +9,16 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use log::Level;
 
+use crate::coordination::permits::LimitChange;
 use crate::coordination::requests::AttemptOutcome;
-use crate::protocol::{AnswerHead, strip_connection_headers};
+use crate::protocol::{AnswerHead, GatewayRecord, strip_connection_headers};
 use crate::state::{AttemptHead, ServerEntry};
 use crate::transport::attempt_guard::AttemptGuard;
 use crate::transport::connection_pool::BackendConnection;
 use crate::transport::gateway_context::GatewayContext;
+use crate::transport::record_log::log_record;
 use crate::transport::response_body::{ResponseBody, full_body};
 
 /// Largest body of a response that is not streamed, in bytes.
@@ -148,6 +151,7 @@
     guard.mark_started();
     let (mut parts, body) = response.into_parts();
     let head = (context.format.read_answer)(parts.status, &parts.headers);
+    record_demand(context, server, &head, sent_at);
     check_head(&head, parts.status, call.request)?;
     strip_connection_headers(&mut parts.headers);
     parts.headers.remove(header::CONTENT_LENGTH);
@@ -163,6 +167,35 @@
     })
 }
 
+/// Records what the server asks of the hosts in the head of its answer.
+fn record_demand(
+    context: &GatewayContext,
+    server: &ServerEntry,
+    head: &AnswerHead,
+    sent_at: TimePoint,
+) {
+    if head.wrong_server {
+        return;
+    }
+    if head.demand.malformed {
+        context.metrics.increment("demands_malformed_total");
+    }
+    if head.demand.limit.is_some() {
+        context.metrics.increment("answers_with_limit_total");
+    }
+    let now = context.now();
+    let change = context
+        .permits()
+        .record_answer(&server.id, &head.demand, sent_at, now);
+    if let Some(LimitChange { from, to }) = change {
+        let server = server.id.clone();
+        log_record(
+            Level::Info,
+            &GatewayRecord::ServerLimited { server, from, to },
+        );
+    }
+}
+
 /// Checks that a response is signed by the server and belongs to this request.
 fn check_head(head: &AnswerHead, status: StatusCode, request: &str) -> Result<(), AttemptOutcome> {
     let is_expected = head.request.as_deref().is_none_or(|id| id == request);
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -14,6 +14,7 @@
 
 use crate::coordination::budgets::{RetryBudget, RetryPurpose};
 use crate::coordination::freshness::{FreshnessSettings, StoreFreshness};
+use crate::coordination::permits::ServerPermits;
 use crate::coordination::placement::{LoadEstimator, PrefixCacheIndex, ServerTable};
 use crate::coordination::requests::CrashTracker;
 use crate::coordination::rollouts::RolloutTracker;
@@ -69,6 +70,7 @@
     /// Whether the process is stopping.
     pub stopping: AtomicBool,
     servers: Mutex<ServerTable>,
+    permits: Mutex<ServerPermits>,
     loads: Mutex<LoadEstimator>,
     prefix_cache: Mutex<PrefixCacheIndex>,
     budgets: Mutex<BTreeMap<Arc<str>, RetryBudget>>,
@@ -105,6 +107,7 @@
             buffered_body_bytes: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
             servers: Mutex::new(ServerTable::default()),
+            permits: Mutex::new(ServerPermits::default()),
             loads: Mutex::new(LoadEstimator::new(settings.loads)),
             prefix_cache: Mutex::new(PrefixCacheIndex::new(settings.prefix_cache)),
             budgets: Mutex::new(BTreeMap::new()),
@@ -125,6 +128,11 @@
         lock(&self.servers)
     }
 
+    /// Locks what servers ask of the hosts.
+    pub fn permits(&self) -> MutexGuard<'_, ServerPermits> {
+        lock(&self.permits)
+    }
+
     /// Locks the load estimates of servers.
     pub fn loads(&self) -> MutexGuard<'_, LoadEstimator> {
         lock(&self.loads)
--- a/gateway/src/transport/request_exchange/request_log.rs
+++ b/gateway/src/transport/request_exchange/request_log.rs
@@ -58,6 +58,7 @@
         let now = self.context.now();
         let load = self.context.loads().load(&pick.server.id);
         let age = self.context.freshness().age(FollowedKind::Servers, now);
+        let server_limit = self.context.permits().limit(&pick.server.id);
         let record = GatewayRecord::AttemptChosen {
             request: self.request.clone(),
             route: self.route.name.clone(),
@@ -71,6 +72,7 @@
                 servers_age_ms: millis(age.unwrap_or_default()),
                 prompt_tokens: self.head.prompt_tokens,
                 candidates: pick.candidates,
+                server_limit,
                 in_flight: load.in_flight,
                 kept_tokens: pick.kept_tokens,
                 predicted_ms: (pick.wait * 1_000.0) as u64,
--- a/gateway/src/transport/store_feeds.rs
+++ b/gateway/src/transport/store_feeds.rs
@@ -204,6 +204,8 @@
         TableChange::Appeared => {
             context.loads().reset(&entry.id);
             context.prefix_cache().forget(&entry.id);
+            let started_ms = entry.started_ms;
+            context.permits().record_start(&entry.id, started_ms);
             check_unknown_version(context, entry);
         }
         TableChange::Draining => context.pool.clear(entry.address),
@@ -211,6 +213,8 @@
             context.pool.clear(entry.address);
             context.loads().forget(&entry.id);
             context.prefix_cache().forget(&entry.id);
+            let now = context.now();
+            context.permits().record_removal(&entry.id, now);
         }
     }
     let record = GatewayRecord::ServerChanged {
