Share the limit that a server names among the hosts

Callers saw: nothing at once. Cause: no host read the limit. Hosts choose by price, each for itself, and nothing bounds what they send to a server together. The class of fault is a bound on the sum over all hosts that no host can see broken: each alone is moderate. Evidence: with the header decoded and logged, hosts that knew of a limit of 1 a second chose that server 11 times in 6.5 s, mostly by first attempts; hosts that did not share would each stay under it. Change: coordination/permits. A few hosts, by rendezvous hashing over the listed hosts, the server's failure domain first, hold whole shares; their sum in any 4 s is at most what the server named. All others have one short slot in a long period, so that a missed end of a limit is found. Shares are windows, not saved up. Hosts report a limit and its end to one another, three times. The permit is taken when a server is chosen and confirmed before the request is written, for first attempts, retries, larger models and resumed streams alike; a denial is no reason to turn to another version. Requests that no server may get are rejected at once as not run. Ruled out: equal shares of all hosts (at 295 hosts a share rounds to nothing or breaks the sum); a permit asked of one host by datagram for each request (a lost or frozen holder would stop a server in need, and two lists would double the limit). Why it works: limit x 4 s bounds holders x requests for any limit and number of hosts (property test), and half as many holders again, by differing lists, stay within what the platform tolerates.

--- a/gateway/src/coordination/permits/mod.rs
+++ b/gateway/src/coordination/permits/mod.rs
@@ -1,5 +1,10 @@
-//! Decides which requests this host may send to which backend server.
+//! Decides whether this host may send a request to a backend server now.
+//!
+//! Covers servers in need that ask all hosts together for fewer requests. Every attempt asks here
+//! twice: when the server is chosen, and just before the request is written.
 
+mod limit_share;
 mod server_permits;
 
-pub use server_permits::{LimitChange, ServerPermits};
+pub use limit_share::{HostShare, LimitSettings, SharePlan, holds_share, plan_shares, plan_slot};
+pub use server_permits::{LimitChange, SendDenial, ServerPermits};
--- a/gateway/src/coordination/permits/server_permits.rs
+++ b/gateway/src/coordination/permits/server_permits.rs
@@ -1,21 +1,32 @@
-//! What backend servers ask of the hosts: limits on the requests that they take.
+//! What backend servers ask of the hosts, and what this host has sent them since.
 //!
 //! A demand belongs to one start of a server. It outlives the server's entry in the list, which may
 //! lapse while the store is unavailable and return unchanged.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use galenamast::state::TimePoint;
 
-use crate::state::ServerDemand;
+use crate::coordination::permits::limit_share::{
+    HostShare, LimitSettings, holds_share, open_slot, plan_shares, plan_slot,
+};
+use crate::state::{HostPresence, LimitReport, ServerDemand, ServerEntry};
 
 /// Relative difference from which a limit counts as changed.
 const RELEVANT_CHANGE: f64 = 0.05;
 /// Time for which the demands of a removed server are kept.
 const REMOVED_RETENTION: Duration = Duration::from_secs(60);
 
+/// Times after a host read a change in an answer at which it reports the change to the others; a
+/// host that misses the end of a limit would leave the server alone for long.
+const REPORT_DELAYS: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_secs(1),
+    Duration::from_secs(3),
+];
+
 /// A change of the limit that a server names, in requests per second.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitChange {
@@ -25,48 +36,119 @@
     pub to: Option<f64>,
 }
 
-/// A limit and when this host learned of it.
-#[derive(Clone, Copy, Debug)]
-struct NamedLimit {
-    rate: f64,
-    learned_at: TimePoint,
+/// Why this host may not send a request to a server now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendDenial {
+    /// The host has used its share of the server's limit.
+    ShareUsed {
+        /// When a request may be sent again.
+        until: TimePoint,
+    },
+    /// The host holds no share of the server's limit.
+    NoShare,
 }
 
-/// The demands of one start of a server.
-#[derive(Clone, Debug, Default)]
-struct PermitEntry {
+/// One start of a listed server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct ServerStart {
     started_ms: Option<u64>,
+    // When the server was removed from the list.
     removed_at: Option<TimePoint>,
-    limit: Option<NamedLimit>,
 }
 
-/// What is known of the servers' demands.
+/// The demands of one start of a server.
 #[derive(Clone, Debug, Default)]
+struct PermitEntry {
+    limit: Option<f64>,
+    // When the server last stated a limit, or that it has none.
+    stated_at: TimePoint,
+    // Requests of this host since the limit was named, within the window of its share.
+    sends: VecDeque<TimePoint>,
+    // This host's share of the limit; `None` if it has to be computed.
+    share: Option<HostShare>,
+    // Reports to send of what the server stated to this host; `None` if there is nothing new.
+    reports: Option<PendingReports>,
+}
+
+/// Reports of a change that this host read in an answer.
+#[derive(Clone, Copy, Debug)]
+struct PendingReports {
+    changed_at: TimePoint,
+    sent: usize,
+}
+
+impl PermitEntry {
+    /// Sets the limit; returns the change, if it is relevant.
+    fn set_limit(&mut self, limit: Option<f64>, stated_at: TimePoint) -> Option<LimitChange> {
+        let from = self.limit;
+        self.limit = limit;
+        self.stated_at = stated_at;
+        self.share = None;
+        if limit.is_none() {
+            self.sends.clear();
+        }
+        let is_relevant = match (from, limit) {
+            (Some(from), Some(to)) => (from - to).abs() > from.max(to) * RELEVANT_CHANGE,
+            (from, to) => from.is_some() != to.is_some(),
+        };
+        is_relevant.then_some(LimitChange { from, to: limit })
+    }
+}
+
+/// The servers' demands, and the list of hosts that share them.
+#[derive(Clone, Debug)]
 pub struct ServerPermits {
+    settings: LimitSettings,
+    host: Arc<str>,
+    hosts: Vec<HostPresence>,
+    starts: BTreeMap<Arc<str>, ServerStart>,
+    // Servers that have ever stated a demand.
     entries: BTreeMap<Arc<str>, PermitEntry>,
 }
 
 impl ServerPermits {
+    /// Creates the permits of a host that knows no demands and no other hosts.
+    pub fn new(host: Arc<str>, settings: LimitSettings) -> Self {
+        Self {
+            settings,
+            host,
+            hosts: Vec::new(),
+            starts: BTreeMap::new(),
+            entries: BTreeMap::new(),
+        }
+    }
+
+    /// Replaces the list of hosts, which includes this one once it is listed.
+    pub fn set_hosts(&mut self, hosts: Vec<HostPresence>) {
+        self.hosts = hosts;
+        for entry in self.entries.values_mut() {
+            entry.share = None;
+        }
+    }
+
     /// Records that a server is listed, with the Unix time of its start in milliseconds. The demands
     /// of an earlier start end.
     pub fn record_start(&mut self, server: &Arc<str>, started_ms: Option<u64>) {
-        let entry = self.entries.entry(server.clone()).or_default();
-        if entry.started_ms != started_ms {
-            *entry = PermitEntry::default();
+        let start = ServerStart {
+            started_ms,
+            removed_at: None,
+        };
+        let previous = self.starts.insert(server.clone(), start);
+        if previous.is_none_or(|previous| previous.started_ms != started_ms) {
+            self.entries.remove(server);
         }
-        entry.started_ms = started_ms;
-        entry.removed_at = None;
     }
 
     /// Records that a server is no longer listed, and drops those removed long ago.
     pub fn record_removal(&mut self, server: &str, now: TimePoint) {
-        if let Some(entry) = self.entries.get_mut(server) {
-            entry.removed_at = Some(now);
+        if let Some(start) = self.starts.get_mut(server) {
+            start.removed_at = Some(now);
         }
-        self.entries.retain(|_, entry| {
-            let removed_at = entry.removed_at;
-            removed_at.is_none_or(|at| now.since(at) < REMOVED_RETENTION)
-        });
+        let is_kept = |removed_at: TimePoint| now.since(removed_at) < REMOVED_RETENTION;
+        self.starts
+            .retain(|_, start| start.removed_at.is_none_or(is_kept));
+        self.entries
+            .retain(|server, _| self.starts.contains_key(server));
     }
 
     /// Records the head of a server's answer to a request that was sent at `sent_at`. Returns the
@@ -78,29 +160,153 @@
         sent_at: TimePoint,
         now: TimePoint,
     ) -> Option<LimitChange> {
-        let entry = self.entries.entry(server.clone()).or_default();
-        let Some(rate) = demand.limit else {
+        if demand.limit.is_none() {
+            let entry = self.entries.get(server)?;
             // An answer that was begun before the limit was named does not end it.
-            let is_over = |known: &NamedLimit| !demand.malformed && known.learned_at <= sent_at;
-            let ended = entry.limit.take_if(|known| is_over(known))?;
-            return Some(LimitChange {
-                from: Some(ended.rate),
-                to: None,
+            let ends_limit = !demand.malformed && entry.stated_at <= sent_at;
+            if entry.limit.is_none() || !ends_limit {
+                return None;
+            }
+        }
+        let entry = self.entries.entry(server.clone()).or_default();
+        let change = entry.set_limit(demand.limit, now)?;
+        entry.reports = Some(PendingReports {
+            changed_at: now,
+            sent: 0,
+        });
+        Some(change)
+    }
+
+    /// Returns the reports to send to the other hosts now, of changes that this host read in
+    /// answers.
+    pub fn due_reports(&mut self, now: TimePoint) -> Vec<LimitReport> {
+        let mut due = Vec::new();
+        for (server, entry) in &mut self.entries {
+            let Some(pending) = &mut entry.reports else {
+                continue;
+            };
+            if now.since(pending.changed_at) < REPORT_DELAYS[pending.sent] {
+                continue;
+            }
+            pending.sent += 1;
+            if pending.sent == REPORT_DELAYS.len() {
+                entry.reports = None;
+            }
+            let age = now.since(entry.stated_at).as_millis();
+            due.push(LimitReport {
+                server: server.clone(),
+                limit: entry.limit,
+                age_ms: u32::try_from(age).unwrap_or(u32::MAX),
             });
-        };
-        let learned_at = now;
-        let known = entry.limit.replace(NamedLimit { rate, learned_at });
-        let from = known.map(|known| known.rate);
-        let is_relevant =
-            from.is_none_or(|from| (from - rate).abs() > from.max(rate) * RELEVANT_CHANGE);
-        is_relevant.then_some(LimitChange {
-            from,
-            to: Some(rate),
-        })
+        }
+        due
+    }
+
+    /// Records what another host reports of a listed server. Returns the change of the server's
+    /// limit, if it is relevant; reports that are older than what is known change nothing.
+    pub fn record_report(&mut self, report: &LimitReport, now: TimePoint) -> Option<LimitChange> {
+        let is_valid = |rate: f64| rate.is_finite() && rate >= 0.0;
+        if !self.starts.contains_key(&report.server) || !report.limit.is_none_or(is_valid) {
+            return None;
+        }
+        let stated_at = now - Duration::from_millis(report.age_ms.into());
+        let entry = self.entries.entry(report.server.clone()).or_default();
+        if stated_at < entry.stated_at {
+            return None;
+        }
+        let change = entry.set_limit(report.limit, stated_at)?;
+        entry.reports = None;
+        Some(change)
     }
 
     /// Returns the limit that a server names, in requests per second.
     pub fn limit(&self, server: &str) -> Option<f64> {
-        self.entries.get(server)?.limit.map(|limit| limit.rate)
+        self.entries.get(server)?.limit
+    }
+
+    /// Returns what this host may send to a server that names a limit.
+    pub fn share(&mut self, server: &ServerEntry) -> Option<HostShare> {
+        let entry = self.entries.get_mut(&server.id)?;
+        let rate = entry.limit?;
+        let (hosts, settings) = (&self.hosts, &self.settings);
+        let share = entry.share.get_or_insert_with(|| {
+            let plan = plan_shares(rate, hosts.len(), settings);
+            let (id, domain, host) = (&server.id, &server.domain, &self.host);
+            if holds_share(id, domain, host, hosts.iter(), plan.holders) {
+                let (requests, window) = (plan.requests, plan.window);
+                HostShare::Held { requests, window }
+            } else {
+                plan_slot(id, host, rate, hosts.len(), settings)
+            }
+        });
+        Some(*share)
+    }
+
+    /// Returns why this host may not send a request to a server now; `None` if it may.
+    pub fn denial(&mut self, server: &ServerEntry, now: TimePoint) -> Option<SendDenial> {
+        let share = self.share(server)?;
+        let entry = self.entries.get_mut(&server.id)?;
+        match share {
+            HostShare::Held { requests, window } => {
+                entry.sends.retain(|sent_at| now.since(*sent_at) < window);
+                let until = *entry.sends.front()? + window;
+                (entry.sends.len() >= requests).then_some(SendDenial::ShareUsed { until })
+            }
+            HostShare::Slot {
+                period,
+                offset,
+                length,
+            } => {
+                let slot = open_slot(now, period, offset, length);
+                let is_free = slot.is_some_and(|start| {
+                    let last = entry.sends.back();
+                    last.is_none_or(|sent_at| *sent_at < start)
+                });
+                (!is_free).then_some(SendDenial::NoShare)
+            }
+        }
+    }
+
+    /// Takes the permit for one request to a server.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request may not be sent now.
+    pub fn take(&mut self, server: &ServerEntry, now: TimePoint) -> Result<(), SendDenial> {
+        if let Some(denial) = self.denial(server, now) {
+            return Err(denial);
+        }
+        if let Some(entry) = self.entries.get_mut(&server.id)
+            && entry.limit.is_some()
+        {
+            entry.sends.push_back(now);
+        }
+        Ok(())
+    }
+
+    /// Confirms a permit taken at `taken_at` just before the request is written. A demand that was
+    /// stated since then counts.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request may not be sent any more.
+    pub fn confirm(
+        &mut self,
+        server: &ServerEntry,
+        taken_at: TimePoint,
+        now: TimePoint,
+    ) -> Result<(), SendDenial> {
+        self.give_back(&server.id, taken_at);
+        self.take(server, now)
+    }
+
+    /// Gives back a permit taken at `taken_at` for a request that was not written.
+    pub fn give_back(&mut self, server: &str, taken_at: TimePoint) {
+        let Some(entry) = self.entries.get_mut(server) else {
+            return;
+        };
+        if let Some(index) = entry.sends.iter().position(|sent_at| *sent_at == taken_at) {
+            entry.sends.remove(index);
+        }
     }
 }
--- a/gateway/src/coordination/requests/attempt_outcome.rs
+++ b/gateway/src/coordination/requests/attempt_outcome.rs
@@ -11,6 +11,8 @@
 pub enum AttemptOutcome {
     /// No connection was made, so nothing was sent.
     NotSent,
+    /// The server's demands no longer allowed the host to send the request, so nothing was sent.
+    Withheld,
     /// The server stated that the request did not run.
     Rejected,
     /// Another server has the address; the request did not run.
@@ -28,12 +30,15 @@
 impl AttemptOutcome {
     /// Returns whether the request may have run.
     pub const fn may_have_run(self) -> bool {
-        !matches!(self, Self::NotSent | Self::Rejected | Self::WrongServer)
+        !matches!(
+            self,
+            Self::NotSent | Self::Withheld | Self::Rejected | Self::WrongServer
+        )
     }
 
-    /// Returns whether a connection to the server was made.
+    /// Returns whether something was sent to the server.
     pub const fn reached_server(self) -> bool {
-        !matches!(self, Self::NotSent)
+        !matches!(self, Self::NotSent | Self::Withheld)
     }
 }
 
--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -80,6 +80,11 @@
         from: Option<f64>,
         /// Limit from now on, in requests per second; `None` if it ended.
         to: Option<f64>,
+        /// Requests that this host may send in each window; 0 if it holds no share, `None` without
+        /// a limit.
+        share_requests: Option<usize>,
+        /// Where the host learned it: from the server's `answer`, or from another `host`.
+        source: &'static str,
     },
     /// The store stopped or resumed answering.
     StoreContact {
@@ -122,6 +127,17 @@
         /// Time left until the deadline, in milliseconds.
         left_ms: u64,
     },
+    /// Servers could serve a request, but this host may not send to any of them now.
+    SendsDenied {
+        /// Identifier of the request.
+        request: Arc<str>,
+        /// Name of the route.
+        route: Arc<str>,
+        /// Servers of whose limit the host has used its share.
+        share_used: usize,
+        /// Servers of whose limit the host holds no share.
+        no_share: usize,
+    },
     /// The smaller model's answer was kept, or dropped in order to run the largest model.
     ModelJudged {
         /// Identifier of the request.
--- a/gateway/src/state/host_report.rs
+++ b/gateway/src/state/host_report.rs
@@ -27,6 +27,17 @@
     pub counts: GradeCounts,
 }
 
+/// What a server stated about its limit in an answer to one host.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitReport {
+    /// Identifier of the server.
+    pub server: Arc<str>,
+    /// Requests per second that it takes from all hosts together; `None` if it states no limit.
+    pub limit: Option<f64>,
+    /// Time since the answer, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// Where other hosts can reach a host.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HostPresence {
--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -9,17 +9,16 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use log::Level;
 
-use crate::coordination::permits::LimitChange;
 use crate::coordination::requests::AttemptOutcome;
-use crate::protocol::{AnswerHead, GatewayRecord, strip_connection_headers};
+use crate::protocol::{AnswerHead, strip_connection_headers};
 use crate::state::{AttemptHead, ServerEntry};
 use crate::transport::attempt_guard::AttemptGuard;
 use crate::transport::connection_pool::BackendConnection;
 use crate::transport::gateway_context::GatewayContext;
-use crate::transport::record_log::log_record;
 use crate::transport::response_body::{ResponseBody, full_body};
+use crate::transport::send_permit::SendPermit;
+use crate::transport::server_demands::record_demand;
 
 /// Largest body of a response that is not streamed, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1_024 * 1_024;
@@ -39,6 +38,8 @@
     pub(crate) needs_new_connection: bool,
     /// Estimated work of the request, in seconds on a typical server.
     pub(crate) work: f64,
+    /// Permit to send the request.
+    pub(crate) permit: SendPermit,
     /// Longest time to wait for the head of the response.
     pub(crate) head_timeout: Duration,
 }
@@ -122,7 +123,7 @@
 pub(crate) async fn run_attempt(
     context: &Arc<GatewayContext>,
     server: &ServerEntry,
-    call: AttemptRequest<'_>,
+    mut call: AttemptRequest<'_>,
 ) -> Result<OpenResponse, AttemptOutcome> {
     let mut guard = AttemptGuard::new(context, &server.id, call.work);
     let pooled = if call.needs_new_connection {
@@ -140,6 +141,9 @@
         }
     };
     let request = build_request(context, server, &call).ok_or(AttemptOutcome::NotSent)?;
+    call.permit
+        .confirm()
+        .map_err(|_| AttemptOutcome::Withheld)?;
     let sent_at = context.now();
     let sending = connection.send(request);
     let response = match tokio::time::timeout(call.head_timeout, sending).await {
@@ -167,35 +171,6 @@
     })
 }
 
-/// Records what the server asks of the hosts in the head of its answer.
-fn record_demand(
-    context: &GatewayContext,
-    server: &ServerEntry,
-    head: &AnswerHead,
-    sent_at: TimePoint,
-) {
-    if head.wrong_server {
-        return;
-    }
-    if head.demand.malformed {
-        context.metrics.increment("demands_malformed_total");
-    }
-    if head.demand.limit.is_some() {
-        context.metrics.increment("answers_with_limit_total");
-    }
-    let now = context.now();
-    let change = context
-        .permits()
-        .record_answer(&server.id, &head.demand, sent_at, now);
-    if let Some(LimitChange { from, to }) = change {
-        let server = server.id.clone();
-        log_record(
-            Level::Info,
-            &GatewayRecord::ServerLimited { server, from, to },
-        );
-    }
-}
-
 /// Checks that a response is signed by the server and belongs to this request.
 fn check_head(head: &AnswerHead, status: StatusCode, request: &str) -> Result<(), AttemptOutcome> {
     let is_expected = head.request.as_deref().is_none_or(|id| id == request);
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -107,7 +107,7 @@
             buffered_body_bytes: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
             servers: Mutex::new(ServerTable::default()),
-            permits: Mutex::new(ServerPermits::default()),
+            permits: Mutex::new(ServerPermits::new(settings.host.clone(), settings.limits)),
             loads: Mutex::new(LoadEstimator::new(settings.loads)),
             prefix_cache: Mutex::new(PrefixCacheIndex::new(settings.prefix_cache)),
             budgets: Mutex::new(BTreeMap::new()),
--- a/gateway/src/transport/gateway_settings.rs
+++ b/gateway/src/transport/gateway_settings.rs
@@ -7,6 +7,7 @@
 use crate::coordination::admission::AdmissionSettings;
 use crate::coordination::budgets::BudgetSettings;
 use crate::coordination::cascade::CascadeSettings;
+use crate::coordination::permits::LimitSettings;
 use crate::coordination::placement::{LoadSettings, PickSettings, PrefixCacheSettings};
 use crate::coordination::requests::CrashSettings;
 use crate::coordination::rollouts::RolloutSettings;
@@ -61,6 +62,8 @@
     pub cascade: CascadeSettings,
     /// Load estimates of servers.
     pub loads: LoadSettings,
+    /// Shares of the limits that servers name.
+    pub limits: LimitSettings,
     /// Index of prompt prefixes that engines have cached.
     pub prefix_cache: PrefixCacheSettings,
     /// Choice of a server for a request.
@@ -102,6 +105,7 @@
             budget: BudgetSettings::default(),
             cascade: CascadeSettings::default(),
             loads: LoadSettings::default(),
+            limits: LimitSettings::default(),
             prefix_cache: PrefixCacheSettings::default(),
             placement: PickSettings::default(),
             rollouts: RolloutSettings::default(),
--- a/gateway/src/transport/mod.rs
+++ b/gateway/src/transport/mod.rs
@@ -20,6 +20,8 @@
 mod request_exchange;
 mod response_body;
 mod rollout_writer;
+mod send_permit;
+mod server_demands;
 mod store_client;
 mod store_confirmer;
 mod store_feeds;
--- a/gateway/src/transport/peer_gossip.rs
+++ b/gateway/src/transport/peer_gossip.rs
@@ -15,9 +15,10 @@
 use tokio::net::UdpSocket;
 
 use crate::protocol::{GatewayRecord, ObjectKind, ObjectQuery, PeerMessage};
-use crate::state::{FreshnessReport, HostPresence};
+use crate::state::{FreshnessReport, HostPresence, LimitReport};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
+use crate::transport::server_demands::{log_limit_change, send_due_reports};
 use crate::transport::store_client::StoreError;
 
 /// Interval between datagrams to each host in this failure domain.
@@ -156,6 +157,9 @@
         revision = revision.min(page.revision);
         after = page.objects.last().map(|object| object.name.to_string());
         if !page.has_more || after.is_none() {
+            context
+                .permits()
+                .set_hosts(peers.values().cloned().collect());
             *context.peers() = peers;
             return Ok(revision);
         }
@@ -180,6 +184,11 @@
             None => peers.remove(&change.object.name),
         };
     }
+    if !changes.changes.is_empty() {
+        context
+            .permits()
+            .set_hosts(peers.values().cloned().collect());
+    }
     Ok(changes.revision.max(revision))
 }
 
@@ -224,6 +233,7 @@
                     .rollouts()
                     .record_held_sessions(&sessions, context.now());
             }
+            Ok(PeerMessage::Limit(report)) => record_limit(context, peer, &report),
             Ok(PeerMessage::Freshness(report)) => record_freshness(context, peer, &report),
             Err(_) => context.metrics.increment("datagrams_unreadable_total"),
         }
@@ -242,6 +252,20 @@
     }
 }
 
+/// Applies the report of another host about the limit that a server names.
+fn record_limit(context: &GatewayContext, peer: SocketAddr, report: &LimitReport) {
+    let is_known = context.peers().values().any(|host| host.address == peer);
+    if !is_known {
+        context.metrics.increment("datagrams_of_strangers_total");
+        return;
+    }
+    let now = context.now();
+    let change = context.permits().record_report(report, now);
+    if let Some(change) = change {
+        log_limit_change(context, &report.server, change, "host");
+    }
+}
+
 /// Periodically sends a group of hosts the load that this host puts on servers, and which prompts
 /// it sent to which engine since the last datagram.
 async fn send_loads(context: &GatewayContext, socket: &UdpSocket, scope: PeerScope) {
@@ -252,6 +276,7 @@
     let mut sent_idle = false;
     let mut sent_reads = 0;
     loop {
+        send_due_reports(context);
         let loads = context.loads().local_loads();
         let (reads, count) = context.prefix_cache().local_reads_since(sent_reads);
         sent_reads = count;
--- a/gateway/src/transport/request_exchange/feedback.rs
+++ b/gateway/src/transport/request_exchange/feedback.rs
@@ -22,6 +22,7 @@
                 let reach = loads.domain_reach_mut();
                 reach.record_unreachable(&server.domain, &server.id, now);
             }
+            AttemptOutcome::Withheld => {}
             AttemptOutcome::WrongServer => self.context.servers().mark_reused(&server.id, now),
             AttemptOutcome::Silent => self.context.loads().record_timeout(&server.id, now),
             AttemptOutcome::Rejected | AttemptOutcome::Failed | AttemptOutcome::Garbled => {
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -22,6 +22,7 @@
 use crate::transport::gateway_context::{GatewayContext, stable_hash};
 use crate::transport::request_admission::{Admission, BufferedBody};
 use crate::transport::response_body::ResponseBody;
+use crate::transport::send_permit::SendPermit;
 use crate::transport::stream_relay::StreamRelay;
 
 /// Largest number of attempts of one request, whether or not a server runs it.
@@ -239,6 +240,10 @@
             if self.is_overloaded(&pick, remaining) {
                 return Err(ExchangeFailure::Overloaded);
             }
+            // Another request may have used the share since the server was picked.
+            let Ok(permit) = SendPermit::take(&self.context, &pick.server) else {
+                continue;
+            };
             let server = pick.server.clone();
             let head_timeout = self.head_timeout(remaining);
             self.log_choice(&pick);
@@ -250,6 +255,7 @@
                 body: &self.body.bytes,
                 request: &self.request,
                 needs_new_connection: self.route.kind == RouteKind::Unsafe,
+                permit,
                 head_timeout,
                 work: pick.work,
                 head: AttemptHead {
@@ -310,6 +316,7 @@
 
     /// Returns the final outcome when no server is left to try.
     fn no_server_left(&mut self) -> ExchangeFailure {
+        self.log_denials();
         match self.last_failure.take() {
             Some(failure) => ExchangeFailure::ServerResponse(failure),
             None if self.tally.runs == 0 => ExchangeFailure::HostResponse(FinalAnswer::NotRun),
--- a/gateway/src/transport/request_exchange/request_log.rs
+++ b/gateway/src/transport/request_exchange/request_log.rs
@@ -6,6 +6,7 @@
 use log::Level;
 
 use crate::coordination::admission::ServiceForecast;
+use crate::coordination::permits::SendDenial;
 use crate::coordination::placement::ServerPick;
 use crate::protocol::{DecisionInputs, GatewayRecord};
 use crate::state::{FollowedKind, ServerEntry};
@@ -52,6 +53,26 @@
         log_record(Level::Info, &record);
     }
 
+    /// Logs the servers that the host may not send the request to, if there are any.
+    pub(super) fn log_denials(&self) {
+        let denials = self.denials();
+        if denials.is_empty() {
+            return;
+        }
+        self.context.metrics.increment("sends_denied_total");
+        let no_share = denials
+            .iter()
+            .filter(|denial| **denial == SendDenial::NoShare)
+            .count();
+        let record = GatewayRecord::SendsDenied {
+            request: self.request.clone(),
+            route: self.route.name.clone(),
+            share_used: denials.len() - no_share,
+            no_share,
+        };
+        log_record(Level::Info, &record);
+    }
+
     /// Logs the server chosen for an attempt and what the choice rests on.
     pub(super) fn log_choice(&self, pick: &ServerPick) {
         self.context.metrics.increment("attempts_total");
--- a/gateway/src/transport/request_exchange/server_choice.rs
+++ b/gateway/src/transport/request_exchange/server_choice.rs
@@ -10,9 +10,10 @@
 };
 use crate::coordination::budgets::RetryPurpose;
 use crate::coordination::cascade::{confidence_bound, should_escalate};
+use crate::coordination::permits::SendDenial;
 use crate::coordination::placement::{PickQuery, PromptPrefixes, ServerPick, pick_server};
 use crate::coordination::rollouts::{VersionRule, version_groups};
-use crate::state::{EngineModel, RouteKind};
+use crate::state::{EngineModel, RouteKind, ServerEntry};
 use crate::transport::attempt_runner::{OpenResponse, remaining_time};
 use crate::transport::request_exchange::RequestExchange;
 use crate::transport::request_exchange::request_log::CascadeDecision;
@@ -121,11 +122,25 @@
         let time_left = remaining_time(&self.context, self.deadline);
         let starts_in = match self.earliest_start {
             Some(seconds) => seconds.max(BUSY_RETRY_SECONDS),
-            None => NO_SERVER_RETRY_SECONDS,
+            None => self.permitted_in().unwrap_or(NO_SERVER_RETRY_SECONDS),
         };
         retry_pause(starts_in, time_left, &self.context.settings.admission)
     }
 
+    /// Returns the seconds until the host may send to a server again; `None` if it is not known.
+    fn permitted_in(&self) -> Option<f64> {
+        let now = self.context.now();
+        let untils = self
+            .denials()
+            .into_iter()
+            .filter_map(|denial| match denial {
+                SendDenial::ShareUsed { until } => Some(until),
+                SendDenial::NoShare => None,
+            });
+        let earliest = untils.min()?;
+        Some(earliest.since(now).as_secs_f64().max(BUSY_RETRY_SECONDS))
+    }
+
     /// Finds the server that `pick_server` prefers among those that were not tried and whose
     /// version may serve the session.
     pub(super) fn find_server(&self) -> Option<ServerPick> {
@@ -162,9 +177,31 @@
         loads.drop_stale(now);
         query.assumes_equal_load = loads.reporting_hosts(now) * 2 < known_hosts;
         let settings = &self.context.settings.placement;
-        version_groups(&serving, &rule, self.version.as_ref())
+        // A denial is no reason to turn to another version.
+        let is_untried = |entry: &&ServerEntry| !self.tried.contains(&entry.id);
+        let group = version_groups(&serving, &rule, self.version.as_ref())
+            .into_iter()
+            .find(|group| group.iter().any(is_untried))?;
+        let permitted: Vec<&ServerEntry> = {
+            let mut permits = self.context.permits();
+            let is_permitted = |entry: &&ServerEntry| permits.denial(entry, now).is_none();
+            group.into_iter().filter(is_permitted).collect()
+        };
+        pick_server(&permitted, &query, &loads, settings, now)
+    }
+
+    /// Returns why the host may not send the request to the servers that were not tried.
+    pub(super) fn denials(&self) -> Vec<SendDenial> {
+        let now = self.context.now();
+        let servers = self.context.servers();
+        let mut permits = self.context.permits();
+        let serving = servers.serving(&self.service, now);
+        let untried = serving
             .into_iter()
-            .find_map(|group| pick_server(&group, &query, &loads, settings, now))
+            .filter(|entry| !self.tried.contains(&entry.id));
+        untried
+            .filter_map(|entry| permits.denial(entry, now))
+            .collect()
     }
 
     /// Returns the model chosen for the request or else named by it; empty if there is none.
--- a/gateway/tests/decisions/main.rs
+++ b/gateway/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod events;
 mod freshness;
+mod limits;
 mod outcomes;
 mod placement;
 mod rollout_tracker;
