Send nothing more to a server once an answer says that it leaves

Callers saw: nothing at once; a server that leaves may end while it runs their requests. Cause: the header by which a server that leaves says so in its answers was not read. A host went on until the list of servers said so, or for good where the list did not change. Change: leaving is decoded and is a denial of coordination/permits for as long as that start of the server lives. Servers that leave do not count when a version is chosen. Hosts tell one another, with the start of the server, so that a new start at the same identifier is another server. Idle connections are closed; a log line and a counter say who leaves. Evidence: with the store silent, 37 of the requests after the server's first answer reached it; streams were resumed there, and other hosts were not told.

--- a/gateway/src/coordination/permits/mod.rs
+++ b/gateway/src/coordination/permits/mod.rs
@@ -1,10 +1,11 @@
 //! Decides whether this host may send a request to a backend server now.
 //!
-//! Covers servers in need that ask all hosts together for fewer requests. Every attempt asks here
+//! Covers servers in need that ask all hosts together for fewer requests, and servers that leave
+//! before the list of servers says so. Every attempt asks here
 //! twice: when the server is chosen, and just before the request is written.
 
 mod limit_share;
 mod server_permits;
 
 pub use limit_share::{HostShare, LimitSettings, SharePlan, holds_share, plan_shares, plan_slot};
-pub use server_permits::{LimitChange, SendDenial, ServerPermits};
+pub use server_permits::{DemandChange, SendDenial, ServerPermits};
--- a/gateway/src/coordination/permits/server_permits.rs
+++ b/gateway/src/coordination/permits/server_permits.rs
@@ -12,33 +12,39 @@
 use crate::coordination::permits::limit_share::{
     HostShare, LimitSettings, holds_share, open_slot, plan_shares, plan_slot,
 };
-use crate::state::{HostPresence, LimitReport, ServerDemand, ServerEntry};
+use crate::state::{DemandReport, HostPresence, ServerDemand, ServerEntry};
 
 /// Relative difference from which a limit counts as changed.
 const RELEVANT_CHANGE: f64 = 0.05;
 /// Time for which the demands of a removed server are kept.
 const REMOVED_RETENTION: Duration = Duration::from_secs(60);
 
-/// Times after a host read a change in an answer at which it reports the change to the others; a
-/// host that misses the end of a limit would leave the server alone for long.
+/// Times after a host read a change in an answer at which it reports the change to the others.
 const REPORT_DELAYS: [Duration; 3] = [
     Duration::ZERO,
     Duration::from_secs(1),
     Duration::from_secs(3),
 ];
 
-/// A change of the limit that a server names, in requests per second.
+/// A change of what a server asks of the hosts.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct LimitChange {
-    /// Limit before; `None` if there was none.
-    pub from: Option<f64>,
-    /// Limit from now on; `None` if it ended.
-    pub to: Option<f64>,
+pub enum DemandChange {
+    /// The server leaves.
+    Leaving,
+    /// The server names another limit, in requests per second.
+    Limit {
+        /// Limit before; `None` if there was none.
+        from: Option<f64>,
+        /// Limit from now on; `None` if it ended.
+        to: Option<f64>,
+    },
 }
 
 /// Why this host may not send a request to a server now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendDenial {
+    /// The server leaves.
+    Leaving,
     /// The host has used its share of the server's limit.
     ShareUsed {
         /// When a request may be sent again.
@@ -60,6 +66,8 @@
 #[derive(Clone, Debug, Default)]
 struct PermitEntry {
     limit: Option<f64>,
+    // A server that leaves does so until it ends.
+    leaving: bool,
     // When the server last stated a limit, or that it has none.
     stated_at: TimePoint,
     // Requests of this host since the limit was named, within the window of its share.
@@ -77,9 +85,19 @@
     sent: usize,
 }
 
+impl PendingReports {
+    /// Returns the reports of a change at `changed_at`, none of them sent.
+    const fn new(changed_at: TimePoint) -> Self {
+        Self {
+            changed_at,
+            sent: 0,
+        }
+    }
+}
+
 impl PermitEntry {
     /// Sets the limit; returns the change, if it is relevant.
-    fn set_limit(&mut self, limit: Option<f64>, stated_at: TimePoint) -> Option<LimitChange> {
+    fn set_limit(&mut self, limit: Option<f64>, stated_at: TimePoint) -> Option<DemandChange> {
         let from = self.limit;
         self.limit = limit;
         self.stated_at = stated_at;
@@ -91,7 +109,7 @@
             (Some(from), Some(to)) => (from - to).abs() > from.max(to) * RELEVANT_CHANGE,
             (from, to) => from.is_some() != to.is_some(),
         };
-        is_relevant.then_some(LimitChange { from, to: limit })
+        is_relevant.then_some(DemandChange::Limit { from, to: limit })
     }
 }
 
@@ -152,14 +170,17 @@
     }
 
     /// Records the head of a server's answer to a request that was sent at `sent_at`. Returns the
-    /// change of the server's limit, if it is relevant.
+    /// relevant change of the server's demands.
     pub fn record_answer(
         &mut self,
         server: &Arc<str>,
         demand: &ServerDemand,
         sent_at: TimePoint,
         now: TimePoint,
-    ) -> Option<LimitChange> {
+    ) -> Option<DemandChange> {
+        if demand.leaving {
+            return self.record_leaving(server, now, now);
+        }
         if demand.limit.is_none() {
             let entry = self.entries.get(server)?;
             // An answer that was begun before the limit was named does not end it.
@@ -170,16 +191,30 @@
         }
         let entry = self.entries.entry(server.clone()).or_default();
         let change = entry.set_limit(demand.limit, now)?;
-        entry.reports = Some(PendingReports {
-            changed_at: now,
-            sent: 0,
-        });
+        entry.reports = Some(PendingReports::new(now));
         Some(change)
     }
 
+    /// Records that a server stated at `stated_at` that it leaves; returns whether this is new.
+    pub fn record_leaving(
+        &mut self,
+        server: &Arc<str>,
+        stated_at: TimePoint,
+        now: TimePoint,
+    ) -> Option<DemandChange> {
+        let entry = self.entries.entry(server.clone()).or_default();
+        if entry.leaving {
+            return None;
+        }
+        entry.leaving = true;
+        entry.stated_at = stated_at;
+        entry.reports = (stated_at == now).then(|| PendingReports::new(now));
+        Some(DemandChange::Leaving)
+    }
+
     /// Returns the reports to send to the other hosts now, of changes that this host read in
     /// answers.
-    pub fn due_reports(&mut self, now: TimePoint) -> Vec<LimitReport> {
+    pub fn due_reports(&mut self, now: TimePoint) -> Vec<DemandReport> {
         let mut due = Vec::new();
         for (server, entry) in &mut self.entries {
             let Some(pending) = &mut entry.reports else {
@@ -193,23 +228,29 @@
                 entry.reports = None;
             }
             let age = now.since(entry.stated_at).as_millis();
-            due.push(LimitReport {
+            due.push(DemandReport {
                 server: server.clone(),
+                started_ms: self.starts.get(server).and_then(|start| start.started_ms),
                 limit: entry.limit,
+                leaving: entry.leaving,
                 age_ms: u32::try_from(age).unwrap_or(u32::MAX),
             });
         }
         due
     }
 
-    /// Records what another host reports of a listed server. Returns the change of the server's
-    /// limit, if it is relevant; reports that are older than what is known change nothing.
-    pub fn record_report(&mut self, report: &LimitReport, now: TimePoint) -> Option<LimitChange> {
+    /// Records what another host reports of a listed server. Returns the relevant change of the
+    /// server's demands; reports of another start, or older than what is known, change nothing.
+    pub fn record_report(&mut self, report: &DemandReport, now: TimePoint) -> Option<DemandChange> {
         let is_valid = |rate: f64| rate.is_finite() && rate >= 0.0;
-        if !self.starts.contains_key(&report.server) || !report.limit.is_none_or(is_valid) {
+        let start = self.starts.get(&report.server)?;
+        if start.started_ms != report.started_ms || !report.limit.is_none_or(is_valid) {
             return None;
         }
         let stated_at = now - Duration::from_millis(report.age_ms.into());
+        if report.leaving {
+            return self.record_leaving(&report.server, stated_at, now);
+        }
         let entry = self.entries.entry(report.server.clone()).or_default();
         if stated_at < entry.stated_at {
             return None;
@@ -242,8 +283,16 @@
         Some(*share)
     }
 
+    /// Returns whether a server leaves.
+    pub fn is_leaving(&self, server: &str) -> bool {
+        self.entries.get(server).is_some_and(|entry| entry.leaving)
+    }
+
     /// Returns why this host may not send a request to a server now; `None` if it may.
     pub fn denial(&mut self, server: &ServerEntry, now: TimePoint) -> Option<SendDenial> {
+        if self.is_leaving(&server.id) {
+            return Some(SendDenial::Leaving);
+        }
         let share = self.share(server)?;
         let entry = self.entries.get_mut(&server.id)?;
         match share {
--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -86,6 +86,13 @@
         /// Where the host learned it: from the server's `answer`, or from another `host`.
         source: &'static str,
     },
+    /// A server stated that it leaves.
+    ServerLeaving {
+        /// Identifier of the server.
+        server: Arc<str>,
+        /// Where the host learned it: from the server's `answer`, or from another `host`.
+        source: &'static str,
+    },
     /// The store stopped or resumed answering.
     StoreContact {
         /// Which data is read.
@@ -133,6 +140,8 @@
         request: Arc<str>,
         /// Name of the route.
         route: Arc<str>,
+        /// Servers that leave.
+        leaving: usize,
         /// Servers of whose limit the host has used its share.
         share_used: usize,
         /// Servers of whose limit the host holds no share.
--- a/gateway/src/protocol/peer_message.rs
+++ b/gateway/src/protocol/peer_message.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::placement::{HostLoad, PrefixRead};
-use crate::state::{CrashReport, FreshnessReport, LimitReport, TrialReport};
+use crate::state::{CrashReport, DemandReport, FreshnessReport, TrialReport};
 
 /// Contents of a datagram. It is encoded by position, so the order of variants and fields is fixed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -23,6 +23,6 @@
     HeldSessions(Vec<u64>),
     /// The host knew all changes of the store a short time ago. Sent within a failure domain.
     Freshness(FreshnessReport),
-    /// A server named another limit in its answer, or none any more.
-    Limit(LimitReport),
+    /// What a server asks of the hosts has changed.
+    Demand(DemandReport),
 }
--- a/gateway/src/state/host_report.rs
+++ b/gateway/src/state/host_report.rs
@@ -27,13 +27,17 @@
     pub counts: GradeCounts,
 }
 
-/// What a server stated about its limit in an answer to one host.
+/// What a server stated in an answer to one host.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct LimitReport {
+pub struct DemandReport {
     /// Identifier of the server.
     pub server: Arc<str>,
+    /// Unix time of the server's start in milliseconds, if stated.
+    pub started_ms: Option<u64>,
     /// Requests per second that it takes from all hosts together; `None` if it states no limit.
     pub limit: Option<f64>,
+    /// Whether it leaves.
+    pub leaving: bool,
     /// Time since the answer, in milliseconds.
     pub age_ms: u32,
 }
--- a/gateway/src/state/mod.rs
+++ b/gateway/src/state/mod.rs
@@ -14,7 +14,7 @@
 pub use caller_head::{AttemptHead, CallerHead, PromptPart};
 pub use config_snapshot::{CallerLimits, ConfigSnapshot, CredentialDigest, WorkspaceEntry};
 pub use freshness_report::{FollowedKind, FreshnessReport};
-pub use host_report::{CrashReport, HostPresence, LimitReport, TrialReport};
+pub use host_report::{CrashReport, DemandReport, HostPresence, TrialReport};
 pub use rollout_order::{RolloutOrder, RolloutReport, RolloutState};
 pub use server_demand::ServerDemand;
 pub use server_entry::ServerEntry;
--- a/gateway/src/state/server_demand.rs
+++ b/gateway/src/state/server_demand.rs
@@ -5,6 +5,8 @@
 pub struct ServerDemand {
     /// Requests per second that it takes from all hosts together; `None` if it states no limit.
     pub limit: Option<f64>,
+    /// Whether it leaves and takes no new work.
+    pub leaving: bool,
     /// Whether a statement could not be read; it then says nothing about the end of a demand.
     pub malformed: bool,
 }
--- a/gateway/src/transport/peer_gossip.rs
+++ b/gateway/src/transport/peer_gossip.rs
@@ -15,10 +15,10 @@
 use tokio::net::UdpSocket;
 
 use crate::protocol::{GatewayRecord, ObjectKind, ObjectQuery, PeerMessage};
-use crate::state::{FreshnessReport, HostPresence, LimitReport};
+use crate::state::{DemandReport, FreshnessReport, HostPresence};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
-use crate::transport::server_demands::{log_limit_change, send_due_reports};
+use crate::transport::server_demands::{apply_demand_change, send_due_reports};
 use crate::transport::store_client::StoreError;
 
 /// Interval between datagrams to each host in this failure domain.
@@ -233,7 +233,7 @@
                     .rollouts()
                     .record_held_sessions(&sessions, context.now());
             }
-            Ok(PeerMessage::Limit(report)) => record_limit(context, peer, &report),
+            Ok(PeerMessage::Demand(report)) => record_peer_demand(context, peer, &report),
             Ok(PeerMessage::Freshness(report)) => record_freshness(context, peer, &report),
             Err(_) => context.metrics.increment("datagrams_unreadable_total"),
         }
@@ -252,8 +252,8 @@
     }
 }
 
-/// Applies the report of another host about the limit that a server names.
-fn record_limit(context: &GatewayContext, peer: SocketAddr, report: &LimitReport) {
+/// Applies the report of another host about what a server asks of the hosts.
+fn record_peer_demand(context: &GatewayContext, peer: SocketAddr, report: &DemandReport) {
     let is_known = context.peers().values().any(|host| host.address == peer);
     if !is_known {
         context.metrics.increment("datagrams_of_strangers_total");
@@ -262,7 +262,7 @@
     let now = context.now();
     let change = context.permits().record_report(report, now);
     if let Some(change) = change {
-        log_limit_change(context, &report.server, change, "host");
+        apply_demand_change(context, &report.server, change, "host");
     }
 }
 
--- a/gateway/src/transport/request_exchange/request_log.rs
+++ b/gateway/src/transport/request_exchange/request_log.rs
@@ -60,15 +60,15 @@
             return;
         }
         self.context.metrics.increment("sends_denied_total");
-        let no_share = denials
-            .iter()
-            .filter(|denial| **denial == SendDenial::NoShare)
-            .count();
+        let count = |is_counted: fn(&SendDenial) -> bool| {
+            denials.iter().filter(|denial| is_counted(denial)).count()
+        };
         let record = GatewayRecord::SendsDenied {
             request: self.request.clone(),
             route: self.route.name.clone(),
-            share_used: denials.len() - no_share,
-            no_share,
+            leaving: count(|denial| matches!(denial, SendDenial::Leaving)),
+            share_used: count(|denial| matches!(denial, SendDenial::ShareUsed { .. })),
+            no_share: count(|denial| matches!(denial, SendDenial::NoShare)),
         };
         log_record(Level::Info, &record);
     }
--- a/gateway/src/transport/request_exchange/server_choice.rs
+++ b/gateway/src/transport/request_exchange/server_choice.rs
@@ -135,7 +135,7 @@
             .into_iter()
             .filter_map(|denial| match denial {
                 SendDenial::ShareUsed { until } => Some(until),
-                SendDenial::NoShare => None,
+                SendDenial::Leaving | SendDenial::NoShare => None,
             });
         let earliest = untils.min()?;
         Some(earliest.since(now).as_secs_f64().max(BUSY_RETRY_SECONDS))
@@ -154,7 +154,8 @@
                 .rule(&self.service, self.session, now, unix_ms),
         };
         let servers = self.context.servers();
-        let serving = servers.serving(&self.service, now);
+        let mut serving = servers.serving(&self.service, now);
+        serving.retain(|entry| !self.context.permits().is_leaving(&entry.id));
         let prompt = self.prompt_prefixes();
         let kept = prompt
             .as_ref()
@@ -177,7 +178,7 @@
         loads.drop_stale(now);
         query.assumes_equal_load = loads.reporting_hosts(now) * 2 < known_hosts;
         let settings = &self.context.settings.placement;
-        // A denial is no reason to turn to another version.
+        // A pause or a limit is no reason to turn to another version.
         let is_untried = |entry: &&ServerEntry| !self.tried.contains(&entry.id);
         let group = version_groups(&serving, &rule, self.version.as_ref())
             .into_iter()
--- a/gateway/src/transport/server_demands.rs
+++ b/gateway/src/transport/server_demands.rs
@@ -5,7 +5,7 @@
 use galenamast::state::TimePoint;
 use log::Level;
 
-use crate::coordination::permits::{HostShare, LimitChange};
+use crate::coordination::permits::{DemandChange, HostShare};
 use crate::protocol::{AnswerHead, GatewayRecord, PeerMessage};
 use crate::state::ServerEntry;
 use crate::transport::gateway_context::GatewayContext;
@@ -19,54 +19,71 @@
     head: &AnswerHead,
     sent_at: TimePoint,
 ) {
-    // The answer is of another server, whose identifier is not known.
-    if head.wrong_server {
-        return;
-    }
-    if head.demand.malformed {
+    let (demand, now) = (&head.demand, context.now());
+    if demand.malformed {
         context.metrics.increment("demands_malformed_total");
     }
-    if head.demand.limit.is_some() {
+    if demand.limit.is_some() {
         context.metrics.increment("answers_with_limit_total");
     }
-    let now = context.now();
-    let change = context
-        .permits()
-        .record_answer(&server.id, &head.demand, sent_at, now);
+    let change = if head.wrong_server {
+        // The answer may be of another server, whose limit is not this one's. Either way this one
+        // gets no new work.
+        let leaves = demand.leaving;
+        leaves.then(|| context.permits().record_leaving(&server.id, now, now))
+    } else {
+        let mut permits = context.permits();
+        Some(permits.record_answer(&server.id, demand, sent_at, now))
+    };
+    let change = change.flatten();
     if let Some(change) = change {
         send_due_reports(context);
-        log_limit_change(context, &server.id, change, "answer");
+        apply_demand_change(context, &server.id, change, "answer");
     }
 }
 
-/// Reports to the other hosts what servers stated about their limits, as far as reports are due.
+/// Reports to the other hosts what servers stated, as far as reports are due.
 pub(crate) fn send_due_reports(context: &GatewayContext) {
     let due = context.permits().due_reports(context.now());
     for report in due {
-        context.send_to_peers(PeerMessage::Limit(report));
+        context.send_to_peers(PeerMessage::Demand(report));
     }
 }
 
-/// Logs that a server names another limit, or none any more, and this host's share of it.
-pub(crate) fn log_limit_change(
+/// Logs a change of a server's demands, which the host learned from `source`, and closes idle
+/// connections to a server that leaves.
+pub(crate) fn apply_demand_change(
     context: &GatewayContext,
     server: &Arc<str>,
-    change: LimitChange,
+    change: DemandChange,
     source: &'static str,
 ) {
     let entry = context.servers().get(server).cloned();
-    let share = entry.and_then(|entry| context.permits().share(&entry));
-    let share_requests = match share {
-        Some(HostShare::Held { requests, .. }) => Some(requests),
-        Some(HostShare::Slot { .. }) => Some(0),
-        None => None,
-    };
-    let record = GatewayRecord::ServerLimited {
-        server: server.clone(),
-        from: change.from,
-        to: change.to,
-        share_requests,
-        source,
+    let server = server.clone();
+    let record = match change {
+        DemandChange::Leaving => {
+            context.metrics.increment("servers_leaving_total");
+            if let Some(entry) = entry {
+                context.pool.clear(entry.address);
+            }
+            GatewayRecord::ServerLeaving { server, source }
+        }
+        DemandChange::Limit { from, to } => GatewayRecord::ServerLimited {
+            share_requests: entry.and_then(|entry| share_requests(context, &entry)),
+            server,
+            from,
+            to,
+            source,
+        },
     };
     log_record(Level::Info, &record);
 }
+
+/// Returns how many requests this host may send to a server in each window of its limit; `None` if
+/// the server names none.
+fn share_requests(context: &GatewayContext, server: &ServerEntry) -> Option<usize> {
+    match context.permits().share(server)? {
+        HostShare::Held { requests, .. } => Some(requests),
+        HostShare::Slot { .. } => Some(0),
+    }
+}
--- a/gateway/tests/decisions/limits.rs
+++ b/gateway/tests/decisions/limits.rs
@@ -6,9 +6,9 @@
 
 use galenamast::state::TimePoint;
 use galenamast_gateway::coordination::permits::{
-    HostShare, LimitSettings, SendDenial, ServerPermits, plan_shares,
+    DemandChange, HostShare, LimitSettings, SendDenial, ServerPermits, plan_shares,
 };
-use galenamast_gateway::state::{HostPresence, LimitReport, ServerDemand, ServerEntry};
+use galenamast_gateway::state::{DemandReport, HostPresence, ServerDemand, ServerEntry};
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -287,7 +287,13 @@
         }
         let sent = sent.expect("each host may send at some time");
         let change = host.record_answer(&server().id, &demand(None), sent, sent);
-        assert_eq!(change.and_then(|change| change.to), None);
+        assert_eq!(
+            change,
+            Some(DemandChange::Limit {
+                from: Some(1.0),
+                to: None
+            })
+        );
         assert_eq!(host.limit(&server().id), None);
     }
 }
@@ -307,14 +313,16 @@
         ..ServerDemand::default()
     };
     assert_eq!(host.record_answer(&id, &unreadable, at(400), at(500)), None);
-    let mut report = LimitReport {
+    let mut report = DemandReport {
         server: id.clone(),
+        started_ms: server().started_ms,
         limit: None,
+        leaving: false,
         age_ms: 400,
     };
     assert_eq!(host.record_report(&report, at(500)), None);
     for limit in [f64::NAN, f64::INFINITY, -1.0] {
-        report = LimitReport {
+        report = DemandReport {
             limit: Some(limit),
             age_ms: 0,
             ..report
@@ -324,6 +332,9 @@
     report.server = "unknown".into();
     report.limit = Some(1.0);
     assert_eq!(host.record_report(&report, at(600)), None);
+    report.server = id.clone();
+    report.started_ms = Some(9_000);
+    assert_eq!(host.record_report(&report, at(600)), None);
     host.record_removal(&id, at(700));
     host.record_start(&id, server().started_ms);
     assert_eq!(host.limit(&id), Some(2.0));
