Leave a server alone for the pause that it asks for with a refusal

Callers saw: retries and requests spent on servers that had said when to come back. Cause: the time to wait in a server's refusal was not read; a refusal only raised the server's price. Change: the pause is a denial of coordination/permits between this host and the server, checked again before a request is written. Hosts return at times that differ by up to a quarter of the pause, half a second at most, and one request at a time until a request after the pause is answered. Callers are told when the first server opens. Evidence: a server that refused with a pause of 1.5 s got further requests during it, and with all servers paused requests went on being sent.

--- a/gateway/src/coordination/permits/limit_share.rs
+++ b/gateway/src/coordination/permits/limit_share.rs
@@ -19,6 +19,9 @@
 
 use crate::state::HostPresence;
 
+/// Rate of requests per second beyond which a limit makes no difference.
+const MAX_RATE: f64 = 1e6;
+
 /// Settings of the division of limits.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitSettings {
@@ -99,7 +102,7 @@
 /// assert_eq!((plan.holders, plan.requests), (4, 1));
 /// ```
 pub fn plan_shares(rate: f64, hosts: usize, settings: &LimitSettings) -> SharePlan {
-    let rate = rate.max(settings.min_rate);
+    let rate = rate.clamp(settings.min_rate, MAX_RATE);
     let budget = rate * settings.window.as_secs_f64();
     if budget < 1.0 {
         return SharePlan {
@@ -184,7 +187,7 @@
 }
 
 /// Returns the rendezvous hash of a host for a server.
-fn rank(server: &str, host: &str) -> u64 {
+pub(super) fn rank(server: &str, host: &str) -> u64 {
     let mut hasher = SipHasher13::new();
     hasher.write(server.as_bytes());
     hasher.write_u8(0);
--- a/gateway/src/coordination/permits/mod.rs
+++ b/gateway/src/coordination/permits/mod.rs
@@ -1,7 +1,8 @@
 //! Decides whether this host may send a request to a backend server now.
 //!
-//! Covers servers in need that ask all hosts together for fewer requests, and servers that leave
-//! before the list of servers says so. Every attempt asks here
+//! Covers servers in need that ask all hosts together for fewer requests, servers that
+//! leave before the list of servers says so, and servers that refuse with a time to wait, after which
+//! hosts return one request at a time. Every attempt asks here
 //! twice: when the server is chosen, and just before the request is written.
 
 mod limit_share;
--- a/gateway/src/coordination/permits/server_permits.rs
+++ b/gateway/src/coordination/permits/server_permits.rs
@@ -10,12 +10,20 @@
 use galenamast::state::TimePoint;
 
 use crate::coordination::permits::limit_share::{
-    HostShare, LimitSettings, holds_share, open_slot, plan_shares, plan_slot,
+    HostShare, LimitSettings, holds_share, open_slot, plan_shares, plan_slot, rank,
 };
 use crate::state::{DemandReport, HostPresence, ServerDemand, ServerEntry};
 
 /// Relative difference from which a limit counts as changed.
 const RELEVANT_CHANGE: f64 = 0.05;
+/// Longest pause that a server gets; one request finds out whether it wants more.
+const MAX_PAUSE: Duration = Duration::from_secs(600);
+/// Part of a pause by which hosts return later than the server asks, each by another fraction of it.
+const RETURN_SPREAD: f64 = 0.25;
+/// Longest time by which a host returns later than the server asks.
+const MAX_RETURN_SPREAD: Duration = Duration::from_millis(500);
+/// Time after which a request that follows a pause is taken for lost, and another may be sent.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for which the demands of a removed server are kept.
 const REMOVED_RETENTION: Duration = Duration::from_secs(60);
 
@@ -31,6 +39,8 @@
 pub enum DemandChange {
     /// The server leaves.
     Leaving,
+    /// The server wants no request of this host for a time.
+    Paused(Duration),
     /// The server names another limit, in requests per second.
     Limit {
         /// Limit before; `None` if there was none.
@@ -45,6 +55,11 @@
 pub enum SendDenial {
     /// The server leaves.
     Leaving,
+    /// The server asked this host for a pause, or gets a first request after it.
+    Paused {
+        /// When a request may be sent again.
+        until: TimePoint,
+    },
     /// The host has used its share of the server's limit.
     ShareUsed {
         /// When a request may be sent again.
@@ -62,12 +77,30 @@
     removed_at: Option<TimePoint>,
 }
 
+/// A pause that a server asked this host for. It lasts until a request after it was answered.
+#[derive(Clone, Copy, Debug)]
+struct ServerPause {
+    until: TimePoint,
+    // When a request was sent after the pause.
+    probed_at: Option<TimePoint>,
+}
+
+impl ServerPause {
+    /// Returns when a request may be sent, if that is later than `now`.
+    fn open_from(&self, now: TimePoint) -> Option<TimePoint> {
+        let probe_ends = self.probed_at.map(|probed_at| probed_at + PROBE_TIMEOUT);
+        let opens = probe_ends.map_or(self.until, |ends| ends.max(self.until));
+        (now < opens).then_some(opens)
+    }
+}
+
 /// The demands of one start of a server.
 #[derive(Clone, Debug, Default)]
 struct PermitEntry {
     limit: Option<f64>,
     // A server that leaves does so until it ends.
     leaving: bool,
+    pause: Option<ServerPause>,
     // When the server last stated a limit, or that it has none.
     stated_at: TimePoint,
     // Requests of this host since the limit was named, within the window of its share.
@@ -170,17 +203,35 @@
     }
 
     /// Records the head of a server's answer to a request that was sent at `sent_at`. Returns the
-    /// relevant change of the server's demands.
+    /// relevant changes of the server's demands.
     pub fn record_answer(
         &mut self,
         server: &Arc<str>,
         demand: &ServerDemand,
         sent_at: TimePoint,
         now: TimePoint,
-    ) -> Option<DemandChange> {
+    ) -> Vec<DemandChange> {
+        let mut changes = Vec::new();
         if demand.leaving {
-            return self.record_leaving(server, now, now);
+            changes.extend(self.record_leaving(server, now, now));
         }
+        match demand.pause {
+            Some(pause) => changes.push(self.record_pause(server, pause, now)),
+            None => self.record_return(server, sent_at),
+        }
+        changes.extend(self.record_limit(server, demand, sent_at, now));
+        changes
+    }
+
+    /// Records the limit that a server states in an answer to a request sent at `sent_at`, or that
+    /// it states none.
+    fn record_limit(
+        &mut self,
+        server: &Arc<str>,
+        demand: &ServerDemand,
+        sent_at: TimePoint,
+        now: TimePoint,
+    ) -> Option<DemandChange> {
         if demand.limit.is_none() {
             let entry = self.entries.get(server)?;
             // An answer that was begun before the limit was named does not end it.
@@ -195,6 +246,29 @@
         Some(change)
     }
 
+    /// Records that a server refused a request of this host and wants none for a time.
+    fn record_pause(&mut self, server: &Arc<str>, pause: Duration, now: TimePoint) -> DemandChange {
+        let pause = pause.min(MAX_PAUSE);
+        let fraction = rank(server, &self.host) as f64 / u64::MAX as f64;
+        let spread = pause
+            .mul_f64(RETURN_SPREAD * fraction)
+            .min(MAX_RETURN_SPREAD);
+        let until = now + pause + spread;
+        let entry = self.entries.entry(server.clone()).or_default();
+        let until = entry.pause.map_or(until, |known| known.until.max(until));
+        let probed_at = None;
+        entry.pause = Some(ServerPause { until, probed_at });
+        DemandChange::Paused(pause)
+    }
+
+    /// Records an answer without a pause to a request sent at `sent_at`: if that was after the pause
+    /// of the server, requests need no longer go there one at a time.
+    fn record_return(&mut self, server: &str, sent_at: TimePoint) {
+        if let Some(entry) = self.entries.get_mut(server) {
+            entry.pause.take_if(|pause| pause.until <= sent_at);
+        }
+    }
+
     /// Records that a server stated at `stated_at` that it leaves; returns whether this is new.
     pub fn record_leaving(
         &mut self,
@@ -293,6 +367,10 @@
         if self.is_leaving(&server.id) {
             return Some(SendDenial::Leaving);
         }
+        let pause = self.entries.get(&server.id)?.pause;
+        if let Some(until) = pause.and_then(|pause| pause.open_from(now)) {
+            return Some(SendDenial::Paused { until });
+        }
         let share = self.share(server)?;
         let entry = self.entries.get_mut(&server.id)?;
         match share {
@@ -325,10 +403,13 @@
         if let Some(denial) = self.denial(server, now) {
             return Err(denial);
         }
-        if let Some(entry) = self.entries.get_mut(&server.id)
-            && entry.limit.is_some()
-        {
-            entry.sends.push_back(now);
+        if let Some(entry) = self.entries.get_mut(&server.id) {
+            if entry.limit.is_some() {
+                entry.sends.push_back(now);
+            }
+            if let Some(pause) = &mut entry.pause {
+                pause.probed_at = Some(now);
+            }
         }
         Ok(())
     }
@@ -354,6 +435,9 @@
         let Some(entry) = self.entries.get_mut(server) else {
             return;
         };
+        if let Some(pause) = &mut entry.pause {
+            pause.probed_at.take_if(|probed_at| *probed_at == taken_at);
+        }
         if let Some(index) = entry.sends.iter().position(|sent_at| *sent_at == taken_at) {
             entry.sends.remove(index);
         }
--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -93,6 +93,13 @@
         /// Where the host learned it: from the server's `answer`, or from another `host`.
         source: &'static str,
     },
+    /// A server refused a request and wants none of this host for a time.
+    ServerPaused {
+        /// Identifier of the server.
+        server: Arc<str>,
+        /// The time, in milliseconds.
+        pause_ms: u64,
+    },
     /// The store stopped or resumed answering.
     StoreContact {
         /// Which data is read.
@@ -142,6 +149,8 @@
         route: Arc<str>,
         /// Servers that leave.
         leaving: usize,
+        /// Servers that asked this host for a pause.
+        paused: usize,
         /// Servers of whose limit the host has used its share.
         share_used: usize,
         /// Servers of whose limit the host holds no share.
--- a/gateway/src/state/server_demand.rs
+++ b/gateway/src/state/server_demand.rs
@@ -1,5 +1,7 @@
 //! What a backend server asks of the hosts that send it requests.
 
+use std::time::Duration;
+
 /// What a backend server asks of the hosts, as stated in the head of one of its answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ServerDemand {
@@ -7,6 +9,8 @@
     pub limit: Option<f64>,
     /// Whether it leaves and takes no new work.
     pub leaving: bool,
+    /// Time for which it wants no request of this host; `None` unless it refuses one with a pause.
+    pub pause: Option<Duration>,
     /// Whether a statement could not be read; it then says nothing about the end of a demand.
     pub malformed: bool,
 }
--- a/gateway/src/transport/request_exchange/request_log.rs
+++ b/gateway/src/transport/request_exchange/request_log.rs
@@ -67,6 +67,7 @@
             request: self.request.clone(),
             route: self.route.name.clone(),
             leaving: count(|denial| matches!(denial, SendDenial::Leaving)),
+            paused: count(|denial| matches!(denial, SendDenial::Paused { .. })),
             share_used: count(|denial| matches!(denial, SendDenial::ShareUsed { .. })),
             no_share: count(|denial| matches!(denial, SendDenial::NoShare)),
         };
--- a/gateway/src/transport/request_exchange/server_choice.rs
+++ b/gateway/src/transport/request_exchange/server_choice.rs
@@ -134,7 +134,7 @@
             .denials()
             .into_iter()
             .filter_map(|denial| match denial {
-                SendDenial::ShareUsed { until } => Some(until),
+                SendDenial::Paused { until } | SendDenial::ShareUsed { until } => Some(until),
                 SendDenial::Leaving | SendDenial::NoShare => None,
             });
         let earliest = untils.min()?;
--- a/gateway/src/transport/server_demands.rs
+++ b/gateway/src/transport/server_demands.rs
@@ -26,17 +26,18 @@
     if demand.limit.is_some() {
         context.metrics.increment("answers_with_limit_total");
     }
-    let change = if head.wrong_server {
+    let changes = if !head.wrong_server {
+        let mut permits = context.permits();
+        permits.record_answer(&server.id, demand, sent_at, now)
+    } else if demand.leaving {
         // The answer may be of another server, whose limit is not this one's. Either way this one
         // gets no new work.
-        let leaves = demand.leaving;
-        leaves.then(|| context.permits().record_leaving(&server.id, now, now))
+        let change = context.permits().record_leaving(&server.id, now, now);
+        change.into_iter().collect()
     } else {
-        let mut permits = context.permits();
-        Some(permits.record_answer(&server.id, demand, sent_at, now))
+        Vec::new()
     };
-    let change = change.flatten();
-    if let Some(change) = change {
+    for change in changes {
         send_due_reports(context);
         apply_demand_change(context, &server.id, change, "answer");
     }
@@ -68,6 +69,11 @@
             }
             GatewayRecord::ServerLeaving { server, source }
         }
+        DemandChange::Paused(pause) => {
+            context.metrics.increment("servers_paused_total");
+            let pause_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
+            GatewayRecord::ServerPaused { server, pause_ms }
+        }
         DemandChange::Limit { from, to } => GatewayRecord::ServerLimited {
             share_requests: entry.and_then(|entry| share_requests(context, &entry)),
             server,
--- a/gateway/tests/decisions/limits.rs
+++ b/gateway/tests/decisions/limits.rs
@@ -110,11 +110,11 @@
             }
             let sent_at = TimePoint::from_millis(sent_ms);
             let stated = demand(self.rate);
-            let change = self.hosts[host].record_answer(&server().id, &stated, sent_at, now);
+            let changes = self.hosts[host].record_answer(&server().id, &stated, sent_at, now);
             if self.rate.is_some() {
                 self.told_at[host].get_or_insert(now_ms);
             }
-            if change.is_some() {
+            if !changes.is_empty() {
                 self.report(host, now);
             }
         }
@@ -286,13 +286,13 @@
             }
         }
         let sent = sent.expect("each host may send at some time");
-        let change = host.record_answer(&server().id, &demand(None), sent, sent);
+        let changes = host.record_answer(&server().id, &demand(None), sent, sent);
         assert_eq!(
-            change,
-            Some(DemandChange::Limit {
+            changes,
+            vec![DemandChange::Limit {
                 from: Some(1.0),
                 to: None
-            })
+            }]
         );
         assert_eq!(host.limit(&server().id), None);
     }
@@ -306,13 +306,16 @@
     host.record_answer(&id, &demand(Some(2.0)), at(100), at(200));
     assert_eq!(
         host.record_answer(&id, &demand(None), at(150), at(300)),
-        None
+        vec![]
     );
     let unreadable = ServerDemand {
         malformed: true,
         ..ServerDemand::default()
     };
-    assert_eq!(host.record_answer(&id, &unreadable, at(400), at(500)), None);
+    assert_eq!(
+        host.record_answer(&id, &unreadable, at(400), at(500)),
+        vec![]
+    );
     let mut report = DemandReport {
         server: id.clone(),
         started_ms: server().started_ms,
@@ -404,5 +407,7 @@
         prop_assert!(plan.window > Duration::from_secs(4));
         let with_strangers = (plan.holders + plan.holders / 2) * plan.requests;
         prop_assert!(with_strangers as f64 <= 1.5 * rate * window + 5.0);
+        let huge = plan_shares(f64::MAX, hosts, &settings);
+        prop_assert_eq!(huge.holders, hosts.max(1));
     }
 }
--- a/gateway/tests/decisions/main.rs
+++ b/gateway/tests/decisions/main.rs
@@ -8,6 +8,7 @@
 mod freshness;
 mod limits;
 mod outcomes;
+mod pauses;
 mod placement;
 mod rollout_tracker;
 mod routes;
