Order the store's history by era and revision

Callers saw: after the store returned from an older copy, configuration changes and roll-out orders that were never followed, requests at servers that were leaving, and a bad version back on trial. Cause: hosts compared bare revisions and kept the highest. After the return revisions are given out again, so lower ones were ignored, and a watch from an old revision went on where equal numbers meant other changes. Change: a position is (era, revision), one type from decoding to reports between hosts. A response of an earlier era changes nothing; the first of a later one has every kind listed anew, not stale, spread by the number of hosts, and until then nothing is confirmed in the new era. A report of another era confirms nothing; a later one is a reason to ask the store. Hosts write their entries and lost reports of roll-outs again, by condition on the new position. What was known stays in force: configuration versions, roll-outs that progressed or were rolled back, servers that drained; one that was removed is left alone for as long as the store takes to remove it again. An answer without an era counts as of the era known. Existing tests of freshness and roll-outs state positions where they stated revisions, with the same checks.

--- a/gateway/src/coordination/freshness/store_freshness.rs
+++ b/gateway/src/coordination/freshness/store_freshness.rs
@@ -7,13 +7,17 @@
 //! others up to which revision it knows all changes; a host that knows as much is confirmed too. A
 //! host that hears no report, or one that is ahead of it, calls the store itself, so that the bounds
 //! hold without any report.
+//!
+//! After the store returned from an older copy nothing counts as known until each kind was listed in
+//! the new era; a report of an earlier era confirms nothing, and one of a later era is only a reason
+//! to ask the store.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use galenamast::state::TimePoint;
 
-use crate::state::{FollowedKind, FreshnessReport};
+use crate::state::{FollowedKind, FreshnessReport, StorePosition};
 
 /// Largest number of known revisions above a gap; beyond it, the lowest are dropped, and the next
 /// confirmation reads each kind.
@@ -51,12 +55,11 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct KindProgress {
     /// Revision of the store up to which all changes of the kind are applied.
-    complete: u64,
+    complete: StorePosition,
     /// Revision after which the kind has not changed, up to `complete`.
-    changed: u64,
-    /// Highest revision of a change that another host reported and this one does not know; 0 if there
-    /// is none.
-    reported: u64,
+    changed: StorePosition,
+    /// Latest change that another host reported and this one does not know.
+    reported: Option<StorePosition>,
     /// When that host's knowledge was confirmed.
     reported_at: TimePoint,
     confirmed_at: Option<TimePoint>,
@@ -65,10 +68,13 @@
 
 impl KindProgress {
     /// Records that all changes up to a revision are known, which may be what another host reported.
-    fn complete_to(&mut self, revision: u64) {
+    fn complete_to(&mut self, revision: StorePosition) {
         self.complete = self.complete.max(revision);
-        if self.reported > 0 && self.complete >= self.reported {
-            self.reported = 0;
+        if self
+            .reported
+            .is_some_and(|reported| self.complete >= reported)
+        {
+            self.reported = None;
             self.confirmed_at = self.confirmed_at.max(Some(self.reported_at));
         }
     }
@@ -80,9 +86,11 @@
     settings: FreshnessSettings,
     kinds: BTreeMap<FollowedKind, KindProgress>,
     // Revision up to which all changes of all kinds are known.
-    known: u64,
+    known: StorePosition,
     // Revisions of known changes above `known`.
-    above_gap: BTreeSet<u64>,
+    above_gap: BTreeSet<StorePosition>,
+    // Later era that another host reported; 0 if there is none.
+    reported_era: u64,
 }
 
 impl StoreFreshness {
@@ -91,15 +99,16 @@
         Self {
             settings,
             kinds: BTreeMap::new(),
-            known: 0,
+            known: StorePosition::default(),
+            reported_era: 0,
             above_gap: BTreeSet::new(),
         }
     }
 
     /// Records that all objects of a kind were listed as of a revision.
-    pub fn record_listed(&mut self, kind: FollowedKind, revision: u64) {
+    pub fn record_listed(&mut self, kind: FollowedKind, revision: StorePosition) {
         let progress = self.kinds.entry(kind).or_default();
-        if revision > progress.complete || progress.changed == 0 {
+        if revision > progress.complete || progress.changed == StorePosition::default() {
             // A list does not tell when the last object was removed.
             progress.changed = revision;
         }
@@ -110,8 +119,8 @@
     pub fn record_changes(
         &mut self,
         kind: FollowedKind,
-        changes: impl IntoIterator<Item = u64>,
-        revision: u64,
+        changes: impl IntoIterator<Item = StorePosition>,
+        revision: StorePosition,
     ) {
         let progress = self.kinds.entry(kind).or_default();
         for change in changes {
@@ -135,12 +144,13 @@
         progress.read_at = Some(at);
         progress.confirmed_at = progress.confirmed_at.max(Some(at));
         // A report that is ahead of the store is wrong.
-        progress.reported = 0;
+        progress.reported = None;
+        self.reported_era = 0;
     }
 
     /// Records the revision that the store had at `at`; returns whether all changes up to it are
     /// known, so that every kind is confirmed.
-    pub fn confirm_revision(&mut self, revision: u64, at: TimePoint) -> bool {
+    pub fn confirm_revision(&mut self, revision: StorePosition, at: TimePoint) -> bool {
         self.advance_known();
         if !self.is_listed() || self.known < revision {
             return false;
@@ -155,6 +165,16 @@
     /// Applies the report of another host of the failure domain; returns whether it is ahead in a
     /// kind.
     pub fn record_report(&mut self, report: &FreshnessReport, now: TimePoint) -> bool {
+        let era = self.kinds.values().map(|kind| kind.complete.era).min();
+        let era = era.unwrap_or(0);
+        if report.revision.era > era {
+            // Only the store can tell whether it has returned from a copy.
+            self.reported_era = self.reported_era.max(report.revision.era);
+            return true;
+        }
+        if report.revision.era < era {
+            return false;
+        }
         let confirmed_at = now - Duration::from_millis(u64::from(report.age_ms));
         let mut is_behind = false;
         for (kind, changed) in FollowedKind::ALL.into_iter().zip(report.changed) {
@@ -162,8 +182,8 @@
                 continue;
             };
             if changed > progress.complete {
-                if changed > progress.reported {
-                    progress.reported = changed;
+                if progress.reported < Some(changed) {
+                    progress.reported = Some(changed);
                     progress.reported_at = confirmed_at;
                 }
                 is_behind = true;
@@ -183,7 +203,9 @@
             let read_recently = progress
                 .read_at
                 .is_some_and(|at| now.since(at) < self.settings.min_read_pause);
-            progress.reported > progress.complete && !read_recently
+            let is_behind = progress.reported > Some(progress.complete)
+                || self.reported_era > progress.complete.era;
+            is_behind && !read_recently
         };
         let lagging = self.kinds.iter().filter(|(_, kind)| is_lagging(kind));
         lagging.map(|(kind, _)| *kind).collect()
@@ -192,7 +214,11 @@
     /// Returns the report for other hosts; `None` before all kinds are confirmed.
     pub fn report(&self, now: TimePoint) -> Option<FreshnessReport> {
         let age = self.oldest_age(now)?;
-        let changed = |kind| self.kinds.get(&kind).map_or(0, |kind| kind.changed);
+        let changed = |kind| {
+            self.kinds
+                .get(&kind)
+                .map_or(StorePosition::default(), |kind| kind.changed)
+        };
         Some(FreshnessReport {
             revision: self.kinds.values().map(|kind| kind.complete).min()?,
             changed: FollowedKind::ALL.map(changed),
@@ -220,9 +246,11 @@
         })
     }
 
-    /// Returns the revision up to which all changes of a kind are known; 0 before the first list.
-    pub fn complete_revision(&self, kind: FollowedKind) -> u64 {
-        self.kinds.get(&kind).map_or(0, |kind| kind.complete)
+    /// Returns the revision up to which all changes of a kind are known; the default before the first list.
+    pub fn complete_revision(&self, kind: FollowedKind) -> StorePosition {
+        self.kinds
+            .get(&kind)
+            .map_or(StorePosition::default(), |kind| kind.complete)
     }
 
     /// Returns whether all kinds were listed.
@@ -233,10 +261,10 @@
     /// Advances the revision up to which all changes of all kinds are known.
     fn advance_known(&mut self) {
         let complete = self.kinds.values().map(|kind| kind.complete).min();
-        self.known = self.known.max(complete.unwrap_or(0));
+        self.known = self.known.max(complete.unwrap_or_default());
         // Each change increases the store's revision by one.
         while let Some(revision) = self.above_gap.first().copied() {
-            if revision > self.known.saturating_add(1) {
+            if revision > self.known && !self.known.is_followed_by(revision) {
                 return;
             }
             self.known = self.known.max(revision);
--- a/gateway/src/coordination/placement/server_table.rs
+++ b/gateway/src/coordination/placement/server_table.rs
@@ -1,7 +1,8 @@
 //! The known backend servers, from the platform's list and from what servers report themselves.
 //!
 //! Covers the loss of the list: entries that the store let lapse while it was unavailable, although
-//! their servers may still run, are used when a service has no other server left.
+//! their servers may still run, are used when a service has no other server left. Covers the return of
+//! an older list: servers that drained or left do not come back by it.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -17,6 +18,9 @@
 /// Time for which a server is not used after another server answered at its address.
 const REUSED_ADDRESS_EXCLUSION: Duration = Duration::from_secs(5);
 
+/// Time for which the departure of a server is remembered.
+const DEPARTURE_RETENTION: Duration = Duration::from_secs(60);
+
 /// Effect of a change to the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TableChange {
@@ -42,12 +46,21 @@
     }
 }
 
+/// The last entry of a removed server.
+#[derive(Clone, Copy, Debug)]
+struct ServerDeparture {
+    started_ms: Option<u64>,
+    draining: bool,
+    removed_at: TimePoint,
+}
+
 /// The known backend servers.
 #[derive(Clone, Debug, Default)]
 pub struct ServerTable {
     entries: BTreeMap<Arc<str>, ServerEntry>,
     lapsed: BTreeMap<Arc<str>, (ServerEntry, TimePoint)>,
     reused: BTreeMap<Arc<str>, TimePoint>,
+    departures: BTreeMap<Arc<str>, ServerDeparture>,
 }
 
 impl ServerTable {
@@ -76,9 +89,43 @@
         changes
     }
 
-    /// Adds or updates an entry.
-    pub fn upsert(&mut self, entry: ServerEntry) -> (ServerEntry, TableChange) {
+    /// Replaces the whole list by an older one, to which the store has returned, and returns the
+    /// relevant changes. A server that was removed since the older list is not used for the time in
+    /// which the store removes it again.
+    pub fn restore(
+        &mut self,
+        list: Vec<ServerEntry>,
+        now: TimePoint,
+    ) -> Vec<(ServerEntry, TableChange)> {
+        let has_departed = |entry: &&ServerEntry| {
+            let departure = self.departures.get(&entry.id);
+            departure.is_some_and(|departure| departure.started_ms == entry.started_ms)
+        };
+        let departed: Vec<Arc<str>> = list
+            .iter()
+            .filter(has_departed)
+            .map(|entry| entry.id.clone())
+            .collect();
+        let changes = self.replace(list, now);
+        for id in departed {
+            self.reused.insert(id, now);
+        }
+        changes
+    }
+
+    /// Adds or updates an entry. A start of a server that drained once stays draining.
+    pub fn upsert(&mut self, mut entry: ServerEntry) -> (ServerEntry, TableChange) {
         self.lapsed.remove(&entry.id);
+        let departure = self.departures.get(&entry.id);
+        let has_drained = departure
+            .map(|departure| (departure.started_ms, departure.draining))
+            .into_iter()
+            .chain(
+                self.get(&entry.id)
+                    .map(|known| (known.started_ms, known.draining)),
+            )
+            .any(|known| known == (entry.started_ms, true));
+        entry.draining |= has_drained;
         let previous = self.entries.insert(entry.id.clone(), entry.clone());
         let change = match previous {
             None if entry.draining => TableChange::Draining,
@@ -97,6 +144,14 @@
     /// resort.
     pub fn remove(&mut self, id: &str, now: TimePoint) -> Option<(ServerEntry, TableChange)> {
         let entry = self.entries.remove(id)?;
+        let departure = ServerDeparture {
+            started_ms: entry.started_ms,
+            draining: entry.draining,
+            removed_at: now,
+        };
+        self.departures.insert(entry.id.clone(), departure);
+        self.departures
+            .retain(|_, departure| now.since(departure.removed_at) < DEPARTURE_RETENTION);
         if !entry.draining {
             self.lapsed.insert(entry.id.clone(), (entry.clone(), now));
         }
--- a/gateway/src/coordination/rollouts/rollout_tracker.rs
+++ b/gateway/src/coordination/rollouts/rollout_tracker.rs
@@ -3,6 +3,9 @@
 //! Covers writers that crash, pause or are cut off. Any host may write the next step, on condition
 //! that the order's revision is the one it has read. A host stops using a bad version on its own
 //! evidence alone.
+//!
+//! Covers a store that returns from an older copy: what hosts know of a roll-out's progress stays in
+//! force, and is reported again.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -76,6 +79,8 @@
     observed_start: bool,
     trial: VersionTrial,
     stopped: bool,
+    // Whether the store has lost the report of the order's state.
+    report_lost: bool,
 }
 
 /// The known roll-outs, by service.
@@ -102,11 +107,17 @@
         let known = self.views.get_mut(&order.service);
         match known {
             Some(view) if view.order.revision >= order.revision => false,
+            Some(view) if is_behind(&order, &view.order) => {
+                view.order.revision = order.revision;
+                view.report_lost = true;
+                false
+            }
             Some(view)
                 if view.order.target == order.target && order.state != RolloutState::Ordered =>
             {
                 let changed = (view.order.state, view.order.share) != (order.state, order.share);
                 view.order = order;
+                view.report_lost = false;
                 changed
             }
             _ => {
@@ -115,6 +126,7 @@
                     observed_start: order.state == RolloutState::Ordered,
                     trial: VersionTrial::new(self.settings.trial),
                     stopped: false,
+                    report_lost: false,
                     order: order.clone(),
                 };
                 self.views.insert(order.service, view);
@@ -269,12 +281,9 @@
 
     /// Returns whether any roll-out has not ended.
     pub fn has_open(&self) -> bool {
-        self.views.values().any(|view| {
-            matches!(
-                view.order.state,
-                RolloutState::Ordered | RolloutState::Running
-            )
-        })
+        self.views
+            .values()
+            .any(|view| is_open(view) || view.report_lost)
     }
 
     /// Returns a summary of the evidence on a service's new version, for log records.
@@ -291,6 +300,18 @@
     u32::try_from(session % u64::from(FULL_SHARE)).unwrap_or(0)
 }
 
+/// Returns whether an order from an older copy of the store lacks progress that is known of it.
+fn is_behind(order: &RolloutOrder, known: &RolloutOrder) -> bool {
+    let progress = |order: &RolloutOrder| match order.state {
+        RolloutState::Ordered => (0, 0),
+        RolloutState::Running => (1, order.share),
+        RolloutState::Done | RolloutState::RolledBack => (2, 0),
+    };
+    order.revision.era > known.revision.era
+        && order.target == known.target
+        && progress(order) < progress(known)
+}
+
 /// Returns whether a roll-out has not ended.
 const fn is_open(view: &RolloutView) -> bool {
     matches!(
@@ -336,6 +357,8 @@
         },
     };
     match order.state {
+        state if view.report_lost && !view.stopped => Some(report(state, order.share)),
+        RolloutState::RolledBack if view.report_lost => Some(report(RolloutState::RolledBack, 0)),
         RolloutState::Done | RolloutState::RolledBack => None,
         _ if view.stopped => Some(report(RolloutState::RolledBack, 0)),
         RolloutState::Ordered => Some(report(RolloutState::Running, settings.trial_share)),
--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -109,6 +109,15 @@
         /// Why it does not answer; empty if it does.
         reason: String,
     },
+    /// A kind of objects was listed after the store returned from an older copy.
+    StoreRestored {
+        /// Which data was listed.
+        part: &'static str,
+        /// Era of the store before.
+        from_era: u64,
+        /// Era of the store now.
+        to_era: u64,
+    },
     /// A server was chosen for an attempt.
     AttemptChosen {
         /// Identifier of the request.
--- a/gateway/src/protocol/platform_format.rs
+++ b/gateway/src/protocol/platform_format.rs
@@ -56,12 +56,14 @@
     pub object_path: fn(ObjectKind, &str) -> String,
     /// Returns the path of an object's status.
     pub status_path: fn(ObjectKind, &str) -> String,
-    /// Reads one page of a list.
-    pub read_page: fn(&[u8]) -> Result<ObjectPage, FormatError>,
+    /// Reads the store's era from the head of its response; `None` if it states none.
+    pub read_era: fn(&HeaderMap) -> Option<u64>,
+    /// Reads one page of a list of an era.
+    pub read_page: fn(&[u8], u64) -> Result<ObjectPage, FormatError>,
     /// Reads the answer to a watch.
-    pub read_changes: fn(&[u8]) -> Result<ObjectChanges, FormatError>,
+    pub read_changes: fn(&[u8], u64) -> Result<ObjectChanges, FormatError>,
     /// Reads an object.
-    pub read_object: fn(&[u8]) -> Result<StoredObject, FormatError>,
+    pub read_object: fn(&[u8], u64) -> Result<StoredObject, FormatError>,
     /// Reads the configuration from its object.
     pub read_snapshot: fn(&StoredObject) -> Result<ConfigSnapshot, FormatError>,
     /// Reads a backend server; `None` if the object describes no usable one.
--- a/gateway/src/protocol/stored_object.rs
+++ b/gateway/src/protocol/stored_object.rs
@@ -5,7 +5,7 @@
 
 use serde_json::Value;
 
-use crate::state::FollowedKind;
+use crate::state::{FollowedKind, StorePosition};
 
 /// Kinds of objects that an entry host uses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -46,8 +46,8 @@
     Watch {
         /// Kind of the objects.
         kind: ObjectKind,
-        /// Revision up to which changes are known.
-        revision: u64,
+        /// Position up to which changes are known.
+        revision: StorePosition,
         /// Longest time for which the store holds the call open.
         wait: Duration,
         /// Whether an answer that is seconds old is acceptable; such a watch is cheaper.
@@ -60,8 +60,8 @@
 pub struct StoredObject {
     /// Name within its kind.
     pub name: Arc<str>,
-    /// Revision of the object's last change.
-    pub revision: u64,
+    /// Position of the object's last change.
+    pub revision: StorePosition,
     /// Desired state, as its writer ordered it.
     pub content: Value,
     /// Reported state.
@@ -75,8 +75,8 @@
     pub objects: Vec<StoredObject>,
     /// Whether more pages follow.
     pub has_more: bool,
-    /// Revision of the store when the page was read.
-    pub revision: u64,
+    /// Position of the store when the page was read.
+    pub revision: StorePosition,
 }
 
 /// A change of an object.
@@ -93,6 +93,6 @@
 pub struct ObjectChanges {
     /// Changes in the order in which they were made.
     pub changes: Vec<ObjectChange>,
-    /// Revision from which to continue.
-    pub revision: u64,
+    /// Position from which to continue.
+    pub revision: StorePosition,
 }
--- a/gateway/src/state/freshness_report.rs
+++ b/gateway/src/state/freshness_report.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::state::StorePosition;
+
 /// Kinds of objects whose changes a host must apply within a bound.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum FollowedKind {
@@ -21,10 +23,10 @@
 /// A host's statement that it knew all changes of the store a short time ago.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FreshnessReport {
-    /// Revision of the store up to which the host knew all changes.
-    pub revision: u64,
-    /// Revision of the latest change of each kind, in the order of [`FollowedKind::ALL`].
-    pub changed: [u64; 3],
+    /// Position up to which the host knew all changes.
+    pub revision: StorePosition,
+    /// Position of the latest change of each kind, in the order of [`FollowedKind::ALL`].
+    pub changed: [StorePosition; 3],
     /// Time since then, in milliseconds.
     pub age_ms: u32,
 }
--- a/gateway/src/state/mod.rs
+++ b/gateway/src/state/mod.rs
@@ -9,6 +9,7 @@
 mod server_demand;
 mod server_entry;
 mod service_route;
+mod store_position;
 
 pub use answer_grade::{AnswerGrade, GradeCounts};
 pub use caller_head::{AttemptHead, CallerHead, PromptPart};
@@ -19,3 +20,4 @@
 pub use server_demand::ServerDemand;
 pub use server_entry::ServerEntry;
 pub use service_route::{EngineModel, RouteKind, RouteTarget, ServiceRoute, ServiceSpec};
+pub use store_position::StorePosition;
--- a/gateway/src/state/rollout_order.rs
+++ b/gateway/src/state/rollout_order.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::state::StorePosition;
+
 /// State of a roll-out.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum RolloutState {
@@ -22,8 +24,8 @@
 pub struct RolloutOrder {
     /// Name of the stored object.
     pub name: Arc<str>,
-    /// Revision of the stored object.
-    pub revision: u64,
+    /// Position of the stored object's last change.
+    pub revision: StorePosition,
     /// Service to move.
     pub service: Arc<str>,
     /// Version to move to.
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -88,7 +88,11 @@
             peer_outbox: (outbox_sender, Mutex::new(Some(outbox_receiver))),
             format,
             timers: TimerService::system(),
-            store: StoreClient::new(settings.store_address, settings.connect_timeout),
+            store: StoreClient::new(
+                settings.store_address,
+                settings.connect_timeout,
+                format.read_era,
+            ),
             pool: ConnectionPool::default(),
             snapshot: ArcSwapOption::empty(),
             metrics: GatewayMetrics::default(),
--- a/gateway/src/transport/mod.rs
+++ b/gateway/src/transport/mod.rs
@@ -35,4 +35,4 @@
 pub use gateway_metrics::GatewayMetrics;
 pub use gateway_settings::GatewaySettings;
 pub use record_log::{RecordLog, log_record};
-pub use store_client::{StoreClient, StoreError};
+pub use store_client::{StoreClient, StoreError, StoreResponse};
--- a/gateway/src/transport/peer_gossip.rs
+++ b/gateway/src/transport/peer_gossip.rs
@@ -15,7 +15,7 @@
 use tokio::net::UdpSocket;
 
 use crate::protocol::{GatewayRecord, ObjectKind, ObjectQuery, PeerMessage};
-use crate::state::{DemandReport, FreshnessReport, HostPresence};
+use crate::state::{DemandReport, FreshnessReport, HostPresence, StorePosition};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
 use crate::transport::server_demands::{apply_demand_change, send_due_reports};
@@ -81,12 +81,20 @@
         domain,
     };
     let mut is_announced = false;
-    // Revision to watch from; `None` if the hosts must be listed.
-    let mut revision = None;
+    // Position to watch from; `None` if the hosts must be listed.
+    let mut position: Option<StorePosition> = None;
     let mut pause = INITIAL_HOSTS_PAUSE;
     loop {
-        revision = match revision {
-            Some(revision) => log_failure(&watch_hosts(context, revision).await),
+        let era = context.store.era();
+        if position.is_some_and(|position| position.era < era) {
+            // The store returned from a copy, which may lack the entry.
+            (position, is_announced) = (None, false);
+        }
+        position = match position {
+            Some(position) => tokio::select! {
+                watched = watch_hosts(context, position) => log_failure(&watched),
+                _ = context.store.later_era(era) => continue,
+            },
             None => log_failure(&list_hosts(context).await),
         };
         // A process that takes over from an earlier one of this host finds its entry in the list.
@@ -95,7 +103,10 @@
             is_announced = log_failure(&announce(context, &presence).await).is_some();
         }
         let jitter = rand::rng().random_range(0.75..1.25);
-        tokio::time::sleep(pause.mul_f64(jitter)).await;
+        tokio::select! {
+            () = tokio::time::sleep(pause.mul_f64(jitter)) => {}
+            _ = context.store.later_era(era) => pause = INITIAL_HOSTS_PAUSE,
+        }
         pause = (pause * 2).min(MAX_HOSTS_PAUSE);
     }
 }
@@ -105,17 +116,17 @@
     let body = (context.format.write_presence)(presence);
     let timeout = context.settings.store_timeout;
     let path = (context.format.object_path)(ObjectKind::Hosts, "");
-    let (status, stored) = context
+    let response = context
         .store
         .call(Method::POST, &path, body.clone(), timeout)
         .await?;
-    if status.is_success() {
+    if response.status.is_success() {
         return Ok(());
     }
-    if status != StatusCode::CONFLICT {
-        return Err(StoreError::Status(status));
+    if response.status != StatusCode::CONFLICT {
+        return Err(StoreError::Status(response.status));
     }
-    let stored = (context.format.read_object)(&stored).ok();
+    let stored = (context.format.read_object)(&response.body, response.era).ok();
     if stored
         .and_then(|object| (context.format.read_presence)(&object))
         .as_ref()
@@ -124,22 +135,22 @@
         return Ok(());
     }
     let path = (context.format.object_path)(ObjectKind::Hosts, &presence.host);
-    match context
+    let response = context
         .store
         .call(Method::PUT, &path, body, timeout)
-        .await?
-    {
-        (status, _) if status.is_success() => Ok(()),
-        (status, _) => Err(StoreError::Status(status)),
+        .await?;
+    if response.status.is_success() {
+        return Ok(());
     }
+    Err(StoreError::Status(response.status))
 }
 
-/// Lists the addresses of all hosts, and returns the revision to watch from; data that is seconds
+/// Lists the addresses of all hosts, and returns the position to watch from; data that is seconds
 /// old is good enough.
-async fn list_hosts(context: &GatewayContext) -> Result<u64, StoreError> {
+async fn list_hosts(context: &GatewayContext) -> Result<StorePosition, StoreError> {
     let mut after = None;
     let mut peers = BTreeMap::new();
-    let mut revision = u64::MAX;
+    let mut position: Option<StorePosition> = None;
     loop {
         let query = ObjectQuery::List {
             kind: ObjectKind::Hosts,
@@ -147,36 +158,46 @@
             stale: true,
         };
         let path = (context.format.query_path)(&query);
-        let body = context
+        let response = context
             .store
             .read(&path, context.settings.store_timeout)
             .await?;
-        let page = (context.format.read_page)(&body)?;
+        let page = (context.format.read_page)(&response.body, response.era)?;
+        if position.is_some_and(|position| position.era != response.era) {
+            return Err(StoreError::EraChanged(response.era));
+        }
         let presences = page.objects.iter().filter_map(context.format.read_presence);
         peers.extend(presences.map(|presence| (presence.host.clone(), presence)));
-        revision = revision.min(page.revision);
+        let lowest = position.map_or(page.revision, |position| position.min(page.revision));
+        position = Some(lowest);
         after = page.objects.last().map(|object| object.name.to_string());
         if !page.has_more || after.is_none() {
             context
                 .permits()
                 .set_hosts(peers.values().cloned().collect());
             *context.peers() = peers;
-            return Ok(revision);
+            return Ok(lowest);
         }
     }
 }
 
-/// Waits for changes of the hosts' addresses, and returns the revision to go on from.
-async fn watch_hosts(context: &GatewayContext, revision: u64) -> Result<u64, StoreError> {
+/// Waits for changes of the hosts' addresses, and returns the position to go on from.
+async fn watch_hosts(
+    context: &GatewayContext,
+    position: StorePosition,
+) -> Result<StorePosition, StoreError> {
     let path = (context.format.query_path)(&ObjectQuery::Watch {
         kind: ObjectKind::Hosts,
-        revision,
+        revision: position,
         wait: HOSTS_WATCH_WAIT,
         stale: true,
     });
     let timeout = HOSTS_WATCH_WAIT + context.settings.store_timeout;
-    let body = context.store.read(&path, timeout).await?;
-    let changes = (context.format.read_changes)(&body)?;
+    let response = context.store.read(&path, timeout).await?;
+    if response.era != position.era {
+        return Err(StoreError::EraChanged(response.era));
+    }
+    let changes = (context.format.read_changes)(&response.body, response.era)?;
     let mut peers = context.peers();
     for change in &changes.changes {
         match (context.format.read_presence)(&change.object).filter(|_| !change.removed) {
@@ -189,7 +210,7 @@
             .permits()
             .set_hosts(peers.values().cloned().collect());
     }
-    Ok(changes.revision.max(revision))
+    Ok(changes.revision.max(position))
 }
 
 /// Logs the error of a failed call; returns its value if it succeeded.
--- a/gateway/src/transport/rollout_writer.rs
+++ b/gateway/src/transport/rollout_writer.rs
@@ -11,6 +11,7 @@
 use crate::state::{RolloutOrder, RolloutReport, RolloutState};
 use crate::transport::gateway_context::{GatewayContext, stable_hash};
 use crate::transport::record_log::log_record;
+use crate::transport::store_client::StoreResponse;
 
 /// Interval between checks for due reports.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
@@ -72,7 +73,7 @@
 /// Returns how long this host waits before a write. The order of hosts differs for each revision.
 fn write_delay(context: &GatewayContext, order: &RolloutOrder, state: RolloutState) -> Duration {
     let host = context.settings.host.as_bytes();
-    let permille = stable_hash(&[host, &order.revision.to_le_bytes()]) % 1_000;
+    let permille = stable_hash(&[host, &order.revision.revision.to_le_bytes()]) % 1_000;
     let hosts = u32::try_from(context.peers().len()).unwrap_or(u32::MAX);
     let longest = WRITE_DELAY_PER_HOST
         .saturating_mul(hosts)
@@ -91,16 +92,20 @@
     order: &RolloutOrder,
     report: &RolloutReport,
 ) -> bool {
+    if order.revision.era < context.store.era() {
+        // The revision may have been given out again for another change.
+        return false;
+    }
     let path = (context.format.status_path)(ObjectKind::Rollouts, &order.name);
     let body = (context.format.write_rollout)(order, report);
     let timeout = context.settings.store_timeout;
     let written = context.store.call(Method::PUT, &path, body, timeout).await;
     let message = match written {
-        Ok((status, body)) if status.is_success() || status == StatusCode::CONFLICT => {
-            apply_stored_order(context, &body);
+        Ok(response) if response.status.is_success() || response.status == StatusCode::CONFLICT => {
+            apply_stored_order(context, &response);
             return true;
         }
-        Ok((status, _)) => format!("the store responded with status {status}"),
+        Ok(response) => format!("the store responded with status {}", response.status),
         // The write may have been executed; the watch shows whether it was.
         Err(error) => error.to_string(),
     };
@@ -115,8 +120,8 @@
 }
 
 /// Applies the object that the store returned for a write or a conflict.
-fn apply_stored_order(context: &GatewayContext, body: &[u8]) {
-    let object = (context.format.read_object)(body).ok();
+fn apply_stored_order(context: &GatewayContext, response: &StoreResponse) {
+    let object = (context.format.read_object)(&response.body, response.era).ok();
     let Some(order) = object.and_then(|object| (context.format.read_rollout)(&object)) else {
         return;
     };
--- a/gateway/src/transport/store_client.rs
+++ b/gateway/src/transport/store_client.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode, header};
+use http::{HeaderMap, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use thiserror::Error;
+use tokio::sync::watch;
 
 use crate::transport::connection_pool::{BackendConnection, ConnectionPool};
 
@@ -25,6 +26,12 @@
     /// The store did not respond in time; the call may have been executed.
     #[error("the store did not respond in time")]
     TimedOut,
+    /// The response is of an earlier era than another one, and therefore stale.
+    #[error("the response is of era {0}, before the store returned from a copy")]
+    EarlierEra(u64),
+    /// The store returned from a copy between two pages of a list.
+    #[error("the store returned from a copy, to era {0}, during a list")]
+    EraChanged(u64),
     /// The store responded with an unexpected status.
     #[error("the store responded with status {0}")]
     Status(StatusCode),
@@ -33,36 +40,74 @@
     Format(#[from] crate::protocol::FormatError),
 }
 
+/// A response of the store.
+#[derive(Clone, Debug)]
+pub struct StoreResponse {
+    /// Status.
+    pub status: StatusCode,
+    /// Body.
+    pub body: Bytes,
+    /// Era of the store; 0 if no response has stated one yet.
+    pub era: u64,
+}
+
 /// Client of the platform's store, with its own pool of connections.
 #[derive(Debug)]
 pub struct StoreClient {
     address: SocketAddr,
     connect_timeout: Duration,
+    read_era: fn(&HeaderMap) -> Option<u64>,
     pool: ConnectionPool,
+    // Latest era that a response stated; 0 if none has.
+    era: watch::Sender<u64>,
 }
 
 impl StoreClient {
     /// Creates a client of the store at an address.
-    pub fn new(address: SocketAddr, connect_timeout: Duration) -> Self {
+    pub fn new(
+        address: SocketAddr,
+        connect_timeout: Duration,
+        read_era: fn(&HeaderMap) -> Option<u64>,
+    ) -> Self {
         Self {
             address,
             connect_timeout,
+            read_era,
             pool: ConnectionPool::default(),
+            era: watch::Sender::new(0),
         }
     }
 
-    /// Makes a call and returns the status and body of the response.
+    /// Returns the latest era that a response stated; 0 if none has.
+    pub fn era(&self) -> u64 {
+        *self.era.borrow()
+    }
+
+    /// Waits until a response states a later era than `era`; never returns while `era` is 0, so
+    /// that the first statement of an era is no return from a copy.
+    pub async fn later_era(&self, era: u64) -> u64 {
+        if era == 0 {
+            std::future::pending::<()>().await;
+        }
+        let mut eras = self.era.subscribe();
+        // The sender lives as long as this borrow.
+        let later = eras.wait_for(|latest| *latest > era).await;
+        later.map_or(era, |latest| *latest)
+    }
+
+    /// Makes a call and returns the response.
     ///
     /// # Errors
     ///
-    /// Returns an error if no complete response arrived within `timeout`.
+    /// Returns an error if no complete response arrived within `timeout`, or only one of an earlier
+    /// era.
     pub async fn call(
         &self,
         method: Method,
         path: &str,
         body: Vec<u8>,
         timeout: Duration,
-    ) -> Result<(StatusCode, Bytes), StoreError> {
+    ) -> Result<StoreResponse, StoreError> {
         let response = self.call_without_timeout(method, path, body);
         let result = tokio::time::timeout(timeout, response)
             .await
@@ -74,16 +119,30 @@
         result
     }
 
-    /// Makes a read and returns the body of a response with status 200.
+    /// Makes a read and returns a response with status 200.
     ///
     /// # Errors
     ///
     /// Returns an error if no such response arrived within `timeout`.
-    pub async fn read(&self, path: &str, timeout: Duration) -> Result<Bytes, StoreError> {
-        match self.call(Method::GET, path, Vec::new(), timeout).await? {
-            (StatusCode::OK, body) => Ok(body),
-            (status, _) => Err(StoreError::Status(status)),
+    pub async fn read(&self, path: &str, timeout: Duration) -> Result<StoreResponse, StoreError> {
+        let response = self.call(Method::GET, path, Vec::new(), timeout).await?;
+        match response.status {
+            StatusCode::OK => Ok(response),
+            status => Err(StoreError::Status(status)),
+        }
+    }
+
+    /// Records the era that a response states, and returns the era that the response belongs to.
+    fn record_era(&self, headers: &HeaderMap) -> Result<u64, StoreError> {
+        let latest = self.era();
+        let era = (self.read_era)(headers).unwrap_or(latest);
+        if era < latest {
+            return Err(StoreError::EarlierEra(era));
+        }
+        if era > latest {
+            self.era.send_replace(era);
         }
+        Ok(era)
     }
 
     /// Makes a call without a timeout for the response.
@@ -92,7 +151,7 @@
         method: Method,
         path: &str,
         body: Vec<u8>,
-    ) -> Result<(StatusCode, Bytes), StoreError> {
+    ) -> Result<StoreResponse, StoreError> {
         let mut connection = match self.pool.take(self.address) {
             Some(connection) => connection,
             None => BackendConnection::open(self.address, self.connect_timeout).await?,
@@ -107,6 +166,7 @@
         let connection_lost = |error: hyper::Error| StoreError::ConnectionLost(error.to_string());
         let response = connection.send(request).await.map_err(connection_lost)?;
         let status = response.status();
+        let era = self.record_era(response.headers())?;
         let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
             .collect()
             .await;
@@ -114,6 +174,6 @@
             .map_err(|error| StoreError::ConnectionLost(error.to_string()))?
             .to_bytes();
         self.pool.keep(connection, None);
-        Ok((status, body))
+        Ok(StoreResponse { status, body, era })
     }
 }
--- a/gateway/src/transport/store_confirmer.rs
+++ b/gateway/src/transport/store_confirmer.rs
@@ -78,8 +78,8 @@
         context.store.read(&rollouts(true), timeout).await?;
     }
     let started_at = context.now();
-    let body = context.store.read(&rollouts(false), timeout).await?;
-    let page = (context.format.read_page)(&body)?;
+    let response = context.store.read(&rollouts(false), timeout).await?;
+    let page = (context.format.read_page)(&response.body, response.era)?;
     let revision = page.revision;
     if !page.has_more {
         apply_current_rollouts(context, page);
--- a/gateway/src/transport/store_feeds.rs
+++ b/gateway/src/transport/store_feeds.rs
@@ -70,7 +70,7 @@
 /// Applies an update of the configuration.
 fn apply_configuration(context: &GatewayContext, update: KindUpdate) {
     match update {
-        KindUpdate::Listed(objects) => {
+        KindUpdate::Listed(objects) | KindUpdate::Restored(objects) => {
             objects
                 .iter()
                 .for_each(|object| adopt_configuration(context, object));
@@ -152,8 +152,8 @@
         context.store.read(&probe, timeout).await?;
     }
     let current = path(ObjectKind::Configuration, false);
-    let body = context.store.read(&current, timeout).await?;
-    Ok((context.format.read_page)(&body)?)
+    let response = context.store.read(&current, timeout).await?;
+    Ok((context.format.read_page)(&response.body, response.era)?)
 }
 
 /// Applies the roll-outs that the store listed, all on one page and not stale.
@@ -173,13 +173,13 @@
 /// Applies an update of the servers.
 fn apply_servers(context: &GatewayContext, update: KindUpdate) {
     let now = context.now();
+    let read_all = |objects: &[StoredObject]| -> Vec<ServerEntry> {
+        let entries = objects.iter();
+        entries.filter_map(context.format.read_server).collect()
+    };
     let changes = match update {
-        KindUpdate::Listed(objects) => {
-            let entries = objects
-                .iter()
-                .filter_map(|object| (context.format.read_server)(object));
-            context.servers().replace(entries.collect(), now)
-        }
+        KindUpdate::Listed(objects) => context.servers().replace(read_all(&objects), now),
+        KindUpdate::Restored(objects) => context.servers().restore(read_all(&objects), now),
         KindUpdate::Changed(change) => {
             let entry = (context.format.read_server)(&change.object).filter(|_| !change.removed);
             let mut servers = context.servers();
@@ -242,7 +242,7 @@
 /// Applies an update of the roll-outs.
 fn apply_rollouts(context: &GatewayContext, update: KindUpdate) {
     let objects = match update {
-        KindUpdate::Listed(objects) => objects,
+        KindUpdate::Listed(objects) | KindUpdate::Restored(objects) => objects,
         KindUpdate::Changed(change) if change.removed => {
             context.rollouts().remove_order(&change.object.name);
             return;
--- a/gateway/src/transport/store_follower.rs
+++ b/gateway/src/transport/store_follower.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::protocol::{GatewayRecord, ObjectChange, ObjectChanges, ObjectQuery, StoredObject};
-use crate::state::FollowedKind;
+use crate::state::{FollowedKind, StorePosition};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::kind_reads::ReadRequest;
 use crate::transport::record_log::log_record;
@@ -36,6 +36,11 @@
 /// Time beyond the wait of a watch after which its connection is considered dead.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 
+/// Time by which the lists of two hosts are apart on average after the store returned from a copy.
+const RESTORED_LIST_SPREAD_PER_HOST: Duration = Duration::from_millis(5);
+/// Longest such time in all, as a fraction of the time within which a change must be applied.
+const MAX_RESTORED_LIST_SPREAD: f64 = 0.4;
+
 /// A kind of objects to follow, and how.
 pub(crate) struct KindFeed {
     /// Kind of the objects.
@@ -53,6 +58,8 @@
 pub(crate) enum KindUpdate {
     /// All objects, as listed.
     Listed(Vec<StoredObject>),
+    /// All objects, as listed after the store returned from an older copy.
+    Restored(Vec<StoredObject>),
     /// One object changed or was removed.
     Changed(ObjectChange),
 }
@@ -87,10 +94,12 @@
     };
     // Only the first list may be stale: one after status 410 may name a lost revision again.
     let mut stale = true;
+    let mut era = 0;
     loop {
-        let mut revision = follower.list(std::mem::take(&mut stale)).await;
-        while let ControlFlow::Continue(next) = follower.watch(revision).await {
-            revision = next;
+        let mut position = follower.list(std::mem::take(&mut stale), era).await;
+        era = position.era;
+        while let ControlFlow::Continue(next) = follower.watch(position).await {
+            position = next;
         }
     }
 }
@@ -107,26 +116,58 @@
 }
 
 impl<F: Fn(KindUpdate)> KindFollower<F> {
-    /// Lists the kind until that succeeds, and returns the revision to watch from.
-    async fn list(&mut self, stale: bool) -> u64 {
+    /// Lists the kind until that succeeds, and returns the position to watch from. `last_era` is the
+    /// era of the last list, 0 before the first.
+    async fn list(&mut self, stale: bool, last_era: u64) -> StorePosition {
         let kind = self.feed.kind;
+        if last_era > 0 && self.context.store.era() > last_era {
+            self.wait_for_turn().await;
+        }
         loop {
             match list_kind(&self.context, kind, stale, &mut self.contact).await {
-                Ok((objects, revision)) => {
+                Ok((objects, position)) => {
                     self.contact.record_success();
-                    (self.apply_update)(KindUpdate::Listed(objects));
-                    self.context.freshness().record_listed(kind, revision);
+                    if last_era > 0 && position.era > last_era {
+                        self.log_restored(last_era, position.era);
+                        (self.apply_update)(KindUpdate::Restored(objects));
+                    } else {
+                        (self.apply_update)(KindUpdate::Listed(objects));
+                    }
+                    self.context.freshness().record_listed(kind, position);
                     self.context.kind_listed.notify_one();
-                    return revision;
+                    return position;
                 }
                 Err(error) => self.contact.record_failure(&error).await,
             }
         }
     }
 
-    /// Makes one watch and returns the revision to go on from; breaks if the kind must be listed
+    /// Waits a random time, so that the hosts do not all list at once when the store returns from a
+    /// copy.
+    async fn wait_for_turn(&self) {
+        let hosts = u32::try_from(self.context.peers().len()).unwrap_or(u32::MAX);
+        let bound = self.context.settings.configuration_bound;
+        let longest = RESTORED_LIST_SPREAD_PER_HOST
+            .saturating_mul(hosts)
+            .min(bound.mul_f64(MAX_RESTORED_LIST_SPREAD));
+        let part = rand::rng().random_range(0.0..1.0);
+        tokio::time::sleep(longest.mul_f64(part)).await;
+    }
+
+    /// Logs that the kind was listed after the store returned from an older copy.
+    fn log_restored(&self, from_era: u64, to_era: u64) {
+        self.context.metrics.increment("store_returns_total");
+        let record = GatewayRecord::StoreRestored {
+            part: self.feed.part,
+            from_era,
+            to_era,
+        };
+        log_record(Level::Warn, &record);
+    }
+
+    /// Makes one watch and returns the position to go on from; breaks if the kind must be listed
     /// again.
-    async fn watch(&mut self, revision: u64) -> ControlFlow<(), u64> {
+    async fn watch(&mut self, revision: StorePosition) -> ControlFlow<(), StorePosition> {
         if let Some(request) = self.next_request.take() {
             return self.read_now(revision, request).await;
         }
@@ -140,6 +181,7 @@
             read = read_changes(&self.context, self.feed.kind, revision, wait, true) => read,
             Some(request) = self.requests.recv() => return self.read_now(revision, request).await,
             () = self.contact.recovered_elsewhere() => return ControlFlow::Continue(revision),
+            _ = self.context.store.later_era(revision.era) => return ControlFlow::Break(()),
         };
         let has_changes = matches!(&read, Ok(changes) if !changes.changes.is_empty());
         let returned_early = read.is_ok() && self.context.now().since(started_at) < wait / 2;
@@ -153,7 +195,7 @@
     }
 
     /// Pauses after a change, unless a read is requested.
-    async fn settle(&mut self, revision: u64) -> ControlFlow<(), u64> {
+    async fn settle(&mut self, revision: StorePosition) -> ControlFlow<(), StorePosition> {
         let request = tokio::select! {
             () = tokio::time::sleep(self.feed.settle_delay) => None,
             request = self.requests.recv() => request,
@@ -165,7 +207,11 @@
     }
 
     /// Reads what changed since `revision`, once for all requests.
-    async fn read_now(&mut self, revision: u64, request: ReadRequest) -> ControlFlow<(), u64> {
+    async fn read_now(
+        &mut self,
+        revision: StorePosition,
+        request: ReadRequest,
+    ) -> ControlFlow<(), StorePosition> {
         let mut requests = vec![request];
         while let Ok(request) = self.requests.try_recv() {
             requests.push(request);
@@ -190,13 +236,13 @@
     /// Applies the changes that a call returned, or waits after its failure.
     async fn apply_changes(
         &mut self,
-        revision: u64,
+        revision: StorePosition,
         read: Result<ObjectChanges, StoreError>,
-    ) -> ControlFlow<(), u64> {
+    ) -> ControlFlow<(), StorePosition> {
         match read {
             Ok(changes) => {
                 self.contact.record_success();
-                let revisions: Vec<u64> = changes
+                let revisions: Vec<StorePosition> = changes
                     .changes
                     .iter()
                     .map(|change| change.object.revision)
@@ -210,7 +256,9 @@
                     .record_changes(kind, revisions, changes.revision);
                 ControlFlow::Continue(changes.revision.max(revision))
             }
-            Err(StoreError::Status(StatusCode::GONE)) => ControlFlow::Break(()),
+            Err(StoreError::Status(StatusCode::GONE) | StoreError::EraChanged(_)) => {
+                ControlFlow::Break(())
+            }
             Err(error) => {
                 // Whoever requests a read has just reached the store.
                 tokio::select! {
@@ -227,7 +275,7 @@
 async fn read_changes(
     context: &GatewayContext,
     kind: FollowedKind,
-    revision: u64,
+    revision: StorePosition,
     wait: Duration,
     stale: bool,
 ) -> Result<ObjectChanges, StoreError> {
@@ -237,8 +285,12 @@
         wait,
         stale,
     });
-    let body = context.store.read(&path, wait + WATCH_SLACK).await?;
-    Ok((context.format.read_changes)(&body)?)
+    let response = context.store.read(&path, wait + WATCH_SLACK).await?;
+    // The store may have given out the revision again for another change.
+    if revision.era > 0 && response.era != revision.era {
+        return Err(StoreError::EraChanged(response.era));
+    }
+    Ok((context.format.read_changes)(&response.body, response.era)?)
 }
 
 /// Whether the store responded to the last call of one follower.
@@ -322,8 +374,9 @@
     kind: FollowedKind,
     stale: bool,
     contact: &mut StoreContact,
-) -> Result<(Vec<StoredObject>, u64), StoreError> {
-    let (mut objects, mut lowest_revision, mut after) = (Vec::new(), None, None);
+) -> Result<(Vec<StoredObject>, StorePosition), StoreError> {
+    let (mut objects, mut after) = (Vec::new(), None);
+    let mut lowest_revision: Option<StorePosition> = None;
     let mut failures = 0;
     loop {
         let query = ObjectQuery::List {
@@ -334,7 +387,7 @@
         let path = (context.format.query_path)(&query);
         let read = context.store.read(&path, context.settings.store_timeout);
         let page = match read.await {
-            Ok(body) => (context.format.read_page)(&body)?,
+            Ok(response) => (context.format.read_page)(&response.body, response.era)?,
             Err(error) if lowest_revision.is_some() && failures < MAX_PAGE_FAILURES => {
                 failures += 1;
                 contact.record_failure(&error).await;
@@ -343,11 +396,13 @@
             Err(error) => return Err(error),
         };
         failures = 0;
+        if lowest_revision.is_some_and(|lowest| lowest.era != page.revision.era) {
+            return Err(StoreError::EraChanged(page.revision.era));
+        }
         let last = page.objects.last().map(|object| object.name.to_string());
         objects.extend(page.objects);
         // The watch returns changes made while the pages were read.
-        let revision =
-            lowest_revision.map_or(page.revision, |lowest: u64| lowest.min(page.revision));
+        let revision = lowest_revision.map_or(page.revision, |lowest| lowest.min(page.revision));
         lowest_revision = Some(revision);
         if !page.has_more || last.is_none() {
             return Ok((objects, revision));
--- a/gateway/tests/decisions/rollout_tracker.rs
+++ b/gateway/tests/decisions/rollout_tracker.rs
@@ -5,13 +5,13 @@
 
 use galenamast::state::TimePoint;
 use galenamast_gateway::coordination::rollouts::{RolloutSettings, RolloutTracker, VersionRule};
-use galenamast_gateway::state::{RolloutOrder, RolloutState};
+use galenamast_gateway::state::{RolloutOrder, RolloutState, StorePosition};
 
 /// Returns an order in the given state.
 fn order(state: RolloutState, share: u32, revision: u64) -> RolloutOrder {
     RolloutOrder {
         name: "engines".into(),
-        revision,
+        revision: StorePosition { era: 1, revision },
         service: "engines".into(),
         target: "v2".into(),
         duration: Duration::from_secs(24),
@@ -97,3 +97,51 @@
         "the clock jumped back"
     );
 }
+
+/// Returns an order as an older copy of the store holds it.
+fn restored_order(state: RolloutState, share: u32) -> RolloutOrder {
+    let revision = StorePosition {
+        era: 2,
+        revision: 1,
+    };
+    RolloutOrder {
+        revision,
+        ..order(state, share, 0)
+    }
+}
+
+// A version that was rolled back or done was on trial again after the store lost the report.
+#[test]
+fn progress_that_the_store_lost_stays_in_force_and_is_reported_again() {
+    let now = TimePoint::from_millis(1_000);
+    let reached = [
+        (RolloutState::Running, 350),
+        (RolloutState::Done, 1_000),
+        (RolloutState::RolledBack, 0),
+    ];
+    for (state, share) in reached {
+        for lost in [RolloutState::Ordered, RolloutState::Running] {
+            let mut tracker = RolloutTracker::new(RolloutSettings::default());
+            tracker.apply_order(order(state, share, 9), now);
+            let rule = tracker.rule("engines", session_in_trial_share(), now, 0);
+            tracker.apply_order(restored_order(lost, 70), now);
+            assert_eq!(
+                tracker.rule("engines", session_in_trial_share(), now, 0),
+                rule
+            );
+            let due = tracker.due_reports(now, 0);
+            assert_eq!(due.len(), 1, "{state:?}, {lost:?}");
+            assert_eq!((due[0].1.state, due[0].1.share), (state, share));
+            assert_eq!(due[0].0.revision.era, 2);
+            let stored = RolloutOrder {
+                revision: StorePosition {
+                    era: 2,
+                    revision: 2,
+                },
+                ..order(state, share, 0)
+            };
+            tracker.apply_order(stored, now);
+            assert!(tracker.due_reports(now, 0).is_empty(), "{state:?}");
+        }
+    }
+}
