Decide among the due reports which order is of an earlier era

Cause: the check before a conditional write stood in transport, and no test noticed when it was taken out. Change: the tracker of roll-outs leaves out orders that were read in an earlier era. Result: nothing_is_reported_on_an_order_of_an_earlier_era holds it; the existing tests state the era, with the same checks.

--- a/gateway/src/coordination/rollouts/rollout_tracker.rs
+++ b/gateway/src/coordination/rollouts/rollout_tracker.rs
@@ -270,9 +270,19 @@
         (is_running && view.order.share < FULL_SHARE).then(|| view.order.target.clone())
     }
 
-    /// Returns the reports that are due, each with its order.
-    pub fn due_reports(&self, now: TimePoint, unix_ms: u64) -> Vec<(RolloutOrder, RolloutReport)> {
+    /// Returns the reports that are due, each with its order, while the store is in an era. A report
+    /// on an order that was read in an earlier one could be written over another change with the same
+    /// revision.
+    pub fn due_reports(
+        &self,
+        era: u64,
+        now: TimePoint,
+        unix_ms: u64,
+    ) -> Vec<(RolloutOrder, RolloutReport)> {
         let due = |view: &RolloutView| {
+            if view.order.revision.era < era {
+                return None;
+            }
             let report = due_report(view, &self.settings, now, unix_ms)?;
             Some((view.order.clone(), report))
         };
--- a/gateway/src/transport/rollout_writer.rs
+++ b/gateway/src/transport/rollout_writer.rs
@@ -34,15 +34,17 @@
             context.rollout_changed.notified().await;
         }
         let now = context.now();
-        let due = context
-            .rollouts()
-            .due_reports(now, context.timers.unix_millis());
+        let due =
+            context
+                .rollouts()
+                .due_reports(context.store.era(), now, context.timers.unix_millis());
         let mut failed = false;
         for (order, report) in due {
             // Usually the first host writes the report for all.
             tokio::time::sleep(write_delay(&context, &order, report.state)).await;
             let unix_ms = context.timers.unix_millis();
-            let still_due = context.rollouts().due_reports(context.now(), unix_ms);
+            let (era, now) = (context.store.era(), context.now());
+            let still_due = context.rollouts().due_reports(era, now, unix_ms);
             let revision = order.revision;
             if still_due
                 .iter()
@@ -92,10 +94,6 @@
     order: &RolloutOrder,
     report: &RolloutReport,
 ) -> bool {
-    if order.revision.era < context.store.era() {
-        // The revision may have been given out again for another change.
-        return false;
-    }
     let path = (context.format.status_path)(ObjectKind::Rollouts, &order.name);
     let body = (context.format.write_rollout)(order, report);
     let timeout = context.settings.store_timeout;
--- a/gateway/tests/decisions/rollout_tracker.rs
+++ b/gateway/tests/decisions/rollout_tracker.rs
@@ -87,12 +87,12 @@
     );
     let soon = start + Duration::from_secs(2);
     assert!(
-        tracker.due_reports(soon, 1_000_000 + 20_000).is_empty(),
+        tracker.due_reports(1, soon, 1_000_000 + 20_000).is_empty(),
         "the clock jumped forward"
     );
     let half = start + Duration::from_secs(13);
     assert_eq!(
-        tracker.due_reports(half, 900_000).len(),
+        tracker.due_reports(1, half, 900_000).len(),
         1,
         "the clock jumped back"
     );
@@ -129,7 +129,7 @@
                 tracker.rule("engines", session_in_trial_share(), now, 0),
                 rule
             );
-            let due = tracker.due_reports(now, 0);
+            let due = tracker.due_reports(2, now, 0);
             assert_eq!(due.len(), 1, "{state:?}, {lost:?}");
             assert_eq!((due[0].1.state, due[0].1.share), (state, share));
             assert_eq!(due[0].0.revision.era, 2);
@@ -141,7 +141,17 @@
                 ..order(state, share, 0)
             };
             tracker.apply_order(stored, now);
-            assert!(tracker.due_reports(now, 0).is_empty(), "{state:?}");
+            assert!(tracker.due_reports(2, now, 0).is_empty(), "{state:?}");
         }
     }
 }
+
+// A report could have been written over another change that had been given the same revision.
+#[test]
+fn nothing_is_reported_on_an_order_of_an_earlier_era() {
+    let mut tracker = RolloutTracker::new(RolloutSettings::default());
+    let now = TimePoint::from_millis(1_000);
+    tracker.apply_order(order(RolloutState::Ordered, 0, 9), now);
+    assert_eq!(tracker.due_reports(1, now, 0).len(), 1);
+    assert!(tracker.due_reports(2, now, 0).is_empty());
+}
