Tell an era of 0 from none before the first list

Callers saw: nothing yet; found by reading the new code. Cause: era 0 stood for a store that states none, so that the first return of a store whose eras begin at 0 was taken for the first statement of an era: a watch went on from a revision given out again. Change: any rise of the era is a return; only a host's first list is none.

--- a/gateway/src/state/store_position.rs
+++ b/gateway/src/state/store_position.rs
@@ -16,7 +16,7 @@
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 pub struct StorePosition {
-    /// Era of the store; 0 if it states none.
+    /// Era of the store; 0 also if it states none.
     pub era: u64,
     /// Revision within the era.
     pub revision: u64,
--- a/gateway/src/transport/peer_gossip.rs
+++ b/gateway/src/transport/peer_gossip.rs
@@ -85,15 +85,15 @@
     let mut position: Option<StorePosition> = None;
     let mut pause = INITIAL_HOSTS_PAUSE;
     loop {
-        let era = context.store.era();
-        if position.is_some_and(|position| position.era < era) {
+        let is_outdated = |position: StorePosition| position.era < context.store.era();
+        if position.is_some_and(is_outdated) {
             // The store returned from a copy, which may lack the entry.
             (position, is_announced) = (None, false);
         }
         position = match position {
             Some(position) => tokio::select! {
                 watched = watch_hosts(context, position) => log_failure(&watched),
-                _ = context.store.later_era(era) => continue,
+                _ = context.store.later_era(position.era) => continue,
             },
             None => log_failure(&list_hosts(context).await),
         };
@@ -105,7 +105,7 @@
         let jitter = rand::rng().random_range(0.75..1.25);
         tokio::select! {
             () = tokio::time::sleep(pause.mul_f64(jitter)) => {}
-            _ = context.store.later_era(era) => pause = INITIAL_HOSTS_PAUSE,
+            _ = context.store.later_era(context.store.era()) => pause = INITIAL_HOSTS_PAUSE,
         }
         pause = (pause * 2).min(MAX_HOSTS_PAUSE);
     }
--- a/gateway/src/transport/store_client.rs
+++ b/gateway/src/transport/store_client.rs
@@ -83,12 +83,8 @@
         *self.era.borrow()
     }
 
-    /// Waits until a response states a later era than `era`; never returns while `era` is 0, so
-    /// that the first statement of an era is no return from a copy.
+    /// Waits until a response states a later era than `era`, and returns it.
     pub async fn later_era(&self, era: u64) -> u64 {
-        if era == 0 {
-            std::future::pending::<()>().await;
-        }
         let mut eras = self.era.subscribe();
         // The sender lives as long as this borrow.
         let later = eras.wait_for(|latest| *latest > era).await;
--- a/gateway/src/transport/store_follower.rs
+++ b/gateway/src/transport/store_follower.rs
@@ -94,10 +94,10 @@
     };
     // Only the first list may be stale: one after status 410 may name a lost revision again.
     let mut stale = true;
-    let mut era = 0;
+    let mut era = None;
     loop {
         let mut position = follower.list(std::mem::take(&mut stale), era).await;
-        era = position.era;
+        era = Some(position.era);
         while let ControlFlow::Continue(next) = follower.watch(position).await {
             position = next;
         }
@@ -117,21 +117,22 @@
 
 impl<F: Fn(KindUpdate)> KindFollower<F> {
     /// Lists the kind until that succeeds, and returns the position to watch from. `last_era` is the
-    /// era of the last list, 0 before the first.
-    async fn list(&mut self, stale: bool, last_era: u64) -> StorePosition {
+    /// era of the last list, if there was one.
+    async fn list(&mut self, stale: bool, last_era: Option<u64>) -> StorePosition {
         let kind = self.feed.kind;
-        if last_era > 0 && self.context.store.era() > last_era {
+        if last_era.is_some_and(|last_era| self.context.store.era() > last_era) {
             self.wait_for_turn().await;
         }
         loop {
             match list_kind(&self.context, kind, stale, &mut self.contact).await {
                 Ok((objects, position)) => {
                     self.contact.record_success();
-                    if last_era > 0 && position.era > last_era {
-                        self.log_restored(last_era, position.era);
-                        (self.apply_update)(KindUpdate::Restored(objects));
-                    } else {
-                        (self.apply_update)(KindUpdate::Listed(objects));
+                    match last_era.filter(|last_era| position.era > *last_era) {
+                        Some(last_era) => {
+                            self.log_restored(last_era, position.era);
+                            (self.apply_update)(KindUpdate::Restored(objects));
+                        }
+                        None => (self.apply_update)(KindUpdate::Listed(objects)),
                     }
                     self.context.freshness().record_listed(kind, position);
                     self.context.kind_listed.notify_one();
@@ -287,7 +288,7 @@
     });
     let response = context.store.read(&path, wait + WATCH_SLACK).await?;
     // The store may have given out the revision again for another change.
-    if revision.era > 0 && response.era != revision.era {
+    if response.era != revision.era {
         return Err(StoreError::EraChanged(response.era));
     }
     Ok((context.format.read_changes)(&response.body, response.era)?)
