Log the parts and the progress of requests that were on a lost server

Cause: crash_noted named a fingerprint only, so that the incident's hypotheses cannot be told apart. Change: the line names the request, the server, the prompt's parts and the number of events that the server had sent. No decision changes.

--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -236,8 +236,16 @@
     },
     /// A request crashed servers.
     CrashNoted {
+        /// Identifier of the request.
+        request: Arc<str>,
+        /// Identifier of the server.
+        server: Arc<str>,
         /// Fingerprint of the request.
         fingerprint: String,
+        /// Digests of the prompt's parts in order.
+        parts: Vec<String>,
+        /// Number of events that the server had sent in answer to the request.
+        events: u64,
         /// Number of servers that it crashed.
         crashes: u32,
     },
--- a/gateway/src/transport/crash_check.rs
+++ b/gateway/src/transport/crash_check.rs
@@ -6,7 +6,7 @@
 
 use crate::coordination::requests::pick_probe_targets;
 use crate::protocol::{GatewayRecord, PeerMessage};
-use crate::state::{CrashReport, ServerEntry};
+use crate::state::{CrashReport, PromptPart, ServerEntry};
 use crate::transport::connection_pool::accepts_connections;
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
@@ -21,8 +21,14 @@
     pub(crate) server: &'a ServerEntry,
     /// Identifiers of the servers that the request was sent to.
     pub(crate) tried: &'a [Arc<str>],
+    /// Identifier of the request.
+    pub(crate) request: &'a Arc<str>,
     /// Fingerprint of the request.
     pub(crate) fingerprint: u64,
+    /// Parts of the request's prompt in order.
+    pub(crate) parts: &'a [PromptPart],
+    /// Number of events that the server had sent in answer to the request.
+    pub(crate) events: u64,
 }
 
 /// Probes a server whose connection closed, and other servers if it does not accept connections.
@@ -50,7 +56,15 @@
     log_record(
         Level::Warn,
         &GatewayRecord::CrashNoted {
+            request: lost.request.clone(),
+            server: server.clone(),
             fingerprint: format!("{fingerprint:016x}"),
+            parts: lost
+                .parts
+                .iter()
+                .map(|part| format!("{:x}", part.digest))
+                .collect(),
+            events: lost.events,
             crashes,
         },
     );
--- a/gateway/src/transport/request_exchange/feedback.rs
+++ b/gateway/src/transport/request_exchange/feedback.rs
@@ -34,7 +34,10 @@
                 let lost = LostServer {
                     server,
                     tried: &self.tried,
+                    request: &self.request,
                     fingerprint: self.fingerprint,
+                    parts: &self.head.parts,
+                    events: self.attempt_events,
                 };
                 check_crash(&self.context, lost).await;
             }
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -44,6 +44,8 @@
     pub(crate) deadline: TimePoint,
     pub(crate) started_at: TimePoint,
     pub(crate) tally: AttemptTally,
+    // Number of events that the server of the latest attempt has sent.
+    pub(crate) attempt_events: u64,
     service: Arc<str>,
     snapshot: Arc<ConfigSnapshot>,
     parts: Parts,
@@ -110,6 +112,7 @@
             urgency: route.priority.saturating_add(priority).min(LOWEST_URGENCY),
             workspace: workspace_name,
             tally: AttemptTally::default(),
+            attempt_events: 0,
             tried: Vec::new(),
             version: None,
             last_failure: None,
@@ -250,6 +253,7 @@
             self.record_session(&server);
             self.record_read(&server);
             let sent_at = self.context.now();
+            self.attempt_events = 0;
             let call = AttemptRequest {
                 parts: &self.parts,
                 body: &self.body.bytes,
