Accuse no request of a crash that a server was already answering

Cause: every request on a lost server was recorded as having crashed it. Change: a request counts as answered from the second event of an attempt on, and is not recorded after that. A request that crashes its server has no event, so nothing that crashes is missed.

--- a/gateway/src/transport/crash_check.rs
+++ b/gateway/src/transport/crash_check.rs
@@ -29,11 +29,13 @@
     pub(crate) parts: &'a [PromptPart],
     /// Number of events that the server had sent in answer to the request.
     pub(crate) events: u64,
+    /// Whether a server has begun to answer the request without crashing.
+    pub(crate) is_answered: bool,
 }
 
 /// Probes a server whose connection closed, and other servers if it does not accept connections.
 /// Records a crash against the request unless the other servers are unreachable too, which means
-/// that the network was cut.
+/// that the network was cut, or the request is one that servers can answer.
 pub(crate) async fn check_crash(context: &GatewayContext, lost: LostServer<'_>) {
     if accepts_connections(lost.server.address).await {
         return;
@@ -50,6 +52,9 @@
         log_record(Level::Warn, &record);
         return;
     }
+    if lost.is_answered {
+        return;
+    }
     let (fingerprint, server) = (lost.fingerprint, &lost.server.id);
     let now = context.now();
     let crashes = context.crashes().record_crash(fingerprint, server, now);
--- a/gateway/src/transport/request_exchange/feedback.rs
+++ b/gateway/src/transport/request_exchange/feedback.rs
@@ -38,6 +38,7 @@
                     fingerprint: self.fingerprint,
                     parts: &self.head.parts,
                     events: self.attempt_events,
+                    is_answered: self.is_answered,
                 };
                 check_crash(&self.context, lost).await;
             }
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -31,6 +31,9 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(15);
 /// Time left below which no further attempt is made.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(30);
+/// Number of events after which a request is known not to crash the server that answers it. A server
+/// that crashes sends a head and at most the beginning of the first event.
+const ANSWERED_EVENTS: u64 = 2;
 /// Urgency that engines assume if none is stated. 0 is served first; larger values are clamped to
 /// this one.
 const LOWEST_URGENCY: u8 = 9;
@@ -46,6 +49,8 @@
     pub(crate) tally: AttemptTally,
     // Number of events that the server of the latest attempt has sent.
     pub(crate) attempt_events: u64,
+    // Whether a server has sent enough of an answer to show that the request does not crash it.
+    is_answered: bool,
     service: Arc<str>,
     snapshot: Arc<ConfigSnapshot>,
     parts: Parts,
@@ -113,6 +118,7 @@
             workspace: workspace_name,
             tally: AttemptTally::default(),
             attempt_events: 0,
+            is_answered: false,
             tried: Vec::new(),
             version: None,
             last_failure: None,
@@ -328,6 +334,12 @@
         }
     }
 
+    /// Records that the server of the latest attempt sent an event.
+    pub(crate) fn record_event(&mut self) {
+        self.attempt_events += 1;
+        self.is_answered |= self.attempt_events >= ANSWERED_EVENTS;
+    }
+
     /// Returns the caller's response to a stream, whose body relays the server's events.
     fn start_relay(mut self, response: OpenResponse) -> Response<ResponseBody> {
         self.head_latency = Some(self.context.now().since(self.started_at));
--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -131,7 +131,7 @@
     /// Queues an event that the caller does not have yet; returns false if the event before it is
     /// missing.
     fn accept_event(&mut self, event: StreamEvent) -> bool {
-        self.exchange.attempt_events += 1;
+        self.exchange.record_event();
         if let (Some(id), Some(last)) = (event.id, self.last_id) {
             if id <= last {
                 return true;
