Refuse requests with a prompt part that crashes servers

Cause: evidence was kept under a key that is too narrow. A request was known by its whole body, so each request with the part started without evidence; and a host told the others only of the second crash of one body. A crash was held against each request that had been there, so sound ones were refused. Change: coordination/crashes. A crash is held against the request and the shared parts of all prompts that were unanswered there; hosts share each crash at once. A part in three crashes, none of its requests answered since, is refused by all hosts, and these crashes count against nothing else. An answer (second event) clears its parts; parts that were ever answered need six crashes since. Hosts that saw a suspect part answered say so; what is refused is told to three hosts a second, for those that start; after 60 s one host may try one request. Requests with a part that is refused while they wait for their head are withdrawn. CrashTracker's tests go on against CrashQuarantine: they count crashed servers where they counted reports of a number, and the bound on what is kept is on crashes. Why it works: the part cannot be answered, so nothing clears it, and each crash has it; whatever sound requests share is answered.

--- a/gateway/src/coordination/requests/attempt_outcome.rs
+++ b/gateway/src/coordination/requests/attempt_outcome.rs
@@ -25,6 +25,8 @@
     Broken,
     /// No answer came within the usual time.
     Silent,
+    /// The host closed the connection, since servers crash with a part of the prompt.
+    Withdrawn,
 }
 
 impl AttemptOutcome {
@@ -116,7 +118,8 @@
     let purpose = outcome.reached_server().then_some(RetryPurpose::Failure);
     let may_run_again = limits.retryable && tally.runs < limits.runs;
     let nothing_ran = tally.runs == 0;
-    if tally.tries < limits.tries && (nothing_ran || may_run_again) {
+    let is_useful = outcome != AttemptOutcome::Withdrawn;
+    if is_useful && tally.tries < limits.tries && (nothing_ran || may_run_again) {
         return NextStep::Retry(purpose);
     }
     NextStep::End(final_answer(outcome, tally))
--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -242,12 +242,23 @@
         server: Arc<str>,
         /// Fingerprint of the request.
         fingerprint: String,
-        /// Digests of the prompt's parts in order.
+        /// Digests of the prompt's parts in order, without the last.
         parts: Vec<String>,
         /// Number of events that the server had sent in answer to the request.
         events: u64,
-        /// Number of servers that it crashed.
-        crashes: u32,
+        /// Number of crashes that are held against it.
+        crashes: usize,
+    },
+    /// Requests with a prompt part are refused from now on because servers crash with it, or no longer.
+    PartChanged {
+        /// Digest of the part.
+        part: String,
+        /// Whether requests with it are refused.
+        refused: bool,
+        /// Number of crashes for which it is refused; 0 if it is not.
+        crashes: usize,
+        /// Where the host learned it: from a `crash` or an `answer` of its own, or from another `host`.
+        source: &'static str,
     },
     /// A server was lost together with its neighbours, so no request is blamed for a crash.
     CutSeen {
--- a/gateway/src/protocol/peer_message.rs
+++ b/gateway/src/protocol/peer_message.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::placement::{HostLoad, PrefixRead};
-use crate::state::{CrashReport, DemandReport, FreshnessReport, TrialReport};
+use crate::state::{CrashReport, DemandReport, FreshnessReport, PartReport, TrialReport};
 
 /// Contents of a datagram. It is encoded by position, so the order of variants and fields is fixed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -15,7 +15,7 @@
         /// Prompt prefixes that engines read for the host since its last report.
         reads: Vec<PrefixRead>,
     },
-    /// A request crashed servers.
+    /// A server crashed while a request of the host was unanswered there.
     Crash(CrashReport),
     /// The host's counts of a version on trial.
     Trial(TrialReport),
@@ -25,4 +25,8 @@
     Freshness(FreshnessReport),
     /// What a server asks of the hosts has changed.
     Demand(DemandReport),
+    /// Prompt parts that the host saw answered though servers crashed with them.
+    AnsweredParts(Vec<PartReport>),
+    /// Prompt parts that the host refuses because servers crash with them.
+    RefusedParts(Vec<PartReport>),
 }
--- a/gateway/src/state/host_report.rs
+++ b/gateway/src/state/host_report.rs
@@ -7,15 +7,6 @@
 
 use crate::state::GradeCounts;
 
-/// Report of a request that crashed servers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashReport {
-    /// Fingerprint of the request.
-    pub fingerprint: u64,
-    /// Number of servers that it crashed.
-    pub crashes: u32,
-}
-
 /// Counts of a version on trial by one host.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TrialReport {
--- a/gateway/src/state/mod.rs
+++ b/gateway/src/state/mod.rs
@@ -3,6 +3,7 @@
 mod answer_grade;
 mod caller_head;
 mod config_snapshot;
+mod crash_report;
 mod freshness_report;
 mod host_report;
 mod rollout_order;
@@ -14,8 +15,9 @@
 pub use answer_grade::{AnswerGrade, GradeCounts};
 pub use caller_head::{AttemptHead, CallerHead, PromptPart};
 pub use config_snapshot::{CallerLimits, ConfigSnapshot, CredentialDigest, WorkspaceEntry};
+pub use crash_report::{CrashReport, CrashSuspect, PartReport};
 pub use freshness_report::{FollowedKind, FreshnessReport};
-pub use host_report::{CrashReport, DemandReport, HostPresence, TrialReport};
+pub use host_report::{DemandReport, HostPresence, TrialReport};
 pub use rollout_order::{RolloutOrder, RolloutReport, RolloutState};
 pub use server_demand::ServerDemand;
 pub use server_entry::ServerEntry;
--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -12,7 +12,7 @@
 
 use crate::coordination::requests::AttemptOutcome;
 use crate::protocol::{AnswerHead, strip_connection_headers};
-use crate::state::{AttemptHead, ServerEntry};
+use crate::state::{AttemptHead, CrashSuspect, ServerEntry};
 use crate::transport::attempt_guard::AttemptGuard;
 use crate::transport::connection_pool::BackendConnection;
 use crate::transport::gateway_context::GatewayContext;
@@ -40,6 +40,8 @@
     pub(crate) work: f64,
     /// Permit to send the request.
     pub(crate) permit: SendPermit,
+    /// What is held against the request if the server crashes.
+    pub(crate) suspect: &'a CrashSuspect,
     /// Longest time to wait for the head of the response.
     pub(crate) head_timeout: Duration,
 }
@@ -146,7 +148,13 @@
         .map_err(|_| AttemptOutcome::Withheld)?;
     let sent_at = context.now();
     let sending = connection.send(request);
-    let response = match tokio::time::timeout(call.head_timeout, sending).await {
+    let answered = tokio::select! {
+        answered = tokio::time::timeout(call.head_timeout, sending) => answered,
+        () = wait_until_refused(context, call.suspect, sent_at) => {
+            return Err(AttemptOutcome::Withdrawn);
+        }
+    };
+    let response = match answered {
         Ok(Ok(response)) => response,
         Ok(Err(_)) => return Err(AttemptOutcome::Broken),
         Err(_) => return Err(AttemptOutcome::Silent),
@@ -171,6 +179,17 @@
     })
 }
 
+/// Waits until a part of a prompt that was sent at `sent_at` is refused.
+async fn wait_until_refused(context: &GatewayContext, suspect: &CrashSuspect, sent_at: TimePoint) {
+    let mut refusals = context.parts_refused.subscribe();
+    while !context.crashes().is_refused_since(suspect, sent_at) {
+        if refusals.changed().await.is_err() {
+            // The sender lives as long as the context.
+            return std::future::pending().await;
+        }
+    }
+}
+
 /// Checks that a response is signed by the server and belongs to this request.
 fn check_head(head: &AnswerHead, status: StatusCode, request: &str) -> Result<(), AttemptOutcome> {
     let is_expected = head.request.as_deref().is_none_or(|id| id == request);
--- a/gateway/src/transport/crash_check.rs
+++ b/gateway/src/transport/crash_check.rs
@@ -4,16 +4,14 @@
 
 use log::Level;
 
-use crate::coordination::requests::pick_probe_targets;
-use crate::protocol::{GatewayRecord, PeerMessage};
-use crate::state::{CrashReport, PromptPart, ServerEntry};
+use crate::coordination::crashes::pick_probe_targets;
+use crate::protocol::GatewayRecord;
+use crate::state::{CrashSuspect, ServerEntry};
 use crate::transport::connection_pool::accepts_connections;
+use crate::transport::crash_reports::record_crash;
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
 
-/// Number of crashes by one request from which on the request is announced to other hosts.
-const MIN_ANNOUNCED_CRASHES: u32 = 2;
-
 /// A server whose connection closed while it was running a request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LostServer<'a> {
@@ -23,10 +21,8 @@
     pub(crate) tried: &'a [Arc<str>],
     /// Identifier of the request.
     pub(crate) request: &'a Arc<str>,
-    /// Fingerprint of the request.
-    pub(crate) fingerprint: u64,
-    /// Parts of the request's prompt in order.
-    pub(crate) parts: &'a [PromptPart],
+    /// What is held against the request.
+    pub(crate) suspect: &'a CrashSuspect,
     /// Number of events that the server had sent in answer to the request.
     pub(crate) events: u64,
     /// Whether a server has begun to answer the request without crashing.
@@ -55,31 +51,18 @@
     if lost.is_answered {
         return;
     }
-    let (fingerprint, server) = (lost.fingerprint, &lost.server.id);
-    let now = context.now();
-    let crashes = context.crashes().record_crash(fingerprint, server, now);
-    log_record(
-        Level::Warn,
-        &GatewayRecord::CrashNoted {
-            request: lost.request.clone(),
-            server: server.clone(),
-            fingerprint: format!("{fingerprint:016x}"),
-            parts: lost
-                .parts
-                .iter()
-                .map(|part| format!("{:x}", part.digest))
-                .collect(),
-            events: lost.events,
-            crashes,
-        },
-    );
-    if crashes >= MIN_ANNOUNCED_CRASHES {
-        let report = CrashReport {
-            fingerprint,
-            crashes,
-        };
-        context.send_to_peers(PeerMessage::Crash(report));
-    }
+    let server = &lost.server.id;
+    let crashes = record_crash(context, server, lost.suspect);
+    let digests = lost.suspect.parts.iter();
+    let record = GatewayRecord::CrashNoted {
+        request: lost.request.clone(),
+        server: server.clone(),
+        fingerprint: format!("{:016x}", lost.suspect.fingerprint),
+        parts: digests.map(|digest| format!("{digest:x}")).collect(),
+        events: lost.events,
+        crashes,
+    };
+    log_record(Level::Warn, &record);
 }
 
 /// Returns whether all other probed servers are unreachable too; false if there is none to probe.
--- a/gateway/src/transport/exchange_failure.rs
+++ b/gateway/src/transport/exchange_failure.rs
@@ -4,6 +4,7 @@
 
 use http::{Response, StatusCode};
 
+use crate::coordination::crashes::CrashRefusal;
 use crate::coordination::requests::{AttemptTally, FinalAnswer};
 use crate::transport::attempt_runner::CompleteResponse;
 use crate::transport::response_body::{ResponseBody, host_response, not_run_response};
@@ -20,8 +21,8 @@
     HostResponse(FinalAnswer),
     /// No server would begin the request before its deadline.
     Overloaded,
-    /// The request is quarantined because it crashed servers.
-    Quarantined,
+    /// The request or a part of its prompt crashed servers.
+    Quarantined(CrashRefusal),
 }
 
 impl ExchangeFailure {
@@ -36,11 +37,14 @@
             ExchangeFailure::ServerResponse(failure) => {
                 (failure.into_response(), "the server failed")
             }
-            ExchangeFailure::Quarantined if tally.runs == 0 => {
-                let text = "requests like this crashed servers";
+            ExchangeFailure::Quarantined(refusal) if tally.runs == 0 => {
+                let text = match refusal {
+                    CrashRefusal::Request => "requests like this crashed servers",
+                    CrashRefusal::Part(_) => "requests with a part of the prompt crashed servers",
+                };
                 (not_run_response(text, QUARANTINE_RETRY_AFTER), text)
             }
-            ExchangeFailure::Quarantined => {
+            ExchangeFailure::Quarantined(_) => {
                 let text = "the request crashed servers";
                 (host_response(StatusCode::BAD_GATEWAY, text), text)
             }
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -13,10 +13,10 @@
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::coordination::budgets::{RetryBudget, RetryPurpose};
+use crate::coordination::crashes::CrashQuarantine;
 use crate::coordination::freshness::{FreshnessSettings, StoreFreshness};
 use crate::coordination::permits::ServerPermits;
 use crate::coordination::placement::{LoadEstimator, PrefixCacheIndex, ServerTable};
-use crate::coordination::requests::CrashTracker;
 use crate::coordination::rollouts::RolloutTracker;
 use crate::protocol::{PeerMessage, PlatformFormat};
 use crate::state::{ConfigSnapshot, FollowedKind, HostPresence};
@@ -52,6 +52,8 @@
     pub store_recoveries: watch::Sender<u64>,
     /// Whether the leading store follower reached the store with its last call.
     pub store_reachable: AtomicBool,
+    /// Counts how often prompt parts were refused from then on.
+    pub(crate) parts_refused: watch::Sender<u64>,
     /// Notified when a roll-out may need a report.
     pub rollout_changed: Notify,
     /// Requests to the followers to read what changed.
@@ -76,7 +78,7 @@
     budgets: Mutex<BTreeMap<Arc<str>, RetryBudget>>,
     rollouts: Mutex<RolloutTracker>,
     freshness: Mutex<StoreFreshness>,
-    crashes: Mutex<CrashTracker>,
+    crashes: Mutex<CrashQuarantine>,
     peers: Mutex<BTreeMap<Arc<str>, HostPresence>>,
 }
 
@@ -116,7 +118,11 @@
             prefix_cache: Mutex::new(PrefixCacheIndex::new(settings.prefix_cache)),
             budgets: Mutex::new(BTreeMap::new()),
             rollouts: Mutex::new(RolloutTracker::new(settings.rollouts)),
-            crashes: Mutex::new(CrashTracker::new(settings.crashes)),
+            crashes: Mutex::new(CrashQuarantine::new(
+                settings.host.clone(),
+                settings.crashes,
+            )),
+            parts_refused: watch::Sender::new(0),
             peers: Mutex::new(BTreeMap::new()),
             settings,
         })
@@ -157,8 +163,8 @@
         lock(&self.freshness)
     }
 
-    /// Locks the record of requests that crash servers.
-    pub fn crashes(&self) -> MutexGuard<'_, CrashTracker> {
+    /// Locks the quarantine of requests that crash servers.
+    pub fn crashes(&self) -> MutexGuard<'_, CrashQuarantine> {
         lock(&self.crashes)
     }
 
@@ -167,6 +173,17 @@
         lock(&self.peers)
     }
 
+    /// Tells the parts of the host that divide work among all hosts which hosts are listed.
+    pub(crate) fn share_hosts(&self) {
+        let listed: Vec<HostPresence> = self.peers().values().cloned().collect();
+        let names = listed
+            .iter()
+            .map(|presence| presence.host.clone())
+            .collect();
+        self.crashes().set_hosts(names);
+        self.permits().set_hosts(listed);
+    }
+
     /// Queues a message to all other hosts.
     pub fn send_to_peers(&self, message: PeerMessage) {
         // The receiver is gone only while the host stops; other hosts take over then.
--- a/gateway/src/transport/gateway_settings.rs
+++ b/gateway/src/transport/gateway_settings.rs
@@ -7,9 +7,9 @@
 use crate::coordination::admission::AdmissionSettings;
 use crate::coordination::budgets::BudgetSettings;
 use crate::coordination::cascade::CascadeSettings;
+use crate::coordination::crashes::CrashSettings;
 use crate::coordination::permits::LimitSettings;
 use crate::coordination::placement::{LoadSettings, PickSettings, PrefixCacheSettings};
-use crate::coordination::requests::CrashSettings;
 use crate::coordination::rollouts::RolloutSettings;
 
 /// Fraction of `configuration_bound` during which a confirmed configuration is fresh enough to
--- a/gateway/src/transport/mod.rs
+++ b/gateway/src/transport/mod.rs
@@ -6,6 +6,7 @@
 mod caller_listener;
 mod connection_pool;
 mod crash_check;
+mod crash_reports;
 mod exchange_failure;
 mod gateway_context;
 mod gateway_error;
--- a/gateway/src/transport/peer_gossip.rs
+++ b/gateway/src/transport/peer_gossip.rs
@@ -12,10 +12,14 @@
 use http::{Method, StatusCode};
 use log::Level;
 use rand::Rng;
+use rand::seq::IndexedRandom;
 use tokio::net::UdpSocket;
 
 use crate::protocol::{GatewayRecord, ObjectKind, ObjectQuery, PeerMessage};
 use crate::state::{DemandReport, FreshnessReport, HostPresence, StorePosition};
+use crate::transport::crash_reports::{
+    REFUSAL_REPORT_INTERVAL, apply_answer_reports, apply_crash_report, apply_refusal_reports,
+};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
 use crate::transport::server_demands::{apply_demand_change, send_due_reports};
@@ -39,6 +43,8 @@
 const SESSIONS_PER_DATAGRAM: usize = 100;
 /// Copies sent of a queued message other than held sessions.
 const MESSAGE_COPIES: usize = 2;
+/// Number of hosts that a host tells which prompt parts it refuses, each time.
+const REFUSAL_RECIPIENTS: usize = 3;
 /// Pause after the first read of the hosts' addresses, while all hosts start. It doubles after each
 /// read.
 const INITIAL_HOSTS_PAUSE: Duration = Duration::from_millis(1_500);
@@ -63,7 +69,15 @@
     let other_domains = send_loads(&context, &socket, PeerScope::OtherDomains);
     let following = follow_hosts(&context, &socket);
     let queued = send_outbox(&context, &socket);
-    tokio::join!(receiving, same_domain, other_domains, following, queued);
+    let refusals = send_refusals(&context, &socket);
+    tokio::join!(
+        receiving,
+        same_domain,
+        other_domains,
+        following,
+        queued,
+        refusals
+    );
 }
 
 /// Writes the host's address to the store, and periodically reads the addresses of all hosts.
@@ -172,10 +186,8 @@
         position = Some(lowest);
         after = page.objects.last().map(|object| object.name.to_string());
         if !page.has_more || after.is_none() {
-            context
-                .permits()
-                .set_hosts(peers.values().cloned().collect());
             *context.peers() = peers;
+            context.share_hosts();
             return Ok(lowest);
         }
     }
@@ -205,10 +217,9 @@
             None => peers.remove(&change.object.name),
         };
     }
+    drop(peers);
     if !changes.changes.is_empty() {
-        context
-            .permits()
-            .set_hosts(peers.values().cloned().collect());
+        context.share_hosts();
     }
     Ok(changes.revision.max(position))
 }
@@ -240,11 +251,11 @@
                 context.loads().record_remote(peer, &loads, now);
                 context.prefix_cache().record_remote(&reads, now);
             }
-            Ok(PeerMessage::Crash(report)) => {
-                context
-                    .crashes()
-                    .record_remote(report.fingerprint, report.crashes, context.now());
-            }
+            Ok(
+                message @ (PeerMessage::Crash(_)
+                | PeerMessage::AnsweredParts(_)
+                | PeerMessage::RefusedParts(_)),
+            ) => apply_crash_message(context, peer, &message),
             Ok(PeerMessage::Trial(report)) => {
                 context.rollouts().record_report(peer, &report);
                 context.rollout_changed.notify_one();
@@ -261,6 +272,25 @@
     }
 }
 
+/// Applies what another host reports about crashes of servers.
+fn apply_crash_message(context: &GatewayContext, peer: SocketAddr, message: &PeerMessage) {
+    if !is_listed(context, peer) {
+        context.metrics.increment("datagrams_of_strangers_total");
+        return;
+    }
+    match message {
+        PeerMessage::Crash(report) => apply_crash_report(context, report),
+        PeerMessage::AnsweredParts(reports) => apply_answer_reports(context, reports),
+        PeerMessage::RefusedParts(reports) => apply_refusal_reports(context, reports),
+        _ => {}
+    }
+}
+
+/// Returns whether an address is that of a listed host.
+fn is_listed(context: &GatewayContext, peer: SocketAddr) -> bool {
+    context.peers().values().any(|host| host.address == peer)
+}
+
 /// Applies the report of another host of this failure domain about what it knows of the store.
 fn record_freshness(context: &GatewayContext, peer: SocketAddr, report: &FreshnessReport) {
     if !peer_addresses(context, PeerScope::OwnDomain).contains(&peer) {
@@ -275,8 +305,7 @@
 
 /// Applies the report of another host about what a server asks of the hosts.
 fn record_peer_demand(context: &GatewayContext, peer: SocketAddr, report: &DemandReport) {
-    let is_known = context.peers().values().any(|host| host.address == peer);
-    if !is_known {
+    if !is_listed(context, peer) {
         context.metrics.increment("datagrams_of_strangers_total");
         return;
     }
@@ -320,6 +349,29 @@
     }
 }
 
+/// Periodically sends a few hosts the prompt parts that this host refuses, for those that started
+/// since or missed the reports.
+async fn send_refusals(context: &GatewayContext, socket: &UdpSocket) {
+    loop {
+        tokio::time::sleep(REFUSAL_REPORT_INTERVAL).await;
+        let now = context.now();
+        let reports = context.crashes().refusal_reports(now);
+        if reports.is_empty() {
+            continue;
+        }
+        let Ok(message) = postcard::to_stdvec(&PeerMessage::RefusedParts(reports)) else {
+            return;
+        };
+        let mut peers = peer_addresses(context, PeerScope::OwnDomain);
+        peers.extend(peer_addresses(context, PeerScope::OtherDomains));
+        let chosen = peers.choose_multiple(&mut rand::rng(), REFUSAL_RECIPIENTS);
+        for peer in chosen.copied().collect::<Vec<SocketAddr>>() {
+            // Other hosts send the same.
+            let _ = socket.send_to(&message, peer).await;
+        }
+    }
+}
+
 /// Sends queued messages to other hosts. All but held sessions go out more than once, because
 /// datagrams may be lost and these messages are not repeated later.
 async fn send_outbox(context: &GatewayContext, socket: &UdpSocket) {
--- a/gateway/src/transport/request_exchange/feedback.rs
+++ b/gateway/src/transport/request_exchange/feedback.rs
@@ -22,7 +22,7 @@
                 let reach = loads.domain_reach_mut();
                 reach.record_unreachable(&server.domain, &server.id, now);
             }
-            AttemptOutcome::Withheld => {}
+            AttemptOutcome::Withheld | AttemptOutcome::Withdrawn => {}
             AttemptOutcome::WrongServer => self.context.servers().mark_reused(&server.id, now),
             AttemptOutcome::Silent => self.context.loads().record_timeout(&server.id, now),
             AttemptOutcome::Rejected | AttemptOutcome::Failed | AttemptOutcome::Garbled => {
@@ -35,8 +35,7 @@
                     server,
                     tried: &self.tried,
                     request: &self.request,
-                    fingerprint: self.fingerprint,
-                    parts: &self.head.parts,
+                    suspect: &self.suspect,
                     events: self.attempt_events,
                     is_answered: self.is_answered,
                 };
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -14,10 +14,13 @@
 use crate::coordination::requests::{
     AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, NextStep, final_answer, next_step,
 };
-use crate::state::{AttemptHead, CallerHead, ConfigSnapshot, RouteKind, ServerEntry, ServiceRoute};
+use crate::state::{
+    AttemptHead, CallerHead, ConfigSnapshot, CrashSuspect, RouteKind, ServerEntry, ServiceRoute,
+};
 use crate::transport::attempt_runner::{
     AttemptRequest, CompleteResponse, OpenResponse, remaining_time, run_attempt,
 };
+use crate::transport::crash_reports::record_answer;
 use crate::transport::exchange_failure::ExchangeFailure;
 use crate::transport::gateway_context::{GatewayContext, stable_hash};
 use crate::transport::request_admission::{Admission, BufferedBody};
@@ -59,7 +62,8 @@
     workspace: Option<Arc<str>>,
     urgency: u8,
     session: u64,
-    fingerprint: u64,
+    // What is held against the request if a server crashes with it.
+    suspect: CrashSuspect,
     tried: Vec<Arc<str>>,
     model: Option<Arc<str>>,
     version: Option<Arc<str>>,
@@ -101,6 +105,7 @@
         let path = parts.uri.path().as_bytes();
         let name = workspace_name.as_deref().unwrap_or_default().as_bytes();
         let fingerprint = stable_hash(&[path, name, &body.bytes]);
+        let suspect = CrashSuspect::new(fingerprint, &head.parts);
         let target = route
             .pick_target(session >> 20)
             .map(|target| target.service.clone());
@@ -136,7 +141,7 @@
             body,
             head,
             session,
-            fingerprint,
+            suspect,
         }
     }
 
@@ -172,6 +177,7 @@
             let read = response.read_to_end(&self.context, self.deadline).await;
             match read {
                 Ok(whole) if !status.is_server_error() => {
+                    self.record_begun();
                     self.record_good_response(&server, latency);
                     return Ok(whole);
                 }
@@ -226,12 +232,9 @@
         resume_after: Option<u64>,
     ) -> Result<OpenResponse, ExchangeFailure> {
         loop {
-            if self
-                .context
-                .crashes()
-                .is_quarantined(self.fingerprint, self.context.now())
-            {
-                return Err(ExchangeFailure::Quarantined);
+            let now = self.context.now();
+            if let Some(refusal) = self.context.crashes().refusal(&self.suspect, now) {
+                return Err(ExchangeFailure::Quarantined(refusal));
             }
             let remaining = remaining_time(&self.context, self.deadline);
             if remaining < MIN_ATTEMPT_TIME {
@@ -266,6 +269,7 @@
                 request: &self.request,
                 needs_new_connection: self.route.kind == RouteKind::Unsafe,
                 permit,
+                suspect: &self.suspect,
                 head_timeout,
                 work: pick.work,
                 head: AttemptHead {
@@ -337,7 +341,17 @@
     /// Records that the server of the latest attempt sent an event.
     pub(crate) fn record_event(&mut self) {
         self.attempt_events += 1;
-        self.is_answered |= self.attempt_events >= ANSWERED_EVENTS;
+        if self.attempt_events >= ANSWERED_EVENTS {
+            self.record_begun();
+        }
+    }
+
+    /// Records that a server answers the request without crashing.
+    pub(crate) fn record_begun(&mut self) {
+        if !self.is_answered {
+            self.is_answered = true;
+            record_answer(&self.context, &self.suspect);
+        }
     }
 
     /// Returns the caller's response to a stream, whose body relays the server's events.
--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -188,6 +188,7 @@
 
     /// Logs that the response is complete, and returns its connection to the pool.
     fn finish(&mut self) {
+        self.exchange.record_begun();
         let attempts = self.exchange.tally.tries + 1;
         self.exchange
             .log_end(200, "answered", attempts, self.delivered);
--- a/gateway/tests/decisions/crashes.rs
+++ b/gateway/tests/decisions/crashes.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use galenamast::state::TimePoint;
-use galenamast_gateway::coordination::requests::{CrashSettings, CrashTracker, pick_probe_targets};
-use galenamast_gateway::state::ServerEntry;
+use galenamast_gateway::coordination::crashes::{
+    CrashQuarantine, CrashRefusal, CrashSettings, pick_probe_targets,
+};
+use galenamast_gateway::state::{CrashReport, CrashSuspect, ServerEntry};
 
 /// Returns a server of a failure domain.
 fn server(id: &str, domain: &str) -> ServerEntry {
@@ -21,54 +23,83 @@
     }
 }
 
+/// Returns the quarantine of a host that is alone.
+fn quarantine(settings: CrashSettings) -> CrashQuarantine {
+    CrashQuarantine::new("host-0".into(), settings)
+}
+
+/// Returns a request without a prompt.
+fn request(fingerprint: u64) -> CrashSuspect {
+    CrashSuspect::new(fingerprint, &[])
+}
+
+/// Returns whether a request is refused.
+fn is_refused(quarantine: &mut CrashQuarantine, fingerprint: u64, now: TimePoint) -> bool {
+    quarantine.refusal(&request(fingerprint), now) == Some(CrashRefusal::Request)
+}
+
 #[test]
 fn request_that_crashed_two_servers_is_quarantined() {
-    let mut tracker = CrashTracker::new(CrashSettings::default());
+    let mut tracker = quarantine(CrashSettings::default());
     let now = TimePoint::from_millis(10);
     let (first, second): (Arc<str>, Arc<str>) = ("i-1".into(), "i-2".into());
-    tracker.record_crash(1, &first, now);
-    tracker.record_crash(1, &first, now);
+    tracker.record_crash(&first, &request(1), now);
+    tracker.record_crash(&first, &request(1), now);
     assert!(
-        !tracker.is_quarantined(1, now),
-        "one server that crashes twice is not enough evidence"
+        !is_refused(&mut tracker, 1, now),
+        "one server that crashes is not enough evidence, however often it is reported"
     );
-    tracker.record_crash(1, &second, now);
-    assert!(tracker.is_quarantined(1, now));
-    assert!(!tracker.is_quarantined(2, now));
-    assert!(!tracker.is_quarantined(1, now + Duration::from_secs(3_600)));
+    tracker.record_crash(&second, &request(1), now);
+    assert!(is_refused(&mut tracker, 1, now));
+    assert!(!is_refused(&mut tracker, 2, now));
+    assert!(!is_refused(
+        &mut tracker,
+        1,
+        now + Duration::from_secs(3_600)
+    ));
 }
 
 #[test]
 fn crashes_reported_by_another_host_count() {
-    let mut tracker = CrashTracker::new(CrashSettings::default());
+    let mut tracker = quarantine(CrashSettings::default());
     let now = TimePoint::from_millis(10);
-    tracker.record_remote(9, 2, now);
-    assert!(tracker.is_quarantined(9, now));
+    for server in ["i-1", "i-2"] {
+        let report = CrashReport {
+            server: server.into(),
+            suspect: request(9),
+        };
+        tracker.record_report(&report, now);
+    }
+    assert!(is_refused(&mut tracker, 9, now));
 }
 
 #[test]
-fn tracked_requests_are_bounded() {
+fn tracked_crashes_are_bounded() {
     let settings = CrashSettings {
-        capacity: 10,
+        max_crashes: 10,
         ..CrashSettings::default()
     };
-    let mut tracker = CrashTracker::new(settings);
+    let mut tracker = quarantine(settings);
     for number in 0..1_000 {
-        tracker.record_remote(number, 2, TimePoint::from_millis(number));
+        let at = TimePoint::from_millis(1_000 * number);
+        for server in ["i-1", "i-2"] {
+            let id = format!("{server}-{number}").into();
+            tracker.record_crash(&id, &request(number), at);
+        }
     }
-    let now = TimePoint::from_millis(1_000);
+    let now = TimePoint::from_millis(1_000_000);
     let kept = (0..1_000)
-        .filter(|number| tracker.is_quarantined(*number, now))
+        .filter(|number| is_refused(&mut tracker, *number, now))
         .count();
-    assert_eq!(kept, 10);
-    assert!(tracker.is_quarantined(999, now));
+    assert_eq!(kept, 5, "each request needs two of the ten crashes");
+    assert!(is_refused(&mut tracker, 999, now));
 }
 
 /// Guards against refusing innocent requests: when resets cut off a failure domain, requests that
 /// had reached two of its servers were refused as if they had crashed them.
 #[test]
 fn simultaneous_disconnects_are_not_counted_as_crashes() {
-    let mut tracker = CrashTracker::new(CrashSettings::default());
+    let mut tracker = quarantine(CrashSettings::default());
     let partitioned_at = TimePoint::from_millis(33_500);
     let servers: Vec<Arc<str>> = ["i-1", "i-2", "i-3"].map(Arc::from).to_vec();
     for (number, server) in servers.iter().enumerate() {
@@ -77,23 +108,25 @@
             partitioned_at + Duration::from_millis(number as u64),
         );
     }
-    tracker.record_crash(1, &servers[0], partitioned_at);
-    tracker.record_crash(1, &servers[1], partitioned_at + Duration::from_millis(9));
-    assert!(!tracker.is_quarantined(1, partitioned_at + Duration::from_millis(10)));
+    tracker.record_crash(&servers[0], &request(1), partitioned_at);
+    let second_at = partitioned_at + Duration::from_millis(9);
+    tracker.record_crash(&servers[1], &request(1), second_at);
+    assert!(!is_refused(&mut tracker, 1, second_at));
 }
 
 #[test]
 fn request_that_crashes_servers_in_sequence_is_quarantined() {
-    let mut tracker = CrashTracker::new(CrashSettings::default());
+    let mut tracker = quarantine(CrashSettings::default());
     let start = TimePoint::from_millis(10_000);
     for (number, server) in ["i-1", "i-2"].map(Arc::<str>::from).iter().enumerate() {
         let now = start + Duration::from_millis(40 * number as u64);
         // Other requests of the server are disconnected at the same time.
         tracker.record_disconnect(server, now);
         tracker.record_disconnect(server, now);
-        tracker.record_crash(1, server, now);
+        tracker.record_crash(server, &request(1), now);
     }
-    assert!(tracker.is_quarantined(1, start + Duration::from_millis(90)));
+    let now = start + Duration::from_millis(90);
+    assert!(is_refused(&mut tracker, 1, now));
 }
 
 /// Probes go to neighbours in the lost server's domain that did not run the request.
--- a/gateway/tests/decisions/main.rs
+++ b/gateway/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod cascade;
 mod crashes;
+mod crashing_parts;
 mod events;
 mod freshness;
 mod limits;
