Probe no crashed server in order to tell a crash from a partition

Callers saw: a part that had crashed all engines of a failure domain went on to the next engine. Cause: a lost server's neighbours are probed, and if none answers, the loss is taken for a network partition that accuses nobody. Neighbours that had crashed before do not answer either. Change: servers that crashed longer ago than the correlation window are no probe targets; if none is left in the domain, others are probed, as before. Why it works: a probe now tells only of servers that were there until this loss.

--- a/gateway/src/coordination/crashes/crash_log.rs
+++ b/gateway/src/coordination/crashes/crash_log.rs
@@ -88,6 +88,14 @@
         known.is_none() && entry.cause.is_some()
     }
 
+    /// Returns whether a server crashed, too long ago for a common cause with a loss at `now`.
+    pub fn has_crashed_before(&self, server: &str, now: TimePoint) -> bool {
+        let window = self.settings.correlation_window;
+        let is_earlier =
+            |entry: &CrashEntry| *entry.server == *server && now.since(entry.at) > window;
+        self.entries.iter().any(is_earlier)
+    }
+
     /// Returns the number of crashes that are held against a suspect, of those after `since`.
     pub fn count(&self, key: SuspectKey, since: Option<TimePoint>, now: TimePoint) -> usize {
         self.counted(key, since, now).count()
--- a/gateway/src/coordination/crashes/crash_quarantine.rs
+++ b/gateway/src/coordination/crashes/crash_quarantine.rs
@@ -245,6 +245,11 @@
         (crashes >= self.settings.request_crashes).then_some(CrashRefusal::Request)
     }
 
+    /// Returns whether a server crashed, too long ago for a common cause with a loss at `now`.
+    pub fn has_crashed_before(&self, server: &str, now: TimePoint) -> bool {
+        self.log.has_crashed_before(server, now)
+    }
+
     /// Returns the number of crashes for which a part is refused; 0 if it is not refused.
     pub fn crashes_of(&self, part: u64) -> usize {
         self.refused.get(&part).map_or(0, |entry| entry.crashes)
--- a/gateway/src/coordination/crashes/partition_probe.rs
+++ b/gateway/src/coordination/crashes/partition_probe.rs
@@ -11,14 +11,20 @@
 const MAX_PROBE_TARGETS: usize = 2;
 
 /// Picks neighbours of a lost server that did not run the request and that answer if only this
-/// server is gone: servers of its failure domain, or any others if the domain has none.
+/// server is gone: servers of its failure domain, or any others if the domain has none. Servers for
+/// which `has_crashed` holds would not answer either way.
 pub fn pick_probe_targets<'a>(
     servers: impl Iterator<Item = &'a ServerEntry> + Clone,
     lost: &ServerEntry,
     tried: &[Arc<str>],
+    has_crashed: impl Fn(&str) -> bool,
 ) -> Vec<ServerEntry> {
-    let is_other =
-        |entry: &&ServerEntry| entry.id != lost.id && !entry.draining && !tried.contains(&entry.id);
+    let is_other = |entry: &&ServerEntry| {
+        entry.id != lost.id
+            && !entry.draining
+            && !tried.contains(&entry.id)
+            && !has_crashed(&entry.id)
+    };
     let others = servers.filter(is_other);
     let near = others.clone().filter(|entry| entry.domain == lost.domain);
     let picked: Vec<ServerEntry> = near.take(MAX_PROBE_TARGETS).cloned().collect();
--- a/gateway/src/transport/crash_check.rs
+++ b/gateway/src/transport/crash_check.rs
@@ -67,7 +67,11 @@
 
 /// Returns whether all other probed servers are unreachable too; false if there is none to probe.
 async fn is_domain_cut_off(context: &GatewayContext, lost: LostServer<'_>) -> bool {
-    let probe_targets = pick_probe_targets(context.servers().listed(), lost.server, lost.tried);
+    let probe_targets = {
+        let (servers, crashes, now) = (context.servers(), context.crashes(), context.now());
+        let has_crashed = |server: &str| crashes.has_crashed_before(server, now);
+        pick_probe_targets(servers.listed(), lost.server, lost.tried, has_crashed)
+    };
     for target in &probe_targets {
         if accepts_connections(target.address).await {
             return false;
--- a/gateway/tests/decisions/crashes.rs
+++ b/gateway/tests/decisions/crashes.rs
@@ -141,7 +141,7 @@
     all.push(server("i-5", "north"));
     all[3].draining = true;
     let names = |tried: &[Arc<str>]| {
-        let picked = pick_probe_targets(all.iter(), &all[0], tried);
+        let picked = pick_probe_targets(all.iter(), &all[0], tried, |_| false);
         picked
             .iter()
             .map(|entry| entry.id.to_string())
@@ -158,5 +158,11 @@
         ["i-5"],
         "without neighbours, any other server is probed"
     );
-    assert!(pick_probe_targets(all[..1].iter(), &all[0], &[]).is_empty());
+    assert!(pick_probe_targets(all[..1].iter(), &all[0], &[], |_| false).is_empty());
+    let picked = pick_probe_targets(all.iter(), &all[0], &[], |id| id == "i-2");
+    assert_eq!(
+        picked[0].id.as_ref(),
+        "i-3",
+        "crashed servers are not probed"
+    );
 }
