Log when a host loses its path to all servers of a service

Change: coordination/reach: two servers in a row that accept no connection start a probe of three; a lost path is probed twice a second; path_changed says so. No decision uses it.

--- a/gateway/src/coordination/mod.rs
+++ b/gateway/src/coordination/mod.rs
@@ -7,5 +7,6 @@
 pub mod freshness;
 pub mod permits;
 pub mod placement;
+pub mod reach;
 pub mod requests;
 pub mod rollouts;
--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -267,6 +267,17 @@
         /// Failure domain of the server.
         domain: Arc<str>,
     },
+    /// The host lost its path to all servers of a service, or reaches one again.
+    PathChanged {
+        /// The service.
+        service: Arc<str>,
+        /// Whether no server is reached.
+        lost: bool,
+        /// Number of servers that were probed.
+        probed: usize,
+        /// For how long no server was reached, in milliseconds; `None` while none is.
+        lost_ms: Option<u64>,
+    },
     /// A failure from which the host recovers.
     Fault {
         /// Component that encountered the failure.
--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -139,7 +139,9 @@
             let timeout = context.settings.connect_timeout.min(call.head_timeout);
             context.metrics.increment("connections_total");
             let opened = BackendConnection::open(server.address, timeout).await;
-            opened.map_err(|_| AttemptOutcome::NotSent)?
+            let connection = opened.map_err(|_| AttemptOutcome::NotSent)?;
+            context.reach().record_connected(&server.service);
+            connection
         }
     };
     let request = build_request(context, server, &call).ok_or(AttemptOutcome::NotSent)?;
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -17,6 +17,7 @@
 use crate::coordination::freshness::{FreshnessSettings, StoreFreshness};
 use crate::coordination::permits::ServerPermits;
 use crate::coordination::placement::{LoadEstimator, PrefixCacheIndex, ServerTable};
+use crate::coordination::reach::ServiceReach;
 use crate::coordination::rollouts::RolloutTracker;
 use crate::protocol::{PeerMessage, PlatformFormat};
 use crate::state::{ConfigSnapshot, FollowedKind, HostPresence};
@@ -54,6 +55,8 @@
     pub store_reachable: AtomicBool,
     /// Counts how often prompt parts were refused from then on.
     pub(crate) parts_refused: watch::Sender<u64>,
+    /// Notified when the host may have lost its path to the servers of a service.
+    pub(crate) reach_suspected: Notify,
     /// Notified when a roll-out may need a report.
     pub rollout_changed: Notify,
     /// Requests to the followers to read what changed.
@@ -79,6 +82,7 @@
     rollouts: Mutex<RolloutTracker>,
     freshness: Mutex<StoreFreshness>,
     crashes: Mutex<CrashQuarantine>,
+    reach: Mutex<ServiceReach>,
     peers: Mutex<BTreeMap<Arc<str>, HostPresence>>,
 }
 
@@ -122,6 +126,8 @@
                 settings.host.clone(),
                 settings.crashes,
             )),
+            reach: Mutex::new(ServiceReach::new(settings.reach)),
+            reach_suspected: Notify::new(),
             parts_refused: watch::Sender::new(0),
             peers: Mutex::new(BTreeMap::new()),
             settings,
@@ -168,6 +174,11 @@
         lock(&self.crashes)
     }
 
+    /// Locks the services of which this host reaches no server.
+    pub fn reach(&self) -> MutexGuard<'_, ServiceReach> {
+        lock(&self.reach)
+    }
+
     /// Locks the known hosts, by name; they include this one once its entry was read.
     pub fn peers(&self) -> MutexGuard<'_, BTreeMap<Arc<str>, HostPresence>> {
         lock(&self.peers)
--- a/gateway/src/transport/gateway_host.rs
+++ b/gateway/src/transport/gateway_host.rs
@@ -17,6 +17,7 @@
 use crate::transport::gateway_error::GatewayError;
 use crate::transport::gateway_settings::GatewaySettings;
 use crate::transport::peer_gossip::run_peer_gossip;
+use crate::transport::reach_probe::watch_reach;
 use crate::transport::ready_listener::serve_readiness;
 use crate::transport::record_log::log_record;
 use crate::transport::rollout_writer::write_reports;
@@ -66,6 +67,7 @@
         tasks.push(tokio::spawn(serve_readiness(context.clone(), ready)));
         tasks.push(tokio::spawn(write_reports(context.clone())));
         tasks.push(tokio::spawn(run_peer_gossip(context.clone(), datagrams)));
+        tasks.push(tokio::spawn(watch_reach(context.clone())));
         tasks.push(tokio::spawn(confirm_store(context.clone())));
         tasks.push(tokio::spawn(catch_up_with_peers(context.clone())));
         let record = GatewayRecord::Started {
--- a/gateway/src/transport/gateway_settings.rs
+++ b/gateway/src/transport/gateway_settings.rs
@@ -10,6 +10,7 @@
 use crate::coordination::crashes::CrashSettings;
 use crate::coordination::permits::LimitSettings;
 use crate::coordination::placement::{LoadSettings, PickSettings, PrefixCacheSettings};
+use crate::coordination::reach::ReachSettings;
 use crate::coordination::rollouts::RolloutSettings;
 
 /// Fraction of `configuration_bound` during which a confirmed configuration is fresh enough to
@@ -72,6 +73,8 @@
     pub rollouts: RolloutSettings,
     /// Quarantine of requests that crash servers.
     pub crashes: CrashSettings,
+    /// Detection of lost paths to servers.
+    pub reach: ReachSettings,
 }
 
 impl GatewaySettings {
@@ -110,6 +113,7 @@
             placement: PickSettings::default(),
             rollouts: RolloutSettings::default(),
             crashes: CrashSettings::default(),
+            reach: ReachSettings::default(),
         }
     }
 }
--- a/gateway/src/transport/mod.rs
+++ b/gateway/src/transport/mod.rs
@@ -15,6 +15,7 @@
 mod gateway_settings;
 mod kind_reads;
 mod peer_gossip;
+mod reach_probe;
 mod ready_listener;
 mod record_log;
 mod request_admission;
--- a/gateway/src/transport/request_exchange/feedback.rs
+++ b/gateway/src/transport/request_exchange/feedback.rs
@@ -8,6 +8,7 @@
 use crate::protocol::{GatewayRecord, PeerMessage};
 use crate::state::{AnswerGrade, ServerEntry};
 use crate::transport::crash_check::{LostServer, check_crash};
+use crate::transport::reach_probe::record_unreachable;
 use crate::transport::record_log::log_record;
 use crate::transport::request_exchange::RequestExchange;
 
@@ -17,6 +18,7 @@
         let now = self.context.now();
         match outcome {
             AttemptOutcome::NotSent => {
+                record_unreachable(&self.context, server);
                 let mut loads = self.context.loads();
                 loads.record_connect_failure(&server.id, now);
                 let reach = loads.domain_reach_mut();
