Pass requests on while a host reaches no server

Callers saw: at hosts that were cut off from all servers, 8 to 17 of 100 first attempts were served while new connections hung (the others 98 to 100), 32 to 62 while they were refused; refusals took up to 2.4 s. Cause: a host had no other way to a server than its own, and each request found the cut by itself. Change: coordination/reach. While no server of a service is reached, requests for it are passed on to a host that has a path, of the own failure domain if there is one, over HTTP/1.1 on the port of the hosts' datagrams. The other host admits and runs them as its own callers' (admission, budgets, limits, sessions, attempts), once: what is passed on is never passed on again. The time that is left goes along, a caller that leaves cancels, a request that may run once is not passed on again after it may have run, and a host that ran nothing says so, so that a third is asked, three at most. Hosts report lost paths within their domain. A request that no host can serve is rejected at once. Why it works: the cut leaves the hosts' ways to one another, and one of them has a path.

--- a/gateway/src/coordination/reach/mod.rs
+++ b/gateway/src/coordination/reach/mod.rs
@@ -3,6 +3,8 @@
 //! Covers hosts that are partitioned from all servers while callers, the store and the other hosts
 //! still reach them.
 
+mod relay_pick;
 mod service_reach;
 
+pub use relay_pick::pick_relay;
 pub use service_reach::{ReachChange, ReachSettings, ServiceReach};
--- a/gateway/src/coordination/reach/service_reach.rs
+++ b/gateway/src/coordination/reach/service_reach.rs
@@ -6,11 +6,15 @@
 //! not try at all.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use galenamast::state::TimePoint;
 
+/// Greatest number of services in the report of a host.
+const MAX_REPORTED_SERVICES: usize = 32;
+
 /// Settings of the detection of lost paths.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReachSettings {
@@ -21,14 +25,20 @@
     pub probed_servers: usize,
     /// Mean time between probes while the path is lost.
     pub probe_pause: Duration,
+    /// Interval at which a host reports its lost paths.
+    pub report_interval: Duration,
+    /// Time for which another host's report counts.
+    pub report_validity: Duration,
 }
 
 impl Default for ReachSettings {
     fn default() -> Self {
         Self {
             min_unreachable: 2,
-            probed_servers: 3,
+            probed_servers: 5,
             probe_pause: Duration::from_millis(500),
+            report_interval: Duration::from_secs(1),
+            report_validity: Duration::from_secs(3),
         }
     }
 }
@@ -55,6 +65,8 @@
 pub struct ServiceReach {
     settings: ReachSettings,
     paths: BTreeMap<Arc<str>, PathState>,
+    // Until when another host is taken to reach no server of a service.
+    lost_peers: BTreeMap<(SocketAddr, Arc<str>), TimePoint>,
 }
 
 impl ServiceReach {
@@ -62,7 +74,7 @@
     pub fn new(settings: ReachSettings) -> Self {
         Self {
             settings,
-            paths: BTreeMap::new(),
+            ..Self::default()
         }
     }
 
@@ -127,6 +139,11 @@
             .is_some_and(|path| path.lost_since.is_some())
     }
 
+    /// Returns whether servers of a service are being probed, because several accepted no connection.
+    pub fn is_suspect(&self, service: &str) -> bool {
+        self.paths.get(service).is_some_and(|path| path.is_probed)
+    }
+
     /// Returns the services of which no server is reached.
     pub fn lost_services(&self) -> Vec<Arc<str>> {
         let lost = self
@@ -135,4 +152,33 @@
             .filter(|(_, path)| path.lost_since.is_some());
         lost.map(|(service, _)| service.clone()).collect()
     }
+
+    /// Probes all of `services` next, as they may be out of reach together.
+    pub fn suspect_all(&mut self, services: impl Iterator<Item = Arc<str>>) {
+        for service in services {
+            let path = self.paths.entry(service).or_default();
+            path.is_probed |= path.lost_since.is_none();
+        }
+    }
+
+    /// Records that another host reported the services of which it reaches no server.
+    pub fn record_peer(&mut self, peer: SocketAddr, services: &[Arc<str>], now: TimePoint) {
+        self.lost_peers
+            .retain(|(host, _), until| *host != peer && *until > now);
+        let until = now + self.settings.report_validity;
+        for service in services.iter().take(MAX_REPORTED_SERVICES) {
+            self.record_peer_lost(peer, service, until);
+        }
+    }
+
+    /// Records that another host is not to get requests for a service until a time.
+    pub fn record_peer_lost(&mut self, peer: SocketAddr, service: &Arc<str>, until: TimePoint) {
+        self.lost_peers.insert((peer, service.clone()), until);
+    }
+
+    /// Returns whether another host is taken to reach no server of a service.
+    pub fn is_peer_lost(&self, peer: SocketAddr, service: &Arc<str>, now: TimePoint) -> bool {
+        let until = self.lost_peers.get(&(peer, service.clone()));
+        until.is_some_and(|until| now < *until)
+    }
 }
--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -267,6 +267,15 @@
         /// Failure domain of the server.
         domain: Arc<str>,
     },
+    /// A request is passed on to another host, as this one reaches no server of the service.
+    RequestRelayed {
+        /// Identifier of the request.
+        request: Arc<str>,
+        /// The service.
+        service: Arc<str>,
+        /// Name of the other host.
+        host: Arc<str>,
+    },
     /// The host lost its path to all servers of a service, or reaches one again.
     PathChanged {
         /// The service.
--- a/gateway/src/protocol/mod.rs
+++ b/gateway/src/protocol/mod.rs
@@ -6,6 +6,7 @@
 mod gateway_record;
 mod peer_message;
 mod platform_format;
+mod relay_headers;
 mod stored_object;
 
 pub use event_splitter::{EventSplitter, SplitError, StreamEvent};
@@ -13,6 +14,7 @@
 pub use gateway_record::{DecisionInputs, GatewayRecord};
 pub use peer_message::PeerMessage;
 pub use platform_format::{AnswerHead, FormatError, PlatformFormat};
+pub use relay_headers::{RELAY_UNSERVED, RELAYED_BY};
 pub use stored_object::{
     ObjectChange, ObjectChanges, ObjectKind, ObjectPage, ObjectQuery, StoredObject,
 };
--- a/gateway/src/protocol/peer_message.rs
+++ b/gateway/src/protocol/peer_message.rs
@@ -1,5 +1,7 @@
 //! Datagrams between hosts. Any of them may be lost.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::placement::{HostLoad, PrefixRead};
@@ -29,4 +31,6 @@
     AnsweredParts(Vec<PartReport>),
     /// Prompt parts that the host refuses because servers crash with them.
     RefusedParts(Vec<PartReport>),
+    /// Services of which the host reaches no server. Sent within a failure domain.
+    LostPaths(Vec<Arc<str>>),
 }
--- a/gateway/src/protocol/platform_format.rs
+++ b/gateway/src/protocol/platform_format.rs
@@ -80,6 +80,8 @@
     pub read_request: fn(&HeaderMap) -> CallerHead,
     /// Turns a caller's headers into those of an attempt.
     pub write_attempt: fn(&mut HeaderMap, &AttemptHead),
+    /// Sets the time that is left in a caller's headers.
+    pub write_time_left: fn(&mut HeaderMap, Duration),
     /// Reads the head of a backend server's answer.
     pub read_answer: fn(StatusCode, &HeaderMap) -> AnswerHead,
 }
--- a/gateway/src/state/caller_head.rs
+++ b/gateway/src/state/caller_head.rs
@@ -35,6 +35,8 @@
     pub session: Option<Arc<str>>,
     /// Identifier of the last event that the caller has received, if it resumes a stream.
     pub resume_after: Option<u64>,
+    /// Whether another entry host passed the request on.
+    pub relayed: bool,
 }
 
 /// Fields that an entry host adds to a request for a backend server.
--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -21,7 +21,7 @@
 use crate::transport::server_demands::record_demand;
 
 /// Largest body of a response that is not streamed, in bytes.
-const MAX_RESPONSE_BYTES: usize = 16 * 1_024 * 1_024;
+pub(crate) const MAX_RESPONSE_BYTES: usize = 16 * 1_024 * 1_024;
 
 /// One attempt to run a request on a backend server.
 #[derive(Debug)]
--- a/gateway/src/transport/caller_listener.rs
+++ b/gateway/src/transport/caller_listener.rs
@@ -1,6 +1,7 @@
 //! Accepts callers' connections and serves their requests.
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -15,7 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use crate::protocol::GatewayRecord;
+use crate::protocol::{GatewayRecord, RELAY_UNSERVED, RELAYED_BY};
 use crate::state::RouteKind;
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
@@ -34,6 +35,15 @@
 /// `Retry-After` while the host stops; by then the caller reaches another host.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// Who sends the requests of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RequestOrigin {
+    /// A caller.
+    Caller,
+    /// Another entry host, for its callers.
+    Host,
+}
+
 /// State that the connections of callers share.
 #[derive(Debug)]
 pub(crate) struct CallerListener {
@@ -50,14 +60,28 @@
 }
 
 impl CallerListener {
-    /// Accepts connections until the task is dropped. Connections over the limit are closed at
-    /// once.
+    /// Accepts callers' connections until the task is dropped. Connections over the limit are closed
+    /// at once.
     pub(crate) async fn accept(self: Arc<Self>, listener: TcpListener) {
+        self.accept_from(listener, RequestOrigin::Caller).await;
+    }
+
+    /// Accepts connections of other hosts, which pass callers' requests on, until the task is dropped.
+    pub(crate) async fn accept_relays(self: Arc<Self>, listener: TcpListener) {
+        self.accept_from(listener, RequestOrigin::Host).await;
+    }
+
+    /// Accepts connections until the task is dropped.
+    async fn accept_from(self: Arc<Self>, listener: TcpListener, origin: RequestOrigin) {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
+            let Ok((stream, peer)) = listener.accept().await else {
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
+            if origin == RequestOrigin::Host && !self.is_host(peer) {
+                self.context.metrics.increment("relays_of_strangers_total");
+                continue;
+            }
             if self.open.load(Ordering::Relaxed) >= self.context.settings.max_caller_connections {
                 self.context
                     .metrics
@@ -67,14 +91,20 @@
             self.open.fetch_add(1, Ordering::Relaxed);
             let shared = self.clone();
             tokio::spawn(async move {
-                shared.serve_connection(stream).await;
+                shared.serve_connection(stream, origin).await;
                 shared.open.fetch_sub(1, Ordering::Relaxed);
             });
         }
     }
 
+    /// Returns whether an address is that of a listed host, on any port.
+    fn is_host(&self, peer: SocketAddr) -> bool {
+        let peers = self.context.peers();
+        peers.values().any(|host| host.address.ip() == peer.ip())
+    }
+
     /// Serves the requests of one connection.
-    async fn serve_connection(self: &Arc<Self>, stream: TcpStream) {
+    async fn serve_connection(self: &Arc<Self>, stream: TcpStream, origin: RequestOrigin) {
         // If either option cannot be set, the connection is only slower or stays open longer.
         let _ = stream.set_nodelay(true);
         let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNREAD_TIMEOUT));
@@ -95,7 +125,7 @@
         let shared = self.clone();
         let service = service_fn(move |request| {
             let shared = shared.clone();
-            async move { Ok::<_, Infallible>(shared.serve_request(request).await) }
+            async move { Ok::<_, Infallible>(shared.serve_request(request, origin).await) }
         });
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
@@ -114,12 +144,24 @@
     }
 
     /// Serves one request; asks the caller to close the connection if the host is stopping.
-    async fn serve_request(self: &Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
+    async fn serve_request(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
+        origin: RequestOrigin,
+    ) -> Response<ResponseBody> {
         let started_at = self.context.now();
         let _count = RequestGuard::new(&self.context);
-        let mut response = match self.admit_and_run(request, started_at).await {
+        let mut response = match self.admit_and_run(request, origin, started_at).await {
             Ok(response) => response,
-            Err(refusal) => *refusal,
+            Err(refusal) => {
+                let mut response = *refusal;
+                let is_unavailable = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+                if origin == RequestOrigin::Host && is_unavailable {
+                    let mark = HeaderValue::from_static("1");
+                    response.headers_mut().insert(RELAY_UNSERVED, mark);
+                }
+                response
+            }
         };
         if self.context.stopping.load(Ordering::SeqCst) {
             let close = HeaderValue::from_static("close");
@@ -132,11 +174,16 @@
     async fn admit_and_run(
         &self,
         request: Request<Incoming>,
+        origin: RequestOrigin,
         started_at: TimePoint,
     ) -> Result<Response<ResponseBody>, Refusal> {
         let context = &self.context;
-        let (parts, body) = request.into_parts();
-        let head = (context.format.read_request)(&parts.headers);
+        let (mut parts, body) = request.into_parts();
+        let mut head = (context.format.read_request)(&parts.headers);
+        if origin == RequestOrigin::Host {
+            parts.headers.remove(RELAYED_BY);
+            head.relayed = true;
+        }
         let admitted = self.admit(&parts, &head).await;
         let admission = match admitted {
             Ok(admission) => admission,
--- a/gateway/src/transport/exchange_failure.rs
+++ b/gateway/src/transport/exchange_failure.rs
@@ -19,6 +19,8 @@
     ServerResponse(CompleteResponse),
     /// The host responds itself.
     HostResponse(FinalAnswer),
+    /// The host reaches no server of the service.
+    NoPath,
     /// No server would begin the request before its deadline.
     Overloaded,
     /// The request or a part of its prompt crashed servers.
@@ -26,6 +28,14 @@
 }
 
 impl ExchangeFailure {
+    /// Returns whether the request did not run, but another host may be able to run it.
+    pub(crate) fn may_run_elsewhere(&self) -> bool {
+        matches!(
+            self,
+            ExchangeFailure::NoPath | ExchangeFailure::HostResponse(FinalAnswer::NotRun)
+        )
+    }
+
     /// Returns the response for the caller and the `outcome` for the log. A caller whose request did
     /// not run is told to return after `retry_after`.
     pub(crate) fn into_response(
@@ -52,7 +62,7 @@
                 let text = "no server would begin in time; the request did not run";
                 (not_run_response(text, retry_after), text)
             }
-            ExchangeFailure::HostResponse(FinalAnswer::NotRun) => {
+            ExchangeFailure::NoPath | ExchangeFailure::HostResponse(FinalAnswer::NotRun) => {
                 let text = "no server takes the request now; it did not run";
                 (not_run_response(text, retry_after), text)
             }
--- a/gateway/src/transport/gateway_host.rs
+++ b/gateway/src/transport/gateway_host.rs
@@ -24,6 +24,8 @@
 use crate::transport::store_confirmer::{catch_up_with_peers, confirm_store};
 use crate::transport::store_feeds::start_store_feeds;
 
+/// Number of ports that are tried if any free one will do.
+const PORT_TRIES: u32 = 16;
 /// Interval at which a stopping host checks for open connections.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -49,11 +51,8 @@
     ) -> Result<Self, GatewayError> {
         let (callers, caller_address) = listen(settings.caller_address).await?;
         let (ready, readiness_address) = listen(settings.readiness_address).await?;
-        let failed = |address| move |source| GatewayError::Listen { address, source };
-        let bound = UdpSocket::bind(settings.peer_address)
-            .await
-            .map_err(failed(settings.peer_address))?;
-        let datagrams = Arc::new(bound);
+        let (datagrams, relays) = bind_peer_sockets(settings.peer_address).await?;
+        let datagrams = Arc::new(datagrams);
         let context = GatewayContext::new(settings, format);
         let listener = Arc::new(CallerListener {
             context: context.clone(),
@@ -64,6 +63,7 @@
         });
         let mut tasks = start_store_feeds(&context);
         tasks.push(tokio::spawn(listener.clone().accept(callers)));
+        tasks.push(tokio::spawn(listener.clone().accept_relays(relays)));
         tasks.push(tokio::spawn(serve_readiness(context.clone(), ready)));
         tasks.push(tokio::spawn(write_reports(context.clone())));
         tasks.push(tokio::spawn(run_peer_gossip(context.clone(), datagrams)));
@@ -129,6 +129,23 @@
     }
 }
 
+/// Opens the sockets for datagrams and for relayed requests on one port. A free port is found by trying,
+/// as a port may be free for one of them only.
+async fn bind_peer_sockets(address: SocketAddr) -> Result<(UdpSocket, TcpListener), GatewayError> {
+    let failed = |source| GatewayError::Listen { address, source };
+    let mut tries = if address.port() == 0 { PORT_TRIES } else { 1 };
+    loop {
+        let datagrams = UdpSocket::bind(address).await.map_err(failed)?;
+        let bound = datagrams.local_addr().map_err(failed)?;
+        tries -= 1;
+        match listen(bound).await {
+            Ok((relays, _)) => return Ok((datagrams, relays)),
+            Err(error) if tries == 0 => return Err(error),
+            Err(_) => {}
+        }
+    }
+}
+
 /// Opens a listening socket and returns it with its bound address.
 async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), GatewayError> {
     let failed = |source| GatewayError::Listen { address, source };
--- a/gateway/src/transport/peer_gossip.rs
+++ b/gateway/src/transport/peer_gossip.rs
@@ -256,6 +256,10 @@
                 | PeerMessage::AnsweredParts(_)
                 | PeerMessage::RefusedParts(_)),
             ) => apply_crash_message(context, peer, &message),
+            Ok(PeerMessage::LostPaths(services)) => {
+                let now = context.now();
+                context.reach().record_peer(peer, &services, now);
+            }
             Ok(PeerMessage::Trial(report)) => {
                 context.rollouts().record_report(peer, &report);
                 context.rollout_changed.notify_one();
@@ -401,7 +405,10 @@
 /// Returns the addresses of the hosts that a queued message goes to.
 fn recipients(context: &GatewayContext, message: &PeerMessage) -> Vec<SocketAddr> {
     let mut addresses = peer_addresses(context, PeerScope::OwnDomain);
-    if !matches!(message, PeerMessage::Freshness(_)) {
+    if !matches!(
+        message,
+        PeerMessage::Freshness(_) | PeerMessage::LostPaths(_)
+    ) {
         addresses.extend(peer_addresses(context, PeerScope::OtherDomains));
     }
     addresses
--- a/gateway/src/transport/reach_probe.rs
+++ b/gateway/src/transport/reach_probe.rs
@@ -1,14 +1,16 @@
 //! Probes the servers of services of which this host seems to reach none.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use futures_util::future::join_all;
+use galenamast::state::TimePoint;
 use log::Level;
 use rand::Rng;
 use rand::seq::IteratorRandom;
 
 use crate::coordination::reach::ReachChange;
-use crate::protocol::GatewayRecord;
+use crate::protocol::{GatewayRecord, PeerMessage};
 use crate::state::ServerEntry;
 use crate::transport::connection_pool::accepts_connections;
 use crate::transport::gateway_context::GatewayContext;
@@ -28,6 +30,7 @@
 /// Probes services that are suspect at once, and lost ones periodically.
 pub(crate) async fn watch_reach(context: Arc<GatewayContext>) {
     let pause = context.settings.reach.probe_pause;
+    let mut reported_at = TimePoint::ZERO;
     loop {
         let jitter = rand::rng().random_range(0.75..1.25);
         let is_idle = context.reach().to_probe().is_empty();
@@ -36,17 +39,22 @@
             () = context.timers.sleep(pause.mul_f64(jitter)), if !is_idle => {}
         }
         let services = context.reach().to_probe();
-        join_all(
-            services
-                .iter()
-                .map(|service| probe_service(&context, service)),
-        )
-        .await;
+        let probes = services
+            .iter()
+            .map(|service| probe_service(&context, service));
+        let changed = join_all(probes).await.into_iter().any(|changed| changed);
+        let lost = context.reach().lost_services();
+        let now = context.now();
+        let interval = context.settings.reach.report_interval;
+        if changed || (!lost.is_empty() && now.since(reported_at) >= interval) {
+            reported_at = now;
+            context.send_to_peers(PeerMessage::LostPaths(lost));
+        }
     }
 }
 
-/// Probes some servers of a service, and records and logs what changed.
-async fn probe_service(context: &GatewayContext, service: &Arc<str>) {
+/// Probes some servers of a service, and records and logs what changed; returns whether anything did.
+async fn probe_service(context: &GatewayContext, service: &Arc<str>) -> bool {
     let now = context.now();
     let targets: Vec<ServerEntry> = {
         let servers = context.servers();
@@ -61,7 +69,7 @@
         .reach()
         .record_probe(service, reached, context.now());
     let Some(change) = change else {
-        return;
+        return false;
     };
     let lost_for = match change {
         ReachChange::Lost => None,
@@ -69,6 +77,7 @@
     };
     if lost_for.is_none() {
         context.metrics.increment("paths_lost_total");
+        suspect_all_services(context);
     }
     let record = GatewayRecord::PathChanged {
         service: service.clone(),
@@ -77,4 +86,18 @@
         lost_ms: lost_for.map(|time| u64::try_from(time.as_millis()).unwrap_or(u64::MAX)),
     };
     log_record(Level::Warn, &record);
+    true
+}
+
+/// Has all services probed, since a lost path is seldom one service's alone.
+fn suspect_all_services(context: &GatewayContext) {
+    let services: BTreeSet<Arc<str>> = {
+        let servers = context.servers();
+        servers
+            .listed()
+            .map(|entry| entry.service.clone())
+            .collect()
+    };
+    context.reach().suspect_all(services.into_iter());
+    context.reach_suspected.notify_one();
 }
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -1,6 +1,7 @@
 //! Runs one admitted request: attempts, retries, model cascades and the response to the caller.
 
 mod feedback;
+mod relay;
 mod request_log;
 mod server_choice;
 
@@ -8,12 +9,13 @@
 use std::time::Duration;
 
 use galenamast::state::TimePoint;
-use http::Response;
 use http::request::Parts;
+use http::{HeaderValue, Response};
 
 use crate::coordination::requests::{
     AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, NextStep, final_answer, next_step,
 };
+use crate::protocol::RELAY_UNSERVED;
 use crate::state::{
     AttemptHead, CallerHead, ConfigSnapshot, CrashSuspect, RouteKind, ServerEntry, ServiceRoute,
 };
@@ -54,6 +56,8 @@
     pub(crate) attempt_events: u64,
     // Whether a server has sent enough of an answer to show that the request does not crash it.
     is_answered: bool,
+    // Whether another host passed the request on to this one.
+    is_relayed: bool,
     service: Arc<str>,
     snapshot: Arc<ConfigSnapshot>,
     parts: Parts,
@@ -124,6 +128,7 @@
             tally: AttemptTally::default(),
             attempt_events: 0,
             is_answered: false,
+            is_relayed: head.relayed,
             tried: Vec::new(),
             version: None,
             last_failure: None,
@@ -147,25 +152,31 @@
 
     /// Runs the request and returns the response for the caller.
     pub(crate) async fn run(mut self) -> Response<ResponseBody> {
-        self.context.record_request(&self.service);
-        if self.route.kind == RouteKind::Stream {
-            return match self.open_stream(None).await {
-                Ok(response) => self.start_relay(response),
-                Err(end) => self.end(end),
-            };
+        if !self.has_no_path() {
+            self.context.record_request(&self.service);
         }
-        match self.run_whole().await {
-            Ok(response) => {
-                self.log_end(
-                    response.status.as_u16(),
-                    "answered",
-                    self.tally.tries + 1,
-                    0,
-                );
-                response.into_response()
+        let end = if self.route.kind == RouteKind::Stream {
+            match self.open_stream(None).await {
+                Ok(response) => return self.start_relay(response),
+                Err(end) => end,
             }
-            Err(end) => self.end(end),
+        } else {
+            match self.run_whole().await {
+                Ok(response) => {
+                    let tries = self.tally.tries + 1;
+                    self.log_end(response.status.as_u16(), "answered", tries, 0);
+                    return response.into_response();
+                }
+                Err(end) => end,
+            }
+        };
+        if self.needs_relay(&end) {
+            return match self.relay().await {
+                Ok(response) => response,
+                Err(end) => self.end(end),
+            };
         }
+        self.end(end)
     }
 
     /// Runs a request whose response is not streamed.
@@ -236,6 +247,9 @@
             if let Some(refusal) = self.context.crashes().refusal(&self.suspect, now) {
                 return Err(ExchangeFailure::Quarantined(refusal));
             }
+            if self.tally.runs == 0 && self.has_no_path() && self.has_peers() {
+                return Err(ExchangeFailure::NoPath);
+            }
             let remaining = remaining_time(&self.context, self.deadline);
             if remaining < MIN_ATTEMPT_TIME {
                 let never_ran = self.tally.runs == 0;
@@ -368,8 +382,13 @@
 
     /// Logs the final outcome and returns the response for it.
     fn end(&self, end: ExchangeFailure) -> Response<ResponseBody> {
-        let (response, outcome) = end.into_response(&self.tally, self.retry_after());
+        let may_run_elsewhere = end.may_run_elsewhere();
+        let (mut response, outcome) = end.into_response(&self.tally, self.retry_after());
         self.log_end(response.status().as_u16(), outcome, self.tally.tries, 0);
+        if self.is_relayed && may_run_elsewhere {
+            let mark = HeaderValue::from_static("1");
+            response.headers_mut().insert(RELAY_UNSERVED, mark);
+        }
         response
     }
 }
--- /dev/null
+++ b/gateway/src/transport/request_exchange/relay.rs
@@ -0,0 +1,230 @@
+//! Passes a request on to another host while this one reaches no server of the service.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::stream;
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use hyper::body::{Frame, Incoming};
+use log::Level;
+use rand::Rng;
+
+use crate::coordination::reach::pick_relay;
+use crate::coordination::requests::FinalAnswer;
+use crate::protocol::{GatewayRecord, RELAY_UNSERVED, RELAYED_BY, strip_connection_headers};
+use crate::state::{HostPresence, RouteKind};
+use crate::transport::attempt_runner::{MAX_RESPONSE_BYTES, remaining_time};
+use crate::transport::connection_pool::BackendConnection;
+use crate::transport::exchange_failure::ExchangeFailure;
+use crate::transport::record_log::log_record;
+use crate::transport::request_exchange::RequestExchange;
+use crate::transport::response_body::{ResponseBody, TruncatedResponse, full_body};
+
+/// Greatest number of hosts that a request is passed on to, one after the other.
+const MAX_RELAYS: usize = 3;
+/// Time for which a host that did not serve a request gets no other one of the service.
+const UNSERVED_PAUSE: Duration = Duration::from_secs(1);
+/// Longest time between two frames of a stream; the other host notices a stalled server sooner.
+const FRAME_TIMEOUT: Duration = Duration::from_secs(6);
+
+/// How passing a request on ended, if there is no response for the caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RelayFailure {
+    /// The other host did not get the request, or states that it did not run.
+    Unserved,
+    /// The connection broke, or no response came; the request may have run.
+    Broken,
+}
+
+impl RequestExchange {
+    /// Returns whether the request can only be served by way of another host.
+    pub(super) fn has_no_path(&self) -> bool {
+        self.context.reach().is_lost(&self.service)
+    }
+
+    /// Returns whether a request that ended without a response is to be passed on: no server was
+    /// reached, or those that were tried were not and it is not known yet whether others are.
+    pub(super) fn needs_relay(&self, end: &ExchangeFailure) -> bool {
+        let is_unreached = match end {
+            ExchangeFailure::NoPath => true,
+            _ => end.may_run_elsewhere() && self.context.reach().is_suspect(&self.service),
+        };
+        is_unreached && !self.is_relayed && self.has_peers()
+    }
+
+    /// Returns whether there are other hosts.
+    pub(super) fn has_peers(&self) -> bool {
+        self.context.peers().len() > 1
+    }
+
+    /// Passes the request on, and returns the response for the caller. A request that may run only
+    /// once is not passed on again after it may have run.
+    pub(super) async fn relay(&mut self) -> Result<Response<ResponseBody>, ExchangeFailure> {
+        let mut tried = Vec::new();
+        while tried.len() < MAX_RELAYS {
+            let Some(peer) = self.pick_peer(&tried) else {
+                break;
+            };
+            tried.push(peer.address);
+            self.log_relay(&peer);
+            match self.relay_to(&peer).await {
+                Ok(response) => return Ok(response),
+                Err(RelayFailure::Unserved) => {
+                    let until = self.context.now() + UNSERVED_PAUSE;
+                    let mut reach = self.context.reach();
+                    reach.record_peer_lost(peer.address, &self.service, until);
+                }
+                Err(RelayFailure::Broken) => {
+                    self.tally.runs += 1;
+                    if !self.route.is_retryable() {
+                        break;
+                    }
+                }
+            }
+        }
+        let end = if self.tally.runs == 0 {
+            FinalAnswer::NotRun
+        } else {
+            FinalAnswer::Unknown
+        };
+        Err(ExchangeFailure::HostResponse(end))
+    }
+
+    /// Picks the next host to pass the request on to.
+    fn pick_peer(&self, tried: &[SocketAddr]) -> Option<HostPresence> {
+        let now = self.context.now();
+        let peers = self.context.peers();
+        let own = peers.get(&self.context.settings.host)?;
+        let reach = self.context.reach();
+        let is_lost = |address| reach.is_peer_lost(address, &self.service, now);
+        let draw = rand::rng().random();
+        pick_relay(peers.values(), own, tried, is_lost, draw).cloned()
+    }
+
+    /// Passes the request on to one host.
+    async fn relay_to(&self, peer: &HostPresence) -> Result<Response<ResponseBody>, RelayFailure> {
+        let context = &self.context;
+        let remaining = remaining_time(context, self.deadline);
+        let request = self
+            .relayed_request(remaining)
+            .ok_or(RelayFailure::Unserved)?;
+        // A request that must not run twice is not sent on a connection that may be closed already.
+        let may_reuse = self.route.kind != RouteKind::Unsafe;
+        let pooled = context.pool.take(peer.address).filter(|_| may_reuse);
+        let mut connection = match pooled {
+            Some(connection) => connection,
+            None => {
+                let timeout = context.settings.connect_timeout.min(remaining);
+                let opened = BackendConnection::open(peer.address, timeout).await;
+                opened.map_err(|_| RelayFailure::Unserved)?
+            }
+        };
+        let sending = tokio::time::timeout(remaining, connection.send(request));
+        let response = match sending.await {
+            Ok(Ok(response)) => response,
+            Ok(Err(_)) | Err(_) => return Err(RelayFailure::Broken),
+        };
+        let (mut parts, body) = response.into_parts();
+        let is_refused = matches!(
+            parts.status,
+            StatusCode::UNAUTHORIZED | StatusCode::FORBIDDEN | StatusCode::NOT_FOUND
+        );
+        // This host has admitted the request; the other one may not know the configuration yet.
+        let is_refused = is_refused && !self.is_signed(&parts.headers, parts.status);
+        if is_refused || parts.headers.contains_key(RELAY_UNSERVED) {
+            return Err(RelayFailure::Unserved);
+        }
+        strip_connection_headers(&mut parts.headers);
+        parts.headers.remove(header::CONTENT_LENGTH);
+        let body = if self.route.kind == RouteKind::Stream && parts.status.is_success() {
+            self.stream_body(connection, body)
+        } else {
+            let reading = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+            let remaining = remaining_time(context, self.deadline);
+            let collected = tokio::time::timeout(remaining, reading).await;
+            let collected = collected.ok().and_then(Result::ok);
+            let bytes = collected.ok_or(RelayFailure::Broken)?.to_bytes();
+            context.pool.keep(connection, None);
+            full_body(bytes)
+        };
+        self.log_end(parts.status.as_u16(), "relayed", self.tally.tries, 0);
+        let mut response = Response::new(body);
+        *response.status_mut() = parts.status;
+        *response.headers_mut() = parts.headers;
+        Ok(response)
+    }
+
+    /// Returns whether a response is a server's.
+    fn is_signed(&self, headers: &HeaderMap, status: StatusCode) -> bool {
+        (self.context.format.read_answer)(status, headers).signed
+    }
+
+    /// Returns the caller's request as it is passed on; `None` if its path cannot be encoded.
+    fn relayed_request(&self, remaining: Duration) -> Option<Request<Full<bytes::Bytes>>> {
+        let Parts {
+            method,
+            uri,
+            headers,
+            ..
+        } = &self.parts;
+        let mut headers = headers.clone();
+        strip_connection_headers(&mut headers);
+        headers.remove(header::CONTENT_LENGTH);
+        headers.remove(header::EXPECT);
+        (self.context.format.write_time_left)(&mut headers, remaining);
+        let host = HeaderValue::from_str(&self.context.settings.host).ok()?;
+        headers.insert(RELAYED_BY, host);
+        if let (false, Some(name)) = (headers.contains_key(header::HOST), uri.host()) {
+            headers.insert(header::HOST, HeaderValue::from_str(name).ok()?);
+        }
+        let path = uri.path_and_query().map_or("/", |path| path.as_str());
+        let mut request = Request::new(Full::new(self.body.bytes.clone()));
+        *request.method_mut() = method.clone();
+        *request.uri_mut() = path.parse().ok()?;
+        *request.headers_mut() = headers;
+        Some(request)
+    }
+
+    /// Returns the body of a stream that the other host relays.
+    fn stream_body(&self, connection: BackendConnection, body: Incoming) -> ResponseBody {
+        let context = self.context.clone();
+        let state = (Some(connection), body);
+        let frames = stream::unfold(state, move |(mut connection, mut body)| {
+            let context = context.clone();
+            async move {
+                connection.as_ref()?;
+                match tokio::time::timeout(FRAME_TIMEOUT, body.frame()).await {
+                    Ok(Some(Ok(frame))) => {
+                        let bytes = frame.into_data().unwrap_or_default();
+                        Some((Ok(Frame::data(bytes)), (connection, body)))
+                    }
+                    Ok(None) => {
+                        let ended = connection.take();
+                        ended
+                            .into_iter()
+                            .for_each(|ended| context.pool.keep(ended, None));
+                        None
+                    }
+                    Ok(Some(Err(_))) | Err(_) => {
+                        context.metrics.increment("relays_broken_total");
+                        Some((Err(TruncatedResponse), (None, body)))
+                    }
+                }
+            }
+        });
+        BodyExt::boxed_unsync(StreamBody::new(frames))
+    }
+
+    /// Logs that the request is passed on.
+    fn log_relay(&self, peer: &HostPresence) {
+        self.context.metrics.increment("requests_relayed_total");
+        let record = GatewayRecord::RequestRelayed {
+            request: self.request.clone(),
+            service: self.service.clone(),
+            host: peer.host.clone(),
+        };
+        log_record(Level::Info, &record);
+    }
+}
--- a/gateway/tests/decisions/main.rs
+++ b/gateway/tests/decisions/main.rs
@@ -11,6 +11,7 @@
 mod outcomes;
 mod pauses;
 mod placement;
+mod reach;
 mod rollout_tracker;
 mod routes;
 mod table;
