Keep refusals of brittle servers few over all hosts

Cause: no host read Server-Brittle, and each refusal led to more requests, there and at other servers. Change: coordination/permits/brittle_servers.rs: a brittle server gets no request while its slots are known to be taken, and after a refusal none from any host until one more burst is tolerated; hosts return one after the other with one request each, and tell one another of refusals at once. Why it works: refusals cannot come faster than the server tolerates, since each holds all hosts back.

--- a/gateway/src/coordination/permits/server_permits.rs
+++ b/gateway/src/coordination/permits/server_permits.rs
@@ -9,6 +9,7 @@
 
 use galenamast::state::TimePoint;
 
+use crate::coordination::permits::brittle_servers::{BrittleServers, BrittleSettings};
 use crate::coordination::permits::limit_share::{
     HostShare, LimitSettings, holds_share, open_slot, plan_shares, plan_slot, rank,
 };
@@ -48,6 +49,10 @@
         /// Limit from now on; `None` if it ended.
         to: Option<f64>,
     },
+    /// The server tolerates another number of refusals in a second, or is no longer brittle.
+    Brittle(Option<u32>),
+    /// The server is brittle and refused a request of this host for want of room.
+    Refused,
 }
 
 /// Why this host may not send a request to a server now.
@@ -67,6 +72,11 @@
     },
     /// The host holds no share of the server's limit.
     NoShare,
+    /// The server is brittle and has no room, or refused a request a short time ago.
+    Full {
+        /// When a request may be sent again.
+        until: TimePoint,
+    },
 }
 
 /// One start of a listed server.
@@ -129,6 +139,26 @@
 }
 
 impl PermitEntry {
+    /// Returns the report of the demands of a server's start.
+    fn report(
+        &self,
+        server: &Arc<str>,
+        started_ms: Option<u64>,
+        brittle: Option<u32>,
+        now: TimePoint,
+    ) -> DemandReport {
+        let age = now.since(self.stated_at).as_millis();
+        DemandReport {
+            server: server.clone(),
+            started_ms,
+            limit: self.limit,
+            leaving: self.leaving,
+            age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+            brittle,
+            full: false,
+        }
+    }
+
     /// Sets the limit; returns the change, if it is relevant.
     fn set_limit(&mut self, limit: Option<f64>, stated_at: TimePoint) -> Option<DemandChange> {
         let from = self.limit;
@@ -155,6 +185,7 @@
     starts: BTreeMap<Arc<str>, ServerStart>,
     // Servers that have ever stated a demand.
     entries: BTreeMap<Arc<str>, PermitEntry>,
+    brittle: BrittleServers,
 }
 
 impl ServerPermits {
@@ -166,6 +197,7 @@
             hosts: Vec::new(),
             starts: BTreeMap::new(),
             entries: BTreeMap::new(),
+            brittle: BrittleServers::new(BrittleSettings::default()),
         }
     }
 
@@ -187,6 +219,7 @@
         let previous = self.starts.insert(server.clone(), start);
         if previous.is_none_or(|previous| previous.started_ms != started_ms) {
             self.entries.remove(server);
+            self.brittle.remove(server);
         }
     }
 
@@ -220,9 +253,52 @@
             None => self.record_return(server, sent_at),
         }
         changes.extend(self.record_limit(server, demand, sent_at, now));
+        changes.extend(self.record_brittleness(server, demand, sent_at, now));
         changes
     }
 
+    /// Records whether a server states in an answer to a request sent at `sent_at` that it is brittle,
+    /// and whether it refused the request for want of room.
+    fn record_brittleness(
+        &mut self,
+        server: &Arc<str>,
+        demand: &ServerDemand,
+        sent_at: TimePoint,
+        now: TimePoint,
+    ) -> Vec<DemandChange> {
+        let mut changes = Vec::new();
+        // An answer that was begun before the statement does not end it.
+        let stated_at = if demand.brittle.is_some() {
+            now
+        } else {
+            sent_at
+        };
+        let is_readable = demand.brittle.is_some() || !demand.malformed;
+        if is_readable
+            && self
+                .brittle
+                .record_statement(server, demand.brittle, stated_at)
+        {
+            changes.push(DemandChange::Brittle(demand.brittle));
+            let entry = self.entries.entry(server.clone()).or_default();
+            entry.reports = Some(PendingReports::new(now));
+        }
+        if !demand.full {
+            self.brittle.record_accepted(server, sent_at);
+        } else if self.brittle.tolerated(server).is_some() {
+            self.record_refusal(server, now);
+            changes.push(DemandChange::Refused);
+        }
+        changes
+    }
+
+    /// Records that a brittle server refused a request of any host.
+    fn record_refusal(&mut self, server: &str, now: TimePoint) {
+        let fraction = rank(server, &self.host) as f64 / u64::MAX as f64;
+        let hosts = self.hosts.len();
+        self.brittle.record_refusal(server, hosts, fraction, now);
+    }
+
     /// Records the limit that a server states in an answer to a request sent at `sent_at`, or that
     /// it states none.
     fn record_limit(
@@ -301,18 +377,23 @@
             if pending.sent == REPORT_DELAYS.len() {
                 entry.reports = None;
             }
-            let age = now.since(entry.stated_at).as_millis();
-            due.push(DemandReport {
-                server: server.clone(),
-                started_ms: self.starts.get(server).and_then(|start| start.started_ms),
-                limit: entry.limit,
-                leaving: entry.leaving,
-                age_ms: u32::try_from(age).unwrap_or(u32::MAX),
-            });
+            let started_ms = self.starts.get(server).and_then(|start| start.started_ms);
+            let brittle = self.brittle.tolerated(server);
+            due.push(entry.report(server, started_ms, brittle, now));
         }
         due
     }
 
+    /// Returns the report that a brittle server has refused a request of this host.
+    pub fn refusal_report(&self, server: &Arc<str>, now: TimePoint) -> DemandReport {
+        let started_ms = self.starts.get(server).and_then(|start| start.started_ms);
+        let entry = self.entries.get(server).cloned().unwrap_or_default();
+        DemandReport {
+            full: true,
+            ..entry.report(server, started_ms, self.brittle.tolerated(server), now)
+        }
+    }
+
     /// Records what another host reports of a listed server. Returns the relevant change of the
     /// server's demands; reports of another start, or older than what is known, change nothing.
     pub fn record_report(&mut self, report: &DemandReport, now: TimePoint) -> Option<DemandChange> {
@@ -322,6 +403,24 @@
             return None;
         }
         let stated_at = now - Duration::from_millis(report.age_ms.into());
+        let brittle_at = if report.full { now } else { stated_at };
+        let is_change = self
+            .brittle
+            .record_statement(&report.server, report.brittle, brittle_at);
+        if report.full {
+            self.record_refusal(&report.server, now);
+        }
+        let change = self.record_reported_demand(report, stated_at, now);
+        change.or_else(|| is_change.then_some(DemandChange::Brittle(report.brittle)))
+    }
+
+    /// Records whether a server leaves and which limit it names, as another host reports.
+    fn record_reported_demand(
+        &mut self,
+        report: &DemandReport,
+        stated_at: TimePoint,
+        now: TimePoint,
+    ) -> Option<DemandChange> {
         if report.leaving {
             return self.record_leaving(&report.server, stated_at, now);
         }
@@ -362,7 +461,22 @@
         self.entries.get(server).is_some_and(|entry| entry.leaving)
     }
 
-    /// Returns why this host may not send a request to a server now; `None` if it may.
+    /// Returns why a brittle server may get no request now, of which all hosts together are known to
+    /// have `in_flight` there; `None` if it may.
+    pub fn room_denial(
+        &self,
+        server: &ServerEntry,
+        in_flight: u32,
+        now: TimePoint,
+    ) -> Option<SendDenial> {
+        let until = self
+            .brittle
+            .closed_until(&server.id, in_flight, server.slots, now)?;
+        Some(SendDenial::Full { until })
+    }
+
+    /// Returns why this host may not send a request to a server now, whatever room it has; `None` if it
+    /// may.
     pub fn denial(&mut self, server: &ServerEntry, now: TimePoint) -> Option<SendDenial> {
         if self.is_leaving(&server.id) {
             return Some(SendDenial::Leaving);
@@ -400,9 +514,11 @@
     ///
     /// Returns why the request may not be sent now.
     pub fn take(&mut self, server: &ServerEntry, now: TimePoint) -> Result<(), SendDenial> {
-        if let Some(denial) = self.denial(server, now) {
+        let denial = self.denial(server, now);
+        if let Some(denial) = denial.or_else(|| self.room_denial(server, 0, now)) {
             return Err(denial);
         }
+        self.brittle.record_sent(&server.id, now);
         if let Some(entry) = self.entries.get_mut(&server.id) {
             if entry.limit.is_some() {
                 entry.sends.push_back(now);
@@ -432,6 +548,7 @@
 
     /// Gives back a permit taken at `taken_at` for a request that was not written.
     pub fn give_back(&mut self, server: &str, taken_at: TimePoint) {
+        self.brittle.give_back(server, taken_at);
         let Some(entry) = self.entries.get_mut(server) else {
             return;
         };
--- a/gateway/src/coordination/placement/load_estimator.rs
+++ b/gateway/src/coordination/placement/load_estimator.rs
@@ -194,6 +194,12 @@
         self.loads.get(server).cloned().unwrap_or_default()
     }
 
+    /// Returns the requests of all hosts that are known to be in flight at a server.
+    pub fn in_flight(&self, server: &Arc<str>, now: TimePoint) -> u32 {
+        let own = self.loads.get(server).map_or(0, |load| load.in_flight);
+        own.saturating_add(self.remote_load(short_server_id(server), now).in_flight)
+    }
+
     /// Returns the predicted seconds until a server begins to answer a request of `work` seconds.
     /// Servers that fail or refuse connections cost more.
     pub fn cost(&self, server: &Arc<str>, work: f64, concurrency: f64, now: TimePoint) -> f64 {
--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -86,6 +86,15 @@
         /// Where the host learned it: from the server's `answer`, or from another `host`.
         source: &'static str,
     },
+    /// A server stated that it is brittle, or no longer.
+    ServerBrittle {
+        /// Identifier of the server.
+        server: Arc<str>,
+        /// Requests that it can refuse in a second without falling over; `None` if it is not brittle.
+        tolerated: Option<u32>,
+        /// Where the host learned it: from the server's `answer`, or from another `host`.
+        source: &'static str,
+    },
     /// A server stated that it leaves.
     ServerLeaving {
         /// Identifier of the server.
@@ -164,6 +173,8 @@
         share_used: usize,
         /// Servers of whose limit the host holds no share.
         no_share: usize,
+        /// Brittle servers without room.
+        full: usize,
     },
     /// The smaller model's answer was kept, or dropped in order to run the largest model.
     ModelJudged {
--- a/gateway/src/state/host_report.rs
+++ b/gateway/src/state/host_report.rs
@@ -31,6 +31,10 @@
     pub leaving: bool,
     /// Time since the answer, in milliseconds.
     pub age_ms: u32,
+    /// Requests that it can refuse in a second without falling over; `None` if it is not brittle.
+    pub brittle: Option<u32>,
+    /// Whether it is brittle and has just refused a request for want of room.
+    pub full: bool,
 }
 
 /// Where other hosts can reach a host.
--- a/gateway/src/state/server_demand.rs
+++ b/gateway/src/state/server_demand.rs
@@ -11,6 +11,10 @@
     pub leaving: bool,
     /// Time for which it wants no request of this host; `None` unless it refuses one with a pause.
     pub pause: Option<Duration>,
+    /// Requests that it can refuse in a second without falling over; `None` if it is not brittle.
+    pub brittle: Option<u32>,
+    /// Whether it refuses the request for want of room.
+    pub full: bool,
     /// Whether a statement could not be read; it then says nothing about the end of a demand.
     pub malformed: bool,
 }
--- a/gateway/src/transport/request_exchange/request_log.rs
+++ b/gateway/src/transport/request_exchange/request_log.rs
@@ -70,6 +70,7 @@
             paused: count(|denial| matches!(denial, SendDenial::Paused { .. })),
             share_used: count(|denial| matches!(denial, SendDenial::ShareUsed { .. })),
             no_share: count(|denial| matches!(denial, SendDenial::NoShare)),
+            full: count(|denial| matches!(denial, SendDenial::Full { .. })),
         };
         log_record(Level::Info, &record);
     }
--- a/gateway/src/transport/request_exchange/server_choice.rs
+++ b/gateway/src/transport/request_exchange/server_choice.rs
@@ -134,7 +134,9 @@
             .denials()
             .into_iter()
             .filter_map(|denial| match denial {
-                SendDenial::Paused { until } | SendDenial::ShareUsed { until } => Some(until),
+                SendDenial::Paused { until }
+                | SendDenial::ShareUsed { until }
+                | SendDenial::Full { until } => Some(until),
                 SendDenial::Leaving | SendDenial::NoShare => None,
             });
         let earliest = untils.min()?;
@@ -185,7 +187,13 @@
             .find(|group| group.iter().any(is_untried))?;
         let permitted: Vec<&ServerEntry> = {
             let mut permits = self.context.permits();
-            let is_permitted = |entry: &&ServerEntry| permits.denial(entry, now).is_none();
+            let is_permitted = |entry: &&ServerEntry| {
+                let has_room = || {
+                    let in_flight = loads.in_flight(&entry.id, now);
+                    permits.room_denial(entry, in_flight, now).is_none()
+                };
+                has_room() && permits.denial(entry, now).is_none()
+            };
             group.into_iter().filter(is_permitted).collect()
         };
         pick_server(&permitted, &query, &loads, settings, now)
@@ -195,14 +203,18 @@
     pub(super) fn denials(&self) -> Vec<SendDenial> {
         let now = self.context.now();
         let servers = self.context.servers();
+        let loads = self.context.loads();
         let mut permits = self.context.permits();
         let serving = servers.serving(&self.service, now);
         let untried = serving
             .into_iter()
             .filter(|entry| !self.tried.contains(&entry.id));
-        untried
-            .filter_map(|entry| permits.denial(entry, now))
-            .collect()
+        let denial = |entry: &ServerEntry| {
+            let in_flight = loads.in_flight(&entry.id, now);
+            let denial = permits.denial(entry, now);
+            denial.or_else(|| permits.room_denial(entry, in_flight, now))
+        };
+        untried.filter_map(denial).collect()
     }
 
     /// Returns the model chosen for the request or else named by it; empty if there is none.
--- a/gateway/src/transport/send_permit.rs
+++ b/gateway/src/transport/send_permit.rs
@@ -24,7 +24,13 @@
         server: &ServerEntry,
     ) -> Result<Self, SendDenial> {
         let taken_at = context.now();
-        context.permits().take(server, taken_at)?;
+        let in_flight = context.loads().in_flight(&server.id, taken_at);
+        let mut permits = context.permits();
+        if let Some(denial) = permits.room_denial(server, in_flight, taken_at) {
+            return Err(denial);
+        }
+        permits.take(server, taken_at)?;
+        drop(permits);
         Ok(Self {
             context: context.clone(),
             server: server.clone(),
--- a/gateway/src/transport/server_demands.rs
+++ b/gateway/src/transport/server_demands.rs
@@ -38,6 +38,10 @@
         Vec::new()
     };
     for change in changes {
+        if change == DemandChange::Refused {
+            let report = context.permits().refusal_report(&server.id, now);
+            context.send_to_peers(PeerMessage::Demand(report));
+        }
         send_due_reports(context);
         apply_demand_change(context, &server.id, change, "answer");
     }
@@ -74,6 +78,15 @@
             let pause_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
             GatewayRecord::ServerPaused { server, pause_ms }
         }
+        DemandChange::Refused => {
+            context.metrics.increment("brittle_refusals_total");
+            return;
+        }
+        DemandChange::Brittle(tolerated) => GatewayRecord::ServerBrittle {
+            server,
+            tolerated,
+            source,
+        },
         DemandChange::Limit { from, to } => GatewayRecord::ServerLimited {
             share_requests: entry.and_then(|entry| share_requests(context, &entry)),
             server,
--- a/gateway/tests/decisions/limits.rs
+++ b/gateway/tests/decisions/limits.rs
@@ -322,6 +322,8 @@
         limit: None,
         leaving: false,
         age_ms: 400,
+        brittle: None,
+        full: false,
     };
     assert_eq!(host.record_report(&report, at(500)), None);
     for limit in [f64::NAN, f64::INFINITY, -1.0] {
--- a/gateway/tests/decisions/main.rs
+++ b/gateway/tests/decisions/main.rs
@@ -1,6 +1,7 @@
 //! Tests of an entry host's decisions, each under the load pattern that the decision must handle.
 
 mod admission;
+mod brittle;
 mod budget;
 mod cascade;
 mod crashes;
