Stop a version whose answers are slow for their load

Cause: each answer was graded alone by its time to the first byte, from 3.5 times the median on, which cold caches and queues scatter more than the version does. Change: coordination/rollouts/pace_comparison.rs: paces between events are compared with those of the version before at the same host, model and load, and a sequential test adds up the slow ones of all hosts. Trial reports carry the counts, and go out for good answers too. Why it works: the time between events does not depend on caches, and load is taken out of it.

--- a/gateway/src/coordination/rollouts/rollout_tracker.rs
+++ b/gateway/src/coordination/rollouts/rollout_tracker.rs
@@ -14,7 +14,9 @@
 
 use galenamast::state::TimePoint;
 
-use crate::coordination::rollouts::{SessionTracker, TrialSettings, VersionTrial};
+use crate::coordination::rollouts::{
+    AnswerPace, PaceBaseline, SessionTracker, TrialSettings, VersionTrial,
+};
 use crate::state::{AnswerGrade, RolloutOrder, RolloutReport, RolloutState, TrialReport};
 
 /// Share that stands for all sessions, in thousandths.
@@ -23,6 +25,9 @@
 /// report costs a message to every host.
 const REPORTED_BAD_COUNTS: [u32; 6] = [1, 2, 3, 5, 8, 13];
 
+/// Number of compared answers after which a host reports to the others, besides the powers of two.
+const PACE_REPORT_STEP: u32 = 8;
+
 /// Settings of a roll-out's schedule.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RolloutSettings {
@@ -79,16 +84,32 @@
     observed_start: bool,
     trial: VersionTrial,
     stopped: bool,
+    // Number of answers of the new version that were compared at this host.
+    compared: u32,
     // Whether the store has lost the report of the order's state.
     report_lost: bool,
 }
 
+impl RolloutView {
+    /// Returns the report of this host's evidence.
+    fn report(&self) -> TrialReport {
+        TrialReport {
+            service: self.order.service.clone(),
+            target: self.order.target.clone(),
+            counts: self.trial.local_counts(),
+            paces: self.trial.local_paces(),
+        }
+    }
+}
+
 /// The known roll-outs, by service.
 #[derive(Clone, Debug)]
 pub struct RolloutTracker {
     settings: RolloutSettings,
     views: BTreeMap<Arc<str>, RolloutView>,
     sessions: SessionTracker,
+    // Paces of the versions that are not on trial, by service.
+    paces: BTreeMap<Arc<str>, PaceBaseline>,
 }
 
 impl RolloutTracker {
@@ -99,6 +120,7 @@
             settings,
             views: BTreeMap::new(),
             sessions,
+            paces: BTreeMap::new(),
         }
     }
 
@@ -126,6 +148,7 @@
                     observed_start: order.state == RolloutState::Ordered,
                     trial: VersionTrial::new(self.settings.trial),
                     stopped: false,
+                    compared: 0,
                     report_lost: false,
                     order: order.clone(),
                 };
@@ -221,11 +244,39 @@
         let counts = view.trial.local_counts();
         let bad = counts.failures + counts.slow;
         let should_report = grade != AnswerGrade::Good && REPORTED_BAD_COUNTS.contains(&bad);
-        should_report.then(|| TrialReport {
-            service: service.clone(),
-            target: version.clone(),
-            counts,
-        })
+        should_report.then(|| view.report())
+    }
+
+    /// Records the pace of a successful answer to a kind of request; returns what to report
+    /// to other hosts.
+    pub fn record_pace(
+        &mut self,
+        service: &Arc<str>,
+        kind: &Arc<str>,
+        server: (&Arc<str>, &Arc<str>),
+        pace: AnswerPace,
+        now: TimePoint,
+    ) -> Option<TrialReport> {
+        let (server, version) = server;
+        let settings = self.settings.trial.pace;
+        let baseline = self
+            .paces
+            .entry(service.clone())
+            .or_insert_with(|| PaceBaseline::new(settings));
+        let on_trial = |view: &&mut RolloutView| is_open(view) && view.order.target == *version;
+        let Some(view) = self.views.get_mut(service).filter(on_trial) else {
+            baseline.record(kind, pace, now);
+            return None;
+        };
+        if view.stopped {
+            return None;
+        }
+        let is_slow = baseline.is_slow(kind, pace)?;
+        view.trial.record_pace(server, is_slow);
+        view.stopped = view.trial.is_bad();
+        view.compared += 1;
+        let is_due = view.compared.is_power_of_two() || view.compared % PACE_REPORT_STEP == 0;
+        (is_due || view.stopped).then(|| view.report())
     }
 
     /// Records the counts that another host reported.
@@ -237,6 +288,7 @@
             return;
         }
         view.trial.record_remote(host, report.counts);
+        view.trial.record_remote_paces(host, report.paces);
         view.stopped |= view.trial.is_bad();
     }
 
--- a/gateway/src/coordination/rollouts/version_trial.rs
+++ b/gateway/src/coordination/rollouts/version_trial.rs
@@ -9,7 +9,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::state::{AnswerGrade, GradeCounts};
+use crate::coordination::rollouts::{ComparedAnswers, PaceSettings};
+use crate::state::{AnswerGrade, GradeCounts, PaceCounts};
 
 /// Greatest number of paces of the previous version that are remembered.
 const MAX_BASELINE_PACES: usize = 64;
@@ -40,6 +41,8 @@
     pub slow_ratio: f64,
     /// Time to the first byte below which no answer is slow.
     pub slow_floor: Duration,
+    /// Comparison of paces.
+    pub pace: PaceSettings,
 }
 
 impl Default for TrialSettings {
@@ -53,6 +56,7 @@
             slow_share: 0.3,
             slow_ratio: 3.5,
             slow_floor: Duration::from_millis(150),
+            pace: PaceSettings::default(),
         }
     }
 }
@@ -76,6 +80,8 @@
     baseline: GradeCounts,
     local: GradeCounts,
     remote: BTreeMap<SocketAddr, GradeCounts>,
+    compared: ComparedAnswers,
+    remote_paces: BTreeMap<SocketAddr, PaceCounts>,
 }
 
 impl VersionTrial {
@@ -131,6 +137,31 @@
         self.remote.insert(host, counts);
     }
 
+    /// Records whether an answer of the new version was slow for its load.
+    pub fn record_pace(&mut self, server: &Arc<str>, is_slow: bool) {
+        let max_compared = self.settings.pace.max_compared;
+        self.compared.record(server, is_slow, max_compared);
+    }
+
+    /// Replaces the counts by pace that another host reported.
+    pub fn record_remote_paces(&mut self, host: SocketAddr, paces: PaceCounts) {
+        self.remote_paces.insert(host, paces);
+    }
+
+    /// Returns the counts by pace of this host.
+    pub fn local_paces(&self) -> PaceCounts {
+        self.compared.counts()
+    }
+
+    /// Returns the counts by pace of all hosts.
+    pub fn all_paces(&self) -> PaceCounts {
+        let mut counts = self.local_paces();
+        self.remote_paces
+            .values()
+            .for_each(|remote| counts.add(*remote));
+        counts
+    }
+
     /// Returns the counts of this host.
     pub fn local_counts(&self) -> GradeCounts {
         self.local
@@ -138,7 +169,9 @@
 
     /// Returns whether the evidence shows that the version is bad.
     pub fn is_bad(&self) -> bool {
-        self.latest.values().any(|latest| self.is_route_bad(latest)) || self.is_bad_overall()
+        self.latest.values().any(|latest| self.is_route_bad(latest))
+            || self.is_bad_overall()
+            || self.settings.pace.is_slow(self.all_paces())
     }
 
     /// Returns whether the latest answers of a route are bad.
@@ -182,16 +215,23 @@
 
     /// Summarizes the evidence for a log record.
     pub fn summary(&self) -> String {
-        let (local, baseline) = (self.local, self.baseline);
+        let (local, baseline, paces) = (self.local, self.baseline, self.all_paces());
+        let settings = self.settings.pace;
+        let ratio = paces.log_likelihood_ratio(settings.good_part, settings.bad_part);
         format!(
-            "new: {} failed, {} slow of {}; before: {} failed, {} slow of {}; {} other hosts told",
+            "new: {} failed, {} slow of {}; before: {} failed, {} slow of {}; {} other hosts told; \
+             paces: {} slow of {}, log likelihood ratio {:.1}, {} other hosts told",
             local.failures,
             local.slow,
             local.answers,
             baseline.failures,
             baseline.slow,
             baseline.answers,
-            self.remote.len()
+            self.remote.len(),
+            paces.slow,
+            paces.answers,
+            ratio,
+            self.remote_paces.len()
         )
     }
 }
--- a/gateway/src/state/host_report.rs
+++ b/gateway/src/state/host_report.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::state::GradeCounts;
+use crate::state::{GradeCounts, PaceCounts};
 
 /// Counts of a version on trial by one host.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,6 +16,8 @@
     pub target: Arc<str>,
     /// Counts of the version's answers.
     pub counts: GradeCounts,
+    /// Counts of the version's answers by pace.
+    pub paces: PaceCounts,
 }
 
 /// What a server stated in an answer to one host.
--- a/gateway/src/state/mod.rs
+++ b/gateway/src/state/mod.rs
@@ -6,6 +6,7 @@
 mod crash_report;
 mod freshness_report;
 mod host_report;
+mod pace_counts;
 mod rollout_order;
 mod server_demand;
 mod server_entry;
@@ -18,6 +19,7 @@
 pub use crash_report::{CrashReport, CrashSuspect, PartReport};
 pub use freshness_report::{FollowedKind, FreshnessReport};
 pub use host_report::{DemandReport, HostPresence, TrialReport};
+pub use pace_counts::PaceCounts;
 pub use rollout_order::{RolloutOrder, RolloutReport, RolloutState};
 pub use server_demand::ServerDemand;
 pub use server_entry::ServerEntry;
--- a/gateway/src/transport/request_exchange/feedback.rs
+++ b/gateway/src/transport/request_exchange/feedback.rs
@@ -5,8 +5,9 @@
 use log::Level;
 
 use crate::coordination::requests::AttemptOutcome;
+use crate::coordination::rollouts::AnswerPace;
 use crate::protocol::{GatewayRecord, PeerMessage};
-use crate::state::{AnswerGrade, ServerEntry};
+use crate::state::{AnswerGrade, ServerEntry, TrialReport};
 use crate::transport::crash_check::{LostServer, check_crash};
 use crate::transport::reach_probe::record_unreachable;
 use crate::transport::record_log::log_record;
@@ -97,9 +98,33 @@
         let mut rollouts = self.context.rollouts();
         let was_stopped = rollouts.is_stopped(&self.service);
         let report = rollouts.record_answer(&self.service, &self.route.name, responder, grade);
+        drop(rollouts);
+        self.apply_trial(report, server, was_stopped);
+    }
+
+    /// Records the pace of a successful response for the trial of its version: seconds between events,
+    /// or of the whole response if it is not streamed.
+    pub(crate) fn record_pace(&self, server: &ServerEntry, seconds: f64) {
+        // The time between events depends on the model and not on the route.
+        let (kind, _) = self.class();
+        let now = self.context.now();
+        let load = self.context.loads().in_flight(&server.id, now);
+        let pace = AnswerPace { seconds, load };
+        let responder = (&server.id, &server.version);
+        let mut rollouts = self.context.rollouts();
+        let was_stopped = rollouts.is_stopped(&self.service);
+        let report = rollouts.record_pace(&self.service, &kind, responder, pace, now);
+        drop(rollouts);
+        self.apply_trial(report, server, was_stopped);
+    }
+
+    /// Sends a report on a version on trial to the other hosts, and logs if the evidence has stopped the
+    /// version.
+    fn apply_trial(&self, report: Option<TrialReport>, server: &ServerEntry, was_stopped: bool) {
         if let Some(report) = report {
             self.context.send_to_peers(PeerMessage::Trial(report));
         }
+        let rollouts = self.context.rollouts();
         if rollouts.is_stopped(&self.service) && !was_stopped {
             let record = GatewayRecord::RolloutChanged {
                 service: self.service.clone(),
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -189,6 +189,7 @@
             match read {
                 Ok(whole) if !status.is_server_error() => {
                     self.record_begun();
+                    self.record_pace(&server, latency.as_secs_f64());
                     self.record_good_response(&server, latency);
                     return Ok(whole);
                 }
--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -10,6 +10,7 @@
 use hyper::body::Frame;
 
 use crate::coordination::requests::AttemptOutcome;
+use crate::coordination::rollouts::StreamPace;
 use crate::protocol::{EventSplitter, StreamEvent};
 use crate::transport::attempt_runner::{OpenResponse, remaining_time};
 use crate::transport::request_exchange::RequestExchange;
@@ -39,6 +40,7 @@
     pending: VecDeque<Bytes>,
     delivered: u64,
     last_received_at: TimePoint,
+    pace: StreamPace,
 }
 
 impl StreamRelay {
@@ -57,6 +59,7 @@
             last_id,
             pending: VecDeque::new(),
             delivered: 0,
+            pace: StreamPace::default(),
         }
     }
 
@@ -132,6 +135,7 @@
     /// missing.
     fn accept_event(&mut self, event: StreamEvent) -> bool {
         self.exchange.record_event();
+        self.record_pace(false);
         if let (Some(id), Some(last)) = (event.id, self.last_id) {
             if id <= last {
                 return true;
@@ -146,6 +150,15 @@
         true
     }
 
+    /// Records the pace of the response once enough events came, or at its end.
+    fn record_pace(&mut self, is_end: bool) {
+        let now = self.exchange.context.now();
+        let pace = self.pace.record(self.exchange.attempt_events, is_end, now);
+        if let (Some(pace), Some(response)) = (pace, &self.response) {
+            self.exchange.record_pace(&response.server, pace);
+        }
+    }
+
     /// Returns the gap between frames after which the server counts as stalled.
     fn stall_timeout(&self) -> Duration {
         let gap = self.exchange.route.gap_goal.unwrap_or(MIN_STALL_TIMEOUT);
@@ -171,6 +184,7 @@
         match self.exchange.open_stream(self.last_id).await {
             Ok(response) => {
                 self.splitter = EventSplitter::default();
+                self.pace = StreamPace::default();
                 self.response = Some(response);
                 Ok(())
             }
@@ -189,6 +203,7 @@
     /// Logs that the response is complete, and returns its connection to the pool.
     fn finish(&mut self) {
         self.exchange.record_begun();
+        self.record_pace(true);
         let attempts = self.exchange.tally.tries + 1;
         self.exchange
             .log_end(200, "answered", attempts, self.delivered);
--- a/gateway/tests/decisions/main.rs
+++ b/gateway/tests/decisions/main.rs
@@ -10,6 +10,7 @@
 mod freshness;
 mod limits;
 mod outcomes;
+mod paces;
 mod pauses;
 mod placement;
 mod reach;
