State which timeout gives up keep-alive probes

Change: comments only; both bounds stay, and no decision relied on the shorter time. Result: none measured.

--- a/gateway/src/transport/connection_pool.rs
+++ b/gateway/src/transport/connection_pool.rs
@@ -17,12 +17,12 @@
 use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 
-/// TCP keep-alive: idle time before the first probe, and time between probes. A dead peer is
-/// noticed within a second or two.
+/// TCP keep-alive: idle time before the first probe, and time between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// TCP keep-alive: unanswered probes after which a connection is dead.
+/// TCP keep-alive: unanswered probes after which a connection is dead, unless a user timeout is set.
 const KEEPALIVE_PROBES: u32 = 2;
-/// TCP user timeout: how long sent bytes may stay unacknowledged.
+/// TCP user timeout: how long sent bytes and keep-alive probes may stay unacknowledged. It decides when
+/// probes give up, whatever their number.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How long an idle connection is kept if its server states no limit.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
