Count responses against the memory for bodies

Callers saw: nothing yet; a server that sends bytes without end could make a host exceed its memory. Cause: a response that is not streamed was read up to 16 MB, and none of these bytes counted against the memory for bodies; a host of 88 MB holds five of them. An endless head and an endless stream without events were given up before; tests say so. Why it works: all responses together stay within the bound that requests have.

--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -7,7 +7,7 @@
 use galenamast::state::TimePoint;
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 
 use crate::coordination::requests::AttemptOutcome;
@@ -15,14 +15,12 @@
 use crate::state::{AttemptHead, CrashSuspect, ServerEntry};
 use crate::transport::attempt_guard::AttemptGuard;
 use crate::transport::connection_pool::BackendConnection;
+use crate::transport::counted_body::read_counted;
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::response_body::{ResponseBody, full_body};
 use crate::transport::send_permit::SendPermit;
 use crate::transport::server_demands::record_demand;
 
-/// Largest body of a response that is not streamed, in bytes.
-pub(crate) const MAX_RESPONSE_BYTES: usize = 16 * 1_024 * 1_024;
-
 /// One attempt to run a request on a backend server.
 #[derive(Debug)]
 pub(crate) struct AttemptRequest<'a> {
@@ -83,11 +81,10 @@
         context: &GatewayContext,
         deadline: TimePoint,
     ) -> Result<CompleteResponse, AttemptOutcome> {
-        let reading = Limited::new(self.body, MAX_RESPONSE_BYTES).collect();
+        let reading = read_counted(context, self.body);
         let remaining = remaining_time(context, deadline);
-        let collected = tokio::time::timeout(remaining, reading).await;
-        let collected = collected.map_err(|_| AttemptOutcome::Silent)?;
-        let body = collected.map_err(|_| AttemptOutcome::Broken)?.to_bytes();
+        let read = tokio::time::timeout(remaining, reading).await;
+        let body = read.map_err(|_| AttemptOutcome::Silent)??;
         if !self.head.closes {
             context.pool.keep(self.connection, self.head.idle_limit);
         }
--- a/gateway/src/transport/mod.rs
+++ b/gateway/src/transport/mod.rs
@@ -5,6 +5,7 @@
 mod attempt_runner;
 mod caller_listener;
 mod connection_pool;
+mod counted_body;
 mod crash_check;
 mod crash_reports;
 mod exchange_failure;
--- a/gateway/src/transport/request_exchange/relay.rs
+++ b/gateway/src/transport/request_exchange/relay.rs
@@ -6,7 +6,7 @@
 use futures_util::stream;
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 use log::Level;
 use rand::Rng;
@@ -15,8 +15,9 @@
 use crate::coordination::requests::FinalAnswer;
 use crate::protocol::{GatewayRecord, RELAY_UNSERVED, RELAYED_BY, strip_connection_headers};
 use crate::state::{HostPresence, RouteKind};
-use crate::transport::attempt_runner::{MAX_RESPONSE_BYTES, remaining_time};
+use crate::transport::attempt_runner::remaining_time;
 use crate::transport::connection_pool::BackendConnection;
+use crate::transport::counted_body::read_counted;
 use crate::transport::exchange_failure::ExchangeFailure;
 use crate::transport::record_log::log_record;
 use crate::transport::request_exchange::RequestExchange;
@@ -141,11 +142,11 @@
         let body = if self.route.kind == RouteKind::Stream && parts.status.is_success() {
             self.stream_body(connection, body)
         } else {
-            let reading = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+            let reading = read_counted(context, body);
             let remaining = remaining_time(context, self.deadline);
-            let collected = tokio::time::timeout(remaining, reading).await;
-            let collected = collected.ok().and_then(Result::ok);
-            let bytes = collected.ok_or(RelayFailure::Broken)?.to_bytes();
+            let read = tokio::time::timeout(remaining, reading).await;
+            let bytes = read.ok().and_then(Result::ok);
+            let bytes = bytes.ok_or(RelayFailure::Broken)?;
             context.pool.keep(connection, None);
             full_body(bytes)
         };
