--- a/gateway/tests/decisions/crashing_parts.rs
+++ b/gateway/tests/decisions/crashing_parts.rs
@@ -479,3 +479,30 @@
         (0..10_000).filter(|part| quarantine.refusal(&suspect(1, *part, *part), now).is_some());
     assert_eq!(refused.count(), 50);
 }
+
+// A sound part was refused first, and its crashes still counted against nothing else once it was answered.
+#[test]
+fn crashes_of_a_part_that_is_answered_count_against_the_others_again() {
+    let mut quarantine = CrashQuarantine::new("a".into(), CrashSettings::default());
+    let start = TimePoint::from_millis(1_000);
+    let sound = 77;
+    for number in 1..=3 {
+        let at = start + Duration::from_millis(300 * number);
+        let server = Arc::from(format!("s-{number}"));
+        // The more specific part of the two is refused while nothing tells them apart.
+        quarantine.record_crash(&server, &suspect(number, CRASHING_PART, sound), at);
+    }
+    let now = start + Duration::from_secs(2);
+    let refusal = quarantine.refusal(&suspect(90, 1, sound), now);
+    assert_eq!(refusal, Some(CrashRefusal::Part(sound)));
+    let answered = PartReport {
+        digest: sound,
+        crashes: 0,
+        age_ms: 0,
+    };
+    let verdict = quarantine.record_answer_reports(&[answered], now);
+    assert_eq!(
+        (verdict.released, verdict.refused),
+        (vec![sound], vec![CRASHING_PART])
+    );
+}
