Search each byte of a stream once

Callers saw: nothing yet; beside an endless line, other streams of the host would be late. Cause: the splitter searched an incomplete line from its beginning at each frame, up to 1 MB each time. Change: the splitter remembers up to where it has searched.

--- a/gateway/src/protocol/event_splitter.rs
+++ b/gateway/src/protocol/event_splitter.rs
@@ -27,7 +27,10 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
-    search_start: usize,
+    // Start of the last line, which is not complete.
+    line_start: usize,
+    // Number of bytes that are known to hold no further end of a line.
+    searched: usize,
 }
 
 impl EventSplitter {
@@ -51,7 +54,7 @@
         let mut events = Vec::new();
         while let Some(end) = self.find_end() {
             let bytes = self.buffer.split_to(end).freeze();
-            self.search_start = 0;
+            (self.line_start, self.searched) = (0, 0);
             let id = event_id(&bytes);
             events.push(StreamEvent { id, bytes });
         }
@@ -68,20 +71,18 @@
 
     /// Returns the end of the first event in the buffer; remembers where to search on.
     fn find_end(&mut self) -> Option<usize> {
-        let mut line_start = self.search_start;
-        while let Some(offset) = self.buffer[line_start..]
-            .iter()
-            .position(|byte| *byte == b'\n')
-        {
-            let line = &self.buffer[line_start..line_start + offset];
-            let next = line_start + offset + 1;
+        let mut line_start = self.line_start;
+        let mut from = self.searched.max(line_start);
+        while let Some(offset) = self.buffer[from..].iter().position(|byte| *byte == b'\n') {
+            let line = &self.buffer[line_start..from + offset];
+            let next = from + offset + 1;
             let is_blank = line.is_empty() || line == b"\r";
             if is_blank && line_start > 0 {
                 return Some(next);
             }
-            line_start = next;
+            (line_start, from) = (next, next);
         }
-        self.search_start = line_start;
+        (self.line_start, self.searched) = (line_start, self.buffer.len());
         None
     }
 }
--- a/gateway/tests/decisions/events.rs
+++ b/gateway/tests/decisions/events.rs
@@ -48,3 +48,18 @@
     let refused = (0..1_000).any(|_| splitter.push(&piece).is_err());
     assert!(refused);
 }
+
+// Each frame of an endless line was searched from the line's beginning.
+#[test]
+fn long_line_is_searched_once() {
+    let mut splitter = EventSplitter::default();
+    let started = std::time::Instant::now();
+    for _ in 0..100_000 {
+        assert!(splitter.push(b"xxxxxxxx").is_ok());
+    }
+    // Searching from the beginning takes 40 GB of reading.
+    assert!(started.elapsed() < std::time::Duration::from_secs(5));
+    let events = splitter.push(b"\n\n").expect("the event is short enough");
+    assert_eq!(events.len(), 1);
+    assert_eq!(events[0].bytes.len(), 800_002);
+}
