Read evacuation bound, cold times and engine memory from the platform

Cause: evacuations, cold servers and the memory of engines were not read from settings, configuration, server entries or answers. Change: decode them once into typed fields; nothing uses them yet.

--- a/gateway/benches/pick_decision.rs
+++ b/gateway/benches/pick_decision.rs
@@ -30,6 +30,7 @@
         slots: 64,
         draining: false,
         started_ms: None,
+        cold_for: Duration::ZERO,
     };
     (0..count).map(server).collect()
 }
--- a/gateway/src/coordination/permits/mod.rs
+++ b/gateway/src/coordination/permits/mod.rs
@@ -6,9 +6,11 @@
 //! twice: when the server is chosen, and just before the request is written.
 
 mod brittle_servers;
+mod cold_settings;
 mod limit_share;
 mod server_permits;
 
 pub use brittle_servers::{BrittleServers, BrittleSettings};
+pub use cold_settings::ColdSettings;
 pub use limit_share::{HostShare, LimitSettings, SharePlan, holds_share, plan_shares, plan_slot};
 pub use server_permits::{DemandChange, SendDenial, ServerPermits};
--- a/gateway/src/protocol/platform_format.rs
+++ b/gateway/src/protocol/platform_format.rs
@@ -41,6 +41,8 @@
     pub closes: bool,
     /// What the server asks of the hosts.
     pub demand: ServerDemand,
+    /// Time for which the server stays cold, if stated.
+    pub cold_for: Option<Duration>,
     /// Whether the body has a content encoding; no backend server uses one.
     pub encoded: bool,
 }
--- a/gateway/src/state/server_entry.rs
+++ b/gateway/src/state/server_entry.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// A backend server.
 #[derive(Clone, Debug, PartialEq)]
@@ -22,4 +23,6 @@
     pub draining: bool,
     /// Unix time at which the server started, in milliseconds, if stated.
     pub started_ms: Option<u64>,
+    /// Time for which it tolerated few requests, as of its last statement; zero if it is warm.
+    pub cold_for: Duration,
 }
--- a/gateway/src/state/service_route.rs
+++ b/gateway/src/state/service_route.rs
@@ -94,8 +94,17 @@
     pub cost: f64,
 }
 
+/// What the servers of a service tolerate for a time after their start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdSpec {
+    /// Time after a start for which a server is cold.
+    pub duration: Duration,
+    /// Requests per second that a cold server tolerates, of all hosts together.
+    pub rate: f64,
+}
+
 /// A service and what its servers run.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ServiceSpec {
     /// Name of the service.
     pub name: Arc<str>,
@@ -103,4 +112,8 @@
     pub engine_slots: Option<u32>,
     /// Models that its engines run.
     pub models: Vec<EngineModel>,
+    /// Tokens that the requests of an engine and its cache share; `None` if that is not stated.
+    pub engine_tokens: Option<u64>,
+    /// What its servers tolerate after a start; `None` if they are never cold.
+    pub cold: Option<ColdSpec>,
 }
--- a/gateway/src/transport/gateway_settings.rs
+++ b/gateway/src/transport/gateway_settings.rs
@@ -8,7 +8,7 @@
 use crate::coordination::budgets::BudgetSettings;
 use crate::coordination::cascade::CascadeSettings;
 use crate::coordination::crashes::CrashSettings;
-use crate::coordination::permits::LimitSettings;
+use crate::coordination::permits::{ColdSettings, LimitSettings};
 use crate::coordination::placement::{LoadSettings, PickSettings, PrefixCacheSettings};
 use crate::coordination::reach::ReachSettings;
 use crate::coordination::rollouts::RolloutSettings;
@@ -55,6 +55,11 @@
     pub rollback_bound: Duration,
     /// Timeout for calls to the store other than watches.
     pub store_timeout: Duration,
+    /// Time within which a host must stop sending to an evacuated failure domain; `None` if domains
+    /// are not evacuated.
+    pub evacuation_bound: Option<Duration>,
+    /// Bound on requests to cold servers; `None` if servers are never cold.
+    pub cold: Option<ColdSettings>,
     /// Rejection of requests that cannot be served in time.
     pub admission: AdmissionSettings,
     /// Limits on retries.
@@ -104,6 +109,8 @@
             configuration_bound: Duration::from_secs(2),
             rollback_bound: Duration::from_secs(5),
             store_timeout: Duration::from_millis(1_000),
+            evacuation_bound: None,
+            cold: None,
             admission: AdmissionSettings::default(),
             budget: BudgetSettings::default(),
             cascade: CascadeSettings::default(),
--- a/gateway/tests/decisions/admission.rs
+++ b/gateway/tests/decisions/admission.rs
@@ -55,6 +55,7 @@
         slots: SLOTS,
         draining: false,
         started_ms: None,
+        cold_for: Duration::ZERO,
     };
     (0..ENGINES).map(entry).collect()
 }
--- a/gateway/tests/decisions/brittle.rs
+++ b/gateway/tests/decisions/brittle.rs
@@ -3,6 +3,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Duration;
 
 use galenamast::state::TimePoint;
 use galenamast_gateway::coordination::permits::{LimitSettings, SendDenial, ServerPermits};
@@ -42,6 +43,7 @@
         slots: SLOTS,
         draining: false,
         started_ms: Some(1_000),
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/gateway/tests/decisions/crashes.rs
+++ b/gateway/tests/decisions/crashes.rs
@@ -20,6 +20,7 @@
         slots: 6,
         draining: false,
         started_ms: None,
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/gateway/tests/decisions/pauses.rs
+++ b/gateway/tests/decisions/pauses.rs
@@ -23,6 +23,7 @@
         slots: 24,
         draining: false,
         started_ms: Some(1_000),
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/gateway/tests/decisions/placement.rs
+++ b/gateway/tests/decisions/placement.rs
@@ -94,6 +94,7 @@
                 slots: 64,
                 draining: false,
                 started_ms: None,
+                cold_for: Duration::ZERO,
             });
         }
     }
--- a/gateway/tests/decisions/table.rs
+++ b/gateway/tests/decisions/table.rs
@@ -19,6 +19,7 @@
         slots: 64,
         draining,
         started_ms: Some(1),
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/gateway/tests/structure.rs
+++ b/gateway/tests/structure.rs
@@ -54,6 +54,11 @@
         "server-limit",
         "server-leaving",
         "store-era",
+        "x-cold-milliseconds",
+        "cold_remaining_ms",
+        "cold_per_s",
+        "evacuate_ms",
+        "cache_tokens",
     ];
     let mut violations = Vec::new();
     for folder in ["gateway/src", "galenamast/src", "program/src"] {
