Send nothing to the servers of evacuated failure domains

Cause: an operator evacuates a failure domain by an object in the store, and hosts did not know the kind. With the component disabled, 154 of 154 arrivals from 5 s after the operator's write on were at servers of the evacuated domain, which is the hosts' own (end-to-end test, 3 hosts, one request each 15 ms).

Change: DomainEvacuations holds the state of each domain with the store position of its last change. It is fed by a fourth followed kind, which the setting for evacuations enables, and by the datagram Evacuations. StoreFreshness follows the kinds that the settings name, and FreshnessReport::changed is a list in their order. The state is checked when servers are selected, when a permit is taken and just before the request is written. Probes for a path leave evacuated servers out; a service all of whose servers are evacuated is not lost, and its requests are rejected at once and not passed on. A host serves nothing before it knows the evacuations, as the configuration alone could be read earlier. KindUpdate carries the position of a list.

Result: 0 arrivals in the same test. Without the setting the store gets no call for the kind.

Tests changed: gateway/tests/decisions/freshness.rs names the kinds that every host follows (FollowedKind::ALWAYS, before ALL) and builds the list of positions as a Vec; no assertion changed.

--- /dev/null
+++ b/gateway/src/coordination/evacuations/mod.rs
@@ -0,0 +1,5 @@
+//! Tracks which failure domains the operator has evacuated.
+
+mod domain_evacuations;
+
+pub use domain_evacuations::{DomainEvacuations, EvacuationSettings};
--- a/gateway/src/coordination/freshness/store_freshness.rs
+++ b/gateway/src/coordination/freshness/store_freshness.rs
@@ -30,13 +30,15 @@
 const READ_PAUSE_PART: f64 = 0.2;
 
 /// Settings of confirmations.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct FreshnessSettings {
     /// Age of the last confirmation from which this host confirms its knowledge itself. It differs
     /// between hosts, so that usually one host of a failure domain calls the store.
     pub confirm_age: Duration,
     /// Shortest pause between two reads of a kind that reports of other hosts cause.
     pub min_read_pause: Duration,
+    /// Kinds that the host follows, in the order in which hosts report them.
+    pub kinds: Vec<FollowedKind>,
 }
 
 impl FreshnessSettings {
@@ -47,6 +49,7 @@
         Self {
             confirm_age: bound.mul_f64(first + (last - first) * rank.clamp(0.0, 1.0)),
             min_read_pause: bound.mul_f64(READ_PAUSE_PART),
+            kinds: FollowedKind::ALWAYS.to_vec(),
         }
     }
 }
@@ -177,8 +180,9 @@
         }
         let confirmed_at = now - Duration::from_millis(u64::from(report.age_ms));
         let mut is_behind = false;
-        for (kind, changed) in FollowedKind::ALL.into_iter().zip(report.changed) {
-            let Some(progress) = self.kinds.get_mut(&kind) else {
+        for (kind, changed) in self.settings.kinds.iter().zip(&report.changed) {
+            let changed = *changed;
+            let Some(progress) = self.kinds.get_mut(kind) else {
                 continue;
             };
             if changed > progress.complete {
@@ -216,12 +220,12 @@
         let age = self.oldest_age(now)?;
         let changed = |kind| {
             self.kinds
-                .get(&kind)
+                .get(kind)
                 .map_or(StorePosition::default(), |kind| kind.changed)
         };
         Some(FreshnessReport {
             revision: self.kinds.values().map(|kind| kind.complete).min()?,
-            changed: FollowedKind::ALL.map(changed),
+            changed: self.settings.kinds.iter().map(changed).collect(),
             age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
         })
     }
@@ -234,8 +238,8 @@
 
     /// Returns the time since all kinds were confirmed; `None` if one never was.
     pub fn oldest_age(&self, now: TimePoint) -> Option<Duration> {
-        let ages = FollowedKind::ALL.map(|kind| self.age(kind, now));
-        let known: Option<Vec<Duration>> = ages.into_iter().collect();
+        let ages = self.settings.kinds.iter().map(|kind| self.age(*kind, now));
+        let known: Option<Vec<Duration>> = ages.collect();
         known?.into_iter().max()
     }
 
@@ -255,7 +259,7 @@
 
     /// Returns whether all kinds were listed.
     pub fn is_listed(&self) -> bool {
-        self.kinds.len() == FollowedKind::ALL.len()
+        self.kinds.len() == self.settings.kinds.len()
     }
 
     /// Advances the revision up to which all changes of all kinds are known.
--- a/gateway/src/coordination/mod.rs
+++ b/gateway/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 pub mod budgets;
 pub mod cascade;
 pub mod crashes;
+pub mod evacuations;
 pub mod freshness;
 pub mod permits;
 pub mod placement;
--- a/gateway/src/coordination/permits/server_permits.rs
+++ b/gateway/src/coordination/permits/server_permits.rs
@@ -77,6 +77,8 @@
         /// When a request may be sent again.
         until: TimePoint,
     },
+    /// The server's failure domain is evacuated.
+    Evacuated,
 }
 
 /// One start of a listed server.
--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -175,6 +175,8 @@
         no_share: usize,
         /// Brittle servers without room.
         full: usize,
+        /// Servers in failure domains that are evacuated.
+        evacuated: usize,
     },
     /// The smaller model's answer was kept, or dropped in order to run the largest model.
     ModelJudged {
@@ -298,6 +300,17 @@
         /// For how long no server was reached, in milliseconds; `None` while none is.
         lost_ms: Option<u64>,
     },
+    /// A failure domain is evacuated from now on, or no longer.
+    EvacuationChanged {
+        /// Name of the domain.
+        domain: Arc<str>,
+        /// State after the change: `evacuated` or `ended`.
+        state: &'static str,
+        /// Where the host learned it: from the `store`, or from another `host`.
+        source: &'static str,
+        /// Number of listed servers in the domain.
+        servers: usize,
+    },
     /// A failure from which the host recovers.
     Fault {
         /// Component that encountered the failure.
--- a/gateway/src/protocol/platform_format.rs
+++ b/gateway/src/protocol/platform_format.rs
@@ -1,5 +1,6 @@
 //! Interface to a platform: how its messages are read and written.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::{HeaderMap, StatusCode};
@@ -86,4 +87,6 @@
     pub write_time_left: fn(&mut HeaderMap, Duration),
     /// Reads the head of a backend server's answer.
     pub read_answer: fn(StatusCode, &HeaderMap) -> AnswerHead,
+    /// Reads the name of an evacuated failure domain; `None` if the object names none.
+    pub read_evacuation: fn(&StoredObject) -> Option<Arc<str>>,
 }
--- a/gateway/src/protocol/stored_object.rs
+++ b/gateway/src/protocol/stored_object.rs
@@ -18,6 +18,8 @@
     Rollouts,
     /// Addresses of hosts.
     Hosts,
+    /// Evacuations of failure domains.
+    Evacuations,
 }
 
 impl From<FollowedKind> for ObjectKind {
@@ -26,6 +28,7 @@
             FollowedKind::Configuration => Self::Configuration,
             FollowedKind::Servers => Self::Servers,
             FollowedKind::Rollouts => Self::Rollouts,
+            FollowedKind::Evacuations => Self::Evacuations,
         }
     }
 }
--- a/gateway/src/state/freshness_report.rs
+++ b/gateway/src/state/freshness_report.rs
@@ -13,11 +13,13 @@
     Servers,
     /// Roll-outs.
     Rollouts,
+    /// Evacuations of failure domains.
+    Evacuations,
 }
 
 impl FollowedKind {
-    /// All kinds, in the order of [`FreshnessReport::changed`].
-    pub const ALL: [Self; 3] = [Self::Configuration, Self::Servers, Self::Rollouts];
+    /// Kinds that every host follows, in the order of [`FreshnessReport::changed`].
+    pub const ALWAYS: [Self; 3] = [Self::Configuration, Self::Servers, Self::Rollouts];
 }
 
 /// A host's statement that it knew all changes of the store a short time ago.
@@ -25,8 +27,8 @@
 pub struct FreshnessReport {
     /// Position up to which the host knew all changes.
     pub revision: StorePosition,
-    /// Position of the latest change of each kind, in the order of [`FollowedKind::ALL`].
-    pub changed: [StorePosition; 3],
+    /// Position of the latest change of each kind, in the order of the kinds that the host follows.
+    pub changed: Vec<StorePosition>,
     /// Time since then, in milliseconds.
     pub age_ms: u32,
 }
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -14,13 +14,14 @@
 
 use crate::coordination::budgets::{RetryBudget, RetryPurpose};
 use crate::coordination::crashes::CrashQuarantine;
+use crate::coordination::evacuations::{DomainEvacuations, EvacuationSettings};
 use crate::coordination::freshness::{FreshnessSettings, StoreFreshness};
 use crate::coordination::permits::ServerPermits;
 use crate::coordination::placement::{LoadEstimator, PrefixCacheIndex, ServerTable};
 use crate::coordination::reach::ServiceReach;
 use crate::coordination::rollouts::RolloutTracker;
 use crate::protocol::{PeerMessage, PlatformFormat};
-use crate::state::{ConfigSnapshot, FollowedKind, HostPresence};
+use crate::state::{ConfigSnapshot, FollowedKind, HostPresence, ServerEntry};
 use crate::transport::connection_pool::ConnectionPool;
 use crate::transport::gateway_metrics::GatewayMetrics;
 use crate::transport::gateway_settings::GatewaySettings;
@@ -84,6 +85,9 @@
     crashes: Mutex<CrashQuarantine>,
     reach: Mutex<ServiceReach>,
     peers: Mutex<BTreeMap<Arc<str>, HostPresence>>,
+    evacuations: Mutex<DomainEvacuations>,
+    /// Notified when a report of an evacuation is planned or an evacuation may end by itself.
+    pub(crate) evacuations_due: Notify,
 }
 
 impl GatewayContext {
@@ -105,13 +109,13 @@
             store_recoveries: watch::Sender::new(0),
             store_reachable: AtomicBool::new(true),
             rollout_changed: Notify::new(),
-            kind_reads: KindReads::default(),
+            kind_reads: KindReads::new(&settings.followed_kinds()),
             kind_listed: Notify::new(),
             peer_ahead: Notify::new(),
-            freshness: Mutex::new(StoreFreshness::new(FreshnessSettings::new(
-                settings.configuration_bound,
-                host_rank(&settings.host),
-            ))),
+            freshness: Mutex::new(StoreFreshness::new(FreshnessSettings {
+                kinds: settings.followed_kinds(),
+                ..FreshnessSettings::new(settings.knowledge_bound(), host_rank(&settings.host))
+            })),
             refresh_failed_at: tokio::sync::Mutex::new(None),
             in_flight: AtomicUsize::new(0),
             buffered_body_bytes: AtomicUsize::new(0),
@@ -130,6 +134,8 @@
             reach_suspected: Notify::new(),
             parts_refused: watch::Sender::new(0),
             peers: Mutex::new(BTreeMap::new()),
+            evacuations: Mutex::new(DomainEvacuations::new(EvacuationSettings::default())),
+            evacuations_due: Notify::new(),
             settings,
         })
     }
@@ -184,6 +190,27 @@
         lock(&self.peers)
     }
 
+    /// Locks the failure domains that are evacuated.
+    pub fn evacuations(&self) -> MutexGuard<'_, DomainEvacuations> {
+        lock(&self.evacuations)
+    }
+
+    /// Returns whether the failure domain of a server is evacuated.
+    pub(crate) fn is_evacuated(&self, server: &ServerEntry) -> bool {
+        let now = self.now();
+        self.evacuations().is_evacuated(&server.domain, now)
+    }
+
+    /// Returns whether the host knows which failure domains are evacuated, or follows no evacuations.
+    pub(crate) fn knows_evacuations(&self) -> bool {
+        let now = self.now();
+        self.settings.evacuation_bound.is_none()
+            || self
+                .freshness()
+                .age(FollowedKind::Evacuations, now)
+                .is_some()
+    }
+
     /// Tells the parts of the host that divide work among all hosts which hosts are listed.
     pub(crate) fn share_hosts(&self) {
         let listed: Vec<HostPresence> = self.peers().values().cloned().collect();
--- a/gateway/src/transport/gateway_host.rs
+++ b/gateway/src/transport/gateway_host.rs
@@ -13,6 +13,7 @@
 
 use crate::protocol::{GatewayRecord, PlatformFormat};
 use crate::transport::caller_listener::CallerListener;
+use crate::transport::evacuation_feed::run_evacuations;
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::gateway_error::GatewayError;
 use crate::transport::gateway_settings::GatewaySettings;
@@ -70,6 +71,9 @@
         tasks.push(tokio::spawn(watch_reach(context.clone())));
         tasks.push(tokio::spawn(confirm_store(context.clone())));
         tasks.push(tokio::spawn(catch_up_with_peers(context.clone())));
+        if context.settings.evacuation_bound.is_some() {
+            tasks.push(tokio::spawn(run_evacuations(context.clone())));
+        }
         let record = GatewayRecord::Started {
             host: context.settings.host.clone(),
             domain: context.settings.domain.clone(),
--- a/gateway/src/transport/gateway_settings.rs
+++ b/gateway/src/transport/gateway_settings.rs
@@ -12,6 +12,7 @@
 use crate::coordination::placement::{LoadSettings, PickSettings, PrefixCacheSettings};
 use crate::coordination::reach::ReachSettings;
 use crate::coordination::rollouts::RolloutSettings;
+use crate::state::FollowedKind;
 
 /// Fraction of `configuration_bound` during which a confirmed configuration is fresh enough to
 /// refuse a caller: hosts need not apply a change made since then yet.
@@ -83,6 +84,21 @@
 }
 
 impl GatewaySettings {
+    /// Returns the kinds of objects that the host follows.
+    pub fn followed_kinds(&self) -> Vec<FollowedKind> {
+        let evacuations = self.evacuation_bound.map(|_| FollowedKind::Evacuations);
+        FollowedKind::ALWAYS
+            .into_iter()
+            .chain(evacuations)
+            .collect()
+    }
+
+    /// Returns the time within which a host must know all changes of the kinds that it follows.
+    pub fn knowledge_bound(&self) -> Duration {
+        let evacuation_bound = self.evacuation_bound.unwrap_or(Duration::MAX);
+        self.configuration_bound.min(evacuation_bound)
+    }
+
     /// Returns the age of the configuration from which it is read again before a caller is refused.
     pub fn refusal_recheck_age(&self) -> Duration {
         self.configuration_bound.mul_f64(REFUSAL_AGE_FRACTION)
--- a/gateway/src/transport/kind_reads.rs
+++ b/gateway/src/transport/kind_reads.rs
@@ -25,10 +25,11 @@
     receivers: Mutex<BTreeMap<FollowedKind, mpsc::UnboundedReceiver<ReadRequest>>>,
 }
 
-impl Default for KindReads {
-    fn default() -> Self {
+impl KindReads {
+    /// Creates the senders and receivers of the kinds that the host follows.
+    pub(crate) fn new(kinds: &[FollowedKind]) -> Self {
         let (mut senders, mut receivers) = (BTreeMap::new(), BTreeMap::new());
-        for kind in FollowedKind::ALL {
+        for kind in kinds.iter().copied() {
             let (sender, receiver) = mpsc::unbounded_channel();
             senders.insert(kind, sender);
             receivers.insert(kind, receiver);
@@ -38,9 +39,7 @@
             receivers: Mutex::new(receivers),
         }
     }
-}
 
-impl KindReads {
     /// Takes the receiver of a kind's requests; `None` if it was taken before.
     pub(crate) fn take_receiver(
         &self,
--- a/gateway/src/transport/mod.rs
+++ b/gateway/src/transport/mod.rs
@@ -8,6 +8,7 @@
 mod counted_body;
 mod crash_check;
 mod crash_reports;
+mod evacuation_feed;
 mod exchange_failure;
 mod gateway_context;
 mod gateway_error;
--- a/gateway/src/transport/peer_gossip.rs
+++ b/gateway/src/transport/peer_gossip.rs
@@ -16,10 +16,13 @@
 use tokio::net::UdpSocket;
 
 use crate::protocol::{GatewayRecord, ObjectKind, ObjectQuery, PeerMessage};
-use crate::state::{DemandReport, FreshnessReport, HostPresence, StorePosition};
+use crate::state::{DemandReport, EvacuationReport, FreshnessReport, HostPresence, StorePosition};
 use crate::transport::crash_reports::{
     REFUSAL_REPORT_INTERVAL, apply_answer_reports, apply_crash_report, apply_refusal_reports,
 };
+use crate::transport::evacuation_feed::{
+    EVACUATION_REPORT_INTERVAL, EVACUATIONS_PER_DATAGRAM, apply_evacuation_reports,
+};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
 use crate::transport::server_demands::{apply_demand_change, send_due_reports};
@@ -43,8 +46,8 @@
 const SESSIONS_PER_DATAGRAM: usize = 100;
 /// Copies sent of a queued message other than held sessions.
 const MESSAGE_COPIES: usize = 2;
-/// Number of hosts that get each report of refused prompt parts.
-const REFUSAL_RECIPIENTS: usize = 3;
+/// Number of hosts that get each report of refused prompt parts or evacuated domains.
+const FEW_RECIPIENTS: usize = 3;
 /// Pause after the first read of the hosts' addresses, while all hosts start. It doubles after each
 /// read.
 const INITIAL_HOSTS_PAUSE: Duration = Duration::from_millis(1_500);
@@ -76,7 +79,8 @@
         other_domains,
         following,
         queued,
-        refusals
+        refusals,
+        send_evacuations(&context, &socket)
     );
 }
 
@@ -270,6 +274,7 @@
                     .record_held_sessions(&sessions, context.now());
             }
             Ok(PeerMessage::Demand(report)) => record_peer_demand(context, peer, &report),
+            Ok(PeerMessage::Evacuations(reports)) => record_evacuations(context, peer, &reports),
             Ok(PeerMessage::Freshness(report)) => record_freshness(context, peer, &report),
             Err(_) => context.metrics.increment("datagrams_unreadable_total"),
         }
@@ -290,6 +295,15 @@
     }
 }
 
+/// Applies what another host knows of evacuated domains.
+fn record_evacuations(context: &GatewayContext, peer: SocketAddr, reports: &[EvacuationReport]) {
+    if !is_listed(context, peer) {
+        context.metrics.increment("datagrams_of_strangers_total");
+        return;
+    }
+    apply_evacuation_reports(context, reports);
+}
+
 /// Returns whether an address is that of a listed host.
 fn is_listed(context: &GatewayContext, peer: SocketAddr) -> bool {
     context.peers().values().any(|host| host.address == peer)
@@ -366,16 +380,36 @@
         let Ok(message) = postcard::to_stdvec(&PeerMessage::RefusedParts(reports)) else {
             return;
         };
-        let mut peers = peer_addresses(context, PeerScope::OwnDomain);
-        peers.extend(peer_addresses(context, PeerScope::OtherDomains));
-        let chosen = peers.choose_multiple(&mut rand::rng(), REFUSAL_RECIPIENTS);
-        for peer in chosen.copied().collect::<Vec<SocketAddr>>() {
-            // Other hosts send the same.
-            let _ = socket.send_to(&message, peer).await;
+        send_to_few(context, socket, &message).await;
+    }
+}
+
+/// Periodically sends a few hosts the domains that are evacuated, for those that have no contact to the
+/// store and missed the reports.
+async fn send_evacuations(context: &GatewayContext, socket: &UdpSocket) {
+    while context.settings.evacuation_bound.is_some() {
+        tokio::time::sleep(EVACUATION_REPORT_INTERVAL).await;
+        let reports = context.evacuations().reports(context.now());
+        for part in reports.chunks(EVACUATIONS_PER_DATAGRAM) {
+            let Ok(message) = postcard::to_stdvec(&PeerMessage::Evacuations(part.to_vec())) else {
+                return;
+            };
+            send_to_few(context, socket, &message).await;
         }
     }
 }
 
+/// Sends a message to a few random hosts; other hosts send the same.
+async fn send_to_few(context: &GatewayContext, socket: &UdpSocket, message: &[u8]) {
+    let mut peers = peer_addresses(context, PeerScope::OwnDomain);
+    peers.extend(peer_addresses(context, PeerScope::OtherDomains));
+    let chosen = peers.choose_multiple(&mut rand::rng(), FEW_RECIPIENTS);
+    for peer in chosen.copied().collect::<Vec<SocketAddr>>() {
+        // A lost datagram is made up for by the next.
+        let _ = socket.send_to(message, peer).await;
+    }
+}
+
 /// Sends queued messages to other hosts. All but held sessions go out more than once, because
 /// datagrams may be lost and these messages are not repeated later.
 async fn send_outbox(context: &GatewayContext, socket: &UdpSocket) {
@@ -421,6 +455,10 @@
             .chunks(SESSIONS_PER_DATAGRAM)
             .map(|part| PeerMessage::HeldSessions(part.to_vec()))
             .collect(),
+        PeerMessage::Evacuations(reports) => reports
+            .chunks(EVACUATIONS_PER_DATAGRAM)
+            .map(|part| PeerMessage::Evacuations(part.to_vec()))
+            .collect(),
         other => vec![other],
     }
 }
--- a/gateway/src/transport/reach_probe.rs
+++ b/gateway/src/transport/reach_probe.rs
@@ -20,7 +20,7 @@
 /// service may be out of reach.
 pub(crate) fn record_unreachable(context: &GatewayContext, server: &ServerEntry) {
     let now = context.now();
-    let listed = context.servers().serving(&server.service, now).len();
+    let listed = probed_servers(context, &server.service, now).len();
     let mut reach = context.reach();
     if reach.record_unreachable(&server.service, &server.id, listed) {
         context.reach_suspected.notify_one();
@@ -57,10 +57,13 @@
 async fn probe_service(context: &GatewayContext, service: &Arc<str>) -> bool {
     let now = context.now();
     let targets: Vec<ServerEntry> = {
-        let servers = context.servers();
-        let serving = servers.serving(service, now).into_iter().cloned();
+        let serving = probed_servers(context, service, now).into_iter();
         serving.choose_multiple(&mut rand::rng(), context.settings.reach.probed_servers)
     };
+    if targets.is_empty() && is_service_evacuated(context, service) {
+        // Nothing can be sent there, whether or not there is a path.
+        return false;
+    }
     let probes = targets
         .iter()
         .map(|target| accepts_connections(target.address));
@@ -89,6 +92,22 @@
     true
 }
 
+/// Returns the servers by which the path to a service is judged: those that requests may be sent to.
+fn probed_servers(context: &GatewayContext, service: &str, now: TimePoint) -> Vec<ServerEntry> {
+    let servers = context.servers();
+    let mut serving = servers.serving(service, now);
+    serving.retain(|entry| !context.is_evacuated(entry));
+    serving.into_iter().cloned().collect()
+}
+
+/// Returns whether a service has servers, all of them in evacuated failure domains.
+pub(crate) fn is_service_evacuated(context: &GatewayContext, service: &str) -> bool {
+    let servers = context.servers();
+    let serving = servers.serving(service, context.now());
+    let mut entries = serving.iter();
+    !serving.is_empty() && entries.all(|entry| context.is_evacuated(entry))
+}
+
 /// Has all services probed, since a lost path is seldom one service's alone.
 fn suspect_all_services(context: &GatewayContext) {
     let services: BTreeSet<Arc<str>> = {
--- a/gateway/src/transport/request_admission.rs
+++ b/gateway/src/transport/request_admission.rs
@@ -80,7 +80,7 @@
         .snapshot
         .load_full()
         // A configuration that was read stale and not confirmed yet may be too old to serve by.
-        .filter(|_| context.configuration_age().is_some())
+        .filter(|_| context.configuration_age().is_some() && context.knows_evacuations())
         .ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
     let host = parts
         .headers
--- a/gateway/src/transport/request_exchange/relay.rs
+++ b/gateway/src/transport/request_exchange/relay.rs
@@ -19,6 +19,7 @@
 use crate::transport::connection_pool::BackendConnection;
 use crate::transport::counted_body::read_counted;
 use crate::transport::exchange_failure::ExchangeFailure;
+use crate::transport::reach_probe::is_service_evacuated;
 use crate::transport::record_log::log_record;
 use crate::transport::request_exchange::RequestExchange;
 use crate::transport::response_body::{ResponseBody, TruncatedResponse, full_body};
@@ -40,9 +41,11 @@
 }
 
 impl RequestExchange {
-    /// Returns whether the request can only be served by way of another host.
+    /// Returns whether the request can only be served by way of another host; if all servers are
+    /// evacuated, no host can.
     pub(super) fn has_no_path(&self) -> bool {
-        self.context.reach().is_lost(&self.service)
+        let is_lost = self.context.reach().is_lost(&self.service);
+        is_lost && !is_service_evacuated(&self.context, &self.service)
     }
 
     /// Returns whether a request that ended without a response is to be passed on: no server was
@@ -50,7 +53,11 @@
     pub(super) fn needs_relay(&self, end: &ExchangeFailure) -> bool {
         let is_unreached = match end {
             ExchangeFailure::NoPath => true,
-            _ => end.may_run_elsewhere() && self.context.reach().is_suspect(&self.service),
+            _ => {
+                let is_suspect = self.context.reach().is_suspect(&self.service);
+                let is_unreached = end.may_run_elsewhere() && is_suspect;
+                is_unreached && !is_service_evacuated(&self.context, &self.service)
+            }
         };
         is_unreached && !self.is_relayed && self.has_peers()
     }
--- a/gateway/src/transport/request_exchange/request_log.rs
+++ b/gateway/src/transport/request_exchange/request_log.rs
@@ -71,6 +71,7 @@
             share_used: count(|denial| matches!(denial, SendDenial::ShareUsed { .. })),
             no_share: count(|denial| matches!(denial, SendDenial::NoShare)),
             full: count(|denial| matches!(denial, SendDenial::Full { .. })),
+            evacuated: count(|denial| matches!(denial, SendDenial::Evacuated)),
         };
         log_record(Level::Info, &record);
     }
--- a/gateway/src/transport/request_exchange/server_choice.rs
+++ b/gateway/src/transport/request_exchange/server_choice.rs
@@ -137,7 +137,7 @@
                 SendDenial::Paused { until }
                 | SendDenial::ShareUsed { until }
                 | SendDenial::Full { until } => Some(until),
-                SendDenial::Leaving | SendDenial::NoShare => None,
+                SendDenial::Leaving | SendDenial::NoShare | SendDenial::Evacuated => None,
             });
         let earliest = untils.min()?;
         Some(earliest.since(now).as_secs_f64().max(BUSY_RETRY_SECONDS))
@@ -158,6 +158,11 @@
         let servers = self.context.servers();
         let mut serving = servers.serving(&self.service, now);
         serving.retain(|entry| !self.context.permits().is_leaving(&entry.id));
+        // Like a server that leaves, one that is evacuated is no reason to keep to its version.
+        {
+            let evacuations = self.context.evacuations();
+            serving.retain(|entry| !evacuations.is_evacuated(&entry.domain, now));
+        }
         let prompt = self.prompt_prefixes();
         let kept = prompt
             .as_ref()
@@ -199,22 +204,26 @@
         pick_server(&permitted, &query, &loads, settings, now)
     }
 
-    /// Returns why the host may not send the request to the servers that were not tried.
+    /// Returns why the host may not send the request to the servers that were not tried, or that are
+    /// evacuated.
     pub(super) fn denials(&self) -> Vec<SendDenial> {
         let now = self.context.now();
         let servers = self.context.servers();
         let loads = self.context.loads();
         let mut permits = self.context.permits();
         let serving = servers.serving(&self.service, now);
-        let untried = serving
-            .into_iter()
-            .filter(|entry| !self.tried.contains(&entry.id));
         let denial = |entry: &ServerEntry| {
+            if self.context.is_evacuated(entry) {
+                return Some(SendDenial::Evacuated);
+            }
+            if self.tried.contains(&entry.id) {
+                return None;
+            }
             let in_flight = loads.in_flight(&entry.id, now);
             let denial = permits.denial(entry, now);
             denial.or_else(|| permits.room_denial(entry, in_flight, now))
         };
-        untried.filter_map(denial).collect()
+        serving.into_iter().filter_map(denial).collect()
     }
 
     /// Returns the model chosen for the request or else named by it; empty if there is none.
--- a/gateway/src/transport/send_permit.rs
+++ b/gateway/src/transport/send_permit.rs
@@ -23,6 +23,9 @@
         context: &Arc<GatewayContext>,
         server: &ServerEntry,
     ) -> Result<Self, SendDenial> {
+        if context.is_evacuated(server) {
+            return Err(SendDenial::Evacuated);
+        }
         let taken_at = context.now();
         let in_flight = context.loads().in_flight(&server.id, taken_at);
         let mut permits = context.permits();
@@ -40,8 +43,11 @@
     }
 
     /// Uses the permit just before the request is written; returns why it may not be sent any more
-    /// if the server's demands have changed since the permit was taken.
+    /// if the server's demands have changed since the permit was taken, or its domain is evacuated.
     pub(crate) fn confirm(&mut self) -> Result<(), SendDenial> {
+        if self.context.is_evacuated(&self.server) {
+            return Err(SendDenial::Evacuated);
+        }
         let now = self.context.now();
         self.is_used = true;
         self.context
--- a/gateway/src/transport/store_confirmer.rs
+++ b/gateway/src/transport/store_confirmer.rs
@@ -9,7 +9,6 @@
 use rand::Rng;
 
 use crate::protocol::{GatewayRecord, ObjectKind, ObjectQuery, PeerMessage};
-use crate::state::FollowedKind;
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
 use crate::transport::store_client::StoreError;
@@ -84,6 +83,7 @@
     if !page.has_more {
         apply_current_rollouts(context, page);
     }
+    let followed_kinds = context.settings.followed_kinds();
     // Stale data usually contains the changes that are not known yet.
     for accepts_stale in [true, false] {
         if context.freshness().confirm_revision(revision, started_at) {
@@ -91,7 +91,7 @@
         }
         let reads = context
             .kind_reads
-            .read(&FollowedKind::ALL, accepts_stale, timeout);
+            .read(&followed_kinds, accepts_stale, timeout);
         if !reads.await {
             return Err(StoreError::TimedOut);
         }
--- a/gateway/src/transport/store_feeds.rs
+++ b/gateway/src/transport/store_feeds.rs
@@ -11,6 +11,7 @@
     FormatError, GatewayRecord, ObjectKind, ObjectPage, ObjectQuery, PeerMessage, StoredObject,
 };
 use crate::state::{ConfigSnapshot, FollowedKind, ServerEntry};
+use crate::transport::evacuation_feed::apply_evacuations;
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
 use crate::transport::store_client::StoreError;
@@ -25,7 +26,9 @@
 /// Pause after a change of the roll-outs. It is short, as hosts that do not see yet that another
 /// wrote a report write it too.
 const ROLLOUTS_SETTLE_DELAY: Duration = Duration::from_millis(100);
-/// Starts the followers of the configuration, the servers and the roll-outs.
+/// Pause after a change of the evacuations, which are few.
+const EVACUATIONS_SETTLE_DELAY: Duration = Duration::from_millis(100);
+/// Starts the followers of the kinds of objects that the settings name.
 pub(crate) fn start_store_feeds(context: &Arc<GatewayContext>) -> Vec<JoinHandle<()>> {
     let settle_delay = context
         .settings
@@ -36,7 +39,7 @@
         let apply_update = move |update| apply(&apply_context, update);
         tokio::spawn(follow_kind(context.clone(), feed, apply_update))
     };
-    vec![
+    let mut feeds = vec![
         spawn_feed(
             KindFeed {
                 kind: FollowedKind::Configuration,
@@ -64,13 +67,23 @@
             },
             apply_rollouts,
         ),
-    ]
+    ];
+    if context.settings.evacuation_bound.is_some() {
+        let feed = KindFeed {
+            kind: FollowedKind::Evacuations,
+            part: "evacuations",
+            settle_delay: EVACUATIONS_SETTLE_DELAY,
+            is_leader: false,
+        };
+        feeds.push(spawn_feed(feed, apply_evacuations));
+    }
+    feeds
 }
 
 /// Applies an update of the configuration.
 fn apply_configuration(context: &GatewayContext, update: KindUpdate) {
     match update {
-        KindUpdate::Listed(objects) | KindUpdate::Restored(objects) => {
+        KindUpdate::Listed(objects, _) | KindUpdate::Restored(objects, _) => {
             objects
                 .iter()
                 .for_each(|object| adopt_configuration(context, object));
@@ -132,7 +145,8 @@
     let page = read?;
     let kind = FollowedKind::Configuration;
     record_current_page(context, kind, &page);
-    apply_configuration(context, KindUpdate::Listed(page.objects));
+    let update = KindUpdate::Listed(page.objects, page.revision);
+    apply_configuration(context, update);
     context.freshness().record_read(kind, started_at);
     Ok(())
 }
@@ -159,7 +173,7 @@
 /// Applies the roll-outs that the store listed, all on one page and not stale.
 pub(crate) fn apply_current_rollouts(context: &GatewayContext, page: ObjectPage) {
     record_current_page(context, FollowedKind::Rollouts, &page);
-    apply_rollouts(context, KindUpdate::Listed(page.objects));
+    apply_rollouts(context, KindUpdate::Listed(page.objects, page.revision));
 }
 
 /// Records that all changes of a kind up to the revision of its only page are known.
@@ -178,8 +192,8 @@
         entries.filter_map(context.format.read_server).collect()
     };
     let changes = match update {
-        KindUpdate::Listed(objects) => context.servers().replace(read_all(&objects), now),
-        KindUpdate::Restored(objects) => context.servers().restore(read_all(&objects), now),
+        KindUpdate::Listed(objects, _) => context.servers().replace(read_all(&objects), now),
+        KindUpdate::Restored(objects, _) => context.servers().restore(read_all(&objects), now),
         KindUpdate::Changed(change) => {
             let entry = (context.format.read_server)(&change.object).filter(|_| !change.removed);
             let mut servers = context.servers();
@@ -242,7 +256,7 @@
 /// Applies an update of the roll-outs.
 fn apply_rollouts(context: &GatewayContext, update: KindUpdate) {
     let objects = match update {
-        KindUpdate::Listed(objects) | KindUpdate::Restored(objects) => objects,
+        KindUpdate::Listed(objects, _) | KindUpdate::Restored(objects, _) => objects,
         KindUpdate::Changed(change) if change.removed => {
             context.rollouts().remove_order(&change.object.name);
             return;
--- a/gateway/src/transport/store_follower.rs
+++ b/gateway/src/transport/store_follower.rs
@@ -56,10 +56,10 @@
 /// An update about a kind of objects.
 #[derive(Debug)]
 pub(crate) enum KindUpdate {
-    /// All objects, as listed.
-    Listed(Vec<StoredObject>),
-    /// All objects, as listed after the store returned from an older copy.
-    Restored(Vec<StoredObject>),
+    /// All objects, as listed at a position.
+    Listed(Vec<StoredObject>, StorePosition),
+    /// All objects, as listed at a position after the store returned from an older copy.
+    Restored(Vec<StoredObject>, StorePosition),
     /// One object changed or was removed.
     Changed(ObjectChange),
 }
@@ -130,9 +130,9 @@
                     match last_era.filter(|last_era| position.era > *last_era) {
                         Some(last_era) => {
                             self.log_restored(last_era, position.era);
-                            (self.apply_update)(KindUpdate::Restored(objects));
+                            (self.apply_update)(KindUpdate::Restored(objects, position));
                         }
-                        None => (self.apply_update)(KindUpdate::Listed(objects)),
+                        None => (self.apply_update)(KindUpdate::Listed(objects, position)),
                     }
                     self.context.freshness().record_listed(kind, position);
                     self.context.kind_listed.notify_one();
--- a/gateway/tests/decisions/freshness.rs
+++ b/gateway/tests/decisions/freshness.rs
@@ -38,7 +38,7 @@
 fn host(number: usize) -> StoreFreshness {
     let rank = number as f64 / HOSTS as f64;
     let mut freshness = StoreFreshness::new(FreshnessSettings::new(BOUND, rank));
-    for kind in FollowedKind::ALL {
+    for kind in FollowedKind::ALWAYS {
         freshness.record_listed(kind, position(100));
         freshness.record_read(kind, TimePoint::ZERO);
     }
@@ -65,7 +65,7 @@
             if freshness.confirmation_due_in(now).is_zero() {
                 result.confirmations += 1;
                 if !freshness.confirm_revision(position(revision), now) {
-                    due = FollowedKind::ALL.to_vec();
+                    due = FollowedKind::ALWAYS.to_vec();
                 }
                 reports.push((number, None));
             }
@@ -156,14 +156,14 @@
     let now = TimePoint::from_millis(1_500);
     let forged = FreshnessReport {
         revision: position(u64::MAX),
-        changed: [position(u64::MAX); 3],
+        changed: vec![position(u64::MAX); 3],
         age_ms: 0,
     };
     let age = freshness.oldest_age(now);
     assert!(freshness.record_report(&forged, now));
     assert_eq!(freshness.lagging_kinds(now).len(), 3);
     assert_eq!(freshness.oldest_age(now), age);
-    for kind in FollowedKind::ALL {
+    for kind in FollowedKind::ALWAYS {
         freshness.record_read(kind, now);
         assert_eq!(freshness.complete_revision(kind), position(100));
     }
@@ -183,7 +183,7 @@
     let reported_at = TimePoint::from_millis(2_000);
     let report = FreshnessReport {
         revision: position(110),
-        changed: [90, 108, 80].map(position),
+        changed: [90, 108, 80].map(position).to_vec(),
         age_ms: 0,
     };
     assert!(freshness.record_report(&report, reported_at));
@@ -205,7 +205,7 @@
     let now = TimePoint::from_millis(6_000);
     let report = FreshnessReport {
         revision: position(100),
-        changed: [90, 95, 100].map(position),
+        changed: [90, 95, 100].map(position).to_vec(),
         age_ms: 60_000,
     };
     assert!(!freshness.record_report(&report, now));
@@ -234,7 +234,7 @@
     let position = |revision| StorePosition { era, revision };
     FreshnessReport {
         revision: position(100),
-        changed: [position(50); 3],
+        changed: vec![position(50); 3],
         age_ms: 0,
     }
 }
@@ -243,7 +243,7 @@
 #[test]
 fn report_of_an_earlier_era_confirms_nothing() {
     let mut freshness = host(0);
-    for kind in FollowedKind::ALL {
+    for kind in FollowedKind::ALWAYS {
         freshness.record_listed(
             kind,
             StorePosition {
@@ -282,7 +282,7 @@
         era: 2,
         revision: 60,
     };
-    for kind in FollowedKind::ALL {
+    for kind in FollowedKind::ALWAYS {
         assert!(!freshness.confirm_revision(restored, now));
         freshness.record_listed(kind, restored);
     }
--- a/gateway/tests/decisions/main.rs
+++ b/gateway/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod cascade;
 mod crashes;
 mod crashing_parts;
+mod evacuations;
 mod events;
 mod freshness;
 mod limits;
