Divide the requests to cold servers over all hosts

Cause: all hosts of a fleet choose a server that returned, or the one idle server that turned cold without notice, in the same second (docs/UNDER-LOAD.md, section 3). Change: `ColdServers` holds which servers are cold, suspected or unused, and this host's share of what they tolerate. `ServerPermits` asks it when a permit is looked at, taken and confirmed.

--- /dev/null
+++ b/gateway/src/coordination/permits/cold_servers.rs
@@ -0,0 +1,681 @@
+//! Keeps the requests to cold servers few, over all hosts together.
+//!
+//! Load pattern: a server returns, or turns cold without notice, while all others of its service are
+//! loaded, so that every host of a fleet would choose it in the same second. While a server is cold or
+//! suspected to be, a few hosts hold whole shares of what it tolerates and all others send it nothing.
+//! A server that no host uses is suspected too, because hosts that know nothing of its state would
+//! otherwise choose it together; it is opened once it has been in use for as long as the store may
+//! take to tell that it is cold.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use galenamast::state::TimePoint;
+
+use crate::coordination::permits::cold_settings::ColdSettings;
+use crate::coordination::permits::limit_share::{
+    LimitSettings, SharePlan, holds_share, plan_shares, rank,
+};
+use crate::coordination::permits::server_permits::SendDenial;
+use crate::coordination::placement::short_server_id;
+use crate::state::{ColdReport, ColdSpec, HostPresence, ServerEntry};
+
+/// Part of the bound that the shares use at most. The rest is for hosts that do not know yet that the
+/// server is cold, that have another list of hosts or that were frozen.
+const SHARED_PART: f64 = 2.0 / 3.0;
+/// Window in which the platform counts requests.
+const WINDOW: Duration = Duration::from_secs(1);
+/// Longest time for which a server is taken to be cold by one statement.
+const MAX_COLD_TIME: Duration = Duration::from_secs(600);
+/// Time after which the shares double at the end of a restriction, and for which each step lasts.
+const RAMP_STEP: Duration = Duration::from_secs(1);
+/// Number of times that the shares double after a cold time before the server is open to all hosts.
+const RAMP_STEPS: u32 = 2;
+/// Time without known use after which a server is suspected to be cold.
+const IDLE_TIME: Duration = Duration::from_secs(2);
+/// Time for which a server that was idle must be in use before it is open to all hosts: the bound
+/// within which hosts learn from the store that it is cold.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+/// Longest delay of a host's report, in which another host's may arrive.
+const REPORT_DELAY: Duration = Duration::from_millis(100);
+/// Difference up to which two statements of the end of a cold time are the same; covers the time on
+/// the way of an answer or a report.
+const END_TOLERANCE: Duration = Duration::from_millis(250);
+
+/// Time for which load reports may still show requests that were sent before a failure.
+const USE_REPORT_LAG: Duration = Duration::from_secs(1);
+
+/// Where a host learned that a server is cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ColdSource {
+    /// The list of servers.
+    List,
+    /// An answer of the server.
+    Answer,
+    /// Another host.
+    Host,
+}
+
+impl ColdSource {
+    /// Returns the name that log records use.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::List => "list",
+            Self::Answer => "answer",
+            Self::Host => "host",
+        }
+    }
+}
+
+/// A server that has become cold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ColdChange {
+    /// Identifier of the server.
+    pub server: Arc<str>,
+    /// Time for which it stays cold.
+    pub remaining: Duration,
+    /// Requests that this host may send in each window; 0 without a share.
+    pub share_requests: usize,
+    /// Where the host learned it.
+    pub source: ColdSource,
+}
+
+/// End of a cold time that was stated.
+#[derive(Clone, Copy, Debug)]
+struct StatedCold {
+    until: TimePoint,
+    source: ColdSource,
+    stated_at: TimePoint,
+}
+
+/// A suspicion that a server has started anew without this host having been told.
+#[derive(Clone, Copy, Debug)]
+struct ColdSuspicion {
+    since: TimePoint,
+    // First sign that the server runs requests again.
+    first_use: Option<TimePoint>,
+}
+
+/// What a host may send to a server that is not open to all hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Restriction {
+    // Multiple of the share that may be used.
+    factor: usize,
+    // When the server is open to all hosts, if that is known.
+    opens_at: Option<TimePoint>,
+}
+
+/// One start of a server.
+#[derive(Clone, Debug)]
+struct ColdServer {
+    service: Arc<str>,
+    domain: Arc<str>,
+    started_ms: Option<u64>,
+    stated: Option<StatedCold>,
+    // What the list stated last.
+    listed_for: Option<Duration>,
+    // When another host last reported that the server is cold, and for how long.
+    reported: Option<(TimePoint, Duration)>,
+    suspicion: Option<ColdSuspicion>,
+    last_used: Option<TimePoint>,
+    // Start of the use that has had no pause as long as `IDLE_TIME`.
+    use_began: TimePoint,
+    // Requests of this host within the window of a share.
+    sends: VecDeque<TimePoint>,
+    // This host's share: `None` if it has to be computed, 0 requests if it holds none.
+    share: Option<SharePlan>,
+    // When this host was allowed one request without a share.
+    granted_at: Option<TimePoint>,
+    report_at: Option<TimePoint>,
+    // Whether the host logged that the server is cold, and not yet that it is warm.
+    is_logged: bool,
+}
+
+impl ColdServer {
+    /// Creates the state of a server of which nothing is known.
+    fn new(entry: &ServerEntry) -> Self {
+        Self {
+            service: entry.service.clone(),
+            domain: entry.domain.clone(),
+            started_ms: entry.started_ms,
+            stated: None,
+            listed_for: None,
+            reported: None,
+            suspicion: None,
+            last_used: None,
+            use_began: TimePoint::ZERO,
+            sends: VecDeque::new(),
+            share: None,
+            granted_at: None,
+            report_at: None,
+            is_logged: false,
+        }
+    }
+
+    /// Returns whether no host is known to have used the server lately.
+    fn is_idle(&self, now: TimePoint) -> bool {
+        self.last_used
+            .is_none_or(|used_at| now.since(used_at) >= IDLE_TIME)
+    }
+
+    /// Records that a host uses the server.
+    fn record_use(&mut self, now: TimePoint) {
+        if self.is_idle(now) {
+            self.use_began = now;
+        }
+        self.last_used = self.last_used.max(Some(now));
+    }
+
+    /// Records a sign that the server runs requests.
+    fn record_success(&mut self, now: TimePoint) {
+        if let Some(suspicion) = &mut self.suspicion {
+            suspicion.first_use.get_or_insert(now);
+        }
+    }
+
+    /// Returns whether another host has reported the statement of a change of the list that this host
+    /// learns of only now. Its end is known from the report, and later by this host's list.
+    fn is_reported(&self, cold_for: Duration, now: TimePoint) -> bool {
+        self.reported.is_some_and(|(reported_at, remaining)| {
+            now.since(reported_at) < SETTLE_TIME && cold_for.abs_diff(remaining) <= END_TOLERANCE
+        })
+    }
+
+    /// Returns when the suspicion ends; `None` if there is none or no sign of use yet.
+    fn suspicion_end(&self, spec: &ColdSpec) -> Option<TimePoint> {
+        let suspicion = self.suspicion?;
+        let first_use = suspicion.first_use?;
+        // A use that was followed by an idle time may have been a request before the failure.
+        Some(first_use.max(self.use_began) + spec.duration)
+    }
+
+    /// Returns the restriction that a server's stated cold time puts on the hosts.
+    fn stated_restriction(&self, now: TimePoint) -> Option<Restriction> {
+        self.stated.and_then(|stated| ramp(stated.until, now))
+    }
+
+    /// Returns the strictest restriction; `None` if the server is open to all hosts.
+    fn restriction(&mut self, spec: &ColdSpec, now: TimePoint) -> Option<Restriction> {
+        let suspected = match (self.suspicion, self.suspicion_end(spec)) {
+            (None, _) => None,
+            (Some(_), None) => Some(Restriction {
+                factor: 1,
+                opens_at: None,
+            }),
+            (Some(_), Some(end)) => ramp(end, now),
+        };
+        let is_idle = self.is_idle(now);
+        if suspected.is_none() && !is_idle {
+            self.suspicion = None;
+        }
+        let used_for = now.since(self.use_began);
+        let unused = if is_idle {
+            Some(Restriction {
+                factor: 1,
+                opens_at: None,
+            })
+        } else {
+            (used_for < SETTLE_TIME).then(|| Restriction {
+                factor: if used_for < RAMP_STEP { 1 } else { 2 },
+                opens_at: Some(self.use_began + SETTLE_TIME),
+            })
+        };
+        let all = [self.stated_restriction(now), suspected, unused];
+        all.into_iter().flatten().reduce(|left, right| Restriction {
+            factor: left.factor.min(right.factor),
+            opens_at: left
+                .opens_at
+                .zip(right.opens_at)
+                .map(|(left, right)| left.max(right)),
+        })
+    }
+
+    /// Sets the end of the cold time; returns whether the server was not known to be cold.
+    fn set_cold(&mut self, until: TimePoint, source: ColdSource, now: TimePoint) -> bool {
+        let was_cold = self.stated.is_some_and(|stated| now < stated.until);
+        self.stated = Some(StatedCold {
+            until,
+            source,
+            stated_at: now,
+        });
+        !was_cold && now < until
+    }
+}
+
+/// Returns the restriction of a server whose cold time ends at `end`.
+fn ramp(end: TimePoint, now: TimePoint) -> Option<Restriction> {
+    let opens_at = end + RAMP_STEP * RAMP_STEPS;
+    let steps = if now < end {
+        0
+    } else {
+        1 + now.since(end).as_millis() / RAMP_STEP.as_millis()
+    };
+    let steps = u32::try_from(steps).ok()?;
+    (steps <= RAMP_STEPS).then(|| Restriction {
+        factor: 1 << steps,
+        opens_at: Some(opens_at),
+    })
+}
+
+/// The servers that may be cold, and what this host sends them.
+#[derive(Clone, Debug)]
+pub struct ColdServers {
+    settings: Option<ColdSettings>,
+    host: Arc<str>,
+    hosts: Vec<HostPresence>,
+    specs: BTreeMap<Arc<str>, ColdSpec>,
+    servers: BTreeMap<Arc<str>, ColdServer>,
+    short_ids: BTreeMap<u32, Arc<str>>,
+}
+
+impl ColdServers {
+    /// Creates the state of a host that knows no servers. Without `settings` servers are never cold.
+    pub fn new(host: Arc<str>, settings: Option<ColdSettings>) -> Self {
+        Self {
+            settings,
+            host,
+            hosts: Vec::new(),
+            specs: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            short_ids: BTreeMap::new(),
+        }
+    }
+
+    /// Returns whether the settings and the configuration state that servers may be cold.
+    pub fn is_enabled(&self) -> bool {
+        self.settings.is_some() && !self.specs.is_empty()
+    }
+
+    /// Replaces the list of hosts, which includes this one once it is listed.
+    pub fn set_hosts(&mut self, hosts: &[HostPresence]) {
+        if self.settings.is_some() {
+            self.hosts = hosts.to_vec();
+            self.servers
+                .values_mut()
+                .for_each(|server| server.share = None);
+        }
+    }
+
+    /// Replaces what the servers of each service tolerate while they are cold.
+    pub fn set_specs(&mut self, specs: BTreeMap<Arc<str>, ColdSpec>) {
+        if self.specs != specs {
+            self.specs = specs;
+            self.servers
+                .values_mut()
+                .for_each(|server| server.share = None);
+        }
+    }
+
+    /// Returns the state of a server's start, which is created if needed; `None` if the servers of its
+    /// service are never cold.
+    fn entry(&mut self, entry: &ServerEntry) -> Option<(&mut ColdServer, ColdSpec)> {
+        self.settings?;
+        let spec = *self.specs.get(&entry.service)?;
+        let is_known = self
+            .servers
+            .get(&entry.id)
+            .is_some_and(|server| server.started_ms == entry.started_ms);
+        if !is_known {
+            let short_id = short_server_id(&entry.id);
+            self.short_ids.insert(short_id, entry.id.clone());
+            let server = ColdServer::new(entry);
+            self.servers.insert(entry.id.clone(), server);
+        }
+        let server = self.servers.get_mut(&entry.id)?;
+        Some((server, spec))
+    }
+
+    /// Records the entry of a server, which was read in a change of the store (`is_change`) or in a
+    /// list. Returns the change if the server has become cold.
+    pub fn record_entry(
+        &mut self,
+        entry: &ServerEntry,
+        is_change: bool,
+        now: TimePoint,
+    ) -> Option<ColdChange> {
+        let delay = self.report_delay(&entry.id);
+        let (server, _) = self.entry(entry)?;
+        let cold_for = entry.cold_for.min(MAX_COLD_TIME);
+        let previous = server.listed_for.replace(cold_for);
+        // An entry that is read again states the time as of its last change.
+        if !is_change && previous == Some(cold_for) {
+            return None;
+        }
+        if previous.is_some() {
+            server.suspicion = None;
+        }
+        if !cold_for.is_zero() && server.is_reported(cold_for, now) {
+            return None;
+        }
+        let source = ColdSource::List;
+        let known = server.stated;
+        let until = match known {
+            // The server may have stated a later end in an answer since this entry was written.
+            Some(known) if known.source != source => known.until.max(now + cold_for),
+            _ => now + cold_for,
+        };
+        if cold_for.is_zero() {
+            if let Some(known) = known.filter(|known| known.source == source && now < known.until) {
+                server.stated = Some(StatedCold {
+                    until: now,
+                    ..known
+                });
+            }
+            return None;
+        }
+        let is_later = known.is_none_or(|known| until > known.until + END_TOLERANCE);
+        if is_later {
+            server.report_at = Some(now + delay);
+        }
+        let is_new = server.set_cold(until, source, now);
+        self.cold_change(&entry.id, is_new, now)
+    }
+
+    /// Records an answer of a server to a request sent at `sent_at`, and the time for which it stays
+    /// cold, if the answer states one. Returns the change if the server has become cold.
+    pub fn record_answer(
+        &mut self,
+        entry: &ServerEntry,
+        cold_for: Option<Duration>,
+        sent_at: TimePoint,
+        now: TimePoint,
+    ) -> Option<ColdChange> {
+        let delay = self.report_delay(&entry.id);
+        let (server, _) = self.entry(entry)?;
+        server.record_use(now);
+        if server
+            .suspicion
+            .is_some_and(|suspicion| sent_at >= suspicion.since)
+        {
+            server.record_success(now);
+        }
+        let cold_for = cold_for?.min(MAX_COLD_TIME);
+        let known = server.stated;
+        if cold_for.is_zero() {
+            if let Some(known) = known.filter(|known| sent_at >= known.stated_at) {
+                let until = known.until.min(now);
+                server.stated = Some(StatedCold { until, ..known });
+            }
+            let is_older = |suspicion: &mut ColdSuspicion| sent_at >= suspicion.since;
+            server.suspicion.take_if(is_older);
+            return None;
+        }
+        let until = now + cold_for;
+        if known.is_none_or(|known| until > known.until + END_TOLERANCE) {
+            server.report_at = Some(now + delay);
+        }
+        let source = ColdSource::Answer;
+        let until = match known {
+            Some(known) if known.source != source => known.until.max(until),
+            _ => until,
+        };
+        let is_new = server.set_cold(until, source, now);
+        self.cold_change(&entry.id, is_new, now)
+    }
+
+    /// Records the report of another host. Returns the change if the server has become cold. Reports of
+    /// unknown servers and other starts change nothing.
+    pub fn record_report(&mut self, report: &ColdReport, now: TimePoint) -> Option<ColdChange> {
+        let id = self.short_ids.get(&report.server)?.clone();
+        let server = self.servers.get_mut(&id)?;
+        if server.started_ms != report.started_ms {
+            return None;
+        }
+        let remaining = Duration::from_millis(report.remaining_ms.into()).min(MAX_COLD_TIME);
+        let until = now + remaining;
+        server.reported = Some((now, remaining));
+        let known = server.stated.map(|stated| stated.until);
+        if known.is_none_or(|known| until + END_TOLERANCE >= known) {
+            server.report_at = None;
+        }
+        if known.is_some_and(|known| until <= known) {
+            return None;
+        }
+        let is_cold = known.is_some_and(|known| now < known);
+        let source = server.stated.filter(|_| is_cold).map(|known| known.source);
+        let is_new = server.set_cold(until, source.unwrap_or(ColdSource::Host), now);
+        self.cold_change(&id, is_new, now)
+    }
+
+    /// Records that a server may have started anew: a connection to it failed, or another host reports
+    /// that it crashed.
+    pub fn record_failure(&mut self, server: &str, now: TimePoint) {
+        if let Some(server) = self.servers.get_mut(server) {
+            server.suspicion = Some(ColdSuspicion {
+                since: now,
+                first_use: None,
+            });
+        }
+    }
+
+    /// Suspects servers for the cold time of their service, until their entries change.
+    pub fn suspect(&mut self, servers: &[Arc<str>], now: TimePoint) {
+        for id in servers {
+            if let Some(server) = self.servers.get_mut(id) {
+                server.suspicion = Some(ColdSuspicion {
+                    since: now,
+                    first_use: Some(now),
+                });
+            }
+        }
+    }
+
+    /// Records the servers, by short identifier, that another host uses.
+    pub fn record_peer_use(&mut self, short_ids: impl Iterator<Item = u32>, now: TimePoint) {
+        for short_id in short_ids {
+            let id = self.short_ids.get(&short_id);
+            if let Some(server) = id.and_then(|id| self.servers.get_mut(id)) {
+                server.record_use(now);
+                let is_later =
+                    |suspicion: ColdSuspicion| now.since(suspicion.since) >= USE_REPORT_LAG;
+                if server.suspicion.is_some_and(is_later) {
+                    server.record_success(now);
+                }
+            }
+        }
+    }
+
+    /// Records that this host has requests running on servers, by short identifier.
+    pub fn record_own_use(&mut self, short_ids: impl Iterator<Item = u32>, now: TimePoint) {
+        for short_id in short_ids {
+            let id = self.short_ids.get(&short_id);
+            if let Some(server) = id.and_then(|id| self.servers.get_mut(id)) {
+                server.record_use(now);
+            }
+        }
+    }
+
+    /// Returns the short identifiers of the servers that this host sent a request at `since` or later.
+    pub fn sent_since(&self, since: TimePoint) -> Vec<u32> {
+        let is_sent = |server: &ColdServer| server.sends.back().is_some_and(|at| *at >= since);
+        let servers = self.servers.iter().filter(|(_, server)| is_sent(server));
+        servers.map(|(id, _)| short_server_id(id)).collect()
+    }
+
+    /// Returns why this host may not send a server a request now; `None` if it may.
+    pub fn denial(&mut self, entry: &ServerEntry, now: TimePoint) -> Option<SendDenial> {
+        let (server, spec) = self.entry(entry)?;
+        let restriction = server.restriction(&spec, now)?;
+        let share = self.share(&entry.id)?;
+        let server = self.servers.get_mut(&entry.id)?;
+        server.sends.retain(|at| now.since(*at) < share.window);
+        let is_granted = server
+            .granted_at
+            .is_some_and(|granted_at| now.since(granted_at) < share.window);
+        let allowed = (share.requests * restriction.factor).max(usize::from(is_granted));
+        let excess = server.sends.len().checked_sub(allowed)?;
+        let reopens_at = server.sends.get(excess).map(|at| *at + share.window);
+        let until = reopens_at.filter(|_| allowed > 0).or(restriction.opens_at);
+        Some(until.map_or(SendDenial::NoShare, |until| SendDenial::Cold { until }))
+    }
+
+    /// Returns whether nothing speaks for a server being cold but that no host is known to use it, and
+    /// this host has sent it nothing lately. `in_flight` are the requests of all hosts that are known to
+    /// be there.
+    pub fn is_unused(&mut self, entry: &ServerEntry, in_flight: u32, now: TimePoint) -> bool {
+        let Some(settings) = self.settings else {
+            return false;
+        };
+        let Some((server, spec)) = self.entry(entry) else {
+            return false;
+        };
+        // Half of what the shares leave of the bound, since load reports lag.
+        let most_in_flight = bound(&spec, &settings) * (1.0 - SHARED_PART) / 2.0;
+        let is_suspicion_old = server
+            .suspicion
+            .is_none_or(|suspicion| now.since(suspicion.since) >= spec.duration);
+        server.restriction(&spec, now).is_some()
+            && server.stated_restriction(now).is_none()
+            && is_suspicion_old
+            && f64::from(in_flight) <= most_in_flight
+    }
+
+    /// Allows this host one request to a server of which it holds no share, because no server of the
+    /// service is known to be in use. Returns false if it sent one lately.
+    pub fn grant(&mut self, entry: &ServerEntry, now: TimePoint) -> bool {
+        let Some((server, _)) = self.entry(entry) else {
+            return false;
+        };
+        let is_free = server.sends.back().is_none_or(|at| now.since(*at) > WINDOW);
+        if is_free {
+            server.granted_at = Some(now);
+        }
+        is_free
+    }
+
+    /// Records that a permit for a request was taken.
+    pub fn record_taken(&mut self, entry: &ServerEntry, now: TimePoint) {
+        if let Some((server, _)) = self.entry(entry) {
+            // Only requests within the window of a share count; no share is needed to drop the rest.
+            let window = server.share.map_or(2 * WINDOW, |share| share.window);
+            server.sends.retain(|at| now.since(*at) < window);
+            server.sends.push_back(now);
+        }
+    }
+
+    /// Records that a permit taken at `taken_at` was given back.
+    pub fn give_back(&mut self, server: &str, taken_at: TimePoint) {
+        if let Some(server) = self.servers.get_mut(server)
+            && let Some(index) = server.sends.iter().position(|at| *at == taken_at)
+        {
+            server.sends.remove(index);
+        }
+    }
+
+    /// Records that a request is written.
+    pub fn record_written(&mut self, entry: &ServerEntry, now: TimePoint) {
+        if let Some((server, _)) = self.entry(entry) {
+            server.record_use(now);
+        }
+    }
+
+    /// Returns the reports to send to the other hosts now.
+    pub fn due_reports(&mut self, now: TimePoint) -> Vec<ColdReport> {
+        let mut reports = Vec::new();
+        for (id, server) in &mut self.servers {
+            if server.report_at.take_if(|at| *at <= now).is_none() {
+                continue;
+            }
+            let until = server.stated.map_or(now, |stated| stated.until);
+            let remaining_ms = until.since(now).as_millis();
+            if remaining_ms > 0 {
+                reports.push(ColdReport {
+                    server: short_server_id(id),
+                    started_ms: server.started_ms,
+                    remaining_ms: u32::try_from(remaining_ms).unwrap_or(u32::MAX),
+                });
+            }
+        }
+        reports
+    }
+
+    /// Returns the servers that were cold and are open to all hosts again since the last call.
+    pub fn newly_warm(&mut self, now: TimePoint) -> Vec<Arc<str>> {
+        let mut warm = Vec::new();
+        for (id, server) in &mut self.servers {
+            if server.is_logged && server.stated_restriction(now).is_none() {
+                server.is_logged = false;
+                warm.push(id.clone());
+            }
+        }
+        warm
+    }
+
+    /// Returns when `due_reports` or `newly_warm` has something next, as far as is known now.
+    pub fn next_event_at(&self) -> Option<TimePoint> {
+        let warm_at = |server: &ColdServer| {
+            let stated = server.stated.filter(|_| server.is_logged)?;
+            Some(stated.until + RAMP_STEP * RAMP_STEPS)
+        };
+        let servers = self.servers.values();
+        servers
+            .filter_map(|server| match (server.report_at, warm_at(server)) {
+                (Some(report_at), Some(warm_at)) => Some(report_at.min(warm_at)),
+                (report_at, warm_at) => report_at.or(warm_at),
+            })
+            .min()
+    }
+
+    /// Drops the servers that `is_kept` does not hold for.
+    pub fn retain(&mut self, is_kept: impl Fn(&Arc<str>) -> bool) {
+        self.servers.retain(|id, _| is_kept(id));
+        self.short_ids.retain(|_, id| is_kept(id));
+    }
+
+    /// Returns this host's share of a server's requests.
+    fn share(&mut self, id: &Arc<str>) -> Option<SharePlan> {
+        let settings = self.settings?;
+        let server = self.servers.get_mut(id)?;
+        let spec = self.specs.get(&server.service)?;
+        let (host, hosts) = (&self.host, &self.hosts);
+        let share = server.share.get_or_insert_with(|| {
+            let rate = spec.rate.min(bound(spec, &settings) * SHARED_PART);
+            let plan = plan_shares(rate, hosts.len(), &share_settings());
+            let domain = &server.domain;
+            let is_holder = holds_share(id, domain, host, hosts.iter(), plan.holders);
+            SharePlan {
+                requests: if is_holder { plan.requests } else { 0 },
+                ..plan
+            }
+        });
+        Some(*share)
+    }
+
+    /// Returns the delay after which this host reports what it learned of a server.
+    fn report_delay(&self, server: &str) -> Duration {
+        // Another hash than that of the shares, whose holders would report first otherwise.
+        let fraction = rank(&self.host, server) as f64 / u64::MAX as f64;
+        REPORT_DELAY.mul_f64(fraction)
+    }
+
+    /// Returns the change to log if a server has become cold.
+    fn cold_change(&mut self, id: &Arc<str>, is_new: bool, now: TimePoint) -> Option<ColdChange> {
+        if !is_new {
+            return None;
+        }
+        let share_requests = self.share(id).map_or(0, |share| share.requests);
+        let server = self.servers.get_mut(id)?;
+        server.is_logged = true;
+        let stated = server.stated?;
+        Some(ColdChange {
+            server: id.clone(),
+            remaining: stated.until.since(now),
+            share_requests,
+            source: stated.source,
+        })
+    }
+}
+
+/// Returns the most requests that a cold server may get in a second.
+fn bound(spec: &ColdSpec, settings: &ColdSettings) -> f64 {
+    spec.rate * settings.rate_factor + settings.slack
+}
+
+/// Returns the settings by which the rate of a cold server is divided.
+fn share_settings() -> LimitSettings {
+    LimitSettings {
+        window: WINDOW,
+        ..LimitSettings::default()
+    }
+}
--- a/gateway/src/coordination/permits/server_permits.rs
+++ b/gateway/src/coordination/permits/server_permits.rs
@@ -10,6 +10,8 @@
 use galenamast::state::TimePoint;
 
 use crate::coordination::permits::brittle_servers::{BrittleServers, BrittleSettings};
+use crate::coordination::permits::cold_servers::ColdServers;
+use crate::coordination::permits::cold_settings::ColdSettings;
 use crate::coordination::permits::limit_share::{
     HostShare, LimitSettings, holds_share, open_slot, plan_shares, plan_slot, rank,
 };
@@ -70,13 +72,19 @@
         /// When a request may be sent again.
         until: TimePoint,
     },
-    /// The host holds no share of the server's limit.
+    /// The host holds no share of the server's limit, or of what it tolerates while it may be cold for
+    /// an unknown time.
     NoShare,
     /// The server is brittle and has no room, or refused a request a short time ago.
     Full {
         /// When a request may be sent again.
         until: TimePoint,
     },
+    /// The server is cold or suspected to be, and the host has used its share or holds none.
+    Cold {
+        /// When a request may be sent again.
+        until: TimePoint,
+    },
 }
 
 /// One start of a listed server.
@@ -186,6 +194,7 @@
     // Servers that have ever stated a demand.
     entries: BTreeMap<Arc<str>, PermitEntry>,
     brittle: BrittleServers,
+    cold: ColdServers,
 }
 
 impl ServerPermits {
@@ -193,6 +202,7 @@
     pub fn new(host: Arc<str>, settings: LimitSettings) -> Self {
         Self {
             settings,
+            cold: ColdServers::new(host.clone(), None),
             host,
             hosts: Vec::new(),
             starts: BTreeMap::new(),
@@ -201,8 +211,26 @@
         }
     }
 
+    /// Returns the permits with the bound on requests to cold servers.
+    pub fn with_cold(mut self, settings: Option<ColdSettings>) -> Self {
+        self.cold = ColdServers::new(self.host.clone(), settings);
+        self
+    }
+
+    /// Returns the servers that may be cold.
+    pub fn cold(&mut self) -> &mut ColdServers {
+        &mut self.cold
+    }
+
+    /// Suspects servers to be cold, for the cold time of their service or until their entries change;
+    /// for a failure domain whose evacuation ended.
+    pub fn suspect_cold(&mut self, servers: &[Arc<str>], now: TimePoint) {
+        self.cold.suspect(servers, now);
+    }
+
     /// Replaces the list of hosts, which includes this one once it is listed.
     pub fn set_hosts(&mut self, hosts: Vec<HostPresence>) {
+        self.cold.set_hosts(&hosts);
         self.hosts = hosts;
         for entry in self.entries.values_mut() {
             entry.share = None;
@@ -233,6 +261,7 @@
             .retain(|_, start| start.removed_at.is_none_or(is_kept));
         self.entries
             .retain(|server, _| self.starts.contains_key(server));
+        self.cold.retain(|server| self.starts.contains_key(server));
     }
 
     /// Records the head of a server's answer to a request that was sent at `sent_at`. Returns the
@@ -478,6 +507,12 @@
     /// Returns why this host may not send a request to a server now, whatever room it has; `None` if it
     /// may.
     pub fn denial(&mut self, server: &ServerEntry, now: TimePoint) -> Option<SendDenial> {
+        let denial = self.demand_denial(server, now);
+        denial.or_else(|| self.cold.denial(server, now))
+    }
+
+    /// Returns why what a server asks of the hosts allows this one no request now; `None` if it does.
+    pub fn demand_denial(&mut self, server: &ServerEntry, now: TimePoint) -> Option<SendDenial> {
         if self.is_leaving(&server.id) {
             return Some(SendDenial::Leaving);
         }
@@ -519,6 +554,7 @@
             return Err(denial);
         }
         self.brittle.record_sent(&server.id, now);
+        self.cold.record_taken(server, now);
         if let Some(entry) = self.entries.get_mut(&server.id) {
             if entry.limit.is_some() {
                 entry.sends.push_back(now);
@@ -543,12 +579,15 @@
         now: TimePoint,
     ) -> Result<(), SendDenial> {
         self.give_back(&server.id, taken_at);
-        self.take(server, now)
+        self.take(server, now)?;
+        self.cold.record_written(server, now);
+        Ok(())
     }
 
     /// Gives back a permit taken at `taken_at` for a request that was not written.
     pub fn give_back(&mut self, server: &str, taken_at: TimePoint) {
         self.brittle.give_back(server, taken_at);
+        self.cold.give_back(server, taken_at);
         let Some(entry) = self.entries.get_mut(server) else {
             return;
         };
--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -175,6 +175,8 @@
         no_share: usize,
         /// Brittle servers without room.
         full: usize,
+        /// Servers that are cold or suspected to be, until a known time.
+        cold: usize,
     },
     /// The smaller model's answer was kept, or dropped in order to run the largest model.
     ModelJudged {
@@ -310,4 +312,21 @@
         /// Number of records.
         count: u64,
     },
+    /// A server is cold: it tolerates few requests for a time.
+    ServerCold {
+        /// Identifier of the server.
+        server: Arc<str>,
+        /// Time for which it stays cold, in milliseconds.
+        remaining_ms: u64,
+        /// Requests that this host may send in each window; 0 if it holds no share.
+        share_requests: usize,
+        /// Where the host learned it: from the `list`, from the server's `answer`, or from another
+        /// `host`.
+        source: &'static str,
+    },
+    /// A server that was cold is open to all hosts again.
+    ServerWarm {
+        /// Identifier of the server.
+        server: Arc<str>,
+    },
 }
--- a/gateway/src/state/mod.rs
+++ b/gateway/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer_grade;
 mod caller_head;
+mod cold_report;
 mod config_snapshot;
 mod crash_report;
 mod freshness_report;
@@ -15,6 +16,7 @@
 
 pub use answer_grade::{AnswerGrade, GradeCounts};
 pub use caller_head::{AttemptHead, CallerHead, PromptPart};
+pub use cold_report::ColdReport;
 pub use config_snapshot::{CallerLimits, ConfigSnapshot, CredentialDigest, WorkspaceEntry};
 pub use crash_report::{CrashReport, CrashSuspect, PartReport};
 pub use freshness_report::{FollowedKind, FreshnessReport};
--- a/gateway/src/transport/request_exchange/request_log.rs
+++ b/gateway/src/transport/request_exchange/request_log.rs
@@ -71,6 +71,7 @@
             share_used: count(|denial| matches!(denial, SendDenial::ShareUsed { .. })),
             no_share: count(|denial| matches!(denial, SendDenial::NoShare)),
             full: count(|denial| matches!(denial, SendDenial::Full { .. })),
+            cold: count(|denial| matches!(denial, SendDenial::Cold { .. })),
         };
         log_record(Level::Info, &record);
     }
--- a/gateway/src/transport/request_exchange/server_choice.rs
+++ b/gateway/src/transport/request_exchange/server_choice.rs
@@ -136,7 +136,8 @@
             .filter_map(|denial| match denial {
                 SendDenial::Paused { until }
                 | SendDenial::ShareUsed { until }
-                | SendDenial::Full { until } => Some(until),
+                | SendDenial::Full { until }
+                | SendDenial::Cold { until } => Some(until),
                 SendDenial::Leaving | SendDenial::NoShare => None,
             });
         let earliest = untils.min()?;
--- a/gateway/tests/decisions/main.rs
+++ b/gateway/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 mod brittle;
 mod budget;
 mod cascade;
+mod cold_servers;
 mod crashes;
 mod crashing_parts;
 mod events;
