Apply cold times from the list, answers, failures and other hosts

Change: the list of servers (every entry), answers, failed connections and probes, crash reports and load reports feed it. Load reports also name servers that got a request since the last one. A request whose untried servers are all unused may go to one of them without a share.

--- a/gateway/src/coordination/permits/cold_servers.rs
+++ b/gateway/src/coordination/permits/cold_servers.rs
@@ -531,17 +531,21 @@
             && f64::from(in_flight) <= most_in_flight
     }
 
+    /// Returns whether this host sent a server nothing lately, so that it may be granted a request.
+    pub fn may_grant(&mut self, entry: &ServerEntry, now: TimePoint) -> bool {
+        let last_sent = self
+            .entry(entry)
+            .and_then(|(server, _)| server.sends.back().copied());
+        let window = WINDOW + share_settings().arrival_jitter;
+        last_sent.is_none_or(|at| now.since(at) >= window)
+    }
+
     /// Allows this host one request to a server of which it holds no share, because no server of the
-    /// service is known to be in use. Returns false if it sent one lately.
-    pub fn grant(&mut self, entry: &ServerEntry, now: TimePoint) -> bool {
-        let Some((server, _)) = self.entry(entry) else {
-            return false;
-        };
-        let is_free = server.sends.back().is_none_or(|at| now.since(*at) > WINDOW);
-        if is_free {
+    /// service is known to be in use.
+    pub fn grant(&mut self, entry: &ServerEntry, now: TimePoint) {
+        if let Some((server, _)) = self.entry(entry) {
             server.granted_at = Some(now);
         }
-        is_free
     }
 
     /// Records that a permit for a request was taken.
--- a/gateway/src/protocol/peer_message.rs
+++ b/gateway/src/protocol/peer_message.rs
@@ -5,7 +5,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::placement::{HostLoad, PrefixRead};
-use crate::state::{CrashReport, DemandReport, FreshnessReport, PartReport, TrialReport};
+use crate::state::{
+    ColdReport, CrashReport, DemandReport, FreshnessReport, PartReport, TrialReport,
+};
 
 /// Contents of a datagram. It is encoded by position, so the order of variants and fields is fixed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -33,4 +35,6 @@
     RefusedParts(Vec<PartReport>),
     /// Services of which the host reaches no server. Sent within a failure domain.
     LostPaths(Vec<Arc<str>>),
+    /// Servers that are cold, which the host learned from the list or an answer.
+    ColdServers(Vec<ColdReport>),
 }
--- a/gateway/src/transport/crash_check.rs
+++ b/gateway/src/transport/crash_check.rs
@@ -39,6 +39,10 @@
     context
         .loads()
         .record_connect_failure(&lost.server.id, context.now());
+    context
+        .permits()
+        .cold()
+        .record_failure(&lost.server.id, context.now());
     if is_domain_cut_off(context, lost).await {
         context.metrics.increment("cuts_seen_total");
         let record = GatewayRecord::CutSeen {
--- a/gateway/src/transport/crash_reports.rs
+++ b/gateway/src/transport/crash_reports.rs
@@ -38,6 +38,7 @@
 /// Records a crash that another host saw.
 pub(crate) fn apply_crash_report(context: &GatewayContext, report: &CrashReport) {
     let now = context.now();
+    context.permits().cold().record_failure(&report.server, now);
     let verdict = context.crashes().record_report(report, now);
     apply_verdict(context, verdict, "host");
 }
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -84,6 +84,8 @@
     crashes: Mutex<CrashQuarantine>,
     reach: Mutex<ServiceReach>,
     peers: Mutex<BTreeMap<Arc<str>, HostPresence>>,
+    /// Notified when a server has become cold.
+    pub(crate) cold_learned: Notify,
 }
 
 impl GatewayContext {
@@ -117,7 +119,9 @@
             buffered_body_bytes: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
             servers: Mutex::new(ServerTable::default()),
-            permits: Mutex::new(ServerPermits::new(settings.host.clone(), settings.limits)),
+            permits: Mutex::new(
+                ServerPermits::new(settings.host.clone(), settings.limits).with_cold(settings.cold),
+            ),
             loads: Mutex::new(LoadEstimator::new(settings.loads)),
             prefix_cache: Mutex::new(PrefixCacheIndex::new(settings.prefix_cache)),
             budgets: Mutex::new(BTreeMap::new()),
@@ -130,6 +134,7 @@
             reach_suspected: Notify::new(),
             parts_refused: watch::Sender::new(0),
             peers: Mutex::new(BTreeMap::new()),
+            cold_learned: Notify::new(),
             settings,
         })
     }
--- a/gateway/src/transport/peer_gossip.rs
+++ b/gateway/src/transport/peer_gossip.rs
@@ -16,7 +16,10 @@
 use tokio::net::UdpSocket;
 
 use crate::protocol::{GatewayRecord, ObjectKind, ObjectQuery, PeerMessage};
-use crate::state::{DemandReport, FreshnessReport, HostPresence, StorePosition};
+use crate::state::{ColdReport, DemandReport, FreshnessReport, HostPresence, StorePosition};
+use crate::transport::cold_notices::{
+    add_recent_use, apply_cold_reports, record_peer_use, run_cold_notices,
+};
 use crate::transport::crash_reports::{
     REFUSAL_REPORT_INTERVAL, apply_answer_reports, apply_crash_report, apply_refusal_reports,
 };
@@ -70,13 +73,15 @@
     let following = follow_hosts(&context, &socket);
     let queued = send_outbox(&context, &socket);
     let refusals = send_refusals(&context, &socket);
+    let cold_notices = run_cold_notices(&context);
     tokio::join!(
         receiving,
         same_domain,
         other_domains,
         following,
         queued,
-        refusals
+        refusals,
+        cold_notices
     );
 }
 
@@ -250,6 +255,7 @@
                 let now = context.now();
                 context.loads().record_remote(peer, &loads, now);
                 context.prefix_cache().record_remote(&reads, now);
+                record_peer_use(context, &loads, now);
             }
             Ok(
                 message @ (PeerMessage::Crash(_)
@@ -271,6 +277,7 @@
             }
             Ok(PeerMessage::Demand(report)) => record_peer_demand(context, peer, &report),
             Ok(PeerMessage::Freshness(report)) => record_freshness(context, peer, &report),
+            Ok(PeerMessage::ColdServers(reports)) => record_cold_servers(context, peer, &reports),
             Err(_) => context.metrics.increment("datagrams_unreadable_total"),
         }
     }
@@ -320,6 +327,15 @@
     }
 }
 
+/// Applies the reports of another host about cold servers.
+fn record_cold_servers(context: &GatewayContext, peer: SocketAddr, reports: &[ColdReport]) {
+    if is_listed(context, peer) {
+        apply_cold_reports(context, reports);
+    } else {
+        context.metrics.increment("datagrams_of_strangers_total");
+    }
+}
+
 /// Periodically sends a group of hosts the load that this host puts on servers, and which prompts
 /// it sent to which engine since the last datagram.
 async fn send_loads(context: &GatewayContext, socket: &UdpSocket, scope: PeerScope) {
@@ -329,9 +345,12 @@
     };
     let mut sent_idle = false;
     let mut sent_reads = 0;
+    let mut reported_at = context.now();
     loop {
         send_due_reports(context);
-        let loads = context.loads().local_loads();
+        let mut loads = context.loads().local_loads();
+        add_recent_use(context, &mut loads, reported_at);
+        reported_at = context.now();
         let (reads, count) = context.prefix_cache().local_reads_since(sent_reads);
         sent_reads = count;
         let is_idle = loads.is_empty() && reads.is_empty();
--- a/gateway/src/transport/request_exchange/feedback.rs
+++ b/gateway/src/transport/request_exchange/feedback.rs
@@ -20,6 +20,10 @@
         match outcome {
             AttemptOutcome::NotSent => {
                 record_unreachable(&self.context, server);
+                self.context
+                    .permits()
+                    .cold()
+                    .record_failure(&server.id, now);
                 let mut loads = self.context.loads();
                 loads.record_connect_failure(&server.id, now);
                 let reach = loads.domain_reach_mut();
--- a/gateway/src/transport/request_exchange/request_log.rs
+++ b/gateway/src/transport/request_exchange/request_log.rs
@@ -63,6 +63,9 @@
         let count = |is_counted: fn(&SendDenial) -> bool| {
             denials.iter().filter(|denial| is_counted(denial)).count()
         };
+        if count(|denial| matches!(denial, SendDenial::Cold { .. })) > 0 {
+            self.context.metrics.increment("sends_held_cold_total");
+        }
         let record = GatewayRecord::SendsDenied {
             request: self.request.clone(),
             route: self.route.name.clone(),
--- a/gateway/src/transport/request_exchange/server_choice.rs
+++ b/gateway/src/transport/request_exchange/server_choice.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use galenamast::state::TimePoint;
 use rand::Rng;
 
 use crate::coordination::admission::{
@@ -11,7 +12,9 @@
 use crate::coordination::budgets::RetryPurpose;
 use crate::coordination::cascade::{confidence_bound, should_escalate};
 use crate::coordination::permits::SendDenial;
-use crate::coordination::placement::{PickQuery, PromptPrefixes, ServerPick, pick_server};
+use crate::coordination::placement::{
+    LoadEstimator, PickQuery, PromptPrefixes, ServerPick, pick_server,
+};
 use crate::coordination::rollouts::{VersionRule, version_groups};
 use crate::state::{EngineModel, RouteKind, ServerEntry};
 use crate::transport::attempt_runner::{OpenResponse, remaining_time};
@@ -186,6 +189,7 @@
         let group = version_groups(&serving, &rule, self.version.as_ref())
             .into_iter()
             .find(|group| group.iter().any(is_untried))?;
+        let untried: Vec<&ServerEntry> = group.iter().copied().filter(is_untried).collect();
         let permitted: Vec<&ServerEntry> = {
             let mut permits = self.context.permits();
             let is_permitted = |entry: &&ServerEntry| {
@@ -197,7 +201,38 @@
             };
             group.into_iter().filter(is_permitted).collect()
         };
-        pick_server(&permitted, &query, &loads, settings, now)
+        if permitted.iter().any(is_untried) {
+            return pick_server(&permitted, &query, &loads, settings, now);
+        }
+        let unused = self.unused_servers(&untried, &loads, now);
+        let pick = pick_server(&unused, &query, &loads, settings, now)?;
+        self.context.permits().cold().grant(&pick.server, now);
+        Some(pick)
+    }
+
+    /// Returns the servers that the host may try without a share of what they tolerate, because no
+    /// server of `untried` is known to be in use or to be cold.
+    fn unused_servers<'a>(
+        &self,
+        untried: &[&'a ServerEntry],
+        loads: &LoadEstimator,
+        now: TimePoint,
+    ) -> Vec<&'a ServerEntry> {
+        let mut permits = self.context.permits();
+        let is_unused = |entry: &&ServerEntry| {
+            let in_flight = loads.in_flight(&entry.id, now);
+            permits.cold().is_unused(entry, in_flight, now)
+        };
+        if !untried.iter().all(is_unused) {
+            return Vec::new();
+        }
+        let may_try = |entry: &&&ServerEntry| {
+            let in_flight = loads.in_flight(&entry.id, now);
+            permits.room_denial(entry, in_flight, now).is_none()
+                && permits.demand_denial(entry, now).is_none()
+                && permits.cold().may_grant(entry, now)
+        };
+        untried.iter().filter(may_try).copied().collect()
     }
 
     /// Returns why the host may not send the request to the servers that were not tried.
--- a/gateway/src/transport/server_demands.rs
+++ b/gateway/src/transport/server_demands.rs
@@ -8,6 +8,7 @@
 use crate::coordination::permits::{DemandChange, HostShare};
 use crate::protocol::{AnswerHead, GatewayRecord, PeerMessage};
 use crate::state::ServerEntry;
+use crate::transport::cold_notices::record_cold_answer;
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
 
@@ -37,6 +38,9 @@
     } else {
         Vec::new()
     };
+    if !head.wrong_server {
+        record_cold_answer(context, server, head.cold_for, sent_at);
+    }
     for change in changes {
         if change == DemandChange::Refused {
             let report = context.permits().refusal_report(&server.id, now);
--- a/gateway/src/transport/store_feeds.rs
+++ b/gateway/src/transport/store_feeds.rs
@@ -11,6 +11,7 @@
     FormatError, GatewayRecord, ObjectKind, ObjectPage, ObjectQuery, PeerMessage, StoredObject,
 };
 use crate::state::{ConfigSnapshot, FollowedKind, ServerEntry};
+use crate::transport::cold_notices::{adopt_cold_specs, record_cold_entries};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
 use crate::transport::store_client::StoreError;
@@ -104,6 +105,7 @@
         version: snapshot.version,
         routes,
     };
+    adopt_cold_specs(context, &snapshot);
     context.snapshot.store(Some(Arc::new(snapshot)));
     context.metrics.increment("configurations_total");
     log_record(Level::Info, &record);
@@ -177,11 +179,20 @@
         let entries = objects.iter();
         entries.filter_map(context.format.read_server).collect()
     };
+    let is_change = matches!(update, KindUpdate::Changed(_));
+    let mut entries = Vec::new();
     let changes = match update {
-        KindUpdate::Listed(objects) => context.servers().replace(read_all(&objects), now),
-        KindUpdate::Restored(objects) => context.servers().restore(read_all(&objects), now),
+        KindUpdate::Listed(objects) => {
+            entries = read_all(&objects);
+            context.servers().replace(entries.clone(), now)
+        }
+        KindUpdate::Restored(objects) => {
+            entries = read_all(&objects);
+            context.servers().restore(entries.clone(), now)
+        }
         KindUpdate::Changed(change) => {
             let entry = (context.format.read_server)(&change.object).filter(|_| !change.removed);
+            entries.extend(entry.clone());
             let mut servers = context.servers();
             match entry {
                 Some(entry) => vec![servers.upsert(entry)],
@@ -195,6 +206,8 @@
     changes
         .iter()
         .for_each(|(entry, change)| apply_server_change(context, entry, *change));
+    // The time for which a server is cold may change while nothing else in its entry does.
+    record_cold_entries(context, &entries, is_change);
 }
 
 /// Applies a change of one server, and logs it.
--- a/gateway/tests/decisions/cold_servers.rs
+++ b/gateway/tests/decisions/cold_servers.rs
@@ -375,9 +375,10 @@
         );
         assert!(host.cold().is_unused(&server(0), 0, at(9_000)));
         assert!(!host.cold().is_unused(&server(0), 32, at(9_000)), "in use");
-        assert!(host.cold().grant(&server(0), at(9_000)));
+        assert!(host.cold().may_grant(&server(0), at(9_000)));
+        host.cold().grant(&server(0), at(9_000));
         assert_eq!(host.take(&server(0), at(9_000)), Ok(()));
-        assert!(!host.cold().grant(&server(0), at(9_500)));
+        assert!(!host.cold().may_grant(&server(0), at(9_500)));
         assert!(host.take(&server(0), at(9_500)).is_err());
         host.cold().record_entry(&server(3_000), true, at(9_600));
         assert!(!host.cold().is_unused(&server(0), 0, at(9_700)), "cold");
