--- a/gateway/src/protocol/peer_message.rs
+++ b/gateway/src/protocol/peer_message.rs
@@ -6,7 +6,8 @@
 
 use crate::coordination::placement::{HostLoad, PrefixRead};
 use crate::state::{
-    CrashReport, DemandReport, EvacuationReport, FreshnessReport, PartReport, TrialReport,
+    ColdReport, CrashReport, DemandReport, EvacuationReport, FreshnessReport, PartReport,
+    TrialReport,
 };
 
 /// Contents of a datagram. It is encoded by position, so the order of variants and fields is fixed.
@@ -37,4 +38,6 @@
     LostPaths(Vec<Arc<str>>),
     /// Failure domains that are evacuated, or no longer.
     Evacuations(Vec<EvacuationReport>),
+    /// Servers that are cold, which the host learned from the list or an answer.
+    ColdServers(Vec<ColdReport>),
 }
--- a/gateway/src/transport/evacuation_feed.rs
+++ b/gateway/src/transport/evacuation_feed.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 
 use crate::protocol::{GatewayRecord, PeerMessage, StoredObject};
-use crate::state::{EvacuationReport, StorePosition};
+use crate::state::{EvacuationReport, ServerEntry, StorePosition};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
 use crate::transport::store_follower::KindUpdate;
@@ -95,21 +95,26 @@
 }
 
 /// Logs a change of one domain, which the host learned from `source`, and closes idle connections to its
-/// servers.
+/// servers. They may be cold at the end of an evacuation.
 fn apply_change(context: &GatewayContext, change: &EvacuationReport, source: &'static str) {
-    let concerned: Vec<_> = {
+    let concerned: Vec<ServerEntry> = {
         let servers = context.servers();
         let in_domain = servers.listed().filter(|e| e.domain == change.domain);
-        in_domain.map(|entry| entry.address).collect()
+        in_domain.cloned().collect()
     };
     let (state, counter) = if change.evacuated {
         ("evacuated", "evacuations_total")
     } else {
         ("ended", "evacuations_ended_total")
     };
-    concerned
-        .iter()
-        .for_each(|address| context.pool.clear(*address));
+    for entry in &concerned {
+        context.pool.clear(entry.address);
+    }
+    if !change.evacuated {
+        let ids: Vec<Arc<str>> = concerned.iter().map(|entry| entry.id.clone()).collect();
+        let now = context.now();
+        context.permits().cold().suspect(&ids, now);
+    }
     context.metrics.increment(counter);
     let record = GatewayRecord::EvacuationChanged {
         domain: change.domain.clone(),
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -88,6 +88,8 @@
     evacuations: Mutex<DomainEvacuations>,
     /// Notified when a report of an evacuation is planned or an evacuation may end by itself.
     pub(crate) evacuations_due: Notify,
+    /// Notified when a server has become cold.
+    pub(crate) cold_learned: Notify,
 }
 
 impl GatewayContext {
@@ -121,7 +123,9 @@
             buffered_body_bytes: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
             servers: Mutex::new(ServerTable::default()),
-            permits: Mutex::new(ServerPermits::new(settings.host.clone(), settings.limits)),
+            permits: Mutex::new(
+                ServerPermits::new(settings.host.clone(), settings.limits).with_cold(settings.cold),
+            ),
             loads: Mutex::new(LoadEstimator::new(settings.loads)),
             prefix_cache: Mutex::new(PrefixCacheIndex::new(settings.prefix_cache)),
             budgets: Mutex::new(BTreeMap::new()),
@@ -136,6 +140,7 @@
             peers: Mutex::new(BTreeMap::new()),
             evacuations: Mutex::new(DomainEvacuations::new(EvacuationSettings::default())),
             evacuations_due: Notify::new(),
+            cold_learned: Notify::new(),
             settings,
         })
     }
