Keep cold times that are read before the configuration or from an older list

The list may be read before the configuration that states the cold times, and a list of an older copy of the store stated that a cold server is warm. Change: listed servers are recorded again when the configuration is adopted; only a change of an entry ends a cold time or a suspicion. Result: decision tests pass, with the older list among them.

--- a/gateway/src/coordination/permits/cold_servers.rs
+++ b/gateway/src/coordination/permits/cold_servers.rs
@@ -388,7 +388,7 @@
         if !is_change && previous == Some(cold_for) {
             return None;
         }
-        if previous.is_some() {
+        if is_change && previous.is_some() {
             server.suspicion = None;
         }
         if !cold_for.is_zero() && server.is_reported(cold_for, now) {
@@ -402,7 +402,9 @@
             _ => now + cold_for,
         };
         if cold_for.is_zero() {
-            if let Some(known) = known.filter(|known| known.source == source && now < known.until) {
+            // A list may be an older one, to which the store has returned.
+            let ends = |known: &StatedCold| is_change && known.source == source;
+            if let Some(known) = known.filter(|known| ends(known) && now < known.until) {
                 server.stated = Some(StatedCold {
                     until: now,
                     ..known
--- a/gateway/src/transport/cold_notices.rs
+++ b/gateway/src/transport/cold_notices.rs
@@ -24,6 +24,9 @@
         .filter_map(|(name, service)| service.cold.map(|spec| (name.clone(), spec)))
         .collect();
     context.permits().cold().set_specs(specs);
+    // The list may have been read before the configuration.
+    let listed: Vec<ServerEntry> = context.servers().listed().cloned().collect();
+    record_cold_entries(context, &listed, false);
 }
 
 /// Records the entries of servers, read in a change of the store (`is_change`) or in a list.
@@ -54,7 +57,7 @@
         .permits()
         .cold()
         .record_answer(server, cold_for, sent_at, now);
-    if cold_for.is_some() {
+    if cold_for.is_some_and(|cold_for| !cold_for.is_zero()) {
         context.cold_learned.notify_one();
     }
     apply_cold_change(context, change);
--- a/gateway/tests/decisions/cold_servers.rs
+++ b/gateway/tests/decisions/cold_servers.rs
@@ -412,6 +412,8 @@
     // The entry states a later end, which a list that is read again does not renew.
     host.cold().record_entry(&server(3_000), true, at(400));
     host.cold().record_entry(&server(3_000), false, at(3_300));
+    // A list of an older copy of the store does not end it.
+    host.cold().record_entry(&server(0), false, at(3_310));
     assert!(is_cold(&mut host, 5_300));
     assert!(!is_cold(&mut host, 5_500));
     // An answer to a request sent before does not end a cold time, a later one does.
