--- a/gateway/tests/decisions/cold_servers.rs
+++ b/gateway/tests/decisions/cold_servers.rs
@@ -358,6 +358,84 @@
     }
 }
 
+// Hosts left servers alone that other hosts used, and rejected requests of a healthy fleet.
+#[test]
+fn healthy_fleet_keeps_its_servers_open_and_rejects_nothing() {
+    const SERVERS: usize = 140;
+    const RUN_MS: u64 = 500;
+    const REQUESTS_PER_SECOND: f64 = 325.0;
+    let all: Vec<usize> = (0..82).collect();
+    let entry = |number: usize| ServerEntry {
+        id: format!("s-{number}").into(),
+        domain: format!("d-{}", number % DOMAINS).into(),
+        ..server(0)
+    };
+    let servers: Vec<ServerEntry> = (0..SERVERS).map(entry).collect();
+    let mut fleet: Vec<ServerPermits> = all.iter().map(|host| permits(*host, &all, 6.1)).collect();
+    let mut random = ChaCha8Rng::seed_from_u64(11);
+    let mut running: Vec<(u64, usize, usize)> = Vec::new();
+    let (mut local, mut open, mut checked, mut rejected, mut sent) = (0, 0, 0, 0, 0);
+    for now_ms in (0..15_000).step_by(STEP_MS as usize) {
+        let now = at(now_ms);
+        running.retain(|(end, ..)| *end > now_ms);
+        for host in 0..fleet.len() {
+            for (interval, is_local) in [(400, true), (3_800, false)] {
+                if (now_ms + host as u64 * 37) % interval >= STEP_MS {
+                    continue;
+                }
+                let own = running.iter().filter(|(_, by, _)| *by == host);
+                let mut used: Vec<u32> = own
+                    .map(|(.., at)| short_server_id(&servers[*at].id))
+                    .collect();
+                let since = at(now_ms.saturating_sub(interval.min(1_000)));
+                used.extend(fleet[host].cold().sent_since(since));
+                for other in all.iter().filter(|other| **other != host) {
+                    let is_same = other % DOMAINS == host % DOMAINS;
+                    if is_same == is_local && !random.random_bool(0.05) {
+                        let used = used.iter().copied();
+                        fleet[*other].cold().record_peer_use(used, now);
+                    }
+                }
+            }
+        }
+        if !random.random_bool(REQUESTS_PER_SECOND * STEP_MS as f64 / 1_000.0 / 7.0) {
+            continue;
+        }
+        for _ in 0..7 {
+            let host = random.random_range(0..fleet.len());
+            let is_local = |number: &usize| number % DOMAINS == host % DOMAINS;
+            let candidates: Vec<usize> = (0..SERVERS).filter(is_local).collect();
+            let permitted: Vec<usize> = candidates
+                .iter()
+                .copied()
+                .filter(|number| fleet[host].denial(&servers[*number], now).is_none())
+                .collect();
+            // The fleet has just started before.
+            if now_ms >= 5_000 {
+                checked += candidates.len();
+                open += permitted.len();
+                sent += 1;
+                rejected += usize::from(permitted.is_empty());
+            }
+            local += usize::from(permitted.is_empty());
+            let choice = permitted.first().map_or(candidates[0], |_| {
+                let index = random.random_range(0..permitted.len());
+                permitted[index]
+            });
+            fleet[host].cold().grant(&servers[choice], now);
+            if fleet[host].take(&servers[choice], now).is_ok()
+                && fleet[host].confirm(&servers[choice], now, now).is_ok()
+            {
+                running.push((now_ms + RUN_MS, host, choice));
+            }
+        }
+    }
+    let open_part = open as f64 / checked as f64;
+    println!("healthy: {open_part:.3} open, {rejected} of {sent} without a server, {local} in all");
+    assert_eq!(rejected, 0);
+    assert!(open_part >= 0.8, "{open_part}");
+}
+
 // A service with little load was refused by hosts that hold no share.
 #[test]
 fn host_without_a_share_may_use_servers_that_nobody_uses() {
@@ -430,6 +508,25 @@
     assert!(!is_cold(&mut host, 703_000));
 }
 
+// Load reports of requests that were sent before a crash ended the suspicion of the server.
+#[test]
+fn requests_sent_before_a_crash_are_no_sign_that_the_server_runs_again() {
+    let mut host = permits(0, &(1..82).collect::<Vec<_>>(), 6.1);
+    let use_it = |host: &mut ServerPermits, from_ms: u64, until_ms: u64| {
+        for now_ms in (from_ms..until_ms).step_by(500) {
+            let used = std::iter::once(short_server_id(&server(0).id));
+            host.cold().record_peer_use(used, at(now_ms));
+        }
+    };
+    use_it(&mut host, 0, 5_000);
+    assert_eq!(host.denial(&server(0), at(5_000)), None);
+    host.cold().record_failure(&server(0).id, at(5_000));
+    use_it(&mut host, 5_100, 11_500);
+    // The first sign is that of 6.1 s; after three seconds the shares double for two.
+    assert!(host.denial(&server(0), at(10_900)).is_some());
+    assert_eq!(host.denial(&server(0), at(11_200)), None);
+}
+
 // Servers of a domain whose evacuation ended were sent full load at once.
 #[test]
 fn servers_of_a_domain_whose_evacuation_ended_are_suspected_unless_their_entries_change() {
@@ -459,6 +556,18 @@
     assert!(!host.cold().is_enabled());
     assert_eq!(host.denial(&server(0), at(10)), None);
     assert_eq!(host.cold().due_reports(at(1_000)), vec![]);
+    // The list may be read before the configuration.
+    let mut host = permits(0, &[0], 6.1);
+    host.cold().set_specs(BTreeMap::new());
+    assert_eq!(host.cold().record_entry(&server(3_000), true, at(0)), None);
+    let spec = ColdSpec {
+        duration: Duration::from_millis(COLD_MS),
+        rate: 6.1,
+    };
+    host.cold()
+        .set_specs(BTreeMap::from([("engines".into(), spec)]));
+    let change = host.cold().record_entry(&server(3_000), false, at(10));
+    assert_eq!(change.map(|change| change.source), Some(ColdSource::List));
     let mut host = permits(0, &[0], 6.1);
     let other = ServerEntry {
         service: "desk".into(),
