Limit how long an idle connection is kept, whatever its server states

Callers saw their connection closed without a response when a server stated `Keep-Alive: timeout=`. The time was added to the clock without a limit, which panics with "overflow when adding duration to instant" in the task that serves the caller.

Limits of more than 60 s now count as 60 s.

--- a/gateway/src/transport/connection_pool.rs
+++ b/gateway/src/transport/connection_pool.rs
@@ -26,6 +26,8 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How long an idle connection is kept if its server states no limit.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest time for which an idle connection is kept, whatever its server states.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Fraction of the server's stated idle limit that is used, so that no request is sent while the
 /// server closes the connection.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.6;
@@ -127,7 +129,7 @@
         }
         connection.reused = true;
         let limit = idle_limit.map_or(DEFAULT_IDLE_TIMEOUT, |limit| {
-            limit.mul_f64(IDLE_TIMEOUT_FRACTION)
+            limit.min(MAX_IDLE_TIMEOUT).mul_f64(IDLE_TIMEOUT_FRACTION)
         });
         let now = Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
