Keep malformed load reports out of the predictions

Each request of a host failed, its connection closed without a response, while a load report of another host with work that was not a number or below zero was valid: the predicted time to the first byte became NaN or negative, and turning it into a duration panics.

The work of a report is now limited to between 0 and 100,000 s, and counts as 0 if it is not a number. The test implausible_load_report_leaves_predictions_finite failed before with a queue delay of NaN.

--- a/gateway/src/coordination/placement/load_estimator.rs
+++ b/gateway/src/coordination/placement/load_estimator.rs
@@ -17,6 +17,9 @@
 /// Fixed cost of a request, as the number of prompt tokens that take as long to read.
 pub(super) const FIXED_COST_TOKENS: f64 = 500.0;
 
+/// Most seconds of work that one host can have waiting at one server; a report of more is malformed.
+const MAX_WAITING_WORK: f64 = 100_000.0;
+
 /// Settings of the load estimates.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LoadSettings {
@@ -139,6 +142,16 @@
 }
 
 impl HostLoad {
+    /// Returns the load with its work within what is plausible; work that is not a number counts as
+    /// none. A malformed report would otherwise make predictions infinite or not a number.
+    fn plausible(&self) -> Self {
+        let work = Some(self.waiting_work).filter(|work| !work.is_nan());
+        Self {
+            waiting_work: work.unwrap_or(0.0).clamp(0.0, MAX_WAITING_WORK),
+            ..self.clone()
+        }
+    }
+
     /// Adds the load that another host put on the server.
     fn add(&mut self, other: &Self) {
         // Saturates, because an invalid report from another host must not crash this one.
@@ -305,8 +318,9 @@
 
     /// Replaces the load report of another host.
     pub fn record_remote(&mut self, peer: SocketAddr, loads: &[HostLoad], now: TimePoint) {
+        let loads: Vec<HostLoad> = loads.iter().map(HostLoad::plausible).collect();
         let reported = PeerLoads {
-            loads: loads.to_vec(),
+            loads: loads.clone(),
             at: now,
         };
         let previous = self.peer_loads.insert(peer, reported);
@@ -315,7 +329,7 @@
                 sum.remove(load);
             }
         }
-        for load in loads {
+        for load in &loads {
             self.remote_totals.entry(load.server).or_default().add(load);
         }
         self.drop_stale(now);
--- a/gateway/tests/decisions/placement.rs
+++ b/gateway/tests/decisions/placement.rs
@@ -8,8 +8,9 @@
 
 use galenamast::state::TimePoint;
 use galenamast_gateway::coordination::placement::{
-    DomainReachSettings, LoadEstimator, LoadSettings, PickQuery, PickSettings, PrefixCacheIndex,
-    PrefixCacheSettings, PrefixRead, PromptPrefixes, ServerPick, pick_server,
+    DomainReachSettings, HostLoad, LoadEstimator, LoadSettings, PickQuery, PickSettings,
+    PrefixCacheIndex, PrefixCacheSettings, PrefixRead, PromptPrefixes, ServerPick, pick_server,
+    short_server_id,
 };
 use galenamast_gateway::state::{PromptPart, ServerEntry};
 use rand::{Rng, SeedableRng};
@@ -591,3 +592,29 @@
     let pick = pick_server(&serving, &query, &estimator, &PickSettings::default(), now);
     assert_eq!(&*pick.expect("a server is listed").server.domain, "south");
 }
+
+// Guards against a panic for each request of a host after one malformed load report: the predicted
+// time was not a number, or below zero.
+#[test]
+fn implausible_load_report_leaves_predictions_finite() {
+    let (server, now) = (Arc::from("i-1"), TimePoint::from_millis(10));
+    let implausible = [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, -5.0, f64::MAX];
+    for waiting_work in implausible {
+        let mut loads = LoadEstimator::new(LoadSettings::default());
+        let load = HostLoad {
+            server: short_server_id("i-1"),
+            in_flight: u32::MAX,
+            waiting_work,
+        };
+        for port in 1..=2 {
+            let peer = SocketAddr::from(([10, 0, 0, 1], port));
+            loads.record_remote(peer, &[load.clone(), load.clone()], now);
+        }
+        let delay = loads.queue_delay(&server, 0.001, now);
+        assert!(
+            Duration::try_from_secs_f64(delay).is_ok(),
+            "{waiting_work}: {delay}"
+        );
+        assert!(loads.cost(&server, 0.1, 1.0, now).is_finite());
+    }
+}
