Find stalled streams whose server still sends single bytes

A caller waited until its deadline for a stream whose server sent a byte every 100 ms and never completed an event: each byte started the stall time again.

The stall time now runs until the next complete event. Only time spent waiting for the server counts, so a caller that reads slowly does not make its server look stalled. The test stream_of_single_bytes_is_resumed_after_the_stall_time failed before: the stream ended incomplete after one event. slow_stream_is_not_cut_off passes before and after: events that take a second each, in two parts, are delivered whole.

--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -41,6 +41,9 @@
     delivered: u64,
     last_received_at: TimePoint,
     pace: StreamPace,
+    // Time spent waiting for the server since its last complete event. Time during which the caller
+    // reads nothing does not count, since the server may have sent events meanwhile.
+    event_wait: Duration,
 }
 
 impl StreamRelay {
@@ -60,6 +63,7 @@
             pending: VecDeque::new(),
             delivered: 0,
             pace: StreamPace::default(),
+            event_wait: Duration::ZERO,
         }
     }
 
@@ -96,11 +100,15 @@
     /// Reads the next frame from the server and queues the events that it completes.
     async fn read_next(&mut self) -> RelayProgress {
         let remaining = remaining_time(&self.exchange.context, self.exchange.deadline);
-        let timeout = self.stall_timeout().min(remaining);
+        let time_to_event = self.stall_timeout().saturating_sub(self.event_wait);
+        let timeout = time_to_event.min(remaining);
         let Some(response) = &mut self.response else {
             return RelayProgress::Failed(AttemptOutcome::Broken);
         };
-        match tokio::time::timeout(timeout, response.body.frame()).await {
+        let asked_at = self.exchange.context.now();
+        let read = tokio::time::timeout(timeout, response.body.frame()).await;
+        self.event_wait += self.exchange.context.now().since(asked_at);
+        match read {
             Err(_) => RelayProgress::Failed(AttemptOutcome::Silent),
             Ok(Some(Err(_))) => RelayProgress::Failed(AttemptOutcome::Broken),
             Ok(None) if self.splitter.has_partial() => {
@@ -123,6 +131,9 @@
         let Ok(events) = self.splitter.push(bytes) else {
             return RelayProgress::Failed(AttemptOutcome::Garbled);
         };
+        if !events.is_empty() {
+            self.event_wait = Duration::ZERO;
+        }
         for event in events {
             if !self.accept_event(event) {
                 return RelayProgress::Failed(AttemptOutcome::Garbled);
@@ -159,7 +170,7 @@
         }
     }
 
-    /// Returns the gap between frames after which the server counts as stalled.
+    /// Returns the time without a complete event after which the server counts as stalled.
     fn stall_timeout(&self) -> Duration {
         let gap = self.exchange.route.gap_goal.unwrap_or(MIN_STALL_TIMEOUT);
         gap.mul_f64(STALL_GAP_FACTOR).max(MIN_STALL_TIMEOUT)
@@ -185,6 +196,7 @@
             Ok(response) => {
                 self.splitter = EventSplitter::default();
                 self.pace = StreamPace::default();
+                self.event_wait = Duration::ZERO;
                 self.response = Some(response);
                 Ok(())
             }
