Answer requests that arrive while a stopping host closes idle connections

A caller whose request arrived at the moment at which a stopping host closed idle connections got no response: the connection was closed by hyper's graceful shutdown, which drops a connection between two requests even if a part of the next head was read, and does not look for bytes that were not read yet.

Idle connections now end through their socket, which reports the end of the caller's requests only while no request is read or served and the system holds no unread bytes. Connections are counted by a guard, so that a panic in one does not keep a stopping host waiting.

--- a/gateway/src/transport/caller_listener.rs
+++ b/gateway/src/transport/caller_listener.rs
@@ -18,6 +18,7 @@
 
 use crate::protocol::{GatewayRecord, RELAY_UNSERVED, RELAYED_BY};
 use crate::state::RouteKind;
+use crate::transport::caller_socket::{CallerSocket, ConnectionActivity};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
 use crate::transport::request_admission::{Admission, Refusal, admit_head, read_body};
@@ -88,11 +89,11 @@
                     .increment("connections_over_limit_total");
                 continue;
             }
-            self.open.fetch_add(1, Ordering::Relaxed);
+            let guard = OpenGuard::new(&self);
             let shared = self.clone();
             tokio::spawn(async move {
+                let _guard = guard;
                 shared.serve_connection(stream, origin).await;
-                shared.open.fetch_sub(1, Ordering::Relaxed);
             });
         }
     }
@@ -123,24 +124,27 @@
             .max_headers(MAX_HEADERS)
             .max_buf_size(limits.header_bytes.max(MIN_HEADER_BUFFER_BYTES));
         let shared = self.clone();
+        let activity = Arc::new(ConnectionActivity::default());
+        let close_idle = if self.close_idle.is_cancelled() {
+            // A connection accepted this late closes with its first response. Closing it earlier
+            // would leave the caller without a response.
+            CancellationToken::new()
+        } else {
+            self.close_idle.clone()
+        };
+        let socket = CallerSocket::new(stream, activity.clone(), close_idle);
         let service = service_fn(move |request| {
             let shared = shared.clone();
-            async move { Ok::<_, Infallible>(shared.serve_request(request, origin).await) }
+            let serving = activity.serve();
+            async move {
+                let response = shared.serve_request(request, origin).await;
+                Ok::<_, Infallible>(response.map(|body| serving.attach(body)))
+            }
         });
-        let connection = builder.serve_connection(TokioIo::new(stream), service);
-        let mut connection = std::pin::pin!(connection);
-        if self.close_idle.is_cancelled() {
-            // A connection accepted this late closes with its first response. Closing it earlier
-            // would leave the caller without a response.
-            let _ = connection.await;
-            return;
-        }
         // An I/O error concerns this connection only, and the caller notices it too.
-        tokio::select! {
-            _ = connection.as_mut() => return,
-            () = self.close_idle.cancelled() => connection.as_mut().graceful_shutdown(),
-        }
-        let _ = connection.await;
+        let _ = builder
+            .serve_connection(TokioIo::new(socket), service)
+            .await;
     }
 
     /// Serves one request; asks the caller to close the connection if the host is stopping.
@@ -218,6 +222,23 @@
     }
 }
 
+/// Counts a connection as open until it is dropped, also if the task that serves it panics.
+struct OpenGuard(Arc<CallerListener>);
+
+impl OpenGuard {
+    /// Counts a connection as open.
+    fn new(listener: &Arc<CallerListener>) -> Self {
+        listener.open.fetch_add(1, Ordering::Relaxed);
+        Self(listener.clone())
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Counts a request as in flight until its response starts.
 struct RequestGuard<'a> {
     context: &'a GatewayContext,
--- a/gateway/src/transport/mod.rs
+++ b/gateway/src/transport/mod.rs
@@ -4,6 +4,7 @@
 mod attempt_guard;
 mod attempt_runner;
 mod caller_listener;
+mod caller_socket;
 mod connection_pool;
 mod counted_body;
 mod crash_check;
