Keep receiving datagrams after a malformed one

During a roll-out, a host took no datagrams of other hosts any more after two of them had reported implausible counts: their sum overflowed, and the panic ended the task that announces the host, receives datagrams and sends its own.

The counts now saturate. A panic upon a datagram drops that datagram, which is counted and logged, and the next one is read. The test implausible_counts_of_a_trial_stop_nothing failed before with "attempt to add with overflow" and "the host applies no datagrams any more". Two further tests send random datagrams and bytes that are no request; they passed without a change.

--- a/gateway/src/state/answer_grade.rs
+++ b/gateway/src/state/answer_grade.rs
@@ -34,9 +34,10 @@
 
     /// Adds other counts.
     pub fn add(&mut self, other: Self) {
-        self.answers += other.answers;
-        self.failures += other.failures;
-        self.slow += other.slow;
+        // Saturates, because the counts of other hosts may be malformed.
+        self.answers = self.answers.saturating_add(other.answers);
+        self.failures = self.failures.saturating_add(other.failures);
+        self.slow = self.slow.saturating_add(other.slow);
     }
 
     /// Returns the share of failed answers, from 0 to 1; 0 if there are no answers.
--- a/gateway/src/transport/peer_gossip.rs
+++ b/gateway/src/transport/peer_gossip.rs
@@ -6,9 +6,11 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use http::{Method, StatusCode};
 use log::Level;
 use rand::Rng;
@@ -64,7 +66,7 @@
 
 /// Announces the host in the store, and sends gossip to the other hosts and receives theirs.
 pub(crate) async fn run_peer_gossip(context: Arc<GatewayContext>, socket: Arc<UdpSocket>) {
-    let receiving = receive_messages(&context, &socket);
+    let receiving = keep_receiving(&context, &socket);
     let same_domain = send_loads(&context, &socket, PeerScope::OwnDomain);
     let other_domains = send_loads(&context, &socket, PeerScope::OtherDomains);
     let following = follow_hosts(&context, &socket);
@@ -236,6 +238,23 @@
     result.as_ref().ok().copied()
 }
 
+/// Receives messages of other hosts. A panic upon a malformed one must not end the exchange with all
+/// hosts, so the message is dropped and the next one is read.
+async fn keep_receiving(context: &GatewayContext, socket: &UdpSocket) {
+    loop {
+        let receiving = AssertUnwindSafe(receive_messages(context, socket));
+        if receiving.catch_unwind().await.is_ok() {
+            return;
+        }
+        context.metrics.increment("datagrams_unreadable_total");
+        let record = GatewayRecord::Fault {
+            part: "datagrams",
+            message: "a datagram could not be applied and was dropped".into(),
+        };
+        log_record(Level::Error, &record);
+    }
+}
+
 /// Receives messages of other hosts and applies them.
 async fn receive_messages(context: &GatewayContext, socket: &UdpSocket) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
