Deliver no response as complete whose end is not stated

A caller got the half of a plain response as a complete one with status 200 if its server stated neither a length nor chunks: such a response ends with its connection, also when it breaks off.

These responses now count as broken off: a request that may be repeated goes to another server, a stream is resumed after its last event. The test response_that_breaks_off_is_not_delivered_as_complete failed before for this one of its four ways of breaking off, with status 200 and the part of the body that had arrived.

--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -8,7 +8,7 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
 use crate::coordination::requests::AttemptOutcome;
 use crate::protocol::{AnswerHead, strip_connection_headers};
@@ -61,6 +61,9 @@
     pub(crate) latency: Duration,
     connection: BackendConnection,
     _guard: AttemptGuard,
+    // Whether the head states how the body ends. Otherwise it ends with the connection, and nothing
+    // shows whether it is complete.
+    has_stated_end: bool,
 }
 
 /// A response whose body was read to its end.
@@ -85,6 +88,9 @@
         let remaining = remaining_time(context, deadline);
         let read = tokio::time::timeout(remaining, reading).await;
         let body = read.map_err(|_| AttemptOutcome::Silent)??;
+        if !self.has_stated_end {
+            return Err(AttemptOutcome::Broken);
+        }
         if !self.head.closes {
             context.pool.keep(self.connection, self.head.idle_limit);
         }
@@ -95,6 +101,11 @@
         })
     }
 
+    /// Returns whether the end of the body shows that it is complete.
+    pub(crate) fn has_stated_end(&self) -> bool {
+        self.has_stated_end
+    }
+
     /// Returns the connection to the pool; the body must have been read to its end.
     pub(crate) fn release_connection(self, context: &GatewayContext) {
         if !self.head.closes {
@@ -164,6 +175,8 @@
     let head = (context.format.read_answer)(parts.status, &parts.headers);
     record_demand(context, server, &head, sent_at);
     check_head(&head, parts.status, call.request)?;
+    let has_stated_end =
+        parts.headers.contains_key(header::TRANSFER_ENCODING) || body.size_hint().exact().is_some();
     strip_connection_headers(&mut parts.headers);
     parts.headers.remove(header::CONTENT_LENGTH);
     Ok(OpenResponse {
@@ -175,6 +188,7 @@
         latency,
         connection,
         _guard: guard,
+        has_stated_end,
     })
 }
 
--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -111,7 +111,7 @@
         match read {
             Err(_) => RelayProgress::Failed(AttemptOutcome::Silent),
             Ok(Some(Err(_))) => RelayProgress::Failed(AttemptOutcome::Broken),
-            Ok(None) if self.splitter.has_partial() => {
+            Ok(None) if self.splitter.has_partial() || !response.has_stated_end() => {
                 RelayProgress::Failed(AttemptOutcome::Broken)
             }
             Ok(None) => RelayProgress::Complete,
