Wait for a stream that is passed on as long as its route allows

A host that reaches no server cut off a healthy stream after six seconds without a frame, whatever gap between events its route allows: with a goal of seven seconds for the gap, the host that relays the stream from its server waits for fourteen.

The time is now at least twice the stall time of the route, so that the other host can resume the stream elsewhere first. The test slow_stream_passed_on_is_not_cut_off failed before: the response ended without its event. restarted_host_uses_no_server_that_left_and_no_revoked_key passes before and after; no test showed this for a host that restarts on stale data.

--- a/gateway/src/transport/request_exchange/relay.rs
+++ b/gateway/src/transport/request_exchange/relay.rs
@@ -22,13 +22,17 @@
 use crate::transport::record_log::log_record;
 use crate::transport::request_exchange::RequestExchange;
 use crate::transport::response_body::{ResponseBody, TruncatedResponse, full_body};
+use crate::transport::stream_relay::stall_timeout;
 
 /// Greatest number of hosts that a request is passed on to, one after the other.
 const MAX_RELAYS: usize = 3;
 /// Time for which a host that did not serve a request gets no other one of the service.
 const UNSERVED_PAUSE: Duration = Duration::from_secs(1);
-/// Longest time between two frames of a stream; the other host notices a stalled server sooner.
-const FRAME_TIMEOUT: Duration = Duration::from_secs(6);
+/// Shortest time without a frame of a stream after which the other host counts as lost.
+const MIN_FRAME_TIMEOUT: Duration = Duration::from_secs(6);
+/// The same as a multiple of the time after which the other host takes its server for stalled and
+/// resumes the stream elsewhere.
+const FRAME_STALL_FACTOR: f64 = 2.0;
 
 /// How passing a request on ended, if there is no response for the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -191,12 +195,16 @@
     /// Returns the body of a stream that the other host relays.
     fn stream_body(&self, connection: BackendConnection, body: Incoming) -> ResponseBody {
         let context = self.context.clone();
+        let stall_timeout = stall_timeout(&self.route);
+        let frame_timeout = stall_timeout
+            .mul_f64(FRAME_STALL_FACTOR)
+            .max(MIN_FRAME_TIMEOUT);
         let state = (Some(connection), body);
         let frames = stream::unfold(state, move |(mut connection, mut body)| {
             let context = context.clone();
             async move {
                 connection.as_ref()?;
-                match tokio::time::timeout(FRAME_TIMEOUT, body.frame()).await {
+                match tokio::time::timeout(frame_timeout, body.frame()).await {
                     Ok(Some(Ok(frame))) => {
                         let bytes = frame.into_data().unwrap_or_default();
                         Some((Ok(Frame::data(bytes)), (connection, body)))
--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -12,6 +12,7 @@
 use crate::coordination::requests::AttemptOutcome;
 use crate::coordination::rollouts::StreamPace;
 use crate::protocol::{EventSplitter, StreamEvent};
+use crate::state::ServiceRoute;
 use crate::transport::attempt_runner::{OpenResponse, remaining_time};
 use crate::transport::request_exchange::RequestExchange;
 use crate::transport::response_body::{ResponseBody, TruncatedResponse};
@@ -21,6 +22,13 @@
 /// Shortest gap after which a server counts as stalled.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Returns the time without a complete event after which the server of a route's stream counts as
+/// stalled.
+pub(crate) fn stall_timeout(route: &ServiceRoute) -> Duration {
+    let gap = route.gap_goal.unwrap_or(MIN_STALL_TIMEOUT);
+    gap.mul_f64(STALL_GAP_FACTOR).max(MIN_STALL_TIMEOUT)
+}
+
 /// The outcome of reading from the server once.
 enum RelayProgress {
     /// Data was read, possibly without completing an event.
@@ -100,7 +108,7 @@
     /// Reads the next frame from the server and queues the events that it completes.
     async fn read_next(&mut self) -> RelayProgress {
         let remaining = remaining_time(&self.exchange.context, self.exchange.deadline);
-        let time_to_event = self.stall_timeout().saturating_sub(self.event_wait);
+        let time_to_event = stall_timeout(&self.exchange.route).saturating_sub(self.event_wait);
         let timeout = time_to_event.min(remaining);
         let Some(response) = &mut self.response else {
             return RelayProgress::Failed(AttemptOutcome::Broken);
@@ -170,12 +178,6 @@
         }
     }
 
-    /// Returns the time without a complete event after which the server counts as stalled.
-    fn stall_timeout(&self) -> Duration {
-        let gap = self.exchange.route.gap_goal.unwrap_or(MIN_STALL_TIMEOUT);
-        gap.mul_f64(STALL_GAP_FACTOR).max(MIN_STALL_TIMEOUT)
-    }
-
     /// Resumes at another server after the last event that was queued for the caller.
     async fn resume(&mut self, outcome: AttemptOutcome) -> Result<(), TruncatedResponse> {
         let Some(response) = self.response.take() else {
