End attempts at lost servers at once, if the retry budget allows it

Callers whose requests waited at servers that had gone dark with their connections open waited for the head timeout at one such server after the other: in the test requests_at_servers_that_go_dark_are_answered_by_a_live_one, with three of four servers dark and a goal of 6 s, the last of twelve answers took 6.02 s.

A server at which an attempt waits without activity for twice the usual time is now probed, one connection at a time for all attempts. If it refuses, or all probes of a second time out, it is lost: attempts that may be repeated end and go elsewhere if the budget grants the retry, the others wait on. A request that met a silent server opens a new connection for its next attempt, so that a dark server costs a connect timeout of a quarter of the time left, 400 ms at most, and neither a run nor budget.

--- a/gateway/src/coordination/mod.rs
+++ b/gateway/src/coordination/mod.rs
@@ -5,6 +5,7 @@
 pub mod cascade;
 pub mod crashes;
 pub mod freshness;
+pub mod liveness;
 pub mod permits;
 pub mod placement;
 pub mod reach;
--- a/gateway/src/coordination/requests/attempt_outcome.rs
+++ b/gateway/src/coordination/requests/attempt_outcome.rs
@@ -27,6 +27,8 @@
     Silent,
     /// The host closed the connection, since servers crash with a part of the prompt.
     Withdrawn,
+    /// The server was judged lost while the attempt waited, and a retry was taken from the budget.
+    Lost,
 }
 
 impl AttemptOutcome {
@@ -38,6 +40,14 @@
         )
     }
 
+    /// Returns whether the server or the path to it may be gone.
+    pub const fn leaves_doubt(self) -> bool {
+        matches!(
+            self,
+            Self::NotSent | Self::Broken | Self::Silent | Self::Lost
+        )
+    }
+
     /// Returns whether something was sent to the server.
     pub const fn reached_server(self) -> bool {
         !matches!(self, Self::NotSent | Self::Withheld)
@@ -91,7 +101,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NextStep {
     /// Try another server, if the retry budget allows it for this purpose. `None` needs no budget,
-    /// since the attempt reached no server.
+    /// since the attempt reached no server or the budget was asked before.
     Retry(Option<RetryPurpose>),
     /// Answer the caller.
     End(FinalAnswer),
@@ -115,7 +125,8 @@
     tally: &AttemptTally,
     limits: &AttemptLimits,
 ) -> NextStep {
-    let purpose = outcome.reached_server().then_some(RetryPurpose::Failure);
+    let needs_budget = outcome.reached_server() && outcome != AttemptOutcome::Lost;
+    let purpose = needs_budget.then_some(RetryPurpose::Failure);
     let may_run_again = limits.retryable && tally.runs < limits.runs;
     let nothing_ran = tally.runs == 0;
     let is_useful = outcome != AttemptOutcome::Withdrawn;
@@ -130,7 +141,7 @@
     match outcome {
         AttemptOutcome::Failed => FinalAnswer::ServerFailure,
         _ if tally.runs == 0 => FinalAnswer::NotRun,
-        AttemptOutcome::Silent => FinalAnswer::TimedOut,
+        AttemptOutcome::Silent | AttemptOutcome::Lost => FinalAnswer::TimedOut,
         _ => FinalAnswer::Unknown,
     }
 }
--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -310,4 +310,22 @@
         /// Number of records.
         count: u64,
     },
+    /// A server at which requests wait accepts no connection and is taken for lost.
+    ServerLost {
+        /// Identifier of the server.
+        server: Arc<str>,
+        /// Attempts that wait for their first byte there.
+        waiting: usize,
+        /// Longest time for which one of them has waited without activity, in milliseconds.
+        silent_ms: u64,
+        /// Connections in a row that failed.
+        failures: u32,
+    },
+    /// A server that was taken for lost is active again.
+    ServerReturned {
+        /// Identifier of the server.
+        server: Arc<str>,
+        /// Time for which it was taken for lost, in milliseconds.
+        lost_ms: u64,
+    },
 }
--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -10,16 +10,18 @@
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 
+use crate::coordination::liveness::ProbeResult;
 use crate::coordination::requests::AttemptOutcome;
 use crate::protocol::{AnswerHead, strip_connection_headers};
 use crate::state::{AttemptHead, CrashSuspect, ServerEntry};
 use crate::transport::attempt_guard::AttemptGuard;
-use crate::transport::connection_pool::BackendConnection;
+use crate::transport::connection_pool::{BackendConnection, failed_connection};
 use crate::transport::counted_body::read_counted;
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::response_body::{ResponseBody, full_body};
 use crate::transport::send_permit::SendPermit;
 use crate::transport::server_demands::record_demand;
+use crate::transport::server_watch::{ServerWatch, record_byte, record_connection};
 
 /// One attempt to run a request on a backend server.
 #[derive(Debug)]
@@ -42,6 +44,12 @@
     pub(crate) suspect: &'a CrashSuspect,
     /// Longest time to wait for the head of the response.
     pub(crate) head_timeout: Duration,
+    /// Time left for the request.
+    pub(crate) time_left: Duration,
+    /// Expected time to the first byte.
+    pub(crate) expected_first_byte: Duration,
+    /// Whether the request may be sent to another server after this one may have run it.
+    pub(crate) may_repeat: bool,
 }
 
 /// A response whose head was read and validated; its body is still to be read.
@@ -144,12 +152,22 @@
     let mut connection = match pooled {
         Some(connection) => connection,
         None => {
-            let timeout = context.settings.connect_timeout.min(call.head_timeout);
+            let longest = context.settings.liveness.connect_timeout(call.time_left);
+            let timeout = longest
+                .min(context.settings.connect_timeout)
+                .min(call.head_timeout);
             context.metrics.increment("connections_total");
-            let opened = BackendConnection::open(server.address, timeout).await;
-            let connection = opened.map_err(|_| AttemptOutcome::NotSent)?;
-            context.reach().record_connected(&server.service);
-            connection
+            match BackendConnection::open(server.address, timeout).await {
+                Ok(connection) => {
+                    context.reach().record_connected(&server.service);
+                    record_connection(context, server, ProbeResult::Accepted);
+                    connection
+                }
+                Err(error) => {
+                    record_connection(context, server, failed_connection(&error));
+                    return Err(AttemptOutcome::NotSent);
+                }
+            }
         }
     };
     let request = build_request(context, server, &call).ok_or(AttemptOutcome::NotSent)?;
@@ -157,19 +175,23 @@
         .confirm()
         .map_err(|_| AttemptOutcome::Withheld)?;
     let sent_at = context.now();
+    let watch = ServerWatch::new(context, server, call.expected_first_byte);
     let sending = connection.send(request);
     let answered = tokio::select! {
         answered = tokio::time::timeout(call.head_timeout, sending) => answered,
         () = wait_until_refused(context, call.suspect, sent_at) => {
             return Err(AttemptOutcome::Withdrawn);
         }
+        () = watch.wait_until_lost(call.may_repeat) => return Err(AttemptOutcome::Lost),
     };
+    drop(watch);
     let response = match answered {
         Ok(Ok(response)) => response,
         Ok(Err(_)) => return Err(AttemptOutcome::Broken),
         Err(_) => return Err(AttemptOutcome::Silent),
     };
     let latency = context.now().since(sent_at);
+    record_byte(context, server);
     guard.mark_started();
     let (mut parts, body) = response.into_parts();
     let head = (context.format.read_answer)(parts.status, &parts.headers);
--- a/gateway/src/transport/connection_pool.rs
+++ b/gateway/src/transport/connection_pool.rs
@@ -17,6 +17,8 @@
 use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::coordination::liveness::ProbeResult;
+
 /// TCP keep-alive: idle time before the first probe, and time between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// TCP keep-alive: unanswered probes after which a connection is dead, unless a user timeout is set.
@@ -154,6 +156,22 @@
 
 /// Returns whether a server at the address accepts a connection within the probe timeout.
 pub(crate) async fn accepts_connections(address: SocketAddr) -> bool {
-    let connecting = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address));
-    matches!(connecting.await, Ok(Ok(_)))
+    probe_connection(address, PROBE_TIMEOUT).await == ProbeResult::Accepted
+}
+
+/// Opens a connection to a server within `timeout` and closes it.
+pub(crate) async fn probe_connection(address: SocketAddr, timeout: Duration) -> ProbeResult {
+    match tokio::time::timeout(timeout, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => ProbeResult::Accepted,
+        Ok(Err(error)) => failed_connection(&error),
+        Err(_) => ProbeResult::TimedOut,
+    }
+}
+
+/// Returns what the failure to connect shows. Any other error than a refusal may be this host's own.
+pub(crate) fn failed_connection(error: &io::Error) -> ProbeResult {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused => ProbeResult::Refused,
+        _ => ProbeResult::TimedOut,
+    }
 }
--- a/gateway/src/transport/crash_reports.rs
+++ b/gateway/src/transport/crash_reports.rs
@@ -11,6 +11,7 @@
 use crate::state::{CrashReport, CrashSuspect, PartReport};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
+use crate::transport::server_watch::record_evidence;
 
 /// Interval at which a host reports the parts that it refuses.
 pub(crate) const REFUSAL_REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -38,6 +39,7 @@
 /// Records a crash that another host saw.
 pub(crate) fn apply_crash_report(context: &GatewayContext, report: &CrashReport) {
     let now = context.now();
+    record_evidence(context, &report.server);
     let verdict = context.crashes().record_report(report, now);
     apply_verdict(context, verdict, "host");
 }
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -15,6 +15,7 @@
 use crate::coordination::budgets::{RetryBudget, RetryPurpose};
 use crate::coordination::crashes::CrashQuarantine;
 use crate::coordination::freshness::{FreshnessSettings, StoreFreshness};
+use crate::coordination::liveness::ServerLiveness;
 use crate::coordination::permits::ServerPermits;
 use crate::coordination::placement::{LoadEstimator, PrefixCacheIndex, ServerTable};
 use crate::coordination::reach::ServiceReach;
@@ -84,6 +85,9 @@
     crashes: Mutex<CrashQuarantine>,
     reach: Mutex<ServiceReach>,
     peers: Mutex<BTreeMap<Arc<str>, HostPresence>>,
+    liveness: Mutex<ServerLiveness>,
+    /// Counts changes of what is known of servers at which requests wait.
+    pub(crate) liveness_changed: watch::Sender<u64>,
 }
 
 impl GatewayContext {
@@ -130,6 +134,8 @@
             reach_suspected: Notify::new(),
             parts_refused: watch::Sender::new(0),
             peers: Mutex::new(BTreeMap::new()),
+            liveness: Mutex::new(ServerLiveness::new(settings.liveness)),
+            liveness_changed: watch::Sender::new(0),
             settings,
         })
     }
@@ -179,6 +185,11 @@
         lock(&self.reach)
     }
 
+    /// Locks what is known of servers at which requests wait.
+    pub fn liveness(&self) -> MutexGuard<'_, ServerLiveness> {
+        lock(&self.liveness)
+    }
+
     /// Locks the known hosts, by name; they include this one once its entry was read.
     pub fn peers(&self) -> MutexGuard<'_, BTreeMap<Arc<str>, HostPresence>> {
         lock(&self.peers)
--- a/gateway/src/transport/gateway_settings.rs
+++ b/gateway/src/transport/gateway_settings.rs
@@ -8,6 +8,7 @@
 use crate::coordination::budgets::BudgetSettings;
 use crate::coordination::cascade::CascadeSettings;
 use crate::coordination::crashes::CrashSettings;
+use crate::coordination::liveness::LivenessSettings;
 use crate::coordination::permits::{ColdSettings, LimitSettings};
 use crate::coordination::placement::{LoadSettings, PickSettings, PrefixCacheSettings};
 use crate::coordination::reach::ReachSettings;
@@ -80,6 +81,8 @@
     pub crashes: CrashSettings,
     /// Detection of lost paths to servers.
     pub reach: ReachSettings,
+    /// Judgement of servers at which requests wait.
+    pub liveness: LivenessSettings,
 }
 
 impl GatewaySettings {
@@ -121,6 +124,7 @@
             rollouts: RolloutSettings::default(),
             crashes: CrashSettings::default(),
             reach: ReachSettings::default(),
+            liveness: LivenessSettings::default(),
         }
     }
 }
--- a/gateway/src/transport/mod.rs
+++ b/gateway/src/transport/mod.rs
@@ -26,6 +26,7 @@
 mod rollout_writer;
 mod send_permit;
 mod server_demands;
+mod server_watch;
 mod store_client;
 mod store_confirmer;
 mod store_feeds;
--- a/gateway/src/transport/request_exchange/feedback.rs
+++ b/gateway/src/transport/request_exchange/feedback.rs
@@ -12,6 +12,7 @@
 use crate::transport::reach_probe::record_unreachable;
 use crate::transport::record_log::log_record;
 use crate::transport::request_exchange::RequestExchange;
+use crate::transport::server_watch::record_evidence;
 
 impl RequestExchange {
     /// Updates the state of the server after an attempt without a usable response.
@@ -25,7 +26,8 @@
                 let reach = loads.domain_reach_mut();
                 reach.record_unreachable(&server.domain, &server.id, now);
             }
-            AttemptOutcome::Withheld | AttemptOutcome::Withdrawn => {}
+            // What follows from a lost server was applied when it was judged.
+            AttemptOutcome::Withheld | AttemptOutcome::Withdrawn | AttemptOutcome::Lost => {}
             AttemptOutcome::WrongServer => self.context.servers().mark_reused(&server.id, now),
             AttemptOutcome::Silent => self.context.loads().record_timeout(&server.id, now),
             AttemptOutcome::Rejected | AttemptOutcome::Failed | AttemptOutcome::Garbled => {
@@ -34,6 +36,7 @@
             AttemptOutcome::Broken => {
                 self.context.loads().record_failure(&server.id, now);
                 self.context.crashes().record_disconnect(&server.id, now);
+                record_evidence(&self.context, &server.id);
                 let lost = LostServer {
                     server,
                     tried: &self.tried,
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -12,6 +12,7 @@
 use http::request::Parts;
 use http::{HeaderValue, Response};
 
+use crate::coordination::liveness::ServerVerdict;
 use crate::coordination::requests::{
     AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, NextStep, final_answer, next_step,
 };
@@ -82,6 +83,9 @@
     pub(crate) longest_gap: Duration,
     // A version on trial that failed this request; further attempts go to the version before it.
     avoided_version: Option<Arc<str>>,
+    // Whether a server of the request was silent or out of reach. Its neighbours may be too, and an
+    // open connection does not show it.
+    met_silent_server: bool,
 }
 
 impl RequestExchange {
@@ -138,6 +142,7 @@
             earliest_start: None,
             longest_gap: Duration::ZERO,
             avoided_version: None,
+            met_silent_server: false,
             context,
             route,
             request,
@@ -282,11 +287,14 @@
                 parts: &self.parts,
                 body: &self.body.bytes,
                 request: &self.request,
-                needs_new_connection: self.route.kind == RouteKind::Unsafe,
+                needs_new_connection: self.needs_new_connection(&server.id),
                 permit,
                 suspect: &self.suspect,
                 head_timeout,
                 work: pick.work,
+                time_left: remaining,
+                expected_first_byte: self.expected_first_byte(),
+                may_repeat: self.may_repeat(),
                 head: AttemptHead {
                     server: server.id.clone(),
                     time_left: remaining,
@@ -315,6 +323,7 @@
         latency: Duration,
     ) -> Result<(), ExchangeFailure> {
         self.tally.note(outcome);
+        self.met_silent_server |= outcome.leaves_doubt();
         self.tried.push(server.id.clone());
         self.record_outcome(server, outcome).await;
         let limits = AttemptLimits {
@@ -343,6 +352,21 @@
         }
     }
 
+    /// Returns whether the next attempt needs a new connection, which shows that its server is there. A
+    /// request that must not run twice is not sent on one that may be closed already.
+    fn needs_new_connection(&self, server: &str) -> bool {
+        self.route.kind == RouteKind::Unsafe
+            || self.met_silent_server
+            || self.context.liveness().verdict(server) != ServerVerdict::Alive
+    }
+
+    /// Returns whether another attempt may follow one that may have run.
+    fn may_repeat(&self) -> bool {
+        self.route.is_retryable()
+            && self.tally.runs + 1 < self.route.attempts
+            && self.tally.tries + 1 < MAX_ATTEMPTS
+    }
+
     /// Returns the final outcome when no server is left to try.
     fn no_server_left(&mut self) -> ExchangeFailure {
         self.log_denials();
--- a/gateway/src/transport/request_exchange/relay.rs
+++ b/gateway/src/transport/request_exchange/relay.rs
@@ -121,7 +121,8 @@
         let mut connection = match pooled {
             Some(connection) => connection,
             None => {
-                let timeout = context.settings.connect_timeout.min(remaining);
+                let longest = context.settings.liveness.connect_timeout(remaining);
+                let timeout = context.settings.connect_timeout.min(longest);
                 let opened = BackendConnection::open(peer.address, timeout).await;
                 opened.map_err(|_| RelayFailure::Unserved)?
             }
--- a/gateway/src/transport/request_exchange/server_choice.rs
+++ b/gateway/src/transport/request_exchange/server_choice.rs
@@ -86,7 +86,8 @@
     pub(super) fn pick(&mut self) -> Option<ServerPick> {
         let pick = self.find_server()?;
         self.version = Some(pick.server.version.clone());
-        self.typical_first_byte = Duration::from_secs_f64(pick.typical_wait);
+        self.typical_first_byte =
+            Duration::try_from_secs_f64(pick.typical_wait).unwrap_or(Duration::MAX);
         self.predicted_wait = pick.wait;
         self.earliest_start = Some(pick.earliest_start);
         Some(pick)
@@ -264,6 +265,16 @@
             .min(remaining)
     }
 
+    /// Returns the expected time to the first byte at the chosen server with its queue, if it is a
+    /// typical one.
+    pub(super) fn expected_first_byte(&self) -> Duration {
+        let (class, size) = self.class();
+        let usual = self.context.loads().expected_first_byte(&class, size);
+        let work = Duration::try_from_secs_f64(self.work()).unwrap_or_default();
+        let queued = self.typical_first_byte.saturating_add(work);
+        usual.unwrap_or_default().max(queued)
+    }
+
     /// Returns the estimated work of the request, in seconds on a typical server.
     pub(super) fn work(&self) -> f64 {
         let (class, _) = self.class();
--- a/gateway/src/transport/store_feeds.rs
+++ b/gateway/src/transport/store_feeds.rs
@@ -13,6 +13,7 @@
 use crate::state::{ConfigSnapshot, FollowedKind, ServerEntry};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
+use crate::transport::server_watch::record_removal;
 use crate::transport::store_client::StoreError;
 use crate::transport::store_follower::{KindFeed, KindUpdate, follow_kind};
 
@@ -203,6 +204,7 @@
         TableChange::Same => return,
         TableChange::Appeared => {
             context.loads().reset(&entry.id);
+            context.liveness().record_start(&entry.id);
             context.prefix_cache().forget(&entry.id);
             let started_ms = entry.started_ms;
             context.permits().record_start(&entry.id, started_ms);
@@ -215,6 +217,7 @@
             context.prefix_cache().forget(&entry.id);
             let now = context.now();
             context.permits().record_removal(&entry.id, now);
+            record_removal(context, &entry.id);
         }
     }
     let record = GatewayRecord::ServerChanged {
--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -16,6 +16,7 @@
 use crate::transport::attempt_runner::{OpenResponse, remaining_time};
 use crate::transport::request_exchange::RequestExchange;
 use crate::transport::response_body::{ResponseBody, TruncatedResponse};
+use crate::transport::server_watch::record_byte;
 
 /// Multiple of the route's goal for the gap between events after which a server counts as stalled.
 const STALL_GAP_FACTOR: f64 = 2.0;
@@ -135,6 +136,9 @@
         let now = self.exchange.context.now();
         let gap = now.since(self.last_received_at);
         self.last_received_at = now;
+        if let Some(response) = &self.response {
+            record_byte(&self.exchange.context, &response.server);
+        }
         self.exchange.longest_gap = self.exchange.longest_gap.max(gap);
         let Ok(events) = self.splitter.push(bytes) else {
             return RelayProgress::Failed(AttemptOutcome::Garbled);
--- a/gateway/tests/decisions/main.rs
+++ b/gateway/tests/decisions/main.rs
@@ -9,6 +9,7 @@
 mod events;
 mod freshness;
 mod limits;
+mod liveness;
 mod outcomes;
 mod paces;
 mod pauses;
