--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -16,6 +16,7 @@
 use crate::coordination::crashes::CrashQuarantine;
 use crate::coordination::evacuations::{DomainEvacuations, EvacuationSettings};
 use crate::coordination::freshness::{FreshnessSettings, StoreFreshness};
+use crate::coordination::liveness::ServerLiveness;
 use crate::coordination::permits::ServerPermits;
 use crate::coordination::placement::{LoadEstimator, PrefixCacheIndex, ServerTable};
 use crate::coordination::reach::ServiceReach;
@@ -90,6 +91,9 @@
     pub(crate) evacuations_due: Notify,
     /// Notified when a server has become cold.
     pub(crate) cold_learned: Notify,
+    liveness: Mutex<ServerLiveness>,
+    /// Counts changes of what is known of servers at which requests wait.
+    pub(crate) liveness_changed: watch::Sender<u64>,
 }
 
 impl GatewayContext {
@@ -141,6 +145,8 @@
             evacuations: Mutex::new(DomainEvacuations::new(EvacuationSettings::default())),
             evacuations_due: Notify::new(),
             cold_learned: Notify::new(),
+            liveness: Mutex::new(ServerLiveness::new(settings.liveness)),
+            liveness_changed: watch::Sender::new(0),
             settings,
         })
     }
@@ -190,6 +196,11 @@
         lock(&self.reach)
     }
 
+    /// Locks what is known of servers at which requests wait.
+    pub fn liveness(&self) -> MutexGuard<'_, ServerLiveness> {
+        lock(&self.liveness)
+    }
+
     /// Locks the known hosts, by name; they include this one once its entry was read.
     pub fn peers(&self) -> MutexGuard<'_, BTreeMap<Arc<str>, HostPresence>> {
         lock(&self.peers)
--- a/gateway/src/transport/mod.rs
+++ b/gateway/src/transport/mod.rs
@@ -4,6 +4,7 @@
 mod attempt_guard;
 mod attempt_runner;
 mod caller_listener;
+mod caller_socket;
 mod cold_notices;
 mod connection_pool;
 mod counted_body;
@@ -27,6 +28,7 @@
 mod rollout_writer;
 mod send_permit;
 mod server_demands;
+mod server_watch;
 mod store_client;
 mod store_confirmer;
 mod store_feeds;
--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -12,15 +12,24 @@
 use crate::coordination::requests::AttemptOutcome;
 use crate::coordination::rollouts::StreamPace;
 use crate::protocol::{EventSplitter, StreamEvent};
+use crate::state::ServiceRoute;
 use crate::transport::attempt_runner::{OpenResponse, remaining_time};
 use crate::transport::request_exchange::RequestExchange;
 use crate::transport::response_body::{ResponseBody, TruncatedResponse};
+use crate::transport::server_watch::record_byte;
 
 /// Multiple of the route's goal for the gap between events after which a server counts as stalled.
 const STALL_GAP_FACTOR: f64 = 2.0;
 /// Shortest gap after which a server counts as stalled.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Returns the time without a complete event after which the server of a route's stream counts as
+/// stalled.
+pub(crate) fn stall_timeout(route: &ServiceRoute) -> Duration {
+    let gap = route.gap_goal.unwrap_or(MIN_STALL_TIMEOUT);
+    gap.mul_f64(STALL_GAP_FACTOR).max(MIN_STALL_TIMEOUT)
+}
+
 /// The outcome of reading from the server once.
 enum RelayProgress {
     /// Data was read, possibly without completing an event.
@@ -41,6 +50,9 @@
     delivered: u64,
     last_received_at: TimePoint,
     pace: StreamPace,
+    // Time spent waiting for the server since its last complete event. Time during which the caller
+    // reads nothing does not count, since the server may have sent events meanwhile.
+    event_wait: Duration,
 }
 
 impl StreamRelay {
@@ -60,6 +72,7 @@
             pending: VecDeque::new(),
             delivered: 0,
             pace: StreamPace::default(),
+            event_wait: Duration::ZERO,
         }
     }
 
@@ -96,11 +109,15 @@
     /// Reads the next frame from the server and queues the events that it completes.
     async fn read_next(&mut self) -> RelayProgress {
         let remaining = remaining_time(&self.exchange.context, self.exchange.deadline);
-        let timeout = self.stall_timeout().min(remaining);
+        let time_to_event = stall_timeout(&self.exchange.route).saturating_sub(self.event_wait);
+        let timeout = time_to_event.min(remaining);
         let Some(response) = &mut self.response else {
             return RelayProgress::Failed(AttemptOutcome::Broken);
         };
-        match tokio::time::timeout(timeout, response.body.frame()).await {
+        let asked_at = self.exchange.context.now();
+        let read = tokio::time::timeout(timeout, response.body.frame()).await;
+        self.event_wait += self.exchange.context.now().since(asked_at);
+        match read {
             Err(_) => RelayProgress::Failed(AttemptOutcome::Silent),
             Ok(Some(Err(_))) => RelayProgress::Failed(AttemptOutcome::Broken),
             Ok(None) if self.splitter.has_partial() => {
@@ -119,10 +136,16 @@
         let now = self.exchange.context.now();
         let gap = now.since(self.last_received_at);
         self.last_received_at = now;
+        if let Some(response) = &self.response {
+            record_byte(&self.exchange.context, &response.server);
+        }
         self.exchange.longest_gap = self.exchange.longest_gap.max(gap);
         let Ok(events) = self.splitter.push(bytes) else {
             return RelayProgress::Failed(AttemptOutcome::Garbled);
         };
+        if !events.is_empty() {
+            self.event_wait = Duration::ZERO;
+        }
         for event in events {
             if !self.accept_event(event) {
                 return RelayProgress::Failed(AttemptOutcome::Garbled);
@@ -159,12 +182,6 @@
         }
     }
 
-    /// Returns the gap between frames after which the server counts as stalled.
-    fn stall_timeout(&self) -> Duration {
-        let gap = self.exchange.route.gap_goal.unwrap_or(MIN_STALL_TIMEOUT);
-        gap.mul_f64(STALL_GAP_FACTOR).max(MIN_STALL_TIMEOUT)
-    }
-
     /// Resumes at another server after the last event that was queued for the caller.
     async fn resume(&mut self, outcome: AttemptOutcome) -> Result<(), TruncatedResponse> {
         let Some(response) = self.response.take() else {
@@ -185,6 +202,7 @@
             Ok(response) => {
                 self.splitter = EventSplitter::default();
                 self.pace = StreamPace::default();
+                self.event_wait = Duration::ZERO;
                 self.response = Some(response);
                 Ok(())
             }
--- a/gateway/tests/decisions/main.rs
+++ b/gateway/tests/decisions/main.rs
@@ -11,6 +11,7 @@
 mod events;
 mod freshness;
 mod limits;
+mod liveness;
 mod outcomes;
 mod paces;
 mod pauses;
