--- a/gateway/benches/pick_decision.rs
+++ b/gateway/benches/pick_decision.rs
@@ -6,6 +6,7 @@
 
 use criterion::{BenchmarkId, Criterion};
 use galenamast::state::TimePoint;
+use galenamast_gateway::coordination::liveness::{LivenessSettings, ServerLiveness};
 use galenamast_gateway::coordination::placement::{
     LoadEstimator, LoadSettings, PickQuery, PickSettings, PrefixCacheIndex, PrefixCacheSettings,
     PromptPrefixes, pick_server,
@@ -50,6 +51,29 @@
     estimator
 }
 
+/// Measures the next step of an attempt among 1,000 that wait at 240 servers.
+fn bench_liveness(criterion: &mut Criterion) {
+    let mut liveness = ServerLiveness::new(LivenessSettings::default());
+    let servers = servers(240);
+    let waiting: Vec<_> = (0..1_000)
+        .map(|number| {
+            let server = servers[number % servers.len()].id.clone();
+            let ticket = liveness.record_sent(&server, Duration::from_secs(60), TimePoint::ZERO);
+            (server, ticket)
+        })
+        .collect();
+    let mut number = 0;
+    criterion.bench_function("liveness/next_step", |bencher| {
+        bencher.iter(|| {
+            number = (number + 1) % waiting.len();
+            let (server, ticket) = &waiting[number];
+            let now = TimePoint::from_millis(number as u64);
+            liveness.record_byte(server, now);
+            black_box(liveness.next_step(server, *ticket, now))
+        });
+    });
+}
+
 fn main() {
     let mut criterion = Criterion::default()
         .measurement_time(Duration::from_secs(2))
@@ -83,5 +107,6 @@
         });
     }
     group.finish();
+    bench_liveness(&mut criterion);
     criterion.final_summary();
 }
