Take only chunked encodings for a stated end of a response

A response with another transfer encoding, such as identity, ends with its connection too, and its half was still delivered as complete with status 200. Only chunks as the last encoding, or a length, state the end now.

--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -197,8 +197,7 @@
     let head = (context.format.read_answer)(parts.status, &parts.headers);
     record_demand(context, server, &head, sent_at);
     check_head(&head, parts.status, call.request)?;
-    let has_stated_end =
-        parts.headers.contains_key(header::TRANSFER_ENCODING) || body.size_hint().exact().is_some();
+    let has_stated_end = is_chunked(&parts.headers) || body.size_hint().exact().is_some();
     strip_connection_headers(&mut parts.headers);
     parts.headers.remove(header::CONTENT_LENGTH);
     Ok(OpenResponse {
@@ -243,6 +242,14 @@
     Ok(())
 }
 
+/// Returns whether the body of a response is sent in chunks, the last of which ends it.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let mut encodings = headers.get_all(header::TRANSFER_ENCODING).into_iter();
+    let last = encodings.next_back().and_then(|value| value.to_str().ok());
+    let last = last.and_then(|value| value.rsplit(',').next());
+    last.is_some_and(|encoding| encoding.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// Builds the request for the server; `None` if its host or path cannot be encoded.
 fn build_request(
     context: &GatewayContext,
