--- a/gateway/src/transport/peer_gossip.rs
+++ b/gateway/src/transport/peer_gossip.rs
@@ -98,7 +98,6 @@
         queued,
         refusals,
         send_evacuations(&context, &socket),
-        cold_notices
         cold_notices,
         used_servers
     );
@@ -468,6 +467,9 @@
     for peer in chosen.copied().collect::<Vec<SocketAddr>>() {
         // A lost datagram is made up for by the next.
         let _ = socket.send_to(message, peer).await;
+    }
+}
+
 /// Periodically sends a few hosts of other failure domains which servers of this one are in use. Load
 /// reports reach them too rarely to show it.
 async fn send_used_servers(context: &GatewayContext, socket: &UdpSocket) {
