Read streams ahead of slow callers and count all bodies

Cause: a server had to wait for a caller that reads slowly, as the host held one read of its response; servers cut such responses off. Whole responses were no longer counted once read, although their callers had not taken them. Request bodies without a stated length were counted only when complete, those with one not reserved, and refused bodies were neither logged nor counted.

BodyCount reserves a stated length and counts other bodies as they arrive; refusals are logged as request_ended with the reason and counted (bodies_too_large_total, bodies_without_room_total, bodies_broken_total). Connections to servers have a buffer of 64 KB, so that one read is bounded.

The cost of the additional task in processor time was not measured.

--- a/gateway/src/coordination/mod.rs
+++ b/gateway/src/coordination/mod.rs
@@ -6,6 +6,7 @@
 pub mod crashes;
 pub mod evacuations;
 pub mod freshness;
+pub mod memory;
 pub mod permits;
 pub mod placement;
 pub mod reach;
--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -15,9 +15,9 @@
 use crate::state::{AttemptHead, CrashSuspect, ServerEntry};
 use crate::transport::attempt_guard::AttemptGuard;
 use crate::transport::connection_pool::BackendConnection;
-use crate::transport::counted_body::read_counted;
+use crate::transport::counted_body::{CountedBytes, read_counted};
 use crate::transport::gateway_context::GatewayContext;
-use crate::transport::response_body::{ResponseBody, full_body};
+use crate::transport::response_body::ResponseBody;
 use crate::transport::send_permit::SendPermit;
 use crate::transport::server_demands::record_demand;
 
@@ -71,14 +71,14 @@
     /// Headers to forward to the caller.
     pub(crate) headers: HeaderMap,
     /// Body of the response.
-    pub(crate) body: Bytes,
+    pub(crate) body: CountedBytes,
 }
 
 impl OpenResponse {
     /// Reads the body of a response that is not streamed, and returns the connection to the pool.
     pub(crate) async fn read_to_end(
         self,
-        context: &GatewayContext,
+        context: &Arc<GatewayContext>,
         deadline: TimePoint,
     ) -> Result<CompleteResponse, AttemptOutcome> {
         let reading = read_counted(context, self.body);
@@ -106,7 +106,7 @@
 impl CompleteResponse {
     /// Returns the response that forwards this one to the caller.
     pub(crate) fn into_response(self) -> Response<ResponseBody> {
-        let mut response = Response::new(full_body(self.body));
+        let mut response = Response::new(self.body.into_body());
         *response.status_mut() = self.status;
         *response.headers_mut() = self.headers;
         response
--- a/gateway/src/transport/caller_listener.rs
+++ b/gateway/src/transport/caller_listener.rs
@@ -188,11 +188,19 @@
         let admission = match admitted {
             Ok(admission) => admission,
             Err(refusal) => {
-                log_refusal(context, head.request.as_ref(), refusal.status(), started_at);
+                let (status, request) = (refusal.status(), head.request.as_ref());
+                log_refusal(context, request, status, "not admitted", started_at);
                 return Err(refusal);
             }
         };
-        let body = read_body(context, &admission.snapshot, &parts, body).await?;
+        let read = read_body(context, &admission.snapshot, &parts, body).await;
+        let body = read.map_err(|refusal| {
+            context.metrics.increment(refusal.counter());
+            let (reason, response) = (refusal.reason(), refusal.into_response());
+            let (status, request) = (response.status(), head.request.as_ref());
+            log_refusal(context, request, status, reason, started_at);
+            Box::new(response)
+        })?;
         let exchange =
             RequestExchange::new(context.clone(), admission, parts, body, head, started_at);
         Ok(exchange.run().await)
@@ -242,6 +250,7 @@
     context: &GatewayContext,
     request: Option<&Arc<str>>,
     status: StatusCode,
+    outcome: &'static str,
     started_at: TimePoint,
 ) {
     context
@@ -252,7 +261,7 @@
         request: request.cloned().unwrap_or_default(),
         route: None,
         status: status.as_u16(),
-        outcome: "not admitted".into(),
+        outcome: outcome.into(),
         elapsed_ms: u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
         head_ms: None,
         pause_ms: 0,
--- a/gateway/src/transport/connection_pool.rs
+++ b/gateway/src/transport/connection_pool.rs
@@ -31,6 +31,8 @@
 const IDLE_TIMEOUT_FRACTION: f64 = 0.6;
 /// Timeout of a connection probe; a live server accepts far sooner.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+/// Size of a connection's buffer, which bounds the head of a response and what one read of a body gives.
+const READ_BUFFER_BYTES: usize = 64 * 1_024;
 /// Largest number of idle connections kept for one address.
 const MAX_IDLE_PER_ADDRESS: usize = 12;
 
@@ -64,7 +66,9 @@
             .with_interval(KEEPALIVE_INTERVAL);
         socket.set_tcp_keepalive(&keepalive.with_retries(KEEPALIVE_PROBES))?;
         socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(READ_BUFFER_BYTES);
+        let handshake = builder.handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         let driver = tokio::spawn(async move {
             // Whoever waits for the response gets the error.
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -71,8 +71,10 @@
     pub(crate) refresh_failed_at: tokio::sync::Mutex<Option<TimePoint>>,
     /// Number of requests whose response has not started.
     pub in_flight: AtomicUsize,
-    /// Total size of the request bodies in memory, in bytes.
+    /// Total size of the bodies in memory, of requests and responses, in bytes.
     pub buffered_body_bytes: AtomicUsize,
+    /// The part of it that was read ahead for callers of streams, in bytes.
+    pub buffered_stream_bytes: AtomicUsize,
     /// Whether the process is stopping.
     pub stopping: AtomicBool,
     servers: Mutex<ServerTable>,
@@ -119,6 +121,7 @@
             refresh_failed_at: tokio::sync::Mutex::new(None),
             in_flight: AtomicUsize::new(0),
             buffered_body_bytes: AtomicUsize::new(0),
+            buffered_stream_bytes: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
             servers: Mutex::new(ServerTable::default()),
             permits: Mutex::new(ServerPermits::new(settings.host.clone(), settings.limits)),
--- a/gateway/src/transport/gateway_settings.rs
+++ b/gateway/src/transport/gateway_settings.rs
@@ -8,6 +8,7 @@
 use crate::coordination::budgets::BudgetSettings;
 use crate::coordination::cascade::CascadeSettings;
 use crate::coordination::crashes::CrashSettings;
+use crate::coordination::memory::ReadAheadSettings;
 use crate::coordination::permits::{ColdSettings, LimitSettings};
 use crate::coordination::placement::{LoadSettings, PickSettings, PrefixCacheSettings};
 use crate::coordination::reach::ReachSettings;
@@ -81,6 +82,8 @@
     pub crashes: CrashSettings,
     /// Detection of lost paths to servers.
     pub reach: ReachSettings,
+    /// Bounds on what is read ahead for slow callers.
+    pub read_ahead: ReadAheadSettings,
 }
 
 impl GatewaySettings {
@@ -137,6 +140,7 @@
             rollouts: RolloutSettings::default(),
             crashes: CrashSettings::default(),
             reach: ReachSettings::default(),
+            read_ahead: ReadAheadSettings::default(),
         }
     }
 }
--- a/gateway/src/transport/mod.rs
+++ b/gateway/src/transport/mod.rs
@@ -30,6 +30,7 @@
 mod store_confirmer;
 mod store_feeds;
 mod store_follower;
+mod stream_ahead;
 mod stream_relay;
 
 pub use connection_pool::{BackendConnection, ConnectionPool};
--- a/gateway/src/transport/request_admission.rs
+++ b/gateway/src/transport/request_admission.rs
@@ -1,17 +1,17 @@
 //! Admits a caller's request: checks its headers, route and credential, and reads its body.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::request::Parts;
 use http::{Response, StatusCode, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use crate::protocol::has_ambiguous_length;
 use crate::state::{CallerHead, ConfigSnapshot, ServiceRoute, WorkspaceEntry};
+use crate::transport::counted_body::BodyCount;
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::response_body::{ResponseBody, host_response, not_run_response};
 use crate::transport::store_feeds::refresh_configuration;
@@ -118,66 +118,89 @@
 /// A request body in memory. It counts against the memory limit until it is dropped.
 #[derive(Debug)]
 pub(crate) struct BufferedBody {
-    context: Arc<GatewayContext>,
-    counted_bytes: usize,
+    _count: BodyCount,
     /// Bytes of the body.
     pub(crate) bytes: Bytes,
 }
 
-impl Drop for BufferedBody {
-    fn drop(&mut self) {
-        self.context
-            .buffered_body_bytes
-            .fetch_sub(self.counted_bytes, Ordering::Relaxed);
+/// Why a request body is not read to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BodyRefusal {
+    /// It is larger than the configuration allows.
+    TooLarge,
+    /// The memory for bodies is used up.
+    NoRoom,
+    /// It broke off.
+    Broken,
+}
+
+impl BodyRefusal {
+    /// Returns the reason as logged.
+    pub(crate) const fn reason(self) -> &'static str {
+        match self {
+            Self::TooLarge => "the body is too large",
+            Self::NoRoom => "the host has no room now",
+            Self::Broken => "the body broke off",
+        }
+    }
+
+    /// Returns the name of the counter.
+    pub(crate) const fn counter(self) -> &'static str {
+        match self {
+            Self::TooLarge => "bodies_too_large_total",
+            Self::NoRoom => "bodies_without_room_total",
+            Self::Broken => "bodies_broken_total",
+        }
+    }
+
+    /// Returns the response for the caller.
+    pub(crate) fn into_response(self) -> Response<ResponseBody> {
+        let text = self.reason();
+        match self {
+            Self::TooLarge => host_response(StatusCode::PAYLOAD_TOO_LARGE, text),
+            Self::NoRoom => not_run_response(text, MEMORY_RETRY_AFTER),
+            Self::Broken => host_response(StatusCode::BAD_REQUEST, text),
+        }
     }
 }
 
-/// Reads a request body. Refuses one that is larger than the configuration allows or, by its stated
-/// length, does not fit the memory that is left.
+/// Reads a request body. Refuses one that is larger than the configuration allows or does not fit the
+/// memory that is left: by its stated length before it is read, or else as it arrives.
 pub(crate) async fn read_body(
     context: &Arc<GatewayContext>,
     snapshot: &ConfigSnapshot,
     parts: &Parts,
-    body: Incoming,
-) -> Result<BufferedBody, Refusal> {
+    mut body: Incoming,
+) -> Result<BufferedBody, BodyRefusal> {
     let limit = snapshot.limits.body_bytes;
     let content_length = parts
         .headers
         .get(header::CONTENT_LENGTH)
         .and_then(|value| value.to_str().ok());
     let content_length: Option<usize> = content_length.and_then(|value| value.parse().ok());
-    let too_large = || {
-        Box::new(host_response(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "the body is too large",
-        ))
-    };
     if content_length.is_some_and(|length| length > limit) {
-        return Err(too_large());
+        return Err(BodyRefusal::TooLarge);
     }
-    let buffered = context.buffered_body_bytes.load(Ordering::Relaxed);
-    if buffered + content_length.unwrap_or(0) > context.settings.max_buffered_bytes {
-        return Err(Box::new(not_run_response(
-            "the host has no room now",
-            MEMORY_RETRY_AFTER,
-        )));
+    let mut count = BodyCount::new(context);
+    if !count.add(content_length.unwrap_or(0)) {
+        return Err(BodyRefusal::NoRoom);
     }
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => {
-            let bytes = collected.to_bytes();
-            context
-                .buffered_body_bytes
-                .fetch_add(bytes.len(), Ordering::Relaxed);
-            Ok(BufferedBody {
-                context: context.clone(),
-                counted_bytes: bytes.len(),
-                bytes,
-            })
+    let mut buffer = BytesMut::with_capacity(content_length.unwrap_or(0));
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyRefusal::Broken)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if buffer.len().saturating_add(data.len()) > limit {
+            return Err(BodyRefusal::TooLarge);
         }
-        Err(error) if error.is::<LengthLimitError>() => Err(too_large()),
-        Err(_) => Err(Box::new(host_response(
-            StatusCode::BAD_REQUEST,
-            "the body broke off",
-        ))),
+        if content_length.is_none() && !count.add(data.len()) {
+            return Err(BodyRefusal::NoRoom);
+        }
+        buffer.extend_from_slice(&data);
     }
+    Ok(BufferedBody {
+        _count: count,
+        bytes: buffer.freeze(),
+    })
 }
--- a/gateway/src/transport/request_exchange/relay.rs
+++ b/gateway/src/transport/request_exchange/relay.rs
@@ -22,7 +22,7 @@
 use crate::transport::reach_probe::is_service_evacuated;
 use crate::transport::record_log::log_record;
 use crate::transport::request_exchange::RequestExchange;
-use crate::transport::response_body::{ResponseBody, TruncatedResponse, full_body};
+use crate::transport::response_body::{ResponseBody, TruncatedResponse};
 
 /// Greatest number of hosts that a request is passed on to, one after the other.
 const MAX_RELAYS: usize = 3;
@@ -155,7 +155,7 @@
             let bytes = read.ok().and_then(Result::ok);
             let bytes = bytes.ok_or(RelayFailure::Broken)?;
             context.pool.keep(connection, None);
-            full_body(bytes)
+            bytes.into_body()
         };
         self.log_end(parts.status.as_u16(), "relayed", self.tally.tries, 0);
         let mut response = Response::new(body);
--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -1,6 +1,7 @@
 //! Relays the events of a streamed response, and resumes at another server if the stream fails.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,6 +9,7 @@
 use galenamast::state::TimePoint;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::coordination::requests::AttemptOutcome;
 use crate::coordination::rollouts::StreamPace;
@@ -15,6 +17,7 @@
 use crate::transport::attempt_runner::{OpenResponse, remaining_time};
 use crate::transport::request_exchange::RequestExchange;
 use crate::transport::response_body::{ResponseBody, TruncatedResponse};
+use crate::transport::stream_ahead::EventQueue;
 
 /// Multiple of the route's goal for the gap between events after which a server counts as stalled.
 const STALL_GAP_FACTOR: f64 = 2.0;
@@ -63,33 +66,49 @@
         }
     }
 
-    /// Turns the relay into the body of the caller's response.
+    /// Turns the relay into the body of the caller's response. The server's response is read ahead of
+    /// the caller, until the body is dropped.
     pub(crate) fn into_body(self) -> ResponseBody {
-        let events = stream::unfold(Some(self), |relay| async move {
-            let mut relay = relay?;
-            match relay.next_bytes().await {
-                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
-                Ok(None) => None,
+        let queue = Arc::new(EventQueue::new(&self.exchange.context));
+        let reading = AbortOnDropHandle::new(tokio::spawn(self.read_ahead(queue.clone())));
+        let events = stream::unfold(Some((queue, reading)), |state| async move {
+            let (queue, reading) = state?;
+            match queue.next().await? {
+                Ok(bytes) => Some((Ok(Frame::data(bytes)), Some((queue, reading)))),
                 Err(error) => Some((Err(error), None)),
             }
         });
         BodyExt::boxed_unsync(StreamBody::new(events))
     }
 
-    /// Returns the next event's bytes for the caller; `None` after the last event.
-    async fn next_bytes(&mut self) -> Result<Option<Bytes>, TruncatedResponse> {
+    /// Reads the response into the queue, and logs its end once the caller has taken all of it.
+    async fn read_ahead(mut self, queue: Arc<EventQueue>) {
+        let end = self.read_into(&queue).await;
+        if end.is_ok() {
+            self.release();
+            queue.drained().await;
+            self.log_answered();
+        }
+        queue.close(end);
+    }
+
+    /// Reads the response into the queue to its end, as far as there is room.
+    async fn read_into(&mut self, queue: &EventQueue) -> Result<(), TruncatedResponse> {
         loop {
-            if let Some(bytes) = self.pending.pop_front() {
-                return Ok(Some(bytes));
+            let progress = self.read_next().await;
+            if !self.pending.is_empty() {
+                queue.push(self.pending.drain(..));
             }
-            match self.read_next().await {
+            match progress {
                 RelayProgress::Continue => {}
-                RelayProgress::Complete => {
-                    self.finish();
-                    return Ok(None);
-                }
+                RelayProgress::Complete => return Ok(()),
                 RelayProgress::Failed(outcome) => self.resume(outcome).await?,
             }
+            if queue.wait_for_room().await {
+                // The caller caused this pause, not the server.
+                self.last_received_at = self.exchange.context.now();
+                self.pace = StreamPace::default();
+            }
         }
     }
 
@@ -200,13 +219,17 @@
         TruncatedResponse
     }
 
-    /// Logs that the response is complete, and returns its connection to the pool.
-    fn finish(&mut self) {
-        self.exchange.record_begun();
-        self.record_pace(true);
+    /// Logs that the caller has the complete response.
+    fn log_answered(&self) {
         let attempts = self.exchange.tally.tries + 1;
         self.exchange
             .log_end(200, "answered", attempts, self.delivered);
+    }
+
+    /// Records that the response was read to its end, and returns its connection to the pool.
+    fn release(&mut self) {
+        self.exchange.record_begun();
+        self.record_pace(true);
         if let Some(response) = self.response.take() {
             response.release_connection(&self.exchange.context);
         }
