--- a/gateway/tests/decisions/main.rs
+++ b/gateway/tests/decisions/main.rs
@@ -10,6 +10,7 @@
 mod events;
 mod freshness;
 mod limits;
+mod memory;
 mod outcomes;
 mod paces;
 mod pauses;
