--- a/gateway/benches/pick_decision.rs
+++ b/gateway/benches/pick_decision.rs
@@ -1,4 +1,4 @@
-//! Measures the time of a server choice for several fleet sizes.
+//! Measures the time of a server choice for several fleet sizes, and of leaving evacuated servers out.
 
 use std::hint::black_box;
 use std::net::SocketAddr;
@@ -6,16 +6,19 @@
 
 use criterion::{BenchmarkId, Criterion};
 use galenamast::state::TimePoint;
+use galenamast_gateway::coordination::evacuations::DomainEvacuations;
 use galenamast_gateway::coordination::placement::{
     LoadEstimator, LoadSettings, PickQuery, PickSettings, PrefixCacheIndex, PrefixCacheSettings,
     PromptPrefixes, pick_server,
 };
-use galenamast_gateway::state::{PromptPart, ServerEntry};
+use galenamast_gateway::state::{PromptPart, ServerEntry, StorePosition};
 
 /// Number of failure domains that the servers are spread over.
 const DOMAINS: usize = 4;
 /// Number of servers that each host has sent work to.
 const LOADED_SERVERS_PER_HOST: usize = 8;
+/// Number of servers among which evacuated ones are left out.
+const EVACUATION_SERVERS: usize = 240;
 /// Fleet sizes, as numbers of servers and hosts.
 const FLEET_SIZES: [(usize, usize); 3] = [(9, 9), (90, 63), (600, 400)];
 
@@ -83,5 +86,16 @@
         });
     }
     group.finish();
+    let servers = servers(EVACUATION_SERVERS);
+    let mut evacuations = DomainEvacuations::default();
+    let position = StorePosition::default();
+    evacuations.replace(&[("domain-1".into(), position)], position, now);
+    criterion.bench_function("evacuated_servers", |bencher| {
+        bencher.iter(|| {
+            let mut serving: Vec<&ServerEntry> = servers.iter().collect();
+            serving.retain(|entry| !evacuations.is_evacuated(&entry.domain, now));
+            black_box(serving.len())
+        });
+    });
     criterion.final_summary();
 }
