--- a/gateway/src/coordination/mod.rs
+++ b/gateway/src/coordination/mod.rs
@@ -7,6 +7,7 @@
 pub mod evacuations;
 pub mod freshness;
 pub mod liveness;
+pub mod memory;
 pub mod permits;
 pub mod placement;
 pub mod reach;
--- a/gateway/src/transport/gateway_settings.rs
+++ b/gateway/src/transport/gateway_settings.rs
@@ -9,6 +9,7 @@
 use crate::coordination::cascade::CascadeSettings;
 use crate::coordination::crashes::CrashSettings;
 use crate::coordination::liveness::LivenessSettings;
+use crate::coordination::memory::ReadAheadSettings;
 use crate::coordination::permits::{ColdSettings, LimitSettings};
 use crate::coordination::placement::{LoadSettings, PickSettings, PrefixCacheSettings};
 use crate::coordination::reach::ReachSettings;
@@ -84,6 +85,8 @@
     pub reach: ReachSettings,
     /// Judgement of servers at which requests wait.
     pub liveness: LivenessSettings,
+    /// Bounds on what is read ahead for slow callers.
+    pub read_ahead: ReadAheadSettings,
 }
 
 impl GatewaySettings {
@@ -141,6 +144,7 @@
             crashes: CrashSettings::default(),
             reach: ReachSettings::default(),
             liveness: LivenessSettings::default(),
+            read_ahead: ReadAheadSettings::default(),
         }
     }
 }
--- a/gateway/src/transport/peer_gossip.rs
+++ b/gateway/src/transport/peer_gossip.rs
@@ -55,8 +55,6 @@
 const MESSAGE_COPIES: usize = 2;
 /// Number of hosts that get each report of refused prompt parts or evacuated domains.
 const FEW_RECIPIENTS: usize = 3;
-/// Number of hosts that get each report of refused prompt parts.
-const REFUSAL_RECIPIENTS: usize = 3;
 /// Interval between reports of the servers in use to hosts of other failure domains.
 const USED_SERVERS_INTERVAL: Duration = Duration::from_secs(1);
 /// Most hosts that get each such report.
--- a/gateway/tests/decisions/main.rs
+++ b/gateway/tests/decisions/main.rs
@@ -12,6 +12,7 @@
 mod freshness;
 mod limits;
 mod liveness;
+mod memory;
 mod outcomes;
 mod paces;
 mod pauses;
