Let requests wait in the hosts instead of the engines' queues

Cause: each host offered every request that an engine would begin before its deadline, so that the backlog of a burst stood in the engines in order of arrival and full engines rejected requests. Change: a first attempt for a service with engine slots waits in the host while the servers' queues are long, ordered by urgency, goal, work that its workspace received and its age; the host releases by its part of the capacity, and learns what waits elsewhere from the datagram Backlog. What is not reached in time is rejected at once. waiting_work of other hosts is clamped. Attempts of a stream log their own elapsed time.

--- a/gateway/src/coordination/placement/load_estimator.rs
+++ b/gateway/src/coordination/placement/load_estimator.rs
@@ -17,6 +17,12 @@
 /// Fixed cost of a request, as the number of prompt tokens that take as long to read.
 pub(super) const FIXED_COST_TOKENS: f64 = 500.0;
 
+/// Most work that one host is believed to have waiting at one server, in seconds; it is longer than
+/// any caller waits.
+const MAX_REPORTED_WORK: f64 = 600.0;
+/// Most requests that one host is believed to have in flight at one server.
+const MAX_REPORTED_REQUESTS: u32 = 100_000;
+
 /// Settings of the load estimates.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LoadSettings {
@@ -113,6 +119,12 @@
     pub cost: f64,
     /// Requests in flight on the server, those of other hosts included.
     pub in_flight: u32,
+    /// Seconds that the server needs for the work that waits there, those of other hosts included.
+    pub waiting: f64,
+    /// Ratio of the observed to the expected time to the first byte; 1 is typical.
+    pub slowness: f64,
+    /// Whether the server answers most requests and is not avoided after a refused connection.
+    pub is_usable: bool,
 }
 
 /// Load estimates for all servers, including what other hosts report.
@@ -146,6 +158,20 @@
         self.waiting_work += other.waiting_work;
     }
 
+    /// Returns the load as far as it is plausible; a report from another host may hold any number.
+    fn clamped(&self) -> Self {
+        let work = if self.waiting_work.is_nan() {
+            0.0
+        } else {
+            self.waiting_work.clamp(0.0, MAX_REPORTED_WORK)
+        };
+        Self {
+            server: self.server,
+            in_flight: self.in_flight.min(MAX_REPORTED_REQUESTS),
+            waiting_work: work,
+        }
+    }
+
     /// Subtracts the load that another host had put on the server.
     fn remove(&mut self, other: &Self) {
         self.in_flight = self.in_flight.saturating_sub(other.in_flight);
@@ -239,8 +265,12 @@
                 starts_in: seconds,
                 cost: seconds,
                 in_flight,
+                waiting: waiting / concurrency,
+                slowness: 1.0,
+                is_usable: true,
             };
         };
+        let waiting = waiting / concurrency * load.slowness;
         let seconds = seconds * load.slowness;
         let share = load.failure_share(self.settings.failure_half_life, now);
         let success = (1.0 - share).max(0.05);
@@ -254,6 +284,9 @@
             starts_in: seconds,
             cost: failing + paused,
             in_flight,
+            waiting,
+            slowness: load.slowness,
+            is_usable: share < 0.5 && now >= load.paused_until,
         }
     }
 
@@ -305,8 +338,9 @@
 
     /// Replaces the load report of another host.
     pub fn record_remote(&mut self, peer: SocketAddr, loads: &[HostLoad], now: TimePoint) {
+        let loads: Vec<HostLoad> = loads.iter().map(HostLoad::clamped).collect();
         let reported = PeerLoads {
-            loads: loads.to_vec(),
+            loads: loads.clone(),
             at: now,
         };
         let previous = self.peer_loads.insert(peer, reported);
@@ -315,7 +349,7 @@
                 sum.remove(load);
             }
         }
-        for load in loads {
+        for load in &loads {
             self.remote_totals.entry(load.server).or_default().add(load);
         }
         self.drop_stale(now);
@@ -349,6 +383,20 @@
             .collect()
     }
 
+    /// Returns the work of this host and that of the others that waits at all servers, in seconds on a
+    /// typical server. Of `hosts` listed hosts, those that do not report are taken for equally loaded.
+    pub fn waiting_totals(&self, hosts: usize, now: TimePoint) -> (f64, f64) {
+        let own = self.loads.values().map(|load| load.waiting_work).sum();
+        let reporting = self.reporting_hosts(now);
+        let reported: f64 = self
+            .remote_totals
+            .values()
+            .map(|load| load.waiting_work)
+            .sum();
+        let scale = hosts.saturating_sub(1) as f64 / reporting.max(1) as f64;
+        (own, reported * scale.max(1.0))
+    }
+
     /// Returns the work of a request of a class, in seconds on a typical server.
     pub fn work(&self, class: &Arc<str>, tokens: u32) -> f64 {
         let token_time = self
--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -158,6 +158,10 @@
         error_ms: u64,
         /// Time left until the deadline, in milliseconds.
         left_ms: u64,
+        /// What rejected it: the `forecast` for the servers, or the host's `backlog`.
+        reason: &'static str,
+        /// Time after which the caller should return, before it is spread, in milliseconds.
+        retry_ms: u64,
     },
     /// Servers could serve a request, but this host may not send to any of them now.
     SendsDenied {
@@ -310,4 +314,30 @@
         /// Number of records.
         count: u64,
     },
+    /// A request waits in the host for a server.
+    RequestQueued {
+        /// Identifier of the request.
+        request: Arc<str>,
+        /// Name of the route.
+        route: Arc<str>,
+        /// The service.
+        service: Arc<str>,
+        /// Number of requests before it.
+        position: usize,
+        /// Their work in seconds on a typical server.
+        work_ahead_s: f64,
+        /// Level of the request; 0 is served first.
+        level: u8,
+        /// Queue at the server that placement prefers, in milliseconds.
+        server_queue_ms: u64,
+    },
+    /// A request left the host's queue.
+    RequestDequeued {
+        /// Identifier of the request.
+        request: Arc<str>,
+        /// Time that it waited, in milliseconds.
+        waited_ms: u64,
+        /// Why it left: `sent`, `rejected`, `stopping`, `no server`, `no path`, or `caller left`.
+        reason: &'static str,
+    },
 }
--- a/gateway/src/protocol/peer_message.rs
+++ b/gateway/src/protocol/peer_message.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::coordination::backlog::BacklogReport;
 use crate::coordination::placement::{HostLoad, PrefixRead};
 use crate::state::{CrashReport, DemandReport, FreshnessReport, PartReport, TrialReport};
 
@@ -33,4 +34,6 @@
     RefusedParts(Vec<PartReport>),
     /// Services of which the host reaches no server. Sent within a failure domain.
     LostPaths(Vec<Arc<str>>),
+    /// Requests that wait at the host; empty once none does any more.
+    Backlog(Vec<BacklogReport>),
 }
--- a/gateway/src/transport/attempt_guard.rs
+++ b/gateway/src/transport/attempt_guard.rs
@@ -2,6 +2,9 @@
 
 use std::sync::Arc;
 
+use galenamast::state::TimePoint;
+
+use crate::state::ServerEntry;
 use crate::transport::gateway_context::GatewayContext;
 
 /// Counts a request as in flight at a server until the guard is dropped.
@@ -10,21 +13,38 @@
     context: Arc<GatewayContext>,
     server: Arc<str>,
     queued_work: f64,
+    service: Arc<str>,
+    sent_at: TimePoint,
+    is_accepted: bool,
 }
 
 impl AttemptGuard {
     /// Counts a request sent to a server, with its estimated work in seconds.
-    pub(crate) fn new(context: &Arc<GatewayContext>, server: &Arc<str>, work: f64) -> Self {
-        context.loads().record_sent(server, work);
+    pub(crate) fn new(context: &Arc<GatewayContext>, server: &ServerEntry, work: f64) -> Self {
+        context.loads().record_sent(&server.id, work);
         Self {
             context: context.clone(),
-            server: server.clone(),
+            server: server.id.clone(),
             queued_work: work,
+            service: server.service.clone(),
+            sent_at: context.now(),
+            is_accepted: false,
         }
     }
 
     /// Records that the server started the request, so that its work no longer counts as queued.
     pub(crate) fn mark_started(&mut self) {
+        self.remove_work();
+        self.context.backlog.wake_heads();
+    }
+
+    /// Records that the server runs the request, so that the time it stays there is typical.
+    pub(crate) fn mark_accepted(&mut self) {
+        self.is_accepted = true;
+    }
+
+    /// Removes the request's work from what waits at the server.
+    fn remove_work(&mut self) {
         let work = std::mem::take(&mut self.queued_work);
         self.context.loads().record_begun(&self.server, work);
     }
@@ -32,7 +52,12 @@
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
-        self.mark_started();
+        self.remove_work();
         self.context.loads().record_ended(&self.server);
+        if self.is_accepted {
+            let stay = self.context.now().since(self.sent_at);
+            self.context.backlog.record_stay(&self.service, stay);
+        }
+        self.context.backlog.wake_heads();
     }
 }
--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -59,6 +59,8 @@
     pub(crate) body: Incoming,
     /// Time from sending the request to receiving the head.
     pub(crate) latency: Duration,
+    /// When the request was sent.
+    pub(crate) sent_at: TimePoint,
     connection: BackendConnection,
     _guard: AttemptGuard,
 }
@@ -124,7 +126,7 @@
     server: &ServerEntry,
     mut call: AttemptRequest<'_>,
 ) -> Result<OpenResponse, AttemptOutcome> {
-    let mut guard = AttemptGuard::new(context, &server.id, call.work);
+    let mut guard = AttemptGuard::new(context, server, call.work);
     let pooled = if call.needs_new_connection {
         None
     } else {
@@ -164,6 +166,7 @@
     let head = (context.format.read_answer)(parts.status, &parts.headers);
     record_demand(context, server, &head, sent_at);
     check_head(&head, parts.status, call.request)?;
+    guard.mark_accepted();
     strip_connection_headers(&mut parts.headers);
     parts.headers.remove(header::CONTENT_LENGTH);
     Ok(OpenResponse {
@@ -173,6 +176,7 @@
         head,
         body,
         latency,
+        sent_at,
         connection,
         _guard: guard,
     })
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -25,6 +25,7 @@
 use crate::transport::gateway_metrics::GatewayMetrics;
 use crate::transport::gateway_settings::GatewaySettings;
 use crate::transport::kind_reads::KindReads;
+use crate::transport::request_backlog::RequestBacklog;
 use crate::transport::store_client::StoreClient;
 
 /// Shared state of an entry host's tasks.
@@ -84,6 +85,8 @@
     crashes: Mutex<CrashQuarantine>,
     reach: Mutex<ServiceReach>,
     peers: Mutex<BTreeMap<Arc<str>, HostPresence>>,
+    /// Requests that wait for engines, here and at other hosts.
+    pub(crate) backlog: RequestBacklog,
 }
 
 impl GatewayContext {
@@ -130,6 +133,7 @@
             reach_suspected: Notify::new(),
             parts_refused: watch::Sender::new(0),
             peers: Mutex::new(BTreeMap::new()),
+            backlog: RequestBacklog::new(settings.backlog),
             settings,
         })
     }
--- a/gateway/src/transport/gateway_settings.rs
+++ b/gateway/src/transport/gateway_settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::coordination::admission::AdmissionSettings;
+use crate::coordination::backlog::BacklogSettings;
 use crate::coordination::budgets::BudgetSettings;
 use crate::coordination::cascade::CascadeSettings;
 use crate::coordination::crashes::CrashSettings;
@@ -80,6 +81,8 @@
     pub crashes: CrashSettings,
     /// Detection of lost paths to servers.
     pub reach: ReachSettings,
+    /// Queues of requests that wait for engines.
+    pub backlog: BacklogSettings,
 }
 
 impl GatewaySettings {
@@ -121,6 +124,7 @@
             rollouts: RolloutSettings::default(),
             crashes: CrashSettings::default(),
             reach: ReachSettings::default(),
+            backlog: BacklogSettings::default(),
         }
     }
 }
--- a/gateway/src/transport/mod.rs
+++ b/gateway/src/transport/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempt_guard;
 mod attempt_runner;
+mod backlog_gossip;
 mod caller_listener;
 mod connection_pool;
 mod counted_body;
@@ -20,6 +21,7 @@
 mod ready_listener;
 mod record_log;
 mod request_admission;
+mod request_backlog;
 mod request_exchange;
 mod response_body;
 mod rollout_writer;
--- a/gateway/src/transport/peer_gossip.rs
+++ b/gateway/src/transport/peer_gossip.rs
@@ -17,6 +17,7 @@
 
 use crate::protocol::{GatewayRecord, ObjectKind, ObjectQuery, PeerMessage};
 use crate::state::{DemandReport, FreshnessReport, HostPresence, StorePosition};
+use crate::transport::backlog_gossip::{record_backlog, send_backlogs};
 use crate::transport::crash_reports::{
     REFUSAL_REPORT_INTERVAL, apply_answer_reports, apply_crash_report, apply_refusal_reports,
 };
@@ -36,7 +37,7 @@
 /// Most bytes a host sends per second to other failure domains.
 const OTHER_DOMAIN_BYTES_PER_SECOND: f64 = 4_000.0;
 /// Bytes of the IP and UDP headers of a datagram.
-const DATAGRAM_HEADER_BYTES: usize = 28;
+pub(crate) const DATAGRAM_HEADER_BYTES: usize = 28;
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1_024;
 /// Largest number of sessions in one datagram.
@@ -55,7 +56,7 @@
 
 /// A group of other hosts that datagrams are sent to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum PeerScope {
+pub(crate) enum PeerScope {
     /// Hosts in this failure domain.
     OwnDomain,
     /// Hosts in all other failure domains.
@@ -70,13 +71,17 @@
     let following = follow_hosts(&context, &socket);
     let queued = send_outbox(&context, &socket);
     let refusals = send_refusals(&context, &socket);
+    let own_backlog = send_backlogs(&context, &socket, PeerScope::OwnDomain);
+    let far_backlog = send_backlogs(&context, &socket, PeerScope::OtherDomains);
     tokio::join!(
         receiving,
         same_domain,
         other_domains,
         following,
         queued,
-        refusals
+        refusals,
+        own_backlog,
+        far_backlog
     );
 }
 
@@ -250,6 +255,7 @@
                 let now = context.now();
                 context.loads().record_remote(peer, &loads, now);
                 context.prefix_cache().record_remote(&reads, now);
+                context.backlog.wake_after_report(now);
             }
             Ok(
                 message @ (PeerMessage::Crash(_)
@@ -271,6 +277,7 @@
             }
             Ok(PeerMessage::Demand(report)) => record_peer_demand(context, peer, &report),
             Ok(PeerMessage::Freshness(report)) => record_freshness(context, peer, &report),
+            Ok(PeerMessage::Backlog(reports)) => record_backlog(context, peer, &reports, length),
             Err(_) => context.metrics.increment("datagrams_unreadable_total"),
         }
     }
@@ -426,7 +433,7 @@
 }
 
 /// Returns the addresses of a group of other hosts.
-fn peer_addresses(context: &GatewayContext, scope: PeerScope) -> Vec<SocketAddr> {
+pub(crate) fn peer_addresses(context: &GatewayContext, scope: PeerScope) -> Vec<SocketAddr> {
     let (host, domain) = (&context.settings.host, &context.settings.domain);
     let peers = context.peers();
     let recipients = peers.values().filter(|peer| {
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -4,6 +4,7 @@
 mod relay;
 mod request_log;
 mod server_choice;
+mod turn_wait;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -82,6 +83,12 @@
     pub(crate) longest_gap: Duration,
     // A version on trial that failed this request; further attempts go to the version before it.
     avoided_version: Option<Arc<str>>,
+    // Whether the request may be sent without waiting in the host's queue again.
+    has_turn: bool,
+    // Longest queue of the servers that are preferred, in seconds; `None` if only the price counts.
+    max_queue: Option<f64>,
+    // `Retry-After` of a request that the host's queue rejected.
+    backlog_pause: Option<Duration>,
 }
 
 impl RequestExchange {
@@ -138,6 +145,9 @@
             earliest_start: None,
             longest_gap: Duration::ZERO,
             avoided_version: None,
+            has_turn: false,
+            max_queue: None,
+            backlog_pause: None,
             context,
             route,
             request,
@@ -261,9 +271,13 @@
                 };
                 return Err(ExchangeFailure::HostResponse(end));
             }
-            let Some(pick) = self.pick() else {
+            let Some(mut pick) = self.pick() else {
                 return Err(self.no_server_left());
             };
+            if self.needs_turn(&mut pick) {
+                self.wait_for_turn(&pick).await?;
+                continue;
+            }
             if self.is_overloaded(&pick, remaining) {
                 return Err(ExchangeFailure::Overloaded);
             }
--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -171,7 +171,7 @@
             return Err(TruncatedResponse);
         };
         let server = response.server.clone();
-        let latency = self.exchange.context.now().since(self.exchange.started_at);
+        let latency = self.exchange.context.now().since(response.sent_at);
         drop(response);
         let is_resumable = self.exchange.route.resumable;
         let retry = self
