Bound reports of waiting requests by a tested rule

Cause: how many hosts get a report in one round was decided in transport and had no test; a server without stated slots counted as full. Change: report_round decides it, with a test at 30, 60 and 295 hosts: at most 1 KB per second, and the sampled reports estimate the fleet's backlog within a tenth.

--- a/gateway/src/coordination/backlog/fleet_backlog.rs
+++ b/gateway/src/coordination/backlog/fleet_backlog.rs
@@ -100,6 +100,32 @@
     (recipients as f64 / reached).max(1.0)
 }
 
+/// Returns to how many of the next hosts a report goes in one round, and the time until the next
+/// round, so that the traffic stays within its bound whatever the number of hosts. `left` hosts did
+/// not get a report since the last turn through the list.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use galenamast_gateway::coordination::backlog::{FleetSettings, report_round};
+///
+/// let (settings, interval) = (FleetSettings::default(), Duration::from_millis(200));
+/// assert_eq!(report_round(1, 50, interval, &settings), (1, interval));
+/// assert_eq!(report_round(73, 50, interval, &settings), (2, interval));
+/// assert_eq!(report_round(73, 150, interval, &settings), (1, Duration::from_millis(300)));
+/// ```
+pub fn report_round(
+    left: usize,
+    bytes: usize,
+    interval: Duration,
+    settings: &FleetSettings,
+) -> (usize, Duration) {
+    let allowed = settings.bytes_per_second * interval.as_secs_f64() / bytes.max(1) as f64;
+    let count = (allowed.ceil() as usize).min(left);
+    let taken = (count * bytes) as f64 / settings.bytes_per_second;
+    (count, interval.max(Duration::from_secs_f64(taken)))
+}
+
 impl FleetBacklog {
     /// Creates a view without reports.
     pub fn new(settings: FleetSettings) -> Self {
--- a/gateway/src/coordination/backlog/mod.rs
+++ b/gateway/src/coordination/backlog/mod.rs
@@ -12,7 +12,9 @@
 
 pub use backlog_queue::BacklogQueue;
 pub use backlog_settings::BacklogSettings;
-pub use fleet_backlog::{BacklogReport, FleetBacklog, FleetSettings, SentWork, sample_weight};
+pub use fleet_backlog::{
+    BacklogReport, FleetBacklog, FleetSettings, SentWork, report_round, sample_weight,
+};
 pub use release_pacer::{PacerSettings, ReleasePacer};
 pub use turn_decision::{TurnInputs, TurnSettings, TurnVerdict, decide_pass, decide_turn};
 pub use waiting_request::{BacklogLevel, BacklogPlace, BacklogRefusal, Ticket, WaitingRequest};
--- a/gateway/src/coordination/placement/server_pick.rs
+++ b/gateway/src/coordination/placement/server_pick.rs
@@ -177,7 +177,7 @@
             work,
             kept,
             queue,
-            is_full: estimate.in_flight >= entry.slots,
+            is_full: entry.slots > 0 && estimate.in_flight >= entry.slots,
         }
     });
     // Breaks ties by request, so that requests spread over servers of the same price.
@@ -311,8 +311,12 @@
 /// Returns the seconds until a slot for another request is free, if each request stays for `stay`
 /// seconds and the ends are spread evenly.
 fn slot_wait(server: &ServerEntry, in_flight: u32, stay: f64) -> f64 {
+    if server.slots == 0 {
+        // The server does not state its slots.
+        return 0.0;
+    }
     let missing = (f64::from(in_flight) + 1.0 - f64::from(server.slots)).max(0.0);
-    missing * stay / f64::from(server.slots.max(1))
+    missing * stay / f64::from(server.slots)
 }
 
 /// Returns the rendezvous hash of a server for a number.
--- a/gateway/src/transport/backlog_gossip.rs
+++ b/gateway/src/transport/backlog_gossip.rs
@@ -6,7 +6,7 @@
 use rand::seq::SliceRandom;
 use tokio::net::UdpSocket;
 
-use crate::coordination::backlog::{BacklogReport, sample_weight};
+use crate::coordination::backlog::{BacklogReport, report_round, sample_weight};
 use crate::protocol::PeerMessage;
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::peer_gossip::{DATAGRAM_HEADER_BYTES, PeerScope, peer_addresses};
@@ -55,16 +55,14 @@
     let Ok(message) = postcard::to_stdvec(&PeerMessage::Backlog(reports)) else {
         return interval;
     };
-    let bytes = (message.len() + DATAGRAM_HEADER_BYTES) as f64;
-    let allowed = settings.bytes_per_second * interval.as_secs_f64() / bytes;
-    let count = (allowed.ceil() as usize).min(queue.len());
+    let bytes = message.len() + DATAGRAM_HEADER_BYTES;
+    let (count, pause) = report_round(queue.len(), bytes, interval, settings);
     let recipients = queue.split_off(queue.len() - count);
     for peer in &recipients {
         // The next report makes up for a lost one.
         let _ = socket.send_to(&message, peer).await;
     }
-    let sent = recipients.len() as f64 * bytes;
-    interval.max(Duration::from_secs_f64(sent / settings.bytes_per_second))
+    pause
 }
 
 /// Returns the addresses of a group of hosts in random order.
--- a/gateway/tests/decisions/backlog.rs
+++ b/gateway/tests/decisions/backlog.rs
@@ -8,7 +8,8 @@
 use galenamast::state::TimePoint;
 use galenamast_gateway::coordination::backlog::{
     BacklogQueue, BacklogReport, BacklogSettings, FleetBacklog, FleetSettings, Ticket, TurnInputs,
-    TurnSettings, TurnVerdict, WaitingRequest, decide_pass, decide_turn,
+    TurnSettings, TurnVerdict, WaitingRequest, decide_pass, decide_turn, report_round,
+    sample_weight,
 };
 use galenamast_gateway::coordination::placement::{HostLoad, LoadEstimator, LoadSettings};
 
@@ -347,3 +348,45 @@
         assert!((0.5..0.6).contains(&delay), "after {senseless}: {delay}");
     }
 }
+
+// Reports to all hosts would take 15 times the traffic at 295 hosts, or outlive the backlog.
+#[test]
+fn reports_stay_within_their_traffic_and_estimate_the_fleet() {
+    let settings = FleetSettings::default();
+    let bytes = 64;
+    for hosts in [30, 60, 295] {
+        let (near, far) = (hosts / 4, hosts - hosts / 4);
+        let mut traffic = 0.0;
+        let mut fleet = FleetBacklog::new(settings);
+        for (recipients, interval) in [
+            (near - 1, settings.own_domain_interval),
+            (far, settings.other_domains_interval),
+        ] {
+            let (count, pause) = report_round(recipients, bytes, interval, &settings);
+            traffic += (count * bytes) as f64 / pause.as_secs_f64();
+            // In 1.5 s a host hears the part of its peers that report to it in this time.
+            let weight = sample_weight(recipients, bytes, &settings);
+            let heard = (recipients as f64 / weight).round() as u16;
+            let first = u16::try_from(recipients).expect("few hosts") * 2;
+            for peer in 0..heard {
+                let report = BacklogReport {
+                    queue: 1,
+                    level: 1,
+                    count: 4,
+                    work_ms: 500,
+                };
+                let address = SocketAddr::from(([127, 0, 0, 1], first + peer * 2 + 1_000));
+                fleet.record_report(address, &[report], weight, at(100));
+            }
+        }
+        assert!(
+            traffic <= 1_024.0,
+            "{hosts} hosts: {traffic} bytes per second"
+        );
+        let (known, held) = (fleet.total_work(1, at(200)), (hosts - 1) as f64 * 0.5);
+        assert!(
+            (known / held - 1.0).abs() < 0.1,
+            "{hosts} hosts: {known} of {held}"
+        );
+    }
+}
