--- a/gateway/tests/decisions/backlog.rs
+++ b/gateway/tests/decisions/backlog.rs
@@ -390,3 +390,21 @@
         );
     }
 }
+
+// With much more work than can be done, the least urgent and the largest requests starved.
+#[test]
+fn lasting_overload_starves_nothing() {
+    for (hosts, engines) in [(9, 12), (60, 40)] {
+        let outcome = play(FleetLoad {
+            base: 0.7,
+            until: Duration::from_secs(20),
+            ..burst(hosts, engines)
+        });
+        let by_route = [0, 1, 2].map(|route| outcome.served(|played| played.route == route));
+        println!(
+            "{hosts} hosts: {by_route:.3?} of {:.3}",
+            outcome.served(|_| true)
+        );
+        assert_served(&outcome);
+    }
+}
