Let hosts go faster while the servers' queues are short

Cause: hosts that do not report their load count as equally loaded, also if they are idle, so that the few loaded ones would have released too little. Change: the pacer's rate grows with the bound over the mean queue, up to eight times; retries no longer keep the preference for short queues.

--- a/gateway/src/coordination/backlog/fleet_backlog.rs
+++ b/gateway/src/coordination/backlog/fleet_backlog.rs
@@ -222,6 +222,15 @@
 
     /// Returns the time in which servers that take `capacity` seconds of work per second have done
     /// an amount of work; `None` if they take none.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use galenamast_gateway::coordination::backlog::FleetBacklog;
+    ///
+    /// assert_eq!(FleetBacklog::drains_in(6.0, 4.0), Some(Duration::from_millis(1_500)));
+    /// assert_eq!(FleetBacklog::drains_in(6.0, 0.0), None);
+    /// ```
     pub fn drains_in(work: f64, capacity: f64) -> Option<Duration> {
         Duration::try_from_secs_f64(work / capacity).ok()
     }
--- a/gateway/src/coordination/backlog/release_pacer.rs
+++ b/gateway/src/coordination/backlog/release_pacer.rs
@@ -15,6 +15,9 @@
     pub margin: f64,
     /// Time for which unused capacity is kept.
     pub burst: Duration,
+    /// Largest factor by which a host goes faster while the servers' queues are shorter than the
+    /// bound. Its part of the capacity is too small if hosts that do not report are idle.
+    pub max_speed_up: f64,
 }
 
 impl Default for PacerSettings {
@@ -22,10 +25,29 @@
         Self {
             margin: 1.25,
             burst: Duration::from_millis(100),
+            max_speed_up: 8.0,
         }
     }
 }
 
+impl PacerSettings {
+    /// Returns the factor on a host's rate while the servers' queues are `mean_queue` seconds long
+    /// and may be `longest`.
+    ///
+    /// ```
+    /// use galenamast_gateway::coordination::backlog::PacerSettings;
+    ///
+    /// let settings = PacerSettings::default();
+    /// assert_eq!(settings.speed_up(0.5, 0.25), 1.0);
+    /// assert_eq!(settings.speed_up(0.125, 0.25), 2.0);
+    /// assert_eq!(settings.speed_up(0.0, 0.25), 8.0);
+    /// ```
+    pub fn speed_up(&self, mean_queue: f64, longest: f64) -> f64 {
+        let factor = longest / mean_queue.max(f64::MIN_POSITIVE);
+        factor.clamp(1.0, self.max_speed_up)
+    }
+}
+
 /// Releases work at no more than a rate.
 #[derive(Clone, Copy, Debug)]
 pub struct ReleasePacer {
--- a/gateway/src/transport/request_backlog.rs
+++ b/gateway/src/transport/request_backlog.rs
@@ -421,6 +421,8 @@
         };
         let own = service.queue.summary(now);
         let rate = service.capacity * state.fleet.own_part(self.queue, &own, &view.sent, now);
+        let longest = backlog.settings.turn.longest_queue(inputs.goal);
+        let rate = rate * backlog.settings.pacer.speed_up(inputs.mean_queue, longest);
         let is_paced = service.capacity <= 0.0 || service.pacer.may_release(rate, now);
         let verdict = decide_turn(&inputs, &backlog.settings.turn);
         if !is_paced || verdict == TurnVerdict::Wait {
--- a/gateway/src/transport/request_exchange/server_choice.rs
+++ b/gateway/src/transport/request_exchange/server_choice.rs
@@ -179,7 +179,7 @@
             excluded: &self.tried,
             tie_breaker: rand::rng().random(),
             stay: self.context.backlog.stay(&self.service),
-            max_queue: self.max_queue,
+            max_queue: self.max_queue.filter(|_| self.tally.tries == 0),
         };
         let mut loads = self.context.loads();
         loads.drop_stale(now);
--- a/gateway/tests/decisions/backlog_fleet.rs
+++ b/gateway/tests/decisions/backlog_fleet.rs
@@ -428,6 +428,8 @@
         };
         let own = known.queue.summary(now);
         let rate = capacity * known.fleet.own_part(QUEUE, &own, &sent, now);
+        let longest = self.settings.turn.longest_queue(inputs.goal);
+        let rate = rate * self.settings.pacer.speed_up(inputs.mean_queue, longest);
         let verdict = decide_turn(&inputs, &self.settings.turn);
         if !known.pacer.may_release(rate, now) || verdict == TurnVerdict::Wait {
             return false;
@@ -444,7 +446,6 @@
         if self.outcome.releases.is_multiple_of(INVERSION_SAMPLE) {
             self.count_inversion(host, level, now);
         }
-        let longest = self.settings.turn.longest_queue(inputs.goal);
         let engine = if inputs.shortest_queue <= longest {
             self.place(request, longest).0
         } else {
