Name the level of a queued request apart from that of the log line

Cause: request_queued had a field level, which each log line has already. The end-to-end tests of the queue pass.

--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -326,8 +326,8 @@
         position: usize,
         /// Their work in seconds on a typical server.
         work_ahead_s: f64,
-        /// Level of the request; 0 is served first.
-        level: u8,
+        /// Level of the request in the queue; 0 is served first.
+        queue_level: u8,
         /// Queue at the server that placement prefers, in milliseconds.
         server_queue_ms: u64,
     },
--- a/gateway/src/transport/request_exchange/turn_wait.rs
+++ b/gateway/src/transport/request_exchange/turn_wait.rs
@@ -137,7 +137,7 @@
             service: self.service.clone(),
             position: at.position,
             work_ahead_s: (at.work_ahead * 1_000.0).round() / 1_000.0,
-            level: at.level,
+            queue_level: at.level,
             server_queue_ms: (pick.queue * 1_000.0) as u64,
         };
         log_record(Level::Info, &record);
