--- a/gateway/benches/pick_decision.rs
+++ b/gateway/benches/pick_decision.rs
@@ -13,8 +13,7 @@
     LoadEstimator, LoadSettings, PickQuery, PickSettings, PrefixCacheIndex, PrefixCacheSettings,
     PromptPrefixes, pick_server, short_server_id,
 };
-use galenamast_gateway::state::{ColdSpec, PromptPart, ServerEntry};
-use galenamast_gateway::state::{PromptPart, ServerEntry, StorePosition};
+use galenamast_gateway::state::{ColdSpec, PromptPart, ServerEntry, StorePosition};
 
 /// Number of failure domains that the servers are spread over.
 const DOMAINS: usize = 4;
--- a/gateway/src/protocol/peer_message.rs
+++ b/gateway/src/protocol/peer_message.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::coordination::backlog::BacklogReport;
 use crate::coordination::placement::{HostLoad, PrefixRead};
 use crate::state::{
     ColdReport, CrashReport, DemandReport, EvacuationReport, FreshnessReport, PartReport,
@@ -43,4 +44,6 @@
     /// Servers of the host's failure domain, by short identifier, that any host is known to have used a
     /// moment ago. Sent to a few hosts of other domains.
     UsedServers(Vec<u32>),
+    /// Requests that wait at the host; empty once none does any more.
+    Backlog(Vec<BacklogReport>),
 }
--- a/gateway/src/transport/gateway_settings.rs
+++ b/gateway/src/transport/gateway_settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::coordination::admission::AdmissionSettings;
+use crate::coordination::backlog::BacklogSettings;
 use crate::coordination::budgets::BudgetSettings;
 use crate::coordination::cascade::CascadeSettings;
 use crate::coordination::crashes::CrashSettings;
@@ -87,6 +88,8 @@
     pub liveness: LivenessSettings,
     /// Bounds on what is read ahead for slow callers.
     pub read_ahead: ReadAheadSettings,
+    /// Queues of requests that wait for engines.
+    pub backlog: BacklogSettings,
 }
 
 impl GatewaySettings {
@@ -145,6 +148,7 @@
             reach: ReachSettings::default(),
             liveness: LivenessSettings::default(),
             read_ahead: ReadAheadSettings::default(),
+            backlog: BacklogSettings::default(),
         }
     }
 }
--- a/gateway/src/transport/peer_gossip.rs
+++ b/gateway/src/transport/peer_gossip.rs
@@ -21,6 +21,7 @@
 use crate::state::{
     ColdReport, DemandReport, EvacuationReport, FreshnessReport, HostPresence, StorePosition,
 };
+use crate::transport::backlog_gossip::{record_backlog, send_backlogs};
 use crate::transport::cold_notices::{
     add_recent_use, apply_cold_reports, record_peer_use, run_cold_notices, used_in_domain,
 };
@@ -46,7 +47,7 @@
 /// Most bytes a host sends per second to other failure domains.
 const OTHER_DOMAIN_BYTES_PER_SECOND: f64 = 4_000.0;
 /// Bytes of the IP and UDP headers of a datagram.
-const DATAGRAM_HEADER_BYTES: usize = 28;
+pub(crate) const DATAGRAM_HEADER_BYTES: usize = 28;
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1_024;
 /// Largest number of sessions in one datagram.
@@ -71,7 +72,7 @@
 
 /// A group of other hosts that datagrams are sent to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum PeerScope {
+pub(crate) enum PeerScope {
     /// Hosts in this failure domain.
     OwnDomain,
     /// Hosts in all other failure domains.
@@ -88,6 +89,8 @@
     let refusals = send_refusals(&context, &socket);
     let cold_notices = run_cold_notices(&context);
     let used_servers = send_used_servers(&context, &socket);
+    let own_backlog = send_backlogs(&context, &socket, PeerScope::OwnDomain);
+    let far_backlog = send_backlogs(&context, &socket, PeerScope::OtherDomains);
     tokio::join!(
         receiving,
         same_domain,
@@ -97,7 +100,9 @@
         refusals,
         send_evacuations(&context, &socket),
         cold_notices,
-        used_servers
+        used_servers,
+        own_backlog,
+        far_backlog
     );
 }
 
@@ -289,6 +294,7 @@
                 context.loads().record_remote(peer, &loads, now);
                 context.prefix_cache().record_remote(&reads, now);
                 record_peer_use(context, loads.iter().map(|load| load.server));
+                context.backlog.wake_after_report(now);
             }
             Ok(
                 message @ (PeerMessage::Crash(_)
@@ -313,6 +319,7 @@
             Ok(PeerMessage::Freshness(report)) => record_freshness(context, peer, &report),
             Ok(PeerMessage::UsedServers(used)) => record_used_servers(context, peer, used),
             Ok(PeerMessage::ColdServers(reports)) => record_cold_servers(context, peer, &reports),
+            Ok(PeerMessage::Backlog(reports)) => record_backlog(context, peer, &reports, length),
             Err(_) => context.metrics.increment("datagrams_unreadable_total"),
         }
     }
@@ -548,7 +555,7 @@
 }
 
 /// Returns the addresses of a group of other hosts.
-fn peer_addresses(context: &GatewayContext, scope: PeerScope) -> Vec<SocketAddr> {
+pub(crate) fn peer_addresses(context: &GatewayContext, scope: PeerScope) -> Vec<SocketAddr> {
     let (host, domain) = (&context.settings.host, &context.settings.domain);
     let peers = context.peers();
     let recipients = peers.values().filter(|peer| {
