Learn the lasting speed of each server and predict by it

Change: coordination/speeds learns each server's ratio to a typical one from paces under the same load, by the median of own samples and of other hosts' reports; a factor takes effect only when the evidence is clear. Queue, work and the time that a head is awaited are multiplied by it, and slowness measures the deviation.

--- a/gateway/src/coordination/mod.rs
+++ b/gateway/src/coordination/mod.rs
@@ -10,3 +10,4 @@
 pub mod reach;
 pub mod requests;
 pub mod rollouts;
+pub mod speeds;
--- a/gateway/src/coordination/placement/load_estimator.rs
+++ b/gateway/src/coordination/placement/load_estimator.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::placement::{DomainReach, DomainReachSettings, short_server_id};
+use crate::coordination::speeds::{ServerSpeeds, SpeedChange, SpeedSettings};
 
 /// Fixed cost of a request, as the number of prompt tokens that take as long to read.
 pub(super) const FIXED_COST_TOKENS: f64 = 500.0;
@@ -46,6 +47,8 @@
     pub excess_weight: f64,
     /// Time for which a load report from another host stays valid.
     pub remote_lifetime: Duration,
+    /// Lasting speeds of servers.
+    pub speeds: SpeedSettings,
 }
 
 impl Default for LoadSettings {
@@ -63,6 +66,7 @@
             initial_token_time: 0.000_02,
             excess_weight: 0.1,
             remote_lifetime: Duration::from_millis(1_500),
+            speeds: SpeedSettings::default(),
         }
     }
 }
@@ -74,7 +78,8 @@
     pub in_flight: u32,
     /// Work of the requests whose answers have not begun, in seconds on a typical server.
     pub waiting_work: f64,
-    /// Ratio of the observed to the expected time to the first byte; 1 is typical.
+    /// Ratio of the observed to the expected time to the first byte, given the server's lasting
+    /// speed; 1 is typical.
     pub slowness: f64,
     failures: f64,
     failures_at: TimePoint,
@@ -102,6 +107,17 @@
         let halves = now.since(self.failures_at).as_secs_f64() / half_life.as_secs_f64();
         self.failures * 0.5_f64.powf(halves)
     }
+
+    /// Takes a change of the lasting factor out of `slowness`, as far as it had been observed there.
+    /// Otherwise it would count twice until the server answers, which it seldom does then.
+    fn move_to_factor(&mut self, change: f64) {
+        let moved = self.slowness / change;
+        if change > 1.0 && self.slowness > 1.0 {
+            self.slowness = moved.max(1.0);
+        } else if change < 1.0 && self.slowness < 1.0 {
+            self.slowness = moved.min(1.0);
+        }
+    }
 }
 
 /// Estimates for one request on one server.
@@ -129,6 +145,7 @@
     remote_totals: BTreeMap<u32, HostLoad>,
     remote_valid_until: Option<TimePoint>,
     domain_reach: DomainReach,
+    speeds: ServerSpeeds,
 }
 
 /// The latest load report of one host.
@@ -170,6 +187,7 @@
         Self {
             settings,
             domain_reach: DomainReach::new(settings.domain_reach),
+            speeds: ServerSpeeds::new(settings.speeds),
             ..Self::default()
         }
     }
@@ -179,6 +197,31 @@
         &mut self.domain_reach
     }
 
+    /// Returns the lasting speeds of the servers.
+    pub fn speeds(&self) -> &ServerSpeeds {
+        &self.speeds
+    }
+
+    /// Returns the lasting speeds of the servers, to record samples and reports.
+    pub fn speeds_mut(&mut self) -> &mut ServerSpeeds {
+        &mut self.speeds
+    }
+
+    /// Computes the lasting speeds anew, and returns those that changed considerably.
+    pub fn refresh_speeds(&mut self, now: TimePoint) -> Vec<SpeedChange> {
+        let factors = |speeds: &ServerSpeeds| -> Vec<f64> {
+            let servers = self.loads.keys();
+            servers.map(|server| speeds.factor(server)).collect()
+        };
+        let before = factors(&self.speeds);
+        let changes = self.speeds.refresh(now);
+        let after = factors(&self.speeds);
+        for (load, (before, after)) in self.loads.values_mut().zip(before.into_iter().zip(after)) {
+            load.move_to_factor(after / before);
+        }
+        changes
+    }
+
     /// Returns the cost of sending a request to a failure domain, in seconds; 0 unless it is
     /// avoided.
     pub fn domain_cost(&self, domain: &str, now: TimePoint) -> f64 {
@@ -228,12 +271,13 @@
         now: TimePoint,
     ) -> ServerEstimate {
         let load = self.loads.get(server);
-        let remote = self.remote_load(short_server_id(server), now);
+        let short = short_server_id(server);
+        let remote = self.remote_load(short, now);
         let in_flight = load.map_or(0, |load| load.in_flight);
         let in_flight = in_flight.saturating_add(remote.in_flight);
         let waiting = load.map_or(0.0, |load| load.waiting_work) + remote.waiting_work;
         let delay = self.delay(waiting, in_flight, concurrency);
-        let seconds = delay.max(min_delay) + work;
+        let seconds = (delay.max(min_delay) + work) * self.speeds.short_factor(short);
         let Some(load) = load else {
             return ServerEstimate {
                 starts_in: seconds,
@@ -366,7 +410,7 @@
             return true;
         };
         let share = load.failure_share(self.settings.failure_half_life, now);
-        share < 0.5 && load.slowness < 4.0 && now >= load.paused_until
+        share < 0.5 && load.slowness * self.speeds.factor(server) < 4.0 && now >= load.paused_until
     }
 
     /// Counts a request that is sent, with its work.
@@ -406,7 +450,8 @@
         took: Duration,
     ) {
         let weight = self.settings.speed_weight;
-        let took = took.as_secs_f64().max(0.000_1);
+        // What is typical is learned as if all servers had the same speed.
+        let took = took.as_secs_f64().max(0.000_1) / self.speeds.factor(server);
         let token_time = took / (f64::from(tokens) + FIXED_COST_TOKENS);
         let known = self.token_times.entry(class.clone()).or_insert(token_time);
         // Estimates the time per token without queueing: shorter times move it fast, longer ones
--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -310,4 +310,15 @@
         /// Number of records.
         count: u64,
     },
+    /// The lasting speed of a server, by which placement predicts, changed considerably.
+    ServerSpeed {
+        /// Identifier of the server.
+        server: Arc<str>,
+        /// Ratio of its time to that of a typical server before; above 1 is slower.
+        from: f64,
+        /// The ratio from now on; 1 if the server does not clearly deviate any more.
+        to: f64,
+        /// Samples of all hosts that it rests on.
+        samples: usize,
+    },
 }
--- a/gateway/src/protocol/peer_message.rs
+++ b/gateway/src/protocol/peer_message.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::coordination::placement::{HostLoad, PrefixRead};
+use crate::coordination::speeds::SpeedReport;
 use crate::state::{CrashReport, DemandReport, FreshnessReport, PartReport, TrialReport};
 
 /// Contents of a datagram. It is encoded by position, so the order of variants and fields is fixed.
@@ -33,4 +34,6 @@
     RefusedParts(Vec<PartReport>),
     /// Services of which the host reaches no server. Sent within a failure domain.
     LostPaths(Vec<Arc<str>>),
+    /// Lasting speeds of servers by the host's own samples. Sent to one random host at a time.
+    Speeds(Vec<SpeedReport>),
 }
--- a/gateway/src/transport/mod.rs
+++ b/gateway/src/transport/mod.rs
@@ -25,6 +25,7 @@
 mod rollout_writer;
 mod send_permit;
 mod server_demands;
+mod speed_gossip;
 mod store_client;
 mod store_confirmer;
 mod store_feeds;
--- a/gateway/src/transport/peer_gossip.rs
+++ b/gateway/src/transport/peer_gossip.rs
@@ -23,6 +23,7 @@
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
 use crate::transport::server_demands::{apply_demand_change, send_due_reports};
+use crate::transport::speed_gossip::{apply_speeds, send_speeds};
 use crate::transport::store_client::StoreError;
 
 /// Interval between datagrams to each host in this failure domain.
@@ -70,13 +71,15 @@
     let following = follow_hosts(&context, &socket);
     let queued = send_outbox(&context, &socket);
     let refusals = send_refusals(&context, &socket);
+    let speeds = send_speeds(&context, &socket);
     tokio::join!(
         receiving,
         same_domain,
         other_domains,
         following,
         queued,
-        refusals
+        refusals,
+        speeds
     );
 }
 
@@ -271,6 +274,7 @@
             }
             Ok(PeerMessage::Demand(report)) => record_peer_demand(context, peer, &report),
             Ok(PeerMessage::Freshness(report)) => record_freshness(context, peer, &report),
+            Ok(PeerMessage::Speeds(reports)) => apply_speeds(context, peer, &reports),
             Err(_) => context.metrics.increment("datagrams_unreadable_total"),
         }
     }
@@ -291,7 +295,7 @@
 }
 
 /// Returns whether an address is that of a listed host.
-fn is_listed(context: &GatewayContext, peer: SocketAddr) -> bool {
+pub(crate) fn is_listed(context: &GatewayContext, peer: SocketAddr) -> bool {
     context.peers().values().any(|host| host.address == peer)
 }
 
--- a/gateway/src/transport/request_exchange/feedback.rs
+++ b/gateway/src/transport/request_exchange/feedback.rs
@@ -102,14 +102,18 @@
         self.apply_trial(report, server, was_stopped);
     }
 
-    /// Records the pace of a successful response for the trial of its version: seconds between events,
-    /// or of the whole response if it is not streamed.
+    /// Records the pace of a successful response for the speed of its server and the trial of its
+    /// version: seconds between events, or of the whole response if it is not streamed.
     pub(crate) fn record_pace(&self, server: &ServerEntry, seconds: f64) {
         // The time between events depends on the model and not on the route.
         let (kind, _) = self.class();
         let now = self.context.now();
-        let load = self.context.loads().in_flight(&server.id, now);
+        let mut loads = self.context.loads();
+        let load = loads.in_flight(&server.id, now);
         let pace = AnswerPace { seconds, load };
+        let speeds = loads.speeds_mut();
+        speeds.record(&server.id, &kind, pace, now);
+        drop(loads);
         let responder = (&server.id, &server.version);
         let mut rollouts = self.context.rollouts();
         let was_stopped = rollouts.is_stopped(&self.service);
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -272,7 +272,7 @@
                 continue;
             };
             let server = pick.server.clone();
-            let head_timeout = self.head_timeout(remaining);
+            let head_timeout = self.head_timeout(&server.id, remaining);
             self.log_choice(&pick);
             self.record_session(&server);
             self.record_read(&server);
--- a/gateway/src/transport/request_exchange/server_choice.rs
+++ b/gateway/src/transport/request_exchange/server_choice.rs
@@ -242,24 +242,24 @@
         })
     }
 
-    /// Returns how long to wait for the head of a response: all the time left if the request cannot
-    /// be tried again.
-    pub(super) fn head_timeout(&self, remaining: Duration) -> Duration {
+    /// Returns how long to wait for the head of a server's response: all the time left if the request
+    /// cannot be tried again.
+    pub(super) fn head_timeout(&self, server: &str, remaining: Duration) -> Duration {
         if !self.route.is_retryable() || self.tally.runs + 1 >= self.route.attempts {
             return remaining;
         }
         let (class, size) = self.class();
-        let expected = self
-            .context
-            .loads()
-            .expected_first_byte(&class, size)
-            .unwrap_or_default();
+        let (expected, factor) = {
+            let loads = self.context.loads();
+            let expected = loads.expected_first_byte(&class, size);
+            (expected.unwrap_or_default(), loads.speeds().factor(server))
+        };
         let fraction = match self.route.kind {
             RouteKind::Stream => STREAM_GOAL_FRACTION,
             RouteKind::Safe | RouteKind::Unsafe => COMPLETE_GOAL_FRACTION,
         };
         expected
-            .mul_f64(HEAD_TIMEOUT_FACTOR)
+            .mul_f64(HEAD_TIMEOUT_FACTOR * factor.max(1.0))
             .max(self.route.goal.mul_f64(fraction))
             .min(remaining)
     }
--- a/gateway/src/transport/store_feeds.rs
+++ b/gateway/src/transport/store_feeds.rs
@@ -205,6 +205,10 @@
             context.loads().reset(&entry.id);
             context.prefix_cache().forget(&entry.id);
             let started_ms = entry.started_ms;
+            let (id, service) = (&entry.id, &entry.service);
+            let mut loads = context.loads();
+            loads.speeds_mut().record_start(id, service, started_ms);
+            drop(loads);
             context.permits().record_start(&entry.id, started_ms);
             check_unknown_version(context, entry);
         }
@@ -212,6 +216,7 @@
         TableChange::Gone => {
             context.pool.clear(entry.address);
             context.loads().forget(&entry.id);
+            context.loads().speeds_mut().forget(&entry.id);
             context.prefix_cache().forget(&entry.id);
             let now = context.now();
             context.permits().record_removal(&entry.id, now);
--- a/gateway/tests/decisions/main.rs
+++ b/gateway/tests/decisions/main.rs
@@ -16,5 +16,6 @@
 mod reach;
 mod rollout_tracker;
 mod routes;
+mod speeds;
 mod table;
 mod trial;
