Ignore paces measured under a senseless load

Cause: a load report of another host may claim any number of requests in flight, and one such sample would determine how paces depend on the load. Change: paces above 4,096 requests in flight are no samples. Measured: the extended test of reports with nonsense fails without the check and passes with it.

--- a/gateway/src/coordination/speeds/server_speeds.rs
+++ b/gateway/src/coordination/speeds/server_speeds.rs
@@ -15,6 +15,9 @@
 /// Samples of this host for each server of a service from which their scatter is known. Fewer are too
 /// close to the estimates, which they determine.
 const MIN_SCATTER_SAMPLES: usize = 3;
+/// Most requests in flight at a server that are believed; one senseless load report would otherwise
+/// determine how paces depend on the load. Servers run tens of requests.
+const MAX_LOAD: u32 = 4_096;
 /// Ratio of the standard deviation to the median deviation in a normal distribution.
 const DEVIATION_PER_MEDIAN: f64 = 1.48;
 /// Ratio of the standard error of the median to that of the mean in a normal distribution.
@@ -90,7 +93,7 @@
             return;
         };
         let AnswerPace { seconds, load } = pace;
-        if !seconds.is_normal() || seconds < 0.0 {
+        if !seconds.is_normal() || seconds < 0.0 || load > MAX_LOAD {
             return;
         }
         if let Some(kind) = self.typical.kind(&evidence.service, kind) {
--- a/gateway/tests/decisions/speeds.rs
+++ b/gateway/tests/decisions/speeds.rs
@@ -483,14 +483,17 @@
     // Late and repeated reports replace the host's earlier one.
     (0..50).for_each(|_| assert!(speeds.record_report(address(1), &forged, at(30))));
     assert_eq!(refresh(&mut speeds), factors);
-    for seconds in [f64::NAN, f64::INFINITY, -1.0, 0.0] {
+    for number in 0..50 {
         let pace = AnswerPace {
-            seconds,
+            seconds: [f64::NAN, f64::INFINITY, -1.0, 0.0, 0.01][number % 5],
             load: u32::MAX,
         };
-        speeds.record(&entry(0).id, &"medium".into(), pace, at(30));
+        let server = entry(0).id;
+        speeds.record(&server, &"medium".into(), pace, at(30 + 2 * number as u64));
     }
-    assert_eq!(refresh(&mut speeds), factors);
+    speeds.refresh(at(130));
+    let reports = speeds.reports(5, at(130));
+    assert!(reports.is_empty(), "no such pace is a sample");
 }
 
 /// With fewer than 5 samples, or less than 3 s of them, a disturbance could pass for a speed.
