--- a/gateway/src/protocol/peer_message.rs
+++ b/gateway/src/protocol/peer_message.rs
@@ -6,6 +6,7 @@
 
 use crate::coordination::backlog::BacklogReport;
 use crate::coordination::placement::{HostLoad, PrefixRead};
+use crate::coordination::speeds::SpeedReport;
 use crate::state::{
     ColdReport, CrashReport, DemandReport, EvacuationReport, FreshnessReport, PartReport,
     TrialReport,
@@ -46,4 +47,6 @@
     UsedServers(Vec<u32>),
     /// Requests that wait at the host; empty once none does any more.
     Backlog(Vec<BacklogReport>),
+    /// Lasting speeds of servers by the host's own samples. Sent to one random host at a time.
+    Speeds(Vec<SpeedReport>),
 }
--- a/gateway/src/transport/mod.rs
+++ b/gateway/src/transport/mod.rs
@@ -31,6 +31,7 @@
 mod send_permit;
 mod server_demands;
 mod server_watch;
+mod speed_gossip;
 mod store_client;
 mod store_confirmer;
 mod store_feeds;
--- a/gateway/src/transport/peer_gossip.rs
+++ b/gateway/src/transport/peer_gossip.rs
@@ -34,6 +34,7 @@
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
 use crate::transport::server_demands::{apply_demand_change, send_due_reports};
+use crate::transport::speed_gossip::{apply_speeds, send_speeds};
 use crate::transport::store_client::StoreError;
 
 /// Interval between datagrams to each host in this failure domain.
@@ -91,6 +92,7 @@
     let used_servers = send_used_servers(&context, &socket);
     let own_backlog = send_backlogs(&context, &socket, PeerScope::OwnDomain);
     let far_backlog = send_backlogs(&context, &socket, PeerScope::OtherDomains);
+    let speeds = send_speeds(&context, &socket);
     tokio::join!(
         receiving,
         same_domain,
@@ -102,7 +104,8 @@
         cold_notices,
         used_servers,
         own_backlog,
-        far_backlog
+        far_backlog,
+        speeds
     );
 }
 
@@ -320,6 +323,7 @@
             Ok(PeerMessage::UsedServers(used)) => record_used_servers(context, peer, used),
             Ok(PeerMessage::ColdServers(reports)) => record_cold_servers(context, peer, &reports),
             Ok(PeerMessage::Backlog(reports)) => record_backlog(context, peer, &reports, length),
+            Ok(PeerMessage::Speeds(reports)) => apply_speeds(context, peer, &reports),
             Err(_) => context.metrics.increment("datagrams_unreadable_total"),
         }
     }
@@ -349,7 +353,7 @@
 }
 
 /// Returns whether an address is that of a listed host.
-fn is_listed(context: &GatewayContext, peer: SocketAddr) -> bool {
+pub(crate) fn is_listed(context: &GatewayContext, peer: SocketAddr) -> bool {
     context.peers().values().any(|host| host.address == peer)
 }
 
