--- a/gateway/src/transport/gateway_settings.rs
+++ b/gateway/src/transport/gateway_settings.rs
@@ -88,6 +88,8 @@
     pub liveness: LivenessSettings,
     /// Bounds on what is read ahead for slow callers.
     pub read_ahead: ReadAheadSettings,
+    /// Whether requests wait in the host while the queues at the engines are long.
+    pub queues_requests: bool,
     /// Queues of requests that wait for engines.
     pub backlog: BacklogSettings,
 }
@@ -148,6 +150,9 @@
             reach: ReachSettings::default(),
             liveness: LivenessSettings::default(),
             read_ahead: ReadAheadSettings::default(),
+            // In whole days of a deployment with too few engines, hosts that queue released requests more
+            // slowly than the engines could take them.
+            queues_requests: false,
             backlog: BacklogSettings::default(),
         }
     }
--- a/gateway/src/transport/request_exchange/turn_wait.rs
+++ b/gateway/src/transport/request_exchange/turn_wait.rs
@@ -15,6 +15,9 @@
     /// that placement prefers has no free slot and others have a short queue, `pick` becomes one of
     /// those.
     pub(super) fn needs_turn(&mut self, pick: &mut ServerPick) -> bool {
+        if !self.context.settings.queues_requests {
+            return false;
+        }
         let service = self.snapshot.services.get(&self.service);
         let has_engines = service.is_some_and(|service| service.engine_slots.is_some());
         if !has_engines || self.has_turn || self.tally.tries > 0 {
