Give the state of one cold server and the source of a statement files of their own

Change: cold_server.rs holds one start of a server and its restrictions, cold_source.rs where a statement came from; no behaviour is changed.

--- a/gateway/src/coordination/permits/mod.rs
+++ b/gateway/src/coordination/permits/mod.rs
@@ -7,13 +7,16 @@
 //! twice: when the server is chosen, and just before the request is written.
 
 mod brittle_servers;
+mod cold_server;
 mod cold_servers;
 mod cold_settings;
+mod cold_source;
 mod limit_share;
 mod server_permits;
 
 pub use brittle_servers::{BrittleServers, BrittleSettings};
-pub use cold_servers::{ColdChange, ColdServers, ColdSource};
+pub use cold_servers::{ColdChange, ColdServers};
 pub use cold_settings::ColdSettings;
+pub use cold_source::ColdSource;
 pub use limit_share::{HostShare, LimitSettings, SharePlan, holds_share, plan_shares, plan_slot};
 pub use server_permits::{DemandChange, SendDenial, ServerPermits};
