Guarantee a permit for a request that was granted, and an end of the choice

Cause: a service whose cold servers tolerate less than one request a second has a share window longer than a second, but a host without a share was granted a request again after 1.1 s. It then chose the server, got no permit and chose it again without waiting, so that the process served nothing any more. No request of a caller can have met it on the deployments seen, whose servers tolerate 6 or 8 requests a second. Change: the grant keeps to the share's window; a server whose permit is denied after the choice is left out of the next choice of the request (permits_denied_total).

--- a/gateway/src/coordination/permits/cold_servers.rs
+++ b/gateway/src/coordination/permits/cold_servers.rs
@@ -330,11 +330,12 @@
 
     /// Returns whether this host sent a server nothing lately, so that it may be granted a request.
     pub fn may_grant(&mut self, entry: &ServerEntry, now: TimePoint) -> bool {
-        let last_sent = self
-            .entry(entry)
-            .and_then(|server| server.sends.back().copied());
-        let window = WINDOW + share_settings().arrival_jitter;
-        last_sent.is_none_or(|at| now.since(at) >= window)
+        let shortest = WINDOW + share_settings().arrival_jitter;
+        self.entry(entry).is_none_or(|server| {
+            let window = server.share.map_or(shortest, |share| share.window);
+            let last_sent = server.sends.back();
+            last_sent.is_none_or(|at| now.since(*at) >= window)
+        })
     }
 
     /// Allows this host one request to a server of which it holds no share, because no server of the
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -286,8 +286,11 @@
             if self.is_overloaded(&pick, remaining) {
                 return Err(ExchangeFailure::Overloaded);
             }
-            // Another request may have used the share since the server was picked.
             let Ok(permit) = SendPermit::take(&self.context, &pick.server) else {
+                // The choice and the permit must agree; if they ever do not, the next choice leaves the
+                // server out, so that this loop ends.
+                self.context.metrics.increment("permits_denied_total");
+                self.tried.push(pick.server.id.clone());
                 continue;
             };
             let server = pick.server.clone();
--- a/gateway/tests/decisions/cold_servers.rs
+++ b/gateway/tests/decisions/cold_servers.rs
@@ -584,6 +584,23 @@
     assert!(may_send(&mut host, 10_000));
 }
 
+// A server that tolerates less than a request a second has a longer window. A host that was granted a
+// request within it got no permit, chose the same server again, and did so without end.
+#[test]
+fn granted_request_gets_a_permit_whatever_the_rate() {
+    for rate in [0.3, 0.9, 6.1] {
+        let mut host = permits(0, &(0..82).collect::<Vec<_>>(), rate);
+        host.cold().record_entry(&server(0), true, at(0));
+        for now_ms in (9_000..20_000).step_by(100) {
+            let now = at(now_ms);
+            if host.cold().may_grant(&server(0), now) {
+                host.cold().grant(&server(0), now);
+                assert_eq!(host.take(&server(0), now), Ok(()), "{rate} at {now_ms}");
+            }
+        }
+    }
+}
+
 // Hosts that state no bound took part in the division.
 #[test]
 fn nothing_changes_without_the_bound_in_the_settings_or_the_service() {
