Space the reports of cold servers by the number of hosts

All hosts learn from the list within moments that a server is cold, and the delay of up to 100 ms in which another host's report suppresses one's own puts the hosts a third of a millisecond apart, less than a report takes. Change: hosts report 4 ms apart on average, 1.5 s after the list at the latest.

--- a/gateway/src/coordination/permits/cold_servers.rs
+++ b/gateway/src/coordination/permits/cold_servers.rs
@@ -26,8 +26,11 @@
 
 /// Longest time for which a server is taken to be cold by one statement.
 const MAX_COLD_TIME: Duration = Duration::from_secs(600);
+/// Mean time between the reports of two hosts on the same server. It is longer than a report takes to
+/// reach the other hosts, so that few hosts report, whatever their number.
+const REPORT_SPREAD_PER_HOST: Duration = Duration::from_millis(4);
 /// Longest delay of a host's report, in which another host's may arrive.
-const REPORT_DELAY: Duration = Duration::from_millis(100);
+const MAX_REPORT_DELAY: Duration = Duration::from_millis(1_500);
 /// Time for which load reports may still show requests that were sent before a failure.
 const USE_REPORT_LAG: Duration = Duration::from_secs(1);
 
@@ -425,11 +428,14 @@
         self.short_ids.retain(|_, id| is_kept(id));
     }
 
-    /// Returns the delay after which this host reports what it learned of a server.
+    /// Returns the delay after which this host reports what it learned of a server, unless another host
+    /// does so before. All hosts learn it from the list within moments.
     fn report_delay(&self, server: &str) -> Duration {
         // Another hash than that of the shares, whose holders would report first otherwise.
         let fraction = rank(&self.host, server) as f64 / u64::MAX as f64;
-        REPORT_DELAY.mul_f64(fraction)
+        let hosts = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX);
+        let longest = REPORT_SPREAD_PER_HOST.saturating_mul(hosts.max(1));
+        longest.min(MAX_REPORT_DELAY).mul_f64(fraction)
     }
 
     /// Returns the change to log if a server has become cold.
--- a/gateway/tests/decisions/cold_servers.rs
+++ b/gateway/tests/decisions/cold_servers.rs
@@ -601,6 +601,29 @@
     }
 }
 
+// All hosts of a large fleet reported each cold server to all others, as the list told them at the same
+// time: 357 kB a second and host at 300 hosts.
+#[test]
+fn few_hosts_report_a_cold_server_whatever_their_number() {
+    for count in FLEETS {
+        let all: Vec<usize> = (0..count).collect();
+        let mut reports = 0;
+        for number in all.clone() {
+            let mut host = permits(number, &all, 6.1);
+            for name in 0..10 {
+                let cold = ServerEntry {
+                    id: format!("s-{name}").into(),
+                    ..server(3_000)
+                };
+                host.cold().record_entry(&cold, true, at(1_000));
+            }
+            // By then the first reports have reached all hosts.
+            reports += host.cold().due_reports(at(1_000 + TRANSIT_MS)).len();
+        }
+        assert!((10..=120).contains(&reports), "{reports} at {count}");
+    }
+}
+
 // Hosts that state no bound took part in the division.
 #[test]
 fn nothing_changes_without_the_bound_in_the_settings_or_the_service() {
