--- a/gateway/src/transport/gateway_settings.rs
+++ b/gateway/src/transport/gateway_settings.rs
@@ -150,8 +150,8 @@
             reach: ReachSettings::default(),
             liveness: LivenessSettings::default(),
             read_ahead: ReadAheadSettings::default(),
-            // In whole days of a deployment with too few engines, hosts that queue released requests more
-            // slowly than the engines could take them.
+            // On a whole day of a deployment with too few engines, more requests were late and failed with
+            // queues than without.
             queues_requests: false,
             backlog: BacklogSettings::default(),
         }
