Run the next larger model where an answer is only slightly doubted

Change: one bound of 60 for all lengths; an answer up to 25 below it runs on the next larger model, whose own answer is judged against a bound of 30; others run on the largest, as before. model_judged names the larger model and is written for doubted answers only.

--- a/gateway/src/coordination/cascade/mod.rs
+++ b/gateway/src/coordination/cascade/mod.rs
@@ -2,4 +2,6 @@
 
 mod model_choice;
 
-pub use model_choice::{CascadeSettings, confidence_bound, should_escalate};
+pub use model_choice::{
+    CascadeSettings, ModelStep, bound_under_load, larger_model, should_escalate,
+};
--- a/gateway/src/coordination/cascade/model_choice.rs
+++ b/gateway/src/coordination/cascade/model_choice.rs
@@ -1,24 +1,26 @@
-//! Decides whether to keep the smallest model's answer or to run the largest model.
+//! Decides whether to keep a model's answer or to run a larger model, and which one.
 //!
-//! Covers light and heavy load alike: the larger model runs when the smaller one has low confidence
-//! in its answer. The confidence required falls with the prompt's length, which the larger model
-//! reads slowly, and with the queues at the engines. A second run that would not begin within the
-//! goal is useless, however short the queues.
+//! Covers light and heavy load alike: a larger model runs when a smaller one has low confidence in
+//! its answer. If the confidence is only slightly too low, the next larger model is likely to be
+//! good enough, and it costs less engine time than the largest. The confidence required falls with
+//! the queues at the engines. A second run that would not begin within the goal is useless, however
+//! short the queues.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Settings of the cascade; confidence ranges from 0 to 100.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CascadeSettings {
-    /// Confidence bound for prompts up to `short_tokens`.
-    pub short_prompt_bound: f64,
-    /// Confidence bound for prompts from `long_tokens` on.
-    pub long_prompt_bound: f64,
-    /// Length up to which a prompt is cheap to read again, in tokens.
-    pub short_tokens: f64,
-    /// Length from which a prompt is expensive to read again, in tokens.
-    pub long_tokens: f64,
-    /// Part of the goal that must be left when the second run begins to answer; covers the
+    /// Confidence below which the answer of the smallest model is dropped if no request is queued.
+    pub smallest_model_bound: f64,
+    /// The same for models between the smallest and the largest. Lower, because a further run takes
+    /// longer and uses one more of the request's attempts.
+    pub middle_model_bound: f64,
+    /// How far the confidence may be below the bound for the next larger model to run instead of the
+    /// largest.
+    pub next_model_margin: f64,
+    /// Part of the goal that must be left when the larger model begins to answer; covers the
     /// prediction error.
     pub min_time_left_part: f64,
 }
@@ -26,31 +28,72 @@
 impl Default for CascadeSettings {
     fn default() -> Self {
         Self {
-            short_prompt_bound: 70.0,
-            long_prompt_bound: 40.0,
-            short_tokens: 4_000.0,
-            long_tokens: 12_000.0,
+            smallest_model_bound: 60.0,
+            middle_model_bound: 30.0,
+            next_model_margin: 25.0,
             min_time_left_part: 0.2,
         }
     }
 }
 
+/// A larger model that may answer in place of a smaller one.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ModelStep {
+    /// The larger model.
+    pub model: Arc<str>,
+    /// Confidence in the smaller model's answer below which the larger one runs if no request is
+    /// queued.
+    pub bound: f64,
+}
+
+/// Returns the model that may replace the answer of `model`; `None` if the answer is good enough or no
+/// model is larger. `models` are ordered by size, smallest first.
+///
+/// ```
+/// use galenamast_gateway::coordination::cascade::{CascadeSettings, larger_model};
+///
+/// let settings = CascadeSettings::default();
+/// let models = ["small".into(), "medium".into(), "large".into()];
+/// let step = |confidence| larger_model(&models, "small", confidence, &settings);
+/// assert_eq!(step(75.0), None);
+/// assert_eq!(&*step(50.0).unwrap().model, "medium");
+/// assert_eq!(&*step(10.0).unwrap().model, "large");
+/// ```
+pub fn larger_model(
+    models: &[Arc<str>],
+    model: &str,
+    confidence: f64,
+    settings: &CascadeSettings,
+) -> Option<ModelStep> {
+    let position = models.iter().position(|name| **name == *model)?;
+    let bound = if position == 0 {
+        settings.smallest_model_bound
+    } else {
+        settings.middle_model_bound
+    };
+    let next = models.get(position + 1)?;
+    if confidence >= bound {
+        return None;
+    }
+    let is_close = confidence >= bound - settings.next_model_margin;
+    let larger = if is_close { Some(next) } else { models.last() };
+    larger.map(|model| ModelStep {
+        model: model.clone(),
+        bound,
+    })
+}
+
 /// Returns the confidence below which the larger model runs; `pressure` is the queueing time as a
 /// part of the goal, from 0 to 1.
 ///
 /// ```
-/// use galenamast_gateway::coordination::cascade::{CascadeSettings, confidence_bound};
+/// use galenamast_gateway::coordination::cascade::bound_under_load;
 ///
-/// let settings = CascadeSettings::default();
-/// assert_eq!(confidence_bound(1_000, 0.0, &settings), 70.0);
-/// assert_eq!(confidence_bound(20_000, 0.5, &settings), 20.0);
+/// assert_eq!(bound_under_load(60.0, 0.0), 60.0);
+/// assert_eq!(bound_under_load(60.0, 0.5), 30.0);
 /// ```
-pub fn confidence_bound(prompt_tokens: u32, pressure: f64, settings: &CascadeSettings) -> f64 {
-    let span = settings.long_tokens - settings.short_tokens;
-    let position = (f64::from(prompt_tokens) - settings.short_tokens) / span;
-    let drop =
-        (settings.short_prompt_bound - settings.long_prompt_bound) * position.clamp(0.0, 1.0);
-    (settings.short_prompt_bound - drop) * (1.0 - pressure.clamp(0.0, 1.0))
+pub fn bound_under_load(bound: f64, pressure: f64) -> f64 {
+    bound * (1.0 - pressure.clamp(0.0, 1.0))
 }
 
 /// Returns whether to drop the smaller model's answer and run the larger model, which is predicted
--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -184,7 +184,8 @@
         /// Servers that are cold or suspected to be, until a known time.
         cold: usize,
     },
-    /// The smaller model's answer was kept, or dropped in order to run the largest model.
+    /// A smaller model had too little confidence in its answer, which was kept nevertheless, or
+    /// dropped in order to run a larger model.
     ModelJudged {
         /// Identifier of the request.
         request: Arc<str>,
@@ -192,14 +193,16 @@
         model: Arc<str>,
         /// Confidence of the answer, from 0 to 100.
         confidence: f64,
-        /// Confidence below which the largest model should run.
+        /// Confidence below which the larger model should run under the present load.
         bound: f64,
+        /// The larger model.
+        larger: Arc<str>,
         /// Predicted time from the request to the beginning of the second run's answer, in
         /// milliseconds.
         ready_ms: u64,
         /// Time by which the route's recent answers began later than predicted, in milliseconds.
         excess_ms: u64,
-        /// Whether the largest model runs; `false` also if the retry budget is exhausted.
+        /// Whether the larger model runs; `false` also if the retry budget is exhausted.
         asks_larger: bool,
     },
     /// An attempt ended without an answer that is delivered.
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -219,8 +219,8 @@
         }
     }
 
-    /// Opens a streamed response; runs the request on the largest model if a smaller one reports
-    /// too little confidence. Events up to `resume_after` were delivered before.
+    /// Opens a streamed response; runs the request on a larger model if a smaller one reports too
+    /// little confidence. Events up to `resume_after` were delivered before.
     pub(crate) async fn open_stream(
         &mut self,
         resume_after: Option<u64>,
@@ -242,14 +242,16 @@
                 continue;
             }
             self.record_good_response(&server, latency);
-            if resume_after.is_none() && self.needs_larger_model(&response) {
-                self.tally.tries += 1;
-                self.tally.runs += 1;
-                self.log_attempt(&server, "doubted", latency, "larger model");
-                self.model = self.route.models.last().cloned();
-                continue;
+            if resume_after.is_some() {
+                return Ok(response);
             }
-            return Ok(response);
+            let Some(larger) = self.choose_larger_model(&response) else {
+                return Ok(response);
+            };
+            self.tally.tries += 1;
+            self.tally.runs += 1;
+            self.log_attempt(&server, "doubted", latency, "larger model");
+            self.model = Some(larger);
         }
     }
 
--- a/gateway/src/transport/request_exchange/request_log.rs
+++ b/gateway/src/transport/request_exchange/request_log.rs
@@ -14,12 +14,13 @@
 use crate::transport::record_log::log_record;
 use crate::transport::request_exchange::RequestExchange;
 
-/// Whether a smaller model's response is dropped for the largest model's, with the inputs.
+/// Whether a smaller model's response is dropped for a larger model's, with the inputs.
 #[derive(Clone, Debug)]
 pub(super) struct CascadeDecision {
     pub(super) model: Arc<str>,
     pub(super) confidence: f64,
     pub(super) bound: f64,
+    pub(super) larger: Arc<str>,
     pub(super) ready_in: Duration,
     // Seconds by which responses of the route recently started later than predicted.
     pub(super) excess: f64,
@@ -34,6 +35,7 @@
             model: decision.model.clone(),
             confidence: decision.confidence,
             bound: decision.bound.round(),
+            larger: decision.larger.clone(),
             ready_ms: millis(decision.ready_in),
             excess_ms: (decision.excess * 1_000.0) as u64,
             asks_larger: decision.asks_larger,
--- a/gateway/src/transport/request_exchange/server_choice.rs
+++ b/gateway/src/transport/request_exchange/server_choice.rs
@@ -10,7 +10,7 @@
     AdmissionVerdict, ServiceForecast, decide_admission, retry_pause,
 };
 use crate::coordination::budgets::RetryPurpose;
-use crate::coordination::cascade::{confidence_bound, should_escalate};
+use crate::coordination::cascade::{bound_under_load, larger_model, should_escalate};
 use crate::coordination::permits::SendDenial;
 use crate::coordination::placement::{
     LoadEstimator, PickQuery, PromptPrefixes, ServerPick, pick_server,
@@ -46,26 +46,24 @@
 const HEADER_OVERHEAD_BYTES: f64 = 700.0;
 
 impl RequestExchange {
-    /// Decides whether to drop a smaller model's response and run the request on the largest model.
-    /// Takes the retry from the budget if so, and logs the decision.
-    pub(super) fn needs_larger_model(&mut self, response: &OpenResponse) -> bool {
+    /// Returns the larger model that is to replace a smaller model's response; `None` if the response
+    /// is kept. Takes the retry from the budget, and logs the decision.
+    pub(super) fn choose_larger_model(&mut self, response: &OpenResponse) -> Option<Arc<str>> {
         let settings = &self.context.settings.cascade;
-        let (Some(model), Some(confidence)) = (self.model.clone(), response.head.confidence) else {
-            return false;
-        };
-        if self.route.models.last() == Some(&model) || self.tally.runs + 1 >= self.route.attempts {
-            return false;
+        let model = self.model.clone()?;
+        let confidence = response.head.confidence?;
+        if self.tally.runs + 1 >= self.route.attempts {
+            return None;
         }
-        self.model = self.route.models.last().cloned();
+        let step = larger_model(&self.route.models, &model, confidence, settings)?;
+        self.model = Some(step.model.clone());
         let pick = self.find_server();
         self.model = Some(model.clone());
-        let Some(pick) = pick else {
-            return false;
-        };
+        let pick = pick?;
         let goal = self.route.goal.as_secs_f64();
         let excess = self.context.loads().excess(&self.route.name);
         let pressure = ((pick.wait - pick.work).max(0.0) + excess) / goal;
-        let bound = confidence_bound(self.head.prompt_tokens, pressure, settings);
+        let bound = bound_under_load(step.bound, pressure);
         let elapsed = self.context.now().since(self.started_at);
         let starts_in = Duration::try_from_secs_f64(pick.wait + excess).unwrap_or(Duration::MAX);
         let ready_in = elapsed.saturating_add(starts_in);
@@ -77,11 +75,12 @@
             model,
             confidence,
             bound,
+            larger: step.model.clone(),
             ready_in,
             excess,
             asks_larger,
         });
-        asks_larger
+        asks_larger.then_some(step.model)
     }
 
     /// Picks a server that was not tried and whose version may serve the session, and remembers the
