Give each layout of the messages between hosts a kind of its own

Content behind a layout's end was ignored, so that nothing showed it. Change: freshness reports are a new kind at the end and kind 4 is retired.

--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -38,6 +38,10 @@
         domain: Arc<str>,
         /// Address that callers connect to.
         callers: String,
+        /// Version of the program.
+        build: &'static str,
+        /// Version of the messages between hosts.
+        wire_version: u8,
     },
     /// The process begins to shut down.
     Stopping {
--- a/gateway/src/protocol/mod.rs
+++ b/gateway/src/protocol/mod.rs
@@ -12,7 +12,7 @@
 pub use event_splitter::{EventSplitter, SplitError, StreamEvent};
 pub use forwarded_headers::{has_ambiguous_length, strip_connection_headers};
 pub use gateway_record::{DecisionInputs, GatewayRecord};
-pub use peer_message::PeerMessage;
+pub use peer_message::{DatagramError, PeerMessage, WIRE_VERSION};
 pub use platform_format::{AnswerHead, FormatError, PlatformFormat};
 pub use relay_headers::{RELAY_UNSERVED, RELAYED_BY};
 pub use stored_object::{
--- a/gateway/src/protocol/peer_message.rs
+++ b/gateway/src/protocol/peer_message.rs
@@ -1,4 +1,9 @@
-//! Datagrams between hosts. Any of them may be lost.
+//! Datagrams between hosts. Any of them may be lost, and hosts of earlier and later builds run side by
+//! side while a fleet is upgraded.
+//!
+//! A datagram is the kind's number followed by its fields in order. The number and the layout of a kind
+//! never change: a message with another layout is a new kind at the end, and the old one stays in its
+//! place as retired. A host skips and counts the kinds that it does not know, and decides without them.
 
 use std::sync::Arc;
 
@@ -12,6 +17,23 @@
     TrialReport,
 };
 
+/// Number of kinds of datagrams that this build knows.
+const KNOWN_KINDS: u32 = 15;
+/// Version of the messages between hosts; it rises with each new kind. Hosts state it in the store, those
+/// of earlier builds do not.
+pub const WIRE_VERSION: u8 = 2;
+
+/// Why a datagram was skipped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum DatagramError {
+    /// Its kind is one of a later build, or one that is no longer used.
+    #[error("the datagram has the unknown kind {0}")]
+    UnknownKind(u32),
+    /// Its content does not have the kind's layout.
+    #[error("the datagram is malformed")]
+    Malformed,
+}
+
 /// Contents of a datagram. It is encoded by position, so the order of variants and fields is fixed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -28,8 +50,8 @@
     Trial(TrialReport),
     /// Sessions that the previous version serves during a roll-out.
     HeldSessions(Vec<u64>),
-    /// The host knew all changes of the store a short time ago. Sent within a failure domain.
-    Freshness(FreshnessReport),
+    /// Retired: two layouts of [`Self::Freshness`] were sent under this number.
+    RetiredFreshness,
     /// What a server asks of the hosts has changed.
     Demand(DemandReport),
     /// Prompt parts that the host saw answered though servers crashed with them.
@@ -49,4 +71,40 @@
     Backlog(Vec<BacklogReport>),
     /// Lasting speeds of servers by the host's own samples. Sent to one random host at a time.
     Speeds(Vec<SpeedReport>),
+    /// The host knew all changes of the store a short time ago. Sent within a failure domain.
+    Freshness(FreshnessReport),
+}
+
+impl PeerMessage {
+    /// Encodes the message; `None` if it cannot be encoded.
+    ///
+    /// ```
+    /// use galenamast_gateway::protocol::PeerMessage;
+    ///
+    /// let message = PeerMessage::UsedServers(vec![7, 9]);
+    /// let datagram = message.encode().unwrap();
+    /// assert_eq!(PeerMessage::decode(&datagram), Ok(message));
+    /// ```
+    pub fn encode(&self) -> Option<Vec<u8>> {
+        postcard::to_stdvec(self).ok()
+    }
+
+    /// Decodes a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the kind is unknown or retired, or if the content is longer or shorter than
+    /// the kind's layout.
+    pub fn decode(datagram: &[u8]) -> Result<Self, DatagramError> {
+        let (kind, _) =
+            postcard::take_from_bytes::<u32>(datagram).map_err(|_| DatagramError::Malformed)?;
+        if kind >= KNOWN_KINDS {
+            return Err(DatagramError::UnknownKind(kind));
+        }
+        match postcard::take_from_bytes(datagram) {
+            Ok((Self::RetiredFreshness, _)) => Err(DatagramError::UnknownKind(kind)),
+            Ok((message, [])) => Ok(message),
+            Ok(_) | Err(_) => Err(DatagramError::Malformed),
+        }
+    }
 }
--- a/gateway/src/state/host_report.rs
+++ b/gateway/src/state/host_report.rs
@@ -48,4 +48,6 @@
     pub address: SocketAddr,
     /// Failure domain of the host.
     pub domain: Arc<str>,
+    /// Version of the messages between hosts that it sends; 1 if it states none.
+    pub wire_version: u8,
 }
--- a/gateway/src/transport/backlog_gossip.rs
+++ b/gateway/src/transport/backlog_gossip.rs
@@ -52,7 +52,7 @@
         PeerScope::OwnDomain => settings.own_domain_interval,
         PeerScope::OtherDomains => settings.other_domains_interval,
     };
-    let Ok(message) = postcard::to_stdvec(&PeerMessage::Backlog(reports)) else {
+    let Some(message) = PeerMessage::Backlog(reports).encode() else {
         return interval;
     };
     let bytes = message.len() + DATAGRAM_HEADER_BYTES;
--- a/gateway/src/transport/gateway_host.rs
+++ b/gateway/src/transport/gateway_host.rs
@@ -11,7 +11,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::protocol::{GatewayRecord, PlatformFormat};
+use crate::protocol::{GatewayRecord, PlatformFormat, WIRE_VERSION};
 use crate::transport::caller_listener::CallerListener;
 use crate::transport::evacuation_feed::run_evacuations;
 use crate::transport::gateway_context::GatewayContext;
@@ -78,6 +78,8 @@
             host: context.settings.host.clone(),
             domain: context.settings.domain.clone(),
             callers: caller_address.to_string(),
+            build: env!("CARGO_PKG_VERSION"),
+            wire_version: WIRE_VERSION,
         };
         log_record(Level::Info, &record);
         let tasks = tasks.into_iter().map(AbortOnDropHandle::new).collect();
--- a/gateway/src/transport/peer_gossip.rs
+++ b/gateway/src/transport/peer_gossip.rs
@@ -17,7 +17,9 @@
 use rand::seq::IndexedRandom;
 use tokio::net::UdpSocket;
 
-use crate::protocol::{GatewayRecord, ObjectKind, ObjectQuery, PeerMessage};
+use crate::protocol::{
+    DatagramError, GatewayRecord, ObjectKind, ObjectQuery, PeerMessage, WIRE_VERSION,
+};
 use crate::state::{
     ColdReport, DemandReport, EvacuationReport, FreshnessReport, HostPresence, StorePosition,
 };
@@ -122,6 +124,7 @@
         host,
         address,
         domain,
+        wire_version: WIRE_VERSION,
     };
     let mut is_announced = false;
     // Position to watch from; `None` if the hosts must be listed.
@@ -291,7 +294,7 @@
             tokio::time::sleep(Duration::from_millis(1)).await;
             continue;
         };
-        match postcard::from_bytes(&buffer[..length]) {
+        match PeerMessage::decode(&buffer[..length]) {
             Ok(PeerMessage::Loads { loads, reads }) => {
                 let now = context.now();
                 context.loads().record_remote(peer, &loads, now);
@@ -324,11 +327,33 @@
             Ok(PeerMessage::ColdServers(reports)) => record_cold_servers(context, peer, &reports),
             Ok(PeerMessage::Backlog(reports)) => record_backlog(context, peer, &reports, length),
             Ok(PeerMessage::Speeds(reports)) => apply_speeds(context, peer, &reports),
-            Err(_) => context.metrics.increment("datagrams_unreadable_total"),
+            // Decoding refuses it.
+            Ok(PeerMessage::RetiredFreshness) => {}
+            Err(error) => record_skipped(context, peer, error),
         }
     }
 }
 
+/// Counts a datagram that was skipped, by the version of the host that sent it.
+fn record_skipped(context: &GatewayContext, peer: SocketAddr, error: DatagramError) {
+    match error {
+        DatagramError::Malformed => context.metrics.increment("datagrams_unreadable_total"),
+        DatagramError::UnknownKind(_) => match peer_version(context, peer) {
+            Some(version) => context
+                .metrics
+                .increment(&format!("datagrams_skipped_version_{version}_total")),
+            None => context.metrics.increment("datagrams_of_strangers_total"),
+        },
+    }
+}
+
+/// Returns the wire version of a listed host.
+fn peer_version(context: &GatewayContext, peer: SocketAddr) -> Option<u8> {
+    let peers = context.peers();
+    let host = peers.values().find(|host| host.address == peer)?;
+    Some(host.wire_version)
+}
+
 /// Applies what another host reports about crashes of servers.
 fn apply_crash_message(context: &GatewayContext, peer: SocketAddr, message: &PeerMessage) {
     if !is_listed(context, peer) {
@@ -418,7 +443,7 @@
         let (reads, count) = context.prefix_cache().local_reads_since(sent_reads);
         sent_reads = count;
         let is_idle = loads.is_empty() && reads.is_empty();
-        let Ok(message) = postcard::to_stdvec(&PeerMessage::Loads { loads, reads }) else {
+        let Some(message) = (PeerMessage::Loads { loads, reads }).encode() else {
             return;
         };
         let peers = peer_addresses(context, scope);
@@ -446,7 +471,7 @@
         if reports.is_empty() {
             continue;
         }
-        let Ok(message) = postcard::to_stdvec(&PeerMessage::RefusedParts(reports)) else {
+        let Some(message) = PeerMessage::RefusedParts(reports).encode() else {
             return;
         };
         send_to_few(context, socket, &message).await;
@@ -460,7 +485,7 @@
         tokio::time::sleep(EVACUATION_REPORT_INTERVAL).await;
         let reports = context.evacuations().reports(context.now());
         for part in reports.chunks(EVACUATIONS_PER_DATAGRAM) {
-            let Ok(message) = postcard::to_stdvec(&PeerMessage::Evacuations(part.to_vec())) else {
+            let Some(message) = PeerMessage::Evacuations(part.to_vec()).encode() else {
                 return;
             };
             send_to_few(context, socket, &message).await;
@@ -491,7 +516,7 @@
         if used.is_empty() {
             continue;
         }
-        let Ok(message) = postcard::to_stdvec(&PeerMessage::UsedServers(used)) else {
+        let Some(message) = PeerMessage::UsedServers(used).encode() else {
             return;
         };
         let peers = peer_addresses(context, PeerScope::OtherDomains);
@@ -518,7 +543,7 @@
             MESSAGE_COPIES
         };
         for part in split_message(queued) {
-            let Ok(message) = postcard::to_stdvec(&part) else {
+            let Some(message) = part.encode() else {
                 continue;
             };
             for _ in 0..copies {
--- a/gateway/src/transport/speed_gossip.rs
+++ b/gateway/src/transport/speed_gossip.rs
@@ -41,7 +41,7 @@
         if reports.is_empty() {
             continue;
         }
-        if let Ok(message) = postcard::to_stdvec(&PeerMessage::Speeds(reports)) {
+        if let Some(message) = PeerMessage::Speeds(reports).encode() {
             // A lost datagram only delays what one host learns.
             let _ = socket.send_to(&message, peer).await;
         }
--- a/gateway/tests/decisions/brittle.rs
+++ b/gateway/tests/decisions/brittle.rs
@@ -55,6 +55,7 @@
         host: name(number),
         address: ([127, 0, 0, 1], 2).into(),
         domain: "d-0".into(),
+        wire_version: 1,
     };
     permits.set_hosts((0..hosts).map(presence).collect());
     permits.record_start(&server().id, server().started_ms);
--- a/gateway/tests/decisions/cold_servers.rs
+++ b/gateway/tests/decisions/cold_servers.rs
@@ -55,6 +55,7 @@
         host: format!("host-{number}").into(),
         address: ([127, 0, 0, 1], 2).into(),
         domain: format!("d-{}", number % DOMAINS).into(),
+        wire_version: 1,
     }
 }
 
--- a/gateway/tests/decisions/limits.rs
+++ b/gateway/tests/decisions/limits.rs
@@ -52,6 +52,7 @@
         host: format!("host-{number}").into(),
         address: "127.0.0.1:2".parse().expect("the address is valid"),
         domain: format!("d-{}", number % 6).into(),
+        wire_version: 1,
     }
 }
 
--- a/gateway/tests/decisions/reach.rs
+++ b/gateway/tests/decisions/reach.rs
@@ -18,6 +18,7 @@
         host: format!("host-{number}").into(),
         address: SocketAddr::from(([10, 0, 0, 1], port)),
         domain: format!("d-{}", number % domains).into(),
+        wire_version: 1,
     }
 }
 
--- a/gateway/tests/decisions/speeds.rs
+++ b/gateway/tests/decisions/speeds.rs
@@ -538,7 +538,9 @@
         let reports = speeds.reports(5, now);
         assert!(second < 30 || reports.is_empty(), "{second} s");
         sent += reports.len();
-        let message = postcard::to_stdvec(&PeerMessage::Speeds(reports)).expect("it is encoded");
+        let message = PeerMessage::Speeds(reports)
+            .encode()
+            .expect("it is encoded");
         assert!(message.len() + 28 <= 500, "{}", message.len());
     }
     assert_eq!(
