--- a/gateway/src/coordination/budgets/retry_budget.rs
+++ b/gateway/src/coordination/budgets/retry_budget.rs
@@ -55,7 +55,7 @@
             local_ratio_part: 0.85,
             shared_slack_part: 0.8,
             assumed_hosts: 400,
-            cascade_part: 0.8,
+            cascade_part: 0.9,
             hedge_part: 0.3,
         }
     }
