Remove the queues in the hosts

Cause: 1,500 lines were off by default because requests were served worse with them on. Change: the queues, the view of them across hosts, their setting, log lines, counters and benchmark are removed; kind 12 of the datagrams is retired. The tests of the queues (decisions/backlog, decisions/backlog_fleet, path/backlog) tested nothing else and go with them: what they asserted of rejections at once is asserted of the forecast in decisions/admission and path/admission. docs/design/backlog.md keeps the account.

--- a/gateway/src/coordination/mod.rs
+++ b/gateway/src/coordination/mod.rs
@@ -1,7 +1,6 @@
 //! Decision logic: pure functions and state machines without I/O or clocks.
 
 pub mod admission;
-pub mod backlog;
 pub mod budgets;
 pub mod cascade;
 pub mod crashes;
--- a/gateway/src/coordination/placement/load_estimator.rs
+++ b/gateway/src/coordination/placement/load_estimator.rs
@@ -135,12 +135,6 @@
     pub cost: f64,
     /// Requests in flight on the server, those of other hosts included.
     pub in_flight: u32,
-    /// Seconds that the server needs for the work that waits there, those of other hosts included.
-    pub waiting: f64,
-    /// Ratio of the observed to the expected time to the first byte; 1 is typical.
-    pub slowness: f64,
-    /// Whether the server answers most requests and is not avoided after a refused connection.
-    pub is_usable: bool,
 }
 
 /// Load estimates for all servers, including what other hosts report.
@@ -309,12 +303,8 @@
                 starts_in: seconds,
                 cost: seconds,
                 in_flight,
-                waiting: waiting / concurrency,
-                slowness: 1.0,
-                is_usable: true,
             };
         };
-        let waiting = waiting / concurrency * load.slowness;
         let seconds = seconds * load.slowness;
         let share = load.failure_share(self.settings.failure_half_life, now);
         let success = (1.0 - share).max(0.05);
@@ -328,9 +318,6 @@
             starts_in: seconds,
             cost: failing + paused,
             in_flight,
-            waiting,
-            slowness: load.slowness,
-            is_usable: share < 0.5 && now >= load.paused_until,
         }
     }
 
@@ -427,20 +414,6 @@
             .collect()
     }
 
-    /// Returns the work of this host and that of the others that waits at all servers, in seconds on a
-    /// typical server. Of `hosts` listed hosts, those that do not report are taken for equally loaded.
-    pub fn waiting_totals(&self, hosts: usize, now: TimePoint) -> (f64, f64) {
-        let own = self.loads.values().map(|load| load.waiting_work).sum();
-        let reporting = self.reporting_hosts(now);
-        let reported: f64 = self
-            .remote_totals
-            .values()
-            .map(|load| load.waiting_work)
-            .sum();
-        let scale = hosts.saturating_sub(1) as f64 / reporting.max(1) as f64;
-        (own, reported * scale.max(1.0))
-    }
-
     /// Returns the work of a request of a class, in seconds on a typical server.
     pub fn work(&self, class: &Arc<str>, tokens: u32) -> f64 {
         let token_time = self
--- a/gateway/src/coordination/placement/server_pick.rs
+++ b/gateway/src/coordination/placement/server_pick.rs
@@ -19,10 +19,6 @@
 use crate::coordination::placement::{LoadEstimator, PromptPrefixes, short_server_id};
 use crate::state::ServerEntry;
 
-/// Seconds added for a server whose queue is longer than asked for; less than for one that refuses
-/// connections.
-const LONG_QUEUE_COST: f64 = 20.0;
-
 /// Settings of the server choice.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PickSettings {
@@ -78,12 +74,6 @@
     pub excluded: &'a [Arc<str>],
     /// Random number that orders servers of equal price.
     pub tie_breaker: u64,
-    /// Mean time that a request stays on a server, in seconds; 0 if it is not known.
-    pub stay: f64,
-    /// Longest queue, in seconds, of servers that are chosen while there are others. Shorter ones
-    /// count the same, because hosts with reports of the same age would all choose the shortest.
-    /// `None` if only the price counts.
-    pub max_queue: Option<f64>,
 }
 
 /// The chosen server and the predictions for it.
@@ -105,19 +95,6 @@
     pub earliest_start: f64,
     /// Whether any candidate runs fewer requests than it has slots.
     pub has_free_slot: bool,
-    /// Queue at the chosen server, in seconds: the work that waits there, and the time until the
-    /// slots that are missing are free.
-    pub queue: f64,
-    /// Shortest queue of the candidates that are not avoided, in seconds; infinite if there are none.
-    pub shortest_queue: f64,
-    /// Mean queue of the same candidates, in seconds; infinite if there are none.
-    pub mean_queue: f64,
-    /// Whether the chosen server runs as many requests as it has slots.
-    pub is_full: bool,
-    /// Work that the candidates which are not avoided take, in seconds on a typical server per second.
-    pub capacity: f64,
-    /// Slots of these candidates.
-    pub slots: f64,
 }
 
 /// Picks the cheapest server that was not tried yet; `None` if there is none.
@@ -134,8 +111,6 @@
     let cross_domain_cost = query.bytes * settings.byte_price * settings.seconds_per_price;
     let assumed_delay = assumed_delay(&candidates, query, loads, settings, now);
     let (mut earliest_start, mut has_free_slot) = (f64::INFINITY, false);
-    let (mut shortest_queue, mut queues, mut usable) = (f64::INFINITY, 0.0, 0u32);
-    let (mut capacity, mut slots) = (0.0, 0.0);
     let priced = candidates.iter().map(|entry| {
         let kept = kept_tokens(entry, query, &homes, settings);
         let read_tokens = f64::from(query.prompt_tokens) - kept;
@@ -153,31 +128,14 @@
         );
         earliest_start = earliest_start.min(estimate.starts_in);
         has_free_slot |= estimate.in_flight < entry.slots;
-        let waiting = estimate.waiting.max(min_delay);
-        let queue = waiting + slot_wait(entry, estimate.in_flight, query.stay);
         let domain_cost = loads.domain_cost(&entry.domain, now);
-        // A server that is lost has no queue and takes nothing either.
-        if estimate.is_usable && domain_cost == 0.0 {
-            shortest_queue = queue.min(shortest_queue);
-            queues += queue;
-            usable += 1;
-            capacity += 1.0 / estimate.slowness;
-            slots += f64::from(entry.slots);
-        }
         let wait = estimate.cost + domain_cost;
-        let queue_cost = match query.max_queue {
-            Some(longest) if queue > longest => LONG_QUEUE_COST,
-            Some(longest) => longest - queue,
-            None => 0.0,
-        };
         PricedServer {
             entry,
-            price: wait + transfer_cost + read_cost + queue_cost,
+            price: wait + transfer_cost + read_cost,
             wait,
             work,
             kept,
-            queue,
-            is_full: entry.slots > 0 && estimate.in_flight >= entry.slots,
         }
     });
     // Breaks ties by request, so that requests spread over servers of the same price.
@@ -197,16 +155,6 @@
         kept_tokens: best.kept as u32,
         earliest_start,
         has_free_slot,
-        queue: best.queue,
-        shortest_queue,
-        mean_queue: if usable > 0 {
-            queues / f64::from(usable)
-        } else {
-            f64::INFINITY
-        },
-        is_full: best.is_full,
-        capacity,
-        slots,
     })
 }
 
@@ -240,8 +188,6 @@
     wait: f64,
     work: f64,
     kept: f64,
-    queue: f64,
-    is_full: bool,
 }
 
 /// The default servers for a prefix, by rendezvous hashing. Hosts send the prefix there when they
@@ -308,17 +254,6 @@
     }
 }
 
-/// Returns the seconds until a slot for another request is free, if each request stays for `stay`
-/// seconds and the ends are spread evenly.
-fn slot_wait(server: &ServerEntry, in_flight: u32, stay: f64) -> f64 {
-    if server.slots == 0 {
-        // The server does not state its slots.
-        return 0.0;
-    }
-    let missing = (f64::from(in_flight) + 1.0 - f64::from(server.slots)).max(0.0);
-    missing * stay / f64::from(server.slots)
-}
-
 /// Returns the rendezvous hash of a server for a number.
 fn rank(number: u64, server: &str) -> u64 {
     let mut hasher = SipHasher13::new();
--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -162,8 +162,6 @@
         error_ms: u64,
         /// Time left until the deadline, in milliseconds.
         left_ms: u64,
-        /// What rejected it: the `forecast` for the servers, or the host's `backlog`.
-        reason: &'static str,
         /// Time after which the caller should return, before it is spread, in milliseconds.
         retry_ms: u64,
     },
@@ -371,32 +369,6 @@
         /// Time for which it was taken for lost, in milliseconds.
         lost_ms: u64,
     },
-    /// A request waits in the host for a server.
-    RequestQueued {
-        /// Identifier of the request.
-        request: Arc<str>,
-        /// Name of the route.
-        route: Arc<str>,
-        /// The service.
-        service: Arc<str>,
-        /// Number of requests before it.
-        position: usize,
-        /// Their work in seconds on a typical server.
-        work_ahead_s: f64,
-        /// Level of the request in the queue; 0 is served first.
-        queue_level: u8,
-        /// Queue at the server that placement prefers, in milliseconds.
-        server_queue_ms: u64,
-    },
-    /// A request left the host's queue.
-    RequestDequeued {
-        /// Identifier of the request.
-        request: Arc<str>,
-        /// Time that it waited, in milliseconds.
-        waited_ms: u64,
-        /// Why it left: `sent`, `rejected`, `stopping`, `no server`, `no path`, or `caller left`.
-        reason: &'static str,
-    },
     /// The lasting speed of a server, by which placement predicts, changed considerably.
     ServerSpeed {
         /// Identifier of the server.
--- a/gateway/src/protocol/peer_message.rs
+++ b/gateway/src/protocol/peer_message.rs
@@ -9,7 +9,6 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::coordination::backlog::BacklogReport;
 use crate::coordination::placement::{HostLoad, PrefixRead};
 use crate::coordination::speeds::SpeedReport;
 use crate::state::{
@@ -67,8 +66,8 @@
     /// Servers of the host's failure domain, by short identifier, that any host is known to have used a
     /// moment ago. Sent to a few hosts of other domains.
     UsedServers(Vec<u32>),
-    /// Requests that wait at the host; empty once none does any more.
-    Backlog(Vec<BacklogReport>),
+    /// Retired: requests that waited in a host's queue.
+    RetiredBacklog,
     /// Lasting speeds of servers by the host's own samples. Sent to one random host at a time.
     Speeds(Vec<SpeedReport>),
     /// The host knew all changes of the store a short time ago. Sent within a failure domain.
@@ -102,7 +101,9 @@
             return Err(DatagramError::UnknownKind(kind));
         }
         match postcard::take_from_bytes(datagram) {
-            Ok((Self::RetiredFreshness, _)) => Err(DatagramError::UnknownKind(kind)),
+            Ok((Self::RetiredFreshness | Self::RetiredBacklog, _)) => {
+                Err(DatagramError::UnknownKind(kind))
+            }
             Ok((message, [])) => Ok(message),
             Ok(_) | Err(_) => Err(DatagramError::Malformed),
         }
--- a/gateway/src/transport/attempt_guard.rs
+++ b/gateway/src/transport/attempt_guard.rs
@@ -2,8 +2,6 @@
 
 use std::sync::Arc;
 
-use galenamast::state::TimePoint;
-
 use crate::state::ServerEntry;
 use crate::transport::gateway_context::GatewayContext;
 
@@ -13,9 +11,6 @@
     context: Arc<GatewayContext>,
     server: Arc<str>,
     queued_work: f64,
-    service: Arc<str>,
-    sent_at: TimePoint,
-    is_accepted: bool,
 }
 
 impl AttemptGuard {
@@ -26,21 +21,12 @@
             context: context.clone(),
             server: server.id.clone(),
             queued_work: work,
-            service: server.service.clone(),
-            sent_at: context.now(),
-            is_accepted: false,
         }
     }
 
     /// Records that the server started the request, so that its work no longer counts as queued.
     pub(crate) fn mark_started(&mut self) {
         self.remove_work();
-        self.context.backlog.wake_heads();
-    }
-
-    /// Records that the server runs the request, so that the time it stays there is typical.
-    pub(crate) fn mark_accepted(&mut self) {
-        self.is_accepted = true;
     }
 
     /// Removes the request's work from what waits at the server.
@@ -54,10 +40,5 @@
     fn drop(&mut self) {
         self.remove_work();
         self.context.loads().record_ended(&self.server);
-        if self.is_accepted {
-            let stay = self.context.now().since(self.sent_at);
-            self.context.backlog.record_stay(&self.service, stay);
-        }
-        self.context.backlog.wake_heads();
     }
 }
--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -188,7 +188,6 @@
     let head = (context.format.read_answer)(parts.status, &parts.headers);
     record_demand(context, server, &head, sent_at);
     check_head(&head, parts.status, call.request)?;
-    guard.mark_accepted();
     strip_connection_headers(&mut parts.headers);
     parts.headers.remove(header::CONTENT_LENGTH);
     Ok(OpenResponse {
--- a/gateway/src/transport/exchange_failure.rs
+++ b/gateway/src/transport/exchange_failure.rs
@@ -25,8 +25,6 @@
     Overloaded,
     /// The request or a part of its prompt crashed servers.
     Quarantined(CrashRefusal),
-    /// The host's queue does not reach the request before its deadline, or has no room for it.
-    Backlog,
 }
 
 impl ExchangeFailure {
@@ -64,10 +62,6 @@
                 let text = "no server would begin in time; the request did not run";
                 (not_run_response(text, retry_after), text)
             }
-            ExchangeFailure::Backlog => {
-                let text = "the queue would not reach it in time; the request did not run";
-                (not_run_response(text, retry_after), text)
-            }
             ExchangeFailure::NoPath | ExchangeFailure::HostResponse(FinalAnswer::NotRun) => {
                 let text = "no server takes the request now; it did not run";
                 (not_run_response(text, retry_after), text)
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -27,7 +27,6 @@
 use crate::transport::gateway_metrics::GatewayMetrics;
 use crate::transport::gateway_settings::GatewaySettings;
 use crate::transport::kind_reads::KindReads;
-use crate::transport::request_backlog::RequestBacklog;
 use crate::transport::store_client::StoreClient;
 
 /// Shared state of an entry host's tasks.
@@ -97,8 +96,6 @@
     liveness: Mutex<ServerLiveness>,
     /// Counts changes of what is known of servers at which requests wait.
     pub(crate) liveness_changed: watch::Sender<u64>,
-    /// Requests that wait for engines, here and at other hosts.
-    pub(crate) backlog: RequestBacklog,
 }
 
 impl GatewayContext {
@@ -153,7 +150,6 @@
             cold_learned: Notify::new(),
             liveness: Mutex::new(ServerLiveness::new(settings.liveness)),
             liveness_changed: watch::Sender::new(0),
-            backlog: RequestBacklog::new(settings.backlog),
             settings,
         })
     }
--- a/gateway/src/transport/gateway_host.rs
+++ b/gateway/src/transport/gateway_host.rs
@@ -127,7 +127,6 @@
         while self.callers.open.load(Ordering::Relaxed) > 0 && self.context.now() < stops_at {
             if stops_at.since(self.context.now()) < self.context.settings.reject_window {
                 self.callers.reject_all.cancel();
-                self.context.backlog.close();
             }
             self.context.timers.sleep(STOP_POLL_INTERVAL).await;
         }
--- a/gateway/src/transport/gateway_settings.rs
+++ b/gateway/src/transport/gateway_settings.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use crate::coordination::admission::AdmissionSettings;
-use crate::coordination::backlog::BacklogSettings;
 use crate::coordination::budgets::BudgetSettings;
 use crate::coordination::cascade::CascadeSettings;
 use crate::coordination::crashes::CrashSettings;
@@ -88,10 +87,6 @@
     pub liveness: LivenessSettings,
     /// Bounds on what is read ahead for slow callers.
     pub read_ahead: ReadAheadSettings,
-    /// Whether requests wait in the host while the queues at the engines are long.
-    pub queues_requests: bool,
-    /// Queues of requests that wait for engines.
-    pub backlog: BacklogSettings,
 }
 
 impl GatewaySettings {
@@ -150,10 +145,6 @@
             reach: ReachSettings::default(),
             liveness: LivenessSettings::default(),
             read_ahead: ReadAheadSettings::default(),
-            // On a whole day of a deployment with too few engines, more requests were late and failed with
-            // queues than without.
-            queues_requests: false,
-            backlog: BacklogSettings::default(),
         }
     }
 }
--- a/gateway/src/transport/mod.rs
+++ b/gateway/src/transport/mod.rs
@@ -3,7 +3,6 @@
 
 mod attempt_guard;
 mod attempt_runner;
-mod backlog_gossip;
 mod caller_listener;
 mod caller_socket;
 mod cold_notices;
@@ -24,7 +23,6 @@
 mod ready_listener;
 mod record_log;
 mod request_admission;
-mod request_backlog;
 mod request_exchange;
 mod response_body;
 mod rollout_writer;
--- a/gateway/src/transport/peer_gossip.rs
+++ b/gateway/src/transport/peer_gossip.rs
@@ -23,7 +23,6 @@
 use crate::state::{
     ColdReport, DemandReport, EvacuationReport, FreshnessReport, HostPresence, StorePosition,
 };
-use crate::transport::backlog_gossip::{record_backlog, send_backlogs};
 use crate::transport::cold_notices::{
     add_recent_use, apply_cold_reports, record_peer_use, run_cold_notices, used_in_domain,
 };
@@ -92,8 +91,6 @@
     let refusals = send_refusals(&context, &socket);
     let cold_notices = run_cold_notices(&context);
     let used_servers = send_used_servers(&context, &socket);
-    let own_backlog = send_backlogs(&context, &socket, PeerScope::OwnDomain);
-    let far_backlog = send_backlogs(&context, &socket, PeerScope::OtherDomains);
     let speeds = send_speeds(&context, &socket);
     tokio::join!(
         receiving,
@@ -105,8 +102,6 @@
         send_evacuations(&context, &socket),
         cold_notices,
         used_servers,
-        own_backlog,
-        far_backlog,
         speeds
     );
 }
@@ -300,7 +295,6 @@
                 context.loads().record_remote(peer, &loads, now);
                 context.prefix_cache().record_remote(&reads, now);
                 record_peer_use(context, loads.iter().map(|load| load.server));
-                context.backlog.wake_after_report(now);
             }
             Ok(
                 message @ (PeerMessage::Crash(_)
@@ -325,10 +319,9 @@
             Ok(PeerMessage::Freshness(report)) => record_freshness(context, peer, &report),
             Ok(PeerMessage::UsedServers(used)) => record_used_servers(context, peer, used),
             Ok(PeerMessage::ColdServers(reports)) => record_cold_servers(context, peer, &reports),
-            Ok(PeerMessage::Backlog(reports)) => record_backlog(context, peer, &reports, length),
             Ok(PeerMessage::Speeds(reports)) => apply_speeds(context, peer, &reports),
-            // Decoding refuses it.
-            Ok(PeerMessage::RetiredFreshness) => {}
+            // Decoding refuses them.
+            Ok(PeerMessage::RetiredFreshness | PeerMessage::RetiredBacklog) => {}
             Err(error) => record_skipped(context, peer, error),
         }
     }
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -4,7 +4,6 @@
 mod relay;
 mod request_log;
 mod server_choice;
-mod turn_wait;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -87,12 +86,6 @@
     // Whether a server of the request was silent or out of reach. Its neighbours may be too, and an
     // open connection does not show it.
     met_silent_server: bool,
-    // Whether the request may be sent without waiting in the host's queue again.
-    has_turn: bool,
-    // Longest queue of the servers that are preferred, in seconds; `None` if only the price counts.
-    max_queue: Option<f64>,
-    // `Retry-After` of a request that the host's queue rejected.
-    backlog_pause: Option<Duration>,
 }
 
 impl RequestExchange {
@@ -150,9 +143,6 @@
             longest_gap: Duration::ZERO,
             avoided_version: None,
             met_silent_server: false,
-            has_turn: false,
-            max_queue: None,
-            backlog_pause: None,
             context,
             route,
             request,
@@ -278,13 +268,9 @@
                 };
                 return Err(ExchangeFailure::HostResponse(end));
             }
-            let Some(mut pick) = self.pick() else {
+            let Some(pick) = self.pick() else {
                 return Err(self.no_server_left());
             };
-            if self.needs_turn(&mut pick) {
-                self.wait_for_turn(&pick).await?;
-                continue;
-            }
             if self.is_overloaded(&pick, remaining) {
                 return Err(ExchangeFailure::Overloaded);
             }
--- a/gateway/src/transport/request_exchange/request_log.rs
+++ b/gateway/src/transport/request_exchange/request_log.rs
@@ -10,7 +10,6 @@
 use crate::coordination::placement::ServerPick;
 use crate::protocol::{DecisionInputs, GatewayRecord};
 use crate::state::{FollowedKind, ServerEntry};
-use crate::transport::attempt_runner::remaining_time;
 use crate::transport::record_log::log_record;
 use crate::transport::request_exchange::RequestExchange;
 
@@ -52,31 +51,11 @@
             starts_in_ms: (forecast.starts_in * 1_000.0) as u64,
             error_ms: (forecast.error * 1_000.0) as u64,
             left_ms: millis(time_left),
-            reason: "forecast",
             retry_ms: millis(self.retry_after()),
         };
         log_record(Level::Info, &record);
     }
 
-    /// Logs a request that is rejected because the host's queue has no place for it or will not reach
-    /// it before its deadline.
-    pub(super) fn log_backlog_rejection(&self, pick: &ServerPick) {
-        self.context.metrics.increment("requests_rejected_total");
-        self.context.metrics.increment("backlog_rejected_total");
-        let left = remaining_time(&self.context, self.deadline);
-        let pause = self.backlog_pause.unwrap_or_default();
-        let record = GatewayRecord::RequestRejected {
-            request: self.request.clone(),
-            route: self.route.name.clone(),
-            starts_in_ms: (pick.earliest_start * 1_000.0) as u64,
-            error_ms: 0,
-            left_ms: millis(left),
-            reason: "backlog",
-            retry_ms: millis(pause),
-        };
-        log_record(Level::Info, &record);
-    }
-
     /// Logs the servers that the host may not send the request to, if there are any.
     pub(super) fn log_denials(&self) {
         let denials = self.denials();
--- a/gateway/src/transport/request_exchange/server_choice.rs
+++ b/gateway/src/transport/request_exchange/server_choice.rs
@@ -122,9 +122,6 @@
 
     /// Returns how long the caller of a request that did not run should pause.
     pub(super) fn retry_after(&self) -> Duration {
-        if let Some(pause) = self.backlog_pause {
-            return pause;
-        }
         let time_left = remaining_time(&self.context, self.deadline);
         let starts_in = match self.earliest_start {
             Some(seconds) => seconds.max(BUSY_RETRY_SECONDS),
@@ -187,8 +184,6 @@
             assumes_equal_load: false,
             excluded: &self.tried,
             tie_breaker: rand::rng().random(),
-            stay: self.context.backlog.stay(&self.service),
-            max_queue: self.max_queue.filter(|_| self.tally.tries == 0),
         };
         let mut loads = self.context.loads();
         loads.drop_stale(now);
