Give the error of datagrams and the step to a larger model files of their own

Cause: read as a newcomer, two modules held two types each, and the guard of an attempt had two functions for one matter.

--- a/gateway/src/coordination/cascade/mod.rs
+++ b/gateway/src/coordination/cascade/mod.rs
@@ -1,7 +1,7 @@
 //! Decides which model answers a request.
 
 mod model_choice;
+mod model_step;
 
-pub use model_choice::{
-    CascadeSettings, ModelStep, bound_under_load, larger_model, should_escalate,
-};
+pub use model_choice::{CascadeSettings, bound_under_load, larger_model, should_escalate};
+pub use model_step::ModelStep;
--- a/gateway/src/coordination/cascade/model_choice.rs
+++ b/gateway/src/coordination/cascade/model_choice.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::coordination::cascade::ModelStep;
+
 /// Settings of the cascade; confidence ranges from 0 to 100.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CascadeSettings {
@@ -36,16 +38,6 @@
     }
 }
 
-/// A larger model that may answer in place of a smaller one.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ModelStep {
-    /// The larger model.
-    pub model: Arc<str>,
-    /// Confidence in the smaller model's answer below which the larger one runs if no request is
-    /// queued.
-    pub bound: f64,
-}
-
 /// Returns the model that may replace the answer of `model`; `None` if the answer is good enough or no
 /// model is larger. `models` are ordered by size, smallest first.
 ///
@@ -98,6 +90,16 @@
 
 /// Returns whether to drop the smaller model's answer and run the larger model, which is predicted
 /// to begin its answer `ready_in` after the caller sent the request.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use galenamast_gateway::coordination::cascade::{CascadeSettings, should_escalate};
+///
+/// let (goal, settings) = (Duration::from_secs(2), CascadeSettings::default());
+/// assert!(should_escalate(20.0, 60.0, Duration::from_millis(400), goal, &settings));
+/// assert!(!should_escalate(20.0, 60.0, Duration::from_millis(1_900), goal, &settings));
+/// ```
 pub fn should_escalate(
     confidence: f64,
     bound: f64,
--- a/gateway/src/protocol/mod.rs
+++ b/gateway/src/protocol/mod.rs
@@ -1,6 +1,7 @@
 //! Messages between callers, entry hosts, backend servers and the platform's store, and log
 //! records.
 
+mod datagram_error;
 mod event_splitter;
 mod forwarded_headers;
 mod gateway_record;
@@ -9,10 +10,11 @@
 mod relay_headers;
 mod stored_object;
 
+pub use datagram_error::DatagramError;
 pub use event_splitter::{EventSplitter, SplitError, StreamEvent};
 pub use forwarded_headers::{has_ambiguous_length, strip_connection_headers};
 pub use gateway_record::{DecisionInputs, GatewayRecord};
-pub use peer_message::{DatagramError, PeerMessage, WIRE_VERSION};
+pub use peer_message::{PeerMessage, WIRE_VERSION};
 pub use platform_format::{AnswerHead, FormatError, PlatformFormat};
 pub use relay_headers::{RELAY_UNSERVED, RELAYED_BY};
 pub use stored_object::{
--- a/gateway/src/protocol/peer_message.rs
+++ b/gateway/src/protocol/peer_message.rs
@@ -11,6 +11,7 @@
 
 use crate::coordination::placement::{HostLoad, PrefixRead};
 use crate::coordination::speeds::SpeedReport;
+use crate::protocol::datagram_error::DatagramError;
 use crate::state::{
     ColdReport, CrashReport, DemandReport, EvacuationReport, FreshnessReport, PartReport,
     TrialReport,
@@ -22,17 +23,6 @@
 /// of earlier builds do not.
 pub const WIRE_VERSION: u8 = 2;
 
-/// Why a datagram was skipped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum DatagramError {
-    /// Its kind is one of a later build, or one that is no longer used.
-    #[error("the datagram has the unknown kind {0}")]
-    UnknownKind(u32),
-    /// Its content does not have the kind's layout.
-    #[error("the datagram is malformed")]
-    Malformed,
-}
-
 /// Contents of a datagram. It is encoded by position, so the order of variants and fields is fixed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
--- a/gateway/src/transport/attempt_guard.rs
+++ b/gateway/src/transport/attempt_guard.rs
@@ -26,11 +26,6 @@
 
     /// Records that the server started the request, so that its work no longer counts as queued.
     pub(crate) fn mark_started(&mut self) {
-        self.remove_work();
-    }
-
-    /// Removes the request's work from what waits at the server.
-    fn remove_work(&mut self) {
         let work = std::mem::take(&mut self.queued_work);
         self.context.loads().record_begun(&self.server, work);
     }
@@ -38,7 +33,7 @@
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
-        self.remove_work();
+        self.mark_started();
         self.context.loads().record_ended(&self.server);
     }
 }
