--- a/gateway/tests/decisions/trial.rs
+++ b/gateway/tests/decisions/trial.rs
@@ -6,6 +6,7 @@
 
 use galenamast_gateway::coordination::rollouts::{TrialSettings, VersionTrial};
 use galenamast_gateway::state::{AnswerGrade, GradeCounts};
+use rand::{Rng, SeedableRng};
 
 /// Returns a trial with answers of two servers of the new version, in turn.
 fn trial(grades: &[AnswerGrade]) -> VersionTrial {
@@ -120,3 +121,60 @@
     }
     assert!(trial.is_bad());
 }
+
+/// Plays a roll-out at 82 hosts of which each serves a number of answers on each of three routes, a share
+/// of them slow, and returns how many hosts stop the version.
+fn hosts_that_stop(slow_share: f64, answers: u32) -> usize {
+    const HOSTS: u8 = 82;
+    let mut random = rand::rngs::StdRng::seed_from_u64(5);
+    let mut stopped = 0;
+    for _ in 0..HOSTS {
+        let mut trial = VersionTrial::new(TrialSettings::default());
+        for number in 0..160 {
+            // The version before has one slow answer in nine.
+            let is_slow = number % 9 == 0;
+            trial.record_baseline(if is_slow {
+                AnswerGrade::Slow
+            } else {
+                AnswerGrade::Good
+            });
+        }
+        for host in 1..HOSTS {
+            let counts = GradeCounts {
+                answers: 24,
+                failures: 0,
+                slow: 3,
+            };
+            trial.record_remote(SocketAddr::from(([10, 0, 0, host], 7_340)), counts);
+        }
+        let mut is_bad = false;
+        for number in 0..answers {
+            let server: Arc<str> = format!("i-{}", number % 5).into();
+            for route in ["advice", "review", "reply"] {
+                let is_slow = random.random_bool(slow_share);
+                let grade = if is_slow {
+                    AnswerGrade::Slow
+                } else {
+                    AnswerGrade::Good
+                };
+                trial.record_candidate(&route.into(), &server, grade);
+                is_bad |= trial.is_bad();
+            }
+        }
+        stopped += usize::from(is_bad);
+    }
+    stopped
+}
+
+/// Guards against rolling back a good version in a burst: at one of 82 hosts seven of 24 answers began
+/// late, although the new version had no more of them than the one before.
+#[test]
+fn good_version_is_stopped_by_no_host_of_a_large_fleet() {
+    assert_eq!(hosts_that_stop(0.16, 40), 0);
+}
+
+#[test]
+fn slow_version_is_stopped_by_many_hosts_of_a_large_fleet() {
+    let stopped = hosts_that_stop(0.5, 16);
+    assert!(stopped >= 20, "{stopped} of 82 hosts");
+}
