--- a/gateway/src/coordination/rollouts/pace_comparison.rs
+++ b/gateway/src/coordination/rollouts/pace_comparison.rs
@@ -40,8 +40,6 @@
     pub min_slow: u32,
     /// Part of the good versions that the test takes for bad, at most.
     pub false_alarms: f64,
-    /// Part of the bad versions that the test takes for good, at most.
-    pub missed_alarms: f64,
 }
 
 impl Default for PaceSettings {
@@ -58,7 +56,6 @@
             bad_part: 0.4,
             min_slow: 5,
             false_alarms: 0.002,
-            missed_alarms: 0.002,
         }
     }
 }
@@ -69,12 +66,6 @@
         let ratio = counts.log_likelihood_ratio(self.good_part, self.bad_part);
         counts.slow >= self.min_slow && ratio >= -self.false_alarms.ln()
     }
-
-    /// Returns whether the answers of all hosts show that a version is as fast as the one before.
-    pub fn is_sound(&self, counts: PaceCounts) -> bool {
-        let ratio = counts.log_likelihood_ratio(self.good_part, self.bad_part);
-        ratio <= self.missed_alarms.ln()
-    }
 }
 
 /// The pace of one answer.
--- a/gateway/src/coordination/rollouts/version_trial.rs
+++ b/gateway/src/coordination/rollouts/version_trial.rs
@@ -3,10 +3,6 @@
 //! Covers versions that fail or become slow at once, later, under load or on one route only. Each
 //! route is judged by its latest answers, compared with those of the previous version. A single
 //! host sees few answers of a version on trial, so hosts report their counts to one another.
-//!
-//! In a burst a good version begins some answers late, since its caches are cold. The more hosts judge it,
-//! the likelier one of them sees many of these in a row. So a single host needs more evidence while the
-//! paces of all hosts show that the version is sound.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -22,8 +18,6 @@
 const MIN_BASELINE_PACES: usize = 8;
 /// Shortest predicted time that a pace is computed with.
 const MIN_PREDICTION: Duration = Duration::from_millis(20);
-/// Least and greatest share of slow answers that is assumed for the previous version.
-const USUAL_SLOW_SHARE: (f64, f64) = (0.05, 0.4);
 
 /// Settings of the judgement.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -45,14 +39,6 @@
     /// Ratio of an answer's pace to the median pace of the previous version from which it is slow.
     /// A version on trial has cold caches, which alone makes it two to three times slower.
     pub slow_ratio: f64,
-    /// Share of slow answers of a bad version.
-    pub bad_slow_share: f64,
-    /// Number of hosts up to which a host needs no further evidence of slow answers to stop a version
-    /// alone.
-    pub lenient_hosts: usize,
-    /// Number of answers that one queue or cold server makes slow together, and that therefore count as
-    /// one.
-    pub slow_group: f64,
     /// Time to the first byte below which no answer is slow.
     pub slow_floor: Duration,
     /// Comparison of paces.
@@ -69,9 +55,6 @@
             min_slow_answers: 5,
             slow_share: 0.3,
             slow_ratio: 3.5,
-            bad_slow_share: 0.5,
-            lenient_hosts: 9,
-            slow_group: 5.0,
             slow_floor: Duration::from_millis(150),
             pace: PaceSettings::default(),
         }
@@ -204,25 +187,7 @@
         let is_version_wide = failing_servers.len() > 1 || self.servers.len() == 1;
         let is_failing =
             is_version_wide && self.has_too_many_failures(counts, self.settings.min_local_failures);
-        is_failing || (self.has_too_many_slow(counts) && self.exceeds_chance(counts))
-    }
-
-    /// Returns whether slow answers at one host are unlikely to be chance, given that all hosts judge the
-    /// version at the same time and see answers of the usual pace.
-    fn exceeds_chance(&self, counts: GradeCounts) -> bool {
-        let hosts = self.remote.len() + 1;
-        let excess_hosts = hosts as f64 / self.settings.lenient_hosts as f64;
-        if excess_hosts <= 1.0 || !self.settings.pace.is_sound(self.all_paces()) {
-            return true;
-        }
-        let (least, most) = USUAL_SLOW_SHARE;
-        let usual = self.baseline.slow_share().clamp(least, most);
-        let late = PaceCounts {
-            answers: counts.answers,
-            slow: counts.slow,
-        };
-        let ratio = late.log_likelihood_ratio(usual, self.settings.bad_slow_share);
-        ratio >= self.settings.slow_group * excess_hosts.ln()
+        is_failing || self.has_too_many_slow(counts)
     }
 
     /// Returns whether the counts of all hosts together are bad.
--- a/gateway/tests/decisions/trial.rs
+++ b/gateway/tests/decisions/trial.rs
@@ -123,9 +123,9 @@
 }
 
 /// Plays a roll-out at 82 hosts of which each serves a number of answers on each of three routes, a share
-/// of them late, and returns how many hosts stop the version. Of four paces that each of the others
-/// reported, `slow_paces` are slow.
-fn hosts_that_stop(slow_share: f64, answers: u32, slow_paces: u32) -> usize {
+/// of them late, and returns how many hosts stop the version. The paces that the others reported are those
+/// of the version before.
+fn hosts_that_stop(slow_share: f64, answers: u32) -> usize {
     const HOSTS: u8 = 82;
     let mut random = rand::rngs::StdRng::seed_from_u64(5);
     let mut stopped = 0;
@@ -150,7 +150,7 @@
             trial.record_remote(address, counts);
             let paces = PaceCounts {
                 answers: 4,
-                slow: slow_paces,
+                slow: 0,
             };
             trial.record_remote_paces(address, paces);
         }
@@ -177,20 +177,11 @@
 /// late, although the new version had no more of them than the one before.
 #[test]
 fn good_version_is_stopped_by_no_host_of_a_large_fleet() {
-    assert_eq!(hosts_that_stop(0.16, 40, 0), 0);
+    assert_eq!(hosts_that_stop(0.16, 40), 0);
 }
 
 #[test]
 fn slow_version_is_stopped_by_many_hosts_of_a_large_fleet() {
-    let stopped = hosts_that_stop(0.5, 16, 0);
+    let stopped = hosts_that_stop(0.5, 16);
     assert!(stopped >= 20, "{stopped} of 82 hosts");
 }
-
-/// Guards against stopping a version later of which half of the answers take 2.5 times as long: about one
-/// in four of its paces was slow.
-#[test]
-fn few_late_answers_stop_a_version_whose_paces_are_not_sound() {
-    let sound = hosts_that_stop(0.35, 16, 0);
-    let doubtful = hosts_that_stop(0.35, 16, 1);
-    assert!(doubtful > 2 * sound, "{doubtful} and {sound} of 82 hosts");
-}
