--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -89,6 +89,16 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
+def reset(writer):
+    """Resets a connection."""
+    try:
+        connection = writer.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    except (OSError, AttributeError):
+        pass
+    writer.transport.abort()
+
+
 class Server:
     """A listening HTTP/1.1 server with one handler for each request."""
 
@@ -114,6 +124,8 @@
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
+        # Lets a handler see that the other side has closed the connection.
+        writer.reader = reader
         used_at = None
         try:
             while True:
@@ -375,10 +387,9 @@
                 while data := await source.read(65536):
                     sink.write(data)
                     await sink.drain()
-            except (ConnectionError, asyncio.CancelledError):
-                pass
-            finally:
                 sink.close()
+            except (ConnectionError, asyncio.CancelledError):
+                reset(sink)
 
         await asyncio.gather(copy(reader, far_writer), copy(far_reader, writer))
         self.writers -= {writer, far_writer}
@@ -387,7 +398,7 @@
         """Resets the connections and refuses new ones."""
         self.listener.close()
         for writer in list(self.writers):
-            writer.transport.abort()
+            reset(writer)
 
 
 class Silence:
@@ -407,16 +418,6 @@
             self.fillers.append(filler)
 
 
-def reset(writer):
-    """Resets a connection."""
-    try:
-        connection = writer.get_extra_info("socket")
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    except (OSError, AttributeError):
-        pass
-    writer.transport.abort()
-
-
 class Runner(Server):
     """A plain runner that answers each request after some work."""
 
