--- a/review/3/driver.py
+++ b/review/3/driver.py
@@ -12,8 +12,10 @@
                       run_case, service)
 
 EVENTS = 20
-SECONDS = 30.0
-# The doses of `garble` in the site files: a share of 0.6 of the runners, 0.03 of their answers.
+SECONDS = 40.0
+# The doses of `garble` in the site files: a share of 0.6 of the runners, 0.03 of their answers, for 5 s. It comes
+# four times.
+PERIOD_S, GARBLE_S = 10.0, 5.0
 SPOILERS, SPOILT = 3, 0.03
 LIMIT_S = 15.0
 
@@ -36,7 +38,8 @@
             return True
         start = int(headers.get("last-event-id", "0"))
         self.record.line(f"{self.identifier} gets {request}, from event {start + 1}")
-        spoilt = random.randint(start + 1, EVENTS) if self.spoils and random.random() < SPOILT else None
+        is_garbling = self.spoils and self.record.now() % PERIOD_S < GARBLE_S
+        spoilt = random.randint(start + 1, EVENTS) if is_garbling and random.random() < SPOILT else None
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
         lines += [f"{name}: {value}" for name, value in self.answer_headers(request)]
         await asyncio.sleep(0.05)
@@ -144,7 +147,7 @@
         while True:
             count += 1
             asyncio.create_task(one(fronts[count % 2], f"s{count:05d}"))
-            await asyncio.sleep(0.025)
+            await asyncio.sleep(1 / 60)
 
     tasks = [asyncio.create_task(traffic())]
     await asyncio.sleep(SECONDS)
