Log which requests are abandoned, at which stage, and why an attempt was the last

A request whose connection closes without a response left no line, neither with the end of the process nor with its caller; attempt_ended did not say whether the attempts of the route or the retry budget forbade another one; the last lines of a process were lost with its log thread. Change: request_abandoned with cause and stage, counters for both; denied in attempt_ended; in_flight and elapsed_ms in stopped; bodies_unread_total; the program waits up to 100 ms for its log lines at its end. No decision is changed.

--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -52,6 +52,10 @@
     Stopped {
         /// Callers' connections that were still open at the end of the grace period.
         abandoned: usize,
+        /// Requests whose response had not started.
+        in_flight: usize,
+        /// Time since the stop signal, in milliseconds.
+        elapsed_ms: u64,
     },
     /// The settings were read again.
     SettingsReloaded {
@@ -222,6 +226,30 @@
         elapsed_ms: u64,
         /// The next step.
         next: &'static str,
+        /// Why no further attempt is made: `attempts`, `budget` or `repeat` if the request must not run
+        /// twice; left out if one is made or none is wanted.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        denied: Option<&'static str>,
+    },
+    /// A request was read, and its connection closed before the response was complete.
+    RequestAbandoned {
+        /// Identifier of the request.
+        request: Arc<str>,
+        /// Name of the route, if one was found.
+        route: Option<Arc<str>>,
+        /// Who closed the connection: the `caller`, or the host because of its `stop`.
+        cause: &'static str,
+        /// What was in progress: reading the `body`, an `attempt` at a server, the choice of a `server`, or
+        /// sending the `events` of a stream.
+        stage: &'static str,
+        /// Time since the request head was read, in milliseconds.
+        elapsed_ms: u64,
+        /// Time left until the deadline of the request, in milliseconds; 0 while the body is read.
+        left_ms: u64,
+        /// Number of attempts that ended.
+        attempts: u32,
+        /// Number of events that the server of the latest attempt had sent.
+        events: u64,
     },
     /// A request ended.
     RequestEnded {
--- a/gateway/src/transport/caller_listener.rs
+++ b/gateway/src/transport/caller_listener.rs
@@ -8,7 +8,7 @@
 
 use galenamast::state::TimePoint;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -17,7 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::protocol::{GatewayRecord, RELAY_UNSERVED, RELAYED_BY};
-use crate::state::RouteKind;
+use crate::state::{CallerHead, RouteKind};
 use crate::transport::caller_socket::{CallerSocket, ConnectionActivity};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
@@ -192,12 +192,17 @@
         let admission = match admitted {
             Ok(admission) => admission,
             Err(refusal) => {
+                if !body.is_end_stream() {
+                    context.metrics.increment("bodies_unread_total");
+                }
                 let (status, request) = (refusal.status(), head.request.as_ref());
                 log_refusal(context, request, status, "not admitted", started_at);
                 return Err(refusal);
             }
         };
+        let reading = BodyGuard::new(context, &admission, &head, started_at);
         let read = read_body(context, &admission.snapshot, &parts, body).await;
+        reading.end();
         let body = read.map_err(|refusal| {
             context.metrics.increment(refusal.counter());
             let (reason, response) = (refusal.reason(), refusal.into_response());
@@ -214,7 +219,7 @@
     async fn admit(
         &self,
         parts: &http::request::Parts,
-        head: &crate::state::CallerHead,
+        head: &CallerHead,
     ) -> Result<Admission, Refusal> {
         let refuse_stopping = || Box::new(not_run_response("the host stops", STOPPING_RETRY_AFTER));
         // Checked before `admit_head`, which may wait for the store.
@@ -266,6 +271,62 @@
     }
 }
 
+/// Logs a request whose connection closes while its body is read.
+struct BodyGuard<'a> {
+    context: &'a GatewayContext,
+    request: Arc<str>,
+    route: Arc<str>,
+    started_at: TimePoint,
+    has_ended: bool,
+}
+
+impl<'a> BodyGuard<'a> {
+    /// Begins to read a body.
+    fn new(
+        context: &'a GatewayContext,
+        admission: &Admission,
+        head: &CallerHead,
+        started_at: TimePoint,
+    ) -> Self {
+        Self {
+            context,
+            request: head.request.clone().unwrap_or_default(),
+            route: admission.route.name.clone(),
+            started_at,
+            has_ended: false,
+        }
+    }
+
+    /// Ends the guard, as the body was read or refused.
+    fn end(mut self) {
+        self.has_ended = true;
+    }
+}
+
+impl Drop for BodyGuard<'_> {
+    fn drop(&mut self) {
+        if self.has_ended {
+            return;
+        }
+        let cause = self.context.abandon_cause();
+        self.context
+            .metrics
+            .increment(&format!("requests_abandoned_{cause}_body_total"));
+        let elapsed = self.context.now().since(self.started_at);
+        let record = GatewayRecord::RequestAbandoned {
+            request: self.request.clone(),
+            route: Some(self.route.clone()),
+            cause,
+            stage: "body",
+            elapsed_ms: u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
+            left_ms: 0,
+            attempts: 0,
+            events: 0,
+        };
+        log_record(Level::Info, &record);
+    }
+}
+
 /// Logs a request that is refused at admission.
 fn log_refusal(
     context: &GatewayContext,
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -78,6 +78,8 @@
     pub buffered_stream_bytes: AtomicUsize,
     /// Whether the process is stopping.
     pub stopping: AtomicBool,
+    /// Whether the grace period of a stop is over, so that what is in progress is abandoned.
+    pub(crate) grace_over: AtomicBool,
     servers: Mutex<ServerTable>,
     permits: Mutex<ServerPermits>,
     loads: Mutex<LoadEstimator>,
@@ -129,6 +131,7 @@
             buffered_body_bytes: AtomicUsize::new(0),
             buffered_stream_bytes: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
+            grace_over: AtomicBool::new(false),
             servers: Mutex::new(ServerTable::default()),
             permits: Mutex::new(
                 ServerPermits::new(settings.host.clone(), settings.limits).with_cold(settings.cold),
@@ -283,6 +286,14 @@
             && !self.servers().is_empty()
     }
 
+    /// Returns who closes the connection of a request that is abandoned now, as logged.
+    pub(crate) fn abandon_cause(&self) -> &'static str {
+        match self.grace_over.load(Ordering::Relaxed) {
+            true => "stop",
+            false => "caller",
+        }
+    }
+
     /// Runs `act` on a service's retry budget, which is created on first use.
     fn with_budget<T>(&self, service: &Arc<str>, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let mut budgets = lock(&self.budgets);
--- a/gateway/src/transport/gateway_host.rs
+++ b/gateway/src/transport/gateway_host.rs
@@ -112,7 +112,8 @@
     /// The host serves everything until the balancer lag has passed. Then it refuses new streams
     /// and closes idle connections, and refuses all requests near the end of the grace period.
     pub async fn stop(self) {
-        let stops_at = self.context.now() + self.context.settings.grace_period;
+        let signalled_at = self.context.now();
+        let stops_at = signalled_at + self.context.settings.grace_period;
         let in_flight = self.context.in_flight.load(Ordering::Relaxed);
         log_record(Level::Info, &GatewayRecord::Stopping { in_flight });
         self.context.stopping.store(true, Ordering::SeqCst);
@@ -130,8 +131,14 @@
             }
             self.context.timers.sleep(STOP_POLL_INTERVAL).await;
         }
-        let abandoned = self.callers.open.load(Ordering::Relaxed);
-        log_record(Level::Info, &GatewayRecord::Stopped { abandoned });
+        self.context.grace_over.store(true, Ordering::Relaxed);
+        let elapsed = self.context.now().since(signalled_at);
+        let record = GatewayRecord::Stopped {
+            abandoned: self.callers.open.load(Ordering::Relaxed),
+            in_flight: self.context.in_flight.load(Ordering::Relaxed),
+            elapsed_ms: u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
+        };
+        log_record(Level::Info, &record);
     }
 }
 
--- a/gateway/src/transport/record_log.rs
+++ b/gateway/src/transport/record_log.rs
@@ -3,7 +3,7 @@
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use log::{Level, LevelFilter};
 use serde::Serialize;
@@ -18,6 +18,11 @@
 /// Largest number of lines written per second; further lines are dropped and counted.
 const MAX_LINES_PER_SECOND: u64 = 400;
 
+/// Longest time between two checks whether all lines are written.
+const FLUSH_POLL_INTERVAL: Duration = Duration::from_millis(1);
+
+/// Lines queued for the writer thread and not written yet.
+static QUEUED: AtomicU64 = AtomicU64::new(0);
 /// Lines dropped since the last record that reported dropped lines.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 /// Second since the Unix epoch that `WRITTEN` counts lines of.
@@ -52,6 +57,7 @@
                 for line in receiver {
                     // A failure to write the log has nowhere to be reported.
                     let _ = output.write_all(&line).and_then(|()| output.flush());
+                    QUEUED.fetch_sub(1, Ordering::SeqCst);
                 }
             })?;
         let config = ConfigBuilder::new()
@@ -70,6 +76,15 @@
         let _ = WriteLogger::init(LevelFilter::Info, config, writer);
         Ok(())
     }
+
+    /// Waits until all queued lines are written, at most for `timeout`. The output may accept nothing
+    /// any more.
+    pub fn flush(timeout: Duration) {
+        let started_at = Instant::now();
+        while QUEUED.load(Ordering::SeqCst) > 0 && started_at.elapsed() < timeout {
+            std::thread::sleep(FLUSH_POLL_INTERVAL);
+        }
+    }
 }
 
 /// Collects the bytes of a line and queues it for the writer thread.
@@ -83,8 +98,13 @@
         self.line.extend_from_slice(bytes);
         if bytes.ends_with(b"\n") {
             let line = std::mem::take(&mut self.line);
-            if let Err(TrySendError::Full(_)) = self.sender.try_send(line) {
-                DROPPED.fetch_add(1, Ordering::Relaxed);
+            // Counted first, as the writer thread may be faster.
+            QUEUED.fetch_add(1, Ordering::SeqCst);
+            if let Err(error) = self.sender.try_send(line) {
+                QUEUED.fetch_sub(1, Ordering::SeqCst);
+                if matches!(error, TrySendError::Full(_)) {
+                    DROPPED.fetch_add(1, Ordering::Relaxed);
+                }
             }
         }
         Ok(bytes.len())
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -6,6 +6,7 @@
 mod server_choice;
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use galenamast::state::TimePoint;
@@ -86,6 +87,10 @@
     // Whether a server of the request was silent or out of reach. Its neighbours may be too, and an
     // open connection does not show it.
     met_silent_server: bool,
+    // Whether an attempt is in progress, which the tally does not count yet.
+    is_attempting: bool,
+    // Whether the end of the request was logged.
+    has_ended: AtomicBool,
 }
 
 impl RequestExchange {
@@ -143,6 +148,8 @@
             longest_gap: Duration::ZERO,
             avoided_version: None,
             met_silent_server: false,
+            is_attempting: false,
+            has_ended: AtomicBool::new(false),
             context,
             route,
             request,
@@ -238,9 +245,10 @@
             let Some(larger) = self.choose_larger_model(&response) else {
                 return Ok(response);
             };
+            self.is_attempting = false;
             self.tally.tries += 1;
             self.tally.runs += 1;
-            self.log_attempt(&server, "doubted", latency, "larger model");
+            self.log_attempt(&server, "doubted", latency, "larger model", None);
             self.model = Some(larger);
         }
     }
@@ -309,6 +317,7 @@
                     resume_after,
                 },
             };
+            self.is_attempting = true;
             match run_attempt(&self.context, &server, call).await {
                 Ok(response) => return Ok(response),
                 Err(outcome) => {
@@ -327,6 +336,7 @@
         outcome: AttemptOutcome,
         latency: Duration,
     ) -> Result<(), ExchangeFailure> {
+        self.is_attempting = false;
         self.tally.note(outcome);
         self.met_silent_server |= outcome.leaves_doubt();
         self.tried.push(server.id.clone());
@@ -336,17 +346,20 @@
             runs: self.route.attempts,
             tries: MAX_ATTEMPTS,
         };
-        let step = match next_step(outcome, &self.tally, &limits) {
+        let (step, denied) = match next_step(outcome, &self.tally, &limits) {
             NextStep::Retry(Some(purpose)) if !self.context.take_retry(&self.service, purpose) => {
-                NextStep::End(final_answer(outcome, &self.tally))
+                let end = NextStep::End(final_answer(outcome, &self.tally));
+                (end, Some("budget"))
             }
-            step => step,
+            step @ NextStep::Retry(_) => (step, None),
+            step @ NextStep::End(_) if limits.retryable => (step, Some("attempts")),
+            step @ NextStep::End(_) => (step, Some("repeat")),
         };
         let name = match step {
             NextStep::Retry(_) => "another server",
             NextStep::End(_) => "answer",
         };
-        self.log_attempt(server, &format!("{outcome:?}"), latency, name);
+        self.log_attempt(server, &format!("{outcome:?}"), latency, name, denied);
         match step {
             NextStep::Retry(_) => Ok(()),
             NextStep::End(FinalAnswer::ServerFailure) => Err(match self.last_failure.take() {
--- a/gateway/src/transport/request_exchange/request_log.rs
+++ b/gateway/src/transport/request_exchange/request_log.rs
@@ -1,6 +1,7 @@
 //! Log records and metrics of a request.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use log::Level;
@@ -119,6 +120,7 @@
         outcome: &str,
         latency: Duration,
         next: &'static str,
+        denied: Option<&'static str>,
     ) {
         self.context
             .metrics
@@ -130,12 +132,14 @@
             outcome: outcome.into(),
             elapsed_ms: millis(latency),
             next,
+            denied,
         };
         log_record(Level::Info, &record);
     }
 
     /// Logs the end of the request.
     pub(crate) fn log_end(&self, status: u16, outcome: &str, attempts: u32, events: u64) {
+        self.has_ended.store(true, Ordering::Relaxed);
         let elapsed = self.context.now().since(self.started_at);
         self.context
             .metrics
@@ -154,6 +158,41 @@
         };
         log_record(Level::Info, &record);
     }
+
+    /// Returns what is in progress.
+    fn stage(&self) -> &'static str {
+        match (self.head_latency, self.is_attempting) {
+            (Some(_), _) => "events",
+            (None, true) => "attempt",
+            (None, false) => "server",
+        }
+    }
+}
+
+impl Drop for RequestExchange {
+    /// Logs a request whose connection was closed before its end.
+    fn drop(&mut self) {
+        if *self.has_ended.get_mut() {
+            return;
+        }
+        let now = self.context.now();
+        let stage = self.stage();
+        let cause = self.context.abandon_cause();
+        self.context
+            .metrics
+            .increment(&format!("requests_abandoned_{cause}_{stage}_total"));
+        let record = GatewayRecord::RequestAbandoned {
+            request: self.request.clone(),
+            route: Some(self.route.name.clone()),
+            cause,
+            stage,
+            elapsed_ms: millis(now.since(self.started_at)),
+            left_ms: millis(self.deadline.since(now)),
+            attempts: self.tally.tries,
+            events: self.attempt_events,
+        };
+        log_record(Level::Info, &record);
+    }
 }
 
 /// Returns a duration in whole milliseconds, rounded down.
--- a/program/src/front.rs
+++ b/program/src/front.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use galenamast::commands::{EXIT_FAILED, EXIT_INVALID};
@@ -10,6 +11,8 @@
 
 /// Name of the command.
 pub(crate) const NAME: &str = "front";
+/// Longest time that the process waits at its end for its log lines to be written.
+const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Builds the command's arguments.
 pub(crate) fn command() -> Command {
@@ -68,5 +71,6 @@
     runtime.block_on(run_gateway(settings, PLATFORM, || read_settings(path).ok()))?;
     // Remaining tasks, such as those of idle connections, end with the process.
     runtime.shutdown_background();
+    RecordLog::flush(LOG_FLUSH_TIMEOUT);
     Ok(())
 }
