Give up an attempt only for another one that is granted

Cause: callers' streams were cut, and plain requests answered 504, though their server went on after a silence. The host ended an attempt after a silence of 1.6 s inside a stream, or after the usual time without a head, and asked only then whether another one was allowed; with the route's attempts used, the retry budget exhausted or no other server, the request was over. Evidence: with real processes and 1 in 10 streams that hold one silence of 2 to 3 s, 9 streams were cut within 60 s in which nothing was stopped, and 4 in stopping hosts 1.75 to 5.72 s after SIGTERM, with 4.5 to 14.5 s left; the log has two attempts with Silent each. Change: before an overdue attempt is given up, a further attempt of the route, a server for it and a retry of the budget are taken; else the host waits on, up to the deadline. Overdue names the former, Silent is the deadline alone, after which no retry is spent. One decision, may_replace, serves heads and streams.

--- a/gateway/src/coordination/requests/attempt_outcome.rs
+++ b/gateway/src/coordination/requests/attempt_outcome.rs
@@ -23,8 +23,10 @@
     Garbled,
     /// The connection broke.
     Broken,
-    /// No answer came within the usual time.
+    /// No answer came before the deadline.
     Silent,
+    /// No answer came within the usual time, and a retry was taken from the budget in its place.
+    Overdue,
     /// The host closed the connection, since servers crash with a part of the prompt.
     Withdrawn,
     /// The server was judged lost while the attempt waited, and a retry was taken from the budget.
@@ -44,7 +46,7 @@
     pub const fn leaves_doubt(self) -> bool {
         matches!(
             self,
-            Self::NotSent | Self::Broken | Self::Silent | Self::Lost
+            Self::NotSent | Self::Broken | Self::Silent | Self::Overdue | Self::Lost
         )
     }
 
@@ -125,23 +127,43 @@
     tally: &AttemptTally,
     limits: &AttemptLimits,
 ) -> NextStep {
-    let needs_budget = outcome.reached_server() && outcome != AttemptOutcome::Lost;
+    let has_retry = matches!(outcome, AttemptOutcome::Overdue | AttemptOutcome::Lost);
+    let needs_budget = outcome.reached_server() && !has_retry;
     let purpose = needs_budget.then_some(RetryPurpose::Failure);
     let may_run_again = limits.retryable && tally.runs < limits.runs;
     let nothing_ran = tally.runs == 0;
-    let is_useful = outcome != AttemptOutcome::Withdrawn;
+    let is_useful = !matches!(outcome, AttemptOutcome::Withdrawn | AttemptOutcome::Silent);
     if is_useful && tally.tries < limits.tries && (nothing_ran || may_run_again) {
         return NextStep::Retry(purpose);
     }
     NextStep::End(final_answer(outcome, tally))
 }
 
+/// Returns whether an attempt that is in progress may be given up for another one. An answer that may
+/// still come is worth more than none.
+///
+/// ```
+/// use galenamast_gateway::coordination::requests::{AttemptLimits, AttemptTally, may_replace};
+///
+/// let limits = AttemptLimits { retryable: true, runs: 2, tries: 6 };
+/// assert!(may_replace(&AttemptTally::default(), &limits));
+/// assert!(!may_replace(&AttemptTally { tries: 1, runs: 1 }, &limits));
+/// ```
+pub fn may_replace(tally: &AttemptTally, limits: &AttemptLimits) -> bool {
+    let outcome = AttemptOutcome::Overdue;
+    let mut tally = *tally;
+    tally.note(outcome);
+    matches!(next_step(outcome, &tally, limits), NextStep::Retry(_))
+}
+
 /// Returns the answer to the caller when no further attempt is made.
 pub fn final_answer(outcome: AttemptOutcome, tally: &AttemptTally) -> FinalAnswer {
     match outcome {
         AttemptOutcome::Failed => FinalAnswer::ServerFailure,
         _ if tally.runs == 0 => FinalAnswer::NotRun,
-        AttemptOutcome::Silent | AttemptOutcome::Lost => FinalAnswer::TimedOut,
+        AttemptOutcome::Silent | AttemptOutcome::Overdue | AttemptOutcome::Lost => {
+            FinalAnswer::TimedOut
+        }
         _ => FinalAnswer::Unknown,
     }
 }
--- a/gateway/src/coordination/requests/mod.rs
+++ b/gateway/src/coordination/requests/mod.rs
@@ -3,5 +3,6 @@
 mod attempt_outcome;
 
 pub use attempt_outcome::{
-    AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, NextStep, final_answer, next_step,
+    AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, NextStep, final_answer, may_replace,
+    next_step,
 };
--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -24,7 +24,6 @@
 use crate::transport::server_watch::{ServerWatch, record_byte, record_connection};
 
 /// One attempt to run a request on a backend server.
-#[derive(Debug)]
 pub(crate) struct AttemptRequest<'a> {
     /// Head of the caller's request.
     pub(crate) parts: &'a Parts,
@@ -42,7 +41,7 @@
     pub(crate) permit: SendPermit,
     /// What is held against the request if the server crashes.
     pub(crate) suspect: &'a CrashSuspect,
-    /// Longest time to wait for the head of the response.
+    /// Time without the head of the response after which another server is tried if that is allowed.
     pub(crate) head_timeout: Duration,
     /// Time left for the request.
     pub(crate) time_left: Duration,
@@ -50,6 +49,8 @@
     pub(crate) expected_first_byte: Duration,
     /// Whether the request may be sent to another server after this one may have run it.
     pub(crate) may_repeat: bool,
+    /// Takes a retry in place of this attempt; returns false if none is allowed.
+    pub(crate) take_replacement: &'a (dyn Fn() -> bool + Sync),
 }
 
 /// A response whose head was read and validated; its body is still to be read.
@@ -169,7 +170,8 @@
     let watch = ServerWatch::new(context, server, call.expected_first_byte);
     let sending = connection.send(request);
     let answered = tokio::select! {
-        answered = tokio::time::timeout(call.head_timeout, sending) => answered,
+        answered = tokio::time::timeout(call.time_left, sending) => answered,
+        () = wait_until_replaced(&call) => return Err(AttemptOutcome::Overdue),
         () = wait_until_refused(context, call.suspect, sent_at) => {
             return Err(AttemptOutcome::Withdrawn);
         }
@@ -203,6 +205,17 @@
     })
 }
 
+/// Waits until the head of the response is overdue and another attempt is granted. A request that is
+/// not granted one goes on.
+async fn wait_until_replaced(call: &AttemptRequest<'_>) {
+    loop {
+        tokio::time::sleep(call.head_timeout).await;
+        if (call.take_replacement)() {
+            return;
+        }
+    }
+}
+
 /// Waits until a part of a prompt that was sent at `sent_at` is refused.
 async fn wait_until_refused(context: &GatewayContext, suspect: &CrashSuspect, sent_at: TimePoint) {
     let mut refusals = context.parts_refused.subscribe();
--- a/gateway/src/transport/request_exchange/feedback.rs
+++ b/gateway/src/transport/request_exchange/feedback.rs
@@ -33,7 +33,9 @@
             // What follows from a lost server was applied when it was judged.
             AttemptOutcome::Withheld | AttemptOutcome::Withdrawn | AttemptOutcome::Lost => {}
             AttemptOutcome::WrongServer => self.context.servers().mark_reused(&server.id, now),
-            AttemptOutcome::Silent => self.context.loads().record_timeout(&server.id, now),
+            AttemptOutcome::Silent | AttemptOutcome::Overdue => {
+                self.context.loads().record_timeout(&server.id, now);
+            }
             AttemptOutcome::Rejected | AttemptOutcome::Failed | AttemptOutcome::Garbled => {
                 self.context.loads().record_failure(&server.id, now);
             }
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -296,6 +296,7 @@
             self.record_read(&server);
             let sent_at = self.context.now();
             self.attempt_events = 0;
+            self.is_attempting = true;
             let call = AttemptRequest {
                 parts: &self.parts,
                 body: &self.body.bytes,
@@ -308,6 +309,7 @@
                 time_left: remaining,
                 expected_first_byte: self.expected_first_byte(),
                 may_repeat: self.may_repeat(),
+                take_replacement: &|| self.take_replacement(&server.id),
                 head: AttemptHead {
                     server: server.id.clone(),
                     time_left: remaining,
@@ -317,7 +319,6 @@
                     resume_after,
                 },
             };
-            self.is_attempting = true;
             match run_attempt(&self.context, &server, call).await {
                 Ok(response) => return Ok(response),
                 Err(outcome) => {
@@ -341,11 +342,7 @@
         self.met_silent_server |= outcome.leaves_doubt();
         self.tried.push(server.id.clone());
         self.record_outcome(server, outcome).await;
-        let limits = AttemptLimits {
-            retryable: self.route.is_retryable(),
-            runs: self.route.attempts,
-            tries: MAX_ATTEMPTS,
-        };
+        let limits = self.attempt_limits();
         let (step, denied) = match next_step(outcome, &self.tally, &limits) {
             NextStep::Retry(Some(purpose)) if !self.context.take_retry(&self.service, purpose) => {
                 let end = NextStep::End(final_answer(outcome, &self.tally));
@@ -370,6 +367,15 @@
         }
     }
 
+    /// Returns the limits on the attempts of the request.
+    fn attempt_limits(&self) -> AttemptLimits {
+        AttemptLimits {
+            retryable: self.route.is_retryable(),
+            runs: self.route.attempts,
+            tries: MAX_ATTEMPTS,
+        }
+    }
+
     /// Returns whether the next attempt needs a new connection, which shows that its server is there. A
     /// request that must not run twice is not sent on one that may be closed already.
     fn needs_new_connection(&self, server: &str) -> bool {
--- a/gateway/src/transport/request_exchange/server_choice.rs
+++ b/gateway/src/transport/request_exchange/server_choice.rs
@@ -15,6 +15,7 @@
 use crate::coordination::placement::{
     LoadEstimator, PickQuery, PromptPrefixes, ServerPick, pick_server,
 };
+use crate::coordination::requests::may_replace;
 use crate::coordination::rollouts::{VersionRule, version_groups};
 use crate::state::{EngineModel, RouteKind, ServerEntry};
 use crate::transport::attempt_runner::{OpenResponse, remaining_time};
@@ -150,6 +151,23 @@
     /// Finds the server that `pick_server` prefers among those that were not tried and whose
     /// version may serve the session.
     pub(super) fn find_server(&self) -> Option<ServerPick> {
+        self.find_server_except(&self.tried)
+    }
+
+    /// Takes a retry in place of the attempt in progress at a server. Returns false if the route, the
+    /// retry budget or the state of the other servers does not allow it.
+    pub(crate) fn take_replacement(&self, server: &str) -> bool {
+        let mut excluded = self.tried.clone();
+        excluded.push(server.into());
+        may_replace(&self.tally, &self.attempt_limits())
+            && self.find_server_except(&excluded).is_some()
+            && self
+                .context
+                .take_retry(&self.service, RetryPurpose::Failure)
+    }
+
+    /// Finds the preferred server that is not excluded.
+    fn find_server_except(&self, excluded: &[Arc<str>]) -> Option<ServerPick> {
         let now = self.context.now();
         let unix_ms = self.context.timers.unix_millis();
         let rule = match &self.avoided_version {
@@ -182,7 +200,7 @@
             read_price: self.read_price(),
             bytes: self.body.bytes.len() as f64 + answer_bytes + HEADER_OVERHEAD_BYTES,
             assumes_equal_load: false,
-            excluded: &self.tried,
+            excluded,
             tie_breaker: rand::rng().random(),
         };
         let mut loads = self.context.loads();
@@ -190,7 +208,7 @@
         query.assumes_equal_load = loads.reporting_hosts(now) * 2 < known_hosts;
         let settings = &self.context.settings.placement;
         // A pause or a limit is no reason to turn to another version.
-        let is_untried = |entry: &&ServerEntry| !self.tried.contains(&entry.id);
+        let is_untried = |entry: &&ServerEntry| !excluded.contains(&entry.id);
         let group = version_groups(&serving, &rule, self.version.as_ref())
             .into_iter()
             .find(|group| group.iter().any(is_untried))?;
--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -137,7 +137,7 @@
         let read = tokio::time::timeout(timeout, response.body.frame()).await;
         self.event_wait += self.exchange.context.now().since(asked_at);
         match read {
-            Err(_) => RelayProgress::Failed(AttemptOutcome::Silent),
+            Err(_) => self.handle_silence(),
             Ok(Some(Err(_))) => RelayProgress::Failed(AttemptOutcome::Broken),
             Ok(None) if self.splitter.has_partial() => {
                 RelayProgress::Failed(AttemptOutcome::Broken)
@@ -150,6 +150,27 @@
         }
     }
 
+    /// Decides what follows when the server has sent no event for too long. An answer that may still come
+    /// is not given up before another attempt is granted.
+    fn handle_silence(&mut self) -> RelayProgress {
+        if remaining_time(&self.exchange.context, self.exchange.deadline).is_zero() {
+            return RelayProgress::Failed(AttemptOutcome::Silent);
+        }
+        let is_replaced = self.response.as_ref().is_some_and(|response| {
+            let server = &response.server.id;
+            self.exchange.route.resumable && self.exchange.take_replacement(server)
+        });
+        if is_replaced {
+            return RelayProgress::Failed(AttemptOutcome::Overdue);
+        }
+        self.event_wait = Duration::ZERO;
+        self.exchange
+            .context
+            .metrics
+            .increment("silent_streams_kept_total");
+        RelayProgress::Continue
+    }
+
     /// Splits bytes of the response into events and queues them.
     fn accept_bytes(&mut self, bytes: &[u8]) -> RelayProgress {
         let now = self.exchange.context.now();
--- a/gateway/tests/decisions/outcomes.rs
+++ b/gateway/tests/decisions/outcomes.rs
@@ -5,7 +5,7 @@
 };
 
 /// All outcomes of an attempt.
-const ALL: [AttemptOutcome; 7] = [
+const ALL: [AttemptOutcome; 9] = [
     AttemptOutcome::NotSent,
     AttemptOutcome::Rejected,
     AttemptOutcome::WrongServer,
@@ -13,6 +13,8 @@
     AttemptOutcome::Garbled,
     AttemptOutcome::Broken,
     AttemptOutcome::Silent,
+    AttemptOutcome::Overdue,
+    AttemptOutcome::Lost,
 ];
 
 #[test]
