Read the rest of a refused request's body before its connection closes

Cause: callers with long bodies saw a broken connection in place of a refusal, also of the 503 of a stopping host. The host refused by the head and let the connection close with bytes unread, which resets it; the reset overtakes the response. Change: a refusal whose body is still arriving ends the connection, and the body is read and dropped for up to 3 s and 16 MiB.

--- a/gateway/src/transport/caller_listener.rs
+++ b/gateway/src/transport/caller_listener.rs
@@ -21,7 +21,9 @@
 use crate::transport::caller_socket::{CallerSocket, ConnectionActivity};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
-use crate::transport::request_admission::{Admission, Refusal, admit_head, read_body};
+use crate::transport::request_admission::{
+    Admission, Refusal, admit_head, discard_body, read_body,
+};
 use crate::transport::request_exchange::RequestExchange;
 use crate::transport::response_body::{ResponseBody, not_run_response};
 
@@ -182,7 +184,7 @@
         started_at: TimePoint,
     ) -> Result<Response<ResponseBody>, Refusal> {
         let context = &self.context;
-        let (mut parts, body) = request.into_parts();
+        let (mut parts, mut body) = request.into_parts();
         let mut head = (context.format.read_request)(&parts.headers);
         if origin == RequestOrigin::Host {
             parts.headers.remove(RELAYED_BY);
@@ -192,24 +194,24 @@
         let admission = match admitted {
             Ok(admission) => admission,
             Err(refusal) => {
-                if !body.is_end_stream() {
-                    context.metrics.increment("bodies_unread_total");
-                }
                 let (status, request) = (refusal.status(), head.request.as_ref());
                 log_refusal(context, request, status, "not admitted", started_at);
-                return Err(refusal);
+                return Err(close_after(context, refusal, body));
             }
         };
         let reading = BodyGuard::new(context, &admission, &head, started_at);
-        let read = read_body(context, &admission.snapshot, &parts, body).await;
+        let read = read_body(context, &admission.snapshot, &parts, &mut body).await;
         reading.end();
-        let body = read.map_err(|refusal| {
-            context.metrics.increment(refusal.counter());
-            let (reason, response) = (refusal.reason(), refusal.into_response());
-            let (status, request) = (response.status(), head.request.as_ref());
-            log_refusal(context, request, status, reason, started_at);
-            Box::new(response)
-        })?;
+        let body = match read {
+            Ok(buffered) => buffered,
+            Err(refusal) => {
+                context.metrics.increment(refusal.counter());
+                let (reason, response) = (refusal.reason(), refusal.into_response());
+                let (status, request) = (response.status(), head.request.as_ref());
+                log_refusal(context, request, status, reason, started_at);
+                return Err(close_after(context, Box::new(response), body));
+            }
+        };
         let exchange =
             RequestExchange::new(context.clone(), admission, parts, body, head, started_at);
         Ok(exchange.run().await)
@@ -235,6 +237,16 @@
     }
 }
 
+/// Has a refusal end its connection if the body was not read, and reads the rest of the body.
+fn close_after(context: &GatewayContext, mut refusal: Refusal, body: Incoming) -> Refusal {
+    if !body.is_end_stream() {
+        let close = HeaderValue::from_static("close");
+        refusal.headers_mut().insert(header::CONNECTION, close);
+        discard_body(context, body);
+    }
+    refusal
+}
+
 /// Counts a connection as open until it is dropped, also if the task that serves it panics.
 struct OpenGuard(Arc<CallerListener>);
 
--- a/gateway/src/transport/request_admission.rs
+++ b/gateway/src/transport/request_admission.rs
@@ -7,7 +7,7 @@
 use http::request::Parts;
 use http::{Response, StatusCode, header};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
 use crate::protocol::has_ambiguous_length;
 use crate::state::{CallerHead, ConfigSnapshot, ServiceRoute, WorkspaceEntry};
@@ -21,6 +21,11 @@
 /// `Retry-After` when the memory for request bodies is used up.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(700);
 
+/// Longest time for which the body of a refused request is read.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(3);
+/// Largest part of such a body that is read, in bytes.
+const MAX_DISCARDED_BYTES: usize = 16 * 1_024 * 1_024;
+
 /// The outcome of admission: what a request may use.
 #[derive(Clone, Debug)]
 pub(crate) struct Admission {
@@ -170,7 +175,7 @@
     context: &Arc<GatewayContext>,
     snapshot: &ConfigSnapshot,
     parts: &Parts,
-    mut body: Incoming,
+    body: &mut Incoming,
 ) -> Result<BufferedBody, BodyRefusal> {
     let limit = snapshot.limits.body_bytes;
     let content_length = parts
@@ -204,3 +209,25 @@
         bytes: buffer.freeze(),
     })
 }
+
+/// Reads the rest of a refused request's body and drops it. Closing the connection with unread bytes
+/// would reset it, so that the caller might not see the response.
+pub(crate) fn discard_body(context: &GatewayContext, mut body: Incoming) {
+    if body.is_end_stream() {
+        return;
+    }
+    context.metrics.increment("bodies_discarded_total");
+    tokio::spawn(async move {
+        let reading = async {
+            let mut bytes = 0;
+            while let Some(Ok(frame)) = body.frame().await {
+                bytes += frame.data_ref().map_or(0, Bytes::len);
+                if bytes > MAX_DISCARDED_BYTES {
+                    return;
+                }
+            }
+        };
+        // A body that is still arriving then is not worth its bandwidth.
+        let _ = tokio::time::timeout(DISCARD_TIMEOUT, reading).await;
+    });
+}
