Admit by its deadline what a stopping host takes on

Cause: a stopping host cut requests that it had admitted and passed on, with time left. New requests were refused from a constant 2.2 s before the end of the grace period, streams from 2.8 s after the signal, and both were decided by the head, however long the body took. A request may last as long as its own limit, so no constant is right. Change: once the balancer lag is over, a request is admitted only if its deadline lies before the time of the last answers; else it is refused at once as not run. The decision is made again when the body has arrived. It does not wait for the store any more. StopSchedule (coordination/shutdown/) holds the decision; reject_window is gone.

--- a/gateway/src/coordination/mod.rs
+++ b/gateway/src/coordination/mod.rs
@@ -13,4 +13,5 @@
 pub mod reach;
 pub mod requests;
 pub mod rollouts;
+pub mod shutdown;
 pub mod speeds;
--- a/gateway/src/state/service_route.rs
+++ b/gateway/src/state/service_route.rs
@@ -3,6 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use galenamast::state::TimePoint;
+
+/// Time before the caller's deadline at which the response is sent, so that it arrives in time.
+const ANSWER_MARGIN: Duration = Duration::from_millis(15);
+
 /// Kind of requests on a route, which determines whether they may be retried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
@@ -65,6 +70,13 @@
         }
     }
 
+    /// Returns when a request must be answered that arrived at `started_at`. `time_allowed` is the time for
+    /// which the caller waits, if it states one.
+    pub fn deadline(&self, time_allowed: Option<Duration>, started_at: TimePoint) -> TimePoint {
+        let allowed = time_allowed.unwrap_or(self.timeout).min(self.timeout);
+        started_at + allowed.saturating_sub(ANSWER_MARGIN)
+    }
+
     /// Picks a target by weight, given a uniformly distributed random number.
     pub fn pick_target(&self, random: u64) -> Option<&RouteTarget> {
         let total: u64 = self
--- a/gateway/src/transport/caller_listener.rs
+++ b/gateway/src/transport/caller_listener.rs
@@ -16,13 +16,14 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
+use crate::coordination::shutdown::StopSchedule;
 use crate::protocol::{GatewayRecord, RELAY_UNSERVED, RELAYED_BY};
-use crate::state::{CallerHead, RouteKind};
+use crate::state::CallerHead;
 use crate::transport::caller_socket::{CallerSocket, ConnectionActivity};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
 use crate::transport::request_admission::{
-    Admission, Refusal, admit_head, discard_body, read_body,
+    Admission, Refusal, admit_head, admit_known, discard_body, read_body,
 };
 use crate::transport::request_exchange::RequestExchange;
 use crate::transport::response_body::{ResponseBody, not_run_response};
@@ -54,10 +55,6 @@
     pub(crate) context: Arc<GatewayContext>,
     /// Cancelled when connections are to be closed once idle.
     pub(crate) close_idle: CancellationToken,
-    /// Cancelled when new streams are to be refused.
-    pub(crate) reject_streams: CancellationToken,
-    /// Cancelled when all new requests are to be refused.
-    pub(crate) reject_all: CancellationToken,
     /// Number of open connections.
     pub(crate) open: AtomicUsize,
 }
@@ -169,7 +166,7 @@
                 response
             }
         };
-        if self.context.stopping.load(Ordering::SeqCst) {
+        if self.context.is_stopping() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
@@ -190,7 +187,7 @@
             parts.headers.remove(RELAYED_BY);
             head.relayed = true;
         }
-        let admitted = self.admit(&parts, &head).await;
+        let admitted = self.admit(&parts, &head, started_at).await;
         let admission = match admitted {
             Ok(admission) => admission,
             Err(refusal) => {
@@ -212,29 +209,64 @@
                 return Err(close_after(context, Box::new(response), body));
             }
         };
+        // The load balancer may have learned of a stop while the body arrived.
+        if let Err(refusal) = self.check_stop(&admission, &head, started_at) {
+            let (status, request) = (refusal.status(), head.request.as_ref());
+            log_refusal(context, request, status, "not admitted", started_at);
+            return Err(refusal);
+        }
         let exchange =
             RequestExchange::new(context.clone(), admission, parts, body, head, started_at);
         Ok(exchange.run().await)
     }
 
-    /// Admits a request by its headers, unless the host stops and no longer takes its kind.
+    /// Admits a request by its headers.
     async fn admit(
         &self,
         parts: &http::request::Parts,
         head: &CallerHead,
+        started_at: TimePoint,
     ) -> Result<Admission, Refusal> {
-        let refuse_stopping = || Box::new(not_run_response("the host stops", STOPPING_RETRY_AFTER));
-        // Checked before `admit_head`, which may wait for the store.
-        if self.reject_all.is_cancelled() {
-            return Err(refuse_stopping());
-        }
-        let admission = admit_head(&self.context, parts, head).await?;
-        let is_stream = admission.route.kind == RouteKind::Stream;
-        if self.reject_all.is_cancelled() || (is_stream && self.reject_streams.is_cancelled()) {
-            return Err(refuse_stopping());
-        }
+        let admission = if self.is_draining() {
+            // A wait for the store may be longer than the rest of the stop.
+            admit_known(&self.context, parts, head)
+                .map_err(|refusal| refusal.unwrap_or_else(|| Box::new(stopping_response())))
+        } else {
+            admit_head(&self.context, parts, head).await
+        }?;
+        self.check_stop(&admission, head, started_at)?;
         Ok(admission)
     }
+
+    /// Refuses a request that may last longer than the process.
+    fn check_stop(
+        &self,
+        admission: &Admission,
+        head: &CallerHead,
+        started_at: TimePoint,
+    ) -> Result<(), Refusal> {
+        let deadline = admission.route.deadline(head.time_allowed, started_at);
+        let now = self.context.now();
+        let is_admitted = |stop: &StopSchedule| stop.admits(deadline, now);
+        match self.context.stop.get().is_none_or(is_admitted) {
+            true => Ok(()),
+            false => Err(Box::new(stopping_response())),
+        }
+    }
+
+    /// Returns whether the load balancer knows that the host stops.
+    fn is_draining(&self) -> bool {
+        let now = self.context.now();
+        self.context
+            .stop
+            .get()
+            .is_some_and(|stop| now >= stop.drains_at())
+    }
+}
+
+/// Returns the response to a request that a stopping host does not run.
+fn stopping_response() -> Response<ResponseBody> {
+    not_run_response("the host stops", STOPPING_RETRY_AFTER)
 }
 
 /// Has a refusal end its connection if the body was not read, and reads the rest of the body.
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::hash::Hasher;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -21,6 +21,7 @@
 use crate::coordination::placement::{LoadEstimator, PrefixCacheIndex, ServerTable};
 use crate::coordination::reach::ServiceReach;
 use crate::coordination::rollouts::RolloutTracker;
+use crate::coordination::shutdown::StopSchedule;
 use crate::protocol::{PeerMessage, PlatformFormat};
 use crate::state::{ConfigSnapshot, FollowedKind, HostPresence, ServerEntry};
 use crate::transport::connection_pool::ConnectionPool;
@@ -76,8 +77,8 @@
     pub buffered_body_bytes: AtomicUsize,
     /// The part of it that was read ahead for callers of streams, in bytes.
     pub buffered_stream_bytes: AtomicUsize,
-    /// Whether the process is stopping.
-    pub stopping: AtomicBool,
+    /// The course of the stop, once the process is stopping.
+    pub stop: OnceLock<StopSchedule>,
     /// Whether the grace period of a stop is over, so that what is in progress is abandoned.
     pub(crate) grace_over: AtomicBool,
     servers: Mutex<ServerTable>,
@@ -130,7 +131,7 @@
             in_flight: AtomicUsize::new(0),
             buffered_body_bytes: AtomicUsize::new(0),
             buffered_stream_bytes: AtomicUsize::new(0),
-            stopping: AtomicBool::new(false),
+            stop: OnceLock::new(),
             grace_over: AtomicBool::new(false),
             servers: Mutex::new(ServerTable::default()),
             permits: Mutex::new(
@@ -280,10 +281,12 @@
     pub fn is_ready(&self) -> bool {
         let is_confirmed = self.freshness().oldest_age(self.now()).is_some();
         let has_snapshot = self.snapshot.load().is_some();
-        is_confirmed
-            && has_snapshot
-            && !self.stopping.load(Ordering::SeqCst)
-            && !self.servers().is_empty()
+        is_confirmed && has_snapshot && !self.is_stopping() && !self.servers().is_empty()
+    }
+
+    /// Returns whether the process is stopping.
+    pub fn is_stopping(&self) -> bool {
+        self.stop.get().is_some()
     }
 
     /// Returns who closes the connection of a request that is abandoned now, as logged.
--- a/gateway/src/transport/gateway_host.rs
+++ b/gateway/src/transport/gateway_host.rs
@@ -11,6 +11,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::coordination::shutdown::StopSchedule;
 use crate::protocol::{GatewayRecord, PlatformFormat, WIRE_VERSION};
 use crate::transport::caller_listener::CallerListener;
 use crate::transport::evacuation_feed::run_evacuations;
@@ -58,8 +59,6 @@
         let listener = Arc::new(CallerListener {
             context: context.clone(),
             close_idle: CancellationToken::new(),
-            reject_streams: CancellationToken::new(),
-            reject_all: CancellationToken::new(),
             open: AtomicUsize::new(0),
         });
         let mut tasks = start_store_feeds(&context);
@@ -109,33 +108,27 @@
 
     /// Stops the host once all connections are closed, or when the grace period is over.
     ///
-    /// The host serves everything until the balancer lag has passed. Then it refuses new streams
-    /// and closes idle connections, and refuses all requests near the end of the grace period.
+    /// The host serves everything until the balancer lag has passed. Then it closes idle connections, and
+    /// refuses the requests that may last longer than the process.
     pub async fn stop(self) {
-        let signalled_at = self.context.now();
-        let stops_at = signalled_at + self.context.settings.grace_period;
-        let in_flight = self.context.in_flight.load(Ordering::Relaxed);
+        let context = &self.context;
+        let in_flight = context.in_flight.load(Ordering::Relaxed);
         log_record(Level::Info, &GatewayRecord::Stopping { in_flight });
-        self.context.stopping.store(true, Ordering::SeqCst);
-        let lag = self
-            .context
-            .settings
-            .balancer_lag
-            .min(self.context.settings.grace_period);
-        self.context.timers.sleep(lag).await;
-        self.callers.reject_streams.cancel();
+        let schedule = StopSchedule::new(context.now(), context.settings.stop);
+        let schedule = *context.stop.get_or_init(|| schedule);
+        context
+            .timers
+            .sleep(schedule.drains_at().since(context.now()))
+            .await;
         self.callers.close_idle.cancel();
-        while self.callers.open.load(Ordering::Relaxed) > 0 && self.context.now() < stops_at {
-            if stops_at.since(self.context.now()) < self.context.settings.reject_window {
-                self.callers.reject_all.cancel();
-            }
-            self.context.timers.sleep(STOP_POLL_INTERVAL).await;
+        while self.callers.open.load(Ordering::Relaxed) > 0 && context.now() < schedule.ends_at() {
+            context.timers.sleep(STOP_POLL_INTERVAL).await;
         }
-        self.context.grace_over.store(true, Ordering::Relaxed);
-        let elapsed = self.context.now().since(signalled_at);
+        context.grace_over.store(true, Ordering::Relaxed);
+        let elapsed = context.now().since(schedule.signalled_at());
         let record = GatewayRecord::Stopped {
             abandoned: self.callers.open.load(Ordering::Relaxed),
-            in_flight: self.context.in_flight.load(Ordering::Relaxed),
+            in_flight: context.in_flight.load(Ordering::Relaxed),
             elapsed_ms: u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
         };
         log_record(Level::Info, &record);
--- a/gateway/src/transport/gateway_settings.rs
+++ b/gateway/src/transport/gateway_settings.rs
@@ -14,6 +14,7 @@
 use crate::coordination::placement::{LoadSettings, PickSettings, PrefixCacheSettings};
 use crate::coordination::reach::ReachSettings;
 use crate::coordination::rollouts::RolloutSettings;
+use crate::coordination::shutdown::StopSettings;
 use crate::state::FollowedKind;
 
 /// Fraction of `configuration_bound` during which a confirmed configuration is fresh enough to
@@ -35,14 +36,8 @@
     pub peer_address: SocketAddr,
     /// Address of the platform's store.
     pub store_address: SocketAddr,
-    /// Time from the stop signal until the remaining requests are abandoned.
-    pub grace_period: Duration,
-    /// Time from the stop signal until new streams, which may last long, are refused; by then the
-    /// load balancer sends callers to other hosts.
-    pub balancer_lag: Duration,
-    /// Time before the end of `grace_period` from which all new requests are refused. Requests
-    /// admitted earlier have at least this long to finish.
-    pub reject_window: Duration,
+    /// Times of a stop.
+    pub stop: StopSettings,
     /// Largest total size of request bodies in memory, in bytes.
     pub max_buffered_bytes: usize,
     /// Largest number of open connections from callers.
@@ -121,9 +116,7 @@
             readiness_address: ephemeral,
             peer_address: ephemeral,
             store_address: ephemeral,
-            grace_period: Duration::from_secs(8),
-            balancer_lag: Duration::from_millis(2_800),
-            reject_window: Duration::from_millis(2_200),
+            stop: StopSettings::default(),
             max_buffered_bytes: 64 * 1_024 * 1_024,
             max_caller_connections: 1_500,
             connect_timeout: Duration::from_millis(400),
--- a/gateway/src/transport/request_admission.rs
+++ b/gateway/src/transport/request_admission.rs
@@ -47,32 +47,45 @@
     parts: &Parts,
     head: &CallerHead,
 ) -> Result<Admission, Refusal> {
+    match admit_known(context, parts, head) {
+        Ok(admission) => Ok(admission),
+        Err(Some(refusal)) => Err(refusal),
+        Err(None) => {
+            let unavailable = |_| Box::new(refuse(StatusCode::SERVICE_UNAVAILABLE));
+            refresh_configuration(context).await.map_err(unavailable)?;
+            resolve_route(context, parts, head).map_err(|status| Box::new(refuse(status)))
+        }
+    }
+}
+
+/// Finds the route and the workspace of a request in the configuration in force.
+///
+/// # Errors
+///
+/// Returns the refusal, or `None` if the configuration is not fresh enough to refuse by.
+pub(crate) fn admit_known(
+    context: &GatewayContext,
+    parts: &Parts,
+    head: &CallerHead,
+) -> Result<Admission, Option<Refusal>> {
     if has_ambiguous_length(&parts.headers) {
-        return Err(Box::new(host_response(
+        return Err(Some(Box::new(host_response(
             StatusCode::BAD_REQUEST,
             "the length is ambiguous",
-        )));
+        ))));
     }
     if head.request.is_none() {
-        return Err(Box::new(host_response(
+        return Err(Some(Box::new(host_response(
             StatusCode::BAD_REQUEST,
             "the request has no identifier",
-        )));
+        ))));
     }
-    let resolved = resolve_route(context, parts, head);
     let age = context.configuration_age();
     let is_fresh = age.is_some_and(|age| age < context.settings.refusal_recheck_age());
-    match resolved {
-        Ok(admission) => Ok(admission),
-        Err(status) if is_fresh && status != StatusCode::SERVICE_UNAVAILABLE => {
-            Err(Box::new(refuse(status)))
-        }
-        Err(_) => {
-            let unavailable = |_| Box::new(refuse(StatusCode::SERVICE_UNAVAILABLE));
-            refresh_configuration(context).await.map_err(unavailable)?;
-            resolve_route(context, parts, head).map_err(|status| Box::new(refuse(status)))
-        }
-    }
+    resolve_route(context, parts, head).map_err(|status| {
+        let is_final = is_fresh && status != StatusCode::SERVICE_UNAVAILABLE;
+        is_final.then(|| Box::new(refuse(status)))
+    })
 }
 
 /// Finds the route and the workspace of a request in the current configuration.
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -34,8 +34,6 @@
 
 /// Largest number of attempts of one request, whether or not a server runs it.
 const MAX_ATTEMPTS: u32 = 6;
-/// Time before the caller's deadline at which the response is sent, so that it arrives in time.
-const ANSWER_MARGIN: Duration = Duration::from_millis(15);
 /// Time left below which no further attempt is made.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(30);
 /// Number of events after which a request is known not to crash the server that answers it. A server
@@ -122,13 +120,9 @@
         let target = route
             .pick_target(session >> 20)
             .map(|target| target.service.clone());
-        let allowed = head
-            .time_allowed
-            .unwrap_or(route.timeout)
-            .min(route.timeout);
         let priority = workspace.and_then(|entry| entry.priority).unwrap_or(0);
         Self {
-            deadline: started_at + allowed.saturating_sub(ANSWER_MARGIN),
+            deadline: route.deadline(head.time_allowed, started_at),
             service: target.unwrap_or_default(),
             snapshot,
             model: route.models.first().filter(|_| head.any_model).cloned(),
--- a/gateway/tests/decisions/main.rs
+++ b/gateway/tests/decisions/main.rs
@@ -20,6 +20,7 @@
 mod reach;
 mod rollout_tracker;
 mod routes;
+mod shutdown;
 mod speeds;
 mod table;
 mod trial;
