Answer what is in progress at the end of a stop

Cause: at the end of the grace period a stopping host dropped its connections, whatever was in progress: requests between two attempts, at a server, at another host or with half of their body got no answer. The body of a request was awaited without a limit at all times. Evidence: two requests of a host on a thread that ends like a process, one at a server that hangs and one with half of its body: no answer to either. Streams whose response has begun go on to the end. Then it accepts the connections that wait already, answers them and closes its sockets, also when it ends early because no connection is open. A body is awaited until the deadline of its request, then 408.

--- a/gateway/src/transport/caller_listener.rs
+++ b/gateway/src/transport/caller_listener.rs
@@ -1,6 +1,7 @@
 //! Accepts callers' connections and serves their requests.
 
 use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -19,14 +20,15 @@
 use crate::coordination::shutdown::StopSchedule;
 use crate::protocol::{GatewayRecord, RELAY_UNSERVED, RELAYED_BY};
 use crate::state::CallerHead;
+use crate::transport::attempt_runner::remaining_time;
 use crate::transport::caller_socket::{CallerSocket, ConnectionActivity};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
 use crate::transport::request_admission::{
-    Admission, Refusal, admit_head, admit_known, discard_body, read_body,
+    Admission, BodyRefusal, Refusal, admit_head, admit_known, discard_body, read_body,
 };
 use crate::transport::request_exchange::RequestExchange;
-use crate::transport::response_body::{ResponseBody, not_run_response};
+use crate::transport::response_body::{ResponseBody, stopping_response};
 
 /// Smallest read buffer that hyper accepts, in bytes.
 const MIN_HEADER_BUFFER_BYTES: usize = 8_192;
@@ -36,8 +38,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// TCP user timeout: how long sent bytes may stay unacknowledged by a caller that reads nothing.
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(20);
-/// `Retry-After` while the host stops; by then the caller reaches another host.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Time in which a socket that is closing accepts the next of the connections that wait.
+const LAST_ACCEPT_TIME: Duration = Duration::from_millis(10);
 
 /// Who sends the requests of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,8 +57,12 @@
     pub(crate) context: Arc<GatewayContext>,
     /// Cancelled when connections are to be closed once idle.
     pub(crate) close_idle: CancellationToken,
+    /// Cancelled when no further connections are to be accepted but those that wait already.
+    pub(crate) close_sockets: CancellationToken,
     /// Number of open connections.
     pub(crate) open: AtomicUsize,
+    /// Number of sockets that are closing and may still have connections to accept.
+    pub(crate) accepting: AtomicUsize,
 }
 
 impl CallerListener {
@@ -73,8 +79,9 @@
 
     /// Accepts connections until the task is dropped.
     async fn accept_from(self: Arc<Self>, listener: TcpListener, origin: RequestOrigin) {
-        loop {
-            let Ok((stream, peer)) = listener.accept().await else {
+        self.accepting.fetch_add(1, Ordering::Relaxed);
+        while let Some(accepted) = self.next_connection(&listener).await {
+            let Ok((stream, peer)) = accepted else {
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
@@ -95,6 +102,27 @@
                 shared.serve_connection(stream, origin).await;
             });
         }
+        self.accepting.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Accepts a connection; `None` if the socket is to be closed and none waits.
+    async fn next_connection(
+        &self,
+        listener: &TcpListener,
+    ) -> Option<io::Result<(TcpStream, SocketAddr)>> {
+        tokio::select! {
+            accepted = listener.accept() => Some(accepted),
+            () = self.close_sockets.cancelled() => {
+                tokio::time::timeout(LAST_ACCEPT_TIME, listener.accept()).await.ok()
+            }
+        }
+    }
+
+    /// Returns whether connections are open, or wait to be accepted at a socket that is closing.
+    pub(crate) fn is_busy(&self) -> bool {
+        let is_closing = self.close_sockets.is_cancelled();
+        self.open.load(Ordering::Relaxed) > 0
+            || (is_closing && self.accepting.load(Ordering::Relaxed) > 0)
     }
 
     /// Returns whether an address is that of a listed host, on any port.
@@ -197,7 +225,12 @@
             }
         };
         let reading = BodyGuard::new(context, &admission, &head, started_at);
-        let read = read_body(context, &admission.snapshot, &parts, &mut body).await;
+        let deadline = admission.route.deadline(head.time_allowed, started_at);
+        let read = tokio::select! {
+            read = read_body(context, &admission.snapshot, &parts, &mut body) => read,
+            () = tokio::time::sleep(remaining_time(context, deadline)) => Err(BodyRefusal::Late),
+            () = context.last_answers.cancelled() => Err(BodyRefusal::Stopping),
+        };
         reading.end();
         let body = match read {
             Ok(buffered) => buffered,
@@ -232,7 +265,10 @@
             admit_known(&self.context, parts, head)
                 .map_err(|refusal| refusal.unwrap_or_else(|| Box::new(stopping_response())))
         } else {
-            admit_head(&self.context, parts, head).await
+            tokio::select! {
+                admitted = admit_head(&self.context, parts, head) => admitted,
+                () = self.context.last_answers.cancelled() => Err(Box::new(stopping_response())),
+            }
         }?;
         self.check_stop(&admission, head, started_at)?;
         Ok(admission)
@@ -264,11 +300,6 @@
     }
 }
 
-/// Returns the response to a request that a stopping host does not run.
-fn stopping_response() -> Response<ResponseBody> {
-    not_run_response("the host stops", STOPPING_RETRY_AFTER)
-}
-
 /// Has a refusal end its connection if the body was not read, and reads the rest of the body.
 fn close_after(context: &GatewayContext, mut refusal: Refusal, body: Incoming) -> Refusal {
     if !body.is_end_stream() {
--- a/gateway/src/transport/exchange_failure.rs
+++ b/gateway/src/transport/exchange_failure.rs
@@ -7,7 +7,9 @@
 use crate::coordination::crashes::CrashRefusal;
 use crate::coordination::requests::{AttemptTally, FinalAnswer};
 use crate::transport::attempt_runner::CompleteResponse;
-use crate::transport::response_body::{ResponseBody, host_response, not_run_response};
+use crate::transport::response_body::{
+    ResponseBody, host_response, not_run_response, stopping_response,
+};
 
 /// `Retry-After` for a request that crashed servers; it is refused for at least this long.
 const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(30);
@@ -21,6 +23,8 @@
     HostResponse(FinalAnswer),
     /// The host reaches no server of the service.
     NoPath,
+    /// The host stops, and no server was sent the request.
+    Stopping,
     /// No server would begin the request before its deadline.
     Overloaded,
     /// The request or a part of its prompt crashed servers.
@@ -32,7 +36,9 @@
     pub(crate) fn may_run_elsewhere(&self) -> bool {
         matches!(
             self,
-            ExchangeFailure::NoPath | ExchangeFailure::HostResponse(FinalAnswer::NotRun)
+            ExchangeFailure::NoPath
+                | ExchangeFailure::Stopping
+                | ExchangeFailure::HostResponse(FinalAnswer::NotRun)
         )
     }
 
@@ -58,6 +64,7 @@
                 let text = "the request crashed servers";
                 (host_response(StatusCode::BAD_GATEWAY, text), text)
             }
+            ExchangeFailure::Stopping => (stopping_response(), "the host stops"),
             ExchangeFailure::Overloaded => {
                 let text = "no server would begin in time; the request did not run";
                 (not_run_response(text, retry_after), text)
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -11,6 +11,7 @@
 use galenamast::transport::TimerService;
 use siphasher::sip::SipHasher13;
 use tokio::sync::{Notify, mpsc, watch};
+use tokio_util::sync::CancellationToken;
 
 use crate::coordination::budgets::{RetryBudget, RetryPurpose};
 use crate::coordination::crashes::CrashQuarantine;
@@ -79,6 +80,8 @@
     pub buffered_stream_bytes: AtomicUsize,
     /// The course of the stop, once the process is stopping.
     pub stop: OnceLock<StopSchedule>,
+    /// Cancelled when a stopping host gives its last answers.
+    pub(crate) last_answers: CancellationToken,
     /// Whether the grace period of a stop is over, so that what is in progress is abandoned.
     pub(crate) grace_over: AtomicBool,
     servers: Mutex<ServerTable>,
@@ -132,6 +135,7 @@
             buffered_body_bytes: AtomicUsize::new(0),
             buffered_stream_bytes: AtomicUsize::new(0),
             stop: OnceLock::new(),
+            last_answers: CancellationToken::new(),
             grace_over: AtomicBool::new(false),
             servers: Mutex::new(ServerTable::default()),
             permits: Mutex::new(
--- a/gateway/src/transport/gateway_host.rs
+++ b/gateway/src/transport/gateway_host.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use galenamast::state::TimePoint;
 use log::Level;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -59,7 +60,9 @@
         let listener = Arc::new(CallerListener {
             context: context.clone(),
             close_idle: CancellationToken::new(),
+            close_sockets: CancellationToken::new(),
             open: AtomicUsize::new(0),
+            accepting: AtomicUsize::new(0),
         });
         let mut tasks = start_store_feeds(&context);
         tasks.push(tokio::spawn(listener.clone().accept(callers)));
@@ -109,7 +112,8 @@
     /// Stops the host once all connections are closed, or when the grace period is over.
     ///
     /// The host serves everything until the balancer lag has passed. Then it closes idle connections, and
-    /// refuses the requests that may last longer than the process.
+    /// refuses the requests that may last longer than the process. At the end it answers those that are
+    /// still in progress, but for streams whose response has begun.
     pub async fn stop(self) {
         let context = &self.context;
         let in_flight = context.in_flight.load(Ordering::Relaxed);
@@ -121,9 +125,10 @@
             .sleep(schedule.drains_at().since(context.now()))
             .await;
         self.callers.close_idle.cancel();
-        while self.callers.open.load(Ordering::Relaxed) > 0 && context.now() < schedule.ends_at() {
-            context.timers.sleep(STOP_POLL_INTERVAL).await;
-        }
+        self.wait_for_connections(schedule.answers_until()).await;
+        context.last_answers.cancel();
+        self.callers.close_sockets.cancel();
+        self.wait_for_connections(schedule.ends_at()).await;
         context.grace_over.store(true, Ordering::Relaxed);
         let elapsed = context.now().since(schedule.signalled_at());
         let record = GatewayRecord::Stopped {
@@ -135,6 +140,17 @@
     }
 }
 
+impl GatewayHost {
+    /// Waits until no connection is open and none waits to be accepted, or until `end`.
+    async fn wait_for_connections(&self, end: TimePoint) {
+        let context = &self.context;
+        while self.callers.is_busy() && context.now() < end {
+            let left = end.since(context.now());
+            context.timers.sleep(STOP_POLL_INTERVAL.min(left)).await;
+        }
+    }
+}
+
 /// Opens the sockets for datagrams and for relayed requests on one port. A free port is found by trying,
 /// as a port may be free for one of them only.
 async fn bind_peer_sockets(address: SocketAddr) -> Result<(UdpSocket, TcpListener), GatewayError> {
--- a/gateway/src/transport/request_admission.rs
+++ b/gateway/src/transport/request_admission.rs
@@ -13,7 +13,9 @@
 use crate::state::{CallerHead, ConfigSnapshot, ServiceRoute, WorkspaceEntry};
 use crate::transport::counted_body::BodyCount;
 use crate::transport::gateway_context::GatewayContext;
-use crate::transport::response_body::{ResponseBody, host_response, not_run_response};
+use crate::transport::response_body::{
+    ResponseBody, host_response, not_run_response, stopping_response,
+};
 use crate::transport::store_feeds::refresh_configuration;
 
 /// `Retry-After` while the host has not read a configuration yet.
@@ -150,6 +152,10 @@
     NoRoom,
     /// It broke off.
     Broken,
+    /// It did not arrive before the deadline of the request.
+    Late,
+    /// The host stopped before it arrived.
+    Stopping,
 }
 
 impl BodyRefusal {
@@ -159,6 +165,8 @@
             Self::TooLarge => "the body is too large",
             Self::NoRoom => "the host has no room now",
             Self::Broken => "the body broke off",
+            Self::Late => "the body did not arrive in time",
+            Self::Stopping => "the host stops",
         }
     }
 
@@ -168,6 +176,8 @@
             Self::TooLarge => "bodies_too_large_total",
             Self::NoRoom => "bodies_without_room_total",
             Self::Broken => "bodies_broken_total",
+            Self::Late => "bodies_late_total",
+            Self::Stopping => "bodies_stopped_total",
         }
     }
 
@@ -178,6 +188,8 @@
             Self::TooLarge => host_response(StatusCode::PAYLOAD_TOO_LARGE, text),
             Self::NoRoom => not_run_response(text, MEMORY_RETRY_AFTER),
             Self::Broken => host_response(StatusCode::BAD_REQUEST, text),
+            Self::Late => host_response(StatusCode::REQUEST_TIMEOUT, text),
+            Self::Stopping => stopping_response(),
         }
     }
 }
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -43,6 +43,17 @@
 /// this one.
 const LOWEST_URGENCY: u8 = 9;
 
+/// What a caller gets if a server has answered.
+#[derive(Debug)]
+enum ExchangeAnswer {
+    /// The beginning of a stream.
+    Stream(Box<OpenResponse>),
+    /// A whole response.
+    Whole(CompleteResponse),
+    /// The response of another host.
+    Relayed(Response<ResponseBody>),
+}
+
 /// One admitted request and the state of its attempts.
 #[derive(Debug)]
 pub(crate) struct RequestExchange {
@@ -161,28 +172,49 @@
         if !self.has_no_path() {
             self.context.record_request(&self.service);
         }
-        let end = if self.route.kind == RouteKind::Stream {
-            match self.open_stream(None).await {
-                Ok(response) => return self.start_relay(response),
-                Err(end) => end,
+        let context = self.context.clone();
+        let answered = tokio::select! {
+            answered = self.answer() => answered,
+            () = context.last_answers.cancelled() => Err(self.stop_now()),
+        };
+        match answered {
+            Ok(ExchangeAnswer::Stream(response)) => self.start_relay(*response),
+            Ok(ExchangeAnswer::Whole(response)) => {
+                let tries = self.tally.tries + 1;
+                self.log_end(response.status.as_u16(), "answered", tries, 0);
+                response.into_response()
             }
+            Ok(ExchangeAnswer::Relayed(response)) => response,
+            Err(end) => self.end(end),
+        }
+    }
+
+    /// Makes attempts, here or by way of another host, until there is an answer for the caller.
+    async fn answer(&mut self) -> Result<ExchangeAnswer, ExchangeFailure> {
+        let answered = if self.route.kind == RouteKind::Stream {
+            let opened = self.open_stream(None).await;
+            opened.map(|response| ExchangeAnswer::Stream(Box::new(response)))
         } else {
-            match self.run_whole().await {
-                Ok(response) => {
-                    let tries = self.tally.tries + 1;
-                    self.log_end(response.status.as_u16(), "answered", tries, 0);
-                    return response.into_response();
-                }
-                Err(end) => end,
-            }
+            self.run_whole().await.map(ExchangeAnswer::Whole)
         };
-        if self.needs_relay(&end) {
-            return match self.relay().await {
-                Ok(response) => response,
-                Err(end) => self.end(end),
-            };
+        match answered {
+            Err(end) if self.needs_relay(&end) => {
+                self.is_attempting = true;
+                let relayed = self.relay().await;
+                self.is_attempting = false;
+                relayed.map(ExchangeAnswer::Relayed)
+            }
+            answered => answered,
+        }
+    }
+
+    /// Returns the outcome of a request that is in progress when the host gives its last answers.
+    fn stop_now(&self) -> ExchangeFailure {
+        let may_have_run = self.is_attempting || self.tally.runs > 0;
+        match may_have_run {
+            true => ExchangeFailure::HostResponse(FinalAnswer::TimedOut),
+            false => ExchangeFailure::Stopping,
         }
-        self.end(end)
     }
 
     /// Runs a request whose response is not streamed.
--- a/gateway/src/transport/response_body.rs
+++ b/gateway/src/transport/response_body.rs
@@ -12,6 +12,9 @@
 /// Relative jitter of `Retry-After`, so that callers do not all return at the same time.
 const RETRY_AFTER_SPREAD: f64 = 0.5;
 
+/// `Retry-After` while the host stops; by then the caller reaches another host.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// A streamed response ended early. The connection is closed without the final chunk, so that the
 /// caller can tell that the response is incomplete.
 #[derive(Debug, Error)]
@@ -50,3 +53,8 @@
     }
     response
 }
+
+/// Returns the response to a request that a stopping host does not run.
+pub(crate) fn stopping_response() -> Response<ResponseBody> {
+    not_run_response("the host stops", STOPPING_RETRY_AFTER)
+}
