Answer requests whose handling panics

Cause: a panic while a request is handled ends the task of its connection; the caller sees the connection close. One in the task that reads a stream left the caller waiting. Change: the panic is caught, counted and logged, and the caller gets 502; a stream is broken off. Measured: request_whose_handling_panics_is_answered (a format whose decoder panics) failed with no answer and passes.

--- a/gateway/src/transport/caller_listener.rs
+++ b/gateway/src/transport/caller_listener.rs
@@ -3,10 +3,12 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use galenamast::state::TimePoint;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::{Body, Incoming};
@@ -28,7 +30,7 @@
     Admission, BodyRefusal, Refusal, admit_head, admit_known, discard_body, read_body,
 };
 use crate::transport::request_exchange::RequestExchange;
-use crate::transport::response_body::{ResponseBody, stopping_response};
+use crate::transport::response_body::{ResponseBody, host_response, stopping_response};
 
 /// Smallest read buffer that hyper accepts, in bytes.
 const MIN_HEADER_BUFFER_BYTES: usize = 8_192;
@@ -182,7 +184,10 @@
     ) -> Response<ResponseBody> {
         let started_at = self.context.now();
         let _count = RequestGuard::new(&self.context);
-        let mut response = match self.admit_and_run(request, origin, started_at).await {
+        // A panic would end the connection without a response.
+        let handling = AssertUnwindSafe(self.admit_and_run(request, origin, started_at));
+        let handled = handling.catch_unwind().await;
+        let mut response = match handled.unwrap_or_else(|_| Ok(self.panic_response())) {
             Ok(response) => response,
             Err(refusal) => {
                 let mut response = *refusal;
@@ -201,6 +206,20 @@
         response
     }
 
+    /// Returns the response to a request whose handling panicked.
+    fn panic_response(&self) -> Response<ResponseBody> {
+        self.context.metrics.increment("requests_panicked_total");
+        let text = "the host failed; the request may have run";
+        log_record(
+            Level::Error,
+            &GatewayRecord::Fault {
+                part: "request",
+                message: text.into(),
+            },
+        );
+        host_response(StatusCode::BAD_GATEWAY, text)
+    }
+
     /// Admits a request and runs it; an error holds the host's refusal.
     async fn admit_and_run(
         &self,
--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -1,11 +1,12 @@
 //! Relays the events of a streamed response, and resumes at another server if the stream fails.
 
 use std::collections::VecDeque;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::stream;
+use futures_util::{FutureExt, stream};
 use galenamast::state::TimePoint;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
@@ -96,7 +97,9 @@
 
     /// Reads the response into the queue, and logs its end once the caller has taken all of it.
     async fn read_ahead(mut self, queue: Arc<EventQueue>) {
-        let end = self.read_into(&queue).await;
+        // A panic would leave the caller waiting for the next event.
+        let reading = AssertUnwindSafe(self.read_into(&queue)).catch_unwind();
+        let end = reading.await.unwrap_or(Err(TruncatedResponse));
         if end.is_ok() {
             self.release();
             queue.drained().await;
