Refusals without an identifier count only on new connections

Callers saw 503 "it did not run" for requests that a server was running, and a stream that may run once ran at two servers.

Cause: a server that answers late or twice on a kept connection puts its extra refusal where the next answer is expected. `check_head` trusted "not run" and 421 in any answer that named no request, so the extra refusal was taken for one of the request that waited. Requests of kind `unsafe` were kept off used connections; streams that may not be resumed were not, though they may run only once.

Change: `ResponseOrigin` and `check_statement` decide alone what an answer proves. An answer that names the request, or the first one on a connection, proves what it states. One without a name on a used connection proves nothing: a refusal there is `Unproven`, counts as a run, is retried from the same budget as before if the request may be repeated, and ends in 502 otherwise. After it the request gets new connections, so that each request has at most one such refusal. All requests that may run once get new connections from the start. The connection of an answer that is not delivered is closed, as before.

Evidence: `late_refusal_does_not_send_a_stream_that_may_run_once_to_a_second_server` failed before ("a-11: left 2, right 1" runs), `late_refusal_is_no_promise_for_the_next_request` failed before ("l-1: 503, ran"); both pass, each for 503, 429, 408, 400 and 421.

`outcomes.rs` checks the new outcome beside the others.

--- a/gateway/src/coordination/requests/attempt_outcome.rs
+++ b/gateway/src/coordination/requests/attempt_outcome.rs
@@ -17,6 +17,8 @@
     Rejected,
     /// Another server has the address; the request did not run.
     WrongServer,
+    /// A refusal came that may be the late answer to an earlier request on the connection.
+    Unproven,
     /// The server answered with a failure.
     Failed,
     /// The answer is not a valid answer of this server to this request.
@@ -48,6 +50,12 @@
         )
     }
 
+    /// Returns whether further attempts need a new connection: an open one does not show that its server
+    /// is there, or leaves it open which request a refusal belongs to.
+    pub const fn doubts_connections(self) -> bool {
+        self.leaves_doubt() || matches!(self, Self::Unproven)
+    }
+
     /// Returns whether something was sent to the server.
     pub const fn reached_server(self) -> bool {
         !matches!(self, Self::NotSent | Self::Withheld)
--- a/gateway/src/coordination/requests/mod.rs
+++ b/gateway/src/coordination/requests/mod.rs
@@ -1,7 +1,9 @@
 //! Decisions about the attempts of one request.
 
 mod attempt_outcome;
+mod response_origin;
 
 pub use attempt_outcome::{
     AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, NextStep, final_answer, next_step,
 };
+pub use response_origin::{HeadStatement, ResponseOrigin, check_statement};
--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -11,7 +11,9 @@
 use hyper::body::Incoming;
 
 use crate::coordination::liveness::ProbeResult;
-use crate::coordination::requests::AttemptOutcome;
+use crate::coordination::requests::{
+    AttemptOutcome, HeadStatement, ResponseOrigin, check_statement,
+};
 use crate::protocol::{AnswerHead, strip_connection_headers};
 use crate::state::{AttemptHead, CrashSuspect, ServerEntry};
 use crate::transport::attempt_guard::AttemptGuard;
@@ -187,7 +189,8 @@
     let (mut parts, body) = response.into_parts();
     let head = (context.format.read_answer)(parts.status, &parts.headers);
     record_demand(context, server, &head, sent_at);
-    check_head(&head, parts.status, call.request)?;
+    let origin = ResponseOrigin::new(head.request.as_deref(), call.request, connection.reused);
+    check_statement(origin, head_statement(&head, parts.status))?;
     strip_connection_headers(&mut parts.headers);
     parts.headers.remove(header::CONTENT_LENGTH);
     Ok(OpenResponse {
@@ -214,22 +217,13 @@
     }
 }
 
-/// Checks that a response is signed by the server and belongs to this request.
-fn check_head(head: &AnswerHead, status: StatusCode, request: &str) -> Result<(), AttemptOutcome> {
-    let is_expected = head.request.as_deref().is_none_or(|id| id == request);
-    if !is_expected {
-        return Err(AttemptOutcome::Garbled);
+/// Returns what the head of a response states.
+fn head_statement(head: &AnswerHead, status: StatusCode) -> HeadStatement {
+    HeadStatement {
+        wrong_server: head.wrong_server,
+        not_run: head.not_run,
+        is_deliverable: head.signed && !head.encoded && !status.is_informational(),
     }
-    if head.wrong_server {
-        return Err(AttemptOutcome::WrongServer);
-    }
-    if head.not_run {
-        return Err(AttemptOutcome::Rejected);
-    }
-    if !head.signed || head.encoded || head.request.is_none() || status.is_informational() {
-        return Err(AttemptOutcome::Garbled);
-    }
-    Ok(())
 }
 
 /// Builds the request for the server; `None` if its host or path cannot be encoded.
--- a/gateway/src/transport/request_exchange/feedback.rs
+++ b/gateway/src/transport/request_exchange/feedback.rs
@@ -34,7 +34,10 @@
             AttemptOutcome::Withheld | AttemptOutcome::Withdrawn | AttemptOutcome::Lost => {}
             AttemptOutcome::WrongServer => self.context.servers().mark_reused(&server.id, now),
             AttemptOutcome::Silent => self.context.loads().record_timeout(&server.id, now),
-            AttemptOutcome::Rejected | AttemptOutcome::Failed | AttemptOutcome::Garbled => {
+            AttemptOutcome::Rejected
+            | AttemptOutcome::Unproven
+            | AttemptOutcome::Failed
+            | AttemptOutcome::Garbled => {
                 self.context.loads().record_failure(&server.id, now);
             }
             AttemptOutcome::Broken => {
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -83,9 +83,8 @@
     pub(crate) longest_gap: Duration,
     // A version on trial that failed this request; further attempts go to the version before it.
     avoided_version: Option<Arc<str>>,
-    // Whether a server of the request was silent or out of reach. Its neighbours may be too, and an
-    // open connection does not show it.
-    met_silent_server: bool,
+    // Whether the request is not sent on open connections any more.
+    doubts_connections: bool,
 }
 
 impl RequestExchange {
@@ -142,7 +141,7 @@
             earliest_start: None,
             longest_gap: Duration::ZERO,
             avoided_version: None,
-            met_silent_server: false,
+            doubts_connections: false,
             context,
             route,
             request,
@@ -328,7 +327,7 @@
         latency: Duration,
     ) -> Result<(), ExchangeFailure> {
         self.tally.note(outcome);
-        self.met_silent_server |= outcome.leaves_doubt();
+        self.doubts_connections |= outcome.doubts_connections();
         self.tried.push(server.id.clone());
         self.record_outcome(server, outcome).await;
         let limits = AttemptLimits {
@@ -358,10 +357,11 @@
     }
 
     /// Returns whether the next attempt needs a new connection, which shows that its server is there. A
-    /// request that must not run twice is not sent on one that may be closed already.
+    /// request that must not run twice is not sent on one that may be closed already, or on which a
+    /// refusal may belong to an earlier request.
     fn needs_new_connection(&self, server: &str) -> bool {
-        self.route.kind == RouteKind::Unsafe
-            || self.met_silent_server
+        !self.route.is_retryable()
+            || self.doubts_connections
             || self.context.liveness().verdict(server) != ServerVerdict::Alive
     }
 
--- a/gateway/tests/decisions/main.rs
+++ b/gateway/tests/decisions/main.rs
@@ -18,6 +18,7 @@
 mod pauses;
 mod placement;
 mod reach;
+mod responses;
 mod rollout_tracker;
 mod routes;
 mod speeds;
--- a/gateway/tests/decisions/outcomes.rs
+++ b/gateway/tests/decisions/outcomes.rs
@@ -5,10 +5,11 @@
 };
 
 /// All outcomes of an attempt.
-const ALL: [AttemptOutcome; 7] = [
+const ALL: [AttemptOutcome; 8] = [
     AttemptOutcome::NotSent,
     AttemptOutcome::Rejected,
     AttemptOutcome::WrongServer,
+    AttemptOutcome::Unproven,
     AttemptOutcome::Failed,
     AttemptOutcome::Garbled,
     AttemptOutcome::Broken,
