A late refusal of another host is none of the next request

Callers of a host without a path to its servers could get 503 "it did not run" for a request that another host was running.

Cause: `relay_to` took `galenamast-relay-unserved`, and 401, 403 and 404 without a signature, for statements on the request that it had passed on, also on a connection that had carried others, and passed on whatever else came there. It asked for the kind `unsafe` alone before it used such a connection, so that a stream that may run once went over it.

Change: the relay asks `ResponseOrigin`, as attempts at servers do. A refusal of unclear origin, an answer to another request and a success that does not name the request count as broken: a request that may be repeated goes on to the next host. Requests that may run once get new connections. Hosts name the request in their answers to other hosts (`galenamast-relayed-request`, a new header, which earlier builds ignore), so that their refusals stay certain on used connections too.

Left: refusals that a host gives before it admits a request (caller_listener.rs) don't name it yet; on a used connection they now lead to the next host.

--- a/gateway/src/coordination/requests/mod.rs
+++ b/gateway/src/coordination/requests/mod.rs
@@ -6,4 +6,4 @@
 pub use attempt_outcome::{
     AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, NextStep, final_answer, next_step,
 };
-pub use response_origin::{HeadStatement, ResponseOrigin, check_statement};
+pub use response_origin::{HeadStatement, ResponseOrigin, check_statement, promises_not_run};
--- a/gateway/src/coordination/requests/response_origin.rs
+++ b/gateway/src/coordination/requests/response_origin.rs
@@ -4,6 +4,8 @@
 //! in place of the response to the next request. Without a request identifier, only the first response
 //! on a connection is certain to belong to the request that waits for it.
 
+use http::StatusCode;
+
 use crate::coordination::requests::AttemptOutcome;
 
 /// What ties a response to the request that waits for it.
@@ -37,6 +39,11 @@
     }
 }
 
+/// Returns whether a status promises the caller that the request did not run.
+pub const fn promises_not_run(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
+
 /// What the head of a response states.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct HeadStatement {
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -16,7 +16,7 @@
 use crate::coordination::requests::{
     AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, NextStep, final_answer, next_step,
 };
-use crate::protocol::RELAY_UNSERVED;
+use crate::protocol::{RELAY_UNSERVED, RELAYED_REQUEST};
 use crate::state::{
     AttemptHead, CallerHead, ConfigSnapshot, CrashSuspect, RouteKind, ServerEntry, ServiceRoute,
 };
@@ -154,8 +154,18 @@
         }
     }
 
-    /// Runs the request and returns the response for the caller.
-    pub(crate) async fn run(mut self) -> Response<ResponseBody> {
+    /// Runs the request and returns the response for the caller, or for the host that passed it on.
+    pub(crate) async fn run(self) -> Response<ResponseBody> {
+        let named = self.is_relayed.then(|| self.request.clone());
+        let mut response = self.respond().await;
+        if let Some(name) = named.and_then(|name| HeaderValue::from_str(&name).ok()) {
+            response.headers_mut().insert(RELAYED_REQUEST, name);
+        }
+        response
+    }
+
+    /// Runs the request and returns the response.
+    async fn respond(mut self) -> Response<ResponseBody> {
         if !self.has_no_path() {
             self.context.record_request(&self.service);
         }
--- a/gateway/src/transport/request_exchange/relay.rs
+++ b/gateway/src/transport/request_exchange/relay.rs
@@ -12,8 +12,10 @@
 use rand::Rng;
 
 use crate::coordination::reach::pick_relay;
-use crate::coordination::requests::FinalAnswer;
-use crate::protocol::{GatewayRecord, RELAY_UNSERVED, RELAYED_BY, strip_connection_headers};
+use crate::coordination::requests::{FinalAnswer, ResponseOrigin, promises_not_run};
+use crate::protocol::{
+    GatewayRecord, RELAY_UNSERVED, RELAYED_BY, RELAYED_REQUEST, strip_connection_headers,
+};
 use crate::state::{HostPresence, RouteKind};
 use crate::transport::attempt_runner::remaining_time;
 use crate::transport::connection_pool::BackendConnection;
@@ -122,8 +124,9 @@
         let request = self
             .relayed_request(remaining)
             .ok_or(RelayFailure::Unserved)?;
-        // A request that must not run twice is not sent on a connection that may be closed already.
-        let may_reuse = self.route.kind != RouteKind::Unsafe;
+        // A request that must not run twice is not sent on a connection that may be closed already, or on
+        // which a refusal may belong to an earlier request.
+        let may_reuse = self.route.is_retryable();
         let pooled = context.pool.take(peer.address).filter(|_| may_reuse);
         let mut connection = match pooled {
             Some(connection) => connection,
@@ -146,11 +149,21 @@
         );
         // This host has admitted the request; the other one may not know the configuration yet.
         let is_refused = is_refused && !self.is_signed(&parts.headers, parts.status);
-        if is_refused || parts.headers.contains_key(RELAY_UNSERVED) {
+        let is_unserved = parts.headers.contains_key(RELAY_UNSERVED);
+        let origin = self.response_origin(&parts, connection.reused);
+        let is_unserved = is_refused || is_unserved;
+        let states_not_run = is_unserved || promises_not_run(parts.status);
+        let is_deliverable = origin == ResponseOrigin::Named || !parts.status.is_success();
+        let is_doubtful = states_not_run && !origin.is_certain();
+        if origin == ResponseOrigin::Foreign || is_doubtful || !is_deliverable {
+            return Err(RelayFailure::Broken);
+        }
+        if is_unserved {
             return Err(RelayFailure::Unserved);
         }
         strip_connection_headers(&mut parts.headers);
         parts.headers.remove(header::CONTENT_LENGTH);
+        parts.headers.remove(RELAYED_REQUEST);
         let body = if self.route.kind == RouteKind::Stream && parts.status.is_success() {
             self.stream_body(connection, body)
         } else {
@@ -169,6 +182,15 @@
         Ok(response)
     }
 
+    /// Returns what ties a response of another host to the request. Hosts of earlier builds name it only
+    /// in the responses of servers.
+    fn response_origin(&self, parts: &http::response::Parts, is_reused: bool) -> ResponseOrigin {
+        let named = parts.headers.get(RELAYED_REQUEST);
+        let named = named.and_then(|value| value.to_str().ok());
+        let head = (self.context.format.read_answer)(parts.status, &parts.headers);
+        ResponseOrigin::new(named.or(head.request.as_deref()), &self.request, is_reused)
+    }
+
     /// Returns whether a response is a server's.
     fn is_signed(&self, headers: &HeaderMap, status: StatusCode) -> bool {
         (self.context.format.read_answer)(status, headers).signed
