Demands in an answer to another request do not count

A server that repeated an earlier answer on a kept connection was taken out of service once more: its `Server-Leaving`, `Server-Limit`, `Retry-After` and cold time were applied before the answer was checked.

Cause: `record_demand` ran before the check of the head, with the time at which the waiting request was sent, so that an old statement counted as a new one, and could also end a newer demand.

Change: `ResponseOrigin::stated_after` says from when a statement may be. One in an answer that names another request does not count. One of unclear origin (a refusal without a name on a used connection, which is how servers refuse) adds demands but ends none: a pause that is applied twice costs less than one that is missed.

Left: a limit in an answer of unclear origin also replaces a lower one, as any late answer's does.

--- a/gateway/src/coordination/requests/response_origin.rs
+++ b/gateway/src/coordination/requests/response_origin.rs
@@ -4,6 +4,7 @@
 //! in place of the response to the next request. Without a request identifier, only the first response
 //! on a connection is certain to belong to the request that waits for it.
 
+use galenamast::state::TimePoint;
 use http::StatusCode;
 
 use crate::coordination::requests::AttemptOutcome;
@@ -37,6 +38,17 @@
     pub const fn is_certain(self) -> bool {
         matches!(self, Self::Named | Self::Sole)
     }
+
+    /// Returns the earliest time at which the server stated what the response to a request sent at
+    /// `sent_at` asks of the hosts; `None` if the response must not count. One that may be late adds
+    /// demands, and ends none.
+    pub fn stated_after(self, sent_at: TimePoint) -> Option<TimePoint> {
+        match self {
+            Self::Named | Self::Sole => Some(sent_at),
+            Self::Unclear => Some(TimePoint::ZERO),
+            Self::Foreign => None,
+        }
+    }
 }
 
 /// Returns whether a status promises the caller that the request did not run.
--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -188,8 +188,10 @@
     guard.mark_started();
     let (mut parts, body) = response.into_parts();
     let head = (context.format.read_answer)(parts.status, &parts.headers);
-    record_demand(context, server, &head, sent_at);
     let origin = ResponseOrigin::new(head.request.as_deref(), call.request, connection.reused);
+    if let Some(stated_after) = origin.stated_after(sent_at) {
+        record_demand(context, server, &head, stated_after);
+    }
     check_statement(origin, head_statement(&head, parts.status))?;
     strip_connection_headers(&mut parts.headers);
     parts.headers.remove(header::CONTENT_LENGTH);
--- a/gateway/src/transport/server_demands.rs
+++ b/gateway/src/transport/server_demands.rs
@@ -13,7 +13,7 @@
 use crate::transport::record_log::log_record;
 
 /// Records what a server asks of the hosts in the head of its answer to a request sent at
-/// `sent_at`, and reports a change to the other hosts.
+/// `sent_at` or later, and reports a change to the other hosts.
 pub(crate) fn record_demand(
     context: &GatewayContext,
     server: &ServerEntry,
--- a/gateway/tests/decisions/responses.rs
+++ b/gateway/tests/decisions/responses.rs
@@ -1,5 +1,8 @@
 //! Responses that are late, repeated or of another request, on new and reused connections.
 
+use std::time::Duration;
+
+use galenamast::state::TimePoint;
 use galenamast_gateway::coordination::requests::{
     AttemptOutcome, HeadStatement, ResponseOrigin, check_statement,
 };
@@ -49,6 +52,17 @@
     }
 }
 
+#[test]
+fn only_a_response_to_the_request_itself_ends_a_demand() {
+    let sent_at = TimePoint::ZERO + Duration::from_secs(5);
+    for (origin, _) in all_heads() {
+        let ends_demands = origin.stated_after(sent_at) == Some(sent_at);
+        assert_eq!(ends_demands, origin.is_certain(), "{origin:?}");
+        let counts = origin.stated_after(sent_at).is_some();
+        assert_eq!(counts, origin != ResponseOrigin::Foreign);
+    }
+}
+
 // After a refusal that proves nothing, the next one has to prove something.
 #[test]
 fn attempt_after_an_unproven_refusal_needs_a_new_connection() {
