A server's status alone promises nothing to callers

Callers got 408, 429 or 503, which promise that a request did not run and never will, for requests that a server had got and whose answer did not say so.

Cause: a signed answer with the request's name was passed on with its status, whatever that promises; 408 and 429 even counted as good answers. Only `X-Not-Executed` and 421 state that a request did not run.

Change: such an answer is a failure of the server (it is retried if the request may be repeated, and counts against its version as other failures do), and is not kept for the caller, who gets 502 if no other answer comes.

Evidence: `signed_status_alone_is_no_promise` failed before ("h-1: 408, ran"), passes now for 408, 429 and 503, on all three kinds of routes.

--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -15,6 +15,7 @@
 use crate::coordination::liveness::ServerVerdict;
 use crate::coordination::requests::{
     AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, NextStep, final_answer, next_step,
+    promises_not_run,
 };
 use crate::protocol::{RELAY_UNSERVED, RELAYED_REQUEST};
 use crate::state::{
@@ -201,7 +202,7 @@
             let (status, latency) = (response.status, response.latency);
             let read = response.read_to_end(&self.context, self.deadline).await;
             match read {
-                Ok(whole) if !status.is_server_error() => {
+                Ok(whole) if !status.is_server_error() && !promises_not_run(status) => {
                     self.record_begun();
                     self.record_pace(&server, latency.as_secs_f64());
                     self.record_good_response(&server, latency);
@@ -209,7 +210,7 @@
                 }
                 Ok(whole) => {
                     self.record_failed_response(&server);
-                    self.last_failure = Some(whole);
+                    self.keep_failure(whole);
                     self.finish_attempt(&server, AttemptOutcome::Failed, latency)
                         .await?;
                 }
@@ -230,7 +231,7 @@
             if response.status.is_server_error() || response.status.is_client_error() {
                 self.record_failed_response(&server);
                 match response.read_to_end(&self.context, self.deadline).await {
-                    Ok(whole) => self.last_failure = Some(whole),
+                    Ok(whole) => self.keep_failure(whole),
                     Err(outcome) => {
                         self.finish_attempt(&server, outcome, latency).await?;
                         continue;
@@ -254,6 +255,14 @@
         }
     }
 
+    /// Keeps a server's failure for the caller. The server did not state that the request did not run, so
+    /// a status that promises this is not passed on.
+    fn keep_failure(&mut self, failure: CompleteResponse) {
+        if !promises_not_run(failure.status) {
+            self.last_failure = Some(failure);
+        }
+    }
+
     /// Makes attempts until one yields a response with a valid head.
     async fn open_response(
         &mut self,
