Only the next event of a stream is passed on

Callers got a piece of a stream twice, or other text in the middle of it, in streams that ended as complete.

Cause: the relay passed on each block whose identifier it could not read, and resumed after the last one that it could read, so that the piece of a block with a spoilt identifier came again from the server that went on. An identifier that went back counted as a repeated event and was left out with its piece; the first of several identifiers of a block counted; a first event with a spoilt identifier became the position of the stream. Text, also the head of another answer, passed for an event without identifier.

Change: `EventForm` reads what a block is: an event, a comment, or malformed (identifier that is no number or stands there twice, lines without a known name, comments among the lines of an event, line ends that differ). `EventOrder` decides: within one response the identifiers rise by one; the first is the next that the caller needs or one that it has. Whatever else comes ends the response, which is resumed after the last event that was passed on. Streams that may be resumed need identifiers; others may have none at all. A stream is resumed only if its position is known: after a first event only if it is number 1, otherwise from the second on. An event without data is passed on with the next one, as its data may have been split off.

`events_do_not_depend_on_chunk_boundaries` compares the form, which holds the identifier that it compared before.

Left: lines that end with CR alone are not split; such a stream is never passed on.

--- a/gateway/src/protocol/event_splitter.rs
+++ b/gateway/src/protocol/event_splitter.rs
@@ -3,6 +3,8 @@
 use bytes::{Bytes, BytesMut};
 use thiserror::Error;
 
+use crate::protocol::EventForm;
+
 /// Greatest size of one event in bytes; model engines send none that are longer.
 const MAX_EVENT_BYTES: usize = 1_024 * 1_024;
 
@@ -17,8 +19,8 @@
 /// A complete event.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StreamEvent {
-    /// Identifier of the event, if it has one and it is a number.
-    pub id: Option<u64>,
+    /// What the lines of the event are.
+    pub form: EventForm,
     /// The event as received, including the blank line that ends it.
     pub bytes: Bytes,
 }
@@ -37,12 +39,12 @@
     /// Appends bytes and returns the events that they complete.
     ///
     /// ```
-    /// use galenamast_gateway::protocol::EventSplitter;
+    /// use galenamast_gateway::protocol::{EventForm, EventSplitter};
     ///
     /// let mut splitter = EventSplitter::default();
     /// assert!(splitter.push(b"id: 1\ndata: a").unwrap().is_empty());
     /// let events = splitter.push(b"\n\nid: 2\n").unwrap();
-    /// assert_eq!(events[0].id, Some(1));
+    /// assert_eq!(events[0].form, EventForm::Event { id: Some(1), has_data: true });
     /// assert!(splitter.has_partial());
     /// ```
     ///
@@ -55,8 +57,8 @@
         while let Some(end) = self.find_end() {
             let bytes = self.buffer.split_to(end).freeze();
             (self.line_start, self.searched) = (0, 0);
-            let id = event_id(&bytes);
-            events.push(StreamEvent { id, bytes });
+            let form = EventForm::read(&bytes);
+            events.push(StreamEvent { form, bytes });
         }
         if self.buffer.len() > MAX_EVENT_BYTES {
             return Err(SplitError::TooLong);
@@ -86,11 +88,3 @@
         None
     }
 }
-
-/// Returns the identifier of an event, if it is a number.
-fn event_id(event: &[u8]) -> Option<u64> {
-    event.split(|byte| *byte == b'\n').find_map(|line| {
-        let value = line.strip_prefix(b"id:")?;
-        std::str::from_utf8(value).ok()?.trim().parse().ok()
-    })
-}
--- a/gateway/src/protocol/mod.rs
+++ b/gateway/src/protocol/mod.rs
@@ -2,6 +2,7 @@
 //! records.
 
 mod datagram_error;
+mod event_form;
 mod event_splitter;
 mod forwarded_headers;
 mod gateway_record;
@@ -11,6 +12,7 @@
 mod stored_object;
 
 pub use datagram_error::DatagramError;
+pub use event_form::EventForm;
 pub use event_splitter::{EventSplitter, SplitError, StreamEvent};
 pub use forwarded_headers::{has_ambiguous_length, strip_connection_headers};
 pub use gateway_record::{DecisionInputs, GatewayRecord};
--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -11,9 +11,9 @@
 use hyper::body::Frame;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::coordination::requests::AttemptOutcome;
+use crate::coordination::requests::{AttemptOutcome, EventOrder, EventVerdict};
 use crate::coordination::rollouts::StreamPace;
-use crate::protocol::{EventSplitter, StreamEvent};
+use crate::protocol::{EventForm, EventSplitter, StreamEvent};
 use crate::state::ServiceRoute;
 use crate::transport::attempt_runner::{OpenResponse, remaining_time};
 use crate::transport::request_exchange::RequestExchange;
@@ -48,8 +48,10 @@
     exchange: RequestExchange,
     response: Option<OpenResponse>,
     splitter: EventSplitter,
-    last_id: Option<u64>,
+    order: EventOrder,
     pending: VecDeque<Bytes>,
+    // Events without data, which are queued with the next one.
+    held: Vec<Bytes>,
     delivered: u64,
     last_received_at: TimePoint,
     pace: StreamPace,
@@ -66,13 +68,15 @@
         last_id: Option<u64>,
     ) -> Self {
         let last_received_at = exchange.context.now();
+        let order = EventOrder::new(last_id, exchange.route.resumable);
         Self {
             last_received_at,
             exchange,
             response: Some(response),
             splitter: EventSplitter::default(),
-            last_id,
+            order,
             pending: VecDeque::new(),
+            held: Vec::new(),
             delivered: 0,
             pace: StreamPace::default(),
             event_wait: Duration::ZERO,
@@ -142,7 +146,10 @@
             Ok(None) if self.splitter.has_partial() => {
                 RelayProgress::Failed(AttemptOutcome::Broken)
             }
-            Ok(None) => RelayProgress::Complete,
+            Ok(None) => {
+                self.pending.extend(self.held.drain(..));
+                RelayProgress::Complete
+            }
             Ok(Some(Ok(frame))) => match frame.into_data() {
                 Ok(bytes) => self.accept_bytes(&bytes),
                 Err(_) => RelayProgress::Continue,
@@ -173,22 +180,29 @@
         RelayProgress::Continue
     }
 
-    /// Queues an event that the caller does not have yet; returns false if the event before it is
-    /// missing.
+    /// Queues an event that the caller does not have yet; returns false if it is not one of the stream in
+    /// its order.
     fn accept_event(&mut self, event: StreamEvent) -> bool {
-        self.exchange.record_event();
-        self.record_pace(false);
-        if let (Some(id), Some(last)) = (event.id, self.last_id) {
-            if id <= last {
-                return true;
-            }
-            if id != last + 1 {
-                return false;
+        let verdict = self.order.judge(event.form);
+        if verdict == EventVerdict::Reject {
+            return false;
+        }
+        if event.form != EventForm::Comment {
+            self.exchange.record_event();
+            self.record_pace(false);
+        }
+        match verdict {
+            EventVerdict::Deliver => {
+                self.delivered += 1;
+                // A comment does not show that an event before it is right.
+                if event.form != EventForm::Comment {
+                    self.pending.extend(self.held.drain(..));
+                }
+                self.pending.push_back(event.bytes);
             }
+            EventVerdict::Hold => self.held.push(event.bytes),
+            EventVerdict::Skip | EventVerdict::Reject => {}
         }
-        self.last_id = event.id.or(self.last_id);
-        self.delivered += 1;
-        self.pending.push_back(event.bytes);
         true
     }
 
@@ -209,7 +223,7 @@
         let server = response.server.clone();
         let latency = self.exchange.context.now().since(response.sent_at);
         drop(response);
-        let is_resumable = self.exchange.route.resumable;
+        let is_resumable = self.exchange.route.resumable && self.order.is_position_known();
         let retry = self
             .exchange
             .finish_attempt(&server, outcome, latency)
@@ -217,9 +231,11 @@
         if !is_resumable || retry.is_err() {
             return Err(self.log_truncated("broke off"));
         }
-        match self.exchange.open_stream(self.last_id).await {
+        match self.exchange.open_stream(self.order.last_id()).await {
             Ok(response) => {
                 self.splitter = EventSplitter::default();
+                self.order.begin_response();
+                self.held.clear();
                 self.pace = StreamPace::default();
                 self.event_wait = Duration::ZERO;
                 self.response = Some(response);
--- a/gateway/tests/decisions/events.rs
+++ b/gateway/tests/decisions/events.rs
@@ -1,6 +1,7 @@
 //! Event streams that arrive in chunks of any size.
 
-use galenamast_gateway::protocol::EventSplitter;
+use galenamast_gateway::coordination::requests::{EventOrder, EventVerdict};
+use galenamast_gateway::protocol::{EventForm, EventSplitter};
 use proptest::prelude::*;
 
 proptest! {
@@ -24,9 +25,10 @@
             events.extend(splitter.push(&rest[..size]).expect("the events are short"));
             rest = &rest[size..];
         }
-        let ids: Vec<_> = events.iter().map(|event| event.id).collect();
-        let expected: Vec<_> = (0..texts.len() as u64).map(Some).collect();
-        prop_assert_eq!(ids, expected);
+        let forms: Vec<_> = events.iter().map(|event| event.form).collect();
+        let numbers = (0..texts.len() as u64).map(Some);
+        let expected: Vec<_> = numbers.map(|id| EventForm::Event { id, has_data: true }).collect();
+        prop_assert_eq!(forms, expected);
         let joined: Vec<u8> = events.iter().flat_map(|event| event.bytes.to_vec()).collect();
         prop_assert_eq!(joined, stream.into_bytes());
         prop_assert!(!splitter.has_partial());
@@ -63,3 +65,127 @@
     assert_eq!(events.len(), 1);
     assert_eq!(events[0].bytes.len(), 800_002);
 }
+
+/// Returns the events of a stream after one, with the given end of lines.
+fn stream_after(last: u64, end: &str) -> Vec<u8> {
+    let event = |id| format!("id: {id}{end}data: piece {id}{end}{end}");
+    (last + 1..=5).map(event).collect::<String>().into_bytes()
+}
+
+/// Passes a response on as far as its events are in order; returns whether it holds the stream.
+fn relay(order: &mut EventOrder, response: &[u8], passed_on: &mut Vec<u8>) -> bool {
+    let mut splitter = EventSplitter::default();
+    let mut held = Vec::new();
+    for event in splitter.push(response).expect("the events are short") {
+        match order.judge(event.form) {
+            EventVerdict::Deliver => {
+                passed_on.append(&mut held);
+                passed_on.extend_from_slice(&event.bytes);
+            }
+            EventVerdict::Hold => held.extend_from_slice(&event.bytes),
+            EventVerdict::Skip => {}
+            EventVerdict::Reject => return false,
+        }
+    }
+    passed_on.append(&mut held);
+    !splitter.has_partial()
+}
+
+/// Returns the data of the events that a reader dispatches.
+fn dispatched(bytes: &[u8]) -> Vec<Vec<u8>> {
+    let (mut pieces, mut data) = (Vec::new(), Vec::new());
+    for line in bytes.split(|byte| *byte == b'\n') {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        if let Some(value) = line.strip_prefix(b"data:") {
+            data.extend_from_slice(value);
+        } else if line.is_empty() && !data.is_empty() {
+            pieces.push(std::mem::take(&mut data));
+        }
+    }
+    pieces
+}
+
+// An event of which a server spoilt a byte was passed on, and came again from the server that went on.
+#[test]
+fn stream_with_one_spoilt_byte_has_each_piece_once() {
+    for end in ["\n", "\r\n"] {
+        let (sound, whole) = (stream_after(0, end), dispatched(&stream_after(0, end)));
+        for at in 0..sound.len() {
+            for byte in 0..=u8::MAX {
+                let mut response = sound.clone();
+                response[at] = byte;
+                let (mut order, mut passed_on) = (EventOrder::new(None, true), Vec::new());
+                let mut is_whole = relay(&mut order, &response, &mut passed_on);
+                if !is_whole && order.is_position_known() {
+                    order.begin_response();
+                    let rest = stream_after(order.last_id().unwrap_or(0), end);
+                    is_whole = relay(&mut order, &rest, &mut passed_on);
+                    assert!(is_whole, "byte {at} is {byte}");
+                }
+                let pieces = dispatched(&passed_on);
+                let text = String::from_utf8_lossy(&passed_on);
+                let count = if is_whole { whole.len() } else { pieces.len() };
+                assert_eq!(pieces.len(), count, "byte {at} is {byte}: {text}");
+                // A byte of a piece's data shows in nothing else.
+                let others = pieces
+                    .iter()
+                    .zip(&whole)
+                    .filter(|(piece, own)| piece != own);
+                assert!(others.count() <= 1, "byte {at} is {byte}: {text}");
+            }
+        }
+    }
+}
+
+// A spoilt first identifier was taken for the position of the stream.
+#[test]
+fn position_is_not_known_from_a_first_identifier_alone() {
+    let event = |id| EventForm::Event {
+        id: Some(id),
+        has_data: true,
+    };
+    let mut order = EventOrder::new(None, true);
+    assert_eq!(order.judge(event(4)), EventVerdict::Deliver);
+    assert_eq!(order.judge(event(2)), EventVerdict::Reject);
+    assert!(!order.is_position_known());
+    let mut order = EventOrder::new(None, true);
+    assert_eq!(order.judge(event(4)), EventVerdict::Deliver);
+    assert_eq!(order.judge(event(5)), EventVerdict::Deliver);
+    assert!(order.is_position_known());
+}
+
+#[test]
+fn events_without_identifiers_are_passed_on_only_in_streams_that_have_none() {
+    let unnumbered = EventForm::Event {
+        id: None,
+        has_data: true,
+    };
+    let numbered = EventForm::Event {
+        id: Some(1),
+        has_data: true,
+    };
+    let verdicts = |is_resumable, forms: [EventForm; 2]| {
+        let mut order = EventOrder::new(None, is_resumable);
+        forms.map(|form| order.judge(form))
+    };
+    use EventVerdict::{Deliver, Reject};
+    assert_eq!(
+        verdicts(false, [unnumbered, unnumbered]),
+        [Deliver, Deliver]
+    );
+    assert_eq!(verdicts(false, [unnumbered, numbered]), [Deliver, Reject]);
+    assert_eq!(verdicts(false, [numbered, unnumbered]), [Deliver, Reject]);
+    assert_eq!(verdicts(true, [unnumbered, unnumbered])[0], Reject);
+}
+
+// Guards against holding the events of an endless stream without data.
+#[test]
+fn at_most_one_event_is_held() {
+    let empty = |id| EventForm::Event {
+        id: Some(id),
+        has_data: false,
+    };
+    let mut order = EventOrder::new(None, true);
+    assert_eq!(order.judge(empty(1)), EventVerdict::Hold);
+    assert_eq!(order.judge(empty(2)), EventVerdict::Reject);
+}
