A stream goes on only with a stream of events

A caller's stream that had broken off ended there as complete, or went on with the text of an error.

Cause: the relay continued a stream with any signed answer that named the request and had no error status: 204 without a body, 302, or 200 with `text/plain` or JSON. With an empty body, or one that ends in a blank line, that was the end of the caller's stream, as if it were complete.

Change: `open_stream` takes an answer for a stream, at the beginning and when it resumes, only if its status is 200 and its media type is `text/event-stream` or not stated (then the blocks decide). Other successes are not valid answers, and a redirect is a failure of the server.

Left: an empty 200 of the right type after a break cannot be told from the end of a stream whose last event had arrived.

--- a/gateway/src/protocol/mod.rs
+++ b/gateway/src/protocol/mod.rs
@@ -4,6 +4,7 @@
 mod datagram_error;
 mod event_form;
 mod event_splitter;
+mod event_stream;
 mod forwarded_headers;
 mod gateway_record;
 mod peer_message;
@@ -14,6 +15,7 @@
 pub use datagram_error::DatagramError;
 pub use event_form::EventForm;
 pub use event_splitter::{EventSplitter, SplitError, StreamEvent};
+pub use event_stream::is_event_stream;
 pub use forwarded_headers::{has_ambiguous_length, strip_connection_headers};
 pub use gateway_record::{DecisionInputs, GatewayRecord};
 pub use peer_message::{PeerMessage, WIRE_VERSION};
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -17,7 +17,7 @@
     AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, NextStep, final_answer, next_step,
     promises_not_run,
 };
-use crate::protocol::{RELAY_UNSERVED, RELAYED_REQUEST};
+use crate::protocol::{RELAY_UNSERVED, RELAYED_REQUEST, is_event_stream};
 use crate::state::{
     AttemptHead, CallerHead, ConfigSnapshot, CrashSuspect, RouteKind, ServerEntry, ServiceRoute,
 };
@@ -228,7 +228,7 @@
         loop {
             let response = self.open_response(resume_after).await?;
             let (server, latency) = (response.server.clone(), response.latency);
-            if response.status.is_server_error() || response.status.is_client_error() {
+            if !response.status.is_success() {
                 self.record_failed_response(&server);
                 match response.read_to_end(&self.context, self.deadline).await {
                     Ok(whole) => self.keep_failure(whole),
@@ -241,6 +241,12 @@
                     .await?;
                 continue;
             }
+            if !is_event_stream(response.status, &response.headers) {
+                drop(response);
+                self.finish_attempt(&server, AttemptOutcome::Garbled, latency)
+                    .await?;
+                continue;
+            }
             self.record_good_response(&server, latency);
             if resume_after.is_some() {
                 return Ok(response);
