--- a/gateway/src/protocol/mod.rs
+++ b/gateway/src/protocol/mod.rs
@@ -2,7 +2,9 @@
 //! records.
 
 mod datagram_error;
+mod event_form;
 mod event_splitter;
+mod event_stream;
 mod forwarded_headers;
 mod gateway_record;
 mod peer_message;
@@ -11,12 +13,14 @@
 mod stored_object;
 
 pub use datagram_error::DatagramError;
+pub use event_form::EventForm;
 pub use event_splitter::{EventSplitter, SplitError, StreamEvent};
+pub use event_stream::is_event_stream;
 pub use forwarded_headers::{has_ambiguous_length, strip_connection_headers};
 pub use gateway_record::{DecisionInputs, GatewayRecord};
 pub use peer_message::{PeerMessage, WIRE_VERSION};
 pub use platform_format::{AnswerHead, FormatError, PlatformFormat};
-pub use relay_headers::{RELAY_UNSERVED, RELAYED_BY};
+pub use relay_headers::{RELAY_UNSERVED, RELAYED_BY, RELAYED_REQUEST};
 pub use stored_object::{
     ObjectChange, ObjectChanges, ObjectKind, ObjectPage, ObjectQuery, StoredObject,
 };
--- a/gateway/src/transport/request_exchange/feedback.rs
+++ b/gateway/src/transport/request_exchange/feedback.rs
@@ -36,7 +36,10 @@
             AttemptOutcome::Silent | AttemptOutcome::Overdue => {
                 self.context.loads().record_timeout(&server.id, now);
             }
-            AttemptOutcome::Rejected | AttemptOutcome::Failed | AttemptOutcome::Garbled => {
+            AttemptOutcome::Rejected
+            | AttemptOutcome::Unproven
+            | AttemptOutcome::Failed
+            | AttemptOutcome::Garbled => {
                 self.context.loads().record_failure(&server.id, now);
             }
             AttemptOutcome::Broken => {
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -16,8 +16,9 @@
 use crate::coordination::liveness::ServerVerdict;
 use crate::coordination::requests::{
     AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, NextStep, final_answer, next_step,
+    promises_not_run,
 };
-use crate::protocol::RELAY_UNSERVED;
+use crate::protocol::{RELAY_UNSERVED, RELAYED_REQUEST, is_event_stream};
 use crate::state::{
     AttemptHead, CallerHead, ConfigSnapshot, CrashSuspect, RouteKind, ServerEntry, ServiceRoute,
 };
@@ -93,9 +94,8 @@
     pub(crate) longest_gap: Duration,
     // A version on trial that failed this request; further attempts go to the version before it.
     avoided_version: Option<Arc<str>>,
-    // Whether a server of the request was silent or out of reach. Its neighbours may be too, and an
-    // open connection does not show it.
-    met_silent_server: bool,
+    // Whether the request is not sent on open connections any more.
+    doubts_connections: bool,
     // Whether an attempt is in progress, which the tally does not count yet.
     is_attempting: bool,
     // Whether the end of the request was logged.
@@ -152,7 +152,7 @@
             earliest_start: None,
             longest_gap: Duration::ZERO,
             avoided_version: None,
-            met_silent_server: false,
+            doubts_connections: false,
             is_attempting: false,
             has_ended: AtomicBool::new(false),
             context,
@@ -167,8 +167,18 @@
         }
     }
 
-    /// Runs the request and returns the response for the caller.
-    pub(crate) async fn run(mut self) -> Response<ResponseBody> {
+    /// Runs the request and returns the response for the caller, or for the host that passed it on.
+    pub(crate) async fn run(self) -> Response<ResponseBody> {
+        let named = self.is_relayed.then(|| self.request.clone());
+        let mut response = self.respond().await;
+        if let Some(name) = named.and_then(|name| HeaderValue::from_str(&name).ok()) {
+            response.headers_mut().insert(RELAYED_REQUEST, name);
+        }
+        response
+    }
+
+    /// Runs the request and returns the response.
+    async fn respond(mut self) -> Response<ResponseBody> {
         if !self.has_no_path() {
             self.context.record_request(&self.service);
         }
@@ -225,7 +235,7 @@
             let (status, latency) = (response.status, response.latency);
             let read = response.read_to_end(&self.context, self.deadline).await;
             match read {
-                Ok(whole) if !status.is_server_error() => {
+                Ok(whole) if !status.is_server_error() && !promises_not_run(status) => {
                     self.record_begun();
                     self.record_pace(&server, latency.as_secs_f64());
                     self.record_good_response(&server, latency);
@@ -233,7 +243,7 @@
                 }
                 Ok(whole) => {
                     self.record_failed_response(&server);
-                    self.last_failure = Some(whole);
+                    self.keep_failure(whole);
                     self.finish_attempt(&server, AttemptOutcome::Failed, latency)
                         .await?;
                 }
@@ -251,10 +261,10 @@
         loop {
             let response = self.open_response(resume_after).await?;
             let (server, latency) = (response.server.clone(), response.latency);
-            if response.status.is_server_error() || response.status.is_client_error() {
+            if !response.status.is_success() {
                 self.record_failed_response(&server);
                 match response.read_to_end(&self.context, self.deadline).await {
-                    Ok(whole) => self.last_failure = Some(whole),
+                    Ok(whole) => self.keep_failure(whole),
                     Err(outcome) => {
                         self.finish_attempt(&server, outcome, latency).await?;
                         continue;
@@ -264,6 +274,12 @@
                     .await?;
                 continue;
             }
+            if !is_event_stream(response.status, &response.headers) {
+                drop(response);
+                self.finish_attempt(&server, AttemptOutcome::Garbled, latency)
+                    .await?;
+                continue;
+            }
             self.record_good_response(&server, latency);
             if resume_after.is_some() {
                 return Ok(response);
@@ -279,6 +295,14 @@
         }
     }
 
+    /// Keeps a server's failure for the caller. The server did not state that the request did not run, so
+    /// a status that promises this is not passed on.
+    fn keep_failure(&mut self, failure: CompleteResponse) {
+        if !promises_not_run(failure.status) {
+            self.last_failure = Some(failure);
+        }
+    }
+
     /// Makes attempts until one yields a response with a valid head.
     async fn open_response(
         &mut self,
@@ -365,7 +389,7 @@
     ) -> Result<(), ExchangeFailure> {
         self.is_attempting = false;
         self.tally.note(outcome);
-        self.met_silent_server |= outcome.leaves_doubt();
+        self.doubts_connections |= outcome.doubts_connections();
         self.tried.push(server.id.clone());
         self.record_outcome(server, outcome).await;
         let limits = self.attempt_limits();
@@ -403,10 +427,11 @@
     }
 
     /// Returns whether the next attempt needs a new connection, which shows that its server is there. A
-    /// request that must not run twice is not sent on one that may be closed already.
+    /// request that must not run twice is not sent on one that may be closed already, or on which a
+    /// refusal may belong to an earlier request.
     fn needs_new_connection(&self, server: &str) -> bool {
-        self.route.kind == RouteKind::Unsafe
-            || self.met_silent_server
+        !self.route.is_retryable()
+            || self.doubts_connections
             || self.context.liveness().verdict(server) != ServerVerdict::Alive
     }
 
--- a/gateway/tests/decisions/outcomes.rs
+++ b/gateway/tests/decisions/outcomes.rs
@@ -5,10 +5,11 @@
 };
 
 /// All outcomes of an attempt.
-const ALL: [AttemptOutcome; 9] = [
+const ALL: [AttemptOutcome; 10] = [
     AttemptOutcome::NotSent,
     AttemptOutcome::Rejected,
     AttemptOutcome::WrongServer,
+    AttemptOutcome::Unproven,
     AttemptOutcome::Failed,
     AttemptOutcome::Garbled,
     AttemptOutcome::Broken,
