Keep a silent server until another one has taken its stream

A silent server was left before the next one had the stream; if that one refused or did not accept a connection, the stream was cut though the first went on. Change: for up to 200 ms after another server is chosen, the silent one is kept; it goes on if no other takes the stream. So both run it for less than half a second. Measured: silent_stream_goes_on_if_the_other_server_refuses_it fails with the handover left out (cut after the first event) and passes.

--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::panic::AssertUnwindSafe;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,6 +28,10 @@
 /// Shortest gap after which a server counts as stalled.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Longest time for which a silent server keeps a stream that another one is asked for. Both may not run
+/// it for long.
+const HANDOVER_TIME: Duration = Duration::from_millis(200);
+
 /// Returns the time without a complete event after which the server of a route's stream counts as
 /// stalled.
 pub(crate) fn stall_timeout(route: &ServiceRoute) -> Duration {
@@ -168,7 +173,7 @@
         }
         let is_replaced = self.response.as_ref().is_some_and(|response| {
             let server = &response.server.id;
-            self.exchange.route.resumable && self.exchange.take_replacement(server)
+            self.is_resumable() && self.exchange.take_replacement(server)
         });
         if is_replaced {
             return RelayProgress::Failed(AttemptOutcome::Overdue);
@@ -246,8 +251,9 @@
         };
         let server = response.server.clone();
         let latency = self.exchange.context.now().since(response.sent_at);
-        drop(response);
-        let is_resumable = self.exchange.route.resumable && self.order.is_position_known();
+        // A server that is only silent may go on, should no other one take the stream.
+        let mut held = Some(response).filter(|_| outcome == AttemptOutcome::Overdue);
+        let is_resumable = self.is_resumable();
         let retry = self
             .exchange
             .finish_attempt(&server, outcome, latency)
@@ -255,8 +261,18 @@
         if !is_resumable || retry.is_err() {
             return Err(self.log_truncated("broke off"));
         }
-        match self.exchange.open_stream(self.order.last_id()).await {
-            Ok(response) => {
+        let opened = {
+            let mut opening = pin!(self.exchange.open_stream(self.order.last_id()));
+            match tokio::time::timeout(HANDOVER_TIME, &mut opening).await {
+                Ok(opened) => opened,
+                Err(_) => {
+                    held = None;
+                    opening.await
+                }
+            }
+        };
+        match (opened, held) {
+            (Ok(response), _) => {
                 self.splitter = EventSplitter::default();
                 self.order.begin_response();
                 self.held.clear();
@@ -265,10 +281,20 @@
                 self.response = Some(response);
                 Ok(())
             }
-            Err(_) => Err(self.log_truncated("broke off and was not resumed")),
+            (Err(_), Some(held)) => {
+                self.event_wait = Duration::ZERO;
+                self.response = Some(held);
+                Ok(())
+            }
+            (Err(_), None) => Err(self.log_truncated("broke off and was not resumed")),
         }
     }
 
+    /// Returns whether another server may continue the stream.
+    fn is_resumable(&self) -> bool {
+        self.exchange.route.resumable && self.order.is_position_known()
+    }
+
     /// Logs that the response ended early, and returns the error for its body.
     fn log_truncated(&self, outcome: &'static str) -> TruncatedResponse {
         let attempts = self.exchange.tally.tries;
