Serve the last connections of a stop, also with a short grace period

With a grace period not longer than the balancer lag there were no last answers at all. A refusal does not read the body of a caller that awaits 100 Continue, which kept its connection open for 3 s. Measured: the property of the schedule now has the lag end by the last answers; tests of stops pass.

--- a/gateway/src/coordination/shutdown/stop_schedule.rs
+++ b/gateway/src/coordination/shutdown/stop_schedule.rs
@@ -52,11 +52,7 @@
 
     /// Returns when the load balancer is expected to send no callers any more.
     pub fn drains_at(&self) -> TimePoint {
-        let StopSettings {
-            grace_period,
-            balancer_lag,
-        } = self.settings;
-        self.signalled_at + balancer_lag.min(grace_period)
+        (self.signalled_at + self.settings.balancer_lag).min(self.answers_until())
     }
 
     /// Returns when the process ends.
@@ -66,7 +62,7 @@
 
     /// Returns when requests that are not answered yet get their last answer.
     pub fn answers_until(&self) -> TimePoint {
-        self.ends_at() - FINAL_ANSWER_TIME
+        (self.ends_at() - FINAL_ANSWER_TIME).max(self.signalled_at)
     }
 
     /// Returns whether a request with this deadline is admitted. Once the load balancer knows of the stop,
--- a/gateway/src/transport/caller_listener.rs
+++ b/gateway/src/transport/caller_listener.rs
@@ -229,6 +229,7 @@
     ) -> Result<Response<ResponseBody>, Refusal> {
         let context = &self.context;
         let (mut parts, mut body) = request.into_parts();
+        let awaits_continue = parts.headers.contains_key(header::EXPECT);
         let mut head = (context.format.read_request)(&parts.headers);
         if origin == RequestOrigin::Host {
             parts.headers.remove(RELAYED_BY);
@@ -240,12 +241,13 @@
             Err(refusal) => {
                 let (status, request) = (refusal.status(), head.request.as_ref());
                 log_refusal(context, request, status, "not admitted", started_at);
-                return Err(close_after(context, refusal, body));
+                return Err(close_after(context, refusal, body, awaits_continue));
             }
         };
         let reading = BodyGuard::new(context, &admission, &head, started_at);
         let deadline = admission.route.deadline(head.time_allowed, started_at);
         let read = tokio::select! {
+            biased;
             read = read_body(context, &admission.snapshot, &parts, &mut body) => read,
             () = tokio::time::sleep(remaining_time(context, deadline)) => Err(BodyRefusal::Late),
             () = context.last_answers.cancelled() => Err(BodyRefusal::Stopping),
@@ -258,7 +260,7 @@
                 let (reason, response) = (refusal.reason(), refusal.into_response());
                 let (status, request) = (response.status(), head.request.as_ref());
                 log_refusal(context, request, status, reason, started_at);
-                return Err(close_after(context, Box::new(response), body));
+                return Err(close_after(context, Box::new(response), body, false));
             }
         };
         // The load balancer may have learned of a stop while the body arrived.
@@ -285,6 +287,7 @@
                 .map_err(|refusal| refusal.unwrap_or_else(|| Box::new(stopping_response())))
         } else {
             tokio::select! {
+                biased;
                 admitted = admit_head(&self.context, parts, head) => admitted,
                 () = self.context.last_answers.cancelled() => Err(Box::new(stopping_response())),
             }
@@ -319,12 +322,20 @@
     }
 }
 
-/// Has a refusal end its connection if the body was not read, and reads the rest of the body.
-fn close_after(context: &GatewayContext, mut refusal: Refusal, body: Incoming) -> Refusal {
+/// Has a refusal end its connection if the body was not read, and reads the rest of the body, unless its
+/// caller sends none before it is told to.
+fn close_after(
+    context: &GatewayContext,
+    mut refusal: Refusal,
+    body: Incoming,
+    awaits_continue: bool,
+) -> Refusal {
     if !body.is_end_stream() {
         let close = HeaderValue::from_static("close");
         refusal.headers_mut().insert(header::CONNECTION, close);
-        discard_body(context, body);
+        if !awaits_continue {
+            discard_body(context, body);
+        }
     }
     refusal
 }
--- a/gateway/src/transport/gateway_host.rs
+++ b/gateway/src/transport/gateway_host.rs
@@ -126,8 +126,10 @@
             .await;
         self.callers.close_idle.cancel();
         self.wait_for_connections(schedule.answers_until()).await;
-        context.last_answers.cancel();
+        // Connections that wait to be accepted are still served if there is time.
         self.callers.close_sockets.cancel();
+        self.wait_for_connections(schedule.answers_until()).await;
+        context.last_answers.cancel();
         self.wait_for_connections(schedule.ends_at()).await;
         context.grace_over.store(true, Ordering::Relaxed);
         let elapsed = context.now().since(schedule.signalled_at());
--- a/gateway/tests/decisions/shutdown.rs
+++ b/gateway/tests/decisions/shutdown.rs
@@ -27,6 +27,6 @@
         let can_end = deadline <= schedule.answers_until();
         assert_eq!(schedule.admits(deadline, now), !is_draining || can_end);
         assert!(schedule.answers_until() < schedule.ends_at());
-        assert!(schedule.drains_at() <= schedule.ends_at());
+        assert!(schedule.drains_at() <= schedule.answers_until());
     }
 }
