Hold what is at hand until its replacement is there

An attempt whose server was judged lost was given up though there was no other server (502 after 1.3 s; the server answered at 2.5 s); a doubted answer was dropped before a server had the request for the larger model, and lost when all refused that (502). Besides, a replacement was taken with less time left than an attempt needs, and probes of a server whose connections failed at once had no pause (35,702 in 1.2 s on a host without descriptors). Change: lost servers ask take_replacement as overdue ones do; a doubted response is held for up to 40 ms while the next is opened, by the same hand_over that silent streams use; the last answers go before further attempts; probes are 50 ms apart or more. The log names no denial at the deadline, and counts the attempt in progress.

--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -49,8 +49,6 @@
     pub(crate) time_left: Duration,
     /// Expected time to the first byte.
     pub(crate) expected_first_byte: Duration,
-    /// Whether the request may be sent to another server after this one may have run it.
-    pub(crate) may_repeat: bool,
     /// Takes a retry in place of this attempt; returns false if none is allowed.
     pub(crate) take_replacement: &'a (dyn Fn() -> bool + Sync),
 }
@@ -177,7 +175,7 @@
         () = wait_until_refused(context, call.suspect, sent_at) => {
             return Err(AttemptOutcome::Withdrawn);
         }
-        () = watch.wait_until_lost(call.may_repeat) => return Err(AttemptOutcome::Lost),
+        () = watch.wait_until_lost(call.take_replacement) => return Err(AttemptOutcome::Lost),
     };
     drop(watch);
     let response = match answered {
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -5,6 +5,7 @@
 mod request_log;
 mod server_choice;
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
@@ -37,6 +38,9 @@
 const MAX_ATTEMPTS: u32 = 6;
 /// Time left below which no further attempt is made.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(30);
+/// Longest time for which a doubted response is held while one of a larger model is opened; a server that
+/// refuses does so sooner.
+const DOUBTED_TIME: Duration = Duration::from_millis(40);
 /// Number of events after which a request is known not to crash the server that answers it. A server
 /// that crashes sends a head and at most the beginning of the first event.
 const ANSWERED_EVENTS: u64 = 2;
@@ -44,6 +48,23 @@
 /// this one.
 const LOWEST_URGENCY: u8 = 9;
 
+/// Opens a response that is to replace another one, which is held meanwhile for at most `limit`, so that
+/// it can go on if the opening fails.
+pub(crate) async fn hand_over(
+    opening: impl Future<Output = Result<OpenResponse, ExchangeFailure>>,
+    held: Option<OpenResponse>,
+    limit: Duration,
+) -> (Result<OpenResponse, ExchangeFailure>, Option<OpenResponse>) {
+    let mut opening = pin!(opening);
+    if held.is_some() {
+        if let Ok(opened) = tokio::time::timeout(limit, &mut opening).await {
+            return (opened, held);
+        }
+        drop(held);
+    }
+    (opening.await, None)
+}
+
 /// What a caller gets if a server has answered.
 #[derive(Debug)]
 enum ExchangeAnswer {
@@ -184,8 +205,10 @@
         }
         let context = self.context.clone();
         let answered = tokio::select! {
-            answered = self.answer() => answered,
+            // Nothing is sent to a server any more once the last answers are given.
+            biased;
             () = context.last_answers.cancelled() => Err(self.stop_now()),
+            answered = self.answer() => answered,
         };
         match answered {
             Ok(ExchangeAnswer::Stream(response)) => self.start_relay(*response),
@@ -258,8 +281,20 @@
         &mut self,
         resume_after: Option<u64>,
     ) -> Result<OpenResponse, ExchangeFailure> {
+        let mut doubted = None;
+        let mut smaller = None;
         loop {
-            let response = self.open_response(resume_after).await?;
+            let opening = self.open_response(resume_after);
+            let (opened, kept) = hand_over(opening, doubted.take(), DOUBTED_TIME).await;
+            let response = match (opened, kept) {
+                (Ok(response), _) => response,
+                // A doubted response is better than none.
+                (Err(_), Some(kept)) => {
+                    self.model = smaller;
+                    return Ok(kept);
+                }
+                (Err(end), None) => return Err(end),
+            };
             let (server, latency) = (response.server.clone(), response.latency);
             if !response.status.is_success() {
                 self.record_failed_response(&server);
@@ -291,7 +326,8 @@
             self.tally.tries += 1;
             self.tally.runs += 1;
             self.log_attempt(&server, "doubted", latency, "larger model", None);
-            self.model = Some(larger);
+            smaller = self.model.replace(larger);
+            doubted = Some(response);
         }
     }
 
@@ -358,7 +394,6 @@
                 work: pick.work,
                 time_left: remaining,
                 expected_first_byte: self.expected_first_byte(),
-                may_repeat: self.may_repeat(),
                 take_replacement: &|| self.take_replacement(&server.id),
                 head: AttemptHead {
                     server: server.id.clone(),
@@ -399,6 +434,7 @@
                 (end, Some("budget"))
             }
             step @ NextStep::Retry(_) => (step, None),
+            step @ NextStep::End(_) if outcome == AttemptOutcome::Silent => (step, None),
             step @ NextStep::End(_) if limits.retryable => (step, Some("attempts")),
             step @ NextStep::End(_) => (step, Some("repeat")),
         };
@@ -435,13 +471,6 @@
             || self.context.liveness().verdict(server) != ServerVerdict::Alive
     }
 
-    /// Returns whether another attempt may follow one that may have run.
-    fn may_repeat(&self) -> bool {
-        self.route.is_retryable()
-            && self.tally.runs + 1 < self.route.attempts
-            && self.tally.tries + 1 < MAX_ATTEMPTS
-    }
-
     /// Returns the final outcome when no server is left to try.
     fn no_server_left(&mut self) -> ExchangeFailure {
         self.log_denials();
@@ -484,7 +513,8 @@
     fn end(&self, end: ExchangeFailure) -> Response<ResponseBody> {
         let may_run_elsewhere = end.may_run_elsewhere();
         let (mut response, outcome) = end.into_response(&self.tally, self.retry_after());
-        self.log_end(response.status().as_u16(), outcome, self.tally.tries, 0);
+        let tries = self.tally.tries + u32::from(self.is_attempting);
+        self.log_end(response.status().as_u16(), outcome, tries, 0);
         if self.is_relayed && may_run_elsewhere {
             let mark = HeaderValue::from_static("1");
             response.headers_mut().insert(RELAY_UNSERVED, mark);
--- a/gateway/src/transport/request_exchange/server_choice.rs
+++ b/gateway/src/transport/request_exchange/server_choice.rs
@@ -19,8 +19,8 @@
 use crate::coordination::rollouts::{VersionRule, version_groups};
 use crate::state::{EngineModel, RouteKind, ServerEntry};
 use crate::transport::attempt_runner::{OpenResponse, remaining_time};
-use crate::transport::request_exchange::RequestExchange;
 use crate::transport::request_exchange::request_log::CascadeDecision;
+use crate::transport::request_exchange::{MIN_ATTEMPT_TIME, RequestExchange};
 
 /// `Retry-After` when there is no server to send the request to, in seconds.
 const NO_SERVER_RETRY_SECONDS: f64 = 0.6;
@@ -159,7 +159,8 @@
     pub(crate) fn take_replacement(&self, server: &str) -> bool {
         let mut excluded = self.tried.clone();
         excluded.push(server.into());
-        may_replace(&self.tally, &self.attempt_limits())
+        remaining_time(&self.context, self.deadline) >= MIN_ATTEMPT_TIME
+            && may_replace(&self.tally, &self.attempt_limits())
             && self.find_server_except(&excluded).is_some()
             && self
                 .context
--- a/gateway/src/transport/server_watch.rs
+++ b/gateway/src/transport/server_watch.rs
@@ -5,7 +5,6 @@
 
 use log::Level;
 
-use crate::coordination::budgets::RetryPurpose;
 use crate::coordination::liveness::{LivenessChange, ProbeResult, WaitStep, WaitTicket};
 use crate::protocol::GatewayRecord;
 use crate::state::ServerEntry;
@@ -14,6 +13,9 @@
 use crate::transport::reach_probe::record_unreachable;
 use crate::transport::record_log::log_record;
 
+/// Shortest time from one probe of a server to the next.
+const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// An attempt that waits for its first byte; it waits no longer when this is dropped.
 #[derive(Debug)]
 pub(crate) struct ServerWatch<'a> {
@@ -38,9 +40,9 @@
         }
     }
 
-    /// Waits until the server is lost and the retry budget grants the retry of the attempt. Never
-    /// returns if the attempt may not be repeated, but has the server probed.
-    pub(crate) async fn wait_until_lost(&self, may_repeat: bool) {
+    /// Waits until the server is lost and another attempt is granted in place of this one. Never returns
+    /// if none is, but has the server probed.
+    pub(crate) async fn wait_until_lost(&self, take_replacement: &(dyn Fn() -> bool + Sync)) {
         let context = self.context;
         let mut changes = context.liveness_changed.subscribe();
         loop {
@@ -50,7 +52,7 @@
                 .liveness()
                 .next_step(&self.server.id, self.ticket, now);
             let pause = match step {
-                WaitStep::Lost if may_repeat && self.take_retry() => {
+                WaitStep::Lost if take_replacement() => {
                     context.metrics.increment("attempts_ended_lost_total");
                     return;
                 }
@@ -65,12 +67,6 @@
             let _ = tokio::time::timeout(pause, changes.changed()).await;
         }
     }
-
-    /// Takes the retry that follows from the retry budget.
-    fn take_retry(&self) -> bool {
-        let service = &self.server.service;
-        self.context.take_retry(service, RetryPurpose::Failure)
-    }
 }
 
 impl Drop for ServerWatch<'_> {
@@ -85,6 +81,7 @@
     let timeout = context.settings.liveness.probe_timeout;
     loop {
         context.metrics.increment("liveness_probes_total");
+        let started_at = context.now();
         let result = probe_connection(server.address, timeout).await;
         let now = context.now();
         let (goes_on, change) = context.liveness().record_probe(&server.id, result, now);
@@ -92,6 +89,9 @@
         if !goes_on {
             return;
         }
+        // A connection that fails at once must not be tried without a pause.
+        let pause = MIN_PROBE_INTERVAL.saturating_sub(now.since(started_at));
+        context.timers.sleep(pause).await;
     }
 }
 
--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -2,7 +2,6 @@
 
 use std::collections::VecDeque;
 use std::panic::AssertUnwindSafe;
-use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,7 +17,7 @@
 use crate::protocol::{EventForm, EventSplitter, StreamEvent};
 use crate::state::ServiceRoute;
 use crate::transport::attempt_runner::{OpenResponse, remaining_time};
-use crate::transport::request_exchange::RequestExchange;
+use crate::transport::request_exchange::{RequestExchange, hand_over};
 use crate::transport::response_body::{ResponseBody, TruncatedResponse};
 use crate::transport::server_watch::record_byte;
 use crate::transport::stream_ahead::EventQueue;
@@ -252,7 +251,7 @@
         let server = response.server.clone();
         let latency = self.exchange.context.now().since(response.sent_at);
         // A server that is only silent may go on, should no other one take the stream.
-        let mut held = Some(response).filter(|_| outcome == AttemptOutcome::Overdue);
+        let held = Some(response).filter(|_| outcome == AttemptOutcome::Overdue);
         let is_resumable = self.is_resumable();
         let retry = self
             .exchange
@@ -261,17 +260,8 @@
         if !is_resumable || retry.is_err() {
             return Err(self.log_truncated("broke off"));
         }
-        let opened = {
-            let mut opening = pin!(self.exchange.open_stream(self.order.last_id()));
-            match tokio::time::timeout(HANDOVER_TIME, &mut opening).await {
-                Ok(opened) => opened,
-                Err(_) => {
-                    held = None;
-                    opening.await
-                }
-            }
-        };
-        match (opened, held) {
+        let opening = self.exchange.open_stream(self.order.last_id());
+        match hand_over(opening, held, HANDOVER_TIME).await {
             (Ok(response), _) => {
                 self.splitter = EventSplitter::default();
                 self.order.begin_response();
