Decode the store's objects one by one from their text

Cause: `read_page` and `read_changes` decoded the whole body with serde_json before they left malformed items out, so that one unreadable item failed the list or watch that held it. The followers took that for a store that does not answer and repeated the same call from the same revision. The class: what one writer controls decides whether the others' objects are read.

Change: the text of a page or of changes is split at its brackets and quotes alone, iteratively, so that neither the nesting nor the content of an item matters (`json_splitter.rs`); each item's name, revision, content and status are decoded by themselves. An object whose content cannot be read keeps its name, so an update takes a server out of use, a configuration or an order stays as it was last readable, an evacuation holds by its name, and a removal still removes. The decoders of servers, orders and hosts return the reason; `object_unreadable` and `objects_unreadable_total` report each object once, for all kinds, lists, watches and single reads. serde_json's RawValue was weighed: it rejects the body for invalid UTF-8, NaN and control characters within one item.

Measured: the five tests of `unreadable_objects` failed on the unchanged code (20 s without the change applied, the host never ready), and pass. The property `unreadable_object_costs_no_neighbour` passes (512 cases); it was not run on the unchanged code, whose decoders have other signatures.

Existing tests: `formats.rs` uses `.ok()` on the decoders' results and names the new field; its assertions are unchanged, with cases added for ports out of range, fractions, negatives and strings; these were not run on the unchanged code.

--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -122,6 +122,15 @@
         /// Why it does not answer; empty if it does.
         reason: String,
     },
+    /// An object of the store cannot be read and is not used.
+    ObjectUnreadable {
+        /// Kind of the object.
+        kind: &'static str,
+        /// Name of the object; empty if the name cannot be read either.
+        name: Arc<str>,
+        /// Why the object cannot be read.
+        reason: String,
+    },
     /// A kind of objects was listed after the store returned from an older copy.
     StoreRestored {
         /// Which data was listed.
--- a/gateway/src/protocol/platform_format.rs
+++ b/gateway/src/protocol/platform_format.rs
@@ -69,14 +69,14 @@
     pub read_object: fn(&[u8], u64) -> Result<StoredObject, FormatError>,
     /// Reads the configuration from its object.
     pub read_snapshot: fn(&StoredObject) -> Result<ConfigSnapshot, FormatError>,
-    /// Reads a backend server; `None` if the object describes no usable one.
-    pub read_server: fn(&StoredObject) -> Option<ServerEntry>,
-    /// Reads a roll-out; `None` if the object contains no order.
-    pub read_rollout: fn(&StoredObject) -> Option<RolloutOrder>,
+    /// Reads a backend server.
+    pub read_server: fn(&StoredObject) -> Result<ServerEntry, FormatError>,
+    /// Reads a roll-out.
+    pub read_rollout: fn(&StoredObject) -> Result<RolloutOrder, FormatError>,
     /// Writes the report on a roll-out, on condition that the order's revision is unchanged.
     pub write_rollout: fn(&RolloutOrder, &RolloutReport) -> Vec<u8>,
-    /// Reads the address of a host; `None` if the object contains none.
-    pub read_presence: fn(&StoredObject) -> Option<HostPresence>,
+    /// Reads the address of a host.
+    pub read_presence: fn(&StoredObject) -> Result<HostPresence, FormatError>,
     /// Writes the address of a host; the object has the host's name.
     pub write_presence: fn(&HostPresence) -> Vec<u8>,
     /// Reads the head of a caller's request.
--- a/gateway/src/protocol/stored_object.rs
+++ b/gateway/src/protocol/stored_object.rs
@@ -22,6 +22,19 @@
     Evacuations,
 }
 
+impl ObjectKind {
+    /// Returns the name of the kind in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Servers => "servers",
+            Self::Rollouts => "rollouts",
+            Self::Hosts => "hosts",
+            Self::Evacuations => "evacuations",
+        }
+    }
+}
+
 impl From<FollowedKind> for ObjectKind {
     fn from(kind: FollowedKind) -> Self {
         match kind {
@@ -65,10 +78,12 @@
     pub name: Arc<str>,
     /// Position of the object's last change.
     pub revision: StorePosition,
-    /// Desired state, as its writer ordered it.
+    /// Desired state, as its writer ordered it; null if it cannot be read.
     pub content: Value,
-    /// Reported state.
+    /// Reported state; null if it cannot be read.
     pub status: Value,
+    /// Why the content or the status cannot be read; `None` if both can.
+    pub defect: Option<Arc<str>>,
 }
 
 /// A page of a list.
@@ -76,6 +91,8 @@
 pub struct ObjectPage {
     /// Objects in the order of their names.
     pub objects: Vec<StoredObject>,
+    /// Why objects were left out whose names cannot be read.
+    pub unnamed: Vec<String>,
     /// Whether more pages follow.
     pub has_more: bool,
     /// Position of the store when the page was read.
@@ -96,6 +113,8 @@
 pub struct ObjectChanges {
     /// Changes in the order in which they were made.
     pub changes: Vec<ObjectChange>,
+    /// Why changes were left out of objects whose names cannot be read.
+    pub unnamed: Vec<String>,
     /// Position from which to continue.
     pub revision: StorePosition,
 }
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -27,6 +27,7 @@
 use crate::transport::gateway_metrics::GatewayMetrics;
 use crate::transport::gateway_settings::GatewaySettings;
 use crate::transport::kind_reads::KindReads;
+use crate::transport::object_defects::ObjectDefects;
 use crate::transport::store_client::StoreClient;
 
 /// Shared state of an entry host's tasks.
@@ -88,6 +89,7 @@
     crashes: Mutex<CrashQuarantine>,
     reach: Mutex<ServiceReach>,
     peers: Mutex<BTreeMap<Arc<str>, HostPresence>>,
+    defects: Mutex<ObjectDefects>,
     evacuations: Mutex<DomainEvacuations>,
     /// Notified when a report of an evacuation is planned or an evacuation may end by itself.
     pub(crate) evacuations_due: Notify,
@@ -144,6 +146,7 @@
             reach: Mutex::new(ServiceReach::new(settings.reach)),
             reach_suspected: Notify::new(),
             parts_refused: watch::Sender::new(0),
+            defects: Mutex::default(),
             peers: Mutex::new(BTreeMap::new()),
             evacuations: Mutex::new(DomainEvacuations::new(EvacuationSettings::default())),
             evacuations_due: Notify::new(),
@@ -209,6 +212,11 @@
         lock(&self.peers)
     }
 
+    /// Locks the objects of the store that were reported as unreadable.
+    pub(crate) fn defects(&self) -> MutexGuard<'_, ObjectDefects> {
+        lock(&self.defects)
+    }
+
     /// Locks the failure domains that are evacuated.
     pub fn evacuations(&self) -> MutexGuard<'_, DomainEvacuations> {
         lock(&self.evacuations)
--- a/gateway/src/transport/mod.rs
+++ b/gateway/src/transport/mod.rs
@@ -18,6 +18,8 @@
 mod gateway_metrics;
 mod gateway_settings;
 mod kind_reads;
+mod object_defects;
+mod object_reads;
 mod peer_gossip;
 mod reach_probe;
 mod ready_listener;
--- a/gateway/src/transport/peer_gossip.rs
+++ b/gateway/src/transport/peer_gossip.rs
@@ -18,7 +18,7 @@
 use tokio::net::UdpSocket;
 
 use crate::protocol::{
-    DatagramError, GatewayRecord, ObjectKind, ObjectQuery, PeerMessage, WIRE_VERSION,
+    DatagramError, GatewayRecord, ObjectKind, ObjectQuery, PeerMessage, StoredObject, WIRE_VERSION,
 };
 use crate::state::{
     ColdReport, DemandReport, EvacuationReport, FreshnessReport, HostPresence, StorePosition,
@@ -33,6 +33,7 @@
     EVACUATION_REPORT_INTERVAL, EVACUATIONS_PER_DATAGRAM, apply_evacuation_reports,
 };
 use crate::transport::gateway_context::GatewayContext;
+use crate::transport::object_reads::{accept_readable, read_changes, read_page};
 use crate::transport::record_log::log_record;
 use crate::transport::server_demands::{apply_demand_change, send_due_reports};
 use crate::transport::speed_gossip::{apply_speeds, send_speeds};
@@ -167,12 +168,9 @@
     if response.status != StatusCode::CONFLICT {
         return Err(StoreError::Status(response.status));
     }
-    let stored = (context.format.read_object)(&response.body, response.era).ok();
-    if stored
-        .and_then(|object| (context.format.read_presence)(&object))
-        .as_ref()
-        == Some(presence)
-    {
+    let stored = (context.format.read_object)(&response.body, response.era);
+    let stored = stored.and_then(|object| (context.format.read_presence)(&object));
+    if stored.is_ok_and(|stored| stored == *presence) {
         return Ok(());
     }
     let path = (context.format.object_path)(ObjectKind::Hosts, &presence.host);
@@ -203,11 +201,12 @@
             .store
             .read(&path, context.settings.store_timeout)
             .await?;
-        let page = (context.format.read_page)(&response.body, response.era)?;
+        let page = read_page(context, ObjectKind::Hosts, &response)?;
         if position.is_some_and(|position| position.era != response.era) {
             return Err(StoreError::EraChanged(response.era));
         }
-        let presences = page.objects.iter().filter_map(context.format.read_presence);
+        let objects = page.objects.iter();
+        let presences = objects.filter_map(|object| read_presence(context, object));
         peers.extend(presences.map(|presence| (presence.host.clone(), presence)));
         let lowest = position.map_or(page.revision, |position| position.min(page.revision));
         position = Some(lowest);
@@ -236,10 +235,11 @@
     if response.era != position.era {
         return Err(StoreError::EraChanged(response.era));
     }
-    let changes = (context.format.read_changes)(&response.body, response.era)?;
+    let changes = read_changes(context, ObjectKind::Hosts, &response)?;
     let mut peers = context.peers();
     for change in &changes.changes {
-        match (context.format.read_presence)(&change.object).filter(|_| !change.removed) {
+        let presence = (!change.removed).then(|| read_presence(context, &change.object));
+        match presence.flatten() {
             Some(presence) => peers.insert(presence.host.clone(), presence),
             None => peers.remove(&change.object.name),
         };
@@ -251,6 +251,16 @@
     Ok(changes.revision.max(position))
 }
 
+/// Decodes the address of a host, or reports why it cannot be read.
+fn read_presence(context: &GatewayContext, object: &StoredObject) -> Option<HostPresence> {
+    accept_readable(
+        context,
+        ObjectKind::Hosts,
+        object,
+        context.format.read_presence,
+    )
+}
+
 /// Logs the error of a failed call; returns its value if it succeeded.
 fn log_failure<T: Copy>(result: &Result<T, StoreError>) -> Option<T> {
     if let Err(error) = result {
--- a/gateway/src/transport/rollout_writer.rs
+++ b/gateway/src/transport/rollout_writer.rs
@@ -119,8 +119,8 @@
 
 /// Applies the object that the store returned for a write or a conflict.
 fn apply_stored_order(context: &GatewayContext, response: &StoreResponse) {
-    let object = (context.format.read_object)(&response.body, response.era).ok();
-    let Some(order) = object.and_then(|object| (context.format.read_rollout)(&object)) else {
+    let object = (context.format.read_object)(&response.body, response.era);
+    let Ok(order) = object.and_then(|object| (context.format.read_rollout)(&object)) else {
         return;
     };
     let now = context.now();
--- a/gateway/src/transport/store_confirmer.rs
+++ b/gateway/src/transport/store_confirmer.rs
@@ -10,6 +10,7 @@
 
 use crate::protocol::{GatewayRecord, ObjectKind, ObjectQuery, PeerMessage};
 use crate::transport::gateway_context::GatewayContext;
+use crate::transport::object_reads::read_page;
 use crate::transport::record_log::log_record;
 use crate::transport::store_client::StoreError;
 use crate::transport::store_feeds::apply_current_rollouts;
@@ -78,7 +79,7 @@
     }
     let started_at = context.now();
     let response = context.store.read(&rollouts(false), timeout).await?;
-    let page = (context.format.read_page)(&response.body, response.era)?;
+    let page = read_page(context, ObjectKind::Rollouts, &response)?;
     let revision = page.revision;
     if !page.has_more {
         apply_current_rollouts(context, page);
--- a/gateway/src/transport/store_feeds.rs
+++ b/gateway/src/transport/store_feeds.rs
@@ -8,12 +8,13 @@
 
 use crate::coordination::placement::TableChange;
 use crate::protocol::{
-    FormatError, GatewayRecord, ObjectKind, ObjectPage, ObjectQuery, PeerMessage, StoredObject,
+    GatewayRecord, ObjectKind, ObjectPage, ObjectQuery, PeerMessage, StoredObject,
 };
 use crate::state::{ConfigSnapshot, FollowedKind, ServerEntry};
 use crate::transport::cold_notices::{adopt_cold_specs, record_cold_entries};
 use crate::transport::evacuation_feed::apply_evacuations;
 use crate::transport::gateway_context::GatewayContext;
+use crate::transport::object_reads::{accept_readable, read_page};
 use crate::transport::record_log::log_record;
 use crate::transport::server_watch::record_removal;
 use crate::transport::store_client::StoreError;
@@ -97,14 +98,15 @@
     }
 }
 
-/// Decodes the configuration from its object and puts it into force; other objects are ignored.
+/// Decodes the configuration from its object and puts it into force; other objects are ignored. While
+/// it cannot be read, the last one stays in force.
 fn adopt_configuration(context: &GatewayContext, object: &StoredObject) {
     if *object.name != *CONFIGURATION_NAME {
         return;
     }
-    match (context.format.read_snapshot)(object) {
-        Ok(snapshot) => adopt_snapshot(context, snapshot),
-        Err(error) => log_format_error("configuration", &error),
+    let (kind, decode) = (ObjectKind::Configuration, context.format.read_snapshot);
+    if let Some(snapshot) = accept_readable(context, kind, object, decode) {
+        adopt_snapshot(context, snapshot);
     }
 }
 
@@ -170,7 +172,7 @@
     }
     let current = path(ObjectKind::Configuration, false);
     let response = context.store.read(&current, timeout).await?;
-    Ok((context.format.read_page)(&response.body, response.era)?)
+    Ok(read_page(context, ObjectKind::Configuration, &response)?)
 }
 
 /// Applies the roll-outs that the store listed, all on one page and not stale.
@@ -190,9 +192,16 @@
 /// Applies an update of the servers.
 fn apply_servers(context: &GatewayContext, update: KindUpdate) {
     let now = context.now();
+    let read = |object: &StoredObject| {
+        accept_readable(
+            context,
+            ObjectKind::Servers,
+            object,
+            context.format.read_server,
+        )
+    };
     let read_all = |objects: &[StoredObject]| -> Vec<ServerEntry> {
-        let entries = objects.iter();
-        entries.filter_map(context.format.read_server).collect()
+        objects.iter().filter_map(read).collect()
     };
     let is_change = matches!(update, KindUpdate::Changed(_));
     let mut entries = Vec::new();
@@ -206,7 +215,8 @@
             context.servers().restore(entries.clone(), now)
         }
         KindUpdate::Changed(change) => {
-            let entry = (context.format.read_server)(&change.object).filter(|_| !change.removed);
+            // A server whose entry cannot be read any more is not used.
+            let entry = (!change.removed).then(|| read(&change.object)).flatten();
             entries.extend(entry.clone());
             let mut servers = context.servers();
             match entry {
@@ -285,10 +295,16 @@
         KindUpdate::Changed(change) => vec![change.object],
     };
     let now = context.now();
-    for order in objects
-        .iter()
-        .filter_map(|object| (context.format.read_rollout)(object))
-    {
+    // While an order cannot be read, the last one stays in force.
+    let read = |object: &StoredObject| {
+        accept_readable(
+            context,
+            ObjectKind::Rollouts,
+            object,
+            context.format.read_rollout,
+        )
+    };
+    for order in objects.iter().filter_map(read) {
         let mut rollouts = context.rollouts();
         if rollouts.apply_order(order.clone(), now) {
             let record = GatewayRecord::RolloutChanged {
@@ -307,12 +323,3 @@
     }
     context.rollout_changed.notify_one();
 }
-
-/// Logs an object that cannot be decoded.
-fn log_format_error(part: &'static str, error: &FormatError) {
-    let record = GatewayRecord::Fault {
-        part,
-        message: error.to_string(),
-    };
-    log_record(Level::Warn, &record);
-}
--- a/gateway/src/transport/store_follower.rs
+++ b/gateway/src/transport/store_follower.rs
@@ -14,6 +14,7 @@
 use crate::state::{FollowedKind, StorePosition};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::kind_reads::ReadRequest;
+use crate::transport::object_reads::{self, read_page};
 use crate::transport::record_log::log_record;
 use crate::transport::store_client::StoreError;
 
@@ -291,7 +292,7 @@
     if response.era != revision.era {
         return Err(StoreError::EraChanged(response.era));
     }
-    Ok((context.format.read_changes)(&response.body, response.era)?)
+    Ok(object_reads::read_changes(context, kind.into(), &response)?)
 }
 
 /// Whether the store responded to the last call of one follower.
@@ -388,7 +389,7 @@
         let path = (context.format.query_path)(&query);
         let read = context.store.read(&path, context.settings.store_timeout);
         let page = match read.await {
-            Ok(response) => (context.format.read_page)(&response.body, response.era)?,
+            Ok(response) => read_page(context, kind.into(), &response)?,
             Err(error) if lowest_revision.is_some() && failures < MAX_PAGE_FAILURES => {
                 failures += 1;
                 contact.record_failure(&error).await;
