List a kind whose changes are too long to read

Cause: a response of more than 8 MiB counted as a lost connection. A watch holds all changes since its revision, so that the same call was repeated from the same revision until the store's history had passed; `read_now`, which confirmations ask for, did the same. The class: a failed call is repeated unchanged although the store answered.

Change: a response that is too long, that cannot be split, or whose body does not arrive in time after its head is an error of its own (`is_unreadable`), and the kind is listed at once, not stale, as after status 410; requests for a read wait for that list. Further such watches in a row are followed by lists with pauses up to 0.9 s, so that a response without an end costs bounded calls and hides no change. The watch of the hosts' addresses listed after any error already. Bounds are 2 MiB for a watch (one value has 1 MiB at most) and 4 MiB for a page; a stated length beyond them is refused before the body, and the body is read into one buffer.

Measured: `host_that_missed_many_large_changes_is_current_when_the_store_returns` and `endless_watches_hide_no_change_and_are_not_repeated_without_a_pause` failed without the change (not current within 20 s) and pass.

--- a/gateway/src/transport/peer_gossip.rs
+++ b/gateway/src/transport/peer_gossip.rs
@@ -231,7 +231,7 @@
         stale: true,
     });
     let timeout = HOSTS_WATCH_WAIT + context.settings.store_timeout;
-    let response = context.store.read(&path, timeout).await?;
+    let response = context.store.watch(&path, timeout).await?;
     if response.era != position.era {
         return Err(StoreError::EraChanged(response.era));
     }
--- a/gateway/src/transport/store_client.rs
+++ b/gateway/src/transport/store_client.rs
@@ -3,16 +3,21 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{HeaderMap, Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use thiserror::Error;
 use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
 
 use crate::transport::connection_pool::{BackendConnection, ConnectionPool};
 
 /// Largest response of the store in bytes; a page of a list holds about 1 MB.
-const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
+const MAX_RESPONSE_BYTES: usize = 4 * 1_024 * 1_024;
+/// Largest response to a watch in bytes. It may hold any number of changes; a list, which is read in
+/// pages, takes the place of a larger one. The largest object has about 1 MB.
+const MAX_WATCH_BYTES: usize = 2 * 1_024 * 1_024;
 
 /// A call to the store failed or its response cannot be used.
 #[derive(Debug, Error)]
@@ -35,11 +40,28 @@
     /// The store responded with an unexpected status.
     #[error("the store responded with status {0}")]
     Status(StatusCode),
+    /// The response is larger than the host accepts, in bytes.
+    #[error("the response is larger than {0} bytes")]
+    TooLarge(usize),
+    /// The head of the response arrived in time, but not all of its body.
+    #[error("the body of the response did not arrive in time")]
+    BodyTimedOut,
     /// The response cannot be decoded.
     #[error(transparent)]
     Format(#[from] crate::protocol::FormatError),
 }
 
+impl StoreError {
+    /// Returns whether the store responded, but the response cannot be read, so that the same call is
+    /// likely to fail again.
+    pub(crate) const fn is_unreadable(&self) -> bool {
+        matches!(
+            self,
+            Self::TooLarge(_) | Self::BodyTimedOut | Self::Format(_)
+        )
+    }
+}
+
 /// A response of the store.
 #[derive(Clone, Debug)]
 pub struct StoreResponse {
@@ -51,6 +73,13 @@
     pub era: u64,
 }
 
+/// Limits of a call.
+#[derive(Clone, Copy, Debug)]
+struct CallLimits {
+    deadline: Instant,
+    max_bytes: usize,
+}
+
 /// Client of the platform's store, with its own pool of connections.
 #[derive(Debug)]
 pub struct StoreClient {
@@ -104,15 +133,11 @@
         body: Vec<u8>,
         timeout: Duration,
     ) -> Result<StoreResponse, StoreError> {
-        let response = self.call_without_timeout(method, path, body);
-        let result = tokio::time::timeout(timeout, response)
-            .await
-            .unwrap_or(Err(StoreError::TimedOut));
-        if result.is_err() {
-            // Idle connections may have gone silent at the same time.
-            self.pool.clear(self.address);
-        }
-        result
+        let limits = CallLimits {
+            deadline: Instant::now() + timeout,
+            max_bytes: MAX_RESPONSE_BYTES,
+        };
+        self.call_within(method, path, body, limits).await
     }
 
     /// Makes a read and returns a response with status 200.
@@ -121,11 +146,22 @@
     ///
     /// Returns an error if no such response arrived within `timeout`.
     pub async fn read(&self, path: &str, timeout: Duration) -> Result<StoreResponse, StoreError> {
-        let response = self.call(Method::GET, path, Vec::new(), timeout).await?;
-        match response.status {
-            StatusCode::OK => Ok(response),
-            status => Err(StoreError::Status(status)),
-        }
+        accept_success(self.call(Method::GET, path, Vec::new(), timeout).await?)
+    }
+
+    /// Makes a watch and returns a response with status 200.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no such response arrived within `timeout`, or one that is larger than a
+    /// watch may be.
+    pub async fn watch(&self, path: &str, timeout: Duration) -> Result<StoreResponse, StoreError> {
+        let limits = CallLimits {
+            deadline: Instant::now() + timeout,
+            max_bytes: MAX_WATCH_BYTES,
+        };
+        let response = self.call_within(Method::GET, path, Vec::new(), limits);
+        accept_success(response.await?)
     }
 
     /// Records the era that a response states, and returns the era that the response belongs to.
@@ -141,13 +177,48 @@
         Ok(era)
     }
 
-    /// Makes a call without a timeout for the response.
-    async fn call_without_timeout(
+    /// Makes a call within its limits.
+    async fn call_within(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        limits: CallLimits,
+    ) -> Result<StoreResponse, StoreError> {
+        let result = self.exchange(method, path, body, limits).await;
+        if result.as_ref().is_err_and(|error| !error.is_unreadable()) {
+            // Idle connections may have gone silent at the same time.
+            self.pool.clear(self.address);
+        }
+        result
+    }
+
+    /// Sends a request and reads the response.
+    async fn exchange(
         &self,
         method: Method,
         path: &str,
         body: Vec<u8>,
+        limits: CallLimits,
     ) -> Result<StoreResponse, StoreError> {
+        let sending = timeout_at(limits.deadline, self.send(method, path, body)).await;
+        let (connection, response) = sending.unwrap_or(Err(StoreError::TimedOut))?;
+        let status = response.status();
+        let era = self.record_era(response.headers())?;
+        let reading = read_body(response.into_body(), limits.max_bytes);
+        let body = timeout_at(limits.deadline, reading).await;
+        let body = body.unwrap_or(Err(StoreError::BodyTimedOut))?;
+        self.pool.keep(connection, None);
+        Ok(StoreResponse { status, body, era })
+    }
+
+    /// Sends a request and returns the head of the response, with the connection.
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<(BackendConnection, Response<Incoming>), StoreError> {
         let mut connection = match self.pool.take(self.address) {
             Some(connection) => connection,
             None => BackendConnection::open(self.address, self.connect_timeout).await?,
@@ -159,17 +230,39 @@
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| StoreError::ConnectionLost(error.to_string()))?;
-        let connection_lost = |error: hyper::Error| StoreError::ConnectionLost(error.to_string());
-        let response = connection.send(request).await.map_err(connection_lost)?;
-        let status = response.status();
-        let era = self.record_era(response.headers())?;
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
-            .collect()
-            .await;
-        let body = body
-            .map_err(|error| StoreError::ConnectionLost(error.to_string()))?
-            .to_bytes();
-        self.pool.keep(connection, None);
-        Ok(StoreResponse { status, body, era })
+        let response = connection.send(request).await;
+        let response = response.map_err(|error| connection_lost(&error))?;
+        Ok((connection, response))
     }
 }
+
+/// Returns a response with status 200.
+fn accept_success(response: StoreResponse) -> Result<StoreResponse, StoreError> {
+    match response.status {
+        StatusCode::OK => Ok(response),
+        status => Err(StoreError::Status(status)),
+    }
+}
+
+/// Reads a body of at most `max_bytes`.
+async fn read_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes, StoreError> {
+    let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if stated > max_bytes {
+        return Err(StoreError::TooLarge(max_bytes));
+    }
+    let mut bytes = BytesMut::with_capacity(stated);
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame.map_err(|error| connection_lost(&error))?.into_data() {
+            if data.len() > max_bytes - bytes.len() {
+                return Err(StoreError::TooLarge(max_bytes));
+            }
+            bytes.extend_from_slice(&data);
+        }
+    }
+    Ok(bytes.freeze())
+}
+
+/// Converts the failure of a connection.
+fn connection_lost(error: &hyper::Error) -> StoreError {
+    StoreError::ConnectionLost(error.to_string())
+}
--- a/gateway/src/transport/store_follower.rs
+++ b/gateway/src/transport/store_follower.rs
@@ -91,6 +91,8 @@
         contact,
         requests,
         next_request: None,
+        unanswered: Vec::new(),
+        unreadable_watches: 0,
         apply_update,
     };
     // Only the first list may be stale: one after status 410 may name a lost revision again.
@@ -113,6 +115,10 @@
     requests: mpsc::UnboundedReceiver<ReadRequest>,
     // A request that ended the wait after a failed call.
     next_request: Option<ReadRequest>,
+    // Requests whose read could not be read; the list that takes its place answers them.
+    unanswered: Vec<ReadRequest>,
+    // Watches in a row that could not be read.
+    unreadable_watches: u32,
     apply_update: F,
 }
 
@@ -137,6 +143,7 @@
                     }
                     self.context.freshness().record_listed(kind, position);
                     self.context.kind_listed.notify_one();
+                    answer(self.unanswered.drain(..));
                     return position;
                 }
                 Err(error) => self.contact.record_failure(&error).await,
@@ -221,17 +228,16 @@
         let stale = requests.iter().all(|request| request.stale);
         let (kind, started_at) = (self.feed.kind, self.context.now());
         let read = read_changes(&self.context, kind, revision, IMMEDIATE_WAIT, stale).await;
-        if read.is_err() {
-            requests.clear();
+        match &read {
+            Ok(_) => {}
+            Err(error) if error.is_unreadable() => self.unanswered.append(&mut requests),
+            Err(_) => requests.clear(),
         }
         let next = self.apply_changes(revision, read).await?;
         if !stale && !requests.is_empty() {
             self.context.freshness().record_read(kind, started_at);
         }
-        for request in requests {
-            // The requester may have stopped waiting.
-            let _ = request.done.send(());
-        }
+        answer(requests);
         ControlFlow::Continue(next)
     }
 
@@ -244,6 +250,7 @@
         match read {
             Ok(changes) => {
                 self.contact.record_success();
+                self.unreadable_watches = 0;
                 let revisions: Vec<StorePosition> = changes
                     .changes
                     .iter()
@@ -261,6 +268,10 @@
             Err(StoreError::Status(StatusCode::GONE) | StoreError::EraChanged(_)) => {
                 ControlFlow::Break(())
             }
+            Err(error) if error.is_unreadable() => {
+                self.record_unreadable(&error).await;
+                ControlFlow::Break(())
+            }
             Err(error) => {
                 // Whoever requests a read has just reached the store.
                 tokio::select! {
@@ -271,6 +282,42 @@
             }
         }
     }
+
+    /// Records a watch whose response cannot be read, and waits before the list that takes its place,
+    /// unless it is the first one in a row.
+    async fn record_unreadable(&mut self, error: &StoreError) {
+        self.context.metrics.increment("watches_unreadable_total");
+        if self.unreadable_watches == 0 {
+            let record = GatewayRecord::Fault {
+                part: self.feed.part,
+                message: format!("the changes cannot be read and are listed instead: {error}"),
+            };
+            log_record(Level::Warn, &record);
+        }
+        let jitter = rand::rng().random_range(0.5..1.0);
+        let delay = list_delay(self.unreadable_watches).mul_f64(jitter);
+        self.unreadable_watches = self.unreadable_watches.saturating_add(1);
+        tokio::time::sleep(delay).await;
+    }
+}
+
+/// Tells requesters that the changes are applied.
+fn answer(requests: impl IntoIterator<Item = ReadRequest>) {
+    for request in requests {
+        // The requester may have stopped waiting.
+        let _ = request.done.send(());
+    }
+}
+
+/// Returns the delay before a list that takes the place of an unreadable watch, after a number of such
+/// watches in a row.
+fn list_delay(earlier_watches: u32) -> Duration {
+    match earlier_watches {
+        0 => Duration::ZERO,
+        count => INITIAL_RETRY_DELAY
+            .saturating_mul(1_u32.checked_shl(count - 1).unwrap_or(u32::MAX))
+            .min(MAX_RETRY_DELAY),
+    }
 }
 
 /// Reads the changes of a kind since a revision; the store answers after `wait` at the latest.
@@ -287,7 +334,7 @@
         wait,
         stale,
     });
-    let response = context.store.read(&path, wait + WATCH_SLACK).await?;
+    let response = context.store.watch(&path, wait + WATCH_SLACK).await?;
     // The store may have given out the revision again for another change.
     if response.era != revision.era {
         return Err(StoreError::EraChanged(response.era));
