Retry the report of an unreadable order with pauses

Cause: a conflict counted as written also if the order in it could not be read, so that the report stayed due and was written again at the next poll, for good. Change: such a conflict is a failed write, which is retried with the growing pauses of other failures.

Measured: `report_of_an_order_that_became_unreadable_is_not_repeated_without_a_pause` failed before (30 calls in five seconds, 8 are allowed) and passes.

--- a/gateway/src/transport/rollout_writer.rs
+++ b/gateway/src/transport/rollout_writer.rs
@@ -100,8 +100,10 @@
     let written = context.store.call(Method::PUT, &path, body, timeout).await;
     let message = match written {
         Ok(response) if response.status.is_success() || response.status == StatusCode::CONFLICT => {
-            apply_stored_order(context, &response);
-            return true;
+            if apply_stored_order(context, &response) || response.status.is_success() {
+                return true;
+            }
+            "the store reported a conflict with an order that cannot be read".to_owned()
         }
         Ok(response) => format!("the store responded with status {}", response.status),
         // The write may have been executed; the watch shows whether it was.
@@ -117,11 +119,12 @@
     false
 }
 
-/// Applies the object that the store returned for a write or a conflict.
-fn apply_stored_order(context: &GatewayContext, response: &StoreResponse) {
+/// Applies the object that the store returned for a write or a conflict. Returns whether it contains an
+/// order.
+fn apply_stored_order(context: &GatewayContext, response: &StoreResponse) -> bool {
     let object = (context.format.read_object)(&response.body, response.era);
     let Ok(order) = object.and_then(|object| (context.format.read_rollout)(&object)) else {
-        return;
+        return false;
     };
     let now = context.now();
     if context.rollouts().apply_order(order.clone(), now) {
@@ -134,4 +137,5 @@
         };
         log_record(Level::Info, &record);
     }
+    true
 }
