Let a recorded end of a roll-out override a host's own stop

The host had stopped the new version on its own evidence 20 ms before another host reported the roll-out as done. `rule` asked for the host's own stop before the recorded state and kept to `Never` of the new version, while the platform had stopped all servers of the previous one.

The recorded state is asked first: once it is `done` the new version is preferred, as at all other hosts, because the servers of the previous version end at that moment. A stop still holds in every state before, and `rolled_back` is `Never` as before. For the same reason a host that had stopped the version didn't report `done` again to a store that had returned from an older copy; it does now.

Before: host_that_stopped_a_version_uses_it_once_it_is_reported_as_done failed with 0 of 1 usable servers, host_that_stopped_a_version_reports_its_end_again_when_the_store_has_lost_it with no report, and the property recorded_end_of_a_roll_out_overrides_evidence with 0 of 1 usable servers.

--- a/gateway/src/coordination/rollouts/rollout_tracker.rs
+++ b/gateway/src/coordination/rollouts/rollout_tracker.rs
@@ -169,12 +169,14 @@
             return VersionRule::Any;
         };
         let target = view.order.target.clone();
-        if view.stopped || view.order.state == RolloutState::RolledBack {
-            return VersionRule::Never(target);
-        }
+        // The platform stops the previous version's servers as soon as the roll-out is reported as
+        // done, so evidence of this host no longer counts.
         if view.order.state == RolloutState::Done {
             return VersionRule::Prefer(target);
         }
+        if view.stopped || view.order.state == RolloutState::RolledBack {
+            return VersionRule::Never(target);
+        }
         let is_new = match self.sessions.version(session, now) {
             Some(version) if *version == target => true,
             Some(_) if elapsed_part(view, now, unix_ms) < 0.5 => false,
@@ -419,6 +421,7 @@
         },
     };
     match order.state {
+        RolloutState::Done if view.report_lost => Some(report(RolloutState::Done, order.share)),
         state if view.report_lost && !view.stopped => Some(report(state, order.share)),
         RolloutState::RolledBack if view.report_lost => Some(report(RolloutState::RolledBack, 0)),
         RolloutState::Done | RolloutState::RolledBack => None,
--- a/gateway/tests/decisions/rollout_tracker.rs
+++ b/gateway/tests/decisions/rollout_tracker.rs
@@ -4,8 +4,13 @@
 use std::time::Duration;
 
 use galenamast::state::TimePoint;
-use galenamast_gateway::coordination::rollouts::{RolloutSettings, RolloutTracker, VersionRule};
-use galenamast_gateway::state::{RolloutOrder, RolloutState, StorePosition};
+use galenamast_gateway::coordination::rollouts::{
+    RolloutSettings, RolloutTracker, VersionRule, version_groups,
+};
+use galenamast_gateway::state::{
+    AnswerGrade, RolloutOrder, RolloutState, ServerEntry, StorePosition,
+};
+use proptest::prelude::*;
 
 /// Returns an order in the given state.
 fn order(state: RolloutState, share: u32, revision: u64) -> RolloutOrder {
@@ -155,3 +160,91 @@
     assert_eq!(tracker.due_reports(1, now, 0).len(), 1);
     assert!(tracker.due_reports(2, now, 0).is_empty());
 }
+
+/// Returns a server of a version.
+fn server(version: &str) -> ServerEntry {
+    ServerEntry {
+        id: format!("i-{version}").into(),
+        service: "engines".into(),
+        address: ([127, 0, 0, 1], 9_000).into(),
+        domain: "north".into(),
+        version: version.into(),
+        slots: 6,
+        draining: false,
+        started_ms: None,
+        cold_for: Duration::ZERO,
+    }
+}
+
+/// Records answers of two servers of the new version that stop it.
+fn stop_version(tracker: &mut RolloutTracker) {
+    let (service, route, version) = ("engines".into(), "advice".into(), "v2".into());
+    for number in 0..8 {
+        let server = format!("i-{}", number % 2).into();
+        tracker.record_answer(&service, &route, (&server, &version), AnswerGrade::Failed);
+    }
+}
+
+/// Returns the number of servers that may serve a session once only the new version has any.
+fn usable_servers(tracker: &RolloutTracker, now: TimePoint) -> usize {
+    let rule = tracker.rule("engines", session_in_trial_share(), now, 0);
+    let entry = server("v2");
+    let groups = version_groups(&[&entry], &rule, None);
+    groups.iter().map(Vec::len).sum()
+}
+
+// A host that had stopped the version refused every request of the service once the old servers were gone.
+#[test]
+fn host_that_stopped_a_version_uses_it_once_it_is_reported_as_done() {
+    let mut tracker = RolloutTracker::new(RolloutSettings::default());
+    let now = TimePoint::from_millis(1_000);
+    tracker.apply_order(order(RolloutState::Running, 1_000, 2), now);
+    stop_version(&mut tracker);
+    assert!(tracker.is_stopped("engines"));
+    assert_eq!(usable_servers(&tracker, now), 0, "it is not done yet");
+    tracker.apply_order(order(RolloutState::Done, 1_000, 3), now);
+    assert_eq!(usable_servers(&tracker, now), 1);
+}
+
+// All hosts that knew of the end had stopped the version, so that none reported it again.
+#[test]
+fn host_that_stopped_a_version_reports_its_end_again_when_the_store_has_lost_it() {
+    let mut tracker = RolloutTracker::new(RolloutSettings::default());
+    let now = TimePoint::from_millis(1_000);
+    tracker.apply_order(order(RolloutState::Running, 1_000, 2), now);
+    stop_version(&mut tracker);
+    tracker.apply_order(order(RolloutState::Done, 1_000, 3), now);
+    tracker.apply_order(restored_order(RolloutState::Running, 1_000), now);
+    let due = tracker.due_reports(2, now, 0);
+    let states: Vec<_> = due.iter().map(|(_, report)| report.state).collect();
+    assert_eq!(states, [RolloutState::Done]);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: prop::test_runner::RngSeed::Fixed(17), ..ProptestConfig::default() })]
+
+    /// Whatever a host has seen of a version, the recorded end of the roll-out decides.
+    #[test]
+    fn recorded_end_of_a_roll_out_overrides_evidence(
+        steps in prop::collection::vec(0_u8..4, 0..12),
+        is_done in any::<bool>(),
+    ) {
+        let mut tracker = RolloutTracker::new(RolloutSettings::default());
+        let now = TimePoint::from_millis(1_000);
+        let mut revision = 1;
+        for step in steps {
+            revision += 1;
+            match step {
+                0 => { tracker.apply_order(order(RolloutState::Ordered, 0, revision), now); }
+                1 => { tracker.apply_order(order(RolloutState::Running, 70, revision), now); }
+                2 => { tracker.apply_order(order(RolloutState::Running, 1_000, revision), now); }
+                _ => stop_version(&mut tracker),
+            }
+        }
+        let end = if is_done { RolloutState::Done } else { RolloutState::RolledBack };
+        tracker.apply_order(order(end, 0, revision + 1), now);
+        stop_version(&mut tracker);
+        prop_assert_eq!(usable_servers(&tracker, now), usize::from(is_done));
+        prop_assert!(tracker.due_reports(1, now, 0).is_empty());
+    }
+}
