Test: the age of a refused prompt part begins anew at each replacement

The cause that the log of crashes had acts on refused parts too: a host computes when the last crash was as its own time less the reported age, and `TimePoint` ends at the start of the process. A host that is younger than the crash so reports its own age. Passed on from replacement to replacement a refusal lasts longer than its hour, and the interval of its trials begins anew at hosts that started later.

--- a/gateway/tests/decisions/crashing_parts.rs
+++ b/gateway/tests/decisions/crashing_parts.rs
@@ -506,3 +506,23 @@
         (vec![sound], vec![CRASHING_PART])
     );
 }
+
+// The age of a refusal began anew with each replacement, as a process cannot state times before its start.
+#[test]
+fn refused_part_ages_though_it_is_passed_on_at_each_replacement() {
+    let mut clock = TimePoint::from_millis(10_000);
+    let mut host = refusing("a", &["a"], clock);
+    for _ in 0..5 {
+        clock = clock + Duration::from_secs(58);
+        let reports = host.refusal_reports(clock);
+        clock = TimePoint::from_millis(500);
+        host = CrashQuarantine::new("a".into(), CrashSettings::default());
+        host.record_refusal_reports(&reports, clock);
+    }
+    let ages: Vec<u32> = host
+        .refusal_reports(clock)
+        .iter()
+        .map(|part| part.age_ms / 1_000)
+        .collect();
+    assert_eq!(ages, [290]);
+}
