Keep the form of events below the layer that decides on it

The type `EventForm` is plain data and moves to the state; reading it from bytes stays in the protocol. No behaviour changes.

--- a/gateway/src/coordination/requests/event_order.rs
+++ b/gateway/src/coordination/requests/event_order.rs
@@ -3,7 +3,7 @@
 //! Covers servers that spoil, repeat or leave out events, or put other text among them, and servers that
 //! continue a stream at another event than the next one.
 
-use crate::protocol::EventForm;
+use crate::state::EventForm;
 
 /// What to do with an event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,7 +22,7 @@
 ///
 /// ```
 /// use galenamast_gateway::coordination::requests::{EventOrder, EventVerdict};
-/// use galenamast_gateway::protocol::EventForm;
+/// use galenamast_gateway::state::EventForm;
 ///
 /// let mut order = EventOrder::new(Some(4), true);
 /// let event = |id| EventForm::Event { id, has_data: true };
--- a/gateway/src/protocol/event_splitter.rs
+++ b/gateway/src/protocol/event_splitter.rs
@@ -3,7 +3,8 @@
 use bytes::{Bytes, BytesMut};
 use thiserror::Error;
 
-use crate::protocol::EventForm;
+use crate::protocol::read_event_form;
+use crate::state::EventForm;
 
 /// Greatest size of one event in bytes; model engines send none that are longer.
 const MAX_EVENT_BYTES: usize = 1_024 * 1_024;
@@ -39,7 +40,8 @@
     /// Appends bytes and returns the events that they complete.
     ///
     /// ```
-    /// use galenamast_gateway::protocol::{EventForm, EventSplitter};
+    /// use galenamast_gateway::protocol::EventSplitter;
+    /// use galenamast_gateway::state::EventForm;
     ///
     /// let mut splitter = EventSplitter::default();
     /// assert!(splitter.push(b"id: 1\ndata: a").unwrap().is_empty());
@@ -57,7 +59,7 @@
         while let Some(end) = self.find_end() {
             let bytes = self.buffer.split_to(end).freeze();
             (self.line_start, self.searched) = (0, 0);
-            let form = EventForm::read(&bytes);
+            let form = read_event_form(&bytes);
             events.push(StreamEvent { form, bytes });
         }
         if self.buffer.len() > MAX_EVENT_BYTES {
--- a/gateway/src/protocol/mod.rs
+++ b/gateway/src/protocol/mod.rs
@@ -2,7 +2,7 @@
 //! records.
 
 mod datagram_error;
-mod event_form;
+mod event_reader;
 mod event_splitter;
 mod event_stream;
 mod forwarded_headers;
@@ -13,7 +13,7 @@
 mod stored_object;
 
 pub use datagram_error::DatagramError;
-pub use event_form::EventForm;
+pub use event_reader::read_event_form;
 pub use event_splitter::{EventSplitter, SplitError, StreamEvent};
 pub use event_stream::is_event_stream;
 pub use forwarded_headers::{has_ambiguous_length, strip_connection_headers};
--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -13,8 +13,8 @@
 
 use crate::coordination::requests::{AttemptOutcome, EventOrder, EventVerdict};
 use crate::coordination::rollouts::StreamPace;
-use crate::protocol::{EventForm, EventSplitter, StreamEvent};
-use crate::state::ServiceRoute;
+use crate::protocol::{EventSplitter, StreamEvent};
+use crate::state::{EventForm, ServiceRoute};
 use crate::transport::attempt_runner::{OpenResponse, remaining_time};
 use crate::transport::request_exchange::RequestExchange;
 use crate::transport::response_body::{ResponseBody, TruncatedResponse};
--- a/gateway/tests/decisions/events.rs
+++ b/gateway/tests/decisions/events.rs
@@ -1,7 +1,8 @@
 //! Event streams that arrive in chunks of any size.
 
 use galenamast_gateway::coordination::requests::{EventOrder, EventVerdict};
-use galenamast_gateway::protocol::{EventForm, EventSplitter};
+use galenamast_gateway::protocol::EventSplitter;
+use galenamast_gateway::state::EventForm;
 use proptest::prelude::*;
 
 proptest! {
