Pass no requests on to hosts that are gone

Cause: hosts that are gone for good stay listed, since nothing removes their entries. The choice of a relay knew only lost paths that a host itself reports, and pauses of a second for one service, so each request met up to three such hosts and waited 400 ms for each.

Class: a host that doesn't answer was taken for one that doesn't serve.

Change: `PeerReach` keeps what connections show of each host, once for all services and requests. Two failures in a row leave a host out, one makes it the last resort. While a path is lost, up to eight hosts at once are checked every half second, those never tried and those whose pause (250 ms, doubling to 8 s) has passed, hosts of the own domain first; no request waits for a host to come back. Datagrams are no evidence: idle hosts send none, and between domains they are many seconds apart in large fleets. A host that was never heard of is still used. A request opens connections to three silent hosts at most, 150 ms each, and these no longer use up its three relays. Entries are not deleted: they are only hints, a deletion would need agreement and writes, and a host that is only cut off has to stay listed.

The test in virtual time at 9, 63 and 295 hosts fails if failures are not recorded ("host-8 gets requests" after 3 s) and passes. The test of even spread has the new signature of `pick_relay`; its bounds are unchanged.

--- a/gateway/src/coordination/reach/relay_pick.rs
+++ b/gateway/src/coordination/reach/relay_pick.rs
@@ -6,28 +6,42 @@
 
 use std::net::SocketAddr;
 
+use crate::coordination::reach::PeerStanding;
 use crate::state::HostPresence;
 
 /// Picks a host for a request among `hosts`, in the failure domain of `own` if possible; `None` if there
-/// is none. Hosts in `tried` and those for which `is_lost` holds are left out. `draw` is random.
+/// is none. Hosts in `tried` and those without a `standing` are left out, as are those that are gone; one
+/// that is suspect is the last resort. `draw` is random.
 pub fn pick_relay<'a>(
-    hosts: impl Iterator<Item = &'a HostPresence> + Clone,
+    hosts: impl Iterator<Item = &'a HostPresence>,
     own: &HostPresence,
     tried: &[SocketAddr],
-    is_lost: impl Fn(SocketAddr) -> bool,
+    standing: impl Fn(SocketAddr) -> Option<PeerStanding>,
     draw: u64,
 ) -> Option<&'a HostPresence> {
-    let is_candidate = |host: &&HostPresence| {
-        host.host != own.host && !tried.contains(&host.address) && !is_lost(host.address)
-    };
-    let candidates = hosts.filter(is_candidate);
-    let near = candidates.clone().filter(|host| host.domain == own.domain);
-    let near: Vec<&HostPresence> = near.collect();
-    let pool = if near.is_empty() {
-        candidates.collect()
-    } else {
-        near
-    };
+    let mut best = None;
+    let mut pool: Vec<&HostPresence> = Vec::new();
+    for host in hosts {
+        if host.host == own.host || tried.contains(&host.address) {
+            continue;
+        }
+        let Some(standing) = standing(host.address) else {
+            continue;
+        };
+        if standing == PeerStanding::Gone {
+            continue;
+        }
+        let is_suspect = standing == PeerStanding::Suspect;
+        let rank = (is_suspect, host.domain != own.domain, standing);
+        if best.is_some_and(|best| best < rank) {
+            continue;
+        }
+        if best != Some(rank) {
+            pool.clear();
+        }
+        best = Some(rank);
+        pool.push(host);
+    }
     let count = u64::try_from(pool.len()).ok().filter(|count| *count > 0)?;
     pool.get(usize::try_from(draw % count).ok()?).copied()
 }
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -19,7 +19,7 @@
 use crate::coordination::liveness::ServerLiveness;
 use crate::coordination::permits::ServerPermits;
 use crate::coordination::placement::{LoadEstimator, PrefixCacheIndex, ServerTable};
-use crate::coordination::reach::ServiceReach;
+use crate::coordination::reach::{PeerReach, ServiceReach};
 use crate::coordination::rollouts::RolloutTracker;
 use crate::protocol::{PeerMessage, PlatformFormat};
 use crate::state::{ConfigSnapshot, FollowedKind, HostPresence, ServerEntry};
@@ -87,6 +87,7 @@
     freshness: Mutex<StoreFreshness>,
     crashes: Mutex<CrashQuarantine>,
     reach: Mutex<ServiceReach>,
+    peer_reach: Mutex<PeerReach>,
     peers: Mutex<BTreeMap<Arc<str>, HostPresence>>,
     evacuations: Mutex<DomainEvacuations>,
     /// Notified when a report of an evacuation is planned or an evacuation may end by itself.
@@ -142,6 +143,7 @@
                 settings.crashes,
             )),
             reach: Mutex::new(ServiceReach::new(settings.reach)),
+            peer_reach: Mutex::new(PeerReach::new(settings.peers)),
             reach_suspected: Notify::new(),
             parts_refused: watch::Sender::new(0),
             peers: Mutex::new(BTreeMap::new()),
@@ -199,6 +201,11 @@
         lock(&self.reach)
     }
 
+    /// Locks the hosts that accept connections of this one.
+    pub fn peer_reach(&self) -> MutexGuard<'_, PeerReach> {
+        lock(&self.peer_reach)
+    }
+
     /// Locks what is known of servers at which requests wait.
     pub fn liveness(&self) -> MutexGuard<'_, ServerLiveness> {
         lock(&self.liveness)
--- a/gateway/src/transport/gateway_settings.rs
+++ b/gateway/src/transport/gateway_settings.rs
@@ -12,7 +12,7 @@
 use crate::coordination::memory::ReadAheadSettings;
 use crate::coordination::permits::{ColdSettings, LimitSettings};
 use crate::coordination::placement::{LoadSettings, PickSettings, PrefixCacheSettings};
-use crate::coordination::reach::ReachSettings;
+use crate::coordination::reach::{PeerSettings, ReachSettings};
 use crate::coordination::rollouts::RolloutSettings;
 use crate::state::FollowedKind;
 
@@ -83,6 +83,8 @@
     pub crashes: CrashSettings,
     /// Detection of lost paths to servers.
     pub reach: ReachSettings,
+    /// Checks of the hosts that requests may be passed on to.
+    pub peers: PeerSettings,
     /// Judgement of servers at which requests wait.
     pub liveness: LivenessSettings,
     /// Bounds on what is read ahead for slow callers.
@@ -143,6 +145,7 @@
             rollouts: RolloutSettings::default(),
             crashes: CrashSettings::default(),
             reach: ReachSettings::default(),
+            peers: PeerSettings::default(),
             liveness: LivenessSettings::default(),
             read_ahead: ReadAheadSettings::default(),
         }
--- a/gateway/src/transport/reach_probe.rs
+++ b/gateway/src/transport/reach_probe.rs
@@ -1,6 +1,7 @@
 //! Probes the servers of services of which this host seems to reach none.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use futures_util::future::join_all;
@@ -9,10 +10,11 @@
 use rand::Rng;
 use rand::seq::IteratorRandom;
 
+use crate::coordination::liveness::ProbeResult;
 use crate::coordination::reach::ReachChange;
 use crate::protocol::{GatewayRecord, PeerMessage};
 use crate::state::ServerEntry;
-use crate::transport::connection_pool::accepts_connections;
+use crate::transport::connection_pool::{accepts_connections, probe_connection};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
 
@@ -27,7 +29,7 @@
     }
 }
 
-/// Probes services that are suspect at once, and lost ones periodically.
+/// Probes services that are suspect at once, and lost ones periodically, and checks the other hosts then.
 pub(crate) async fn watch_reach(context: Arc<GatewayContext>) {
     let pause = context.settings.reach.probe_pause;
     let mut reported_at = TimePoint::ZERO;
@@ -42,7 +44,8 @@
         let probes = services
             .iter()
             .map(|service| probe_service(&context, service));
-        let changed = join_all(probes).await.into_iter().any(|changed| changed);
+        let (changes, ()) = tokio::join!(join_all(probes), check_peers(&context));
+        let changed = changes.into_iter().any(|changed| changed);
         let lost = context.reach().lost_services();
         let now = context.now();
         let interval = context.settings.reach.report_interval;
@@ -53,6 +56,37 @@
     }
 }
 
+/// Checks which other hosts accept connections, as requests may be passed on to them.
+async fn check_peers(context: &GatewayContext) {
+    let due = {
+        let peers = context.peers();
+        let Some(own) = peers.get(&context.settings.host) else {
+            return;
+        };
+        let (draw, now) = (rand::rng().random(), context.now());
+        let mut reach = context.peer_reach();
+        reach.due_checks(peers.values(), own, draw, now)
+    };
+    let timeout = context.settings.peers.connect_timeout;
+    let checks = due.into_iter().map(|peer| async move {
+        let result = probe_connection(peer, timeout).await;
+        record_peer(context, peer, result == ProbeResult::Accepted);
+    });
+    join_all(checks).await;
+}
+
+/// Records whether another host was reached, and drops the connections to one that was not.
+pub(crate) fn record_peer(context: &GatewayContext, peer: SocketAddr, reached: bool) {
+    let now = context.now();
+    if reached {
+        context.peer_reach().record_reached(peer, now);
+        return;
+    }
+    context.peer_reach().record_failure(peer, now);
+    context.pool.clear(peer);
+    context.metrics.increment("peers_unreached_total");
+}
+
 /// Probes some servers of a service, and records and logs what changed; returns whether anything did.
 async fn probe_service(context: &GatewayContext, service: &Arc<str>) -> bool {
     let now = context.now();
--- a/gateway/src/transport/request_exchange/relay.rs
+++ b/gateway/src/transport/request_exchange/relay.rs
@@ -19,7 +19,7 @@
 use crate::transport::connection_pool::BackendConnection;
 use crate::transport::counted_body::read_counted;
 use crate::transport::exchange_failure::ExchangeFailure;
-use crate::transport::reach_probe::is_service_evacuated;
+use crate::transport::reach_probe::{is_service_evacuated, record_peer};
 use crate::transport::record_log::log_record;
 use crate::transport::request_exchange::RequestExchange;
 use crate::transport::response_body::{ResponseBody, TruncatedResponse};
@@ -27,6 +27,8 @@
 
 /// Greatest number of hosts that a request is passed on to, one after the other.
 const MAX_RELAYS: usize = 3;
+/// Greatest number of hosts in addition that accept no connection, which bounds the time lost on them.
+const MAX_UNREACHED: usize = 3;
 /// Time for which a host that did not serve a request gets no other one of the service.
 const UNSERVED_PAUSE: Duration = Duration::from_secs(1);
 /// Shortest time without a frame of a stream after which the other host counts as lost.
@@ -38,10 +40,14 @@
 /// How passing a request on ended, if there is no response for the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RelayFailure {
+    /// The other host accepted no connection.
+    Unreached,
     /// The other host did not get the request, or states that it did not run.
     Unserved,
-    /// The connection broke, or no response came; the request may have run.
+    /// The connection broke; the request may have run.
     Broken,
+    /// No whole response came in time; the request may have run.
+    TimedOut,
 }
 
 impl RequestExchange {
@@ -75,7 +81,8 @@
     /// once is not passed on again after it may have run.
     pub(super) async fn relay(&mut self) -> Result<Response<ResponseBody>, ExchangeFailure> {
         let mut tried = Vec::new();
-        while tried.len() < MAX_RELAYS {
+        let mut unreached = 0;
+        while tried.len() - unreached < MAX_RELAYS && unreached < MAX_UNREACHED {
             let Some(peer) = self.pick_peer(&tried) else {
                 break;
             };
@@ -83,12 +90,19 @@
             self.log_relay(&peer);
             match self.relay_to(&peer).await {
                 Ok(response) => return Ok(response),
+                Err(RelayFailure::Unreached) => {
+                    unreached += 1;
+                    record_peer(&self.context, peer.address, false);
+                }
                 Err(RelayFailure::Unserved) => {
                     let until = self.context.now() + UNSERVED_PAUSE;
                     let mut reach = self.context.reach();
                     reach.record_peer_lost(peer.address, &self.service, until);
                 }
-                Err(RelayFailure::Broken) => {
+                Err(failure @ (RelayFailure::Broken | RelayFailure::TimedOut)) => {
+                    if failure == RelayFailure::Broken {
+                        record_peer(&self.context, peer.address, false);
+                    }
                     self.tally.runs += 1;
                     if !self.route.is_retryable() {
                         break;
@@ -110,9 +124,13 @@
         let peers = self.context.peers();
         let own = peers.get(&self.context.settings.host)?;
         let reach = self.context.reach();
-        let is_lost = |address| reach.is_peer_lost(address, &self.service, now);
+        let peer_reach = self.context.peer_reach();
+        let standing = |address| {
+            let is_lost = reach.is_peer_lost(address, &self.service, now);
+            (!is_lost).then(|| peer_reach.standing(address, now))
+        };
         let draw = rand::rng().random();
-        pick_relay(peers.values(), own, tried, is_lost, draw).cloned()
+        pick_relay(peers.values(), own, tried, standing, draw).cloned()
     }
 
     /// Passes the request on to one host.
@@ -129,15 +147,18 @@
             Some(connection) => connection,
             None => {
                 let longest = context.settings.liveness.connect_timeout(remaining);
-                let timeout = context.settings.connect_timeout.min(longest);
+                let timeout = context.settings.peers.connect_timeout.min(longest);
                 let opened = BackendConnection::open(peer.address, timeout).await;
-                opened.map_err(|_| RelayFailure::Unserved)?
+                let opened = opened.map_err(|_| RelayFailure::Unreached)?;
+                record_peer(context, peer.address, true);
+                opened
             }
         };
         let sending = tokio::time::timeout(remaining, connection.send(request));
         let response = match sending.await {
             Ok(Ok(response)) => response,
-            Ok(Err(_)) | Err(_) => return Err(RelayFailure::Broken),
+            Ok(Err(_)) => return Err(RelayFailure::Broken),
+            Err(_) => return Err(RelayFailure::TimedOut),
         };
         let (mut parts, body) = response.into_parts();
         let is_refused = matches!(
@@ -157,8 +178,8 @@
             let reading = read_counted(context, body);
             let remaining = remaining_time(context, self.deadline);
             let read = tokio::time::timeout(remaining, reading).await;
-            let bytes = read.ok().and_then(Result::ok);
-            let bytes = bytes.ok_or(RelayFailure::Broken)?;
+            let read = read.map_err(|_| RelayFailure::TimedOut)?;
+            let bytes = read.map_err(|_| RelayFailure::Broken)?;
             context.pool.keep(connection, None);
             bytes.into_body()
         };
--- a/gateway/tests/decisions/reach.rs
+++ b/gateway/tests/decisions/reach.rs
@@ -7,7 +7,7 @@
 
 use galenamast::state::TimePoint;
 use galenamast_gateway::coordination::reach::{
-    ReachChange, ReachSettings, ServiceReach, pick_relay,
+    PeerReach, PeerSettings, PeerStanding, ReachChange, ReachSettings, ServiceReach, pick_relay,
 };
 use galenamast_gateway::state::HostPresence;
 
@@ -81,7 +81,8 @@
             for own in &cut {
                 // The golden ratio spreads consecutive numbers over the whole range.
                 let draw = draw.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 16;
-                let picked = pick_relay(all.iter(), own, &[], is_cut, draw);
+                let standing = |address| (!is_cut(address)).then_some(PeerStanding::Unknown);
+                let picked = pick_relay(all.iter(), own, &[], standing, draw);
                 let picked = picked.expect("hosts are left");
                 assert!(!is_cut(picked.address));
                 let is_near = |host: &&HostPresence| host.domain == own.domain;
@@ -96,6 +97,77 @@
             most.is_some_and(|most| *most <= 4 * mean),
             "{hosts} hosts: {counts:?}"
         );
-        assert_eq!(pick_relay(all.iter(), &all[0], &[], |_| true, 1), None);
+        assert_eq!(pick_relay(all.iter(), &all[0], &[], |_| None, 1), None);
+    }
+}
+
+// Guards against losing requests to hosts that are gone for good, in fleets of any size.
+#[test]
+fn hosts_that_are_gone_are_learnt_within_seconds_and_used_again_when_they_are_back() {
+    for (hosts, domains) in [(9, 2), (63, 4), (295, 6)] {
+        let all: Vec<HostPresence> = (0..hosts).map(|number| presence(number, domains)).collect();
+        let own = &all[0];
+        // Of the own domain all other hosts are gone, and half of the others.
+        let is_gone = |host: &HostPresence| {
+            let is_odd = host.address.port() % 4 < 2;
+            *host != *own && (host.domain == own.domain || is_odd)
+        };
+        let settings = PeerSettings::default();
+        let mut reach = PeerReach::new(settings);
+        let start = TimePoint::from_millis(500);
+        let mut draws = 0_u64;
+        let mut draw = || {
+            draws += 1;
+            draws.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 16
+        };
+        let mut used_again = 0;
+        for step in 0..600_u64 {
+            let now = start + Duration::from_millis(100 * step);
+            let is_back = step >= 300;
+            let accepts = |address: SocketAddr| {
+                let host = all.iter().find(|host| host.address == address);
+                host.is_some_and(|host| is_back || !is_gone(host))
+            };
+            // A round of checks every half second.
+            if step.is_multiple_of(5) {
+                let due = reach.due_checks(all.iter(), own, draw(), now);
+                assert!(due.len() <= settings.checks_at_once);
+                for address in due {
+                    if accepts(address) {
+                        reach.record_reached(address, now);
+                    } else {
+                        reach.record_failure(address, now);
+                    }
+                }
+            }
+            // A request, which may meet a few hosts that are gone.
+            let mut tried = Vec::new();
+            while tried.len() < 3 {
+                let standing = |address| Some(reach.standing(address, now));
+                let Some(picked) = pick_relay(all.iter(), own, &tried, standing, draw()) else {
+                    break;
+                };
+                let address = picked.address;
+                tried.push(address);
+                if accepts(address) {
+                    reach.record_reached(address, now);
+                    used_again += usize::from(is_gone(picked));
+                    break;
+                }
+                assert!(
+                    step < 30,
+                    "{hosts} hosts, step {step}: {picked:?} gets requests"
+                );
+                reach.record_failure(address, now);
+            }
+            assert!(
+                step < 30 || tried.len() == 1,
+                "{hosts} hosts, step {step}: no host is left"
+            );
+        }
+        assert!(
+            used_again >= 150,
+            "{hosts} hosts: {used_again} requests at hosts that are back"
+        );
     }
 }
