Count requests passed on as attempts

What callers saw: a request ran on more servers than its route's `attempts` (BUDGET).

Cause: `relay` asked only whether a request may be repeated. Neither the attempts, nor the retry budget, nor the time left were asked, the next host was told nothing of earlier attempts, and a request earned retries at each host that it was passed on to.

Class: sends that bypass the decision on attempts.

Change: each relay asks `next_step`, the time left and, after an attempt that reached a server, the budget. The number of servers that may still run the request is passed on; of three or more one is held back, and a host that breaks off counts as having used all that it was given. A host that served nothing states how many attempts reached a server, so that the next relay takes a retry for them. The host that got a request from its caller counts it, the one that takes it over doesn't. By reading, all other sends (attempts, resumed streams, larger models) end in `finish_attempt` or take a retry.

--- a/gateway/src/coordination/requests/attempt_outcome.rs
+++ b/gateway/src/coordination/requests/attempt_outcome.rs
@@ -72,6 +72,8 @@
     pub tries: u32,
     /// Number of servers that may have run the request.
     pub runs: u32,
+    /// Number of attempts that reached a server, whether or not it ran the request.
+    pub arrivals: u32,
 }
 
 impl AttemptTally {
@@ -81,6 +83,30 @@
         if outcome.may_have_run() {
             self.runs += 1;
         }
+        if outcome.reached_server() {
+            self.arrivals += 1;
+        }
+    }
+
+    /// Returns how many servers may run a request at the next host that it is passed on to. Of three or
+    /// more, one is held back, so that the request can be passed on again if that host is lost.
+    ///
+    /// ```
+    /// use galenamast_gateway::coordination::requests::{AttemptLimits, AttemptTally};
+    ///
+    /// let limits = AttemptLimits { retryable: true, runs: 3, tries: 6 };
+    /// let mut tally = AttemptTally::default();
+    /// assert_eq!(tally.runs_to_pass_on(&limits), 2);
+    /// tally.runs = 2;
+    /// assert_eq!(tally.runs_to_pass_on(&limits), 1);
+    /// ```
+    pub fn runs_to_pass_on(&self, limits: &AttemptLimits) -> u32 {
+        let left = limits.runs.saturating_sub(self.runs);
+        if limits.retryable && left > 2 {
+            left - 1
+        } else {
+            left.max(1)
+        }
     }
 }
 
--- a/gateway/src/protocol/mod.rs
+++ b/gateway/src/protocol/mod.rs
@@ -16,7 +16,10 @@
 pub use gateway_record::{DecisionInputs, GatewayRecord};
 pub use peer_message::{PeerMessage, WIRE_VERSION};
 pub use platform_format::{AnswerHead, FormatError, PlatformFormat};
-pub use relay_headers::{RELAY_UNSERVED, RELAYED_BY};
+pub use relay_headers::{
+    RELAY_UNSERVED, RELAYED_BY, has_relay_arrivals, mark_unserved, take_relay_attempts,
+    write_relay_attempts,
+};
 pub use stored_object::{
     ObjectChange, ObjectChanges, ObjectKind, ObjectPage, ObjectQuery, StoredObject,
 };
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -9,14 +9,14 @@
 use std::time::Duration;
 
 use galenamast::state::TimePoint;
+use http::Response;
 use http::request::Parts;
-use http::{HeaderValue, Response};
 
 use crate::coordination::liveness::ServerVerdict;
 use crate::coordination::requests::{
     AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, NextStep, final_answer, next_step,
 };
-use crate::protocol::RELAY_UNSERVED;
+use crate::protocol::{mark_unserved, take_relay_attempts};
 use crate::state::{
     AttemptHead, CallerHead, ConfigSnapshot, CrashSuspect, RouteKind, ServerEntry, ServiceRoute,
 };
@@ -53,6 +53,8 @@
     pub(crate) deadline: TimePoint,
     pub(crate) started_at: TimePoint,
     pub(crate) tally: AttemptTally,
+    // Greatest number of servers that may run the request.
+    attempts: u32,
     // Number of events that the server of the latest attempt has sent.
     pub(crate) attempt_events: u64,
     // Whether a server has sent enough of an answer to show that the request does not crash it.
@@ -93,7 +95,7 @@
     pub(crate) fn new(
         context: Arc<GatewayContext>,
         admission: Admission,
-        parts: Parts,
+        mut parts: Parts,
         body: BufferedBody,
         head: CallerHead,
         started_at: TimePoint,
@@ -122,7 +124,12 @@
             .unwrap_or(route.timeout)
             .min(route.timeout);
         let priority = workspace.and_then(|entry| entry.priority).unwrap_or(0);
+        let passed_on = head
+            .relayed
+            .then(|| take_relay_attempts(&mut parts.headers));
+        let attempts = passed_on.flatten().unwrap_or(route.attempts);
         Self {
+            attempts: attempts.min(route.attempts),
             deadline: started_at + allowed.saturating_sub(ANSWER_MARGIN),
             service: target.unwrap_or_default(),
             snapshot,
@@ -157,7 +164,8 @@
 
     /// Runs the request and returns the response for the caller.
     pub(crate) async fn run(mut self) -> Response<ResponseBody> {
-        if !self.has_no_path() {
+        // The host that passed a request on has counted it.
+        if !self.is_relayed {
             self.context.record_request(&self.service);
         }
         let end = if self.route.kind == RouteKind::Stream {
@@ -240,6 +248,7 @@
             };
             self.tally.tries += 1;
             self.tally.runs += 1;
+            self.tally.arrivals += 1;
             self.log_attempt(&server, "doubted", latency, "larger model");
             self.model = Some(larger);
         }
@@ -331,12 +340,7 @@
         self.met_silent_server |= outcome.leaves_doubt();
         self.tried.push(server.id.clone());
         self.record_outcome(server, outcome).await;
-        let limits = AttemptLimits {
-            retryable: self.route.is_retryable(),
-            runs: self.route.attempts,
-            tries: MAX_ATTEMPTS,
-        };
-        let step = match next_step(outcome, &self.tally, &limits) {
+        let step = match next_step(outcome, &self.tally, &self.limits()) {
             NextStep::Retry(Some(purpose)) if !self.context.take_retry(&self.service, purpose) => {
                 NextStep::End(final_answer(outcome, &self.tally))
             }
@@ -357,6 +361,15 @@
         }
     }
 
+    /// Returns the limits on the attempts at servers.
+    fn limits(&self) -> AttemptLimits {
+        AttemptLimits {
+            retryable: self.route.is_retryable(),
+            runs: self.attempts,
+            tries: MAX_ATTEMPTS,
+        }
+    }
+
     /// Returns whether the next attempt needs a new connection, which shows that its server is there. A
     /// request that must not run twice is not sent on one that may be closed already.
     fn needs_new_connection(&self, server: &str) -> bool {
@@ -368,7 +381,7 @@
     /// Returns whether another attempt may follow one that may have run.
     fn may_repeat(&self) -> bool {
         self.route.is_retryable()
-            && self.tally.runs + 1 < self.route.attempts
+            && self.tally.runs + 1 < self.attempts
             && self.tally.tries + 1 < MAX_ATTEMPTS
     }
 
@@ -416,8 +429,7 @@
         let (mut response, outcome) = end.into_response(&self.tally, self.retry_after());
         self.log_end(response.status().as_u16(), outcome, self.tally.tries, 0);
         if self.is_relayed && may_run_elsewhere {
-            let mark = HeaderValue::from_static("1");
-            response.headers_mut().insert(RELAY_UNSERVED, mark);
+            mark_unserved(response.headers_mut(), self.tally.arrivals);
         }
         response
     }
--- a/gateway/src/transport/request_exchange/relay.rs
+++ b/gateway/src/transport/request_exchange/relay.rs
@@ -12,8 +12,13 @@
 use rand::Rng;
 
 use crate::coordination::reach::pick_relay;
-use crate::coordination::requests::FinalAnswer;
-use crate::protocol::{GatewayRecord, RELAY_UNSERVED, RELAYED_BY, strip_connection_headers};
+use crate::coordination::requests::{
+    AttemptLimits, AttemptOutcome, NextStep, final_answer, next_step,
+};
+use crate::protocol::{
+    GatewayRecord, RELAY_UNSERVED, RELAYED_BY, has_relay_arrivals, strip_connection_headers,
+    write_relay_attempts,
+};
 use crate::state::{HostPresence, RouteKind};
 use crate::transport::attempt_runner::remaining_time;
 use crate::transport::connection_pool::BackendConnection;
@@ -21,14 +26,14 @@
 use crate::transport::exchange_failure::ExchangeFailure;
 use crate::transport::reach_probe::{is_service_evacuated, record_peer};
 use crate::transport::record_log::log_record;
-use crate::transport::request_exchange::RequestExchange;
+use crate::transport::request_exchange::{MIN_ATTEMPT_TIME, RequestExchange};
 use crate::transport::response_body::{ResponseBody, TruncatedResponse};
 use crate::transport::stream_relay::stall_timeout;
 
 /// Greatest number of hosts that a request is passed on to, one after the other.
-const MAX_RELAYS: usize = 3;
+const MAX_RELAYS: u32 = 3;
 /// Greatest number of hosts in addition that accept no connection, which bounds the time lost on them.
-const MAX_UNREACHED: usize = 3;
+const MAX_UNREACHED: u32 = 3;
 /// Time for which a host that did not serve a request gets no other one of the service.
 const UNSERVED_PAUSE: Duration = Duration::from_secs(1);
 /// Shortest time without a frame of a stream after which the other host counts as lost.
@@ -42,14 +47,28 @@
 enum RelayFailure {
     /// The other host accepted no connection.
     Unreached,
-    /// The other host did not get the request, or states that it did not run.
+    /// The request did not run at the other host, and reached no server.
     Unserved,
+    /// The request reached servers of the other host, which did not run it.
+    Refused,
     /// The connection broke; the request may have run.
     Broken,
     /// No whole response came in time; the request may have run.
     TimedOut,
 }
 
+impl RelayFailure {
+    /// Returns the outcome of the attempts that the other host made.
+    fn outcome(self) -> AttemptOutcome {
+        match self {
+            Self::Unreached | Self::Unserved => AttemptOutcome::NotSent,
+            Self::Refused => AttemptOutcome::Rejected,
+            Self::Broken => AttemptOutcome::Broken,
+            Self::TimedOut => AttemptOutcome::Silent,
+        }
+    }
+}
+
 impl RequestExchange {
     /// Returns whether the request can only be served by way of another host; if all servers are
     /// evacuated, no host can.
@@ -77,45 +96,74 @@
         self.context.peers().len() > 1
     }
 
-    /// Passes the request on, and returns the response for the caller. A request that may run only
-    /// once is not passed on again after it may have run.
+    /// Passes the request on, and returns the response for the caller. After it may have run, it is
+    /// passed on again only as another attempt may be made at a server.
     pub(super) async fn relay(&mut self) -> Result<Response<ResponseBody>, ExchangeFailure> {
+        let limits = AttemptLimits {
+            tries: self.tally.tries + MAX_RELAYS,
+            ..self.limits()
+        };
+        let mut outcome = if self.tally.arrivals > 0 {
+            AttemptOutcome::Rejected
+        } else {
+            AttemptOutcome::NotSent
+        };
         let mut tried = Vec::new();
         let mut unreached = 0;
-        while tried.len() - unreached < MAX_RELAYS && unreached < MAX_UNREACHED {
-            let Some(peer) = self.pick_peer(&tried) else {
-                break;
+        // Whether the budget allowed the next attempt; hosts that were not reached do not use it up.
+        let mut is_granted = false;
+        loop {
+            let purpose = match next_step(outcome, &self.tally, &limits) {
+                NextStep::Retry(purpose) => purpose,
+                NextStep::End(end) => return Err(ExchangeFailure::HostResponse(end)),
+            };
+            let end = final_answer(outcome, &self.tally);
+            let has_time = remaining_time(&self.context, self.deadline) >= MIN_ATTEMPT_TIME;
+            let may_try = has_time && unreached < MAX_UNREACHED;
+            let peer = self.pick_peer(&tried).filter(|_| may_try);
+            let Some(peer) = peer else {
+                return Err(ExchangeFailure::HostResponse(end));
             };
+            is_granted = is_granted
+                || purpose.is_none_or(|purpose| self.context.take_retry(&self.service, purpose));
+            if !is_granted {
+                return Err(ExchangeFailure::HostResponse(end));
+            }
             tried.push(peer.address);
             self.log_relay(&peer);
-            match self.relay_to(&peer).await {
+            let runs = self.tally.runs_to_pass_on(&limits);
+            let failure = match self.relay_to(&peer, runs).await {
                 Ok(response) => return Ok(response),
-                Err(RelayFailure::Unreached) => {
-                    unreached += 1;
-                    record_peer(&self.context, peer.address, false);
-                }
-                Err(RelayFailure::Unserved) => {
-                    let until = self.context.now() + UNSERVED_PAUSE;
-                    let mut reach = self.context.reach();
-                    reach.record_peer_lost(peer.address, &self.service, until);
-                }
-                Err(failure @ (RelayFailure::Broken | RelayFailure::TimedOut)) => {
-                    if failure == RelayFailure::Broken {
-                        record_peer(&self.context, peer.address, false);
-                    }
-                    self.tally.runs += 1;
-                    if !self.route.is_retryable() {
-                        break;
-                    }
-                }
+                Err(failure) => failure,
+            };
+            self.record_relay_failure(&peer, failure);
+            if failure == RelayFailure::Unreached {
+                unreached += 1;
+                continue;
+            }
+            is_granted = false;
+            outcome = failure.outcome();
+            self.tally.note(outcome);
+            if outcome.may_have_run() {
+                // The other host may have used all the attempts that it was given.
+                self.tally.runs += runs - 1;
             }
         }
-        let end = if self.tally.runs == 0 {
-            FinalAnswer::NotRun
-        } else {
-            FinalAnswer::Unknown
-        };
-        Err(ExchangeFailure::HostResponse(end))
+    }
+
+    /// Records what a failure shows of another host.
+    fn record_relay_failure(&self, peer: &HostPresence, failure: RelayFailure) {
+        match failure {
+            RelayFailure::Unreached | RelayFailure::Broken => {
+                record_peer(&self.context, peer.address, false);
+            }
+            RelayFailure::Unserved | RelayFailure::Refused => {
+                let until = self.context.now() + UNSERVED_PAUSE;
+                let mut reach = self.context.reach();
+                reach.record_peer_lost(peer.address, &self.service, until);
+            }
+            RelayFailure::TimedOut => {}
+        }
     }
 
     /// Picks the next host to pass the request on to.
@@ -133,12 +181,16 @@
         pick_relay(peers.values(), own, tried, standing, draw).cloned()
     }
 
-    /// Passes the request on to one host.
-    async fn relay_to(&self, peer: &HostPresence) -> Result<Response<ResponseBody>, RelayFailure> {
+    /// Passes the request on to one host, where a number of servers may run it.
+    async fn relay_to(
+        &self,
+        peer: &HostPresence,
+        runs: u32,
+    ) -> Result<Response<ResponseBody>, RelayFailure> {
         let context = &self.context;
         let remaining = remaining_time(context, self.deadline);
         let request = self
-            .relayed_request(remaining)
+            .relayed_request(remaining, runs)
             .ok_or(RelayFailure::Unserved)?;
         // A request that must not run twice is not sent on a connection that may be closed already.
         let may_reuse = self.route.kind != RouteKind::Unsafe;
@@ -168,7 +220,12 @@
         // This host has admitted the request; the other one may not know the configuration yet.
         let is_refused = is_refused && !self.is_signed(&parts.headers, parts.status);
         if is_refused || parts.headers.contains_key(RELAY_UNSERVED) {
-            return Err(RelayFailure::Unserved);
+            let failure = if has_relay_arrivals(&parts.headers) {
+                RelayFailure::Refused
+            } else {
+                RelayFailure::Unserved
+            };
+            return Err(failure);
         }
         strip_connection_headers(&mut parts.headers);
         parts.headers.remove(header::CONTENT_LENGTH);
@@ -196,7 +253,11 @@
     }
 
     /// Returns the caller's request as it is passed on; `None` if its path cannot be encoded.
-    fn relayed_request(&self, remaining: Duration) -> Option<Request<Full<bytes::Bytes>>> {
+    fn relayed_request(
+        &self,
+        remaining: Duration,
+        runs: u32,
+    ) -> Option<Request<Full<bytes::Bytes>>> {
         let Parts {
             method,
             uri,
@@ -210,6 +271,7 @@
         (self.context.format.write_time_left)(&mut headers, remaining);
         let host = HeaderValue::from_str(&self.context.settings.host).ok()?;
         headers.insert(RELAYED_BY, host);
+        write_relay_attempts(&mut headers, runs);
         if let (false, Some(name)) = (headers.contains_key(header::HOST), uri.host()) {
             headers.insert(header::HOST, HeaderValue::from_str(name).ok()?);
         }
--- a/gateway/src/transport/request_exchange/server_choice.rs
+++ b/gateway/src/transport/request_exchange/server_choice.rs
@@ -52,7 +52,7 @@
         let settings = &self.context.settings.cascade;
         let model = self.model.clone()?;
         let confidence = response.head.confidence?;
-        if self.tally.runs + 1 >= self.route.attempts {
+        if self.tally.runs + 1 >= self.attempts {
             return None;
         }
         let step = larger_model(&self.route.models, &model, confidence, settings)?;
@@ -290,7 +290,7 @@
     /// Returns how long to wait for the head of a server's response: all the time left if the request
     /// cannot be tried again.
     pub(super) fn head_timeout(&self, server: &str, remaining: Duration) -> Duration {
-        if !self.route.is_retryable() || self.tally.runs + 1 >= self.route.attempts {
+        if !self.route.is_retryable() || self.tally.runs + 1 >= self.attempts {
             return remaining;
         }
         let (class, size) = self.class();
