Await streams passed on until their deadline

What callers saw: a stream that was passed on was cut after six seconds without a frame, or twice the stall timeout, though the other host was about to resume it at another server, which may begin late. And after the other host had frozen, such a stream stayed open for that long beyond its deadline.

Cause: `stream_body` bounded the silence of the other host by its own constants and not by the deadline that both hosts know.

Class: a silence that ends an answer sooner than its deadline, as with servers.

Change: a frame is awaited until the deadline, and 250 ms at least, since the other host may still send what it has read. TCP keep-alive shows that a host is gone. A host that is frozen, but accepts bytes, holds a stream until its deadline.

--- a/gateway/src/transport/request_exchange/relay.rs
+++ b/gateway/src/transport/request_exchange/relay.rs
@@ -28,7 +28,6 @@
 use crate::transport::record_log::log_record;
 use crate::transport::request_exchange::{MIN_ATTEMPT_TIME, RequestExchange};
 use crate::transport::response_body::{ResponseBody, TruncatedResponse};
-use crate::transport::stream_relay::stall_timeout;
 
 /// Greatest number of hosts that a request is passed on to, one after the other.
 const MAX_RELAYS: u32 = 3;
@@ -36,11 +35,9 @@
 const MAX_UNREACHED: u32 = 3;
 /// Time for which a host that did not serve a request gets no other one of the service.
 const UNSERVED_PAUSE: Duration = Duration::from_secs(1);
-/// Shortest time without a frame of a stream after which the other host counts as lost.
-const MIN_FRAME_TIMEOUT: Duration = Duration::from_secs(6);
-/// The same as a multiple of the time after which the other host takes its server for stalled and
-/// resumes the stream elsewhere.
-const FRAME_STALL_FACTOR: f64 = 2.0;
+/// Shortest time for which a frame of a stream is awaited. After the deadline, the other host may still
+/// send what it has read before.
+const MIN_FRAME_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// How passing a request on ended, if there is no response for the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -283,18 +280,17 @@
         Some(request)
     }
 
-    /// Returns the body of a stream that the other host relays.
+    /// Returns the body of a stream that the other host relays. Until the deadline, that host may be silent
+    /// while it resumes the stream at another server; TCP keep-alive shows whether it is there.
     fn stream_body(&self, connection: BackendConnection, body: Incoming) -> ResponseBody {
         let context = self.context.clone();
-        let stall_timeout = stall_timeout(&self.route);
-        let frame_timeout = stall_timeout
-            .mul_f64(FRAME_STALL_FACTOR)
-            .max(MIN_FRAME_TIMEOUT);
+        let deadline = self.deadline;
         let state = (Some(connection), body);
         let frames = stream::unfold(state, move |(mut connection, mut body)| {
             let context = context.clone();
             async move {
                 connection.as_ref()?;
+                let frame_timeout = remaining_time(&context, deadline).max(MIN_FRAME_TIMEOUT);
                 match tokio::time::timeout(frame_timeout, body.frame()).await {
                     Ok(Some(Ok(frame))) => {
                         let bytes = frame.into_data().unwrap_or_default();
--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -28,7 +28,7 @@
 
 /// Returns the time without a complete event after which the server of a route's stream counts as
 /// stalled.
-pub(crate) fn stall_timeout(route: &ServiceRoute) -> Duration {
+fn stall_timeout(route: &ServiceRoute) -> Duration {
     let gap = route.gap_goal.unwrap_or(MIN_STALL_TIMEOUT);
     gap.mul_f64(STALL_GAP_FACTOR).max(MIN_STALL_TIMEOUT)
 }
