--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -20,7 +20,7 @@
 use crate::coordination::liveness::ServerLiveness;
 use crate::coordination::permits::ServerPermits;
 use crate::coordination::placement::{LoadEstimator, PrefixCacheIndex, ServerTable};
-use crate::coordination::reach::ServiceReach;
+use crate::coordination::reach::{PeerReach, ServiceReach};
 use crate::coordination::rollouts::RolloutTracker;
 use crate::coordination::shutdown::StopSchedule;
 use crate::protocol::{PeerMessage, PlatformFormat};
@@ -94,6 +94,7 @@
     freshness: Mutex<StoreFreshness>,
     crashes: Mutex<CrashQuarantine>,
     reach: Mutex<ServiceReach>,
+    peer_reach: Mutex<PeerReach>,
     peers: Mutex<BTreeMap<Arc<str>, HostPresence>>,
     defects: Mutex<ObjectDefects>,
     evacuations: Mutex<DomainEvacuations>,
@@ -152,6 +153,7 @@
                 settings.crashes,
             )),
             reach: Mutex::new(ServiceReach::new(settings.reach)),
+            peer_reach: Mutex::new(PeerReach::new(settings.peers)),
             reach_suspected: Notify::new(),
             parts_refused: watch::Sender::new(0),
             defects: Mutex::default(),
@@ -210,6 +212,11 @@
         lock(&self.reach)
     }
 
+    /// Locks the hosts that accept connections of this one.
+    pub fn peer_reach(&self) -> MutexGuard<'_, PeerReach> {
+        lock(&self.peer_reach)
+    }
+
     /// Locks what is known of servers at which requests wait.
     pub fn liveness(&self) -> MutexGuard<'_, ServerLiveness> {
         lock(&self.liveness)
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -19,7 +19,7 @@
     AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, NextStep, final_answer, next_step,
     promises_not_run,
 };
-use crate::protocol::{RELAY_UNSERVED, RELAYED_REQUEST, is_event_stream};
+use crate::protocol::{RELAYED_REQUEST, is_event_stream, mark_unserved, take_relay_attempts};
 use crate::state::{
     AttemptHead, CallerHead, ConfigSnapshot, CrashSuspect, RouteKind, ServerEntry, ServiceRoute,
 };
@@ -85,6 +85,8 @@
     pub(crate) deadline: TimePoint,
     pub(crate) started_at: TimePoint,
     pub(crate) tally: AttemptTally,
+    // Greatest number of servers that may run the request.
+    attempts: u32,
     // Number of events that the server of the latest attempt has sent.
     pub(crate) attempt_events: u64,
     // Whether a server has sent enough of an answer to show that the request does not crash it.
@@ -128,7 +130,7 @@
     pub(crate) fn new(
         context: Arc<GatewayContext>,
         admission: Admission,
-        parts: Parts,
+        mut parts: Parts,
         body: BufferedBody,
         head: CallerHead,
         started_at: TimePoint,
@@ -153,7 +155,12 @@
             .pick_target(session >> 20)
             .map(|target| target.service.clone());
         let priority = workspace.and_then(|entry| entry.priority).unwrap_or(0);
+        let passed_on = head
+            .relayed
+            .then(|| take_relay_attempts(&mut parts.headers));
+        let attempts = passed_on.flatten().unwrap_or(route.attempts);
         Self {
+            attempts: attempts.min(route.attempts),
             deadline: route.deadline(head.time_allowed, started_at),
             service: target.unwrap_or_default(),
             snapshot,
@@ -200,7 +207,8 @@
 
     /// Runs the request and returns the response.
     async fn respond(mut self) -> Response<ResponseBody> {
-        if !self.has_no_path() {
+        // The host that passed a request on has counted it.
+        if !self.is_relayed {
             self.context.record_request(&self.service);
         }
         let context = self.context.clone();
@@ -325,6 +333,7 @@
             self.is_attempting = false;
             self.tally.tries += 1;
             self.tally.runs += 1;
+            self.tally.arrivals += 1;
             self.log_attempt(&server, "doubted", latency, "larger model", None);
             smaller = self.model.replace(larger);
             doubted = Some(response);
@@ -427,7 +436,7 @@
         self.doubts_connections |= outcome.doubts_connections();
         self.tried.push(server.id.clone());
         self.record_outcome(server, outcome).await;
-        let limits = self.attempt_limits();
+        let limits = self.limits();
         let (step, denied) = match next_step(outcome, &self.tally, &limits) {
             NextStep::Retry(Some(purpose)) if !self.context.take_retry(&self.service, purpose) => {
                 let end = NextStep::End(final_answer(outcome, &self.tally));
@@ -453,11 +462,11 @@
         }
     }
 
-    /// Returns the limits on the attempts of the request.
-    fn attempt_limits(&self) -> AttemptLimits {
+    /// Returns the limits on the attempts at servers.
+    fn limits(&self) -> AttemptLimits {
         AttemptLimits {
             retryable: self.route.is_retryable(),
-            runs: self.route.attempts,
+            runs: self.attempts,
             tries: MAX_ATTEMPTS,
         }
     }
@@ -516,8 +525,7 @@
         let tries = self.tally.tries + u32::from(self.is_attempting);
         self.log_end(response.status().as_u16(), outcome, tries, 0);
         if self.is_relayed && may_run_elsewhere {
-            let mark = HeaderValue::from_static("1");
-            response.headers_mut().insert(RELAY_UNSERVED, mark);
+            mark_unserved(response.headers_mut(), self.tally.arrivals);
         }
         response
     }
