Soak: real processes under seeded stops, judged by what callers and servers see

The new crate starts the program as separate processes against the stand-ins, with callers on new and kept connections, and checks LOST, TWICE, REFUSED, MIXED, ORDER and DRAIN from outside. The stand-in of a server can be given the course of each run (events, delays, a silence, a break) and records when runs began and ended.

--- /dev/null
+++ b/soak/src/fault_event.rs
@@ -0,0 +1,57 @@
+//! Faults and planned work, as they were carried out.
+
+use std::time::Instant;
+
+/// What was done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum FaultKind {
+    /// SIGTERM was sent to a host.
+    Term,
+    /// A host was killed because `grace_s` had passed.
+    GraceKill,
+    /// A host was killed without notice.
+    Kill,
+    /// A host ended.
+    Ended,
+    /// A host ended by itself.
+    OwnEnd,
+    /// A host was started again.
+    Start,
+    /// SIGHUP was sent to a host.
+    Hangup,
+    /// A host was frozen.
+    Freeze,
+    /// A frozen host goes on.
+    Thaw,
+    /// A configuration was written.
+    Configuration,
+    /// A server reported that it drains.
+    ServerDrains(String),
+    /// A server's entry was removed.
+    ServerRemoved(String),
+    /// A server stopped.
+    ServerStopped(String),
+    /// A server was started.
+    ServerStarted(String),
+}
+
+/// A fault with its time.
+#[derive(Clone, Debug)]
+pub(crate) struct FaultEvent {
+    /// When it was carried out.
+    pub(crate) at: Instant,
+    /// Index of the host that it concerns.
+    pub(crate) host: Option<usize>,
+    /// What was done.
+    pub(crate) kind: FaultKind,
+}
+
+impl FaultEvent {
+    /// Returns whether it is an unplanned impairment.
+    pub(crate) fn is_unplanned(&self) -> bool {
+        matches!(
+            self.kind,
+            FaultKind::Kill | FaultKind::Freeze | FaultKind::Thaw | FaultKind::OwnEnd
+        )
+    }
+}
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,115 @@
+//! Plays seeded faults on real processes and checks what callers and servers see.
+
+mod attempt_end;
+mod caller_connection;
+mod caller_traffic;
+mod fault_driver;
+mod fault_event;
+mod fault_profile;
+mod host_balancer;
+mod host_process;
+mod lost_rule;
+mod platform_config;
+mod request_class;
+mod request_plan;
+mod request_trace;
+mod rule_break;
+mod run_pacing;
+mod run_rules;
+mod server_pool;
+mod soak_options;
+mod soak_record;
+mod soak_report;
+mod soak_run;
+mod soak_state;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::builder::PossibleValuesParser;
+use clap::{Arg, ArgMatches, Command, value_parser};
+
+use crate::fault_profile::FaultProfile;
+use crate::soak_options::SoakOptions;
+
+/// Exit code of a run in which a rule was broken.
+const EXIT_BROKEN: u8 = 1;
+/// Exit code of a run that could not be played.
+const EXIT_FAILED: u8 = 2;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let options = read_options(&command().get_matches());
+    let played = soak_run::play(&options).await;
+    let report = match played {
+        Ok(report) => report,
+        Err(error) => {
+            eprintln!("galenamast-soak: {error}");
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
+    print!("{}{}", report.details, report.summary);
+    let text = format!("{}\n{}", report.summary, report.details);
+    if let Err(error) = std::fs::write(&options.report, text) {
+        eprintln!("galenamast-soak: {}: {error}", options.report.display());
+        return ExitCode::from(EXIT_FAILED);
+    }
+    println!("report: {}", options.report.display());
+    if report.breaks.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(EXIT_BROKEN)
+    }
+}
+
+/// Builds the command's arguments.
+fn command() -> Command {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .default_value(default)
+            .value_parser(value_parser!(u64))
+            .help(help)
+    };
+    let path = |name: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_parser(value_parser!(PathBuf))
+            .help(help)
+    };
+    Command::new("galenamast-soak")
+        .about("Plays seeded faults on real processes and checks what callers and servers see")
+        .arg(number("seed", "1", "Seed of all that is drawn"))
+        .arg(number("seconds", "60", "Seconds of faults"))
+        .arg(number("hosts", "9", "Number of hosts"))
+        .arg(
+            Arg::new("profile")
+                .long("profile")
+                .default_value("mixed")
+                .value_parser(PossibleValuesParser::new(FaultProfile::NAMES))
+                .help("Set of faults"),
+        )
+        .arg(path(
+            "report",
+            "File of the report; logs are kept beside it",
+        ))
+        .arg(path("program", "Program of the hosts").default_value("target/release/galenamast"))
+}
+
+/// Reads the options from the command line.
+fn read_options(matches: &ArgMatches) -> SoakOptions {
+    let number = |name| *matches.get_one::<u64>(name).expect("it has a default");
+    let seed = number("seed");
+    let profile: &String = matches.get_one("profile").expect("it has a default");
+    let report = matches.get_one::<PathBuf>("report").cloned();
+    let program: &PathBuf = matches.get_one("program").expect("it has a default");
+    SoakOptions {
+        seed,
+        seconds: number("seconds"),
+        hosts: number("hosts").max(1) as usize,
+        profile: profile.clone(),
+        report: report
+            .unwrap_or_else(|| PathBuf::from(format!("target/soak/{profile}-{seed}.txt"))),
+        program: program.clone(),
+    }
+}
--- /dev/null
+++ b/soak/src/run_rules.rs
@@ -0,0 +1,125 @@
+//! The rules TWICE, REFUSED, MIXED, ORDER, DRAIN and the ends of processes.
+
+use std::time::Duration;
+
+use crate::fault_driver::DRAIN;
+use crate::fault_event::FaultKind;
+use crate::request_class::RequestKind;
+use crate::request_trace::RequestTrace;
+use crate::rule_break::RuleBreak;
+use crate::soak_record::SoakRecord;
+
+/// Slack for the measurement of arrivals.
+const ARRIVAL_SLACK: Duration = Duration::from_millis(20);
+
+/// Returns the breaks of all rules but LOST.
+pub(crate) fn check(record: &SoakRecord) -> Vec<RuleBreak> {
+    let mut breaks = Vec::new();
+    for (index, trace) in record.traces.iter().enumerate() {
+        let checks = [
+            ("TWICE", check_twice(record, trace)),
+            ("REFUSED", check_refused(record, trace)),
+            ("MIXED", check_mixed(record, trace)),
+            ("ORDER", check_order(trace)),
+            ("DRAIN", check_drain(record, trace)),
+        ];
+        breaks.extend(checks.into_iter().filter_map(|(rule, text)| {
+            text.map(|text| RuleBreak {
+                rule,
+                text,
+                trace: Some(index),
+            })
+        }));
+    }
+    let own_ends = record
+        .faults
+        .iter()
+        .filter(|event| event.kind == FaultKind::OwnEnd);
+    breaks.extend(own_ends.map(|event| RuleBreak {
+        rule: "ENDS",
+        text: format!(
+            "host {:?} ended by itself at {:.3} s",
+            event.host,
+            record.seconds(event.at)
+        ),
+        trace: None,
+    }));
+    breaks
+}
+
+/// A request that isn't idempotent runs more than once.
+fn check_twice(record: &SoakRecord, trace: &RequestTrace) -> Option<String> {
+    let visits = record.visits(&trace.id);
+    let runs = visits.iter().filter(|visit| visit.ran).count();
+    (trace.plan.class.kind == RequestKind::Unsafe && runs > 1).then(|| format!("ran {runs} times"))
+}
+
+/// A request that isn't idempotent is refused as not run, and has run or runs later.
+fn check_refused(record: &SoakRecord, trace: &RequestTrace) -> Option<String> {
+    let is_promise = matches!(trace.status, Some(408 | 421 | 429 | 503));
+    let has_run = record.visits(&trace.id).iter().any(|visit| visit.ran);
+    let is_unsafe = trace.plan.class.kind == RequestKind::Unsafe;
+    (is_unsafe && is_promise && has_run).then(|| format!("{:?} though it ran", trace.status))
+}
+
+/// A success isn't the server's whole response to this request, or other bytes arrive.
+fn check_mixed(record: &SoakRecord, trace: &RequestTrace) -> Option<String> {
+    if trace.surplus > 0 {
+        return Some(format!("{} bytes after the response", trace.surplus));
+    }
+    if trace.end == crate::attempt_end::AttemptEnd::NoResponse {
+        return Some("bytes that are no response".to_owned());
+    }
+    if !trace.is_success() {
+        return None;
+    }
+    let signature = trace.header("x-response-signature");
+    let signed_by = |server: &str| signature == format!("{server}.{}", trace.id);
+    let visits = record.visits(&trace.id);
+    let is_own = visits
+        .iter()
+        .any(|visit| visit.ran && signed_by(&visit.server));
+    if !is_own {
+        return Some(format!(
+            "signature {signature:?} is of no run of the request"
+        ));
+    }
+    let is_whole = trace.plan.class.is_stream() || trace.body == b"whole answer";
+    (!is_whole).then(|| format!("a body of {} bytes isn't the server's", trace.body.len()))
+}
+
+/// A piece is missing, comes twice or out of order, or a stream ends as complete before its last.
+fn check_order(trace: &RequestTrace) -> Option<String> {
+    if !trace.plan.class.is_stream() || trace.status != Some(200) {
+        return None;
+    }
+    let ids = trace.event_ids();
+    let last = ids.len() as u64;
+    if !ids.iter().copied().eq(1..=last) {
+        return Some(format!("events {ids:?}"));
+    }
+    let events = trace.plan.class.events;
+    let is_short = trace.is_success() && last != events;
+    (is_short).then(|| format!("complete after {last} of {events} events"))
+}
+
+/// A request reaches a server later than `drain_ms` after its leaving was acknowledged.
+fn check_drain(record: &SoakRecord, trace: &RequestTrace) -> Option<String> {
+    if record.was_impaired(trace) {
+        return None;
+    }
+    record.visits(&trace.id).iter().find_map(|visit| {
+        let leaves = record.faults.iter().find(|event| match &event.kind {
+            FaultKind::ServerDrains(id) | FaultKind::ServerRemoved(id) => *id == visit.server,
+            _ => false,
+        });
+        let late = visit.at.checked_duration_since(leaves?.at)?;
+        (visit.ran && late > DRAIN + ARRIVAL_SLACK).then(|| {
+            let late = late.as_secs_f64();
+            format!(
+                "reaches {} {late:.2} s after it began to leave",
+                visit.server
+            )
+        })
+    })
+}
--- /dev/null
+++ b/soak/src/soak_report.rs
@@ -0,0 +1,82 @@
+//! The report of a run.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use crate::attempt_end::AttemptEnd;
+use crate::lost_rule;
+use crate::rule_break::{RULES, RuleBreak};
+use crate::run_rules;
+use crate::soak_options::SoakOptions;
+use crate::soak_record::SoakRecord;
+
+/// The verdict by rule and the text that shows it.
+#[derive(Debug)]
+pub(crate) struct SoakReport {
+    /// The breaks of all rules.
+    pub(crate) breaks: Vec<RuleBreak>,
+    /// Counts and verdicts.
+    pub(crate) summary: String,
+    /// Every break and every request without a response, with its events in order.
+    pub(crate) details: String,
+}
+
+impl SoakReport {
+    /// Checks all rules.
+    pub(crate) fn new(record: &SoakRecord, options: &SoakOptions) -> Self {
+        let mut breaks = lost_rule::check(record);
+        breaks.extend(run_rules::check(record));
+        Self {
+            summary: summarize(record, &breaks, options),
+            details: detail(record, &breaks),
+            breaks,
+        }
+    }
+}
+
+/// Returns the counts by cause and the verdict by rule.
+fn summarize(record: &SoakRecord, breaks: &[RuleBreak], options: &SoakOptions) -> String {
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for trace in &record.traces {
+        let key = match (trace.end, trace.status) {
+            (AttemptEnd::Answered, Some(status)) => format!("answered {status}"),
+            (AttemptEnd::Left, _) => trace.end.words().to_owned(),
+            _ => lost_rule::describe(record, trace),
+        };
+        *counts.entry(key).or_default() += 1;
+    }
+    let mut text = format!("{} requests\n", record.traces.len());
+    for (key, count) in counts {
+        let _ = writeln!(text, "{count:7} {key}");
+    }
+    for rule in RULES {
+        let count = breaks.iter().filter(|found| found.rule == rule).count();
+        let verdict = if count == 0 {
+            "kept".to_owned()
+        } else {
+            format!("BROKEN, {count}")
+        };
+        let _ = writeln!(text, "{rule}: {verdict}");
+    }
+    let _ = writeln!(text, "again: {}", options.command());
+    text
+}
+
+/// Returns the events of each break, then of each other request without a response.
+fn detail(record: &SoakRecord, breaks: &[RuleBreak]) -> String {
+    let mut text = String::new();
+    for found in breaks {
+        let _ = writeln!(text, "{}: {}", found.rule, found.text);
+        if let Some(index) = found.trace {
+            text.push_str(&record.story(&record.traces[index]));
+        }
+    }
+    for (index, trace) in record.traces.iter().enumerate() {
+        let is_told = breaks.iter().any(|found| found.trace == Some(index));
+        if trace.end.is_cut() && !is_told {
+            let _ = writeln!(text, "not counted: {}", lost_rule::describe(record, trace));
+            text.push_str(&record.story(trace));
+        }
+    }
+    text
+}
--- /dev/null
+++ b/soak/src/soak_run.rs
@@ -0,0 +1,113 @@
+//! One run: starts everything, plays the faults, and ends everything.
+
+use std::io::{Error, ErrorKind};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use galenamast_platform_standin::StandInStore;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::time::sleep;
+
+use crate::caller_traffic::CallerTraffic;
+use crate::fault_driver::FaultDriver;
+use crate::fault_profile::FaultProfile;
+use crate::host_process::HostProcess;
+use crate::server_pool::ServerPool;
+use crate::soak_options::SoakOptions;
+use crate::soak_record::SoakRecord;
+use crate::soak_report::SoakReport;
+use crate::soak_state::SoakState;
+
+/// Failure domains of the hosts and servers.
+const ZONES: [&str; 4] = ["base-lodge", "cumbre", "bosque", "taller"];
+/// Time within which all hosts have to be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time of traffic before the first fault.
+const WARM_UP: Duration = Duration::from_secs(3);
+/// Time that requests get to end after the faults, at most.
+const COOL_DOWN: Duration = Duration::from_secs(10);
+/// Time between two progress lines.
+const PROGRESS_PERIOD: Duration = Duration::from_secs(5);
+
+/// Plays a run; an interrupt ends it early.
+pub(crate) async fn play(options: &SoakOptions) -> Result<SoakReport, Error> {
+    let state = Arc::new(prepare(options).await?);
+    let zones: Vec<String> = ZONES.map(str::to_owned).to_vec();
+    for host in &state.hosts {
+        host.start()?;
+    }
+    wait_until_ready(&state).await?;
+    let balancer = state.clone();
+    let checks = tokio::spawn(async move { balancer.balancer.check_hosts().await });
+    let traffic = Arc::new(CallerTraffic::new(state.clone()));
+    let sending = tokio::spawn(traffic.clone().send_requests(options.seed, zones));
+    let driver = FaultDriver::new(state.clone(), FaultProfile::of_name(&options.profile));
+    let faults = async {
+        sleep(WARM_UP).await;
+        driver.run(options.seed.wrapping_mul(1_000)).await
+    };
+    tokio::select! {
+        error = faults => return Err(error),
+        () = report_progress(&state) => {}
+        () = sleep(WARM_UP + Duration::from_secs(options.seconds)) => {}
+        result = tokio::signal::ctrl_c() => {
+            result?;
+            println!("interrupted");
+        }
+    }
+    sending.abort();
+    traffic.tasks.close();
+    // Requests that are still open are those of slow servers; hosts that were stopped go on to stop.
+    let _ = tokio::time::timeout(COOL_DOWN, traffic.tasks.wait()).await;
+    checks.abort();
+    let report = SoakReport::new(&SoakRecord::collect(&state), options);
+    for host in &state.hosts {
+        host.end();
+    }
+    Ok(report)
+}
+
+/// Starts the stand-ins and writes the hosts' settings.
+async fn prepare(options: &SoakOptions) -> Result<SoakState, Error> {
+    let logs = options.logs();
+    std::fs::create_dir_all(&logs)?;
+    let store = StandInStore::start().await;
+    let zones = ZONES.map(str::to_owned);
+    let servers = ServerPool::start(options.seed, &zones, &store).await;
+    let mut random = ChaCha8Rng::seed_from_u64(options.seed ^ u64::from(std::process::id()));
+    let mut hosts = Vec::new();
+    for number in 0..options.hosts {
+        let (name, zone) = (format!("front-{number}"), ZONES[number % ZONES.len()]);
+        let program = &options.program;
+        let host = HostProcess::new(program, &logs, &name, zone, store.address(), &mut random)?;
+        hosts.push(Arc::new(host));
+    }
+    Ok(SoakState::new(store, servers, hosts))
+}
+
+/// Waits until all hosts are ready.
+async fn wait_until_ready(state: &SoakState) -> Result<(), Error> {
+    let began = Instant::now();
+    for host in &state.hosts {
+        while !host.is_ready().await {
+            if began.elapsed() > READY_TIMEOUT {
+                let text = format!("{} does not become ready", host.name);
+                return Err(Error::new(ErrorKind::TimedOut, text));
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+    Ok(())
+}
+
+/// Prints a line every few seconds; never returns.
+async fn report_progress(state: &SoakState) {
+    loop {
+        sleep(PROGRESS_PERIOD).await;
+        let (requests, cut) = state.counts();
+        let faults = state.faults().len();
+        let elapsed = state.began.elapsed().as_secs();
+        println!("{elapsed:4} s: {requests} requests ended, {cut} cut, {faults} faults");
+    }
+}
