Soak: configurations with a route that comes and goes, callers that read only after sending

Every other configuration has one more route, each host is asked for it once per second, and CONFIG is judged by it. Half of the callers read only after the request is sent, as many clients do. Requests beside an unplanned fault are counted apart. An interrupt ends all hosts at any moment of the run.

--- a/soak/src/caller_connection.rs
+++ b/soak/src/caller_connection.rs
@@ -60,20 +60,23 @@
         let (read_half, mut write_half) = self.stream.split();
         trace.sent = Instant::now();
         let end = {
+            // The response decides, also if the request could not be sent.
             let write = async {
-                if write_request(&mut write_half, &head, plan.body, plan.sending)
-                    .await
-                    .is_ok()
-                {
+                let sent = write_request(&mut write_half, &head, plan.body, plan.sending).await;
+                if sent.is_ok() {
                     written = Some(Instant::now());
                 }
-                // The response decides, also if the request could not be sent.
-                std::future::pending::<AttemptEnd>().await
             };
             let exchange = async {
+                if !plan.reads_early {
+                    write.await;
+                    return read_response(read_half, trace).await;
+                }
+                let response = read_response(read_half, trace);
+                tokio::pin!(write, response);
                 tokio::select! {
-                    end = read_response(read_half, trace) => end,
-                    end = write => end,
+                    end = &mut response => end,
+                    () = &mut write => response.await,
                 }
             };
             timeout(leaves.unwrap_or(limit), exchange).await
--- a/soak/src/caller_traffic.rs
+++ b/soak/src/caller_traffic.rs
@@ -15,6 +15,8 @@
 use crate::request_trace::RequestTrace;
 use crate::soak_state::SoakState;
 
+/// Time between two probes of a host.
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
 /// Pause before a repeat after a failure that states none.
 const REPEAT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -56,6 +58,26 @@
         }
     }
 
+    /// Asks each host once per second for a route that only some configurations have; never
+    /// returns.
+    pub(crate) async fn probe_hosts(self: Arc<Self>) {
+        let mut period = tokio::time::interval(PROBE_PERIOD);
+        for number in 0_u64.. {
+            period.tick().await;
+            for (host, process) in self.state.hosts.iter().enumerate() {
+                let (traffic, address) = (self.clone(), process.front);
+                self.tasks.spawn(async move {
+                    if let Ok(mut connection) = CallerConnection::open(host, address).await {
+                        let id = format!("c{number:05}{host:03}");
+                        let mut trace = RequestTrace::new(id, RequestPlan::seasonal(), host, false);
+                        connection.exchange(&mut trace).await;
+                        traffic.state.record(trace);
+                    }
+                });
+            }
+        }
+    }
+
     /// Sends a request and repeats it once where callers may.
     async fn send(&self, number: u64, plan: RequestPlan, zone: String) {
         for attempt in 0..2 {
--- a/soak/src/fault_driver.rs
+++ b/soak/src/fault_driver.rs
@@ -134,7 +134,7 @@
     /// Writes configurations in series, and sends SIGHUP now and then.
     async fn change_configuration(&self, mut random: ChaCha8Rng) -> Result<(), Error> {
         loop {
-            let pause = if random.random_bool(0.3) { 0.2 } else { 3.0 };
+            let pause = if random.random_bool(0.5) { 0.15 } else { 2.0 };
             sleep(Duration::from_secs_f64(
                 pause * random.random_range(0.3..1.5),
             ))
--- a/soak/src/fault_event.rs
+++ b/soak/src/fault_event.rs
@@ -23,8 +23,8 @@
     Freeze,
     /// A frozen host goes on.
     Thaw,
-    /// A configuration was written.
-    Configuration,
+    /// A configuration of a version was written.
+    Configuration(u64),
     /// A server reported that it drains.
     ServerDrains(String),
     /// A server's entry was removed.
--- a/soak/src/lost_rule.rs
+++ b/soak/src/lost_rule.rs
@@ -11,7 +11,7 @@
 /// Time after the last byte within which a connection may end.
 const LOSS_SLACK: Duration = Duration::from_millis(200);
 /// Time after a change within which its effects count.
-const CONFIGURATION: Duration = Duration::from_secs(2);
+pub(crate) const CONFIGURATION: Duration = Duration::from_secs(2);
 /// Time after SIGTERM until which work that goes on until the last sixth of `GRACE` is excused.
 const LATE_SENT: Duration = Duration::from_secs(3);
 /// Slack for the measurement of time limits.
@@ -110,6 +110,7 @@
                 "sent over 3 s after SIGTERM"
             }
         }
+        _ if record.was_impaired(trace) => "beside an unplanned fault",
         _ => "host not stopping",
     };
     let connection = if trace.was_kept { "kept" } else { "new" };
@@ -167,7 +168,7 @@
 /// Returns whether a configuration had been written shortly before a moment.
 fn is_beside_change(record: &SoakRecord, at: Instant) -> bool {
     record.faults.iter().any(|event| {
-        event.kind == FaultKind::Configuration
+        matches!(event.kind, FaultKind::Configuration(_))
             && event.at <= at
             && at <= event.at + CONFIGURATION + Duration::from_secs(1)
     })
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -23,11 +23,14 @@
 mod soak_run;
 mod soak_state;
 
+use std::io::Error;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::builder::PossibleValuesParser;
 use clap::{Arg, ArgMatches, Command, value_parser};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
 
 use crate::fault_profile::FaultProfile;
 use crate::soak_options::SoakOptions;
@@ -40,7 +43,12 @@
 #[tokio::main]
 async fn main() -> ExitCode {
     let options = read_options(&command().get_matches());
-    let played = soak_run::play(&options).await;
+    let interrupt = CancellationToken::new();
+    if let Err(error) = cancel_on_signals(&interrupt) {
+        eprintln!("galenamast-soak: {error}");
+        return ExitCode::from(EXIT_FAILED);
+    }
+    let played = soak_run::play(&options, &interrupt).await;
     let report = match played {
         Ok(report) => report,
         Err(error) => {
@@ -62,6 +70,18 @@
     }
 }
 
+/// Cancels the token when SIGINT or SIGTERM arrives, from now on.
+fn cancel_on_signals(interrupt: &CancellationToken) -> Result<(), Error> {
+    for kind in [SignalKind::interrupt(), SignalKind::terminate()] {
+        let (mut arrivals, interrupt) = (signal(kind)?, interrupt.clone());
+        tokio::spawn(async move {
+            arrivals.recv().await;
+            interrupt.cancel();
+        });
+    }
+    Ok(())
+}
+
 /// Builds the command's arguments.
 fn command() -> Command {
     let number = |name: &'static str, default: &'static str, help: &'static str| {
--- a/soak/src/platform_config.rs
+++ b/soak/src/platform_config.rs
@@ -2,7 +2,7 @@
 
 use serde_json::{Value, json};
 
-use crate::request_class::CLASSES;
+use crate::request_class::{CLASSES, SEASONAL};
 
 /// Service of the streams.
 pub(crate) const ENGINE_SERVICE: &str = "consejero";
@@ -13,9 +13,15 @@
 /// Idle limit of a connection unless a change says otherwise, in milliseconds.
 pub(crate) const IDLE_TIMEOUT_MS: u64 = 15_000;
 
+/// Returns whether a version has the route of the class `SEASONAL`.
+pub(crate) fn has_seasonal_route(version: u64) -> bool {
+    version.is_multiple_of(2)
+}
+
 /// Returns the configuration of a version with an idle limit in milliseconds.
 pub(crate) fn configuration(version: u64, idle_timeout_ms: u64) -> Value {
-    let routes = CLASSES.iter().map(|class| {
+    let seasonal = has_seasonal_route(version).then_some(&SEASONAL);
+    let routes = CLASSES.iter().chain(seasonal).map(|class| {
         json!({
             "name": class.name, "host": "desk.example",
             "path_prefix": format!("/{}/", class.name), "kind": class.kind.name(),
--- a/soak/src/request_class.rs
+++ b/soak/src/request_class.rs
@@ -90,11 +90,23 @@
     },
 ];
 
+/// The class of a route that every other configuration has.
+pub(crate) const SEASONAL: RequestClass = RequestClass {
+    name: "season-offer",
+    kind: RequestKind::Safe,
+    rate: 0.0,
+    limit: 3.0,
+    goal_ms: 300,
+    events: 0,
+    tokens: 0,
+};
+
 impl RequestClass {
     /// Returns the class whose route has a path; `None` if there is none.
     pub(crate) fn of_path(path: &str) -> Option<&'static Self> {
         let name = path.split('/').nth(1)?;
-        CLASSES.iter().find(|class| class.name == name)
+        let mut classes = CLASSES.iter().chain(std::iter::once(&SEASONAL));
+        classes.find(|class| class.name == name)
     }
 
     /// Returns whether the response is a stream.
--- a/soak/src/request_plan.rs
+++ b/soak/src/request_plan.rs
@@ -6,7 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::platform_config::BODY_BYTES;
-use crate::request_class::{CLASSES, RequestClass};
+use crate::request_class::{CLASSES, RequestClass, SEASONAL};
 
 /// Number of callers in a failure domain.
 const CLIENTS: u32 = 40;
@@ -24,11 +24,26 @@
     pub(crate) body: usize,
     /// Time over which the body is sent.
     pub(crate) sending: Duration,
+    /// Whether the caller reads while it sends, and not only afterwards.
+    pub(crate) reads_early: bool,
     /// Time after which the caller leaves.
     pub(crate) leaves_after: Option<Duration>,
 }
 
 impl RequestPlan {
+    /// Returns a request for the route that only some configurations have.
+    pub(crate) fn seasonal() -> Self {
+        Self {
+            class: &SEASONAL,
+            client: 0,
+            keeps: false,
+            body: 0,
+            sending: Duration::ZERO,
+            reads_early: true,
+            leaves_after: None,
+        }
+    }
+
     /// Draws a request.
     pub(crate) fn draw(random: &mut ChaCha8Rng) -> Self {
         let total: f64 = CLASSES.iter().map(|class| class.rate).sum();
@@ -60,6 +75,7 @@
             keeps: client % 2 == 0,
             body,
             sending,
+            reads_early: random.random_bool(0.5),
             leaves_after: leaves.then_some(leaving),
         }
     }
--- a/soak/src/run_pacing.rs
+++ b/soak/src/run_pacing.rs
@@ -29,7 +29,7 @@
     };
     let break_after = random.random_bool(0.01).then(|| random.random_range(1..9));
     if !class.is_stream() {
-        let work = if random.random_bool(0.1) {
+        let work = if random.random_bool(0.3) {
             class.limit * random.random_range(0.3..0.97)
         } else {
             0.06
--- a/soak/src/run_rules.rs
+++ b/soak/src/run_rules.rs
@@ -1,10 +1,13 @@
-//! The rules TWICE, REFUSED, MIXED, ORDER, DRAIN and the ends of processes.
+//! The rules TWICE, REFUSED, MIXED, ORDER, DRAIN, CONFIG and the ends of processes.
 
 use std::time::Duration;
 
+use crate::attempt_end::AttemptEnd;
 use crate::fault_driver::DRAIN;
 use crate::fault_event::FaultKind;
-use crate::request_class::RequestKind;
+use crate::lost_rule::CONFIGURATION;
+use crate::platform_config::has_seasonal_route;
+use crate::request_class::{RequestKind, SEASONAL};
 use crate::request_trace::RequestTrace;
 use crate::rule_break::RuleBreak;
 use crate::soak_record::SoakRecord;
@@ -22,6 +25,7 @@
             ("MIXED", check_mixed(record, trace)),
             ("ORDER", check_order(trace)),
             ("DRAIN", check_drain(record, trace)),
+            ("CONFIG", check_config(record, trace)),
         ];
         breaks.extend(checks.into_iter().filter_map(|(rule, text)| {
             text.map(|text| RuleBreak {
@@ -67,7 +71,7 @@
     if trace.surplus > 0 {
         return Some(format!("{} bytes after the response", trace.surplus));
     }
-    if trace.end == crate::attempt_end::AttemptEnd::NoResponse {
+    if trace.end == AttemptEnd::NoResponse {
         return Some("bytes that are no response".to_owned());
     }
     if !trace.is_success() {
@@ -123,3 +127,31 @@
         })
     })
 }
+
+/// A request sent later than `configuration_ms` after the ack of a version is handled as only an
+/// older version allows.
+fn check_config(record: &SoakRecord, trace: &RequestTrace) -> Option<String> {
+    if trace.end != AttemptEnd::Answered || record.was_impaired(trace) {
+        return None;
+    }
+    let versions = record.faults.iter().filter_map(|event| match event.kind {
+        FaultKind::Configuration(version) => Some((event.at, version)),
+        _ => None,
+    });
+    let (mut is_allowed, mut is_denied) = (true, true);
+    for (at, version) in versions.filter(|(at, _)| *at <= trace.ended) {
+        // A version that was acknowledged early enough replaces all before it.
+        if at + CONFIGURATION < trace.sent {
+            (is_allowed, is_denied) = (false, false);
+        }
+        let is_there = trace.plan.class.name != SEASONAL.name || has_seasonal_route(version);
+        is_allowed |= is_there;
+        is_denied |= !is_there;
+    }
+    let has_run = record.visits(&trace.id).iter().any(|visit| visit.ran);
+    match trace.status {
+        Some(status @ (401 | 403 | 404)) if !is_denied => Some(format!("denied with {status}")),
+        _ if has_run && !is_allowed => Some("ran on a route that was removed".to_owned()),
+        _ => None,
+    }
+}
--- a/soak/src/soak_record.rs
+++ b/soak/src/soak_record.rs
@@ -93,12 +93,17 @@
         let mut lines = vec![(
             trace.sent,
             format!(
-                "sent to {host}: {} {}, limit {} s, body {} bytes over {:.1} s, {connection} connection",
+                "sent to {host}: {} {}, limit {} s, body {} bytes over {:.1} s, {connection} connection{}",
                 trace.id,
                 plan.class.name,
                 plan.class.limit,
                 plan.body,
-                plan.sending.as_secs_f64()
+                plan.sending.as_secs_f64(),
+                if plan.reads_early {
+                    ""
+                } else {
+                    ", reads after sending"
+                }
             ),
         )];
         if let Some(at) = trace.written {
--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -8,6 +8,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
 
 use crate::caller_traffic::CallerTraffic;
 use crate::fault_driver::FaultDriver;
@@ -30,18 +31,25 @@
 /// Time between two progress lines.
 const PROGRESS_PERIOD: Duration = Duration::from_secs(5);
 
-/// Plays a run; an interrupt ends it early.
-pub(crate) async fn play(options: &SoakOptions) -> Result<SoakReport, Error> {
+/// Plays a run; an interrupt ends it early, and what was played until then is judged.
+pub(crate) async fn play(
+    options: &SoakOptions,
+    interrupt: &CancellationToken,
+) -> Result<SoakReport, Error> {
     let state = Arc::new(prepare(options).await?);
     let zones: Vec<String> = ZONES.map(str::to_owned).to_vec();
     for host in &state.hosts {
         host.start()?;
     }
-    wait_until_ready(&state).await?;
+    tokio::select! {
+        result = wait_until_ready(&state) => result?,
+        () = interrupt.cancelled() => {}
+    }
     let balancer = state.clone();
     let checks = tokio::spawn(async move { balancer.balancer.check_hosts().await });
     let traffic = Arc::new(CallerTraffic::new(state.clone()));
     let sending = tokio::spawn(traffic.clone().send_requests(options.seed, zones));
+    let probing = tokio::spawn(traffic.clone().probe_hosts());
     let driver = FaultDriver::new(state.clone(), FaultProfile::of_name(&options.profile));
     let faults = async {
         sleep(WARM_UP).await;
@@ -51,15 +59,17 @@
         error = faults => return Err(error),
         () = report_progress(&state) => {}
         () = sleep(WARM_UP + Duration::from_secs(options.seconds)) => {}
-        result = tokio::signal::ctrl_c() => {
-            result?;
-            println!("interrupted");
-        }
+        () = interrupt.cancelled() => println!("interrupted"),
     }
     sending.abort();
+    probing.abort();
     traffic.tasks.close();
     // Requests that are still open are those of slow servers; hosts that were stopped go on to stop.
-    let _ = tokio::time::timeout(COOL_DOWN, traffic.tasks.wait()).await;
+    tokio::select! {
+        () = traffic.tasks.wait() => {}
+        () = sleep(COOL_DOWN) => {}
+        () = interrupt.cancelled() => {}
+    }
     checks.abort();
     let report = SoakReport::new(&SoakRecord::collect(&state), options);
     for host in &state.hosts {
--- a/soak/src/soak_state.rs
+++ b/soak/src/soak_state.rs
@@ -57,7 +57,7 @@
     /// Writes the next version of the configuration.
     pub(crate) fn put_configuration(&self, idle_ms: u64) {
         let version = self.version.fetch_add(3, Ordering::SeqCst) + 3;
-        self.note(FaultKind::Configuration, None);
+        self.note(FaultKind::Configuration(version), None);
         self.idle_ms.store(idle_ms, Ordering::SeqCst);
         let specification = configuration(version, idle_ms);
         self.store.put("config", "main", &specification);
@@ -92,7 +92,7 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .clone();
-        traces.sort_by(|left, right| left.sent.cmp(&right.sent));
+        traces.sort_by_key(|trace| trace.sent);
         traces
     }
 
--- /dev/null
+++ b/soak/tests/short_run.rs
@@ -0,0 +1,45 @@
+//! A short seeded run on real processes.
+
+use std::path::Path;
+use std::process::Command;
+
+/// Program of the test run itself.
+const SOAK: &str = env!("CARGO_BIN_EXE_galenamast-soak");
+
+/// Plays a profile for some seconds; panics with its output unless all rules were kept.
+fn play(profile: &str, seed: &str, seconds: &str) {
+    let folder = tempfile::tempdir().expect("a temporary directory");
+    let program = Path::new(SOAK).with_file_name("galenamast");
+    assert!(
+        program.exists(),
+        "{} is missing; `cargo test --workspace` builds it",
+        program.display()
+    );
+    let output = Command::new(SOAK)
+        .args(["--seed", seed, "--seconds", seconds, "--hosts", "5"])
+        .args(["--profile", profile])
+        .arg("--program")
+        .arg(&program)
+        .arg("--report")
+        .arg(folder.path().join("report.txt"))
+        .output()
+        .expect("the soak starts");
+    let text = String::from_utf8_lossy(&output.stdout);
+    let errors = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "{text}{errors}");
+    let answered = text.lines().find(|line| line.ends_with("answered 200"));
+    let count: Option<u32> = answered.and_then(|line| line.split_whitespace().next()?.parse().ok());
+    assert!(count.is_some_and(|count| count > 100), "{text}");
+}
+
+// Guards against requests that end without a response while hosts are stopped and started in turn.
+#[test]
+fn hosts_that_stop_in_turn_lose_no_request() {
+    play("stops", "7", "20");
+}
+
+// Guards against requests that are lost, run twice or are mixed up under kills, freezes and changes.
+#[test]
+fn mixed_faults_break_no_rule() {
+    play("mixed", "7", "20");
+}
