--- a/soak/src/lost_rule.rs
+++ b/soak/src/lost_rule.rs
@@ -33,7 +33,7 @@
     let mut kept_cuts = Vec::new();
     let mut config_cuts = Vec::new();
     for (index, trace) in record.traces.iter().enumerate() {
-        if !trace.end.is_cut() || is_excused(record, trace) || record.was_impaired(trace) {
+        if !is_countable(record, trace) || record.was_impaired(trace) {
             continue;
         }
         let was_passed_on = !record.visits(&trace.id).is_empty();
@@ -83,6 +83,11 @@
     breaks
 }
 
+/// Returns whether a request was cut and none of its own circumstances excuses that.
+pub(crate) fn is_countable(record: &SoakRecord, trace: &RequestTrace) -> bool {
+    trace.end.is_cut() && !is_excused(record, trace)
+}
+
 /// Returns the cause in words: how the request ended, how far it got, and whether the host stopped.
 pub(crate) fn describe(record: &SoakRecord, trace: &RequestTrace) -> String {
     let visits = record.visits(&trace.id);
@@ -101,7 +106,7 @@
         "not sent whole"
     };
     let phase = match record.term_before(trace.host, trace.ended) {
-        Some(term) if trace.ended <= term + GRACE + Duration::from_secs(1) => {
+        Some(term) if record.is_stopping(trace) => {
             if trace.sent < term {
                 "sent before SIGTERM"
             } else if trace.sent <= term + LATE_SENT {
--- a/soak/src/soak_record.rs
+++ b/soak/src/soak_record.rs
@@ -57,6 +57,18 @@
         terms.map(|event| event.at).last()
     }
 
+    /// Returns whether a host's current process had been sent SIGTERM when a request ended.
+    pub(crate) fn is_stopping(&self, trace: &RequestTrace) -> bool {
+        let term = self.term_before(trace.host, trace.ended);
+        let mut events = self.faults_of(trace.host);
+        let was_restarted = events.any(|event| {
+            event.kind == FaultKind::Start
+                && event.at <= trace.sent
+                && term.is_some_and(|term| term < event.at)
+        });
+        term.is_some() && !was_restarted
+    }
+
     /// Returns when the server of a visit was stopped; `None` if it wasn't.
     pub(crate) fn stop_of(&self, server: &str) -> Option<Instant> {
         let stops = |event: &&FaultEvent| matches!(&event.kind, FaultKind::ServerStopped(id) if id == server);
@@ -65,7 +77,18 @@
 
     /// Returns whether anything was impaired from `CONTACT` before a request to its end.
     pub(crate) fn was_impaired(&self, trace: &RequestTrace) -> bool {
-        self.faults.iter().any(|event| {
+        self.impairments(trace).next().is_some()
+    }
+
+    /// Returns whether the request's own host was impaired from `CONTACT` before it to its end.
+    pub(crate) fn was_host_impaired(&self, trace: &RequestTrace) -> bool {
+        let mut impairments = self.impairments(trace);
+        impairments.any(|event| event.host == Some(trace.host))
+    }
+
+    /// Returns the unplanned faults from `CONTACT` before a request to its end.
+    fn impairments(&self, trace: &RequestTrace) -> impl Iterator<Item = &FaultEvent> {
+        self.faults.iter().filter(|event| {
             let is_over = trace.sent.duration_since(event.at) > CONTACT;
             let lasts = event.kind == FaultKind::Freeze && self.thaw_of(event) > trace.sent;
             event.is_unplanned() && event.at <= trace.ended && (!is_over || lasts)
--- a/soak/src/soak_report.rs
+++ b/soak/src/soak_report.rs
@@ -74,7 +74,19 @@
     for (index, trace) in record.traces.iter().enumerate() {
         let is_told = breaks.iter().any(|found| found.trace == Some(index));
         if trace.end.is_cut() && !is_told {
-            let _ = writeln!(text, "not counted: {}", lost_rule::describe(record, trace));
+            let is_near = lost_rule::is_countable(record, trace)
+                && record.is_stopping(trace)
+                && !record.was_host_impaired(trace);
+            let why = if is_near {
+                " (for a fault at another host)"
+            } else {
+                ""
+            };
+            let _ = writeln!(
+                text,
+                "not counted{why}: {}",
+                lost_rule::describe(record, trace)
+            );
             text.push_str(&record.story(trace));
         }
     }
