--- a/soak/tests/short_run.rs
+++ b/soak/tests/short_run.rs
@@ -43,3 +43,9 @@
 fn mixed_faults_break_no_rule() {
     play("mixed", "7", "20");
 }
+
+// Guards against requests that reach servers which left, or are mixed up, while servers are replaced.
+#[test]
+fn servers_that_are_replaced_break_no_rule() {
+    play("servers", "7", "15");
+}
