Name the request in refusals to another host

A relayed request that is refused at admission, as by a host that stops, was answered without its name; on a connection that was used before, that counts as a broken attempt, and uses one of the route's. Change: all responses to other hosts name the request, in one place.

--- a/gateway/src/transport/caller_listener.rs
+++ b/gateway/src/transport/caller_listener.rs
@@ -20,7 +20,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::coordination::shutdown::StopSchedule;
-use crate::protocol::{GatewayRecord, RELAY_UNSERVED, RELAYED_BY};
+use crate::protocol::{GatewayRecord, RELAYED_BY, RELAYED_REQUEST, mark_unserved};
 use crate::state::CallerHead;
 use crate::transport::attempt_runner::remaining_time;
 use crate::transport::caller_socket::{CallerSocket, ConnectionActivity};
@@ -184,6 +184,8 @@
     ) -> Response<ResponseBody> {
         let started_at = self.context.now();
         let _count = RequestGuard::new(&self.context);
+        let passed_on = (origin == RequestOrigin::Host)
+            .then(|| (self.context.format.read_request)(request.headers()).request);
         // A panic would end the connection without a response.
         let handling = AssertUnwindSafe(self.admit_and_run(request, origin, started_at));
         let handled = handling.catch_unwind().await;
@@ -193,12 +195,16 @@
                 let mut response = *refusal;
                 let is_unavailable = response.status() == StatusCode::SERVICE_UNAVAILABLE;
                 if origin == RequestOrigin::Host && is_unavailable {
-                    let mark = HeaderValue::from_static("1");
-                    response.headers_mut().insert(RELAY_UNSERVED, mark);
+                    mark_unserved(response.headers_mut(), 0);
                 }
                 response
             }
         };
+        // Only a response that names its request is believed on a connection that was used before.
+        let name = passed_on.flatten();
+        if let Some(name) = name.and_then(|name| HeaderValue::from_str(&name).ok()) {
+            response.headers_mut().insert(RELAYED_REQUEST, name);
+        }
         if self.context.is_stopping() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -11,15 +11,15 @@
 use std::time::Duration;
 
 use galenamast::state::TimePoint;
+use http::Response;
 use http::request::Parts;
-use http::{HeaderValue, Response};
 
 use crate::coordination::liveness::ServerVerdict;
 use crate::coordination::requests::{
     AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, NextStep, final_answer, next_step,
     promises_not_run,
 };
-use crate::protocol::{RELAYED_REQUEST, is_event_stream, mark_unserved, take_relay_attempts};
+use crate::protocol::{is_event_stream, mark_unserved, take_relay_attempts};
 use crate::state::{
     AttemptHead, CallerHead, ConfigSnapshot, CrashSuspect, RouteKind, ServerEntry, ServiceRoute,
 };
@@ -195,18 +195,8 @@
         }
     }
 
-    /// Runs the request and returns the response for the caller, or for the host that passed it on.
-    pub(crate) async fn run(self) -> Response<ResponseBody> {
-        let named = self.is_relayed.then(|| self.request.clone());
-        let mut response = self.respond().await;
-        if let Some(name) = named.and_then(|name| HeaderValue::from_str(&name).ok()) {
-            response.headers_mut().insert(RELAYED_REQUEST, name);
-        }
-        response
-    }
-
-    /// Runs the request and returns the response.
-    async fn respond(mut self) -> Response<ResponseBody> {
+    /// Runs the request and returns the response for the caller.
+    pub(crate) async fn run(mut self) -> Response<ResponseBody> {
         // The host that passed a request on has counted it.
         if !self.is_relayed {
             self.context.record_request(&self.service);
