--- a/gateway/src/transport/caller_listener.rs
+++ b/gateway/src/transport/caller_listener.rs
@@ -11,7 +11,7 @@
 use futures_util::FutureExt;
 use galenamast::state::TimePoint;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -23,11 +23,12 @@
 use crate::protocol::{GatewayRecord, RELAYED_BY, RELAYED_REQUEST, mark_unserved};
 use crate::state::CallerHead;
 use crate::transport::attempt_runner::remaining_time;
+use crate::transport::body_guard::BodyGuard;
 use crate::transport::caller_socket::{CallerSocket, ConnectionActivity};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
 use crate::transport::request_admission::{
-    Admission, BodyRefusal, Refusal, admit_head, admit_known, discard_body, read_body,
+    Admission, BodyRefusal, Refusal, admit_head, admit_known, close_after, read_body,
 };
 use crate::transport::request_exchange::RequestExchange;
 use crate::transport::response_body::{ResponseBody, host_response, stopping_response};
@@ -328,24 +329,6 @@
     }
 }
 
-/// Has a refusal end its connection if the body was not read, and reads the rest of the body, unless its
-/// caller sends none before it is told to.
-fn close_after(
-    context: &GatewayContext,
-    mut refusal: Refusal,
-    body: Incoming,
-    awaits_continue: bool,
-) -> Refusal {
-    if !body.is_end_stream() {
-        let close = HeaderValue::from_static("close");
-        refusal.headers_mut().insert(header::CONNECTION, close);
-        if !awaits_continue {
-            discard_body(context, body);
-        }
-    }
-    refusal
-}
-
 /// Counts a connection as open until it is dropped, also if the task that serves it panics.
 struct OpenGuard(Arc<CallerListener>);
 
@@ -382,62 +365,6 @@
     }
 }
 
-/// Logs a request whose connection closes while its body is read.
-struct BodyGuard<'a> {
-    context: &'a GatewayContext,
-    request: Arc<str>,
-    route: Arc<str>,
-    started_at: TimePoint,
-    has_ended: bool,
-}
-
-impl<'a> BodyGuard<'a> {
-    /// Begins to read a body.
-    fn new(
-        context: &'a GatewayContext,
-        admission: &Admission,
-        head: &CallerHead,
-        started_at: TimePoint,
-    ) -> Self {
-        Self {
-            context,
-            request: head.request.clone().unwrap_or_default(),
-            route: admission.route.name.clone(),
-            started_at,
-            has_ended: false,
-        }
-    }
-
-    /// Ends the guard, as the body was read or refused.
-    fn end(mut self) {
-        self.has_ended = true;
-    }
-}
-
-impl Drop for BodyGuard<'_> {
-    fn drop(&mut self) {
-        if self.has_ended {
-            return;
-        }
-        let cause = self.context.abandon_cause();
-        self.context
-            .metrics
-            .increment(&format!("requests_abandoned_{cause}_body_total"));
-        let elapsed = self.context.now().since(self.started_at);
-        let record = GatewayRecord::RequestAbandoned {
-            request: self.request.clone(),
-            route: Some(self.route.clone()),
-            cause,
-            stage: "body",
-            elapsed_ms: u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
-            left_ms: 0,
-            attempts: 0,
-            events: 0,
-        };
-        log_record(Level::Info, &record);
-    }
-}
-
 /// Logs a request that is refused at admission.
 fn log_refusal(
     context: &GatewayContext,
--- a/gateway/src/transport/gateway_host.rs
+++ b/gateway/src/transport/gateway_host.rs
@@ -140,9 +140,7 @@
         };
         log_record(Level::Info, &record);
     }
-}
 
-impl GatewayHost {
     /// Waits until no connection is open and none waits to be accepted, or until `end`.
     async fn wait_for_connections(&self, end: TimePoint) {
         let context = &self.context;
--- a/gateway/src/transport/mod.rs
+++ b/gateway/src/transport/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempt_guard;
 mod attempt_runner;
+mod body_guard;
 mod caller_listener;
 mod caller_socket;
 mod cold_notices;
--- a/gateway/src/transport/request_admission.rs
+++ b/gateway/src/transport/request_admission.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::request::Parts;
-use http::{Response, StatusCode, header};
+use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
@@ -235,9 +235,27 @@
     })
 }
 
+/// Has a refusal end its connection if the body was not read, and reads the rest of the body, unless its
+/// caller sends none before it is told to.
+pub(crate) fn close_after(
+    context: &GatewayContext,
+    mut refusal: Refusal,
+    body: Incoming,
+    awaits_continue: bool,
+) -> Refusal {
+    if !body.is_end_stream() {
+        let close = HeaderValue::from_static("close");
+        refusal.headers_mut().insert(header::CONNECTION, close);
+        if !awaits_continue {
+            discard_body(context, body);
+        }
+    }
+    refusal
+}
+
 /// Reads the rest of a refused request's body and drops it. Closing the connection with unread bytes
 /// would reset it, so that the caller might not see the response.
-pub(crate) fn discard_body(context: &GatewayContext, mut body: Incoming) {
+fn discard_body(context: &GatewayContext, mut body: Incoming) {
     if body.is_end_stream() {
         return;
     }
