Let refused prompt parts age though they are passed on

Cause: a host records when the last crash with a part was as its own time less the reported age, and time points end at the start of the process. A younger host so records its own start, and a refusal that is passed on from replacement to replacement lasts longer than its hour; its trials begin anew. Change: the quarantine records all times later by the time of a refusal, in one place at its boundary. The 24 tests of crashes pass.

--- a/gateway/src/coordination/crashes/crash_quarantine.rs
+++ b/gateway/src/coordination/crashes/crash_quarantine.rs
@@ -98,8 +98,15 @@
         self.hosts = hosts;
     }
 
+    /// Returns a time as it is recorded: later by the time for which a part is refused, so that what
+    /// happened before the start of the process can be recorded too.
+    fn recorded_time(&self, at: TimePoint) -> TimePoint {
+        at + self.settings.refusal_time
+    }
+
     /// Records that a connection to a server broke, whatever request it carried.
     pub fn record_disconnect(&mut self, server: &Arc<str>, now: TimePoint) {
+        let now = self.recorded_time(now);
         self.log.record_loss(server, now);
     }
 
@@ -109,6 +116,17 @@
         server: &Arc<str>,
         suspect: &CrashSuspect,
         now: TimePoint,
+    ) -> CrashVerdict {
+        let now = self.recorded_time(now);
+        self.hold_crash(server, suspect, now)
+    }
+
+    /// Holds a crash against a request and its parts.
+    fn hold_crash(
+        &mut self,
+        server: &Arc<str>,
+        suspect: &CrashSuspect,
+        now: TimePoint,
     ) -> CrashVerdict {
         let refused = |part| self.refused.contains_key(&part);
         let is_explained = self.log.record_crash(server, suspect, refused, now);
@@ -130,7 +148,8 @@
     /// Records a crash that another host saw. The verdict names the parts that this host saw answered,
     /// if the other hosts may be about to refuse them.
     pub fn record_report(&mut self, report: &CrashReport, now: TimePoint) -> CrashVerdict {
-        let verdict = self.record_crash(&report.server, &report.suspect, now);
+        let now = self.recorded_time(now);
+        let verdict = self.hold_crash(&report.server, &report.suspect, now);
         let parts = report.suspect.parts.iter().copied();
         let due: Vec<u64> = parts
             .filter(|part| self.is_answer_due(*part, now))
@@ -145,6 +164,7 @@
     /// Records that a server answered a request of this host. The verdict names the parts that are
     /// refused or suspect.
     pub fn record_answer(&mut self, suspect: &CrashSuspect, now: TimePoint) -> CrashVerdict {
+        let now = self.recorded_time(now);
         let mut verdict = CrashVerdict::default();
         if !self.log.is_empty() && self.log.clear_request(suspect.fingerprint) {
             self.note_cleared(suspect.fingerprint, now);
@@ -172,6 +192,7 @@
         reports: &[PartReport],
         now: TimePoint,
     ) -> CrashVerdict {
+        let now = self.recorded_time(now);
         let mut verdict = CrashVerdict::default();
         for report in reports.iter().take(MAX_REPORTED_PARTS) {
             let age = Duration::from_millis(u64::from(report.age_ms));
@@ -191,6 +212,7 @@
         reports: &[PartReport],
         now: TimePoint,
     ) -> CrashVerdict {
+        let now = self.recorded_time(now);
         let mut verdict = CrashVerdict::default();
         for report in reports.iter().take(MAX_REPORTED_PARTS) {
             let part = report.digest;
@@ -222,6 +244,7 @@
 
     /// Returns the refused parts, for hosts that missed the crashes.
     pub fn refusal_reports(&mut self, now: TimePoint) -> Vec<PartReport> {
+        let now = self.recorded_time(now);
         let refusal_time = self.settings.refusal_time;
         self.refused
             .retain(|_, part| now.since(part.crashed_at) < refusal_time);
@@ -242,6 +265,7 @@
     /// Returns the requests that crashes are held against, for hosts that missed the crashes: refused
     /// ones before suspects, and as many as a report may hold.
     pub fn request_reports(&mut self, now: TimePoint) -> Vec<RequestReport> {
+        let now = self.recorded_time(now);
         let counts = self.log.suspected_requests(now).into_iter();
         let is_refused = |(_, count): &(u64, usize)| *count >= self.settings.request_crashes;
         let (mut refused, mut suspected): (Vec<_>, Vec<_>) = counts.partition(is_refused);
@@ -268,6 +292,7 @@
     /// Records the crashes that another host holds against requests; returns the number of those that
     /// were unknown.
     pub fn record_request_reports(&mut self, reports: &[RequestReport], now: TimePoint) -> usize {
+        let now = self.recorded_time(now);
         let mut news = 0;
         for report in reports.iter().take(MAX_REPORTED_REQUESTS) {
             let cleared_at = self.cleared.get(&report.fingerprint);
@@ -288,6 +313,7 @@
     /// Returns why a request is refused. A request with a refused part may be let through as a trial,
     /// by one host at a time.
     pub fn refusal(&mut self, suspect: &CrashSuspect, now: TimePoint) -> Option<CrashRefusal> {
+        let now = self.recorded_time(now);
         let is_refused = |part: &&u64| self.refused.contains_key(*part);
         let refused: Vec<u64> = suspect.parts.iter().filter(is_refused).copied().collect();
         let denied = refused
@@ -307,6 +333,7 @@
 
     /// Returns whether a server crashed, too long ago for a common cause with a loss at `now`.
     pub fn has_crashed_before(&self, server: &str, now: TimePoint) -> bool {
+        let now = self.recorded_time(now);
         self.log.has_crashed_before(server, now)
     }
 
@@ -317,6 +344,7 @@
 
     /// Returns whether a part of a request was refused after the request was sent at `sent_at`.
     pub fn is_refused_since(&self, suspect: &CrashSuspect, sent_at: TimePoint) -> bool {
+        let sent_at = self.recorded_time(sent_at);
         let mut parts = suspect
             .parts
             .iter()
