--- a/soak/src/host_process.rs
+++ b/soak/src/host_process.rs
@@ -16,8 +16,8 @@
 
 /// Ports below those of outgoing connections.
 const PORTS: std::ops::Range<u16> = 15_000..32_000;
-/// Distance between the ports that two processes get for the same draw.
-const PORT_STRIDE: u32 = 97;
+/// Number of ports that one run draws from.
+const SLICE_PORTS: u16 = 1_000;
 /// Time that the balancer allows a readiness check.
 const READY_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -160,14 +160,14 @@
     }
 }
 
-/// Returns a loopback address whose port is free for TCP and UDP. Runs of one seed at the same time get
-/// different ports.
+/// Returns a loopback address whose port is free for TCP and UDP. Runs at the same time draw from different
+/// ports, as those of a host that is down are free for a while.
 fn free_address(random: &mut ChaCha8Rng) -> SocketAddr {
-    let count = u32::from(PORTS.end - PORTS.start);
+    let slices = (PORTS.end - PORTS.start) / SLICE_PORTS;
+    let slice = u16::try_from(std::process::id() % u32::from(slices)).unwrap_or(0);
     loop {
-        let drawn = u32::from(random.random_range(PORTS) - PORTS.start);
-        let offset = (drawn + std::process::id() % count * PORT_STRIDE) % count;
-        let port = PORTS.start + u16::try_from(offset).unwrap_or(0);
+        let drawn = random.random_range(PORTS) - PORTS.start;
+        let port = PORTS.start + slice * SLICE_PORTS + drawn % SLICE_PORTS;
         let address = SocketAddr::from(([127, 0, 0, 1], port));
         if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
