Draw the soak's ports without its seed, and each once

In a slice of 1,000 ports a run then drew one port twice (16125 for callers and for hosts), and two of eight runs could not start. Change: ports are drawn at random within the slice, and none twice.

--- a/soak/src/host_process.rs
+++ b/soak/src/host_process.rs
@@ -1,5 +1,6 @@
 //! An entry host as a process of its own.
 
+use std::collections::BTreeSet;
 use std::fs::{File, OpenOptions};
 use std::io::Error;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
@@ -9,7 +10,6 @@
 use std::time::Duration;
 
 use rand::Rng;
-use rand_chacha::ChaCha8Rng;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -38,16 +38,16 @@
 }
 
 impl HostProcess {
-    /// Writes the host's settings; the process isn't started yet.
+    /// Writes the host's settings; the process isn't started yet. `ports` are those that the run uses.
     pub(crate) fn new(
         program: &Path,
         folder: &Path,
         name: &str,
         zone: &str,
         store: SocketAddr,
-        random: &mut ChaCha8Rng,
+        ports: &mut BTreeSet<u16>,
     ) -> Result<Self, Error> {
-        let [front, ready, peer] = [(); 3].map(|()| free_address(random));
+        let [front, ready, peer] = [(); 3].map(|()| free_address(ports));
         let bounds = json!({"seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": 3000,
                        "acknowledge_ms": 4000, "catch_up_s": 4, "drain_ms": 2000, "grace_s": 8,
                        "loss_slack_ms": 200, "configuration_ms": 2000, "rollback_slack_ms": 250,
@@ -162,14 +162,15 @@
 
 /// Returns a loopback address whose port is free for TCP and UDP. Runs at the same time draw from different
 /// ports, as those of a host that is down are free for a while.
-fn free_address(random: &mut ChaCha8Rng) -> SocketAddr {
+fn free_address(ports: &mut BTreeSet<u16>) -> SocketAddr {
     let slices = (PORTS.end - PORTS.start) / SLICE_PORTS;
     let slice = u16::try_from(std::process::id() % u32::from(slices)).unwrap_or(0);
     loop {
-        let drawn = random.random_range(PORTS) - PORTS.start;
-        let port = PORTS.start + slice * SLICE_PORTS + drawn % SLICE_PORTS;
+        let drawn = rand::rng().random_range(0..SLICE_PORTS);
+        let port = PORTS.start + slice * SLICE_PORTS + drawn;
         let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+        let is_free = TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok();
+        if is_free && ports.insert(port) {
             return address;
         }
     }
--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -1,12 +1,11 @@
 //! One run: starts everything, plays the faults, and ends everything.
 
+use std::collections::BTreeSet;
 use std::io::{Error, ErrorKind};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use galenamast_platform_standin::StandInStore;
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
@@ -85,12 +84,12 @@
     let store = StandInStore::start().await;
     let zones = ZONES.map(str::to_owned);
     let servers = ServerPool::start(options.seed, &zones, &store).await;
-    let mut random = ChaCha8Rng::seed_from_u64(options.seed ^ u64::from(std::process::id()));
+    let mut ports = BTreeSet::new();
     let mut hosts = Vec::new();
     for number in 0..options.hosts {
         let (name, zone) = (format!("front-{number}"), ZONES[number % ZONES.len()]);
         let program = &options.program;
-        let host = HostProcess::new(program, &logs, &name, zone, store.address(), &mut random)?;
+        let host = HostProcess::new(program, &logs, &name, zone, store.address(), &mut ports)?;
         hosts.push(Arc::new(host));
     }
     Ok(SoakState::new(store, servers, hosts))
