--- a/soak/src/platform_config.rs
+++ b/soak/src/platform_config.rs
@@ -5,9 +5,9 @@
 use crate::request_class::{CLASSES, SEASONAL};
 
 /// Service of the streams.
-pub(crate) const ENGINE_SERVICE: &str = "consejero";
+pub(crate) const ENGINE_SERVICE: &str = "engines";
 /// Service of the plain requests.
-pub(crate) const PLAIN_SERVICE: &str = "mostrador";
+pub(crate) const PLAIN_SERVICE: &str = "desk";
 /// Largest body that callers may send, in bytes.
 pub(crate) const BODY_BYTES: usize = 4_194_304;
 /// Idle limit of a connection unless a change says otherwise, in milliseconds.
