Close idle connections by the limits in force

What callers saw: after a configuration that raised `idle_timeout_ms`, connections that were open before still closed after the old limit. Callers that keep to the newest limit found them closed, and a request that crossed the close got no answer.

Cause: hyper's read timeout was set once, when a connection was accepted, and covered the idle time and the head of the next request together. A head that began near its end was cut off, and a limit that was lowered shortened waits of callers that did not know it yet. It closed without a look at what had arrived.

Change: `CallerWait` decides when the wait for a request ends, by the longest limit in force during it, for the idle time and the head each; `CallerSocket` asks it whenever it waits, and never closes with unread bytes. Connections of other hosts stay open for 10 s at least, since these use them by a limit of their own. The end of a response wakes the connection: without hyper's timer it was not read again by itself, so that no wait began.

Measured: `raised_idle_limit_holds_for_open_connections`, `lowered_idle_limit_does_not_shorten_the_wait_in_progress` and `head_that_begins_late_has_its_own_time` failed on the code before and pass; the tests of stops pass.

--- a/gateway/src/coordination/mod.rs
+++ b/gateway/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod budgets;
+pub mod callers;
 pub mod cascade;
 pub mod crashes;
 pub mod evacuations;
--- a/gateway/src/transport/caller_listener.rs
+++ b/gateway/src/transport/caller_listener.rs
@@ -21,10 +21,10 @@
 
 use crate::coordination::shutdown::StopSchedule;
 use crate::protocol::{GatewayRecord, RELAYED_BY, RELAYED_REQUEST, mark_unserved};
-use crate::state::CallerHead;
+use crate::state::{CallerHead, CallerLimits};
 use crate::transport::attempt_runner::remaining_time;
 use crate::transport::body_guard::BodyGuard;
-use crate::transport::caller_socket::{CallerSocket, ConnectionActivity};
+use crate::transport::caller_socket::{CallerSocket, ConnectionActivity, LimitSource};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
 use crate::transport::request_admission::{
@@ -44,6 +44,10 @@
 /// Time in which a socket that is closing accepts the next of the connections that wait.
 const LAST_ACCEPT_TIME: Duration = Duration::from_millis(10);
 
+/// Shortest time for which an idle connection of another host stays open. That host may use it for a
+/// time of its own, whatever the callers' limit is.
+const MIN_HOST_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Who sends the requests of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RequestOrigin {
@@ -139,20 +143,18 @@
         // If either option cannot be set, the connection is only slower or stays open longer.
         let _ = stream.set_nodelay(true);
         let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNREAD_TIMEOUT));
-        let limits = self
-            .context
-            .snapshot
-            .load()
-            .as_ref()
-            .map(|snapshot| snapshot.limits)
-            .unwrap_or_default();
+        let limits: LimitSource = match origin {
+            RequestOrigin::Caller => GatewayContext::caller_limits,
+            RequestOrigin::Host => host_limits,
+        };
+        let header_bytes = limits(&self.context).header_bytes;
         let mut builder = http1::Builder::new();
         builder
             .timer(TokioTimer::new())
-            // hyper applies the header timeout also to the idle time before the next request.
-            .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
+            // The socket limits the wait for a request, by the configuration in force.
+            .header_read_timeout(None)
             .max_headers(MAX_HEADERS)
-            .max_buf_size(limits.header_bytes.max(MIN_HEADER_BUFFER_BYTES));
+            .max_buf_size(header_bytes.max(MIN_HEADER_BUFFER_BYTES));
         let shared = self.clone();
         let activity = Arc::new(ConnectionActivity::default());
         let close_idle = if self.close_idle.is_cancelled() {
@@ -162,7 +164,8 @@
         } else {
             self.close_idle.clone()
         };
-        let socket = CallerSocket::new(stream, activity.clone(), close_idle);
+        let context = self.context.clone();
+        let socket = CallerSocket::new(stream, activity.clone(), context, limits, close_idle);
         let service = service_fn(move |request| {
             let shared = shared.clone();
             let serving = activity.serve();
@@ -365,6 +368,15 @@
     }
 }
 
+/// Returns the limits in force for the connections of other hosts.
+fn host_limits(context: &GatewayContext) -> CallerLimits {
+    let limits = context.caller_limits();
+    CallerLimits {
+        idle_timeout: limits.idle_timeout.max(MIN_HOST_IDLE_TIMEOUT),
+        ..limits
+    }
+}
+
 /// Logs a request that is refused at admission.
 fn log_refusal(
     context: &GatewayContext,
--- a/gateway/src/transport/caller_socket.rs
+++ b/gateway/src/transport/caller_socket.rs
@@ -1,18 +1,23 @@
-//! Sockets of callers. When the host stops, one ends once it is idle, but never with unread bytes.
+//! Sockets of callers. One ends when it has waited too long for a request, and when the host stops once it
+//! is idle, but never with unread bytes.
 
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::task::{Context, Poll};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll, Waker};
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{Instant, Sleep};
 use tokio_util::sync::{CancellationToken, WaitForCancellationFutureOwned};
 
+use crate::coordination::callers::{CallerWait, WaitStage};
+use crate::state::CallerLimits;
+use crate::transport::gateway_context::GatewayContext;
 use crate::transport::response_body::{ResponseBody, TruncatedResponse};
 
 /// What is in progress on a connection.
@@ -26,6 +31,8 @@
     serving: AtomicUsize,
     // Whether bytes of a response wait until the caller reads.
     is_blocked: AtomicBool,
+    // Wakes the connection when the last response is complete, as hyper may not read again by itself then.
+    reader: Mutex<Option<Waker>>,
 }
 
 impl ConnectionActivity {
@@ -37,12 +44,34 @@
         }
     }
 
-    /// Returns whether no request is being read or served.
-    fn is_idle(&self) -> bool {
+    /// Has the connection woken when the last response is complete.
+    fn wake_when_served(&self, waker: &Waker) {
+        let mut reader = self.reader.lock().unwrap_or_else(PoisonError::into_inner);
+        reader
+            .get_or_insert_with(|| waker.clone())
+            .clone_from(waker);
+    }
+
+    /// Wakes the connection, which may wait for the next request now.
+    fn wake(&self) {
+        let mut reader = self.reader.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(waker) = reader.take() {
+            waker.wake();
+        }
+    }
+
+    /// Returns what the connection waits for; `None` while a request is being served.
+    fn stage(&self) -> Option<WaitStage> {
         let load = |count: &AtomicUsize| count.load(Ordering::SeqCst);
-        load(&self.serving) == 0
-            && load(&self.reads) == load(&self.answered_reads)
-            && !self.is_blocked.load(Ordering::SeqCst)
+        if load(&self.serving) > 0 || self.is_blocked.load(Ordering::SeqCst) {
+            return None;
+        }
+        let is_idle = load(&self.reads) == load(&self.answered_reads);
+        Some(if is_idle {
+            WaitStage::Idle
+        } else {
+            WaitStage::Head
+        })
     }
 }
 
@@ -64,6 +93,7 @@
 impl Drop for ServingGuard {
     fn drop(&mut self) {
         self.activity.serving.fetch_sub(1, Ordering::SeqCst);
+        self.activity.wake();
     }
 }
 
@@ -94,11 +124,18 @@
     }
 }
 
+/// Returns the limits in force for the callers of a connection.
+pub(crate) type LimitSource = fn(&GatewayContext) -> CallerLimits;
+
 /// Socket of a caller.
 #[derive(Debug)]
 pub(crate) struct CallerSocket {
     stream: TcpStream,
     activity: Arc<ConnectionActivity>,
+    context: Arc<GatewayContext>,
+    limits: LimitSource,
+    wait: Option<CallerWait>,
+    timer: Pin<Box<Sleep>>,
     // Completes when idle connections are to be closed.
     closing: Pin<Box<WaitForCancellationFutureOwned>>,
 }
@@ -108,11 +145,17 @@
     pub(crate) fn new(
         stream: TcpStream,
         activity: Arc<ConnectionActivity>,
+        context: Arc<GatewayContext>,
+        limits: LimitSource,
         close_idle: CancellationToken,
     ) -> Self {
         Self {
             stream,
             activity,
+            context,
+            limits,
+            wait: None,
+            timer: Box::pin(tokio::time::sleep_until(Instant::now())),
             closing: Box::pin(close_idle.cancelled_owned()),
         }
     }
@@ -124,6 +167,30 @@
         let read = socket.peek(&mut [MaybeUninit::uninit()]);
         matches!(read, Ok(length) if length > 0)
     }
+
+    /// Returns whether the connection has waited for the next request for too long. The task is woken
+    /// when this may change.
+    fn is_overdue(&mut self, stage: Option<WaitStage>, cx: &mut Context<'_>) -> bool {
+        let Some(stage) = stage else {
+            self.wait = None;
+            self.activity.wake_when_served(cx.waker());
+            return false;
+        };
+        let now = self.context.now();
+        let mut wait = match self.wait {
+            Some(wait) if wait.stage() == stage => wait,
+            _ => CallerWait::new(stage, now),
+        };
+        let ends_at = wait.ends_at(&(self.limits)(&self.context));
+        self.wait = Some(wait);
+        if ends_at <= now {
+            return true;
+        }
+        self.timer
+            .as_mut()
+            .reset(Instant::now() + ends_at.since(now));
+        self.timer.as_mut().poll(cx).is_ready()
+    }
 }
 
 impl AsyncRead for CallerSocket {
@@ -140,7 +207,10 @@
             reads.fetch_add(usize::from(has_read), Ordering::SeqCst);
             return polled;
         }
-        let is_closing = self.activity.is_idle() && self.closing.as_mut().poll(cx).is_ready();
+        let stage = self.activity.stage();
+        let is_stopping =
+            stage == Some(WaitStage::Idle) && self.closing.as_mut().poll(cx).is_ready();
+        let is_closing = self.is_overdue(stage, cx) || is_stopping;
         if is_closing && !self.has_unread_bytes() {
             // Reads as the end of the caller's requests, upon which the connection is closed.
             return Poll::Ready(Ok(()));
@@ -152,8 +222,11 @@
 impl CallerSocket {
     /// Remembers whether bytes wait until the caller reads.
     fn note_written<T>(&self, polled: Poll<T>) -> Poll<T> {
-        let is_blocked = &self.activity.is_blocked;
-        is_blocked.store(polled.is_pending(), Ordering::SeqCst);
+        let is_pending = polled.is_pending();
+        let was_blocked = self.activity.is_blocked.swap(is_pending, Ordering::SeqCst);
+        if was_blocked && !is_pending {
+            self.activity.wake();
+        }
         polled
     }
 }
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -24,7 +24,7 @@
 use crate::coordination::rollouts::RolloutTracker;
 use crate::coordination::shutdown::StopSchedule;
 use crate::protocol::{PeerMessage, PlatformFormat};
-use crate::state::{ConfigSnapshot, FollowedKind, HostPresence, ServerEntry};
+use crate::state::{CallerLimits, ConfigSnapshot, FollowedKind, HostPresence, ServerEntry};
 use crate::transport::connection_pool::ConnectionPool;
 use crate::transport::gateway_metrics::GatewayMetrics;
 use crate::transport::gateway_settings::GatewaySettings;
@@ -172,6 +172,15 @@
         self.timers.now()
     }
 
+    /// Returns the limits on callers of the configuration in force, or the defaults before the first one.
+    pub(crate) fn caller_limits(&self) -> CallerLimits {
+        let snapshot = self.snapshot.load();
+        snapshot
+            .as_ref()
+            .map(|snapshot| snapshot.limits)
+            .unwrap_or_default()
+    }
+
     /// Locks the table of servers.
     pub fn servers(&self) -> MutexGuard<'_, ServerTable> {
         lock(&self.servers)
