Let a late server answer when the next one fails

Cause: an attempt that was overdue, or whose server was judged lost, was dropped as soon as another one was granted. When that one was refused, broke off or hung, nothing was left.

Change: such an attempt is a `PendingAttempt` that goes on beside the next one, and the first response wins. A plain request keeps it until its deadline, as it may run more than once; an engine's for 200 ms after the request was sent to the other engine, as both may not run it for long. If no further attempt is made, it is awaited until the deadline. It is dropped when a part of its prompt is refused. The attempts move to server_attempts.rs.

--- a/gateway/src/coordination/requests/attempt_outcome.rs
+++ b/gateway/src/coordination/requests/attempt_outcome.rs
@@ -33,6 +33,8 @@
     Withdrawn,
     /// The server was judged lost while the attempt waited, and a retry was taken from the budget.
     Lost,
+    /// The attempt that this one was to replace was answered first.
+    Superseded,
 }
 
 impl AttemptOutcome {
@@ -58,6 +60,11 @@
         self.leaves_doubt() || matches!(self, Self::Unproven)
     }
 
+    /// Returns whether another attempt was granted in place of this one, whose server may still respond.
+    pub const fn is_replaced(self) -> bool {
+        matches!(self, Self::Overdue | Self::Lost)
+    }
+
     /// Returns whether something was sent to the server.
     pub const fn reached_server(self) -> bool {
         !matches!(self, Self::NotSent | Self::Withheld)
@@ -98,6 +105,22 @@
         }
     }
 
+    /// Takes back the count of a replaced attempt, which goes on. Its end is counted anew.
+    ///
+    /// ```
+    /// use galenamast_gateway::coordination::requests::{AttemptOutcome, AttemptTally};
+    ///
+    /// let mut tally = AttemptTally::default();
+    /// tally.note(AttemptOutcome::Overdue);
+    /// tally.resume_replaced();
+    /// assert_eq!(tally, AttemptTally::default());
+    /// ```
+    pub fn resume_replaced(&mut self) {
+        self.tries = self.tries.saturating_sub(1);
+        self.runs = self.runs.saturating_sub(1);
+        self.arrivals = self.arrivals.saturating_sub(1);
+    }
+
     /// Returns how many servers may run a request at the next host that it is passed on to. Of three or
     /// more, one is held back, so that the request can be passed on again if that host is lost.
     ///
@@ -161,8 +184,7 @@
     tally: &AttemptTally,
     limits: &AttemptLimits,
 ) -> NextStep {
-    let has_retry = matches!(outcome, AttemptOutcome::Overdue | AttemptOutcome::Lost);
-    let needs_budget = outcome.reached_server() && !has_retry;
+    let needs_budget = outcome.reached_server() && !outcome.is_replaced();
     let purpose = needs_budget.then_some(RetryPurpose::Failure);
     let may_run_again = limits.retryable && tally.runs < limits.runs;
     let nothing_ran = tally.runs == 0;
--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one backend server and validates the head of the response.
 
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use tokio::sync::Notify;
 
 use crate::coordination::liveness::ProbeResult;
 use crate::coordination::requests::{
@@ -32,7 +34,7 @@
     /// Body of the caller's request.
     pub(crate) body: &'a Bytes,
     /// Identifier of the caller's request.
-    pub(crate) request: &'a str,
+    pub(crate) request: &'a Arc<str>,
     /// Headers that the host adds.
     pub(crate) head: AttemptHead,
     /// Whether a new connection must be opened, and none from the pool may be used.
@@ -51,6 +53,8 @@
     pub(crate) expected_first_byte: Duration,
     /// Takes a retry in place of this attempt; returns false if none is allowed.
     pub(crate) take_replacement: &'a (dyn Fn() -> bool + Sync),
+    /// Notified when the request is sent.
+    pub(crate) sent: &'a Notify,
 }
 
 /// A response whose head was read and validated; its body is still to be read.
@@ -129,83 +133,153 @@
     deadline.since(context.now())
 }
 
+/// What a connection returned for a request.
+type ReceivedHead = (BackendConnection, hyper::Result<Response<Incoming>>);
+
+/// A request that a server has, and whose response has not begun.
+pub(crate) struct PendingAttempt {
+    /// The server.
+    pub(crate) server: ServerEntry,
+    /// When the request was sent.
+    pub(crate) sent_at: TimePoint,
+    request: Arc<str>,
+    was_reused: bool,
+    sending: Pin<Box<dyn Future<Output = ReceivedHead> + Send>>,
+    guard: AttemptGuard,
+}
+
+impl PendingAttempt {
+    /// Waits for the head of the response; must not be called again once it has arrived.
+    pub(crate) async fn receive(&mut self) -> ReceivedHead {
+        self.sending.as_mut().await
+    }
+
+    /// Validates the head of the response.
+    pub(crate) fn accept(
+        mut self,
+        context: &Arc<GatewayContext>,
+        received: ReceivedHead,
+    ) -> Result<OpenResponse, AttemptOutcome> {
+        let (connection, response) = received;
+        let response = response.map_err(|_| AttemptOutcome::Broken)?;
+        let latency = context.now().since(self.sent_at);
+        record_byte(context, &self.server);
+        self.guard.mark_started();
+        let (mut parts, body) = response.into_parts();
+        let head = (context.format.read_answer)(parts.status, &parts.headers);
+        let named = head.request.as_deref();
+        let origin = ResponseOrigin::new(named, &self.request, self.was_reused);
+        if let Some(stated_after) = origin.stated_after(self.sent_at) {
+            record_demand(context, &self.server, &head, stated_after);
+        }
+        check_statement(origin, head_statement(&head, parts.status))?;
+        strip_connection_headers(&mut parts.headers);
+        parts.headers.remove(header::CONTENT_LENGTH);
+        Ok(OpenResponse {
+            server: self.server,
+            status: parts.status,
+            headers: parts.headers,
+            head,
+            body,
+            latency,
+            sent_at: self.sent_at,
+            connection,
+            _guard: self.guard,
+        })
+    }
+}
+
+/// How an attempt ended that has no usable response.
+pub(crate) struct FailedAttempt {
+    /// The outcome.
+    pub(crate) outcome: AttemptOutcome,
+    /// The attempt, if it is only to be replaced and its server may still respond.
+    pub(crate) pending: Option<PendingAttempt>,
+}
+
+impl From<AttemptOutcome> for FailedAttempt {
+    fn from(outcome: AttemptOutcome) -> Self {
+        Self {
+            outcome,
+            pending: None,
+        }
+    }
+}
+
 /// Sends a request to a server and reads the head of the response.
 pub(crate) async fn run_attempt(
     context: &Arc<GatewayContext>,
     server: &ServerEntry,
     mut call: AttemptRequest<'_>,
-) -> Result<OpenResponse, AttemptOutcome> {
-    let mut guard = AttemptGuard::new(context, server, call.work);
-    let pooled = if call.needs_new_connection {
-        None
-    } else {
-        context.pool.take(server.address)
-    };
-    let mut connection = match pooled {
-        Some(connection) => connection,
-        None => {
-            let longest = context.settings.liveness.connect_timeout(call.time_left);
-            let timeout = longest
-                .min(context.settings.connect_timeout)
-                .min(call.head_timeout);
-            context.metrics.increment("connections_total");
-            match BackendConnection::open(server.address, timeout).await {
-                Ok(connection) => {
-                    context.reach().record_connected(&server.service);
-                    record_connection(context, server, ProbeResult::Accepted);
-                    connection
-                }
-                Err(error) => {
-                    record_connection(context, server, failed_connection(&error));
-                    return Err(AttemptOutcome::NotSent);
-                }
-            }
-        }
-    };
+) -> Result<OpenResponse, FailedAttempt> {
+    let guard = AttemptGuard::new(context, server, call.work);
+    let mut connection = take_connection(context, server, &call).await?;
     let request = build_request(context, server, &call).ok_or(AttemptOutcome::NotSent)?;
     call.permit
         .confirm()
         .map_err(|_| AttemptOutcome::Withheld)?;
+    call.sent.notify_one();
     let sent_at = context.now();
     let watch = ServerWatch::new(context, server, call.expected_first_byte);
-    let sending = connection.send(request);
-    let answered = tokio::select! {
-        answered = tokio::time::timeout(call.time_left, sending) => answered,
-        () = wait_until_replaced(&call) => return Err(AttemptOutcome::Overdue),
-        () = wait_until_refused(context, call.suspect, sent_at) => {
-            return Err(AttemptOutcome::Withdrawn);
+    let mut pending = PendingAttempt {
+        server: server.clone(),
+        sent_at,
+        request: call.request.clone(),
+        was_reused: connection.reused,
+        sending: Box::pin(async move {
+            let response = connection.send(request).await;
+            (connection, response)
+        }),
+        guard,
+    };
+    let received = tokio::select! {
+        received = tokio::time::timeout(call.time_left, pending.receive()) => {
+            received.map_err(|_| AttemptOutcome::Silent)
         }
-        () = watch.wait_until_lost(call.take_replacement) => return Err(AttemptOutcome::Lost),
+        () = wait_until_replaced(&call) => Err(AttemptOutcome::Overdue),
+        () = wait_until_refused(context, call.suspect, sent_at) => Err(AttemptOutcome::Withdrawn),
+        () = watch.wait_until_lost(call.take_replacement) => Err(AttemptOutcome::Lost),
     };
     drop(watch);
-    let response = match answered {
-        Ok(Ok(response)) => response,
-        Ok(Err(_)) => return Err(AttemptOutcome::Broken),
-        Err(_) => return Err(AttemptOutcome::Silent),
+    match received {
+        Ok(received) => Ok(pending.accept(context, received)?),
+        Err(outcome) => Err(FailedAttempt {
+            outcome,
+            pending: Some(pending).filter(|_| outcome.is_replaced()),
+        }),
+    }
+}
+
+/// Takes a connection to a server from the pool, or opens one.
+async fn take_connection(
+    context: &Arc<GatewayContext>,
+    server: &ServerEntry,
+    call: &AttemptRequest<'_>,
+) -> Result<BackendConnection, AttemptOutcome> {
+    let pooled = if call.needs_new_connection {
+        None
+    } else {
+        context.pool.take(server.address)
     };
-    let latency = context.now().since(sent_at);
-    record_byte(context, server);
-    guard.mark_started();
-    let (mut parts, body) = response.into_parts();
-    let head = (context.format.read_answer)(parts.status, &parts.headers);
-    let origin = ResponseOrigin::new(head.request.as_deref(), call.request, connection.reused);
-    if let Some(stated_after) = origin.stated_after(sent_at) {
-        record_demand(context, server, &head, stated_after);
+    if let Some(connection) = pooled {
+        return Ok(connection);
+    }
+    let longest = context.settings.liveness.connect_timeout(call.time_left);
+    let timeout = longest
+        .min(context.settings.connect_timeout)
+        .min(call.head_timeout);
+    context.metrics.increment("connections_total");
+    match BackendConnection::open(server.address, timeout).await {
+        Ok(connection) => {
+            context.reach().record_connected(&server.service);
+            record_connection(context, server, ProbeResult::Accepted);
+            Ok(connection)
+        }
+        Err(error) => {
+            record_connection(context, server, failed_connection(&error));
+            Err(AttemptOutcome::NotSent)
+        }
     }
-    check_statement(origin, head_statement(&head, parts.status))?;
-    strip_connection_headers(&mut parts.headers);
-    parts.headers.remove(header::CONTENT_LENGTH);
-    Ok(OpenResponse {
-        server: server.clone(),
-        status: parts.status,
-        headers: parts.headers,
-        head,
-        body,
-        latency,
-        sent_at,
-        connection,
-        _guard: guard,
-    })
 }
 
 /// Waits until the head of the response is overdue and another attempt is granted. A request that is
@@ -220,7 +294,11 @@
 }
 
 /// Waits until a part of a prompt that was sent at `sent_at` is refused.
-async fn wait_until_refused(context: &GatewayContext, suspect: &CrashSuspect, sent_at: TimePoint) {
+pub(crate) async fn wait_until_refused(
+    context: &GatewayContext,
+    suspect: &CrashSuspect,
+    sent_at: TimePoint,
+) {
     let mut refusals = context.parts_refused.subscribe();
     while !context.crashes().is_refused_since(suspect, sent_at) {
         if refusals.changed().await.is_err() {
--- a/gateway/src/transport/request_exchange/feedback.rs
+++ b/gateway/src/transport/request_exchange/feedback.rs
@@ -31,7 +31,10 @@
                 reach.record_unreachable(&server.domain, &server.id, now);
             }
             // What follows from a lost server was applied when it was judged.
-            AttemptOutcome::Withheld | AttemptOutcome::Withdrawn | AttemptOutcome::Lost => {}
+            AttemptOutcome::Withheld
+            | AttemptOutcome::Withdrawn
+            | AttemptOutcome::Lost
+            | AttemptOutcome::Superseded => {}
             AttemptOutcome::WrongServer => self.context.servers().mark_reused(&server.id, now),
             AttemptOutcome::Silent | AttemptOutcome::Overdue => {
                 self.context.loads().record_timeout(&server.id, now);
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -3,6 +3,7 @@
 mod feedback;
 mod relay;
 mod request_log;
+mod server_attempts;
 mod server_choice;
 
 use std::pin::pin;
@@ -21,19 +22,18 @@
 };
 use crate::protocol::{is_event_stream, mark_unserved, take_relay_attempts};
 use crate::state::{
-    AttemptHead, CallerHead, ConfigSnapshot, CrashSuspect, RouteKind, ServerEntry, ServiceRoute,
-};
-use crate::transport::attempt_runner::{
-    AttemptRequest, CompleteResponse, OpenResponse, remaining_time, run_attempt,
+    CallerHead, ConfigSnapshot, CrashSuspect, RouteKind, ServerEntry, ServiceRoute,
 };
+use crate::transport::attempt_runner::{CompleteResponse, OpenResponse};
 use crate::transport::crash_reports::record_answer;
 use crate::transport::exchange_failure::ExchangeFailure;
 use crate::transport::gateway_context::{GatewayContext, stable_hash};
 use crate::transport::request_admission::{Admission, BufferedBody};
 use crate::transport::response_body::ResponseBody;
-use crate::transport::send_permit::SendPermit;
 use crate::transport::stream_relay::StreamRelay;
 
+pub(crate) use server_attempts::HANDOVER_TIME;
+
 /// Largest number of attempts of one request, whether or not a server runs it.
 const MAX_ATTEMPTS: u32 = 6;
 /// Time left below which no further attempt is made.
@@ -338,81 +338,6 @@
         }
     }
 
-    /// Makes attempts until one yields a response with a valid head.
-    async fn open_response(
-        &mut self,
-        resume_after: Option<u64>,
-    ) -> Result<OpenResponse, ExchangeFailure> {
-        loop {
-            let now = self.context.now();
-            if let Some(refusal) = self.context.crashes().refusal(&self.suspect, now) {
-                return Err(ExchangeFailure::Quarantined(refusal));
-            }
-            if self.tally.runs == 0 && self.has_no_path() && self.has_peers() {
-                return Err(ExchangeFailure::NoPath);
-            }
-            let remaining = remaining_time(&self.context, self.deadline);
-            if remaining < MIN_ATTEMPT_TIME {
-                let never_ran = self.tally.runs == 0;
-                let end = if never_ran {
-                    FinalAnswer::NotRun
-                } else {
-                    FinalAnswer::TimedOut
-                };
-                return Err(ExchangeFailure::HostResponse(end));
-            }
-            let Some(pick) = self.pick() else {
-                return Err(self.no_server_left());
-            };
-            if self.is_overloaded(&pick, remaining) {
-                return Err(ExchangeFailure::Overloaded);
-            }
-            let Ok(permit) = SendPermit::take(&self.context, &pick.server) else {
-                // The choice and the permit must agree; if they ever do not, the next choice leaves the
-                // server out, so that this loop ends.
-                self.context.metrics.increment("permits_denied_total");
-                self.tried.push(pick.server.id.clone());
-                continue;
-            };
-            let server = pick.server.clone();
-            let head_timeout = self.head_timeout(&server.id, remaining);
-            self.log_choice(&pick);
-            self.record_session(&server);
-            self.record_read(&server);
-            let sent_at = self.context.now();
-            self.attempt_events = 0;
-            self.is_attempting = true;
-            let call = AttemptRequest {
-                parts: &self.parts,
-                body: &self.body.bytes,
-                request: &self.request,
-                needs_new_connection: self.needs_new_connection(&server.id),
-                permit,
-                suspect: &self.suspect,
-                head_timeout,
-                work: pick.work,
-                time_left: remaining,
-                expected_first_byte: self.expected_first_byte(),
-                take_replacement: &|| self.take_replacement(&server.id),
-                head: AttemptHead {
-                    server: server.id.clone(),
-                    time_left: remaining,
-                    workspace: self.workspace.clone(),
-                    model: self.model.clone(),
-                    urgency: Some(self.urgency).filter(|_| self.route.kind == RouteKind::Stream),
-                    resume_after,
-                },
-            };
-            match run_attempt(&self.context, &server, call).await {
-                Ok(response) => return Ok(response),
-                Err(outcome) => {
-                    let latency = self.context.now().since(sent_at);
-                    self.finish_attempt(&server, outcome, latency).await?;
-                }
-            }
-        }
-    }
-
     /// Records the end of an attempt without a usable response. Returns an error with the final
     /// outcome unless another attempt may follow.
     pub(crate) async fn finish_attempt(
--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -17,7 +17,7 @@
 use crate::protocol::{EventSplitter, StreamEvent};
 use crate::state::{EventForm, ServiceRoute};
 use crate::transport::attempt_runner::{OpenResponse, remaining_time};
-use crate::transport::request_exchange::{RequestExchange, hand_over};
+use crate::transport::request_exchange::{HANDOVER_TIME, RequestExchange, hand_over};
 use crate::transport::response_body::{ResponseBody, TruncatedResponse};
 use crate::transport::server_watch::record_byte;
 use crate::transport::stream_ahead::EventQueue;
@@ -27,10 +27,6 @@
 /// Shortest gap after which a server counts as stalled.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Longest time for which a silent server keeps a stream that another one is asked for. Both may not run
-/// it for long.
-const HANDOVER_TIME: Duration = Duration::from_millis(200);
-
 /// Returns the time without a complete event after which the server of a route's stream counts as
 /// stalled.
 fn stall_timeout(route: &ServiceRoute) -> Duration {
