Return to a silent server if no other one takes its stream

What callers saw: a stream that ended in the middle, long before its deadline, though its server was only silent for a second or two.

Cause: the silent server was left for good 200 ms after another one had been asked. When that one refused later, or broke off, and there was no third one, the stream was cut.

Change: the stream is asked of the silent server once more, after the last event that the caller has, if the route's attempts and the retry budget allow it.

Measured: `stream_returns_to_a_silent_server_if_the_other_one_refuses_it_late` failed before (cut after the first event) and passes, with the other tests of silent servers.

--- a/gateway/src/coordination/requests/attempt_outcome.rs
+++ b/gateway/src/coordination/requests/attempt_outcome.rs
@@ -213,6 +213,21 @@
     matches!(next_step(outcome, &tally, limits), NextStep::Retry(_))
 }
 
+/// Returns whether a request may be sent again to a server that was left because it was late. No attempt
+/// is in progress.
+///
+/// ```
+/// use galenamast_gateway::coordination::requests::{AttemptLimits, AttemptTally, may_return};
+///
+/// let limits = AttemptLimits { retryable: true, runs: 2, tries: 6 };
+/// let used = AttemptTally { tries: 2, runs: 1, ..AttemptTally::default() };
+/// assert!(may_return(&used, &limits));
+/// assert!(!may_return(&AttemptTally { runs: 2, ..used }, &limits));
+/// ```
+pub const fn may_return(tally: &AttemptTally, limits: &AttemptLimits) -> bool {
+    limits.retryable && tally.runs < limits.runs && tally.tries < limits.tries
+}
+
 /// Returns the answer to the caller when no further attempt is made.
 pub fn final_answer(outcome: AttemptOutcome, tally: &AttemptTally) -> FinalAnswer {
     match outcome {
--- a/gateway/src/coordination/requests/mod.rs
+++ b/gateway/src/coordination/requests/mod.rs
@@ -6,7 +6,7 @@
 
 pub use attempt_outcome::{
     AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, NextStep, final_answer, may_replace,
-    next_step,
+    may_return, next_step,
 };
 pub use event_order::{EventOrder, EventVerdict};
 pub use response_origin::{HeadStatement, ResponseOrigin, check_statement, promises_not_run};
--- a/gateway/src/transport/request_exchange/server_choice.rs
+++ b/gateway/src/transport/request_exchange/server_choice.rs
@@ -15,7 +15,7 @@
 use crate::coordination::placement::{
     LoadEstimator, PickQuery, PromptPrefixes, ServerPick, pick_server,
 };
-use crate::coordination::requests::may_replace;
+use crate::coordination::requests::{may_replace, may_return};
 use crate::coordination::rollouts::{VersionRule, version_groups};
 use crate::state::{EngineModel, RouteKind, ServerEntry};
 use crate::transport::attempt_runner::{OpenResponse, remaining_time};
@@ -167,6 +167,20 @@
                 .take_retry(&self.service, RetryPurpose::Failure)
     }
 
+    /// Lets a server be tried again that was left because it was late, since the others failed. Returns
+    /// false if the route or the retry budget does not allow another attempt.
+    pub(crate) fn take_return(&mut self, server: &str) -> bool {
+        let is_granted = remaining_time(&self.context, self.deadline) >= MIN_ATTEMPT_TIME
+            && may_return(&self.tally, &self.limits())
+            && self
+                .context
+                .take_retry(&self.service, RetryPurpose::Failure);
+        if is_granted {
+            self.tried.retain(|tried| **tried != *server);
+        }
+        is_granted
+    }
+
     /// Finds the preferred server that is not excluded.
     fn find_server_except(&self, excluded: &[Arc<str>]) -> Option<ServerPick> {
         let now = self.context.now();
--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -15,7 +15,7 @@
 use crate::coordination::requests::{AttemptOutcome, EventOrder, EventVerdict};
 use crate::coordination::rollouts::StreamPace;
 use crate::protocol::{EventSplitter, StreamEvent};
-use crate::state::{EventForm, ServiceRoute};
+use crate::state::{EventForm, ServerEntry, ServiceRoute};
 use crate::transport::attempt_runner::{OpenResponse, remaining_time};
 use crate::transport::request_exchange::{HANDOVER_TIME, RequestExchange, hand_over};
 use crate::transport::response_body::{ResponseBody, TruncatedResponse};
@@ -257,23 +257,41 @@
             return Err(self.log_truncated("broke off"));
         }
         let opening = self.exchange.open_stream(self.order.last_id());
-        match hand_over(opening, held, HANDOVER_TIME).await {
-            (Ok(response), _) => {
-                self.splitter = EventSplitter::default();
-                self.order.begin_response();
-                self.held.clear();
-                self.pace = StreamPace::default();
-                self.event_wait = Duration::ZERO;
-                self.response = Some(response);
-                Ok(())
-            }
+        let (opened, held) = hand_over(opening, held, HANDOVER_TIME).await;
+        let response = match (opened, held) {
+            (Ok(response), _) => response,
             (Err(_), Some(held)) => {
                 self.event_wait = Duration::ZERO;
                 self.response = Some(held);
-                Ok(())
+                return Ok(());
+            }
+            (Err(_), None) => self.reopen(&server, outcome).await?,
+        };
+        self.splitter = EventSplitter::default();
+        self.order.begin_response();
+        self.held.clear();
+        self.pace = StreamPace::default();
+        self.event_wait = Duration::ZERO;
+        self.response = Some(response);
+        Ok(())
+    }
+
+    /// Opens the stream once more after no other server took it; the one that was left may, if it was only
+    /// silent.
+    async fn reopen(
+        &mut self,
+        server: &ServerEntry,
+        outcome: AttemptOutcome,
+    ) -> Result<OpenResponse, TruncatedResponse> {
+        let is_granted =
+            outcome == AttemptOutcome::Overdue && self.exchange.take_return(&server.id);
+        if is_granted {
+            let opening = self.exchange.open_stream(self.order.last_id());
+            if let Ok(response) = opening.await {
+                return Ok(response);
             }
-            (Err(_), None) => Err(self.log_truncated("broke off and was not resumed")),
         }
+        Err(self.log_truncated("broke off and was not resumed"))
     }
 
     /// Returns whether another server may continue the stream.
