Do not hold an own lack of descriptors against the servers

What callers saw: on a host that had run out of descriptors, requests were refused also after descriptors were free again, and passed on to other hosts: the host took all servers for lost.

Cause: each error of a connect counted against its server, also `EMFILE`, `ENFILE`, `ENOBUFS`, `ENOMEM` and `EADDRNOTAVAIL`, which are the host's own.

Change: `ProbeResult::NotTried` says that nothing is known of the server; liveness, reach, crash checks and checks of other hosts leave it out.

--- a/gateway/src/coordination/liveness/server_liveness.rs
+++ b/gateway/src/coordination/liveness/server_liveness.rs
@@ -4,6 +4,7 @@
 //! connections open, while other servers are slow and packets are lost.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,6 +32,35 @@
     Refused,
     /// Nothing came back in time.
     TimedOut,
+    /// This host could not try, so nothing is known of the server.
+    NotTried,
+}
+
+impl ProbeResult {
+    /// Error numbers of a host that lacks descriptors, memory or ports of its own: `ENOMEM`, `ENFILE`,
+    /// `EMFILE`, `EADDRNOTAVAIL` and `ENOBUFS`.
+    const OWN_ERRORS: [i32; 5] = [12, 23, 24, 99, 105];
+
+    /// Returns what an error shows of the server that was connected to. An error that is neither a refusal
+    /// nor this host's own may come from the network in between.
+    ///
+    /// ```
+    /// use std::io::Error;
+    ///
+    /// use galenamast_gateway::coordination::liveness::ProbeResult;
+    ///
+    /// let too_many_open_files = Error::from_raw_os_error(24);
+    /// assert_eq!(ProbeResult::of_error(&too_many_open_files), ProbeResult::NotTried);
+    /// let refused = Error::from_raw_os_error(111);
+    /// assert_eq!(ProbeResult::of_error(&refused), ProbeResult::Refused);
+    /// ```
+    pub fn of_error(error: &io::Error) -> Self {
+        match error.raw_os_error() {
+            Some(number) if Self::OWN_ERRORS.contains(&number) => Self::NotTried,
+            _ if error.kind() == io::ErrorKind::ConnectionRefused => Self::Refused,
+            _ => Self::TimedOut,
+        }
+    }
 }
 
 /// A change of the verdict that is to be logged and applied.
@@ -239,6 +269,9 @@
         now: TimePoint,
     ) -> Option<LivenessChange> {
         let state = self.servers.get_mut(server)?;
+        if result == ProbeResult::NotTried {
+            return None;
+        }
         if result == ProbeResult::TimedOut {
             // Waited longer than a probe, so its end says less about how long the outage lasts.
             state.count_failure(now);
@@ -332,8 +365,10 @@
         result: ProbeResult,
         now: TimePoint,
     ) -> Option<LivenessChange> {
-        if result == ProbeResult::Accepted {
-            return Self::record_activity(state, now);
+        match result {
+            ProbeResult::Accepted => return Self::record_activity(state, now),
+            ProbeResult::NotTried => return None,
+            ProbeResult::Refused | ProbeResult::TimedOut => {}
         }
         state.count_failure(now);
         state.was_refused |= result == ProbeResult::Refused;
--- a/gateway/src/coordination/requests/attempt_outcome.rs
+++ b/gateway/src/coordination/requests/attempt_outcome.rs
@@ -11,6 +11,8 @@
 pub enum AttemptOutcome {
     /// No connection was made, so nothing was sent.
     NotSent,
+    /// This host itself could open no connection, for example because it lacks descriptors.
+    NotTried,
     /// The server's demands no longer allowed the host to send the request, so nothing was sent.
     Withheld,
     /// The server stated that the request did not run.
@@ -42,7 +44,7 @@
     pub const fn may_have_run(self) -> bool {
         !matches!(
             self,
-            Self::NotSent | Self::Withheld | Self::Rejected | Self::WrongServer
+            Self::NotSent | Self::NotTried | Self::Withheld | Self::Rejected | Self::WrongServer
         )
     }
 
@@ -67,7 +69,7 @@
 
     /// Returns whether something was sent to the server.
     pub const fn reached_server(self) -> bool {
-        !matches!(self, Self::NotSent | Self::Withheld)
+        !matches!(self, Self::NotSent | Self::NotTried | Self::Withheld)
     }
 }
 
@@ -188,7 +190,10 @@
     let purpose = needs_budget.then_some(RetryPurpose::Failure);
     let may_run_again = limits.retryable && tally.runs < limits.runs;
     let nothing_ran = tally.runs == 0;
-    let is_useful = !matches!(outcome, AttemptOutcome::Withdrawn | AttemptOutcome::Silent);
+    let is_useful = !matches!(
+        outcome,
+        AttemptOutcome::Withdrawn | AttemptOutcome::Silent | AttemptOutcome::NotTried
+    );
     if is_useful && tally.tries < limits.tries && (nothing_ran || may_run_again) {
         return NextStep::Retry(purpose);
     }
--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one backend server and validates the head of the response.
 
+use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,7 +20,7 @@
 use crate::protocol::{AnswerHead, strip_connection_headers};
 use crate::state::{AttemptHead, CrashSuspect, ServerEntry};
 use crate::transport::attempt_guard::AttemptGuard;
-use crate::transport::connection_pool::{BackendConnection, failed_connection};
+use crate::transport::connection_pool::BackendConnection;
 use crate::transport::counted_body::{CountedBytes, read_counted};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::response_body::ResponseBody;
@@ -269,14 +270,26 @@
         .min(context.settings.connect_timeout)
         .min(call.head_timeout);
     context.metrics.increment("connections_total");
-    match BackendConnection::open(server.address, timeout).await {
+    let mut opened = BackendConnection::open(server.address, timeout).await;
+    let is_own = |error: &io::Error| ProbeResult::of_error(error) == ProbeResult::NotTried;
+    if opened.as_ref().is_err_and(is_own) {
+        // Idle connections hold what the host lacks.
+        context.metrics.increment("own_connect_failures_total");
+        context.pool.clear_all();
+        opened = BackendConnection::open(server.address, timeout).await;
+    }
+    let error = match opened {
         Ok(connection) => {
             context.reach().record_connected(&server.service);
             record_connection(context, server, ProbeResult::Accepted);
-            Ok(connection)
+            return Ok(connection);
         }
-        Err(error) => {
-            record_connection(context, server, failed_connection(&error));
+        Err(error) => error,
+    };
+    match ProbeResult::of_error(&error) {
+        ProbeResult::NotTried => Err(AttemptOutcome::NotTried),
+        result => {
+            record_connection(context, server, result);
             Err(AttemptOutcome::NotSent)
         }
     }
--- a/gateway/src/transport/connection_pool.rs
+++ b/gateway/src/transport/connection_pool.rs
@@ -149,6 +149,12 @@
         }
     }
 
+    /// Closes all idle connections, which frees their descriptors and ports.
+    pub fn clear_all(&self) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.clear();
+    }
+
     /// Closes all idle connections to an address.
     pub fn clear(&self, address: SocketAddr) {
         self.idle
@@ -158,24 +164,16 @@
     }
 }
 
-/// Returns whether a server at the address accepts a connection within the probe timeout.
-pub(crate) async fn accepts_connections(address: SocketAddr) -> bool {
-    probe_connection(address, PROBE_TIMEOUT).await == ProbeResult::Accepted
+/// Opens a connection to a server within the probe timeout and closes it.
+pub(crate) async fn probe_server(address: SocketAddr) -> ProbeResult {
+    probe_connection(address, PROBE_TIMEOUT).await
 }
 
 /// Opens a connection to a server within `timeout` and closes it.
 pub(crate) async fn probe_connection(address: SocketAddr, timeout: Duration) -> ProbeResult {
     match tokio::time::timeout(timeout, TcpStream::connect(address)).await {
         Ok(Ok(_)) => ProbeResult::Accepted,
-        Ok(Err(error)) => failed_connection(&error),
+        Ok(Err(error)) => ProbeResult::of_error(&error),
         Err(_) => ProbeResult::TimedOut,
     }
 }
-
-/// Returns what the failure to connect shows. Any other error than a refusal may be this host's own.
-pub(crate) fn failed_connection(error: &io::Error) -> ProbeResult {
-    match error.kind() {
-        io::ErrorKind::ConnectionRefused => ProbeResult::Refused,
-        _ => ProbeResult::TimedOut,
-    }
-}
--- a/gateway/src/transport/crash_check.rs
+++ b/gateway/src/transport/crash_check.rs
@@ -5,9 +5,10 @@
 use log::Level;
 
 use crate::coordination::crashes::pick_probe_targets;
+use crate::coordination::liveness::ProbeResult;
 use crate::protocol::GatewayRecord;
 use crate::state::{CrashSuspect, ServerEntry};
-use crate::transport::connection_pool::accepts_connections;
+use crate::transport::connection_pool::probe_server;
 use crate::transport::crash_reports::record_crash;
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
@@ -33,7 +34,7 @@
 /// Records a crash against the request unless the other servers are unreachable too, which means
 /// that the network was cut, or the request is one that servers can answer.
 pub(crate) async fn check_crash(context: &GatewayContext, lost: LostServer<'_>) {
-    if accepts_connections(lost.server.address).await {
+    if !is_unreachable(lost.server).await {
         return;
     }
     context
@@ -77,9 +78,17 @@
         pick_probe_targets(servers.listed(), lost.server, lost.tried, has_crashed)
     };
     for target in &probe_targets {
-        if accepts_connections(target.address).await {
+        if !is_unreachable(target).await {
             return false;
         }
     }
     !probe_targets.is_empty()
 }
+
+/// Returns whether a server accepts no connection, as far as this host could try.
+async fn is_unreachable(server: &ServerEntry) -> bool {
+    match probe_server(server.address).await {
+        ProbeResult::Accepted | ProbeResult::NotTried => false,
+        ProbeResult::Refused | ProbeResult::TimedOut => true,
+    }
+}
--- a/gateway/src/transport/reach_probe.rs
+++ b/gateway/src/transport/reach_probe.rs
@@ -14,7 +14,7 @@
 use crate::coordination::reach::ReachChange;
 use crate::protocol::{GatewayRecord, PeerMessage};
 use crate::state::ServerEntry;
-use crate::transport::connection_pool::{accepts_connections, probe_connection};
+use crate::transport::connection_pool::{probe_connection, probe_server};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
 
@@ -70,7 +70,9 @@
     let timeout = context.settings.peers.connect_timeout;
     let checks = due.into_iter().map(|peer| async move {
         let result = probe_connection(peer, timeout).await;
-        record_peer(context, peer, result == ProbeResult::Accepted);
+        if result != ProbeResult::NotTried {
+            record_peer(context, peer, result == ProbeResult::Accepted);
+        }
     });
     join_all(checks).await;
 }
@@ -98,10 +100,13 @@
         // Nothing can be sent there, whether or not there is a path.
         return false;
     }
-    let probes = targets
-        .iter()
-        .map(|target| accepts_connections(target.address));
-    let reached = join_all(probes).await.into_iter().any(|accepted| accepted);
+    let probes = targets.iter().map(|target| probe_server(target.address));
+    let results = join_all(probes).await;
+    let reached = results.contains(&ProbeResult::Accepted);
+    if !reached && results.contains(&ProbeResult::NotTried) {
+        // The next probe decides.
+        return false;
+    }
     let change = context
         .reach()
         .record_probe(service, reached, context.now());
--- a/gateway/src/transport/request_exchange/feedback.rs
+++ b/gateway/src/transport/request_exchange/feedback.rs
@@ -31,7 +31,8 @@
                 reach.record_unreachable(&server.domain, &server.id, now);
             }
             // What follows from a lost server was applied when it was judged.
-            AttemptOutcome::Withheld
+            AttemptOutcome::NotTried
+            | AttemptOutcome::Withheld
             | AttemptOutcome::Withdrawn
             | AttemptOutcome::Lost
             | AttemptOutcome::Superseded => {}
--- a/gateway/src/transport/request_exchange/relay.rs
+++ b/gateway/src/transport/request_exchange/relay.rs
@@ -11,6 +11,7 @@
 use log::Level;
 use rand::Rng;
 
+use crate::coordination::liveness::ProbeResult;
 use crate::coordination::reach::pick_relay;
 use crate::coordination::requests::{
     AttemptLimits, AttemptOutcome, NextStep, ResponseOrigin, final_answer, next_step,
@@ -45,6 +46,8 @@
 enum RelayFailure {
     /// The other host accepted no connection.
     Unreached,
+    /// This host itself could open no connection.
+    NotTried,
     /// The request did not run at the other host, and reached no server.
     Unserved,
     /// The request reached servers of the other host, which did not run it.
@@ -60,6 +63,7 @@
     fn outcome(self) -> AttemptOutcome {
         match self {
             Self::Unreached | Self::Unserved => AttemptOutcome::NotSent,
+            Self::NotTried => AttemptOutcome::NotTried,
             Self::Refused => AttemptOutcome::Rejected,
             Self::Broken => AttemptOutcome::Broken,
             Self::TimedOut => AttemptOutcome::Silent,
@@ -160,7 +164,7 @@
                 let mut reach = self.context.reach();
                 reach.record_peer_lost(peer.address, &self.service, until);
             }
-            RelayFailure::TimedOut => {}
+            RelayFailure::TimedOut | RelayFailure::NotTried => {}
         }
     }
 
@@ -200,7 +204,10 @@
                 let longest = context.settings.liveness.connect_timeout(remaining);
                 let timeout = context.settings.peers.connect_timeout.min(longest);
                 let opened = BackendConnection::open(peer.address, timeout).await;
-                let opened = opened.map_err(|_| RelayFailure::Unreached)?;
+                let opened = opened.map_err(|error| match ProbeResult::of_error(&error) {
+                    ProbeResult::NotTried => RelayFailure::NotTried,
+                    _ => RelayFailure::Unreached,
+                })?;
                 record_peer(context, peer.address, true);
                 opened
             }
