Refuse a request on an unknown route while its caller waits

What callers saw: no answer. On a route or with a key that the host does not know, it reads the configuration again before it refuses; while the store is silent that takes a second and more, which may be longer than the caller waits.

Cause: the wait for the store had a limit of its own and none of the caller's.

Change: the request is refused as not run when its caller's time is over, with the same margin as other answers.

Measured: `request_on_an_unknown_route_is_refused_within_its_time_while_the_store_is_silent` failed without the change in the listener and passes.

--- a/gateway/src/state/mod.rs
+++ b/gateway/src/state/mod.rs
@@ -29,5 +29,7 @@
 pub use rollout_order::{RolloutOrder, RolloutReport, RolloutState};
 pub use server_demand::ServerDemand;
 pub use server_entry::ServerEntry;
-pub use service_route::{ColdSpec, EngineModel, RouteKind, RouteTarget, ServiceRoute, ServiceSpec};
+pub use service_route::{
+    ColdSpec, EngineModel, RouteKind, RouteTarget, ServiceRoute, ServiceSpec, answer_deadline,
+};
 pub use store_position::StorePosition;
--- a/gateway/src/state/service_route.rs
+++ b/gateway/src/state/service_route.rs
@@ -8,6 +8,11 @@
 /// Time before the caller's deadline at which the response is sent, so that it arrives in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(15);
 
+/// Returns when a caller must be answered whose request arrived at `started_at` and who waits for `allowed`.
+pub fn answer_deadline(allowed: Duration, started_at: TimePoint) -> TimePoint {
+    started_at + allowed.saturating_sub(ANSWER_MARGIN)
+}
+
 /// Kind of requests on a route, which determines whether they may be retried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
@@ -74,7 +79,7 @@
     /// which the caller waits, if it states one.
     pub fn deadline(&self, time_allowed: Option<Duration>, started_at: TimePoint) -> TimePoint {
         let allowed = time_allowed.unwrap_or(self.timeout).min(self.timeout);
-        started_at + allowed.saturating_sub(ANSWER_MARGIN)
+        answer_deadline(allowed, started_at)
     }
 
     /// Picks a target by weight, given a uniformly distributed random number.
--- a/gateway/src/transport/caller_listener.rs
+++ b/gateway/src/transport/caller_listener.rs
@@ -21,7 +21,7 @@
 
 use crate::coordination::shutdown::StopSchedule;
 use crate::protocol::{GatewayRecord, RELAYED_BY, RELAYED_REQUEST, mark_unserved};
-use crate::state::{CallerHead, CallerLimits};
+use crate::state::{CallerHead, CallerLimits, answer_deadline};
 use crate::transport::attempt_runner::remaining_time;
 use crate::transport::body_guard::BodyGuard;
 use crate::transport::caller_socket::{CallerSocket, ConnectionActivity, LimitSource};
@@ -29,6 +29,7 @@
 use crate::transport::record_log::log_record;
 use crate::transport::request_admission::{
     Admission, BodyRefusal, Refusal, admit_head, admit_known, close_after, read_body,
+    unconfirmed_response,
 };
 use crate::transport::request_exchange::RequestExchange;
 use crate::transport::response_body::{ResponseBody, host_response, stopping_response};
@@ -300,12 +301,25 @@
                 biased;
                 admitted = admit_head(&self.context, parts, head) => admitted,
                 () = self.context.last_answers.cancelled() => Err(Box::new(stopping_response())),
+                () = self.wait_for_caller(head, started_at) => Err(unconfirmed_response()),
             }
         }?;
         self.check_stop(&admission, head, started_at)?;
         Ok(admission)
     }
 
+    /// Waits until the caller of a request must be answered, whatever its route is; never returns if the
+    /// caller states no limit.
+    async fn wait_for_caller(&self, head: &CallerHead, started_at: TimePoint) {
+        match head.time_allowed {
+            Some(allowed) => {
+                let deadline = answer_deadline(allowed, started_at);
+                self.context.timers.sleep_until(deadline).await;
+            }
+            None => std::future::pending().await,
+        }
+    }
+
     /// Refuses a request that may last longer than the process.
     fn check_stop(
         &self,
--- a/gateway/src/transport/request_admission.rs
+++ b/gateway/src/transport/request_admission.rs
@@ -53,8 +53,9 @@
         Ok(admission) => Ok(admission),
         Err(Some(refusal)) => Err(refusal),
         Err(None) => {
-            let unavailable = |_| Box::new(refuse(StatusCode::SERVICE_UNAVAILABLE));
-            refresh_configuration(context).await.map_err(unavailable)?;
+            refresh_configuration(context)
+                .await
+                .map_err(|_| unconfirmed_response())?;
             resolve_route(context, parts, head).map_err(|status| Box::new(refuse(status)))
         }
     }
@@ -135,6 +136,11 @@
     }
 }
 
+/// Returns the refusal of a request for which the configuration could not be confirmed in time.
+pub(crate) fn unconfirmed_response() -> Refusal {
+    Box::new(refuse(StatusCode::SERVICE_UNAVAILABLE))
+}
+
 /// A request body in memory. It counts against the memory limit until it is dropped.
 #[derive(Debug)]
 pub(crate) struct BufferedBody {
