Move the intake of a stream's events into a type of its own

Cause: streams that another host relays are to be continued elsewhere like those of servers, which needs the same reading of events. Change: `EventIntake` holds the splitter, the order and the events for the caller; `StreamRelay` uses it. No behaviour changes. Measured: the tests of streams, silent servers, memory and unanswered requests pass.

--- a/gateway/src/transport/mod.rs
+++ b/gateway/src/transport/mod.rs
@@ -12,6 +12,7 @@
 mod crash_check;
 mod crash_reports;
 mod evacuation_feed;
+mod event_intake;
 mod exchange_failure;
 mod gateway_context;
 mod gateway_error;
--- a/gateway/src/transport/stream_ahead.rs
+++ b/gateway/src/transport/stream_ahead.rs
@@ -44,6 +44,10 @@
 
     /// Queues events.
     pub(crate) fn push(&self, events: impl Iterator<Item = Bytes>) {
+        let mut events = events.peekable();
+        if events.peek().is_none() {
+            return;
+        }
         let mut state = self.lock();
         for event in events {
             self.count(event.len());
--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -1,22 +1,20 @@
 //! Relays the events of a streamed response, and resumes at another server if the stream fails.
 
-use std::collections::VecDeque;
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures_util::{FutureExt, stream};
 use galenamast::state::TimePoint;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::coordination::requests::{AttemptOutcome, EventOrder, EventVerdict};
+use crate::coordination::requests::AttemptOutcome;
 use crate::coordination::rollouts::StreamPace;
-use crate::protocol::{EventSplitter, StreamEvent};
-use crate::state::{EventForm, ServerEntry, ServiceRoute};
+use crate::state::{ServerEntry, ServiceRoute};
 use crate::transport::attempt_runner::{OpenResponse, remaining_time};
+use crate::transport::event_intake::EventIntake;
 use crate::transport::request_exchange::{HANDOVER_TIME, RequestExchange, hand_over};
 use crate::transport::response_body::{ResponseBody, TruncatedResponse};
 use crate::transport::server_watch::record_byte;
@@ -48,12 +46,7 @@
 pub(crate) struct StreamRelay {
     exchange: RequestExchange,
     response: Option<OpenResponse>,
-    splitter: EventSplitter,
-    order: EventOrder,
-    pending: VecDeque<Bytes>,
-    // Events without data, which are queued with the next one.
-    held: Vec<Bytes>,
-    delivered: u64,
+    intake: EventIntake,
     last_received_at: TimePoint,
     pace: StreamPace,
     // Time spent waiting for the server since its last complete event. Time during which the caller
@@ -69,16 +62,12 @@
         last_id: Option<u64>,
     ) -> Self {
         let last_received_at = exchange.context.now();
-        let order = EventOrder::new(last_id, exchange.route.resumable);
+        let intake = EventIntake::new(last_id, exchange.route.resumable);
         Self {
             last_received_at,
             exchange,
             response: Some(response),
-            splitter: EventSplitter::default(),
-            order,
-            pending: VecDeque::new(),
-            held: Vec::new(),
-            delivered: 0,
+            intake,
             pace: StreamPace::default(),
             event_wait: Duration::ZERO,
         }
@@ -116,9 +105,7 @@
     async fn read_into(&mut self, queue: &EventQueue) -> Result<(), TruncatedResponse> {
         loop {
             let progress = self.read_next().await;
-            if !self.pending.is_empty() {
-                queue.push(self.pending.drain(..));
-            }
+            queue.push(self.intake.drain());
             match progress {
                 RelayProgress::Continue => {}
                 RelayProgress::Complete => return Ok(()),
@@ -146,13 +133,8 @@
         match read {
             Err(_) => self.handle_silence(),
             Ok(Some(Err(_))) => RelayProgress::Failed(AttemptOutcome::Broken),
-            Ok(None) if self.splitter.has_partial() => {
-                RelayProgress::Failed(AttemptOutcome::Broken)
-            }
-            Ok(None) => {
-                self.pending.extend(self.held.drain(..));
-                RelayProgress::Complete
-            }
+            Ok(None) if self.intake.finish() => RelayProgress::Complete,
+            Ok(None) => RelayProgress::Failed(AttemptOutcome::Broken),
             Ok(Some(Ok(frame))) => match frame.into_data() {
                 Ok(bytes) => self.accept_bytes(&bytes),
                 Err(_) => RelayProgress::Continue,
@@ -190,44 +172,18 @@
             record_byte(&self.exchange.context, &response.server);
         }
         self.exchange.longest_gap = self.exchange.longest_gap.max(gap);
-        let Ok(events) = self.splitter.push(bytes) else {
-            return RelayProgress::Failed(AttemptOutcome::Garbled);
-        };
-        if !events.is_empty() {
+        let taken = self.intake.push(bytes);
+        if taken.blocks > 0 {
             self.event_wait = Duration::ZERO;
         }
-        for event in events {
-            if !self.accept_event(event) {
-                return RelayProgress::Failed(AttemptOutcome::Garbled);
-            }
-        }
-        RelayProgress::Continue
-    }
-
-    /// Queues an event that the caller does not have yet; returns false if it is not one of the stream in
-    /// its order.
-    fn accept_event(&mut self, event: StreamEvent) -> bool {
-        let verdict = self.order.judge(event.form);
-        if verdict == EventVerdict::Reject {
-            return false;
-        }
-        if event.form != EventForm::Comment {
+        for _ in 0..taken.events {
             self.exchange.record_event();
             self.record_pace(false);
         }
-        match verdict {
-            EventVerdict::Deliver => {
-                self.delivered += 1;
-                // A comment does not show that an event before it is right.
-                if event.form != EventForm::Comment {
-                    self.pending.extend(self.held.drain(..));
-                }
-                self.pending.push_back(event.bytes);
-            }
-            EventVerdict::Hold => self.held.push(event.bytes),
-            EventVerdict::Skip | EventVerdict::Reject => {}
+        match taken.is_garbled {
+            true => RelayProgress::Failed(AttemptOutcome::Garbled),
+            false => RelayProgress::Continue,
         }
-        true
     }
 
     /// Records the pace of the response once enough events came, or at its end.
@@ -256,7 +212,7 @@
         if !is_resumable || retry.is_err() {
             return Err(self.log_truncated("broke off"));
         }
-        let opening = self.exchange.open_stream(self.order.last_id());
+        let opening = self.exchange.open_stream(self.intake.order().last_id());
         let (opened, held) = hand_over(opening, held, HANDOVER_TIME).await;
         let response = match (opened, held) {
             (Ok(response), _) => response,
@@ -267,9 +223,7 @@
             }
             (Err(_), None) => self.reopen(&server, outcome).await?,
         };
-        self.splitter = EventSplitter::default();
-        self.order.begin_response();
-        self.held.clear();
+        self.intake.begin_response();
         self.pace = StreamPace::default();
         self.event_wait = Duration::ZERO;
         self.response = Some(response);
@@ -286,7 +240,7 @@
         let is_granted =
             outcome == AttemptOutcome::Overdue && self.exchange.take_return(&server.id);
         if is_granted {
-            let opening = self.exchange.open_stream(self.order.last_id());
+            let opening = self.exchange.open_stream(self.intake.order().last_id());
             if let Ok(response) = opening.await {
                 return Ok(response);
             }
@@ -296,14 +250,14 @@
 
     /// Returns whether another server may continue the stream.
     fn is_resumable(&self) -> bool {
-        self.exchange.route.resumable && self.order.is_position_known()
+        self.exchange.route.resumable && self.intake.order().is_position_known()
     }
 
     /// Logs that the response ended early, and returns the error for its body.
     fn log_truncated(&self, outcome: &'static str) -> TruncatedResponse {
         let attempts = self.exchange.tally.tries;
         self.exchange
-            .log_end(200, outcome, attempts, self.delivered);
+            .log_end(200, outcome, attempts, self.intake.delivered());
         TruncatedResponse
     }
 
@@ -311,7 +265,7 @@
     fn log_answered(&self) {
         let attempts = self.exchange.tally.tries + 1;
         self.exchange
-            .log_end(200, "answered", attempts, self.delivered);
+            .log_end(200, "answered", attempts, self.intake.delivered());
     }
 
     /// Records that the response was read to its end, and returns its connection to the pool.
