Continue streams passed on when the other host breaks off

What callers saw: a stream cut in the middle at a host that neither stops nor fails: it had no path to the servers and had passed the stream on to a host that was stopped, and that host's end ended the stream.

Cause: the body of a relayed stream was forwarded byte by byte, so the host did not know which event came last and could not have the stream continued.

Change: `RelayedStream` reads the events like those of a server and, when the other host breaks off or sends what is no event of the stream, passes the request on to a further host with the last event that the caller has, as the attempts of the route and the retry budget allow. `PlatformFormat::write_resume_after` writes that event. The end of such a request is logged when it ends, with its events.

Measured: `stream_passed_on_goes_on_if_the_other_host_breaks_off` failed before (cut inside the third event) and passes; `stream_passed_on_with_one_attempt_is_not_resumed` passed before and after; 25 tests of relays, stranded hosts and stale responses pass.

--- a/gateway/src/protocol/platform_format.rs
+++ b/gateway/src/protocol/platform_format.rs
@@ -85,6 +85,8 @@
     pub write_attempt: fn(&mut HeaderMap, &AttemptHead),
     /// Sets the time that is left in a caller's headers.
     pub write_time_left: fn(&mut HeaderMap, Duration),
+    /// Replaces the last event that the sender of a request has received.
+    pub write_resume_after: fn(&mut HeaderMap, u64),
     /// Reads the head of a backend server's answer.
     pub read_answer: fn(StatusCode, &HeaderMap) -> AnswerHead,
     /// Reads the name of an evacuated failure domain; `None` if the object names none.
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -2,6 +2,7 @@
 
 mod feedback;
 mod relay;
+mod relayed_stream;
 mod request_log;
 mod server_attempts;
 mod server_choice;
@@ -29,6 +30,8 @@
 use crate::transport::exchange_failure::ExchangeFailure;
 use crate::transport::gateway_context::{GatewayContext, stable_hash};
 use crate::transport::request_admission::{Admission, BufferedBody};
+use crate::transport::request_exchange::relay::RelayAnswer;
+use crate::transport::request_exchange::relayed_stream::RelayedStream;
 use crate::transport::response_body::ResponseBody;
 use crate::transport::stream_relay::StreamRelay;
 
@@ -73,7 +76,7 @@
     /// A whole response.
     Whole(CompleteResponse),
     /// The response of another host.
-    Relayed(Response<ResponseBody>),
+    Relayed(RelayAnswer),
 }
 
 /// One admitted request and the state of its attempts.
@@ -215,7 +218,13 @@
                 self.log_end(response.status.as_u16(), "answered", tries, 0);
                 response.into_response()
             }
-            Ok(ExchangeAnswer::Relayed(response)) => response,
+            Ok(ExchangeAnswer::Relayed(RelayAnswer::Stream(source))) => {
+                RelayedStream::start(self, *source)
+            }
+            Ok(ExchangeAnswer::Relayed(RelayAnswer::Whole(response))) => {
+                self.log_end(response.status.as_u16(), "relayed", self.tally.tries, 0);
+                response.into_response()
+            }
             Err(end) => self.end(end),
         }
     }
@@ -230,8 +239,13 @@
         };
         match answered {
             Err(end) if self.needs_relay(&end) => {
+                let outcome = if self.tally.arrivals > 0 {
+                    AttemptOutcome::Rejected
+                } else {
+                    AttemptOutcome::NotSent
+                };
                 self.is_attempting = true;
-                let relayed = self.relay().await;
+                let relayed = self.relay(outcome, None).await;
                 self.is_attempting = false;
                 relayed.map(ExchangeAnswer::Relayed)
             }
--- a/gateway/src/transport/request_exchange/relay.rs
+++ b/gateway/src/transport/request_exchange/relay.rs
@@ -3,11 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use futures_util::stream;
 use http::request::Parts;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::{Frame, Incoming};
+use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
+use http_body_util::Full;
 use log::Level;
 use rand::Rng;
 
@@ -22,14 +20,14 @@
     strip_connection_headers, write_relay_attempts,
 };
 use crate::state::{HostPresence, RouteKind};
-use crate::transport::attempt_runner::remaining_time;
+use crate::transport::attempt_runner::{CompleteResponse, remaining_time};
 use crate::transport::connection_pool::BackendConnection;
 use crate::transport::counted_body::read_counted;
 use crate::transport::exchange_failure::ExchangeFailure;
 use crate::transport::reach_probe::{is_service_evacuated, record_peer};
 use crate::transport::record_log::log_record;
+use crate::transport::request_exchange::relayed_stream::RelayedResponse;
 use crate::transport::request_exchange::{MIN_ATTEMPT_TIME, RequestExchange};
-use crate::transport::response_body::{ResponseBody, TruncatedResponse};
 
 /// Greatest number of hosts that a request is passed on to, one after the other.
 const MAX_RELAYS: u32 = 3;
@@ -37,9 +35,15 @@
 const MAX_UNREACHED: u32 = 3;
 /// Time for which a host that did not serve a request gets no other one of the service.
 const UNSERVED_PAUSE: Duration = Duration::from_secs(1);
-/// Shortest time for which a frame of a stream is awaited. After the deadline, the other host may still
-/// send what it has read before.
-const MIN_FRAME_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// The response of another host.
+#[derive(Debug)]
+pub(super) enum RelayAnswer {
+    /// The beginning of a stream.
+    Stream(Box<RelayedResponse>),
+    /// A whole response.
+    Whole(CompleteResponse),
+}
 
 /// How passing a request on ended, if there is no response for the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -98,18 +102,18 @@
         self.context.peers().len() > 1
     }
 
-    /// Passes the request on, and returns the response for the caller. After it may have run, it is
-    /// passed on again only as another attempt may be made at a server.
-    pub(super) async fn relay(&mut self) -> Result<Response<ResponseBody>, ExchangeFailure> {
+    /// Passes the request on after an attempt with this outcome, and returns the response for the caller.
+    /// Events up to `resume_after` were delivered before. After it may have run, it is passed on again only
+    /// as another attempt may be made at a server.
+    pub(super) async fn relay(
+        &mut self,
+        mut outcome: AttemptOutcome,
+        resume_after: Option<u64>,
+    ) -> Result<RelayAnswer, ExchangeFailure> {
         let limits = AttemptLimits {
             tries: self.tally.tries + MAX_RELAYS,
             ..self.limits()
         };
-        let mut outcome = if self.tally.arrivals > 0 {
-            AttemptOutcome::Rejected
-        } else {
-            AttemptOutcome::NotSent
-        };
         let mut tried = Vec::new();
         let mut unreached = 0;
         // Whether the budget allowed the next attempt; hosts that were not reached do not use it up.
@@ -134,8 +138,8 @@
             tried.push(peer.address);
             self.log_relay(&peer);
             let runs = self.tally.runs_to_pass_on(&limits);
-            let failure = match self.relay_to(&peer, runs).await {
-                Ok(response) => return Ok(response),
+            let failure = match self.relay_to(&peer, runs, resume_after).await {
+                Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
             };
             self.record_relay_failure(&peer, failure);
@@ -145,11 +149,7 @@
             }
             is_granted = false;
             outcome = failure.outcome();
-            self.tally.note(outcome);
-            if outcome.may_have_run() {
-                // The other host may have used all the attempts that it was given.
-                self.tally.runs += runs - 1;
-            }
+            self.note_relay_end(outcome, runs);
         }
     }
 
@@ -188,11 +188,12 @@
         &self,
         peer: &HostPresence,
         runs: u32,
-    ) -> Result<Response<ResponseBody>, RelayFailure> {
+        resume_after: Option<u64>,
+    ) -> Result<RelayAnswer, RelayFailure> {
         let context = &self.context;
         let remaining = remaining_time(context, self.deadline);
         let request = self
-            .relayed_request(remaining, runs)
+            .relayed_request(remaining, runs, resume_after)
             .ok_or(RelayFailure::Unserved)?;
         // A request that must not run twice is not sent on a connection that may be closed already, or on
         // which a refusal may belong to an earlier request.
@@ -245,22 +246,25 @@
         strip_connection_headers(&mut parts.headers);
         parts.headers.remove(header::CONTENT_LENGTH);
         parts.headers.remove(RELAYED_REQUEST);
-        let body = if self.route.kind == RouteKind::Stream && parts.status.is_success() {
-            self.stream_body(connection, body)
-        } else {
-            let reading = read_counted(context, body);
-            let remaining = remaining_time(context, self.deadline);
-            let read = tokio::time::timeout(remaining, reading).await;
-            let read = read.map_err(|_| RelayFailure::TimedOut)?;
-            let bytes = read.map_err(|_| RelayFailure::Broken)?;
-            context.pool.keep(connection, None);
-            bytes.into_body()
-        };
-        self.log_end(parts.status.as_u16(), "relayed", self.tally.tries, 0);
-        let mut response = Response::new(body);
-        *response.status_mut() = parts.status;
-        *response.headers_mut() = parts.headers;
-        Ok(response)
+        if self.route.kind == RouteKind::Stream && parts.status.is_success() {
+            return Ok(RelayAnswer::Stream(Box::new(RelayedResponse {
+                parts,
+                connection,
+                body,
+                runs,
+            })));
+        }
+        let reading = read_counted(context, body);
+        let remaining = remaining_time(context, self.deadline);
+        let read = tokio::time::timeout(remaining, reading).await;
+        let read = read.map_err(|_| RelayFailure::TimedOut)?;
+        let bytes = read.map_err(|_| RelayFailure::Broken)?;
+        context.pool.keep(connection, None);
+        Ok(RelayAnswer::Whole(CompleteResponse {
+            status: parts.status,
+            headers: parts.headers,
+            body: bytes,
+        }))
     }
 
     /// Returns what ties a response of another host to the request. Hosts of earlier builds name it only
@@ -282,6 +286,7 @@
         &self,
         remaining: Duration,
         runs: u32,
+        resume_after: Option<u64>,
     ) -> Option<Request<Full<bytes::Bytes>>> {
         let Parts {
             method,
@@ -294,6 +299,9 @@
         headers.remove(header::CONTENT_LENGTH);
         headers.remove(header::EXPECT);
         (self.context.format.write_time_left)(&mut headers, remaining);
+        if let Some(id) = resume_after {
+            (self.context.format.write_resume_after)(&mut headers, id);
+        }
         let host = HeaderValue::from_str(&self.context.settings.host).ok()?;
         headers.insert(RELAYED_BY, host);
         write_relay_attempts(&mut headers, runs);
@@ -308,37 +316,23 @@
         Some(request)
     }
 
-    /// Returns the body of a stream that the other host relays. Until the deadline, that host may be silent
-    /// while it resumes the stream at another server; TCP keep-alive shows whether it is there.
-    fn stream_body(&self, connection: BackendConnection, body: Incoming) -> ResponseBody {
-        let context = self.context.clone();
-        let deadline = self.deadline;
-        let state = (Some(connection), body);
-        let frames = stream::unfold(state, move |(mut connection, mut body)| {
-            let context = context.clone();
-            async move {
-                connection.as_ref()?;
-                let frame_timeout = remaining_time(&context, deadline).max(MIN_FRAME_TIMEOUT);
-                match tokio::time::timeout(frame_timeout, body.frame()).await {
-                    Ok(Some(Ok(frame))) => {
-                        let bytes = frame.into_data().unwrap_or_default();
-                        Some((Ok(Frame::data(bytes)), (connection, body)))
-                    }
-                    Ok(None) => {
-                        let ended = connection.take();
-                        ended
-                            .into_iter()
-                            .for_each(|ended| context.pool.keep(ended, None));
-                        None
-                    }
-                    Ok(Some(Err(_))) | Err(_) => {
-                        context.metrics.increment("relays_broken_total");
-                        Some((Err(TruncatedResponse), (None, body)))
-                    }
-                }
-            }
-        });
-        BodyExt::boxed_unsync(StreamBody::new(frames))
+    /// Counts the attempts of another host that broke off a response which it was granted `runs` for.
+    pub(super) fn note_relay_end(&mut self, outcome: AttemptOutcome, runs: u32) {
+        self.tally.note(outcome);
+        if outcome.may_have_run() {
+            // The other host may have used all the attempts that it was given.
+            self.tally.runs += runs - 1;
+        }
+    }
+
+    /// Records that another host broke off a response.
+    pub(super) fn record_relay_broken(&self, peer: SocketAddr) {
+        record_peer(&self.context, peer, false);
+    }
+
+    /// Logs the end of a request that was passed on, with the number of its events.
+    pub(super) fn log_relay_end(&self, outcome: &'static str, events: u64) {
+        self.log_end(200, outcome, self.tally.tries, events);
     }
 
     /// Logs that the request is passed on.
