Soak: store faults, many silences, signals in a stop, attempts and repeats

Cause: the soak did not check the rule on attempts and repeats, nor that only one server works on a stream, and had no faults of the store.

--- a/soak/src/fault_driver.rs
+++ b/soak/src/fault_driver.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
+use galenamast_platform_standin::StoreFault;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -48,6 +49,7 @@
             Err(error) = self.stop_hosts(random(1)), if self.profile.stops_hosts() => error,
             Err(error) = self.signal_hosts(random(2)), if self.profile.signals_hosts() => error,
             Err(error) = self.change_configuration(random(3)), if self.profile.changes_configuration() => error,
+            () = self.fail_store(random(5)), if self.profile.fails_store() => unreachable!(),
             () = self.replace_servers(random(4)), if self.profile.replaces_servers() => unreachable!(),
             Err(error) = self.watch_processes() => error,
         }
@@ -63,7 +65,9 @@
             let mut stops = Vec::new();
             for host in order.into_iter().take(random.random_range(3..10)) {
                 let restart = random.random_range(0.1..1.5);
-                stops.push(self.stop_host(host, begins, restart));
+                // Further signals while the host stops change nothing.
+                let again = (random.random_bool(0.3)).then(|| random.random_range(0.0..4.0));
+                stops.push(self.stop_host(host, begins, restart, again));
                 begins += random.random_range(0.8..longest);
             }
             for result in join_all(stops).await {
@@ -73,8 +77,15 @@
         }
     }
 
-    /// Stops one host after `begins` seconds and starts it again `restart` seconds after its end.
-    async fn stop_host(&self, host: usize, begins: f64, restart: f64) -> Result<(), Error> {
+    /// Stops one host after `begins` seconds and starts it again `restart` seconds after its end. It gets
+    /// SIGHUP and SIGTERM once more `again` seconds after the first one.
+    async fn stop_host(
+        &self,
+        host: usize,
+        begins: f64,
+        restart: f64,
+        again: Option<f64>,
+    ) -> Result<(), Error> {
         sleep(Duration::from_secs_f64(begins)).await;
         if !self.take(host) {
             return Ok(());
@@ -83,7 +94,13 @@
         self.state.note(FaultKind::Term, Some(host));
         let began = Instant::now();
         process.signal("TERM")?;
+        let mut again = again.map(Duration::from_secs_f64);
         while process.is_running() && began.elapsed() < GRACE {
+            if again.is_some_and(|again| began.elapsed() >= again) {
+                again = None;
+                process.signal("HUP")?;
+                process.signal("TERM")?;
+            }
             sleep(POLL_PERIOD).await;
         }
         if process.is_running() {
@@ -108,7 +125,7 @@
                 continue;
             }
             if kind == 3 {
-                self.stop_host(host, 0.0, pause.as_secs_f64()).await?;
+                self.stop_host(host, 0.0, pause.as_secs_f64(), None).await?;
                 continue;
             }
             if !self.take(host) {
@@ -151,6 +168,26 @@
         }
     }
 
+    /// Has the store fail for some seconds at a time, in each way.
+    async fn fail_store(&self, mut random: ChaCha8Rng) {
+        let ways = [
+            StoreFault::Unavailable,
+            StoreFault::Unresponsive,
+            StoreFault::DropWriteResponses,
+            StoreFault::RateLimited,
+            StoreFault::EndlessWatches,
+        ];
+        loop {
+            sleep(Duration::from_secs_f64(random.random_range(1.0..6.0))).await;
+            let fault = ways[random.random_range(0..ways.len())];
+            self.state.note(FaultKind::StoreFails(fault), None);
+            self.state.store.set_fault(fault);
+            sleep(Duration::from_secs_f64(random.random_range(0.3..6.0))).await;
+            self.state.store.set_fault(StoreFault::None);
+            self.state.note(FaultKind::StoreReturns, None);
+        }
+    }
+
     /// Replaces servers one after the other; some leave without a notice.
     async fn replace_servers(&self, mut random: ChaCha8Rng) {
         let state = &self.state;
--- a/soak/src/fault_event.rs
+++ b/soak/src/fault_event.rs
@@ -2,6 +2,8 @@
 
 use std::time::Instant;
 
+use galenamast_platform_standin::StoreFault;
+
 /// What was done.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum FaultKind {
@@ -23,6 +25,10 @@
     Freeze,
     /// A frozen host goes on.
     Thaw,
+    /// The store fails in a way.
+    StoreFails(StoreFault),
+    /// The store works again.
+    StoreReturns,
     /// A configuration of a version was written.
     Configuration(u64),
     /// A server reported that it drains.
@@ -47,11 +53,25 @@
 }
 
 impl FaultEvent {
+    /// Returns whether it lasts until another event ends it, which is of this kind.
+    pub(crate) fn ended_by(&self) -> Option<FaultKind> {
+        match self.kind {
+            FaultKind::Freeze => Some(FaultKind::Thaw),
+            FaultKind::StoreFails(_) => Some(FaultKind::StoreReturns),
+            _ => None,
+        }
+    }
+
     /// Returns whether it is an unplanned impairment.
     pub(crate) fn is_unplanned(&self) -> bool {
         matches!(
             self.kind,
-            FaultKind::Kill | FaultKind::Freeze | FaultKind::Thaw | FaultKind::OwnEnd
+            FaultKind::Kill
+                | FaultKind::Freeze
+                | FaultKind::Thaw
+                | FaultKind::OwnEnd
+                | FaultKind::StoreFails(_)
+                | FaultKind::StoreReturns
         )
     }
 }
--- a/soak/src/fault_profile.rs
+++ b/soak/src/fault_profile.rs
@@ -1,5 +1,8 @@
 //! Which faults a run plays.
 
+use crate::run_pacing::{draw_pace, draw_silent_pace};
+use crate::server_pool::RunPacing;
+
 /// A set of faults.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum FaultProfile {
@@ -13,14 +16,19 @@
     Servers,
     /// Hosts are killed, frozen, stopped and sent SIGHUP.
     Signals,
-    /// All of these.
+    /// The store is away, silent or loses its answers, while configurations change and hosts are stopped.
+    Store,
+    /// Servers often fall silent, while configurations change and hosts are stopped.
+    Silences,
+    /// All of these, with few silences.
     Mixed,
 }
 
 impl FaultProfile {
     /// Names of the profiles, as on the command line.
-    pub(crate) const NAMES: [&str; 6] =
-        ["quiet", "stops", "changes", "servers", "signals", "mixed"];
+    pub(crate) const NAMES: [&str; 8] = [
+        "quiet", "stops", "changes", "servers", "signals", "store", "silences", "mixed",
+    ];
 
     /// Returns the profile with a name; `Mixed` for unknown names.
     pub(crate) fn of_name(name: &str) -> Self {
@@ -30,18 +38,26 @@
             "changes" => Self::Changes,
             "servers" => Self::Servers,
             "signals" => Self::Signals,
+            "store" => Self::Store,
+            "silences" => Self::Silences,
             _ => Self::Mixed,
         }
     }
 
     /// Returns whether hosts are stopped in turn.
     pub(crate) fn stops_hosts(self) -> bool {
-        matches!(self, Self::Stops | Self::Mixed)
+        matches!(
+            self,
+            Self::Stops | Self::Store | Self::Silences | Self::Mixed
+        )
     }
 
     /// Returns whether configurations change.
     pub(crate) fn changes_configuration(self) -> bool {
-        matches!(self, Self::Changes | Self::Mixed)
+        matches!(
+            self,
+            Self::Changes | Self::Store | Self::Silences | Self::Mixed
+        )
     }
 
     /// Returns whether servers are replaced.
@@ -49,6 +65,19 @@
         matches!(self, Self::Servers | Self::Mixed)
     }
 
+    /// Returns the course of the servers' runs.
+    pub(crate) fn pacing(self) -> RunPacing {
+        match self {
+            Self::Silences => draw_silent_pace,
+            _ => draw_pace,
+        }
+    }
+
+    /// Returns whether the store fails.
+    pub(crate) fn fails_store(self) -> bool {
+        self == Self::Store
+    }
+
     /// Returns whether hosts get signals without a plan.
     pub(crate) fn signals_hosts(self) -> bool {
         matches!(self, Self::Signals | Self::Mixed)
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -1,6 +1,7 @@
 //! Plays seeded faults on real processes and checks what callers and servers see.
 
 mod attempt_end;
+mod budget_rule;
 mod caller_connection;
 mod caller_traffic;
 mod fault_driver;
--- a/soak/src/platform_config.rs
+++ b/soak/src/platform_config.rs
@@ -2,7 +2,7 @@
 
 use serde_json::{Value, json};
 
-use crate::request_class::{CLASSES, SEASONAL};
+use crate::request_class::{CLASSES, RequestClass, RequestKind, SEASONAL};
 
 /// Service of the streams.
 pub(crate) const ENGINE_SERVICE: &str = "engines";
@@ -18,6 +18,14 @@
     version.is_multiple_of(2)
 }
 
+/// Returns how many servers may run a request of a class.
+pub(crate) fn attempts(class: &RequestClass) -> usize {
+    match class.kind {
+        RequestKind::Unsafe => 1,
+        RequestKind::Safe | RequestKind::Stream => 2,
+    }
+}
+
 /// Returns the configuration of a version with an idle limit in milliseconds.
 pub(crate) fn configuration(version: u64, idle_timeout_ms: u64) -> Value {
     let seasonal = has_seasonal_route(version).then_some(&SEASONAL);
@@ -27,7 +35,7 @@
             "path_prefix": format!("/{}/", class.name), "kind": class.kind.name(),
             "timeout_ms": (class.limit * 1000.0) as u64, "goal_ms": class.goal_ms, "priority": 2,
             "service": if class.is_stream() { ENGINE_SERVICE } else { PLAIN_SERVICE },
-            "attempts": if class.kind.name() == "unsafe" { 1 } else { 2 }, "public": false,
+            "attempts": attempts(class), "public": false,
             "sticky": class.is_stream(), "resumable": class.is_stream(), "gap_goal_ms": 800,
         })
     });
--- a/soak/src/run_pacing.rs
+++ b/soak/src/run_pacing.rs
@@ -11,9 +11,21 @@
 
 /// Mean time between two events of a stream, in seconds.
 const EVENT_GAP: f64 = 0.06;
+/// Fraction of the streams whose server falls silent once, and in runs with many silences.
+const SILENT_SHARES: [f64; 2] = [0.08, 0.4];
 
 /// Returns the course of a request's run; the same seed, request and path give the same course.
 pub(crate) fn draw_pace(seed: u64, request: &str, path: &str) -> RunPace {
+    draw_course(seed, request, path, SILENT_SHARES[0])
+}
+
+/// Returns the course of a run at servers that often fall silent.
+pub(crate) fn draw_silent_pace(seed: u64, request: &str, path: &str) -> RunPace {
+    draw_course(seed, request, path, SILENT_SHARES[1])
+}
+
+/// Returns the course of a run at servers that fall silent in a fraction of the streams.
+fn draw_course(seed: u64, request: &str, path: &str, silent_share: f64) -> RunPace {
     let mut hasher = DefaultHasher::new();
     (seed, request).hash(&mut hasher);
     let mut random = ChaCha8Rng::seed_from_u64(hasher.finish());
@@ -50,7 +62,7 @@
     } else {
         EVENT_GAP * random.random_range(0.7..2.2)
     };
-    let silence = random.random_bool(0.08).then(|| {
+    let silence = random.random_bool(silent_share).then(|| {
         let event = random.random_range(1..=class.events);
         (event, seconds(random.random_range(1.0..3.0)))
     });
--- a/soak/src/run_rules.rs
+++ b/soak/src/run_rules.rs
@@ -10,12 +10,15 @@
 use crate::request_class::{RequestKind, SEASONAL};
 use crate::request_trace::RequestTrace;
 use crate::rule_break::RuleBreak;
+use crate::server_pool::ServerVisit;
 use crate::soak_record::SoakRecord;
 
+/// Longest time for which a server may work on a stream that another one goes on with.
+const OVERLAP: Duration = Duration::from_millis(400);
 /// Slack for the measurement of arrivals.
 const ARRIVAL_SLACK: Duration = Duration::from_millis(20);
 
-/// Returns the breaks of all rules but LOST.
+/// Returns the breaks of all rules but LOST and BUDGET.
 pub(crate) fn check(record: &SoakRecord) -> Vec<RuleBreak> {
     let mut breaks = Vec::new();
     for (index, trace) in record.traces.iter().enumerate() {
@@ -51,11 +54,22 @@
     breaks
 }
 
-/// A request that isn't idempotent runs more than once.
+/// A request that isn't idempotent runs more than once, or a stream goes on at another server while the one
+/// before still works on it.
 fn check_twice(record: &SoakRecord, trace: &RequestTrace) -> Option<String> {
     let visits = record.visits(&trace.id);
-    let runs = visits.iter().filter(|visit| visit.ran).count();
-    (trace.plan.class.kind == RequestKind::Unsafe && runs > 1).then(|| format!("ran {runs} times"))
+    let runs: Vec<_> = visits.iter().filter(|visit| visit.ran).collect();
+    match trace.plan.class.kind {
+        RequestKind::Unsafe => (runs.len() > 1).then(|| format!("ran {} times", runs.len())),
+        RequestKind::Safe => None,
+        RequestKind::Stream if record.was_impaired(trace) => None,
+        RequestKind::Stream => runs.windows(2).find_map(|pair| {
+            let limit = pair[1].at + OVERLAP;
+            let works_on = |visit: &ServerVisit| visit.ended.is_none_or(|ended| ended > limit);
+            let overlaps = works_on(pair[0]) && works_on(pair[1]);
+            overlaps.then(|| format!("{} and {} work on it", pair[0].server, pair[1].server))
+        }),
+    }
 }
 
 /// A request that isn't idempotent is refused as not run, and has run or runs later.
--- a/soak/src/server_pool.rs
+++ b/soak/src/server_pool.rs
@@ -4,16 +4,20 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
 
-use galenamast_platform_standin::{ServerKind, ServerOptions, StandInServer, StandInStore};
+use galenamast_platform_standin::{
+    RunPace, ServerKind, ServerOptions, StandInServer, StandInStore,
+};
 
 use crate::platform_config::{ENGINE_SERVICE, PLAIN_SERVICE};
-use crate::run_pacing::draw_pace;
 
 /// Number of engines.
 const ENGINES: usize = 9;
 /// Number of plain servers.
 const PLAIN_SERVERS: usize = 4;
 
+/// Returns the course of a run from a seed, a request and its path.
+pub(crate) type RunPacing = fn(u64, &str, &str) -> RunPace;
+
 /// What one server did with a request.
 #[derive(Clone, Debug)]
 pub(crate) struct ServerVisit {
@@ -35,15 +39,22 @@
 #[derive(Debug)]
 pub(crate) struct ServerPool {
     seed: u64,
+    pacing: RunPacing,
     zones: Vec<String>,
     servers: Mutex<Vec<Arc<StandInServer>>>,
 }
 
 impl ServerPool {
     /// Starts the servers and registers them in the store.
-    pub(crate) async fn start(seed: u64, zones: &[String], store: &StandInStore) -> Self {
+    pub(crate) async fn start(
+        seed: u64,
+        pacing: RunPacing,
+        zones: &[String],
+        store: &StandInStore,
+    ) -> Self {
         let pool = Self {
             seed,
+            pacing,
             zones: zones.to_vec(),
             servers: Mutex::new(Vec::new()),
         };
@@ -72,7 +83,7 @@
             },
             slots: if is_engine { 64 } else { 6 },
             seed: self.seed.wrapping_mul(1_000).wrapping_add(number as u64),
-            pacing: Some(draw_pace),
+            pacing: Some(self.pacing),
             keeps_bodies: false,
             ..ServerOptions::default()
         };
--- a/soak/src/soak_record.rs
+++ b/soak/src/soak_record.rs
@@ -90,17 +90,21 @@
     fn impairments(&self, trace: &RequestTrace) -> impl Iterator<Item = &FaultEvent> {
         self.faults.iter().filter(|event| {
             let is_over = trace.sent.duration_since(event.at) > CONTACT;
-            let lasts = event.kind == FaultKind::Freeze && self.thaw_of(event) > trace.sent;
+            let lasts = self.end_of(event) + CONTACT > trace.sent;
             event.is_unplanned() && event.at <= trace.ended && (!is_over || lasts)
         })
     }
 
-    /// Returns the end of a freeze.
-    fn thaw_of(&self, freeze: &FaultEvent) -> Instant {
-        let thaw = self.faults.iter().find(|event| {
-            event.host == freeze.host && event.kind == FaultKind::Thaw && event.at > freeze.at
-        });
-        thaw.map_or(freeze.at + Duration::from_secs(3600), |event| event.at)
+    /// Returns the end of a fault; `began` of the run if it has none.
+    fn end_of(&self, fault: &FaultEvent) -> Instant {
+        let Some(kind) = fault.ended_by() else {
+            return self.began;
+        };
+        let end = self
+            .faults
+            .iter()
+            .find(|event| event.host == fault.host && event.kind == kind && event.at > fault.at);
+        end.map_or(fault.at + Duration::from_secs(3600), |event| event.at)
     }
 
     /// Returns a moment in seconds since the run began.
--- a/soak/src/soak_report.rs
+++ b/soak/src/soak_report.rs
@@ -4,6 +4,7 @@
 use std::fmt::Write;
 
 use crate::attempt_end::AttemptEnd;
+use crate::budget_rule;
 use crate::lost_rule;
 use crate::rule_break::{RULES, RuleBreak};
 use crate::run_rules;
@@ -26,6 +27,7 @@
     pub(crate) fn new(record: &SoakRecord, options: &SoakOptions) -> Self {
         let mut breaks = lost_rule::check(record);
         breaks.extend(run_rules::check(record));
+        breaks.extend(budget_rule::check(record));
         Self {
             summary: summarize(record, &breaks, options),
             details: detail(record, &breaks),
--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -83,7 +83,8 @@
     std::fs::create_dir_all(&logs)?;
     let store = StandInStore::start().await;
     let zones = ZONES.map(str::to_owned);
-    let servers = ServerPool::start(options.seed, &zones, &store).await;
+    let pacing = FaultProfile::of_name(&options.profile).pacing();
+    let servers = ServerPool::start(options.seed, pacing, &zones, &store).await;
     let mut ports = BTreeSet::new();
     let mut hosts = Vec::new();
     for number in 0..options.hosts {
