Follow the store also after a panic upon one object

After a panic in the decoding or the use of one object the host went on with old configurations or servers for good.

Cause: the task that follows a kind of objects ended with the panic.

Change: an object whose decoder panics is unreadable; a panic in the use of an update is logged, and further updates are applied (`updates_panicked_total`).

--- a/gateway/src/protocol/platform_format.rs
+++ b/gateway/src/protocol/platform_format.rs
@@ -21,6 +21,9 @@
     /// A field is missing or invalid.
     #[error("field `{0}` is missing or invalid")]
     Field(&'static str),
+    /// The decoder panicked.
+    #[error("the decoder panicked")]
+    Panicked,
 }
 
 /// Contents of the head of a backend server's answer.
--- a/gateway/src/transport/object_reads.rs
+++ b/gateway/src/transport/object_reads.rs
@@ -1,5 +1,6 @@
 //! Decodes objects of the store and reports those that cannot be read.
 
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 
 use log::Level;
@@ -58,7 +59,9 @@
     object: &StoredObject,
     decode: fn(&StoredObject) -> Result<T, FormatError>,
 ) -> Option<T> {
-    match decode(object) {
+    // A panic would end the task that follows all objects of the kind.
+    let decoded = catch_unwind(AssertUnwindSafe(|| decode(object)));
+    match decoded.unwrap_or_else(|_| Err(FormatError::Panicked)) {
         Ok(decoded) => {
             if object.defect.is_none() {
                 context.defects().forget(kind, &object.name);
--- a/gateway/src/transport/store_feeds.rs
+++ b/gateway/src/transport/store_feeds.rs
@@ -1,5 +1,6 @@
 //! Applies changes of the store's objects to the host's state.
 
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -39,7 +40,7 @@
         .mul_f64(SETTLE_FRACTION);
     let spawn_feed = |feed, apply: fn(&GatewayContext, KindUpdate)| {
         let apply_context = context.clone();
-        let apply_update = move |update| apply(&apply_context, update);
+        let apply_update = move |update| apply_guarded(&apply_context, update, apply);
         tokio::spawn(follow_kind(context.clone(), feed, apply_update))
     };
     let mut feeds = vec![
@@ -83,6 +84,24 @@
     feeds
 }
 
+/// Applies an update. A panic must not end the task that follows the kind, so the rest of the update is
+/// dropped, and further ones are applied.
+fn apply_guarded(
+    context: &GatewayContext,
+    update: KindUpdate,
+    apply: fn(&GatewayContext, KindUpdate),
+) {
+    if catch_unwind(AssertUnwindSafe(|| apply(context, update))).is_ok() {
+        return;
+    }
+    context.metrics.increment("updates_panicked_total");
+    let record = GatewayRecord::Fault {
+        part: "store",
+        message: "an update could not be applied and was dropped".into(),
+    };
+    log_record(Level::Error, &record);
+}
+
 /// Applies an update of the configuration.
 fn apply_configuration(context: &GatewayContext, update: KindUpdate) {
     match update {
