--- a/soak/tests/short_run.rs
+++ b/soak/tests/short_run.rs
@@ -49,3 +49,15 @@
 fn servers_that_are_replaced_break_no_rule() {
     play("servers", "7", "15");
 }
+
+// Guards against giving up servers that fall silent, beside configurations and stops.
+#[test]
+fn servers_that_fall_silent_break_no_rule() {
+    play("silences", "7", "15");
+}
+
+// Guards against requests that are lost or run twice while the store fails.
+#[test]
+fn store_faults_break_no_rule() {
+    play("store", "7", "15");
+}
