Answer a withdrawn attempt alike, whether or not it was replaced

What callers saw: 504 in place of 502 when a part of the prompt was refused while a late attempt was awaited without a further one.

Change: a refusal ends the wait as it ends an attempt, with 502.

--- a/gateway/src/transport/request_exchange/server_attempts.rs
+++ b/gateway/src/transport/request_exchange/server_attempts.rs
@@ -216,13 +216,15 @@
         let sent_at = pending.sent_at;
         self.is_attempting = true;
         let received = tokio::select! {
-            received = tokio::time::timeout(remaining, pending.receive()) => received.ok(),
-            () = wait_until_refused(&self.context, &self.suspect, sent_at) => None,
+            received = tokio::time::timeout(remaining, pending.receive()) => {
+                received.map_err(|_| FinalAnswer::TimedOut)
+            }
+            () = wait_until_refused(&self.context, &self.suspect, sent_at) => {
+                Err(FinalAnswer::Unknown)
+            }
         };
         self.is_attempting = false;
-        let Some(received) = received else {
-            return Err(ExchangeFailure::HostResponse(FinalAnswer::TimedOut));
-        };
+        let received = received.map_err(ExchangeFailure::HostResponse)?;
         let server = pending.server.clone();
         match pending.accept(&self.context, received) {
             Ok(response) => {
