Await no late server for a request that is refused for its crashes

Cause: found while tracing the listed test: when no further attempt is made, a late attempt was awaited also if the request or a part of its prompt had become refused meanwhile. Change: it is ended then.

--- a/gateway/src/transport/request_exchange/server_attempts.rs
+++ b/gateway/src/transport/request_exchange/server_attempts.rs
@@ -209,7 +209,13 @@
         end: ExchangeFailure,
     ) -> Result<OpenResponse, ExchangeFailure> {
         let is_answered = matches!(end, ExchangeFailure::ServerResponse(_));
-        let Some(mut pending) = held.filter(|_| !is_answered) else {
+        // A request that crashed servers must not go on at another one.
+        let refusal = self
+            .context
+            .crashes()
+            .refusal(&self.suspect, self.context.now());
+        let may_go_on = !is_answered && refusal.is_none();
+        let Some(mut pending) = held.filter(|_| may_go_on) else {
             return Err(end);
         };
         let remaining = remaining_time(&self.context, self.deadline);
