--- a/gateway/src/coordination/crashes/crash_quarantine.rs
+++ b/gateway/src/coordination/crashes/crash_quarantine.rs
@@ -313,22 +313,29 @@
     /// Returns why a request is refused. A request with a refused part may be let through as a trial,
     /// by one host at a time.
     pub fn refusal(&mut self, suspect: &CrashSuspect, now: TimePoint) -> Option<CrashRefusal> {
-        let now = self.recorded_time(now);
+        let recorded_now = self.recorded_time(now);
         let is_refused = |part: &&u64| self.refused.contains_key(*part);
         let refused: Vec<u64> = suspect.parts.iter().filter(is_refused).copied().collect();
         let denied = refused
             .into_iter()
-            .find(|part| !self.take_trial(*part, now));
+            .find(|part| !self.take_trial(*part, recorded_now));
         if let Some(part) = denied {
             return Some(CrashRefusal::Part(part));
         }
+        self.is_request_refused(suspect, now)
+            .then_some(CrashRefusal::Request)
+    }
+
+    /// Returns whether a request is refused for its own crashes.
+    pub fn is_request_refused(&self, suspect: &CrashSuspect, now: TimePoint) -> bool {
+        let now = self.recorded_time(now);
         let key = SuspectKey::Request(suspect.fingerprint);
         let crashes = if self.log.is_empty() {
             0
         } else {
             self.log.count(key, None, now)
         };
-        (crashes >= self.settings.request_crashes).then_some(CrashRefusal::Request)
+        crashes >= self.settings.request_crashes
     }
 
     /// Returns whether a server crashed, too long ago for a common cause with a loss at `now`.
--- a/gateway/src/coordination/requests/attempt_outcome.rs
+++ b/gateway/src/coordination/requests/attempt_outcome.rs
@@ -1,10 +1,4 @@
-//! Decides what follows from the end of an attempt.
-//!
-//! Covers servers that fail, refuse, break off or stop answering. A request that must not run twice
-//! is retried only while no server may have run it, and the answer to the caller states truthfully
-//! whether it may have run.
-
-use crate::coordination::budgets::RetryPurpose;
+//! How attempts end, and the count of those of one request.
 
 /// How an attempt ended, if its answer is not delivered as it is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,8 +29,12 @@
     Withdrawn,
     /// The server was judged lost while the attempt waited, and a retry was taken from the budget.
     Lost,
-    /// The attempt that this one was to replace was answered first.
+    /// Another attempt was answered first.
     Superseded,
+    /// The answer was dropped for that of a larger model.
+    Doubted,
+    /// The host closed the connection, since another server works on the request in place of this one.
+    Left,
 }
 
 impl AttemptOutcome {
@@ -62,11 +60,6 @@
         self.leaves_doubt() || matches!(self, Self::Unproven)
     }
 
-    /// Returns whether another attempt was granted in place of this one, whose server may still respond.
-    pub const fn is_replaced(self) -> bool {
-        matches!(self, Self::Overdue | Self::Lost)
-    }
-
     /// Returns whether something was sent to the server.
     pub const fn reached_server(self) -> bool {
         !matches!(self, Self::NotSent | Self::NotTried | Self::Withheld)
@@ -107,20 +100,18 @@
         }
     }
 
-    /// Takes back the count of a replaced attempt, which goes on. Its end is counted anew.
+    /// Takes back the run of a server that the request is sent to once more. Its end is counted anew.
     ///
     /// ```
     /// use galenamast_gateway::coordination::requests::{AttemptOutcome, AttemptTally};
     ///
     /// let mut tally = AttemptTally::default();
     /// tally.note(AttemptOutcome::Overdue);
-    /// tally.resume_replaced();
-    /// assert_eq!(tally, AttemptTally::default());
+    /// tally.return_to_server();
+    /// assert_eq!((tally.tries, tally.runs), (1, 0));
     /// ```
-    pub fn resume_replaced(&mut self) {
-        self.tries = self.tries.saturating_sub(1);
+    pub fn return_to_server(&mut self) {
         self.runs = self.runs.saturating_sub(1);
-        self.arrivals = self.arrivals.saturating_sub(1);
     }
 
     /// Returns how many servers may run a request at the next host that it is passed on to. Of three or
@@ -144,103 +135,3 @@
         }
     }
 }
-
-/// The answer that a caller gets when no server's answer is delivered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum FinalAnswer {
-    /// The request did not run and will not; the caller may send it again later.
-    NotRun,
-    /// The request may have run, and no complete answer came.
-    Unknown,
-    /// The deadline passed, and the request may have run.
-    TimedOut,
-    /// The server's failure is passed on.
-    ServerFailure,
-}
-
-/// The next step after an attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NextStep {
-    /// Try another server, if the retry budget allows it for this purpose. `None` needs no budget,
-    /// since the attempt reached no server or the budget was asked before.
-    Retry(Option<RetryPurpose>),
-    /// Answer the caller.
-    End(FinalAnswer),
-}
-
-/// Returns the next step after an attempt; `tally` already counts the attempt.
-///
-/// ```
-/// use galenamast_gateway::coordination::requests::{
-///     AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, NextStep, next_step,
-/// };
-///
-/// let limits = AttemptLimits { retryable: false, runs: 1, tries: 6 };
-/// let mut tally = AttemptTally::default();
-/// tally.note(AttemptOutcome::Broken);
-/// let step = next_step(AttemptOutcome::Broken, &tally, &limits);
-/// assert_eq!(step, NextStep::End(FinalAnswer::Unknown));
-/// ```
-pub fn next_step(
-    outcome: AttemptOutcome,
-    tally: &AttemptTally,
-    limits: &AttemptLimits,
-) -> NextStep {
-    let needs_budget = outcome.reached_server() && !outcome.is_replaced();
-    let purpose = needs_budget.then_some(RetryPurpose::Failure);
-    let may_run_again = limits.retryable && tally.runs < limits.runs;
-    let nothing_ran = tally.runs == 0;
-    let is_useful = !matches!(
-        outcome,
-        AttemptOutcome::Withdrawn | AttemptOutcome::Silent | AttemptOutcome::NotTried
-    );
-    if is_useful && tally.tries < limits.tries && (nothing_ran || may_run_again) {
-        return NextStep::Retry(purpose);
-    }
-    NextStep::End(final_answer(outcome, tally))
-}
-
-/// Returns whether an attempt that is in progress may be given up for another one. An answer that may
-/// still come is worth more than none.
-///
-/// ```
-/// use galenamast_gateway::coordination::requests::{AttemptLimits, AttemptTally, may_replace};
-///
-/// let limits = AttemptLimits { retryable: true, runs: 2, tries: 6 };
-/// assert!(may_replace(&AttemptTally::default(), &limits));
-/// let used = AttemptTally { tries: 1, runs: 1, ..AttemptTally::default() };
-/// assert!(!may_replace(&used, &limits));
-/// ```
-pub fn may_replace(tally: &AttemptTally, limits: &AttemptLimits) -> bool {
-    let outcome = AttemptOutcome::Overdue;
-    let mut tally = *tally;
-    tally.note(outcome);
-    matches!(next_step(outcome, &tally, limits), NextStep::Retry(_))
-}
-
-/// Returns whether a request may be sent again to a server that was left because it was late. No attempt
-/// is in progress.
-///
-/// ```
-/// use galenamast_gateway::coordination::requests::{AttemptLimits, AttemptTally, may_return};
-///
-/// let limits = AttemptLimits { retryable: true, runs: 2, tries: 6 };
-/// let used = AttemptTally { tries: 2, runs: 1, ..AttemptTally::default() };
-/// assert!(may_return(&used, &limits));
-/// assert!(!may_return(&AttemptTally { runs: 2, ..used }, &limits));
-/// ```
-pub const fn may_return(tally: &AttemptTally, limits: &AttemptLimits) -> bool {
-    limits.retryable && tally.runs < limits.runs && tally.tries < limits.tries
-}
-
-/// Returns the answer to the caller when no further attempt is made.
-pub fn final_answer(outcome: AttemptOutcome, tally: &AttemptTally) -> FinalAnswer {
-    match outcome {
-        AttemptOutcome::Failed => FinalAnswer::ServerFailure,
-        _ if tally.runs == 0 => FinalAnswer::NotRun,
-        AttemptOutcome::Silent | AttemptOutcome::Overdue | AttemptOutcome::Lost => {
-            FinalAnswer::TimedOut
-        }
-        _ => FinalAnswer::Unknown,
-    }
-}
--- a/gateway/src/coordination/requests/mod.rs
+++ b/gateway/src/coordination/requests/mod.rs
@@ -2,11 +2,10 @@
 
 mod attempt_outcome;
 mod event_order;
+mod exchange_step;
 mod response_origin;
 
-pub use attempt_outcome::{
-    AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, NextStep, final_answer, may_replace,
-    may_return, next_step,
-};
+pub use attempt_outcome::{AttemptLimits, AttemptOutcome, AttemptTally};
 pub use event_order::{EventOrder, EventVerdict};
+pub use exchange_step::{ExchangeState, ExchangeStep, FinalAnswer, NextServers, exchange_step};
 pub use response_origin::{HeadStatement, ResponseOrigin, check_statement, promises_not_run};
--- a/gateway/src/protocol/event_splitter.rs
+++ b/gateway/src/protocol/event_splitter.rs
@@ -27,7 +27,7 @@
 }
 
 /// Buffers bytes until they form complete events.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
     // Start of the last line, which is not complete.
--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -1,75 +1,125 @@
-//! Sends a request to one backend server and validates the head of the response.
+//! Sends a request to one backend server and reads its response until it can be delivered.
 
 use std::io;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use galenamast::state::TimePoint;
-use http::request::Parts;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::Full;
+use http::{HeaderMap, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use crate::coordination::liveness::ProbeResult;
 use crate::coordination::requests::{
-    AttemptOutcome, HeadStatement, ResponseOrigin, check_statement,
+    AttemptOutcome, HeadStatement, ResponseOrigin, check_statement, promises_not_run,
 };
-use crate::protocol::{AnswerHead, strip_connection_headers};
-use crate::state::{AttemptHead, CrashSuspect, ServerEntry};
+use crate::protocol::{AnswerHead, is_event_stream, strip_connection_headers};
+use crate::state::ServerEntry;
 use crate::transport::attempt_guard::AttemptGuard;
 use crate::transport::connection_pool::BackendConnection;
-use crate::transport::counted_body::{CountedBytes, read_counted};
+use crate::transport::counted_body::{BodyCount, CountedBytes, read_counted};
+use crate::transport::event_intake::EventIntake;
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::response_body::ResponseBody;
 use crate::transport::send_permit::SendPermit;
 use crate::transport::server_demands::record_demand;
-use crate::transport::server_watch::{ServerWatch, record_byte, record_connection};
+use crate::transport::server_watch::{record_byte, record_connection};
+
+/// Largest number of bytes before the end of a stream's first event. One event may have a mebibyte.
+const MAX_FIRST_BYTES: usize = 2 * 1_024 * 1_024;
 
 /// One attempt to run a request on a backend server.
-pub(crate) struct AttemptRequest<'a> {
-    /// Head of the caller's request.
-    pub(crate) parts: &'a Parts,
-    /// Body of the caller's request.
-    pub(crate) body: &'a Bytes,
+pub(crate) struct AttemptRequest {
+    /// The server.
+    pub(crate) server: ServerEntry,
+    /// Number of the attempt, from 1.
+    pub(crate) number: u32,
+    /// Request for the server; `None` if its path cannot be encoded.
+    pub(crate) request: Option<Request<Full<Bytes>>>,
     /// Identifier of the caller's request.
-    pub(crate) request: &'a Arc<str>,
-    /// Headers that the host adds.
-    pub(crate) head: AttemptHead,
+    pub(crate) identifier: Arc<str>,
     /// Whether a new connection must be opened, and none from the pool may be used.
     pub(crate) needs_new_connection: bool,
+    /// Longest time for which a connection is opened.
+    pub(crate) connect_timeout: Duration,
     /// Estimated work of the request, in seconds on a typical server.
     pub(crate) work: f64,
     /// Permit to send the request.
     pub(crate) permit: SendPermit,
-    /// What is held against the request if the server crashes.
-    pub(crate) suspect: &'a CrashSuspect,
-    /// Time without the head of the response after which another server is tried if that is allowed.
-    pub(crate) head_timeout: Duration,
-    /// Time left for the request.
-    pub(crate) time_left: Duration,
-    /// Expected time to the first byte.
-    pub(crate) expected_first_byte: Duration,
-    /// Takes a retry in place of this attempt; returns false if none is allowed.
-    pub(crate) take_replacement: &'a (dyn Fn() -> bool + Sync),
-    /// Notified when the request is sent.
-    pub(crate) sent: &'a Notify,
+    /// Events of the stream that the response begins or continues; `None` if it is not streamed.
+    pub(crate) intake: Option<EventIntake>,
+}
+
+/// How far an attempt has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct AttemptStage {
+    /// When the request was sent.
+    pub(crate) sent_at: Option<TimePoint>,
+    /// Whether the head of the response arrived.
+    pub(crate) has_head: bool,
+    /// When the request was sent, its head arrived, or a part of a response that is not streamed.
+    pub(crate) progress_at: Option<TimePoint>,
+}
+
+/// A response that can be delivered.
+#[derive(Debug)]
+pub(crate) enum SettledResponse {
+    /// A stream whose first event was read.
+    Stream(Box<OpenResponse>),
+    /// A response that was read to its end.
+    Whole(Box<WholeResponse>),
+}
+
+/// A response that is not streamed, and where it came from.
+#[derive(Debug)]
+pub(crate) struct WholeResponse {
+    /// The response.
+    pub(crate) response: CompleteResponse,
+    /// Server that responded.
+    pub(crate) server: ServerEntry,
+    /// Time from sending the request to receiving the head.
+    pub(crate) latency: Duration,
 }
 
+/// How an attempt ended that has no response to deliver.
+#[derive(Debug)]
+pub(crate) struct FailedAttempt {
+    /// The outcome.
+    pub(crate) outcome: AttemptOutcome,
+    /// The server's own failure, if it was read to its end.
+    pub(crate) response: Option<CompleteResponse>,
+}
+
+impl From<AttemptOutcome> for FailedAttempt {
+    fn from(outcome: AttemptOutcome) -> Self {
+        Self {
+            outcome,
+            response: None,
+        }
+    }
+}
+
+/// How an attempt ended.
+pub(crate) type AttemptEnd = Result<SettledResponse, FailedAttempt>;
+
 /// A response whose head was read and validated; its body is still to be read.
 #[derive(Debug)]
 pub(crate) struct OpenResponse {
     /// Server that responds.
     pub(crate) server: ServerEntry,
+    /// Number of the attempt, from 1.
+    pub(crate) number: u32,
     /// Status of the response.
     pub(crate) status: StatusCode,
     /// Headers to forward to the caller.
     pub(crate) headers: HeaderMap,
     /// Decoded head of the response.
     pub(crate) head: AnswerHead,
-    /// Body, not read yet.
+    /// Bytes of the body that were read.
+    pub(crate) first: Bytes,
+    /// Body after these bytes.
     pub(crate) body: Incoming,
     /// Time from sending the request to receiving the head.
     pub(crate) latency: Duration,
@@ -92,15 +142,14 @@
 
 impl OpenResponse {
     /// Reads the body of a response that is not streamed, and returns the connection to the pool.
-    pub(crate) async fn read_to_end(
+    async fn read_to_end(
         self,
         context: &Arc<GatewayContext>,
-        deadline: TimePoint,
+        stage: &watch::Sender<AttemptStage>,
     ) -> Result<CompleteResponse, AttemptOutcome> {
-        let reading = read_counted(context, self.body);
-        let remaining = remaining_time(context, deadline);
-        let read = tokio::time::timeout(remaining, reading).await;
-        let body = read.map_err(|_| AttemptOutcome::Silent)??;
+        let server = &self.server;
+        let on_bytes = || record_progress(context, server, stage);
+        let body = read_counted(context, self.body, on_bytes).await?;
         if !self.head.closes {
             context.pool.keep(self.connection, self.head.idle_limit);
         }
@@ -111,6 +160,36 @@
         })
     }
 
+    /// Reads the body of a stream to the end of the first event that the caller lacks, or to its own end.
+    async fn read_first_event(
+        &mut self,
+        context: &Arc<GatewayContext>,
+        mut intake: EventIntake,
+    ) -> Result<(), AttemptOutcome> {
+        intake.begin_response();
+        let mut count = BodyCount::new(context);
+        let mut first = BytesMut::new();
+        while !intake.has_event() {
+            let frame = match self.body.frame().await {
+                Some(frame) => frame.map_err(|_| AttemptOutcome::Broken)?,
+                None if intake.finish() => break,
+                None => return Err(AttemptOutcome::Broken),
+            };
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            record_byte(context, &self.server);
+            first.extend_from_slice(&data);
+            let has_room = count.add(data.len()) || intake.has_event();
+            let is_garbled = intake.push(&data).is_garbled;
+            if is_garbled || !has_room || first.len() > MAX_FIRST_BYTES {
+                return Err(AttemptOutcome::Garbled);
+            }
+        }
+        self.first = first.freeze();
+        Ok(())
+    }
+
     /// Returns the connection to the pool; the body must have been read to its end.
     pub(crate) fn release_connection(self, context: &GatewayContext) {
         if !self.head.closes {
@@ -134,129 +213,115 @@
     deadline.since(context.now())
 }
 
-/// What a connection returned for a request.
-type ReceivedHead = (BackendConnection, hyper::Result<Response<Incoming>>);
-
-/// A request that a server has, and whose response has not begun.
-pub(crate) struct PendingAttempt {
-    /// The server.
-    pub(crate) server: ServerEntry,
-    /// When the request was sent.
-    pub(crate) sent_at: TimePoint,
-    request: Arc<str>,
-    was_reused: bool,
-    sending: Pin<Box<dyn Future<Output = ReceivedHead> + Send>>,
-    guard: AttemptGuard,
+/// Records that a part of a response arrived.
+fn record_progress(
+    context: &GatewayContext,
+    server: &ServerEntry,
+    stage: &watch::Sender<AttemptStage>,
+) {
+    record_byte(context, server);
+    let now = context.now();
+    stage.send_modify(|stage| stage.progress_at = Some(now));
 }
 
-impl PendingAttempt {
-    /// Waits for the head of the response; must not be called again once it has arrived.
-    pub(crate) async fn receive(&mut self) -> ReceivedHead {
-        self.sending.as_mut().await
-    }
-
-    /// Validates the head of the response.
-    pub(crate) fn accept(
-        mut self,
-        context: &Arc<GatewayContext>,
-        received: ReceivedHead,
-    ) -> Result<OpenResponse, AttemptOutcome> {
-        let (connection, response) = received;
-        let response = response.map_err(|_| AttemptOutcome::Broken)?;
-        let latency = context.now().since(self.sent_at);
-        record_byte(context, &self.server);
-        self.guard.mark_started();
-        let (mut parts, body) = response.into_parts();
-        let head = (context.format.read_answer)(parts.status, &parts.headers);
-        let named = head.request.as_deref();
-        let origin = ResponseOrigin::new(named, &self.request, self.was_reused);
-        if let Some(stated_after) = origin.stated_after(self.sent_at) {
-            record_demand(context, &self.server, &head, stated_after);
+/// Sends a request to a server and reads its response until it can be delivered: to its end, or to that of
+/// the first event of a stream.
+pub(crate) async fn run_attempt(
+    context: Arc<GatewayContext>,
+    call: AttemptRequest,
+    stage: watch::Sender<AttemptStage>,
+) -> AttemptEnd {
+    let (server, intake) = (call.server.clone(), call.intake.clone());
+    let mut response = open_response(&context, call, &stage).await?;
+    let latency = response.latency;
+    match intake {
+        None => {
+            let status = response.status;
+            let response = response.read_to_end(&context, &stage).await?;
+            if status.is_server_error() || promises_not_run(status) {
+                return Err(FailedAttempt {
+                    outcome: AttemptOutcome::Failed,
+                    response: Some(response),
+                });
+            }
+            Ok(SettledResponse::Whole(Box::new(WholeResponse {
+                response,
+                server,
+                latency,
+            })))
         }
-        check_statement(origin, head_statement(&head, parts.status))?;
-        strip_connection_headers(&mut parts.headers);
-        parts.headers.remove(header::CONTENT_LENGTH);
-        Ok(OpenResponse {
-            server: self.server,
-            status: parts.status,
-            headers: parts.headers,
-            head,
-            body,
-            latency,
-            sent_at: self.sent_at,
-            connection,
-            _guard: self.guard,
-        })
-    }
-}
-
-/// How an attempt ended that has no usable response.
-pub(crate) struct FailedAttempt {
-    /// The outcome.
-    pub(crate) outcome: AttemptOutcome,
-    /// The attempt, if it is only to be replaced and its server may still respond.
-    pub(crate) pending: Option<PendingAttempt>,
-}
-
-impl From<AttemptOutcome> for FailedAttempt {
-    fn from(outcome: AttemptOutcome) -> Self {
-        Self {
-            outcome,
-            pending: None,
+        Some(_) if !response.status.is_success() => {
+            let response = response.read_to_end(&context, &stage).await?;
+            Err(FailedAttempt {
+                outcome: AttemptOutcome::Failed,
+                response: Some(response),
+            })
+        }
+        Some(_) if !is_event_stream(response.status, &response.headers) => {
+            Err(AttemptOutcome::Garbled.into())
+        }
+        Some(intake) => {
+            response.read_first_event(&context, intake).await?;
+            Ok(SettledResponse::Stream(Box::new(response)))
         }
     }
 }
 
-/// Sends a request to a server and reads the head of the response.
-pub(crate) async fn run_attempt(
+/// Sends a request to a server, and reads and validates the head of the response.
+async fn open_response(
     context: &Arc<GatewayContext>,
-    server: &ServerEntry,
-    mut call: AttemptRequest<'_>,
-) -> Result<OpenResponse, FailedAttempt> {
-    let guard = AttemptGuard::new(context, server, call.work);
-    let mut connection = take_connection(context, server, &call).await?;
-    let request = build_request(context, server, &call).ok_or(AttemptOutcome::NotSent)?;
+    mut call: AttemptRequest,
+    stage: &watch::Sender<AttemptStage>,
+) -> Result<OpenResponse, AttemptOutcome> {
+    let server = call.server.clone();
+    let mut guard = AttemptGuard::new(context, &server, call.work);
+    let mut connection = take_connection(context, &call).await?;
+    let request = call.request.take().ok_or(AttemptOutcome::NotSent)?;
     call.permit
         .confirm()
         .map_err(|_| AttemptOutcome::Withheld)?;
-    call.sent.notify_one();
     let sent_at = context.now();
-    let watch = ServerWatch::new(context, server, call.expected_first_byte);
-    let mut pending = PendingAttempt {
-        server: server.clone(),
-        sent_at,
-        request: call.request.clone(),
-        was_reused: connection.reused,
-        sending: Box::pin(async move {
-            let response = connection.send(request).await;
-            (connection, response)
-        }),
-        guard,
-    };
-    let received = tokio::select! {
-        received = tokio::time::timeout(call.time_left, pending.receive()) => {
-            received.map_err(|_| AttemptOutcome::Silent)
-        }
-        () = wait_until_replaced(&call) => Err(AttemptOutcome::Overdue),
-        () = wait_until_refused(context, call.suspect, sent_at) => Err(AttemptOutcome::Withdrawn),
-        () = watch.wait_until_lost(call.take_replacement) => Err(AttemptOutcome::Lost),
-    };
-    drop(watch);
-    match received {
-        Ok(received) => Ok(pending.accept(context, received)?),
-        Err(outcome) => Err(FailedAttempt {
-            outcome,
-            pending: Some(pending).filter(|_| outcome.is_replaced()),
-        }),
+    stage.send_modify(|stage| {
+        (stage.sent_at, stage.progress_at) = (Some(sent_at), Some(sent_at));
+    });
+    let was_reused = connection.reused;
+    let response = connection.send(request).await;
+    let response = response.map_err(|_| AttemptOutcome::Broken)?;
+    let latency = context.now().since(sent_at);
+    record_progress(context, &server, stage);
+    stage.send_modify(|stage| stage.has_head = true);
+    guard.mark_started();
+    let (mut parts, body) = response.into_parts();
+    let head = (context.format.read_answer)(parts.status, &parts.headers);
+    let named = head.request.as_deref();
+    let origin = ResponseOrigin::new(named, &call.identifier, was_reused);
+    if let Some(stated_after) = origin.stated_after(sent_at) {
+        record_demand(context, &server, &head, stated_after);
     }
+    check_statement(origin, head_statement(&head, parts.status))?;
+    strip_connection_headers(&mut parts.headers);
+    parts.headers.remove(header::CONTENT_LENGTH);
+    Ok(OpenResponse {
+        server,
+        number: call.number,
+        status: parts.status,
+        headers: parts.headers,
+        head,
+        first: Bytes::new(),
+        body,
+        latency,
+        sent_at,
+        connection,
+        _guard: guard,
+    })
 }
 
 /// Takes a connection to a server from the pool, or opens one.
 async fn take_connection(
     context: &Arc<GatewayContext>,
-    server: &ServerEntry,
-    call: &AttemptRequest<'_>,
+    call: &AttemptRequest,
 ) -> Result<BackendConnection, AttemptOutcome> {
+    let server = &call.server;
     let pooled = if call.needs_new_connection {
         None
     } else {
@@ -265,10 +330,7 @@
     if let Some(connection) = pooled {
         return Ok(connection);
     }
-    let longest = context.settings.liveness.connect_timeout(call.time_left);
-    let timeout = longest
-        .min(context.settings.connect_timeout)
-        .min(call.head_timeout);
+    let timeout = call.connect_timeout;
     context.metrics.increment("connections_total");
     let mut opened = BackendConnection::open(server.address, timeout).await;
     let is_own = |error: &io::Error| ProbeResult::of_error(error) == ProbeResult::NotTried;
@@ -295,32 +357,6 @@
     }
 }
 
-/// Waits until the head of the response is overdue and another attempt is granted. A request that is
-/// not granted one goes on.
-async fn wait_until_replaced(call: &AttemptRequest<'_>) {
-    loop {
-        tokio::time::sleep(call.head_timeout).await;
-        if (call.take_replacement)() {
-            return;
-        }
-    }
-}
-
-/// Waits until a part of a prompt that was sent at `sent_at` is refused.
-pub(crate) async fn wait_until_refused(
-    context: &GatewayContext,
-    suspect: &CrashSuspect,
-    sent_at: TimePoint,
-) {
-    let mut refusals = context.parts_refused.subscribe();
-    while !context.crashes().is_refused_since(suspect, sent_at) {
-        if refusals.changed().await.is_err() {
-            // The sender lives as long as the context.
-            return std::future::pending().await;
-        }
-    }
-}
-
 /// Returns what the head of a response states.
 fn head_statement(head: &AnswerHead, status: StatusCode) -> HeadStatement {
     HeadStatement {
@@ -329,30 +365,3 @@
         is_deliverable: head.signed && !head.encoded && !status.is_informational(),
     }
 }
-
-/// Builds the request for the server; `None` if its host or path cannot be encoded.
-fn build_request(
-    context: &GatewayContext,
-    server: &ServerEntry,
-    call: &AttemptRequest<'_>,
-) -> Option<Request<Full<Bytes>>> {
-    let mut headers = call.parts.headers.clone();
-    strip_connection_headers(&mut headers);
-    headers.remove(header::CONTENT_LENGTH);
-    headers.remove(header::EXPECT);
-    (context.format.write_attempt)(&mut headers, &call.head);
-    if !headers.contains_key(header::HOST) {
-        let host = HeaderValue::from_str(&server.address.to_string()).ok()?;
-        headers.insert(header::HOST, host);
-    }
-    let path = call
-        .parts
-        .uri
-        .path_and_query()
-        .map_or("/", |path| path.as_str());
-    let mut request = Request::new(Full::new(call.body.clone()));
-    *request.method_mut() = call.parts.method.clone();
-    *request.uri_mut() = path.parse().ok()?;
-    *request.headers_mut() = headers;
-    Some(request)
-}
--- a/gateway/src/transport/counted_body.rs
+++ b/gateway/src/transport/counted_body.rs
@@ -93,7 +93,7 @@
     }
 }
 
-/// Reads a response to its end.
+/// Reads a response to its end; calls `on_bytes` for each part that arrives.
 ///
 /// # Errors
 ///
@@ -102,6 +102,7 @@
 pub(crate) async fn read_counted(
     context: &Arc<GatewayContext>,
     mut body: Incoming,
+    on_bytes: impl Fn(),
 ) -> Result<CountedBytes, AttemptOutcome> {
     let mut count = BodyCount::new(context);
     let mut buffer = BytesMut::new();
@@ -110,6 +111,7 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
+        on_bytes();
         let has_room = count.add(data.len()) && count.bytes <= MAX_RESPONSE_BYTES;
         if !has_room && count.bytes > USUAL_RESPONSE_BYTES {
             context.metrics.increment("responses_too_large_total");
--- a/gateway/src/transport/event_intake.rs
+++ b/gateway/src/transport/event_intake.rs
@@ -20,13 +20,15 @@
 }
 
 /// The events of a stream, in one response or in several that continue each other.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct EventIntake {
     splitter: EventSplitter,
     order: EventOrder,
     pending: VecDeque<Bytes>,
     // Events without data, which are queued with the next one.
     held: Vec<Bytes>,
+    // Whether the response holds an event for the caller.
+    has_event: bool,
     delivered: u64,
 }
 
@@ -38,6 +40,7 @@
             order: EventOrder::new(last_id, is_resumable),
             pending: VecDeque::new(),
             held: Vec::new(),
+            has_event: false,
             delivered: 0,
         }
     }
@@ -52,9 +55,15 @@
         self.delivered
     }
 
+    /// Returns whether the response holds an event that the caller did not have.
+    pub(crate) fn has_event(&self) -> bool {
+        self.has_event
+    }
+
     /// Begins with a response that continues the stream.
     pub(crate) fn begin_response(&mut self) {
         self.splitter = EventSplitter::default();
+        self.has_event = false;
         self.order.begin_response();
         self.held.clear();
     }
@@ -100,6 +109,7 @@
                 self.delivered += 1;
                 // A comment does not show that an event before it is right.
                 if event.form != EventForm::Comment {
+                    self.has_event = true;
                     self.pending.extend(self.held.drain(..));
                 }
                 self.pending.push_back(event.bytes);
--- a/gateway/src/transport/request_exchange/feedback.rs
+++ b/gateway/src/transport/request_exchange/feedback.rs
@@ -35,11 +35,11 @@
             | AttemptOutcome::Withheld
             | AttemptOutcome::Withdrawn
             | AttemptOutcome::Lost
-            | AttemptOutcome::Superseded => {}
+            | AttemptOutcome::Superseded
+            | AttemptOutcome::Doubted
+            | AttemptOutcome::Left => {}
             AttemptOutcome::WrongServer => self.context.servers().mark_reused(&server.id, now),
-            AttemptOutcome::Silent | AttemptOutcome::Overdue => {
-                self.context.loads().record_timeout(&server.id, now);
-            }
+            AttemptOutcome::Silent | AttemptOutcome::Overdue => self.record_late(server, outcome),
             AttemptOutcome::Rejected
             | AttemptOutcome::Unproven
             | AttemptOutcome::Failed
@@ -63,6 +63,15 @@
         }
     }
 
+    /// Updates the state of a server whose response is late.
+    pub(super) fn record_late(&self, server: &ServerEntry, outcome: AttemptOutcome) {
+        // What follows from a lost server was applied when it was judged.
+        if outcome != AttemptOutcome::Lost {
+            let now = self.context.now();
+            self.context.loads().record_timeout(&server.id, now);
+        }
+    }
+
     /// Records which version serves the session. Informs other hosts if they would otherwise assign
     /// the session to the version on trial.
     pub(super) fn record_session(&self, server: &ServerEntry) {
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -1,6 +1,7 @@
 //! Runs one admitted request: attempts, retries, model cascades and the response to the caller.
 
 mod feedback;
+mod live_attempts;
 mod relay;
 mod relayed_stream;
 mod request_log;
@@ -18,24 +19,23 @@
 
 use crate::coordination::liveness::ServerVerdict;
 use crate::coordination::requests::{
-    AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, NextStep, final_answer, next_step,
-    promises_not_run,
+    AttemptLimits, AttemptOutcome, AttemptTally, FinalAnswer, promises_not_run,
 };
-use crate::protocol::{is_event_stream, mark_unserved, take_relay_attempts};
-use crate::state::{
-    CallerHead, ConfigSnapshot, CrashSuspect, RouteKind, ServerEntry, ServiceRoute,
-};
-use crate::transport::attempt_runner::{CompleteResponse, OpenResponse};
+use crate::protocol::{mark_unserved, take_relay_attempts};
+use crate::state::{CallerHead, ConfigSnapshot, CrashSuspect, ServiceRoute};
+use crate::transport::attempt_runner::{CompleteResponse, OpenResponse, SettledResponse};
 use crate::transport::crash_reports::record_answer;
+use crate::transport::event_intake::EventIntake;
 use crate::transport::exchange_failure::ExchangeFailure;
 use crate::transport::gateway_context::{GatewayContext, stable_hash};
 use crate::transport::request_admission::{Admission, BufferedBody};
 use crate::transport::request_exchange::relay::RelayAnswer;
 use crate::transport::request_exchange::relayed_stream::RelayedStream;
+use crate::transport::request_exchange::server_attempts::{EndedAttempt, LeftServer};
 use crate::transport::response_body::ResponseBody;
 use crate::transport::stream_relay::StreamRelay;
 
-pub(crate) use server_attempts::HANDOVER_TIME;
+pub(crate) use live_attempts::HANDOVER_TIME;
 
 /// Largest number of attempts of one request, whether or not a server runs it.
 const MAX_ATTEMPTS: u32 = 6;
@@ -54,10 +54,13 @@
 /// Opens a response that is to replace another one, which is held meanwhile for at most `limit`, so that
 /// it can go on if the opening fails.
 pub(crate) async fn hand_over(
-    opening: impl Future<Output = Result<OpenResponse, ExchangeFailure>>,
-    held: Option<OpenResponse>,
+    opening: impl Future<Output = Result<SettledResponse, ExchangeFailure>>,
+    held: Option<Box<OpenResponse>>,
     limit: Duration,
-) -> (Result<OpenResponse, ExchangeFailure>, Option<OpenResponse>) {
+) -> (
+    Result<SettledResponse, ExchangeFailure>,
+    Option<Box<OpenResponse>>,
+) {
     let mut opening = pin!(opening);
     if held.is_some() {
         if let Ok(opened) = tokio::time::timeout(limit, &mut opening).await {
@@ -90,6 +93,18 @@
     pub(crate) tally: AttemptTally,
     // Greatest number of servers that may run the request.
     attempts: u32,
+    // Number of attempts that were begun.
+    number: u32,
+    // How the latest attempt ended.
+    latest: Option<AttemptOutcome>,
+    // The latest attempt that ended, until it is logged.
+    ended: Option<EndedAttempt>,
+    // Servers that may be asked once more.
+    left: Vec<LeftServer>,
+    // Whether no larger model is to answer any more.
+    keeps_model: bool,
+    // Whether a retry was taken from the budget that no request was sent for yet.
+    has_grant: bool,
     // Number of events that the server of the latest attempt has sent.
     pub(crate) attempt_events: u64,
     // Whether a server has sent enough of an answer to show that the request does not crash it.
@@ -171,6 +186,12 @@
             urgency: route.priority.saturating_add(priority).min(LOWEST_URGENCY),
             workspace: workspace_name,
             tally: AttemptTally::default(),
+            number: 0,
+            latest: None,
+            ended: None,
+            left: Vec::new(),
+            keeps_model: false,
+            has_grant: false,
             attempt_events: 0,
             is_answered: false,
             is_relayed: head.relayed,
@@ -212,7 +233,7 @@
             answered = self.answer() => answered,
         };
         match answered {
-            Ok(ExchangeAnswer::Stream(response)) => self.start_relay(*response),
+            Ok(ExchangeAnswer::Stream(response)) => self.start_relay(response),
             Ok(ExchangeAnswer::Whole(response)) => {
                 let tries = self.tally.tries + 1;
                 self.log_end(response.status.as_u16(), "answered", tries, 0);
@@ -231,12 +252,10 @@
 
     /// Makes attempts, here or by way of another host, until there is an answer for the caller.
     async fn answer(&mut self) -> Result<ExchangeAnswer, ExchangeFailure> {
-        let answered = if self.route.kind == RouteKind::Stream {
-            let opened = self.open_stream(None).await;
-            opened.map(|response| ExchangeAnswer::Stream(Box::new(response)))
-        } else {
-            self.run_whole().await.map(ExchangeAnswer::Whole)
-        };
+        let answered = self.open(None).await.map(|settled| match settled {
+            SettledResponse::Stream(response) => ExchangeAnswer::Stream(response),
+            SettledResponse::Whole(whole) => ExchangeAnswer::Whole(whole.response),
+        });
         match answered {
             Err(end) if self.needs_relay(&end) => {
                 let outcome = if self.tally.arrivals > 0 {
@@ -262,83 +281,62 @@
         }
     }
 
-    /// Runs a request whose response is not streamed.
-    async fn run_whole(&mut self) -> Result<CompleteResponse, ExchangeFailure> {
-        loop {
-            let response = self.open_response(None).await?;
-            let server = response.server.clone();
-            let (status, latency) = (response.status, response.latency);
-            let read = response.read_to_end(&self.context, self.deadline).await;
-            match read {
-                Ok(whole) if !status.is_server_error() && !promises_not_run(status) => {
-                    self.record_begun();
-                    self.record_pace(&server, latency.as_secs_f64());
-                    self.record_good_response(&server, latency);
-                    return Ok(whole);
-                }
-                Ok(whole) => {
-                    self.record_failed_response(&server);
-                    self.keep_failure(whole);
-                    self.finish_attempt(&server, AttemptOutcome::Failed, latency)
-                        .await?;
-                }
-                Err(outcome) => self.finish_attempt(&server, outcome, latency).await?,
-            }
-        }
-    }
-
-    /// Opens a streamed response; runs the request on a larger model if a smaller one reports too
-    /// little confidence. Events up to `resume_after` were delivered before.
-    pub(crate) async fn open_stream(
+    /// Opens a response. Runs a streamed request on a larger model if a smaller one reports too little
+    /// confidence. A stream that is `resumed` goes on after its last event.
+    pub(crate) async fn open(
         &mut self,
-        resume_after: Option<u64>,
-    ) -> Result<OpenResponse, ExchangeFailure> {
+        resumed: Option<&EventIntake>,
+    ) -> Result<SettledResponse, ExchangeFailure> {
         let mut doubted = None;
         let mut smaller = None;
         loop {
-            let opening = self.open_response(resume_after);
-            let (opened, kept) = hand_over(opening, doubted.take(), DOUBTED_TIME).await;
-            let response = match (opened, kept) {
-                (Ok(response), _) => response,
+            let (settled, kept) =
+                hand_over(self.settle(resumed), doubted.take(), DOUBTED_TIME).await;
+            let response = match (settled, kept) {
+                (Ok(SettledResponse::Stream(response)), _) => response,
+                (Ok(SettledResponse::Whole(whole)), _) => {
+                    self.record_begun();
+                    self.record_pace(&whole.server, whole.latency.as_secs_f64());
+                    self.record_good_response(&whole.server, whole.latency);
+                    return Ok(SettledResponse::Whole(whole));
+                }
                 // A doubted response is better than none.
                 (Err(_), Some(kept)) => {
                     self.model = smaller;
-                    return Ok(kept);
+                    self.keep_left(&kept.server);
+                    return Ok(SettledResponse::Stream(kept));
                 }
                 (Err(end), None) => return Err(end),
             };
-            let (server, latency) = (response.server.clone(), response.latency);
-            if !response.status.is_success() {
-                self.record_failed_response(&server);
-                match response.read_to_end(&self.context, self.deadline).await {
-                    Ok(whole) => self.keep_failure(whole),
-                    Err(outcome) => {
-                        self.finish_attempt(&server, outcome, latency).await?;
-                        continue;
-                    }
-                }
-                self.finish_attempt(&server, AttemptOutcome::Failed, latency)
-                    .await?;
-                continue;
-            }
-            if !is_event_stream(response.status, &response.headers) {
-                drop(response);
-                self.finish_attempt(&server, AttemptOutcome::Garbled, latency)
-                    .await?;
-                continue;
-            }
-            self.record_good_response(&server, latency);
-            if resume_after.is_some() {
-                return Ok(response);
-            }
-            let Some(larger) = self.choose_larger_model(&response) else {
-                return Ok(response);
+            self.attempt_events = 0;
+            self.record_good_response(&response.server, response.latency);
+            let larger = match resumed {
+                Some(_) => None,
+                None => self.choose_larger_model(&response),
+            };
+            let Some(larger) = larger else {
+                return Ok(SettledResponse::Stream(response));
             };
             self.is_attempting = false;
             self.tally.tries += 1;
             self.tally.runs += 1;
             self.tally.arrivals += 1;
-            self.log_attempt(&server, "doubted", latency, "larger model", None);
+            let (server, number) = (&response.server, response.number);
+            let outcome = AttemptOutcome::Doubted;
+            self.log_attempt(
+                server,
+                number,
+                outcome,
+                response.latency,
+                "larger model",
+                None,
+            );
+            self.left.push(LeftServer {
+                server: server.id.clone(),
+                model: self.model.clone(),
+                free_at: self.context.now() + DOUBTED_TIME,
+                is_doubted: true,
+            });
             smaller = self.model.replace(larger);
             doubted = Some(response);
         }
@@ -352,45 +350,6 @@
         }
     }
 
-    /// Records the end of an attempt without a usable response. Returns an error with the final
-    /// outcome unless another attempt may follow.
-    pub(crate) async fn finish_attempt(
-        &mut self,
-        server: &ServerEntry,
-        outcome: AttemptOutcome,
-        latency: Duration,
-    ) -> Result<(), ExchangeFailure> {
-        self.is_attempting = false;
-        self.tally.note(outcome);
-        self.doubts_connections |= outcome.doubts_connections();
-        self.tried.push(server.id.clone());
-        self.record_outcome(server, outcome).await;
-        let limits = self.limits();
-        let (step, denied) = match next_step(outcome, &self.tally, &limits) {
-            NextStep::Retry(Some(purpose)) if !self.context.take_retry(&self.service, purpose) => {
-                let end = NextStep::End(final_answer(outcome, &self.tally));
-                (end, Some("budget"))
-            }
-            step @ NextStep::Retry(_) => (step, None),
-            step @ NextStep::End(_) if outcome == AttemptOutcome::Silent => (step, None),
-            step @ NextStep::End(_) if limits.retryable => (step, Some("attempts")),
-            step @ NextStep::End(_) => (step, Some("repeat")),
-        };
-        let name = match step {
-            NextStep::Retry(_) => "another server",
-            NextStep::End(_) => "answer",
-        };
-        self.log_attempt(server, &format!("{outcome:?}"), latency, name, denied);
-        match step {
-            NextStep::Retry(_) => Ok(()),
-            NextStep::End(FinalAnswer::ServerFailure) => Err(match self.last_failure.take() {
-                Some(failure) => ExchangeFailure::ServerResponse(failure),
-                None => ExchangeFailure::HostResponse(FinalAnswer::Unknown),
-            }),
-            NextStep::End(end) => Err(ExchangeFailure::HostResponse(end)),
-        }
-    }
-
     /// Returns the limits on the attempts at servers.
     fn limits(&self) -> AttemptLimits {
         AttemptLimits {
@@ -409,16 +368,6 @@
             || self.context.liveness().verdict(server) != ServerVerdict::Alive
     }
 
-    /// Returns the final outcome when no server is left to try.
-    fn no_server_left(&mut self) -> ExchangeFailure {
-        self.log_denials();
-        match self.last_failure.take() {
-            Some(failure) => ExchangeFailure::ServerResponse(failure),
-            None if self.tally.runs == 0 => ExchangeFailure::HostResponse(FinalAnswer::NotRun),
-            None => ExchangeFailure::HostResponse(FinalAnswer::Unknown),
-        }
-    }
-
     /// Records that the server of the latest attempt sent an event.
     pub(crate) fn record_event(&mut self) {
         self.attempt_events += 1;
@@ -436,11 +385,12 @@
     }
 
     /// Returns the caller's response to a stream, whose body relays the server's events.
-    fn start_relay(mut self, response: OpenResponse) -> Response<ResponseBody> {
+    fn start_relay(mut self, response: Box<OpenResponse>) -> Response<ResponseBody> {
         self.head_latency = Some(self.context.now().since(self.started_at));
+        // Another model would not continue this answer.
+        self.left.retain(|left| left.model == self.model);
         let (status, headers) = (response.status, response.headers.clone());
-        let resume_after = self.head.resume_after;
-        let body = StreamRelay::new(self, response, resume_after).into_body();
+        let body = StreamRelay::new(self, response).into_body();
         let mut response = Response::new(body);
         *response.status_mut() = status;
         *response.headers_mut() = headers;
--- a/gateway/src/transport/request_exchange/relay.rs
+++ b/gateway/src/transport/request_exchange/relay.rs
@@ -12,8 +12,8 @@
 use crate::coordination::liveness::ProbeResult;
 use crate::coordination::reach::pick_relay;
 use crate::coordination::requests::{
-    AttemptLimits, AttemptOutcome, NextStep, ResponseOrigin, final_answer, next_step,
-    promises_not_run,
+    AttemptLimits, AttemptOutcome, ExchangeState, ExchangeStep, FinalAnswer, NextServers,
+    ResponseOrigin, exchange_step, promises_not_run,
 };
 use crate::protocol::{
     GatewayRecord, RELAY_UNSERVED, RELAYED_BY, RELAYED_REQUEST, has_relay_arrivals,
@@ -26,8 +26,8 @@
 use crate::transport::exchange_failure::ExchangeFailure;
 use crate::transport::reach_probe::{is_service_evacuated, record_peer};
 use crate::transport::record_log::log_record;
+use crate::transport::request_exchange::RequestExchange;
 use crate::transport::request_exchange::relayed_stream::RelayedResponse;
-use crate::transport::request_exchange::{MIN_ATTEMPT_TIME, RequestExchange};
 
 /// Greatest number of hosts that a request is passed on to, one after the other.
 const MAX_RELAYS: u32 = 3;
@@ -83,6 +83,11 @@
         is_lost && !is_service_evacuated(&self.context, &self.service)
     }
 
+    /// Returns whether the request is to be passed on before a server is asked.
+    pub(super) fn needs_other_host(&self) -> bool {
+        self.tally.runs == 0 && self.has_no_path() && self.has_peers()
+    }
+
     /// Returns whether a request that ended without a response is to be passed on: no server was
     /// reached, or those that were tried were not and it is not known yet whether others are.
     pub(super) fn needs_relay(&self, end: &ExchangeFailure) -> bool {
@@ -116,30 +121,37 @@
         };
         let mut tried = Vec::new();
         let mut unreached = 0;
-        // Whether the budget allowed the next attempt; hosts that were not reached do not use it up.
-        let mut is_granted = false;
         loop {
-            let purpose = match next_step(outcome, &self.tally, &limits) {
-                NextStep::Retry(purpose) => purpose,
-                NextStep::End(end) => return Err(ExchangeFailure::HostResponse(end)),
+            let state = ExchangeState {
+                limits,
+                latest: Some(outcome),
+                ..self.state(0, 0)
             };
-            let end = final_answer(outcome, &self.tally);
-            let has_time = remaining_time(&self.context, self.deadline) >= MIN_ATTEMPT_TIME;
-            let may_try = has_time && unreached < MAX_UNREACHED;
-            let peer = self.pick_peer(&tried).filter(|_| may_try);
-            let Some(peer) = peer else {
-                return Err(ExchangeFailure::HostResponse(end));
+            let has_room = unreached < MAX_UNREACHED;
+            let peer = self.pick_peer(&tried).filter(|_| has_room);
+            let mut servers = NextServers {
+                untried: peer.is_some(),
+                left: false,
+                in_budget: true,
             };
-            is_granted = is_granted
-                || purpose.is_none_or(|purpose| self.context.take_retry(&self.service, purpose));
-            if !is_granted {
-                return Err(ExchangeFailure::HostResponse(end));
+            let mut step = exchange_step(&state, servers);
+            if step == (ExchangeStep::Ask { is_retry: true }) {
+                servers.in_budget = self.take_grant();
+                step = exchange_step(&state, servers);
             }
+            let peer = match (step, peer) {
+                (ExchangeStep::Ask { .. }, Some(peer)) => peer,
+                (ExchangeStep::End(end), _) => return Err(self.failure(end)),
+                _ => return Err(ExchangeFailure::HostResponse(FinalAnswer::Unknown)),
+            };
             tried.push(peer.address);
             self.log_relay(&peer);
             let runs = self.tally.runs_to_pass_on(&limits);
             let failure = match self.relay_to(&peer, runs, resume_after).await {
-                Ok(answer) => return Ok(answer),
+                Ok(answer) => {
+                    self.has_grant = false;
+                    return Ok(answer);
+                }
                 Err(failure) => failure,
             };
             self.record_relay_failure(&peer, failure);
@@ -147,8 +159,9 @@
                 unreached += 1;
                 continue;
             }
-            is_granted = false;
             outcome = failure.outcome();
+            // Hosts that reached no server do not use up a retry.
+            self.has_grant &= !outcome.reached_server();
             self.note_relay_end(outcome, runs);
         }
     }
@@ -254,7 +267,7 @@
                 runs,
             })));
         }
-        let reading = read_counted(context, body);
+        let reading = read_counted(context, body, || ());
         let remaining = remaining_time(context, self.deadline);
         let read = tokio::time::timeout(remaining, reading).await;
         let read = read.map_err(|_| RelayFailure::TimedOut)?;
--- a/gateway/src/transport/request_exchange/request_log.rs
+++ b/gateway/src/transport/request_exchange/request_log.rs
@@ -9,6 +9,7 @@
 use crate::coordination::admission::ServiceForecast;
 use crate::coordination::permits::SendDenial;
 use crate::coordination::placement::ServerPick;
+use crate::coordination::requests::AttemptOutcome;
 use crate::protocol::{DecisionInputs, GatewayRecord};
 use crate::state::{FollowedKind, ServerEntry};
 use crate::transport::record_log::log_record;
@@ -95,7 +96,7 @@
             request: self.request.clone(),
             route: self.route.name.clone(),
             session: format!("{:016x}", self.session),
-            attempt: self.tally.tries + 1,
+            attempt: self.number,
             server: pick.server.id.clone(),
             version: pick.server.version.clone(),
             model: self.model.clone(),
@@ -117,19 +118,21 @@
     pub(super) fn log_attempt(
         &self,
         server: &ServerEntry,
-        outcome: &str,
+        number: u32,
+        outcome: AttemptOutcome,
         latency: Duration,
         next: &'static str,
         denied: Option<&'static str>,
     ) {
+        let outcome = format!("{outcome:?}");
         self.context
             .metrics
             .increment(&format!("attempts_{}_total", outcome.to_lowercase()));
         let record = GatewayRecord::AttemptEnded {
             request: self.request.clone(),
-            attempt: self.tally.tries,
+            attempt: number,
             server: server.id.clone(),
-            outcome: outcome.into(),
+            outcome,
             elapsed_ms: millis(latency),
             next,
             denied,
--- a/gateway/src/transport/request_exchange/server_choice.rs
+++ b/gateway/src/transport/request_exchange/server_choice.rs
@@ -15,12 +15,11 @@
 use crate::coordination::placement::{
     LoadEstimator, PickQuery, PromptPrefixes, ServerPick, pick_server,
 };
-use crate::coordination::requests::{may_replace, may_return};
 use crate::coordination::rollouts::{VersionRule, version_groups};
 use crate::state::{EngineModel, RouteKind, ServerEntry};
 use crate::transport::attempt_runner::{OpenResponse, remaining_time};
+use crate::transport::request_exchange::RequestExchange;
 use crate::transport::request_exchange::request_log::CascadeDecision;
-use crate::transport::request_exchange::{MIN_ATTEMPT_TIME, RequestExchange};
 
 /// `Retry-After` when there is no server to send the request to, in seconds.
 const NO_SERVER_RETRY_SECONDS: f64 = 0.6;
@@ -53,12 +52,12 @@
         let settings = &self.context.settings.cascade;
         let model = self.model.clone()?;
         let confidence = response.head.confidence?;
-        if self.tally.runs + 1 >= self.attempts {
+        if self.keeps_model || self.tally.runs + 1 >= self.attempts {
             return None;
         }
         let step = larger_model(&self.route.models, &model, confidence, settings)?;
         self.model = Some(step.model.clone());
-        let pick = self.find_server();
+        let pick = self.find_server(&self.tried);
         self.model = Some(model.clone());
         let pick = pick?;
         let goal = self.route.goal.as_secs_f64();
@@ -84,10 +83,10 @@
         asks_larger.then_some(step.model)
     }
 
-    /// Picks a server that was not tried and whose version may serve the session, and remembers the
-    /// predictions for it.
-    pub(super) fn pick(&mut self) -> Option<ServerPick> {
-        let pick = self.find_server()?;
+    /// Picks a server that is not among those `tried` and whose version may serve the session, and
+    /// remembers the predictions for it.
+    pub(super) fn pick(&mut self, tried: &[Arc<str>]) -> Option<ServerPick> {
+        let pick = self.find_server(tried)?;
         self.version = Some(pick.server.version.clone());
         self.typical_first_byte =
             Duration::try_from_secs_f64(pick.typical_wait).unwrap_or(Duration::MAX);
@@ -98,10 +97,11 @@
 
     /// Returns whether no server is predicted to begin the request before its deadline. Only a
     /// request that has not been offered to a server is rejected for that.
-    pub(super) fn is_overloaded(&self, pick: &ServerPick, time_left: Duration) -> bool {
+    pub(super) fn is_overloaded(&self, pick: &ServerPick) -> bool {
         if self.tally.tries > 0 {
             return false;
         }
+        let time_left = remaining_time(&self.context, self.deadline);
         let (excess, error) = {
             let loads = self.context.loads();
             let route = &self.route.name;
@@ -148,41 +148,9 @@
         Some(earliest.since(now).as_secs_f64().max(BUSY_RETRY_SECONDS))
     }
 
-    /// Finds the server that `pick_server` prefers among those that were not tried and whose
-    /// version may serve the session.
-    pub(super) fn find_server(&self) -> Option<ServerPick> {
-        self.find_server_except(&self.tried)
-    }
-
-    /// Takes a retry in place of the attempt in progress at a server. Returns false if the route, the
-    /// retry budget or the state of the other servers does not allow it.
-    pub(crate) fn take_replacement(&self, server: &str) -> bool {
-        let mut excluded = self.tried.clone();
-        excluded.push(server.into());
-        remaining_time(&self.context, self.deadline) >= MIN_ATTEMPT_TIME
-            && may_replace(&self.tally, &self.limits())
-            && self.find_server_except(&excluded).is_some()
-            && self
-                .context
-                .take_retry(&self.service, RetryPurpose::Failure)
-    }
-
-    /// Lets a server be tried again that was left because it was late, since the others failed. Returns
-    /// false if the route or the retry budget does not allow another attempt.
-    pub(crate) fn take_return(&mut self, server: &str) -> bool {
-        let is_granted = remaining_time(&self.context, self.deadline) >= MIN_ATTEMPT_TIME
-            && may_return(&self.tally, &self.limits())
-            && self
-                .context
-                .take_retry(&self.service, RetryPurpose::Failure);
-        if is_granted {
-            self.tried.retain(|tried| **tried != *server);
-        }
-        is_granted
-    }
-
-    /// Finds the preferred server that is not excluded.
-    fn find_server_except(&self, excluded: &[Arc<str>]) -> Option<ServerPick> {
+    /// Finds the server that `pick_server` prefers among those that are not excluded and whose version may
+    /// serve the session.
+    fn find_server(&self, excluded: &[Arc<str>]) -> Option<ServerPick> {
         let now = self.context.now();
         let unix_ms = self.context.timers.unix_millis();
         let rule = match &self.avoided_version {
@@ -320,12 +288,8 @@
         })
     }
 
-    /// Returns how long to wait for the head of a server's response: all the time left if the request
-    /// cannot be tried again.
-    pub(super) fn head_timeout(&self, server: &str, remaining: Duration) -> Duration {
-        if !self.route.is_retryable() || self.tally.runs + 1 >= self.attempts {
-            return remaining;
-        }
+    /// Returns how long to wait for the head of a server's response before another server is tried.
+    pub(super) fn head_timeout(&self, server: &str) -> Duration {
         let (class, size) = self.class();
         let (expected, factor) = {
             let loads = self.context.loads();
@@ -339,7 +303,6 @@
         expected
             .mul_f64(HEAD_TIMEOUT_FACTOR * factor.max(1.0))
             .max(self.route.goal.mul_f64(fraction))
-            .min(remaining)
     }
 
     /// Returns the expected time to the first byte at the chosen server with its queue, if it is a
--- a/gateway/src/transport/server_watch.rs
+++ b/gateway/src/transport/server_watch.rs
@@ -18,32 +18,31 @@
 
 /// An attempt that waits for its first byte; it waits no longer when this is dropped.
 #[derive(Debug)]
-pub(crate) struct ServerWatch<'a> {
-    context: &'a Arc<GatewayContext>,
-    server: &'a ServerEntry,
+pub(crate) struct ServerWatch {
+    context: Arc<GatewayContext>,
+    server: ServerEntry,
     ticket: WaitTicket,
 }
 
-impl<'a> ServerWatch<'a> {
+impl ServerWatch {
     /// Starts to watch the server of an attempt whose first byte is expected after `expected`.
     pub(crate) fn new(
-        context: &'a Arc<GatewayContext>,
-        server: &'a ServerEntry,
+        context: &Arc<GatewayContext>,
+        server: &ServerEntry,
         expected: Duration,
     ) -> Self {
         let now = context.now();
         let ticket = context.liveness().record_sent(&server.id, expected, now);
         Self {
-            context,
-            server,
+            context: context.clone(),
+            server: server.clone(),
             ticket,
         }
     }
 
-    /// Waits until the server is lost and another attempt is granted in place of this one. Never returns
-    /// if none is, but has the server probed.
-    pub(crate) async fn wait_until_lost(&self, take_replacement: &(dyn Fn() -> bool + Sync)) {
-        let context = self.context;
+    /// Waits until the server is judged lost, and has it probed meanwhile.
+    pub(crate) async fn wait_until_lost(&self) {
+        let context = &self.context;
         let mut changes = context.liveness_changed.subscribe();
         loop {
             changes.borrow_and_update();
@@ -52,11 +51,7 @@
                 .liveness()
                 .next_step(&self.server.id, self.ticket, now);
             let pause = match step {
-                WaitStep::Lost if take_replacement() => {
-                    context.metrics.increment("attempts_ended_lost_total");
-                    return;
-                }
-                WaitStep::Lost => context.settings.liveness.retry_pause,
+                WaitStep::Lost => return,
                 WaitStep::Probe => {
                     // The probe goes on for other attempts if this one ends.
                     tokio::spawn(probe_server(context.clone(), self.server.clone()));
@@ -69,7 +64,7 @@
     }
 }
 
-impl Drop for ServerWatch<'_> {
+impl Drop for ServerWatch {
     fn drop(&mut self) {
         let mut liveness = self.context.liveness();
         liveness.record_ended(&self.server.id, self.ticket);
--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -12,8 +12,8 @@
 
 use crate::coordination::requests::AttemptOutcome;
 use crate::coordination::rollouts::StreamPace;
-use crate::state::{ServerEntry, ServiceRoute};
-use crate::transport::attempt_runner::{OpenResponse, remaining_time};
+use crate::state::ServiceRoute;
+use crate::transport::attempt_runner::{OpenResponse, SettledResponse, remaining_time};
 use crate::transport::event_intake::EventIntake;
 use crate::transport::request_exchange::{HANDOVER_TIME, RequestExchange, hand_over};
 use crate::transport::response_body::{ResponseBody, TruncatedResponse};
@@ -27,7 +27,7 @@
 
 /// Returns the time without a complete event after which the server of a route's stream counts as
 /// stalled.
-fn stall_timeout(route: &ServiceRoute) -> Duration {
+pub(crate) fn stall_timeout(route: &ServiceRoute) -> Duration {
     let gap = route.gap_goal.unwrap_or(MIN_STALL_TIMEOUT);
     gap.mul_f64(STALL_GAP_FACTOR).max(MIN_STALL_TIMEOUT)
 }
@@ -45,7 +45,7 @@
 /// A streamed response that is being relayed to the caller.
 pub(crate) struct StreamRelay {
     exchange: RequestExchange,
-    response: Option<OpenResponse>,
+    response: Option<Box<OpenResponse>>,
     intake: EventIntake,
     last_received_at: TimePoint,
     pace: StreamPace,
@@ -55,14 +55,10 @@
 }
 
 impl StreamRelay {
-    /// Creates the relay of a response; `last_id` is the last event that the caller has received.
-    pub(crate) fn new(
-        exchange: RequestExchange,
-        response: OpenResponse,
-        last_id: Option<u64>,
-    ) -> Self {
+    /// Creates the relay of a response.
+    pub(crate) fn new(exchange: RequestExchange, response: Box<OpenResponse>) -> Self {
         let last_received_at = exchange.context.now();
-        let intake = EventIntake::new(last_id, exchange.route.resumable);
+        let intake = exchange.new_intake();
         Self {
             last_received_at,
             exchange,
@@ -127,6 +123,10 @@
         let Some(response) = &mut self.response else {
             return RelayProgress::Failed(AttemptOutcome::Broken);
         };
+        let first = std::mem::take(&mut response.first);
+        if !first.is_empty() {
+            return self.accept_bytes(&first);
+        }
         let asked_at = self.exchange.context.now();
         let read = tokio::time::timeout(timeout, response.body.frame()).await;
         self.event_wait += self.exchange.context.now().since(asked_at);
@@ -148,9 +148,10 @@
         if remaining_time(&self.exchange.context, self.exchange.deadline).is_zero() {
             return RelayProgress::Failed(AttemptOutcome::Silent);
         }
+        let is_resumable = self.is_resumable();
         let is_replaced = self.response.as_ref().is_some_and(|response| {
             let server = &response.server.id;
-            self.is_resumable() && self.exchange.take_replacement(server)
+            is_resumable && self.exchange.take_replacement(server)
         });
         if is_replaced {
             return RelayProgress::Failed(AttemptOutcome::Overdue);
@@ -200,52 +201,38 @@
         let Some(response) = self.response.take() else {
             return Err(TruncatedResponse);
         };
-        let server = response.server.clone();
+        let (server, number) = (response.server.clone(), response.number);
         let latency = self.exchange.context.now().since(response.sent_at);
-        // A server that is only silent may go on, should no other one take the stream.
-        let held = Some(response).filter(|_| outcome == AttemptOutcome::Overdue);
-        let is_resumable = self.is_resumable();
-        let retry = self
-            .exchange
-            .finish_attempt(&server, outcome, latency)
+        let exchange = &mut self.exchange;
+        exchange
+            .end_attempt(&server, number, outcome, latency)
             .await;
-        if !is_resumable || retry.is_err() {
+        if !self.is_resumable() {
+            self.exchange.log_ended("answer", Some("repeat"));
             return Err(self.log_truncated("broke off"));
         }
-        let opening = self.exchange.open_stream(self.intake.order().last_id());
+        // A server that is only silent may go on, should no other one take the stream.
+        let held = Some(response).filter(|_| outcome == AttemptOutcome::Overdue);
+        if held.is_some() {
+            self.exchange.note_left(&server, HANDOVER_TIME);
+        }
+        let opening = self.exchange.open(Some(&self.intake));
         let (opened, held) = hand_over(opening, held, HANDOVER_TIME).await;
-        let response = match (opened, held) {
-            (Ok(response), _) => response,
-            (Err(_), Some(held)) => {
-                self.event_wait = Duration::ZERO;
-                self.response = Some(held);
-                return Ok(());
-            }
-            (Err(_), None) => self.reopen(&server, outcome).await?,
-        };
-        self.intake.begin_response();
-        self.pace = StreamPace::default();
         self.event_wait = Duration::ZERO;
-        self.response = Some(response);
-        Ok(())
-    }
-
-    /// Opens the stream once more after no other server took it; the one that was left may, if it was only
-    /// silent.
-    async fn reopen(
-        &mut self,
-        server: &ServerEntry,
-        outcome: AttemptOutcome,
-    ) -> Result<OpenResponse, TruncatedResponse> {
-        let is_granted =
-            outcome == AttemptOutcome::Overdue && self.exchange.take_return(&server.id);
-        if is_granted {
-            let opening = self.exchange.open_stream(self.intake.order().last_id());
-            if let Ok(response) = opening.await {
-                return Ok(response);
+        match (opened, held) {
+            (Ok(SettledResponse::Stream(response)), _) => {
+                self.intake.begin_response();
+                self.pace = StreamPace::default();
+                self.response = Some(response);
+                Ok(())
+            }
+            (_, Some(held)) => {
+                self.exchange.keep_left(&server);
+                self.response = Some(held);
+                Ok(())
             }
+            _ => Err(self.log_truncated("broke off and was not resumed")),
         }
-        Err(self.log_truncated("broke off and was not resumed"))
     }
 
     /// Returns whether another server may continue the stream.
--- a/gateway/tests/decisions/main.rs
+++ b/gateway/tests/decisions/main.rs
@@ -9,6 +9,7 @@
 mod crashing_parts;
 mod evacuations;
 mod events;
+mod exchange_steps;
 mod freshness;
 mod limits;
 mod liveness;
