Leave replaced engines before the check for a crash

The check of a lost server probes others and may take longer than the 400 ms for which two engines may work on one request. With three attempts in progress it would have held back the end of the first one. Found by reading; not seen in a run.

--- a/gateway/src/transport/request_exchange/live_attempts.rs
+++ b/gateway/src/transport/request_exchange/live_attempts.rs
@@ -193,6 +193,14 @@
         std::mem::take(&mut self.attempts)
     }
 
+    /// Removes all attempts but the latest and returns them.
+    pub(super) fn take_replaced(&mut self) -> Vec<LiveAttempt> {
+        let latest = self.attempts.pop();
+        let replaced = std::mem::take(&mut self.attempts);
+        self.attempts.extend(latest);
+        replaced
+    }
+
     /// Returns the latest attempt.
     pub(super) fn latest_mut(&mut self) -> Option<&mut LiveAttempt> {
         self.attempts.last_mut()
--- a/gateway/src/transport/request_exchange/server_attempts.rs
+++ b/gateway/src/transport/request_exchange/server_attempts.rs
@@ -410,6 +410,11 @@
         if let Some(response) = failure.response {
             self.keep_failure(response);
         }
+        if self.is_generated() {
+            // What follows from the failure may take longer than two engines may work on the request.
+            let replaced = live.take_replaced();
+            replaced.iter().for_each(|attempt| self.leave(attempt));
+        }
         let (server, number) = (&attempt.server, attempt.number);
         self.end_attempt(server, number, failure.outcome, latency)
             .await;
