Take the permit before a return to a server is counted

Without the permit nothing is sent, but the run of that server was taken back, so that one more server could have been asked. Found by reading.

--- a/gateway/src/transport/request_exchange/server_attempts.rs
+++ b/gateway/src/transport/request_exchange/server_attempts.rs
@@ -73,10 +73,7 @@
         loop {
             match self.plan(&live) {
                 PlannedStep::Send { pick, is_return } => {
-                    if is_return {
-                        self.return_to(&pick.server);
-                    }
-                    self.start_attempt(&pick, resumed, &mut live);
+                    self.start_attempt(&pick, is_return, resumed, &mut live);
                     continue;
                 }
                 PlannedStep::Wait => {}
@@ -276,6 +273,7 @@
     fn start_attempt(
         &mut self,
         pick: &ServerPick,
+        is_return: bool,
         resumed: Option<&EventIntake>,
         live: &mut LiveAttempts,
     ) {
@@ -289,6 +287,9 @@
         };
         self.replace_late(live);
         let server = &pick.server;
+        if is_return {
+            self.return_to(server);
+        }
         self.number += 1;
         self.log_choice(pick);
         self.record_session(server);
