Ask for no other server without a pause

A route with a goal of zero and no times learnt made the wait for a late response end at once, again and again, while no other server could be asked: a busy loop until the deadline. Found by reading; a request is answered either way, so a test of its answer (run, not kept) passes with and without this.

--- a/gateway/src/transport/request_exchange/server_attempts.rs
+++ b/gateway/src/transport/request_exchange/server_attempts.rs
@@ -506,7 +506,8 @@
 
     /// Returns the time that the parts of a server's response may take.
     fn response_times(&self, server: &str) -> ResponseTimes {
-        let head = self.head_timeout(server);
+        // A route may state a goal of zero.
+        let head = self.head_timeout(server).max(MIN_ATTEMPT_TIME);
         let rest = match self.route.kind {
             RouteKind::Stream => stall_timeout(&self.route),
             RouteKind::Safe | RouteKind::Unsafe => head,
