Decide on a larger model by the head of a response

Cause: "Decide on the state of all attempts" judged a smaller model's confidence when its first event was there. The head states it earlier, so that larger models were asked too late or not at all.

Change: an attempt reports the confidence as soon as the head is there and goes on to its first event; the exchange asks the larger model then, and keeps the smaller one's attempt for the time of the handover.

--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -53,7 +53,7 @@
 }
 
 /// How far an attempt has come.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct AttemptStage {
     /// When the request was sent.
     pub(crate) sent_at: Option<TimePoint>,
@@ -61,6 +61,17 @@
     pub(crate) has_head: bool,
     /// When the request was sent, its head arrived, or a part of a response that is not streamed.
     pub(crate) progress_at: Option<TimePoint>,
+    /// What the model reports in the head of a stream, before its first event.
+    pub(crate) confidence: Option<ReportedConfidence>,
+}
+
+/// The confidence that a model reports in its own response.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct ReportedConfidence {
+    /// Confidence in percent.
+    pub(crate) percent: f64,
+    /// Time from sending the request to receiving the head.
+    pub(crate) latency: Duration,
 }
 
 /// A response that can be delivered.
@@ -261,6 +272,11 @@
             Err(AttemptOutcome::Garbled.into())
         }
         Some(intake) => {
+            let confidence = response.head.confidence;
+            stage.send_modify(|stage| {
+                stage.confidence =
+                    confidence.map(|percent| ReportedConfidence { percent, latency });
+            });
             response.read_first_event(&context, intake).await?;
             Ok(SettledResponse::Stream(Box::new(response)))
         }
--- a/gateway/src/transport/request_exchange/live_attempts.rs
+++ b/gateway/src/transport/request_exchange/live_attempts.rs
@@ -10,7 +10,9 @@
 
 use crate::coordination::requests::AttemptOutcome;
 use crate::state::ServerEntry;
-use crate::transport::attempt_runner::{AttemptEnd, AttemptRequest, AttemptStage, run_attempt};
+use crate::transport::attempt_runner::{
+    AttemptEnd, AttemptRequest, AttemptStage, ReportedConfidence, run_attempt,
+};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::server_watch::ServerWatch;
 
@@ -41,6 +43,8 @@
     pub(super) is_replaced: bool,
     /// Whether a retry was taken from the budget for it.
     pub(super) has_grant: bool,
+    // Whether the confidence that the model reports was judged.
+    is_judged: bool,
     lateness: ResponseLateness,
     ending: Pin<Box<dyn Future<Output = AttemptEnd> + Send>>,
 }
@@ -71,6 +75,7 @@
             started_at: context.now(),
             is_replaced: false,
             has_grant: false,
+            is_judged: false,
             lateness: ResponseLateness {
                 server: call.server.clone(),
                 times,
@@ -88,6 +93,11 @@
         self.lateness.stage.borrow().sent_at
     }
 
+    /// Waits for the end of the attempt.
+    pub(super) async fn end(&mut self) -> AttemptEnd {
+        self.ending.as_mut().await
+    }
+
     /// Returns why the response is late; `None` if it is not.
     pub(super) fn late_outcome(&self) -> Option<AttemptOutcome> {
         self.lateness.outcome
@@ -170,6 +180,8 @@
 pub(super) enum AttemptEvent {
     /// An attempt ended.
     Ended(LiveAttempt, Box<AttemptEnd>),
+    /// The model of the attempt with this index reports its confidence, and no event yet.
+    Confidence(usize, ReportedConfidence),
     /// The latest attempt is late.
     Late,
     /// The server of a replaced attempt is to be left.
@@ -193,6 +205,11 @@
         std::mem::take(&mut self.attempts)
     }
 
+    /// Removes the attempt with an index.
+    pub(super) fn take(&mut self, index: usize) -> LiveAttempt {
+        self.attempts.remove(index)
+    }
+
     /// Removes all attempts but the latest and returns them.
     pub(super) fn take_replaced(&mut self) -> Vec<LiveAttempt> {
         let latest = self.attempts.pop();
@@ -244,6 +261,29 @@
         context: &Arc<GatewayContext>,
         hold_time: Option<Duration>,
     ) -> AttemptEvent {
+        let unjudged = self.attempts.iter().enumerate();
+        let unjudged = unjudged.filter(|(_, attempt)| !attempt.is_judged);
+        let mut reports: Vec<_> = unjudged
+            .map(|(index, attempt)| {
+                let mut stage = attempt.lateness.stage.clone();
+                Box::pin(async move {
+                    let report = stage.wait_for(|stage| stage.confidence.is_some()).await;
+                    report
+                        .ok()
+                        .and_then(|stage| stage.confidence.map(|report| (index, report)))
+                })
+            })
+            .collect();
+        let reported = async {
+            while !reports.is_empty() {
+                let (report, _, rest) = select_all(reports).await;
+                if let Some(report) = report {
+                    return report;
+                }
+                reports = rest;
+            }
+            std::future::pending().await
+        };
         let Some((latest, earlier)) = self.attempts.split_last_mut() else {
             return std::future::pending().await;
         };
@@ -264,21 +304,21 @@
         let (latest_ending, lateness) = (&mut latest.ending, &mut latest.lateness);
         let earlier_endings = earlier.iter_mut().map(|attempt| &mut attempt.ending);
         let endings = earlier_endings.chain([latest_ending]);
-        let event = tokio::select! {
+        let ended = tokio::select! {
             biased;
-            (end, index, _) = select_all(endings) => Some((index, Some(end))),
-            () = handed_over => Some((0, None)),
-            () = lateness.wait(context, is_replaced) => None,
-        };
-        match event {
-            None => AttemptEvent::Late,
-            Some((index, end)) => {
-                let attempt = self.attempts.remove(index);
-                match end {
-                    Some(end) => AttemptEvent::Ended(attempt, Box::new(end)),
-                    None => AttemptEvent::HandedOver(attempt),
-                }
+            (end, index, _) = select_all(endings) => (index, Some(end)),
+            (index, report) = reported => {
+                self.attempts[index].is_judged = true;
+                return AttemptEvent::Confidence(index, report);
             }
+            () = handed_over => (0, None),
+            () = lateness.wait(context, is_replaced) => return AttemptEvent::Late,
+        };
+        let (index, end) = ended;
+        let attempt = self.attempts.remove(index);
+        match end {
+            Some(end) => AttemptEvent::Ended(attempt, Box::new(end)),
+            None => AttemptEvent::HandedOver(attempt),
         }
     }
 }
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -23,15 +23,20 @@
 };
 use crate::protocol::{mark_unserved, take_relay_attempts};
 use crate::state::{CallerHead, ConfigSnapshot, CrashSuspect, ServiceRoute};
-use crate::transport::attempt_runner::{CompleteResponse, OpenResponse, SettledResponse};
+use crate::transport::attempt_runner::{
+    CompleteResponse, OpenResponse, ReportedConfidence, SettledResponse, remaining_time,
+};
 use crate::transport::crash_reports::record_answer;
 use crate::transport::event_intake::EventIntake;
 use crate::transport::exchange_failure::ExchangeFailure;
 use crate::transport::gateway_context::{GatewayContext, stable_hash};
 use crate::transport::request_admission::{Admission, BufferedBody};
+use crate::transport::request_exchange::live_attempts::LiveAttempt;
 use crate::transport::request_exchange::relay::RelayAnswer;
 use crate::transport::request_exchange::relayed_stream::RelayedStream;
-use crate::transport::request_exchange::server_attempts::{EndedAttempt, LeftServer};
+use crate::transport::request_exchange::server_attempts::{
+    EndedAttempt, ExchangeOutcome, LeftServer,
+};
 use crate::transport::response_body::ResponseBody;
 use crate::transport::stream_relay::StreamRelay;
 
@@ -53,14 +58,11 @@
 
 /// Opens a response that is to replace another one, which is held meanwhile for at most `limit`, so that
 /// it can go on if the opening fails.
-pub(crate) async fn hand_over(
-    opening: impl Future<Output = Result<SettledResponse, ExchangeFailure>>,
-    held: Option<Box<OpenResponse>>,
+pub(crate) async fn hand_over<T, H>(
+    opening: impl Future<Output = Result<T, ExchangeFailure>>,
+    held: Option<H>,
     limit: Duration,
-) -> (
-    Result<SettledResponse, ExchangeFailure>,
-    Option<Box<OpenResponse>>,
-) {
+) -> (Result<T, ExchangeFailure>, Option<H>) {
     let mut opening = pin!(opening);
     if held.is_some() {
         if let Ok(opened) = tokio::time::timeout(limit, &mut opening).await {
@@ -287,61 +289,74 @@
         &mut self,
         resumed: Option<&EventIntake>,
     ) -> Result<SettledResponse, ExchangeFailure> {
-        let mut doubted = None;
+        let mut doubted: Option<LiveAttempt> = None;
         let mut smaller = None;
         loop {
             let (settled, kept) =
                 hand_over(self.settle(resumed), doubted.take(), DOUBTED_TIME).await;
-            let response = match (settled, kept) {
-                (Ok(SettledResponse::Stream(response)), _) => response,
-                (Ok(SettledResponse::Whole(whole)), _) => {
-                    self.record_begun();
-                    self.record_pace(&whole.server, whole.latency.as_secs_f64());
-                    self.record_good_response(&whole.server, whole.latency);
-                    return Ok(SettledResponse::Whole(whole));
+            let settled = match (settled, kept) {
+                (Ok(ExchangeOutcome::Settled(settled)), _) => settled,
+                (Ok(ExchangeOutcome::Doubted(attempt, report, larger)), _) => {
+                    self.note_doubted(&attempt, report);
+                    smaller = self.model.replace(larger);
+                    doubted = Some(attempt);
+                    continue;
                 }
                 // A doubted response is better than none.
-                (Err(_), Some(kept)) => {
-                    self.model = smaller;
+                (Err(end), Some(mut kept)) => {
+                    self.model = smaller.take();
                     self.keep_left(&kept.server);
-                    return Ok(SettledResponse::Stream(kept));
+                    self.is_attempting = true;
+                    let remaining = remaining_time(&self.context, self.deadline);
+                    match tokio::time::timeout(remaining, kept.end()).await {
+                        Ok(Ok(settled)) => {
+                            self.attempt_events = 0;
+                            return Ok(settled);
+                        }
+                        _ => return Err(end),
+                    }
                 }
                 (Err(end), None) => return Err(end),
             };
             self.attempt_events = 0;
-            self.record_good_response(&response.server, response.latency);
-            let larger = match resumed {
-                Some(_) => None,
-                None => self.choose_larger_model(&response),
-            };
-            let Some(larger) = larger else {
-                return Ok(SettledResponse::Stream(response));
-            };
-            self.is_attempting = false;
-            self.tally.tries += 1;
-            self.tally.runs += 1;
-            self.tally.arrivals += 1;
-            let (server, number) = (&response.server, response.number);
-            let outcome = AttemptOutcome::Doubted;
-            self.log_attempt(
-                server,
-                number,
-                outcome,
-                response.latency,
-                "larger model",
-                None,
-            );
-            self.left.push(LeftServer {
-                server: server.id.clone(),
-                model: self.model.clone(),
-                free_at: self.context.now() + DOUBTED_TIME,
-                is_doubted: true,
-            });
-            smaller = self.model.replace(larger);
-            doubted = Some(response);
+            match &settled {
+                SettledResponse::Stream(response) => {
+                    self.record_good_response(&response.server, response.latency);
+                }
+                SettledResponse::Whole(whole) => {
+                    self.record_begun();
+                    self.record_pace(&whole.server, whole.latency.as_secs_f64());
+                    self.record_good_response(&whole.server, whole.latency);
+                }
+            }
+            return Ok(settled);
         }
     }
 
+    /// Records that a model's response is dropped for that of a larger one.
+    fn note_doubted(&mut self, attempt: &LiveAttempt, report: ReportedConfidence) {
+        self.is_attempting = false;
+        self.tally.tries += 1;
+        self.tally.runs += 1;
+        self.tally.arrivals += 1;
+        let (server, outcome) = (&attempt.server, AttemptOutcome::Doubted);
+        self.record_good_response(server, report.latency);
+        self.log_attempt(
+            server,
+            attempt.number,
+            outcome,
+            report.latency,
+            "larger model",
+            None,
+        );
+        self.left.push(LeftServer {
+            server: server.id.clone(),
+            model: self.model.clone(),
+            free_at: self.context.now() + DOUBTED_TIME,
+            is_doubted: true,
+        });
+    }
+
     /// Keeps a server's failure for the caller. The server did not state that the request did not run, so
     /// a status that promises this is not passed on.
     fn keep_failure(&mut self, failure: CompleteResponse) {
--- a/gateway/src/transport/request_exchange/server_attempts.rs
+++ b/gateway/src/transport/request_exchange/server_attempts.rs
@@ -17,7 +17,7 @@
 use crate::protocol::strip_connection_headers;
 use crate::state::{AttemptHead, CrashSuspect, RouteKind, ServerEntry};
 use crate::transport::attempt_runner::{
-    AttemptEnd, AttemptRequest, SettledResponse, remaining_time,
+    AttemptEnd, AttemptRequest, ReportedConfidence, SettledResponse, remaining_time,
 };
 use crate::transport::event_intake::EventIntake;
 use crate::transport::exchange_failure::ExchangeFailure;
@@ -51,6 +51,14 @@
     latency: Duration,
 }
 
+/// What attempts yielded.
+pub(super) enum ExchangeOutcome {
+    /// A response to deliver.
+    Settled(SettledResponse),
+    /// A stream whose model reports too little confidence, and the larger model that is to run the request.
+    Doubted(LiveAttempt, ReportedConfidence, Arc<str>),
+}
+
 /// The next step of a request, with the server that it is sent to.
 enum PlannedStep {
     /// Send the request to the server, which had it before if `is_return`.
@@ -68,7 +76,7 @@
     pub(super) async fn settle(
         &mut self,
         resumed: Option<&EventIntake>,
-    ) -> Result<SettledResponse, ExchangeFailure> {
+    ) -> Result<ExchangeOutcome, ExchangeFailure> {
         let mut live = LiveAttempts::default();
         loop {
             match self.plan(&live) {
@@ -90,10 +98,19 @@
             };
             match event {
                 Some(AttemptEvent::Late) => {}
+                Some(AttemptEvent::Confidence(index, report)) if resumed.is_none() => {
+                    let larger = self.choose_larger_model(report.percent, live.count());
+                    if let Some(larger) = larger {
+                        let attempt = live.take(index);
+                        self.supersede(&mut live);
+                        return Ok(ExchangeOutcome::Doubted(attempt, report, larger));
+                    }
+                }
+                Some(AttemptEvent::Confidence(..)) => {}
                 Some(AttemptEvent::HandedOver(attempt)) => self.leave(&attempt),
                 Some(AttemptEvent::Ended(attempt, end)) => {
                     if let Some(response) = self.end_live(attempt, *end, &mut live).await {
-                        return Ok(response);
+                        return Ok(ExchangeOutcome::Settled(response));
                     }
                     if self.is_withdrawn(&live) {
                         return Err(self.give_up(&mut live, AttemptOutcome::Withdrawn).await);
@@ -387,20 +404,7 @@
                         .metrics
                         .increment("replaced_attempts_answered_total");
                 }
-                for other in live.take_all() {
-                    let outcome = other.given_up(AttemptOutcome::Superseded);
-                    let latency = self.context.now().since(other.started_at);
-                    self.tally.note(outcome);
-                    self.tried.push(other.server.id.clone());
-                    self.log_attempt(
-                        &other.server,
-                        other.number,
-                        outcome,
-                        latency,
-                        "answer",
-                        None,
-                    );
-                }
+                self.supersede(live);
                 return Some(response);
             }
             Err(failure) => failure,
@@ -423,6 +427,18 @@
         None
     }
 
+    /// Ends all other attempts, since one is answered.
+    fn supersede(&mut self, others: &mut LiveAttempts) {
+        for other in others.take_all() {
+            let outcome = other.given_up(AttemptOutcome::Superseded);
+            let latency = self.context.now().since(other.started_at);
+            self.tally.note(outcome);
+            self.tried.push(other.server.id.clone());
+            let (server, number) = (&other.server, other.number);
+            self.log_attempt(server, number, outcome, latency, "answer", None);
+        }
+    }
+
     /// Records the end of an attempt without a response. It is logged with the next step.
     pub(crate) async fn end_attempt(
         &mut self,
--- a/gateway/src/transport/request_exchange/server_choice.rs
+++ b/gateway/src/transport/request_exchange/server_choice.rs
@@ -17,7 +17,7 @@
 };
 use crate::coordination::rollouts::{VersionRule, version_groups};
 use crate::state::{EngineModel, RouteKind, ServerEntry};
-use crate::transport::attempt_runner::{OpenResponse, remaining_time};
+use crate::transport::attempt_runner::remaining_time;
 use crate::transport::request_exchange::RequestExchange;
 use crate::transport::request_exchange::request_log::CascadeDecision;
 
@@ -46,13 +46,16 @@
 const HEADER_OVERHEAD_BYTES: f64 = 700.0;
 
 impl RequestExchange {
-    /// Returns the larger model that is to replace a smaller model's response; `None` if the response
-    /// is kept. Takes the retry from the budget, and logs the decision.
-    pub(super) fn choose_larger_model(&mut self, response: &OpenResponse) -> Option<Arc<str>> {
+    /// Returns the larger model that is to replace a smaller model's response, which reports `confidence` in
+    /// percent; `None` if the response is kept. Takes the retry from the budget, and logs the decision.
+    pub(super) fn choose_larger_model(
+        &mut self,
+        confidence: f64,
+        in_progress: u32,
+    ) -> Option<Arc<str>> {
         let settings = &self.context.settings.cascade;
         let model = self.model.clone()?;
-        let confidence = response.head.confidence?;
-        if self.keeps_model || self.tally.runs + 1 >= self.attempts {
+        if self.keeps_model || self.tally.runs + in_progress >= self.attempts {
             return None;
         }
         let step = larger_model(&self.route.models, &model, confidence, settings)?;
