Return to a server only if no other one may respond

- A late attempt was given up for a server that had been left, so that streams at servers which were all late got 504 in place of their answer.
A server is asked again only if none is in progress, or the one that is has had half of the time that was left.
- The run of a server was taken back before it was asked again; after a refusal there, one server more than `attempts` ran the request, and it was answered as not run.
A return now counts no run in place of taking one back.
- A larger model took two retries from the budget.
- A replaced engine was left 200 ms after the latest of several attempts was sent, not the one that replaced it.
- Found by reading: the model is kept with each attempt; a first event larger than the memory that is left, comments before it and events that the caller has are treated as in the relay; the crash check knows all servers that were asked; attempts that were not sent are no evidence against their servers; an attempt that is late and then silent is recorded once; an own lack of descriptors is not held against later attempts; a server that is the only one again is watched again; a silent stream that goes on does not use up an attempt.

The property test now knows servers by number, so that it counts those that ran the request itself. These are several faults in one commit, as they lie in the same functions.

--- a/gateway/src/coordination/requests/attempt_outcome.rs
+++ b/gateway/src/coordination/requests/attempt_outcome.rs
@@ -100,18 +100,36 @@
         }
     }
 
-    /// Takes back the run of a server that the request is sent to once more. Its end is counted anew.
+    /// Counts an attempt that ended at a server that was counted before.
+    ///
+    /// ```
+    /// use galenamast_gateway::coordination::requests::{AttemptOutcome, AttemptTally};
+    ///
+    /// let mut tally = AttemptTally::default();
+    /// tally.note(AttemptOutcome::Left);
+    /// tally.note_again(AttemptOutcome::Broken);
+    /// assert_eq!((tally.tries, tally.runs, tally.arrivals), (2, 1, 2));
+    /// ```
+    pub fn note_again(&mut self, outcome: AttemptOutcome) {
+        let runs = self.runs;
+        self.note(outcome);
+        self.runs = runs;
+    }
+
+    /// Takes back the count of an attempt that goes on. Its end is counted anew.
     ///
     /// ```
     /// use galenamast_gateway::coordination::requests::{AttemptOutcome, AttemptTally};
     ///
     /// let mut tally = AttemptTally::default();
     /// tally.note(AttemptOutcome::Overdue);
-    /// tally.return_to_server();
-    /// assert_eq!((tally.tries, tally.runs), (1, 0));
+    /// tally.take_back();
+    /// assert_eq!(tally, AttemptTally::default());
     /// ```
-    pub fn return_to_server(&mut self) {
+    pub fn take_back(&mut self) {
+        self.tries = self.tries.saturating_sub(1);
         self.runs = self.runs.saturating_sub(1);
+        self.arrivals = self.arrivals.saturating_sub(1);
     }
 
     /// Returns how many servers may run a request at the next host that it is passed on to. Of three or
--- a/gateway/src/coordination/requests/exchange_step.rs
+++ b/gateway/src/coordination/requests/exchange_step.rs
@@ -17,6 +17,10 @@
     pub in_progress: u32,
     /// Number of those whose response is not late yet.
     pub in_time: u32,
+    /// Number of those at servers that were left before, which the tally counts.
+    pub returned: u32,
+    /// Whether the latest of them has had half of the time that was left when it began.
+    pub has_waited: bool,
     /// How the latest attempt ended.
     pub latest: Option<AttemptOutcome>,
     /// Whether a server's failure can be delivered.
@@ -68,7 +72,7 @@
 impl ExchangeState {
     /// Returns whether a server that was not tried may be sent the request.
     const fn may_ask(&self) -> bool {
-        let may_have_run = self.tally.runs + self.in_progress;
+        let may_have_run = self.tally.runs + self.in_progress - self.returned;
         may_have_run == 0 || (self.limits.retryable && may_have_run < self.limits.runs)
     }
 
@@ -109,6 +113,8 @@
 ///     limits: AttemptLimits { retryable: true, runs: 2, tries: 6 },
 ///     in_progress: 1,
 ///     in_time: 0,
+///     returned: 0,
+///     has_waited: false,
 ///     latest: Some(AttemptOutcome::Broken),
 ///     has_failure: false,
 ///     has_time: true,
@@ -129,7 +135,9 @@
         if servers.untried && state.may_ask() && (servers.in_budget || !is_retry) {
             return ExchangeStep::Ask { is_retry };
         }
-        if servers.left && state.limits.retryable && servers.in_budget {
+        // A server that is late may still respond, unless it is given up for the one that was left.
+        let may_return = state.in_progress == 0 || state.has_waited;
+        if servers.left && may_return && state.limits.retryable && servers.in_budget {
             return ExchangeStep::Return;
         }
     }
--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -19,7 +19,7 @@
 use crate::state::ServerEntry;
 use crate::transport::attempt_guard::AttemptGuard;
 use crate::transport::connection_pool::BackendConnection;
-use crate::transport::counted_body::{BodyCount, CountedBytes, read_counted};
+use crate::transport::counted_body::{BodyCount, CountedBytes, USUAL_RESPONSE_BYTES, read_counted};
 use crate::transport::event_intake::EventIntake;
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::response_body::ResponseBody;
@@ -176,6 +176,7 @@
         &mut self,
         context: &Arc<GatewayContext>,
         mut intake: EventIntake,
+        stage: &watch::Sender<AttemptStage>,
     ) -> Result<(), AttemptOutcome> {
         intake.begin_response();
         let mut count = BodyCount::new(context);
@@ -190,12 +191,19 @@
                 continue;
             };
             record_byte(context, &self.server);
+            let taken = intake.push(&data);
+            if taken.blocks > 0 {
+                record_progress(context, &self.server, stage);
+            }
             first.extend_from_slice(&data);
-            let has_room = count.add(data.len()) || intake.has_event();
-            let is_garbled = intake.push(&data).is_garbled;
-            if is_garbled || !has_room || first.len() > MAX_FIRST_BYTES {
+            let has_room = count.add(data.len()) || first.len() <= USUAL_RESPONSE_BYTES;
+            if taken.is_garbled || !has_room || first.len() > MAX_FIRST_BYTES {
                 return Err(AttemptOutcome::Garbled);
             }
+            if intake.is_clear() {
+                // Only events that the caller has.
+                first.clear();
+            }
         }
         self.first = first.freeze();
         Ok(())
@@ -277,7 +285,7 @@
                 stage.confidence =
                     confidence.map(|percent| ReportedConfidence { percent, latency });
             });
-            response.read_first_event(&context, intake).await?;
+            response.read_first_event(&context, intake, &stage).await?;
             Ok(SettledResponse::Stream(Box::new(response)))
         }
     }
--- a/gateway/src/transport/counted_body.rs
+++ b/gateway/src/transport/counted_body.rs
@@ -17,7 +17,7 @@
 const MAX_RESPONSE_BYTES: usize = 16 * 1_024 * 1_024;
 /// Bytes of a response that are read even if the memory for bodies is used up, so that usual responses
 /// are delivered.
-const USUAL_RESPONSE_BYTES: usize = 64 * 1_024;
+pub(crate) const USUAL_RESPONSE_BYTES: usize = 64 * 1_024;
 /// Bytes that are passed to the caller's connection at once. It takes more only when these are written,
 /// so that the rest stays counted.
 const PIECE_BYTES: usize = 16 * 1_024;
--- a/gateway/src/transport/event_intake.rs
+++ b/gateway/src/transport/event_intake.rs
@@ -60,6 +60,11 @@
         self.has_event
     }
 
+    /// Returns whether nothing of the bytes taken so far is kept.
+    pub(crate) fn is_clear(&self) -> bool {
+        self.pending.is_empty() && self.held.is_empty() && !self.splitter.has_partial()
+    }
+
     /// Begins with a response that continues the stream.
     pub(crate) fn begin_response(&mut self) {
         self.splitter = EventSplitter::default();
--- a/gateway/src/transport/request_exchange/feedback.rs
+++ b/gateway/src/transport/request_exchange/feedback.rs
@@ -52,7 +52,7 @@
                 record_evidence(&self.context, &server.id);
                 let lost = LostServer {
                     server,
-                    tried: &self.tried,
+                    tried: &self.asked,
                     request: &self.request,
                     suspect: &self.suspect,
                     events: self.attempt_events,
--- a/gateway/src/transport/request_exchange/live_attempts.rs
+++ b/gateway/src/transport/request_exchange/live_attempts.rs
@@ -43,6 +43,12 @@
     pub(super) is_replaced: bool,
     /// Whether a retry was taken from the budget for it.
     pub(super) has_grant: bool,
+    /// Whether the server had the request before.
+    pub(super) is_return: bool,
+    /// Model that runs the request.
+    pub(super) model: Option<Arc<str>>,
+    /// When half of the time that was left has passed.
+    pub(super) half_time: TimePoint,
     // Whether the confidence that the model reports was judged.
     is_judged: bool,
     lateness: ResponseLateness,
@@ -67,6 +73,7 @@
         context: &Arc<GatewayContext>,
         call: AttemptRequest,
         times: ResponseTimes,
+        time_left: Duration,
     ) -> Self {
         let (sender, stage) = watch::channel(AttemptStage::default());
         Self {
@@ -75,6 +82,9 @@
             started_at: context.now(),
             is_replaced: false,
             has_grant: false,
+            is_return: false,
+            model: None,
+            half_time: context.now() + time_left / 2,
             is_judged: false,
             lateness: ResponseLateness {
                 server: call.server.clone(),
@@ -105,9 +115,10 @@
 
     /// Returns how the attempt ends if it is given up now for `outcome`.
     pub(super) fn given_up(&self, outcome: AttemptOutcome) -> AttemptOutcome {
-        match self.sent_at() {
-            Some(_) => outcome,
-            None => AttemptOutcome::NotSent,
+        match (self.sent_at(), outcome) {
+            (Some(_), outcome) => outcome,
+            (None, AttemptOutcome::Silent) => AttemptOutcome::NotSent,
+            (None, _) => AttemptOutcome::Withheld,
         }
     }
 
@@ -121,10 +132,10 @@
 impl ResponseLateness {
     /// Waits until the response is late, or its server is judged lost. If no other server is asked then,
     /// the same happens again later.
-    async fn wait(&mut self, context: &Arc<GatewayContext>, is_replaced: bool) {
+    async fn wait(&mut self, context: &Arc<GatewayContext>) {
         loop {
             let stage = *self.stage.borrow_and_update();
-            let is_watched = stage.sent_at.is_some() && !stage.has_head && !is_replaced;
+            let is_watched = stage.sent_at.is_some() && !stage.has_head;
             if !is_watched {
                 self.watch = None;
             } else if self.watch.is_none() {
@@ -242,6 +253,18 @@
         u32::try_from(in_time.count()).unwrap_or(u32::MAX)
     }
 
+    /// Returns the number of attempts at servers that had the request before.
+    pub(super) fn returned(&self) -> u32 {
+        let returned = self.attempts.iter().filter(|attempt| attempt.is_return);
+        u32::try_from(returned.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns whether the latest attempt has had half of the time that was left when it began.
+    pub(super) fn has_waited(&self, now: TimePoint) -> bool {
+        let latest = self.attempts.last();
+        latest.is_some_and(|latest| now >= latest.half_time)
+    }
+
     /// Returns the servers of the attempts.
     pub(super) fn servers(&self) -> impl Iterator<Item = Arc<str>> {
         self.attempts
@@ -288,7 +311,8 @@
             return std::future::pending().await;
         };
         let hold_time = hold_time.filter(|_| !earlier.is_empty());
-        let mut stage = latest.lateness.stage.clone();
+        let successor = earlier.get(1).unwrap_or(latest);
+        let mut stage = successor.lateness.stage.clone();
         let handed_over = async {
             let Some(hold_time) = hold_time else {
                 return std::future::pending().await;
@@ -300,7 +324,6 @@
                 None => std::future::pending().await,
             }
         };
-        let is_replaced = latest.is_replaced;
         let (latest_ending, lateness) = (&mut latest.ending, &mut latest.lateness);
         let earlier_endings = earlier.iter_mut().map(|attempt| &mut attempt.ending);
         let endings = earlier_endings.chain([latest_ending]);
@@ -312,7 +335,7 @@
                 return AttemptEvent::Confidence(index, report);
             }
             () = handed_over => (0, None),
-            () = lateness.wait(context, is_replaced) => return AttemptEvent::Late,
+            () = lateness.wait(context) => return AttemptEvent::Late,
         };
         let (index, end) = ended;
         let attempt = self.attempts.remove(index);
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -124,6 +124,8 @@
     // What is held against the request if a server crashes with it.
     suspect: CrashSuspect,
     tried: Vec<Arc<str>>,
+    // Servers that attempts were made at.
+    asked: Vec<Arc<str>>,
     model: Option<Arc<str>>,
     version: Option<Arc<str>>,
     last_failure: Option<CompleteResponse>,
@@ -198,6 +200,7 @@
             is_answered: false,
             is_relayed: head.relayed,
             tried: Vec::new(),
+            asked: Vec::new(),
             version: None,
             last_failure: None,
             head_latency: None,
@@ -289,7 +292,7 @@
         &mut self,
         resumed: Option<&EventIntake>,
     ) -> Result<SettledResponse, ExchangeFailure> {
-        let mut doubted: Option<LiveAttempt> = None;
+        let mut doubted: Option<Box<LiveAttempt>> = None;
         let mut smaller = None;
         loop {
             let (settled, kept) =
@@ -336,6 +339,8 @@
     /// Records that a model's response is dropped for that of a larger one.
     fn note_doubted(&mut self, attempt: &LiveAttempt, report: ReportedConfidence) {
         self.is_attempting = false;
+        // The retry that the larger model is asked with was taken from the budget.
+        self.has_grant = true;
         self.tally.tries += 1;
         self.tally.runs += 1;
         self.tally.arrivals += 1;
--- a/gateway/src/transport/request_exchange/server_attempts.rs
+++ b/gateway/src/transport/request_exchange/server_attempts.rs
@@ -56,7 +56,7 @@
     /// A response to deliver.
     Settled(SettledResponse),
     /// A stream whose model reports too little confidence, and the larger model that is to run the request.
-    Doubted(LiveAttempt, ReportedConfidence, Arc<str>),
+    Doubted(Box<LiveAttempt>, ReportedConfidence, Arc<str>),
 }
 
 /// The next step of a request, with the server that it is sent to.
@@ -64,6 +64,7 @@
     /// Send the request to the server, which had it before if `is_return`.
     Send {
         pick: Box<ServerPick>,
+        model: Option<Arc<str>>,
         is_return: bool,
     },
     Wait,
@@ -80,7 +81,12 @@
         let mut live = LiveAttempts::default();
         loop {
             match self.plan(&live) {
-                PlannedStep::Send { pick, is_return } => {
+                PlannedStep::Send {
+                    pick,
+                    model,
+                    is_return,
+                } => {
+                    self.model = model;
                     self.start_attempt(&pick, is_return, resumed, &mut live);
                     continue;
                 }
@@ -97,12 +103,16 @@
                 () = context.timers.sleep_until(self.deadline) => None,
             };
             match event {
-                Some(AttemptEvent::Late) => {}
+                Some(AttemptEvent::Late) => {
+                    // Descriptors may have become free.
+                    self.latest = self.latest.filter(|end| *end != AttemptOutcome::NotTried);
+                }
                 Some(AttemptEvent::Confidence(index, report)) if resumed.is_none() => {
                     let larger = self.choose_larger_model(report.percent, live.count());
                     if let Some(larger) = larger {
                         let attempt = live.take(index);
                         self.supersede(&mut live);
+                        let attempt = Box::new(attempt);
                         return Ok(ExchangeOutcome::Doubted(attempt, report, larger));
                     }
                 }
@@ -129,7 +139,11 @@
 
     /// Returns the next step of the request. Takes a retry from the budget if one is needed.
     fn plan(&mut self, live: &LiveAttempts) -> PlannedStep {
-        let state = self.state(live.count(), live.in_time());
+        let state = ExchangeState {
+            returned: live.returned(),
+            has_waited: live.has_waited(self.context.now()),
+            ..self.state(live.count(), live.in_time())
+        };
         let tried: Vec<_> = self.tried.iter().cloned().chain(live.servers()).collect();
         let (mut step, mut denied) = self.choose(&state, &tried);
         if let PlannedStep::Send { .. } = step {
@@ -159,6 +173,8 @@
             limits: self.limits(),
             in_progress,
             in_time,
+            returned: 0,
+            has_waited: false,
             latest: self.latest,
             has_failure: self.last_failure.is_some(),
             has_time: remaining_time(&self.context, self.deadline) >= MIN_ATTEMPT_TIME,
@@ -182,12 +198,22 @@
             false => "repeat",
         };
         loop {
-            let (pick, is_retry, is_return) = match exchange_step(state, servers) {
+            let (pick, is_retry) = match exchange_step(state, servers) {
                 ExchangeStep::Ask { .. } if state.in_progress == 0 && self.needs_other_host() => {
                     return (PlannedStep::End(ExchangeFailure::NoPath), Some("path"));
                 }
-                ExchangeStep::Ask { is_retry } => (self.pick(tried), is_retry, false),
-                ExchangeStep::Return => (self.pick_left(state.in_progress), true, true),
+                ExchangeStep::Ask { is_retry } => {
+                    let pick = self.pick(tried);
+                    (pick.map(|pick| (pick, self.model.clone(), false)), is_retry)
+                }
+                ExchangeStep::Return => {
+                    let pick = self.pick_left(state.in_progress);
+                    if pick.is_none() {
+                        servers.left = false;
+                        continue;
+                    }
+                    (pick.map(|(pick, model)| (pick, model, true)), true)
+                }
                 ExchangeStep::Wait => return (PlannedStep::Wait, Some(denied)),
                 ExchangeStep::End(end) => {
                     if !servers.untried {
@@ -196,11 +222,8 @@
                     return (PlannedStep::End(self.failure(end)), Some(denied));
                 }
             };
-            let Some(pick) = pick else {
-                match is_return {
-                    true => servers.left = false,
-                    false => (servers.untried, denied) = (false, "servers"),
-                }
+            let Some((pick, model, is_return)) = pick else {
+                (servers.untried, denied) = (false, "servers");
                 continue;
             };
             if state.in_progress == 0 && self.is_overloaded(&pick) {
@@ -211,8 +234,12 @@
                 servers.in_budget = false;
                 continue;
             }
-            let pick = Box::new(pick);
-            return (PlannedStep::Send { pick, is_return }, None);
+            let step = PlannedStep::Send {
+                pick: Box::new(pick),
+                model,
+                is_return,
+            };
+            return (step, None);
         }
     }
 
@@ -235,7 +262,7 @@
     }
 
     /// Picks a server that was left and whose earlier response is not kept any more, the latest one first.
-    fn pick_left(&mut self, in_progress: u32) -> Option<ServerPick> {
+    fn pick_left(&mut self, in_progress: u32) -> Option<(ServerPick, Option<Arc<str>>)> {
         let now = self.context.now();
         let may_run_more = self.tally.runs + in_progress < self.attempts;
         let may_return =
@@ -245,6 +272,7 @@
             .map(|left| (left.server.clone(), left.model.clone()))
             .collect();
         let model = self.model.clone();
+        let mut picked = None;
         for (server, left_model) in left {
             let others: Vec<_> = {
                 let servers = self.context.servers();
@@ -252,29 +280,30 @@
                 let ids = serving.map(|entry| entry.id.clone());
                 ids.filter(|id| *id != server).collect()
             };
-            self.model = left_model;
+            self.model.clone_from(&left_model);
             if let Some(pick) = self.pick(&others) {
-                return Some(pick);
+                picked = Some((pick, left_model));
+                break;
             }
         }
         self.model = model;
-        None
+        picked
     }
 
-    /// Records that the request is sent once more to a server that was left.
-    fn return_to(&mut self, server: &ServerEntry) {
+    /// Records that the request is sent once more to a server that was left. Returns whether the tally
+    /// counts the run already.
+    fn return_to(&mut self, server: &ServerEntry) -> bool {
         self.context.metrics.increment("servers_asked_again_total");
-        let returned = |left: &LeftServer| left.server == server.id && left.model == self.model;
-        match self
+        let is_returned = |left: &&LeftServer| left.server == server.id && left.model == self.model;
+        let is_doubted = self
             .left
             .iter()
-            .any(|left| returned(left) && left.is_doubted)
-        {
-            true => self.keeps_model = true,
-            false => self.tally.return_to_server(),
-        }
+            .find(is_returned)
+            .is_some_and(|left| left.is_doubted);
+        self.keeps_model |= is_doubted;
         self.left.retain(|left| left.server != server.id);
         self.tried.retain(|tried| *tried != server.id);
+        !is_doubted
     }
 
     /// Returns the outcome for the caller if no further attempt is made.
@@ -304,10 +333,9 @@
         };
         self.replace_late(live);
         let server = &pick.server;
-        if is_return {
-            self.return_to(server);
-        }
+        let is_return = is_return && self.return_to(server);
         self.number += 1;
+        self.asked.push(server.id.clone());
         self.log_choice(pick);
         self.record_session(server);
         self.record_read(server);
@@ -332,7 +360,9 @@
             intake: (self.route.kind == RouteKind::Stream)
                 .then(|| resumed.cloned().unwrap_or_else(|| self.new_intake())),
         };
-        let mut attempt = LiveAttempt::start(&self.context, call, times);
+        let mut attempt = LiveAttempt::start(&self.context, call, times, remaining);
+        attempt.is_return = is_return;
+        attempt.model.clone_from(&self.model);
         attempt.has_grant = std::mem::take(&mut self.has_grant);
         live.push(attempt);
         self.is_attempting = true;
@@ -362,11 +392,10 @@
     fn leave(&mut self, attempt: &LiveAttempt) {
         let latency = self.context.now().since(attempt.started_at);
         let (server, number) = (&attempt.server, attempt.number);
-        self.tally.note(AttemptOutcome::Overdue);
-        self.tried.push(server.id.clone());
+        let outcome = AttemptOutcome::Left;
+        self.note_end(attempt.is_return, server, outcome);
         self.note_left(server, Duration::ZERO);
         self.context.metrics.increment("servers_left_total");
-        let outcome = AttemptOutcome::Left;
         self.log_attempt(server, number, outcome, latency, "wait", None);
     }
 
@@ -384,7 +413,7 @@
     pub(crate) fn keep_left(&mut self, server: &ServerEntry) {
         self.left.retain(|left| left.server != server.id);
         self.tried.retain(|tried| *tried != server.id);
-        self.tally.return_to_server();
+        self.tally.take_back();
     }
 
     /// Handles the end of an attempt. Returns its response if that can be delivered.
@@ -405,6 +434,8 @@
                         .increment("replaced_attempts_answered_total");
                 }
                 self.supersede(live);
+                self.model = attempt.model;
+                self.latest = None;
                 return Some(response);
             }
             Err(failure) => failure,
@@ -421,8 +452,16 @@
             replaced.iter().for_each(|attempt| self.leave(attempt));
         }
         let (server, number) = (&attempt.server, attempt.number);
-        self.end_attempt(server, number, failure.outcome, latency)
-            .await;
+        let outcome = failure.outcome;
+        self.note_end(attempt.is_return, server, outcome);
+        self.record_outcome(server, outcome).await;
+        self.log_ended("wait", None);
+        self.ended = Some(EndedAttempt {
+            server: server.clone(),
+            number,
+            outcome,
+            latency,
+        });
         self.is_attempting = !live.is_empty();
         None
     }
@@ -432,27 +471,22 @@
         for other in others.take_all() {
             let outcome = other.given_up(AttemptOutcome::Superseded);
             let latency = self.context.now().since(other.started_at);
-            self.tally.note(outcome);
-            self.tried.push(other.server.id.clone());
+            self.note_end(other.is_return, &other.server, outcome);
             let (server, number) = (&other.server, other.number);
             self.log_attempt(server, number, outcome, latency, "answer", None);
         }
     }
 
-    /// Records the end of an attempt without a response. It is logged with the next step.
-    pub(crate) async fn end_attempt(
+    /// Records the end of a response that is being read. It is logged with the next step.
+    pub(crate) async fn end_response(
         &mut self,
         server: &ServerEntry,
         number: u32,
         outcome: AttemptOutcome,
         latency: Duration,
     ) {
-        self.tally.note(outcome);
-        self.latest = Some(outcome);
-        self.doubts_connections |= outcome.doubts_connections();
-        self.tried.push(server.id.clone());
+        self.note_end(false, server, outcome);
         self.record_outcome(server, outcome).await;
-        self.log_ended("wait", None);
         self.ended = Some(EndedAttempt {
             server: server.clone(),
             number,
@@ -461,6 +495,17 @@
         });
     }
 
+    /// Counts an attempt that ended; `is_return` states whether its server was counted before.
+    fn note_end(&mut self, is_return: bool, server: &ServerEntry, outcome: AttemptOutcome) {
+        match is_return {
+            true => self.tally.note_again(outcome),
+            false => self.tally.note(outcome),
+        }
+        self.latest = Some(outcome);
+        self.doubts_connections |= outcome.doubts_connections();
+        self.tried.push(server.id.clone());
+    }
+
     /// Logs the latest attempt that ended, if it is not logged yet.
     pub(crate) fn log_ended(&mut self, next: &'static str, denied: Option<&'static str>) {
         if let Some(ended) = self.ended.take() {
@@ -477,9 +522,13 @@
     ) -> ExchangeFailure {
         for attempt in live.take_all() {
             let latency = self.context.now().since(attempt.started_at);
-            let (server, number) = (&attempt.server, attempt.number);
-            self.end_attempt(server, number, attempt.given_up(outcome), latency)
-                .await;
+            let (server, outcome) = (&attempt.server, attempt.given_up(outcome));
+            self.note_end(attempt.is_return, server, outcome);
+            // That a replaced attempt was late is known.
+            if !attempt.is_replaced {
+                self.record_outcome(server, outcome).await;
+            }
+            self.log_attempt(server, attempt.number, outcome, latency, "answer", None);
         }
         self.is_attempting = false;
         let state = ExchangeState {
@@ -491,7 +540,6 @@
             left: false,
             in_budget: false,
         };
-        self.log_ended("answer", None);
         let end = match exchange_step(&state, servers) {
             ExchangeStep::End(end) => end,
             _ => FinalAnswer::Unknown,
--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -205,7 +205,7 @@
         let latency = self.exchange.context.now().since(response.sent_at);
         let exchange = &mut self.exchange;
         exchange
-            .end_attempt(&server, number, outcome, latency)
+            .end_response(&server, number, outcome, latency)
             .await;
         if !self.is_resumable() {
             self.exchange.log_ended("answer", Some("repeat"));
--- a/gateway/tests/decisions/exchange_steps.rs
+++ b/gateway/tests/decisions/exchange_steps.rs
@@ -1,5 +1,7 @@
 //! The next step of a request, for any state of its attempts.
 
+use std::collections::BTreeSet;
+
 use galenamast_gateway::coordination::requests::{
     AttemptLimits, AttemptOutcome, AttemptTally, ExchangeState, ExchangeStep, FinalAnswer,
     NextServers, exchange_step,
@@ -23,8 +25,8 @@
 enum Happening {
     /// The attempt of this index ends.
     End(usize, AttemptOutcome),
-    /// The latest attempt is late.
-    Late,
+    /// The latest attempt is late, and has had half of the time that was left if `true`.
+    Late(bool),
     /// The first of the replaced attempts is handed over.
     HandOver,
 }
@@ -34,38 +36,51 @@
     prop_oneof![
         (0..6_usize, proptest::sample::select(ENDS.to_vec()))
             .prop_map(|(index, outcome)| Happening::End(index, outcome)),
-        Just(Happening::Late),
+        any::<bool>().prop_map(Happening::Late),
         Just(Happening::HandOver),
     ]
 }
 
-/// A request whose attempts are simulated.
+/// An attempt in progress.
+#[derive(Clone, Copy, Debug)]
+struct SimulatedAttempt {
+    server: u32,
+    is_late: bool,
+    is_return: bool,
+}
+
+/// A request whose attempts are simulated, each at a server with a number.
 #[derive(Debug)]
 struct SimulatedExchange {
     state: ExchangeState,
-    // Whether each attempt in progress is late.
-    live: Vec<bool>,
-    left: u32,
-    untried: u32,
+    live: Vec<SimulatedAttempt>,
+    left: Vec<u32>,
+    // Servers that may have run the request.
+    ran: BTreeSet<u32>,
+    asked: u32,
+    servers: u32,
     budget: u32,
 }
 
 impl SimulatedExchange {
     /// Returns the state of the attempts.
     fn state(&self) -> ExchangeState {
-        let late = self.live.iter().filter(|is_late| **is_late).count();
+        let count = |is_counted: fn(&&SimulatedAttempt) -> bool| {
+            u32::try_from(self.live.iter().filter(is_counted).count()).expect("few attempts")
+        };
         ExchangeState {
-            in_progress: u32::try_from(self.live.len()).expect("few attempts"),
-            in_time: u32::try_from(self.live.len() - late).expect("few attempts"),
+            in_progress: count(|_| true),
+            in_time: count(|attempt| !attempt.is_late),
+            returned: count(|attempt| attempt.is_return),
             ..self.state
         }
     }
 
     /// Returns the servers that the request can be sent to.
-    fn servers(&self) -> NextServers {
+    fn next_servers(&self) -> NextServers {
         NextServers {
-            untried: self.untried > 0,
-            left: self.left > 0,
+            untried: self.asked < self.servers,
+            left: !self.left.is_empty(),
             in_budget: self.budget > 0,
         }
     }
@@ -73,42 +88,60 @@
     /// Takes steps until the request waits or ends; returns the answer if it ends.
     fn advance(&mut self) -> Option<FinalAnswer> {
         loop {
-            let step = exchange_step(&self.state(), self.servers());
-            match step {
+            let state = self.state();
+            let (server, is_return) = match exchange_step(&state, self.next_servers()) {
                 ExchangeStep::Ask { is_retry } => {
-                    self.untried -= 1;
                     self.budget -= u32::from(is_retry);
-                    self.live.push(false);
+                    self.asked += 1;
+                    (self.asked, false)
                 }
                 ExchangeStep::Return => {
-                    self.left -= 1;
+                    assert!(self.live.is_empty() || state.has_waited, "{self:?}");
                     self.budget -= 1;
-                    self.state.tally.return_to_server();
-                    self.live.push(false);
+                    (self.left.pop().expect("a server was left"), true)
                 }
                 ExchangeStep::Wait => {
                     assert!(!self.live.is_empty(), "waits for nothing: {self:?}");
                     return None;
                 }
                 ExchangeStep::End(answer) => return Some(answer),
-            }
+            };
+            self.state.has_waited = false;
+            self.live.push(SimulatedAttempt {
+                server,
+                is_late: false,
+                is_return,
+            });
             self.check_bounds();
         }
     }
 
-    /// Checks that no more servers run the request than may.
+    /// Checks that no more servers have the request than may.
     fn check_bounds(&self) {
         let state = self.state();
-        let runs = state.tally.runs + state.in_progress;
-        let allowed = if state.limits.retryable {
-            state.limits.runs
-        } else {
-            1
+        let servers = self.live.iter().map(|attempt| attempt.server);
+        let servers: BTreeSet<u32> = servers.chain(self.ran.iter().copied()).collect();
+        let allowed = match state.limits.retryable {
+            true => state.limits.runs,
+            false => 1,
         };
-        assert!(runs <= allowed, "{self:?}");
+        let count = u32::try_from(servers.len()).expect("few servers");
+        assert!(count <= allowed, "{count} servers: {self:?}");
         assert!(state.tally.tries + state.in_progress <= state.limits.tries);
     }
 
+    /// Counts an attempt that ended.
+    fn note(&mut self, attempt: SimulatedAttempt, outcome: AttemptOutcome) {
+        match attempt.is_return {
+            true => self.state.tally.note_again(outcome),
+            false => self.state.tally.note(outcome),
+        }
+        self.state.latest = Some(outcome);
+        if outcome.may_have_run() {
+            self.ran.insert(attempt.server);
+        }
+    }
+
     /// Applies what happens; returns false if it cannot happen now.
     fn apply(&mut self, happening: Happening) -> bool {
         match happening {
@@ -116,48 +149,47 @@
                 if self.live.is_empty() {
                     return false;
                 }
-                self.live.remove(index % self.live.len());
-                self.state.tally.note(outcome);
-                self.state.latest = Some(outcome);
+                let attempt = self.live.remove(index % self.live.len());
+                self.note(attempt, outcome);
                 self.state.has_failure |= outcome == AttemptOutcome::Failed;
             }
-            Happening::Late => match self.live.last_mut() {
-                Some(is_late) => *is_late = true,
+            Happening::Late(has_waited) => match self.live.last_mut() {
+                Some(attempt) => {
+                    attempt.is_late = true;
+                    self.state.has_waited |= has_waited;
+                }
                 None => return false,
             },
             Happening::HandOver => {
                 if self.live.len() < 2 {
                     return false;
                 }
-                self.live.remove(0);
-                self.state.tally.note(AttemptOutcome::Left);
-                self.left += 1;
+                let attempt = self.live.remove(0);
+                self.note(attempt, AttemptOutcome::Left);
+                self.left.push(attempt.server);
             }
         }
         true
     }
 
-    /// Checks that an exchange that ends could not have gone on.
+    /// Checks that an exchange that ends could not have gone on, and that its answer is true.
     fn check_end(&self, answer: FinalAnswer) {
         let state = self.state();
         assert!(self.live.is_empty(), "a server may still respond: {self:?}");
+        let ran = u32::try_from(self.ran.len()).expect("few servers");
         let may_run = match state.limits.retryable {
-            true => state.tally.runs < state.limits.runs,
-            false => state.tally.runs == 0,
+            true => ran < state.limits.runs,
+            false => ran == 0,
         };
         let in_budget = self.budget > 0 || state.tally.arrivals == 0;
         let may_try = state.has_time && state.tally.tries < state.limits.tries;
-        let may_ask = self.untried > 0 && may_run && in_budget;
-        let may_return = self.left > 0 && state.limits.retryable && self.budget > 0;
+        let may_ask = self.asked < self.servers && may_run && in_budget;
+        let may_return = !self.left.is_empty() && state.limits.retryable && self.budget > 0;
         assert!(
             !may_try || !(may_ask || may_return),
             "a server may be asked: {self:?}"
         );
-        assert_eq!(
-            answer == FinalAnswer::NotRun,
-            state.tally.runs == 0,
-            "{self:?}"
-        );
+        assert_eq!(answer == FinalAnswer::NotRun, ran == 0, "{self:?}");
         assert_eq!(
             answer == FinalAnswer::ServerFailure,
             state.has_failure,
@@ -167,14 +199,15 @@
 }
 
 proptest! {
-    // No request ends while a server may still respond in time or another one may be asked.
+    // No request ends while a server may still respond in time or another one may be asked, no more servers
+    // run it than may, and it is answered as not run only if that is so.
     #[test]
     fn request_goes_on_while_an_answer_may_come(
         retryable: bool,
         runs in 1..4_u32,
-        untried in 0..6_u32,
-        budget in 0..5_u32,
-        happenings in proptest::collection::vec(happening(), 0..20),
+        servers in 0..6_u32,
+        budget in 0..6_u32,
+        happenings in proptest::collection::vec(happening(), 0..24),
     ) {
         let mut exchange = SimulatedExchange {
             state: ExchangeState {
@@ -182,13 +215,17 @@
                 limits: AttemptLimits { retryable, runs, tries: 6 },
                 in_progress: 0,
                 in_time: 0,
+                returned: 0,
+                has_waited: false,
                 latest: None,
                 has_failure: false,
                 has_time: true,
             },
             live: Vec::new(),
-            left: 0,
-            untried,
+            left: Vec::new(),
+            ran: BTreeSet::new(),
+            asked: 0,
+            servers,
             budget,
         };
         let mut end = exchange.advance();
@@ -204,13 +241,16 @@
             Some(answer) => exchange.check_end(answer),
             // At the deadline, only what is in hand counts.
             None => {
-                exchange.live.clear();
-                exchange.state.tally.note(AttemptOutcome::Silent);
-                exchange.state.latest = Some(AttemptOutcome::Silent);
+                for attempt in std::mem::take(&mut exchange.live) {
+                    exchange.note(attempt, AttemptOutcome::Silent);
+                }
                 exchange.state.has_time = false;
                 let answer = exchange.advance().expect("the deadline ends the request");
-                prop_assert!(answer != FinalAnswer::NotRun);
-                prop_assert!(answer != FinalAnswer::Unknown);
+                let expected = match exchange.state.has_failure {
+                    true => FinalAnswer::ServerFailure,
+                    false => FinalAnswer::TimedOut,
+                };
+                prop_assert_eq!(answer, expected);
             }
         }
     }
@@ -225,6 +265,8 @@
         limits,
         in_progress: 1,
         in_time: 0,
+        returned: 0,
+        has_waited: false,
         latest: Some(latest),
         has_failure: latest == AttemptOutcome::Failed,
         has_time: true,
@@ -266,6 +308,25 @@
                 ExchangeStep::Wait
             };
             assert_eq!(step, expected, "{outcome:?}, {runs} attempts");
+            // A server that was left is not asked again while another one may respond.
+            let untried = NextServers {
+                untried: false,
+                ..all
+            };
+            assert_eq!(
+                exchange_step(&state, untried),
+                ExchangeStep::Wait,
+                "{outcome:?}"
+            );
+            let waited = ExchangeState {
+                has_waited: true,
+                ..state
+            };
+            assert_eq!(
+                exchange_step(&waited, untried),
+                ExchangeStep::Return,
+                "{outcome:?}"
+            );
             // The first server was left.
             let mut tally = state.tally;
             tally.note(AttemptOutcome::Left);
--- a/gateway/tests/decisions/outcomes.rs
+++ b/gateway/tests/decisions/outcomes.rs
@@ -39,6 +39,8 @@
         limits,
         in_progress: 0,
         in_time: 0,
+        returned: 0,
+        has_waited: false,
         latest: Some(outcome),
         has_failure: outcome == AttemptOutcome::Failed,
         has_time: outcome != AttemptOutcome::Silent,
