--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -19,7 +19,7 @@
 use crate::state::ServerEntry;
 use crate::transport::attempt_guard::AttemptGuard;
 use crate::transport::connection_pool::BackendConnection;
-use crate::transport::counted_body::{BodyCount, CountedBytes, read_counted};
+use crate::transport::counted_body::{BodyCount, CountedBytes, USUAL_RESPONSE_BYTES, read_counted};
 use crate::transport::event_intake::EventIntake;
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::response_body::ResponseBody;
@@ -53,7 +53,7 @@
 }
 
 /// How far an attempt has come.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct AttemptStage {
     /// When the request was sent.
     pub(crate) sent_at: Option<TimePoint>,
@@ -61,6 +61,17 @@
     pub(crate) has_head: bool,
     /// When the request was sent, its head arrived, or a part of a response that is not streamed.
     pub(crate) progress_at: Option<TimePoint>,
+    /// What the model reports in the head of a stream, before its first event.
+    pub(crate) confidence: Option<ReportedConfidence>,
+}
+
+/// The confidence that a model reports in its own response.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct ReportedConfidence {
+    /// Confidence in percent.
+    pub(crate) percent: f64,
+    /// Time from sending the request to receiving the head.
+    pub(crate) latency: Duration,
 }
 
 /// A response that can be delivered.
@@ -165,6 +176,7 @@
         &mut self,
         context: &Arc<GatewayContext>,
         mut intake: EventIntake,
+        stage: &watch::Sender<AttemptStage>,
     ) -> Result<(), AttemptOutcome> {
         intake.begin_response();
         let mut count = BodyCount::new(context);
@@ -179,12 +191,19 @@
                 continue;
             };
             record_byte(context, &self.server);
+            let taken = intake.push(&data);
+            if taken.blocks > 0 {
+                record_progress(context, &self.server, stage);
+            }
             first.extend_from_slice(&data);
-            let has_room = count.add(data.len()) || intake.has_event();
-            let is_garbled = intake.push(&data).is_garbled;
-            if is_garbled || !has_room || first.len() > MAX_FIRST_BYTES {
+            let has_room = count.add(data.len()) || first.len() <= USUAL_RESPONSE_BYTES;
+            if taken.is_garbled || !has_room || first.len() > MAX_FIRST_BYTES {
                 return Err(AttemptOutcome::Garbled);
             }
+            if intake.is_clear() {
+                // Only events that the caller has.
+                first.clear();
+            }
         }
         self.first = first.freeze();
         Ok(())
@@ -261,7 +280,12 @@
             Err(AttemptOutcome::Garbled.into())
         }
         Some(intake) => {
-            response.read_first_event(&context, intake).await?;
+            let confidence = response.head.confidence;
+            stage.send_modify(|stage| {
+                stage.confidence =
+                    confidence.map(|percent| ReportedConfidence { percent, latency });
+            });
+            response.read_first_event(&context, intake, &stage).await?;
             Ok(SettledResponse::Stream(Box::new(response)))
         }
     }
--- a/gateway/src/transport/request_exchange/live_attempts.rs
+++ b/gateway/src/transport/request_exchange/live_attempts.rs
@@ -10,7 +10,9 @@
 
 use crate::coordination::requests::AttemptOutcome;
 use crate::state::ServerEntry;
-use crate::transport::attempt_runner::{AttemptEnd, AttemptRequest, AttemptStage, run_attempt};
+use crate::transport::attempt_runner::{
+    AttemptEnd, AttemptRequest, AttemptStage, ReportedConfidence, run_attempt,
+};
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::server_watch::ServerWatch;
 
@@ -41,6 +43,14 @@
     pub(super) is_replaced: bool,
     /// Whether a retry was taken from the budget for it.
     pub(super) has_grant: bool,
+    /// Whether the server had the request before.
+    pub(super) is_return: bool,
+    /// Model that runs the request.
+    pub(super) model: Option<Arc<str>>,
+    /// When half of the time that was left has passed.
+    pub(super) half_time: TimePoint,
+    // Whether the confidence that the model reports was judged.
+    is_judged: bool,
     lateness: ResponseLateness,
     ending: Pin<Box<dyn Future<Output = AttemptEnd> + Send>>,
 }
@@ -63,6 +73,7 @@
         context: &Arc<GatewayContext>,
         call: AttemptRequest,
         times: ResponseTimes,
+        time_left: Duration,
     ) -> Self {
         let (sender, stage) = watch::channel(AttemptStage::default());
         Self {
@@ -71,6 +82,10 @@
             started_at: context.now(),
             is_replaced: false,
             has_grant: false,
+            is_return: false,
+            model: None,
+            half_time: context.now() + time_left / 2,
+            is_judged: false,
             lateness: ResponseLateness {
                 server: call.server.clone(),
                 times,
@@ -88,6 +103,11 @@
         self.lateness.stage.borrow().sent_at
     }
 
+    /// Waits for the end of the attempt.
+    pub(super) async fn end(&mut self) -> AttemptEnd {
+        self.ending.as_mut().await
+    }
+
     /// Returns why the response is late; `None` if it is not.
     pub(super) fn late_outcome(&self) -> Option<AttemptOutcome> {
         self.lateness.outcome
@@ -95,9 +115,10 @@
 
     /// Returns how the attempt ends if it is given up now for `outcome`.
     pub(super) fn given_up(&self, outcome: AttemptOutcome) -> AttemptOutcome {
-        match self.sent_at() {
-            Some(_) => outcome,
-            None => AttemptOutcome::NotSent,
+        match (self.sent_at(), outcome) {
+            (Some(_), outcome) => outcome,
+            (None, AttemptOutcome::Silent) => AttemptOutcome::NotSent,
+            (None, _) => AttemptOutcome::Withheld,
         }
     }
 
@@ -111,10 +132,10 @@
 impl ResponseLateness {
     /// Waits until the response is late, or its server is judged lost. If no other server is asked then,
     /// the same happens again later.
-    async fn wait(&mut self, context: &Arc<GatewayContext>, is_replaced: bool) {
+    async fn wait(&mut self, context: &Arc<GatewayContext>) {
         loop {
             let stage = *self.stage.borrow_and_update();
-            let is_watched = stage.sent_at.is_some() && !stage.has_head && !is_replaced;
+            let is_watched = stage.sent_at.is_some() && !stage.has_head;
             if !is_watched {
                 self.watch = None;
             } else if self.watch.is_none() {
@@ -170,6 +191,8 @@
 pub(super) enum AttemptEvent {
     /// An attempt ended.
     Ended(LiveAttempt, Box<AttemptEnd>),
+    /// The model of the attempt with this index reports its confidence, and no event yet.
+    Confidence(usize, ReportedConfidence),
     /// The latest attempt is late.
     Late,
     /// The server of a replaced attempt is to be left.
@@ -193,6 +216,11 @@
         std::mem::take(&mut self.attempts)
     }
 
+    /// Removes the attempt with an index.
+    pub(super) fn take(&mut self, index: usize) -> LiveAttempt {
+        self.attempts.remove(index)
+    }
+
     /// Removes all attempts but the latest and returns them.
     pub(super) fn take_replaced(&mut self) -> Vec<LiveAttempt> {
         let latest = self.attempts.pop();
@@ -225,6 +253,18 @@
         u32::try_from(in_time.count()).unwrap_or(u32::MAX)
     }
 
+    /// Returns the number of attempts at servers that had the request before.
+    pub(super) fn returned(&self) -> u32 {
+        let returned = self.attempts.iter().filter(|attempt| attempt.is_return);
+        u32::try_from(returned.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns whether the latest attempt has had half of the time that was left when it began.
+    pub(super) fn has_waited(&self, now: TimePoint) -> bool {
+        let latest = self.attempts.last();
+        latest.is_some_and(|latest| now >= latest.half_time)
+    }
+
     /// Returns the servers of the attempts.
     pub(super) fn servers(&self) -> impl Iterator<Item = Arc<str>> {
         self.attempts
@@ -244,11 +284,35 @@
         context: &Arc<GatewayContext>,
         hold_time: Option<Duration>,
     ) -> AttemptEvent {
+        let unjudged = self.attempts.iter().enumerate();
+        let unjudged = unjudged.filter(|(_, attempt)| !attempt.is_judged);
+        let mut reports: Vec<_> = unjudged
+            .map(|(index, attempt)| {
+                let mut stage = attempt.lateness.stage.clone();
+                Box::pin(async move {
+                    let report = stage.wait_for(|stage| stage.confidence.is_some()).await;
+                    report
+                        .ok()
+                        .and_then(|stage| stage.confidence.map(|report| (index, report)))
+                })
+            })
+            .collect();
+        let reported = async {
+            while !reports.is_empty() {
+                let (report, _, rest) = select_all(reports).await;
+                if let Some(report) = report {
+                    return report;
+                }
+                reports = rest;
+            }
+            std::future::pending().await
+        };
         let Some((latest, earlier)) = self.attempts.split_last_mut() else {
             return std::future::pending().await;
         };
         let hold_time = hold_time.filter(|_| !earlier.is_empty());
-        let mut stage = latest.lateness.stage.clone();
+        let successor = earlier.get(1).unwrap_or(latest);
+        let mut stage = successor.lateness.stage.clone();
         let handed_over = async {
             let Some(hold_time) = hold_time else {
                 return std::future::pending().await;
@@ -260,25 +324,24 @@
                 None => std::future::pending().await,
             }
         };
-        let is_replaced = latest.is_replaced;
         let (latest_ending, lateness) = (&mut latest.ending, &mut latest.lateness);
         let earlier_endings = earlier.iter_mut().map(|attempt| &mut attempt.ending);
         let endings = earlier_endings.chain([latest_ending]);
-        let event = tokio::select! {
+        let ended = tokio::select! {
             biased;
-            (end, index, _) = select_all(endings) => Some((index, Some(end))),
-            () = handed_over => Some((0, None)),
-            () = lateness.wait(context, is_replaced) => None,
-        };
-        match event {
-            None => AttemptEvent::Late,
-            Some((index, end)) => {
-                let attempt = self.attempts.remove(index);
-                match end {
-                    Some(end) => AttemptEvent::Ended(attempt, Box::new(end)),
-                    None => AttemptEvent::HandedOver(attempt),
-                }
+            (end, index, _) = select_all(endings) => (index, Some(end)),
+            (index, report) = reported => {
+                self.attempts[index].is_judged = true;
+                return AttemptEvent::Confidence(index, report);
             }
+            () = handed_over => (0, None),
+            () = lateness.wait(context) => return AttemptEvent::Late,
+        };
+        let (index, end) = ended;
+        let attempt = self.attempts.remove(index);
+        match end {
+            Some(end) => AttemptEvent::Ended(attempt, Box::new(end)),
+            None => AttemptEvent::HandedOver(attempt),
         }
     }
 }
