--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -285,6 +285,8 @@
                 stage.confidence =
                     confidence.map(|percent| ReportedConfidence { percent, latency });
             });
+            // The confidence is judged before the first event, which may have arrived too.
+            tokio::task::yield_now().await;
             response.read_first_event(&context, intake, &stage).await?;
             Ok(SettledResponse::Stream(Box::new(response)))
         }
--- a/gateway/src/transport/request_exchange/live_attempts.rs
+++ b/gateway/src/transport/request_exchange/live_attempts.rs
@@ -329,11 +329,11 @@
         let endings = earlier_endings.chain([latest_ending]);
         let ended = tokio::select! {
             biased;
-            (end, index, _) = select_all(endings) => (index, Some(end)),
             (index, report) = reported => {
                 self.attempts[index].is_judged = true;
                 return AttemptEvent::Confidence(index, report);
             }
+            (end, index, _) = select_all(endings) => (index, Some(end)),
             () = handed_over => (0, None),
             () = lateness.wait(context) => return AttemptEvent::Late,
         };
