Keep predictions of the server that has the request

Looking for a server in place of a late one replaced the version and the predicted times of the request by those of a server that was not asked, which then went into the learnt errors of predictions.

--- a/gateway/src/transport/request_exchange/server_attempts.rs
+++ b/gateway/src/transport/request_exchange/server_attempts.rs
@@ -203,7 +203,7 @@
                     return (PlannedStep::End(ExchangeFailure::NoPath), Some("path"));
                 }
                 ExchangeStep::Ask { is_retry } => {
-                    let pick = self.pick(tried);
+                    let pick = self.find_server(tried);
                     (pick.map(|pick| (pick, self.model.clone(), false)), is_retry)
                 }
                 ExchangeStep::Return => {
@@ -226,6 +226,7 @@
                 (servers.untried, denied) = (false, "servers");
                 continue;
             };
+            self.earliest_start = Some(pick.earliest_start);
             if state.in_progress == 0 && self.is_overloaded(&pick) {
                 return (PlannedStep::End(ExchangeFailure::Overloaded), None);
             }
@@ -281,7 +282,7 @@
                 ids.filter(|id| *id != server).collect()
             };
             self.model.clone_from(&left_model);
-            if let Some(pick) = self.pick(&others) {
+            if let Some(pick) = self.find_server(&others) {
                 picked = Some((pick, left_model));
                 break;
             }
@@ -332,6 +333,7 @@
             return;
         };
         self.replace_late(live);
+        self.record_pick(pick);
         let server = &pick.server;
         let is_return = is_return && self.return_to(server);
         self.number += 1;
--- a/gateway/src/transport/request_exchange/server_choice.rs
+++ b/gateway/src/transport/request_exchange/server_choice.rs
@@ -86,16 +86,12 @@
         asks_larger.then_some(step.model)
     }
 
-    /// Picks a server that is not among those `tried` and whose version may serve the session, and
-    /// remembers the predictions for it.
-    pub(super) fn pick(&mut self, tried: &[Arc<str>]) -> Option<ServerPick> {
-        let pick = self.find_server(tried)?;
+    /// Remembers what was predicted for the server that the request is sent to.
+    pub(super) fn record_pick(&mut self, pick: &ServerPick) {
         self.version = Some(pick.server.version.clone());
         self.typical_first_byte =
             Duration::try_from_secs_f64(pick.typical_wait).unwrap_or(Duration::MAX);
         self.predicted_wait = pick.wait;
-        self.earliest_start = Some(pick.earliest_start);
-        Some(pick)
     }
 
     /// Returns whether no server is predicted to begin the request before its deadline. Only a
@@ -153,7 +149,7 @@
 
     /// Finds the server that `pick_server` prefers among those that are not excluded and whose version may
     /// serve the session.
-    fn find_server(&self, excluded: &[Arc<str>]) -> Option<ServerPick> {
+    pub(super) fn find_server(&self, excluded: &[Arc<str>]) -> Option<ServerPick> {
         let now = self.context.now();
         let unix_ms = self.context.timers.unix_millis();
         let rule = match &self.avoided_version {
