Probe servers that rejected a request after the next one crashed

Callers saw: 504 for a request whose prompt part crashes engines, after its whole time, in place of 502; and the part went on to further engines, as a crash was not counted.

Cause: in order to tell a crash from a network partition, neighbours of the lost engine are probed, without those that the request was sent to, as it may have crashed them. This left out an engine that had rejected the request, stated that it did not run and is there. Engines that crashed less than 150 ms ago were probed in its place; none accepts, and the loss was taken for a partition that accuses nobody.

Change: servers that rejected the request are probed. Servers that were late, broke or were not reached are left out as before.

Why it works: a server that states that a request did not run was not harmed by it.

--- a/gateway/src/transport/crash_check.rs
+++ b/gateway/src/transport/crash_check.rs
@@ -18,7 +18,7 @@
 pub(crate) struct LostServer<'a> {
     /// Server whose connection closed.
     pub(crate) server: &'a ServerEntry,
-    /// Identifiers of the servers that the request was sent to.
+    /// Identifiers of the servers that the request was sent to, without those that rejected it.
     pub(crate) tried: &'a [Arc<str>],
     /// Identifier of the request.
     pub(crate) request: &'a Arc<str>,
--- a/gateway/src/transport/request_exchange/feedback.rs
+++ b/gateway/src/transport/request_exchange/feedback.rs
@@ -50,9 +50,12 @@
                 self.context.loads().record_failure(&server.id, now);
                 self.context.crashes().record_disconnect(&server.id, now);
                 record_evidence(&self.context, &server.id);
+                // A server that rejected the request did not crash with it.
+                let tried = self.tried.iter().cloned();
+                let tried: Vec<_> = tried.filter(|id| !self.rejected_by.contains(id)).collect();
                 let lost = LostServer {
                     server,
-                    tried: &self.tried,
+                    tried: &tried,
                     request: &self.request,
                     suspect: &self.suspect,
                     events: self.attempt_events,
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -122,6 +122,8 @@
     // What is held against the request if a server crashes with it.
     suspect: CrashSuspect,
     tried: Vec<Arc<str>>,
+    // Servers that stated that the request did not run.
+    rejected_by: Vec<Arc<str>>,
     model: Option<Arc<str>>,
     version: Option<Arc<str>>,
     last_failure: Option<CompleteResponse>,
@@ -196,6 +198,7 @@
             is_answered: false,
             is_relayed: head.relayed,
             tried: Vec::new(),
+            rejected_by: Vec::new(),
             version: None,
             last_failure: None,
             head_latency: None,
--- a/gateway/src/transport/request_exchange/server_attempts.rs
+++ b/gateway/src/transport/request_exchange/server_attempts.rs
@@ -434,6 +434,9 @@
         self.latest = Some(outcome);
         self.doubts_connections |= outcome.doubts_connections();
         self.tried.push(server.id.clone());
+        if outcome == AttemptOutcome::Rejected {
+            self.rejected_by.push(server.id.clone());
+        }
         self.record_outcome(server, outcome).await;
         self.log_ended("wait", None);
         self.ended = Some(EndedAttempt {
