Probe neighbours that were lost recently last

Callers saw: nothing yet by this cause alone; a part that crashed three engines within 150 ms was not refused, and went on to further engines.

Cause: of a lost engine's neighbours the first two by name are probed. Those that crashed less than 150 ms ago are among them, as servers that are lost at once show a network partition. If these are the first two, no sound neighbour is asked, and the loss counts as a partition.

Change: neighbours to which a connection broke within the time in which losses are assumed to have one cause are probed after the others.

Why it works: neighbours that were not lost yet are lost as well in a partition, and accept if only some engines crashed. If there are none, the lost ones are probed as before.

--- a/gateway/src/coordination/crashes/crash_log.rs
+++ b/gateway/src/coordination/crashes/crash_log.rs
@@ -99,6 +99,14 @@
         self.entries.iter().any(is_earlier)
     }
 
+    /// Returns whether a connection to a server broke so recently that a loss at `now` may have the same
+    /// cause.
+    pub fn was_lost_recently(&self, server: &str, now: TimePoint) -> bool {
+        let window = self.settings.correlation_window;
+        let mut losses = self.losses.iter();
+        losses.any(|(lost, at)| **lost == *server && now.since(*at) <= window)
+    }
+
     /// Returns the number of crashes that are held against a suspect, of those after `since`.
     pub fn count(&self, key: SuspectKey, since: Option<TimePoint>, now: TimePoint) -> usize {
         self.counted(key, since, now).count()
--- a/gateway/src/coordination/crashes/crash_quarantine.rs
+++ b/gateway/src/coordination/crashes/crash_quarantine.rs
@@ -344,6 +344,13 @@
         self.log.has_crashed_before(server, now)
     }
 
+    /// Returns whether a connection to a server broke so recently that a loss at `now` may have the same
+    /// cause.
+    pub fn was_lost_recently(&self, server: &str, now: TimePoint) -> bool {
+        let now = self.recorded_time(now);
+        self.log.was_lost_recently(server, now)
+    }
+
     /// Returns the number of crashes for which a part is refused; 0 if it is not refused.
     pub fn crashes_of(&self, part: u64) -> usize {
         self.refused.get(&part).map_or(0, |entry| entry.crashes)
--- a/gateway/src/transport/crash_check.rs
+++ b/gateway/src/transport/crash_check.rs
@@ -75,7 +75,9 @@
     let probe_targets = {
         let (servers, crashes, now) = (context.servers(), context.crashes(), context.now());
         let has_crashed = |server: &str| crashes.has_crashed_before(server, now);
-        pick_probe_targets(servers.listed(), lost.server, lost.tried, has_crashed)
+        let was_lost = |server: &str| crashes.was_lost_recently(server, now);
+        let listed = servers.listed();
+        pick_probe_targets(listed, lost.server, lost.tried, has_crashed, was_lost)
     };
     for target in &probe_targets {
         if !is_unreachable(target).await {
--- a/gateway/tests/decisions/crashes.rs
+++ b/gateway/tests/decisions/crashes.rs
@@ -149,7 +149,7 @@
     all.push(server("i-5", "north"));
     all[3].draining = true;
     let names = |tried: &[Arc<str>]| {
-        let picked = pick_probe_targets(all.iter(), &all[0], tried, |_| false);
+        let picked = pick_probe_targets(all.iter(), &all[0], tried, |_| false, |_| false);
         picked
             .iter()
             .map(|entry| entry.id.to_string())
@@ -166,8 +166,8 @@
         ["i-5"],
         "without neighbours, any other server is probed"
     );
-    assert!(pick_probe_targets(all[..1].iter(), &all[0], &[], |_| false).is_empty());
-    let picked = pick_probe_targets(all.iter(), &all[0], &[], |id| id == "i-2");
+    assert!(pick_probe_targets(all[..1].iter(), &all[0], &[], |_| false, |_| false).is_empty());
+    let picked = pick_probe_targets(all.iter(), &all[0], &[], |id| id == "i-2", |_| false);
     assert_eq!(
         picked[0].id.as_ref(),
         "i-3",
@@ -175,6 +175,32 @@
     );
 }
 
+// Two neighbours that had crashed just before were probed, and the sound one was not.
+#[test]
+fn neighbours_that_were_lost_recently_are_probed_last() {
+    let all = ["i-1", "i-2", "i-3", "i-4"].map(|id| server(id, "south"));
+    let names = |lost: &[&str]| {
+        let was_lost = |id: &str| lost.contains(&id);
+        let picked = pick_probe_targets(all.iter(), &all[0], &[], |_| false, was_lost);
+        let ids = picked.iter().map(|entry| entry.id.to_string());
+        ids.collect::<Vec<_>>()
+    };
+    assert_eq!(names(&["i-2", "i-3"]), ["i-4", "i-2"]);
+    assert_eq!(names(&["i-2", "i-3", "i-4"]), ["i-2", "i-3"]);
+}
+
+#[test]
+fn server_counts_as_lost_for_the_time_in_which_losses_have_one_cause() {
+    let settings = CrashSettings::default();
+    let mut tracker = quarantine(settings);
+    let now = TimePoint::from_millis(10_000);
+    tracker.record_disconnect(&"i-1".into(), now);
+    assert!(tracker.was_lost_recently("i-1", now + settings.correlation_window));
+    assert!(!tracker.was_lost_recently("i-2", now));
+    let later = now + settings.correlation_window + Duration::from_millis(1);
+    assert!(!tracker.was_lost_recently("i-1", later));
+}
+
 /// Returns the quarantine of a host that saw a request crash servers a second apart, the last at `now`.
 fn accusing(servers: &[&str], fingerprint: u64, now: TimePoint) -> CrashQuarantine {
     let mut tracker = quarantine(CrashSettings::default());
