--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -126,6 +126,8 @@
     tried: Vec<Arc<str>>,
     // Servers that attempts were made at.
     asked: Vec<Arc<str>>,
+    // Servers that stated that the request did not run.
+    rejected_by: Vec<Arc<str>>,
     model: Option<Arc<str>>,
     version: Option<Arc<str>>,
     last_failure: Option<CompleteResponse>,
@@ -201,6 +203,7 @@
             is_relayed: head.relayed,
             tried: Vec::new(),
             asked: Vec::new(),
+            rejected_by: Vec::new(),
             version: None,
             last_failure: None,
             head_latency: None,
--- a/gateway/src/transport/request_exchange/server_attempts.rs
+++ b/gateway/src/transport/request_exchange/server_attempts.rs
@@ -506,6 +506,9 @@
         self.latest = Some(outcome);
         self.doubts_connections |= outcome.doubts_connections();
         self.tried.push(server.id.clone());
+        if outcome == AttemptOutcome::Rejected {
+            self.rejected_by.push(server.id.clone());
+        }
     }
 
     /// Logs the latest attempt that ended, if it is not logged yet.
