Roll versions out and move routes and keys in the soak

The soak's configurations changed idle limits and one route of the probes only, so no request in progress ever had its route, its service, its time limit or its key changed, and no version was rolled out.

Change: a configuration is drawn from the seed and its version (`ConfigPlan`): routes are moved, split and removed, time and idle limits change, keys move or go. The profile `rollouts` plays them with roll-outs of both main services, some of bad versions, SIGHUP and the stops of `stops`. Callers send bodies that differ, some in chunks, with keys of several tenants and one that no configuration holds. The new rules UNASKED and ROUTE compare what servers ran with what callers sent and with what the configurations allowed; CONFIG knows routes, services and keys, and LOST the routes' time limits.

--- a/soak/src/caller_connection.rs
+++ b/soak/src/caller_connection.rs
@@ -10,6 +10,8 @@
 use tokio::time::timeout;
 
 use crate::attempt_end::AttemptEnd;
+use crate::request_form;
+use crate::request_plan::RequestPlan;
 use crate::request_trace::RequestTrace;
 
 /// Time that callers allow a new connection.
@@ -53,7 +55,8 @@
     /// Sends a request and reads its response until it ends, the caller leaves or its time is up.
     pub(crate) async fn exchange(&mut self, trace: &mut RequestTrace) {
         self.requests += 1;
-        let head = request_head(trace);
+        let head = request_form::head(&trace.plan, &trace.id);
+        let body = request_form::body(&trace.plan, &trace.id);
         let (plan, mut written) = (trace.plan.clone(), None);
         let limit = Duration::from_secs_f64(plan.class.limit);
         let leaves = plan.leaves_after.filter(|after| *after < limit);
@@ -62,7 +65,7 @@
         let end = {
             // The response decides, also if the request could not be sent.
             let write = async {
-                let sent = write_request(&mut write_half, &head, plan.body, plan.sending).await;
+                let sent = write_request(&mut write_half, &head, &body, &plan).await;
                 if sent.is_ok() {
                     written = Some(Instant::now());
                 }
@@ -93,53 +96,35 @@
     }
 }
 
-/// Returns the head of a request.
-fn request_head(trace: &RequestTrace) -> String {
-    let (plan, class) = (&trace.plan, trace.plan.class);
-    let method = if class.tokens == 0 { "GET" } else { "POST" };
-    let mut head = format!(
-        "{method} /{}/1 HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: {}\r\n\
-         X-Deadline-Milliseconds: {}\r\nAuthorization: Bearer key-1\r\nContent-Length: {}\r\n",
-        class.name,
-        trace.id,
-        (class.limit * 1000.0) as u64,
-        plan.body,
-    );
-    if class.is_stream() {
-        let shared = class.tokens * 2 / 3;
-        head.push_str(&format!(
-            "X-Model: m\r\nX-Token-Counts: {},{}\r\nX-Prompt-Prefix: {:x}:{shared},{}:{}\r\n\
-             Session: {}\r\n",
-            class.tokens,
-            class.events * 3,
-            0x1000 + class.tokens,
-            trace.id.trim_start_matches('q'),
-            class.tokens - shared,
-            plan.client,
-        ));
-    }
-    head.push_str("\r\n");
-    head
-}
-
-/// Sends a request, its body within the given time.
+/// Sends a request, its body within the planned time.
 async fn write_request(
     stream: &mut WriteHalf<'_>,
     head: &str,
-    body: usize,
-    sending: Duration,
+    body: &[u8],
+    plan: &RequestPlan,
 ) -> Result<(), Error> {
     stream.write_all(head.as_bytes()).await?;
-    let pieces = if sending.is_zero() { 1 } else { SLOW_PIECES };
-    let block = vec![b'x'; body.div_ceil(pieces as usize)];
-    let mut left = body;
-    while left > 0 {
+    let pieces = if plan.sending.is_zero() {
+        1
+    } else {
+        SLOW_PIECES
+    };
+    let size = body.len().div_ceil(pieces as usize).max(1);
+    for piece in body.chunks(size) {
         if pieces > 1 {
-            tokio::time::sleep(sending / pieces).await;
+            tokio::time::sleep(plan.sending / pieces).await;
+        }
+        if plan.is_chunked() {
+            let length = format!("{:x}\r\n", piece.len());
+            stream.write_all(length.as_bytes()).await?;
+            stream.write_all(piece).await?;
+            stream.write_all(b"\r\n").await?;
+        } else {
+            stream.write_all(piece).await?;
         }
-        let size = block.len().min(left);
-        stream.write_all(&block[..size]).await?;
-        left -= size;
+    }
+    if plan.is_chunked() {
+        stream.write_all(b"0\r\n\r\n").await?;
     }
     Ok(())
 }
--- a/soak/src/caller_traffic.rs
+++ b/soak/src/caller_traffic.rs
@@ -10,6 +10,7 @@
 
 use crate::attempt_end::AttemptEnd;
 use crate::caller_connection::CallerConnection;
+use crate::config_plan::{KEYS, UNKNOWN_KEY};
 use crate::request_class::{CLASSES, RequestKind};
 use crate::request_plan::RequestPlan;
 use crate::request_trace::RequestTrace;
@@ -62,14 +63,17 @@
     /// returns.
     pub(crate) async fn probe_hosts(self: Arc<Self>) {
         let mut period = tokio::time::interval(PROBE_PERIOD);
-        for number in 0_u64.. {
+        let keys = KEYS.into_iter().chain([UNKNOWN_KEY]).cycle();
+        for (number, key) in (0_u64..).zip(keys) {
             period.tick().await;
             for (host, process) in self.state.hosts.iter().enumerate() {
                 let (traffic, address) = (self.clone(), process.front);
                 self.tasks.spawn(async move {
                     if let Ok(mut connection) = CallerConnection::open(host, address).await {
                         let id = format!("c{number:05}{host:03}");
-                        let mut trace = RequestTrace::new(id, RequestPlan::seasonal(), host, false);
+                        let plan = RequestPlan::seasonal(key);
+                        traffic.state.note_sent(&id);
+                        let mut trace = RequestTrace::new(id, plan, host, false);
                         connection.exchange(&mut trace).await;
                         traffic.state.record(trace);
                     }
@@ -131,6 +135,7 @@
                 return trace;
             }
         };
+        self.state.note_sent(&id);
         let was_kept = connection.requests > 0;
         let mut trace = RequestTrace::new(id, plan, connection.host, was_kept);
         connection.exchange(&mut trace).await;
--- a/soak/src/fault_driver.rs
+++ b/soak/src/fault_driver.rs
@@ -11,9 +11,11 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::time::sleep;
 
+use crate::config_plan::ENGINE_SERVICES;
 use crate::fault_event::FaultKind;
 use crate::fault_profile::FaultProfile;
-use crate::platform_config::{ENGINE_SERVICE, IDLE_TIMEOUT_MS};
+use crate::operator_driver::OperatorDriver;
+use crate::platform_config::IDLE_TIMEOUT_MS;
 use crate::soak_state::SoakState;
 
 /// Time from SIGTERM to SIGKILL.
@@ -45,7 +47,10 @@
     /// Carries out faults; returns only if a process can't be started or signalled.
     pub(crate) async fn run(&self, seed: u64) -> Error {
         let random = |number| ChaCha8Rng::seed_from_u64(seed.wrapping_add(number));
+        let operator = OperatorDriver::new(self.state.clone());
         tokio::select! {
+            Err(error) = operator.change_plans(random(11), seed), if self.profile.moves_routes() => error,
+            () = operator.roll_out_all(random(12)), if self.profile.rolls_out() => unreachable!(),
             Err(error) = self.stop_hosts(random(1)), if self.profile.stops_hosts() => error,
             Err(error) = self.signal_hosts(random(2)), if self.profile.signals_hosts() => error,
             Err(error) = self.change_configuration(random(3)), if self.profile.changes_configuration() => error,
@@ -201,7 +206,7 @@
                 .collect();
             let server = live[random.random_range(0..live.len())];
             let (id, entry) = (server.id().to_owned(), server.draining_entry());
-            let is_engine = entry["service"] == ENGINE_SERVICE;
+            let is_engine = entry["service"] == ENGINE_SERVICES[0];
             let added = state.servers.add(is_engine, &state.store).await;
             state.note(FaultKind::ServerStarted(added), None);
             sleep(Duration::from_secs_f64(random.random_range(0.5..2.0))).await;
--- a/soak/src/fault_event.rs
+++ b/soak/src/fault_event.rs
@@ -31,6 +31,10 @@
     StoreReturns,
     /// A configuration of a version was written.
     Configuration(u64),
+    /// A roll-out of a service to a version was ordered.
+    RolloutOrdered(String, String),
+    /// A roll-out of a service ended in a state.
+    RolloutEnded(String, String),
     /// A server reported that it drains.
     ServerDrains(String),
     /// A server's entry was removed.
--- a/soak/src/fault_profile.rs
+++ b/soak/src/fault_profile.rs
@@ -20,14 +20,16 @@
     Store,
     /// Servers often fall silent, while configurations change and hosts are stopped.
     Silences,
-    /// All of these, with few silences.
+    /// Versions are rolled out and configurations move routes and keys, while hosts are stopped.
+    Rollouts,
+    /// All of these but roll-outs, with few silences.
     Mixed,
 }
 
 impl FaultProfile {
     /// Names of the profiles, as on the command line.
-    pub(crate) const NAMES: [&str; 8] = [
-        "quiet", "stops", "changes", "servers", "signals", "store", "silences", "mixed",
+    pub(crate) const NAMES: [&str; 9] = [
+        "quiet", "stops", "changes", "servers", "signals", "store", "silences", "rollouts", "mixed",
     ];
 
     /// Returns the profile with a name; `Mixed` for unknown names.
@@ -40,6 +42,7 @@
             "signals" => Self::Signals,
             "store" => Self::Store,
             "silences" => Self::Silences,
+            "rollouts" => Self::Rollouts,
             _ => Self::Mixed,
         }
     }
@@ -48,7 +51,7 @@
     pub(crate) fn stops_hosts(self) -> bool {
         matches!(
             self,
-            Self::Stops | Self::Store | Self::Silences | Self::Mixed
+            Self::Stops | Self::Store | Self::Silences | Self::Rollouts | Self::Mixed
         )
     }
 
@@ -65,10 +68,20 @@
         matches!(self, Self::Servers | Self::Mixed)
     }
 
+    /// Returns whether versions are rolled out.
+    pub(crate) fn rolls_out(self) -> bool {
+        self == Self::Rollouts
+    }
+
+    /// Returns whether configurations move routes and keys.
+    pub(crate) fn moves_routes(self) -> bool {
+        self == Self::Rollouts
+    }
+
     /// Returns the course of the servers' runs.
     pub(crate) fn pacing(self) -> RunPacing {
         match self {
-            Self::Silences => draw_silent_pace,
+            Self::Silences | Self::Rollouts => draw_silent_pace,
             _ => draw_pace,
         }
     }
--- a/soak/src/lost_rule.rs
+++ b/soak/src/lost_rule.rs
@@ -140,7 +140,13 @@
     });
     let at_work = |from: Instant, ended: Option<Instant>| ended.is_none_or(|ended| ended >= from);
     let visits = record.visits(&trace.id);
-    trace.lasted() + LIMIT_SLACK >= limit
+    let route_limits = record
+        .plans_in_force(trace)
+        .filter_map(|plan| plan.route(trace.plan.class));
+    let route_limit = route_limits
+        .map(|route| Duration::from_millis(route.timeout_ms))
+        .min();
+    trace.lasted() + LIMIT_SLACK >= limit.min(route_limit.unwrap_or(limit))
         || visits.iter().any(|visit| {
             let stopped = record.stop_of(&visit.server);
             let was_stopped = visit.was_cancelled
--- a/soak/src/request_plan.rs
+++ b/soak/src/request_plan.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::config_plan::KEYS;
 use crate::platform_config::BODY_BYTES;
 use crate::request_class::{CLASSES, RequestClass, SEASONAL};
 
@@ -20,6 +21,8 @@
     pub(crate) client: u32,
     /// Whether the caller keeps its connection for further requests.
     pub(crate) keeps: bool,
+    /// Key that the caller sends.
+    pub(crate) key: &'static str,
     /// Bytes of the body.
     pub(crate) body: usize,
     /// Time over which the body is sent.
@@ -32,11 +35,12 @@
 
 impl RequestPlan {
     /// Returns a request for the route that only some configurations have.
-    pub(crate) fn seasonal() -> Self {
+    pub(crate) fn seasonal(key: &'static str) -> Self {
         Self {
             class: &SEASONAL,
             client: 0,
             keeps: false,
+            key,
             body: 0,
             sending: Duration::ZERO,
             reads_early: true,
@@ -44,6 +48,11 @@
         }
     }
 
+    /// Returns whether the body is sent in chunks.
+    pub(crate) fn is_chunked(&self) -> bool {
+        self.body > 0 && self.client % 5 == 1
+    }
+
     /// Draws a request.
     pub(crate) fn draw(random: &mut ChaCha8Rng) -> Self {
         let total: f64 = CLASSES.iter().map(|class| class.rate).sum();
@@ -73,6 +82,7 @@
             class,
             client,
             keeps: client % 2 == 0,
+            key: KEYS[client as usize / 2 % KEYS.len()],
             body,
             sending,
             reads_early: random.random_bool(0.5),
--- a/soak/src/run_rules.rs
+++ b/soak/src/run_rules.rs
@@ -3,11 +3,10 @@
 use std::time::Duration;
 
 use crate::attempt_end::AttemptEnd;
+use crate::config_plan::ConfigPlan;
 use crate::fault_driver::DRAIN;
 use crate::fault_event::FaultKind;
-use crate::lost_rule::CONFIGURATION;
-use crate::platform_config::has_seasonal_route;
-use crate::request_class::{RequestKind, SEASONAL};
+use crate::request_class::RequestKind;
 use crate::request_trace::RequestTrace;
 use crate::rule_break::RuleBreak;
 use crate::server_pool::ServerVisit;
@@ -148,24 +147,19 @@
     if trace.end != AttemptEnd::Answered || record.was_impaired(trace) {
         return None;
     }
-    let versions = record.faults.iter().filter_map(|event| match event.kind {
-        FaultKind::Configuration(version) => Some((event.at, version)),
-        _ => None,
-    });
-    let (mut is_allowed, mut is_denied) = (true, true);
-    for (at, version) in versions.filter(|(at, _)| *at <= trace.ended) {
-        // A version that was acknowledged early enough replaces all before it.
-        if at + CONFIGURATION < trace.sent {
-            (is_allowed, is_denied) = (false, false);
-        }
-        let is_there = trace.plan.class.name != SEASONAL.name || has_seasonal_route(version);
-        is_allowed |= is_there;
-        is_denied |= !is_there;
-    }
-    let has_run = record.visits(&trace.id).iter().any(|visit| visit.ran);
+    let plans: Vec<_> = record.plans_in_force(trace).collect();
+    let class = trace.plan.class;
+    let is_there =
+        |plan: &&ConfigPlan| plan.route(class).is_some() && plan.keys.contains_key(trace.plan.key);
+    let (is_allowed, is_denied) = (plans.iter().any(is_there), !plans.iter().all(is_there));
+    let visits = record.visits(&trace.id);
+    let old = visits
+        .iter()
+        .find(|visit| visit.ran && !plans.iter().any(|plan| plan.allows(class, &visit.service)));
+    let has_run = visits.iter().any(|visit| visit.ran);
     match trace.status {
         Some(status @ (401 | 403 | 404)) if !is_denied => Some(format!("denied with {status}")),
-        _ if has_run && !is_allowed => Some("ran on a route that was removed".to_owned()),
-        _ => None,
+        _ if has_run && !is_allowed => Some("ran with a route or key that was removed".to_owned()),
+        _ => old.map(|visit| format!("ran at {} of the old service", visit.server)),
     }
 }
--- a/soak/src/soak_record.rs
+++ b/soak/src/soak_record.rs
@@ -1,9 +1,11 @@
 //! Everything that a run saw, for the checks and the report.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use crate::config_plan::ConfigPlan;
 use crate::fault_event::{FaultEvent, FaultKind};
+use crate::lost_rule::CONFIGURATION;
 use crate::request_trace::RequestTrace;
 use crate::server_pool::ServerVisit;
 use crate::soak_state::SoakState;
@@ -22,6 +24,9 @@
     pub(crate) traces: Vec<RequestTrace>,
     /// The faults, in order.
     pub(crate) faults: Vec<FaultEvent>,
+    /// Identifiers of the requests that callers sent, also of those that were open at the end.
+    pub(crate) sent: BTreeSet<String>,
+    plans: Vec<(Instant, ConfigPlan)>,
     visits: BTreeMap<String, Vec<ServerVisit>>,
     host_names: Vec<String>,
 }
@@ -33,6 +38,8 @@
             began: state.began,
             traces: state.traces(),
             faults: state.faults(),
+            sent: state.sent(),
+            plans: state.plans(),
             visits: state.servers.visits(),
             host_names: state.hosts.iter().map(|host| host.name.clone()).collect(),
         }
@@ -43,6 +50,27 @@
         self.visits.get(id).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the visits of all requests with their identifiers, also of those that no caller sent.
+    pub(crate) fn all_visits(&self) -> impl Iterator<Item = (&String, &ServerVisit)> {
+        let all = self.visits.iter();
+        all.flat_map(|(id, visits)| visits.iter().map(move |visit| (id, visit)))
+    }
+
+    /// Returns the configurations that were written before a moment.
+    pub(crate) fn plans_before(&self, at: Instant) -> impl Iterator<Item = &ConfigPlan> {
+        let written = self.plans.iter().filter(move |(time, _)| *time <= at);
+        written.map(|(_, plan)| plan)
+    }
+
+    /// Returns the configurations that may have been in force at some time of a request.
+    pub(crate) fn plans_in_force(&self, trace: &RequestTrace) -> impl Iterator<Item = &ConfigPlan> {
+        let replaced = |(at, _): &(Instant, ConfigPlan)| *at + CONFIGURATION < trace.sent;
+        let first = self.plans.partition_point(replaced).saturating_sub(1);
+        let plans = self.plans[first..].iter();
+        let written = plans.filter(|(at, _)| *at <= trace.ended);
+        written.map(|(_, plan)| plan)
+    }
+
     /// Returns the faults of a host.
     pub(crate) fn faults_of(&self, host: usize) -> impl Iterator<Item = &FaultEvent> {
         self.faults
--- a/soak/src/soak_report.rs
+++ b/soak/src/soak_report.rs
@@ -6,6 +6,7 @@
 use crate::attempt_end::AttemptEnd;
 use crate::budget_rule;
 use crate::lost_rule;
+use crate::request_rules;
 use crate::rule_break::{RULES, RuleBreak};
 use crate::run_rules;
 use crate::soak_options::SoakOptions;
@@ -27,6 +28,7 @@
     pub(crate) fn new(record: &SoakRecord, options: &SoakOptions) -> Self {
         let mut breaks = lost_rule::check(record);
         breaks.extend(run_rules::check(record));
+        breaks.extend(request_rules::check(record));
         breaks.extend(budget_rule::check(record));
         Self {
             summary: summarize(record, &breaks, options),
--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -85,6 +85,10 @@
     let zones = ZONES.map(str::to_owned);
     let pacing = FaultProfile::of_name(&options.profile).pacing();
     let servers = ServerPool::start(options.seed, pacing, &zones, &store).await;
+    let profile = FaultProfile::of_name(&options.profile);
+    if profile.moves_routes() {
+        servers.add_others(&store).await;
+    }
     let mut ports = BTreeSet::new();
     let mut hosts = Vec::new();
     for number in 0..options.hosts {
--- a/soak/src/soak_state.rs
+++ b/soak/src/soak_state.rs
@@ -1,15 +1,17 @@
 //! What the tasks of a run share.
 
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use galenamast_platform_standin::StandInStore;
 
+use crate::config_plan::ConfigPlan;
 use crate::fault_event::{FaultEvent, FaultKind};
 use crate::host_balancer::HostBalancer;
 use crate::host_process::HostProcess;
-use crate::platform_config::{IDLE_TIMEOUT_MS, configuration};
+use crate::platform_config::IDLE_TIMEOUT_MS;
 use crate::request_trace::RequestTrace;
 use crate::server_pool::ServerPool;
 
@@ -28,6 +30,8 @@
     pub(crate) balancer: HostBalancer,
     traces: Mutex<Vec<RequestTrace>>,
     faults: Mutex<Vec<FaultEvent>>,
+    plans: Mutex<Vec<(Instant, ConfigPlan)>>,
+    sent: Mutex<BTreeSet<String>>,
     version: AtomicU64,
     idle_ms: AtomicU64,
 }
@@ -47,6 +51,8 @@
             hosts,
             traces: Mutex::new(Vec::new()),
             faults: Mutex::new(Vec::new()),
+            plans: Mutex::new(Vec::new()),
+            sent: Mutex::new(BTreeSet::new()),
             version: AtomicU64::new(0),
             idle_ms: AtomicU64::new(IDLE_TIMEOUT_MS),
         };
@@ -56,13 +62,44 @@
 
     /// Writes the next version of the configuration.
     pub(crate) fn put_configuration(&self, idle_ms: u64) {
+        self.put_plan(|version| ConfigPlan::plain(version, idle_ms));
+    }
+
+    /// Writes the next version of the configuration as it is drawn.
+    pub(crate) fn put_plan(&self, draw: impl FnOnce(u64) -> ConfigPlan) {
         let version = self.version.fetch_add(3, Ordering::SeqCst) + 3;
+        let plan = draw(version);
         self.note(FaultKind::Configuration(version), None);
-        self.idle_ms.store(idle_ms, Ordering::SeqCst);
-        let specification = configuration(version, idle_ms);
+        self.idle_ms.store(plan.idle_timeout_ms, Ordering::SeqCst);
+        let specification = plan.to_json();
+        let mut plans = self.plans.lock().unwrap_or_else(PoisonError::into_inner);
+        plans.push((Instant::now(), plan));
+        drop(plans);
         self.store.put("config", "main", &specification);
     }
 
+    /// Returns the configurations with the times at which they were written.
+    pub(crate) fn plans(&self) -> Vec<(Instant, ConfigPlan)> {
+        self.plans
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Records the identifier of a request that a caller sends.
+    pub(crate) fn note_sent(&self, id: &str) {
+        let mut sent = self.sent.lock().unwrap_or_else(PoisonError::into_inner);
+        sent.insert(id.to_owned());
+    }
+
+    /// Returns the identifiers of the requests that callers sent, also of those still open.
+    pub(crate) fn sent(&self) -> BTreeSet<String> {
+        self.sent
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
     /// Returns for how long callers use an idle connection.
     pub(crate) fn reuse_time(&self) -> Duration {
         Duration::from_millis(self.idle_ms.load(Ordering::SeqCst) * 4 / 5)
--- a/soak/tests/short_run.rs
+++ b/soak/tests/short_run.rs
@@ -61,3 +61,10 @@
 fn store_faults_break_no_rule() {
     play("store", "7", "15");
 }
+
+// Guards against requests that are lost, or run by the wrong service, version or tenant, while versions are
+// rolled out and configurations move routes and keys.
+#[test]
+fn versions_and_routes_that_change_break_no_rule() {
+    play("rollouts", "7", "20");
+}
