Play hosts that reach no server in the soak

Cause: no run had a host that passes requests on, so none had one whose request is with another host when that host stops or a configuration changes.

Change: in the profile `relays`, every third host follows a second store, which mirrors the main one but names addresses that refuse connections. Configurations and SIGHUP are those of `rollouts`, stops those of `stops`. The missing path is there from the start and is no unplanned fault, so LOST is judged.

--- a/soak/src/fault_profile.rs
+++ b/soak/src/fault_profile.rs
@@ -22,14 +22,17 @@
     Silences,
     /// Versions are rolled out and configurations move routes and keys, while hosts are stopped.
     Rollouts,
-    /// All of these but roll-outs, with few silences.
+    /// Some hosts pass their requests on to others, while configurations change and hosts are stopped.
+    Relays,
+    /// All of these but roll-outs and relays, with few silences.
     Mixed,
 }
 
 impl FaultProfile {
     /// Names of the profiles, as on the command line.
-    pub(crate) const NAMES: [&str; 9] = [
-        "quiet", "stops", "changes", "servers", "signals", "store", "silences", "rollouts", "mixed",
+    pub(crate) const NAMES: [&str; 10] = [
+        "quiet", "stops", "changes", "servers", "signals", "store", "silences", "rollouts",
+        "relays", "mixed",
     ];
 
     /// Returns the profile with a name; `Mixed` for unknown names.
@@ -43,6 +46,7 @@
             "store" => Self::Store,
             "silences" => Self::Silences,
             "rollouts" => Self::Rollouts,
+            "relays" => Self::Relays,
             _ => Self::Mixed,
         }
     }
@@ -51,7 +55,12 @@
     pub(crate) fn stops_hosts(self) -> bool {
         matches!(
             self,
-            Self::Stops | Self::Store | Self::Silences | Self::Rollouts | Self::Mixed
+            Self::Stops
+                | Self::Store
+                | Self::Silences
+                | Self::Rollouts
+                | Self::Relays
+                | Self::Mixed
         )
     }
 
@@ -75,13 +84,18 @@
 
     /// Returns whether configurations move routes and keys.
     pub(crate) fn moves_routes(self) -> bool {
-        self == Self::Rollouts
+        matches!(self, Self::Rollouts | Self::Relays)
+    }
+
+    /// Returns whether every third host has no path to any server.
+    pub(crate) fn strands_hosts(self) -> bool {
+        self == Self::Relays
     }
 
     /// Returns the course of the servers' runs.
     pub(crate) fn pacing(self) -> RunPacing {
         match self {
-            Self::Silences | Self::Rollouts => draw_silent_pace,
+            Self::Silences | Self::Rollouts | Self::Relays => draw_silent_pace,
             _ => draw_pace,
         }
     }
--- a/soak/src/host_process.rs
+++ b/soak/src/host_process.rs
@@ -30,6 +30,8 @@
     pub(crate) zone: String,
     /// Address for callers.
     pub(crate) front: SocketAddr,
+    /// Address of its store.
+    pub(crate) store: SocketAddr,
     ready: SocketAddr,
     program: PathBuf,
     settings: PathBuf,
@@ -75,6 +77,7 @@
             name: name.to_owned(),
             zone: zone.to_owned(),
             front,
+            store,
             ready,
             program: program.to_owned(),
             settings: path,
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -22,6 +22,7 @@
 mod run_pacing;
 mod run_rules;
 mod server_pool;
+mod side_store;
 mod soak_options;
 mod soak_record;
 mod soak_report;
--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -8,12 +8,14 @@
 use galenamast_platform_standin::StandInStore;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::caller_traffic::CallerTraffic;
 use crate::fault_driver::FaultDriver;
 use crate::fault_profile::FaultProfile;
 use crate::host_process::HostProcess;
 use crate::server_pool::ServerPool;
+use crate::side_store::SideStore;
 use crate::soak_options::SoakOptions;
 use crate::soak_record::SoakRecord;
 use crate::soak_report::SoakReport;
@@ -35,7 +37,14 @@
     options: &SoakOptions,
     interrupt: &CancellationToken,
 ) -> Result<SoakReport, Error> {
-    let state = Arc::new(prepare(options).await?);
+    let (state, side) = prepare(options).await?;
+    let state = Arc::new(state);
+    let mirrored = state.clone();
+    let profile = FaultProfile::of_name(&options.profile);
+    let mirror = async move { side.mirror(&mirrored).await };
+    let _mirror = profile
+        .strands_hosts()
+        .then(|| AbortOnDropHandle::new(tokio::spawn(mirror)));
     let zones: Vec<String> = ZONES.map(str::to_owned).to_vec();
     for host in &state.hosts {
         host.start()?;
@@ -49,7 +58,7 @@
     let traffic = Arc::new(CallerTraffic::new(state.clone()));
     let sending = tokio::spawn(traffic.clone().send_requests(options.seed, zones));
     let probing = tokio::spawn(traffic.clone().probe_hosts());
-    let driver = FaultDriver::new(state.clone(), FaultProfile::of_name(&options.profile));
+    let driver = FaultDriver::new(state.clone(), profile);
     let faults = async {
         sleep(WARM_UP).await;
         driver.run(options.seed.wrapping_mul(1_000)).await
@@ -78,10 +87,10 @@
 }
 
 /// Starts the stand-ins and writes the hosts' settings.
-async fn prepare(options: &SoakOptions) -> Result<SoakState, Error> {
+async fn prepare(options: &SoakOptions) -> Result<(SoakState, SideStore), Error> {
     let logs = options.logs();
     std::fs::create_dir_all(&logs)?;
-    let store = StandInStore::start().await;
+    let (store, side) = (StandInStore::start().await, SideStore::start().await);
     let zones = ZONES.map(str::to_owned);
     let pacing = FaultProfile::of_name(&options.profile).pacing();
     let servers = ServerPool::start(options.seed, pacing, &zones, &store).await;
@@ -94,10 +103,12 @@
     for number in 0..options.hosts {
         let (name, zone) = (format!("front-{number}"), ZONES[number % ZONES.len()]);
         let program = &options.program;
+        let is_stranded = profile.strands_hosts() && number % 3 == 0;
+        let store = if is_stranded { &side.store } else { &store };
         let host = HostProcess::new(program, &logs, &name, zone, store.address(), &mut ports)?;
         hosts.push(Arc::new(host));
     }
-    Ok(SoakState::new(store, servers, hosts))
+    Ok((SoakState::new(store, servers, hosts), side))
 }
 
 /// Waits until all hosts are ready.
--- a/soak/tests/short_run.rs
+++ b/soak/tests/short_run.rs
@@ -68,3 +68,10 @@
 fn versions_and_routes_that_change_break_no_rule() {
     play("rollouts", "7", "20");
 }
+
+// Guards against cutting requests that one host passes on to another, while hosts are stopped and
+// configurations change.
+#[test]
+fn hosts_without_a_path_lose_no_request() {
+    play("relays", "7", "20");
+}
