--- a/soak/src/request_form.rs
+++ b/soak/src/request_form.rs
@@ -71,7 +71,9 @@
 
 /// Returns the body of a request, whose bytes differ from those of other requests.
 pub(crate) fn body(plan: &RequestPlan, id: &str) -> Vec<u8> {
-    id.bytes().cycle().take(plan.body).collect()
+    let mut body = id.as_bytes().repeat(plan.body.div_ceil(id.len()));
+    body.truncate(plan.body);
+    body
 }
 
 /// Returns the digest by which bodies are compared.
