--- a/soak/tests/short_run.rs
+++ b/soak/tests/short_run.rs
@@ -61,3 +61,17 @@
 fn store_faults_break_no_rule() {
     play("store", "7", "15");
 }
+
+// Guards against requests that are lost, or run by the wrong service, version or tenant, while versions are
+// rolled out and configurations move routes and keys.
+#[test]
+fn versions_and_routes_that_change_break_no_rule() {
+    play("rollouts", "7", "20");
+}
+
+// Guards against cutting requests that one host passes on to another, while hosts are stopped and
+// configurations change.
+#[test]
+fn hosts_without_a_path_lose_no_request() {
+    play("relays", "7", "20");
+}
