Admit a request passed on by the configuration of its first host

This is the picture of the users' report.

Cause: a host without a path to the servers passes a stream to another one, which stops. The next hosts admitted the stream anew by their own configuration, in which its route or key was gone by now, and answered 404 or 401. After three of these the first host cut the stream. Class: what was admitted is judged again by later state.

Change: a request that is passed on names the version of the configuration that it was admitted under. A host whose own configuration refuses it admits it by that one, if it is among the last four. Callers cannot name one: the header is taken from hosts alone.

--- a/gateway/src/protocol/mod.rs
+++ b/gateway/src/protocol/mod.rs
@@ -22,7 +22,7 @@
 pub use platform_format::{AnswerHead, FormatError, PlatformFormat};
 pub use relay_headers::{
     RELAY_UNSERVED, RELAYED_BY, RELAYED_REQUEST, has_relay_arrivals, mark_unserved,
-    take_relay_attempts, write_relay_attempts,
+    take_relay_attempts, take_relay_configuration, write_relay_attempts, write_relay_configuration,
 };
 pub use stored_object::{
     ObjectChange, ObjectChanges, ObjectKind, ObjectPage, ObjectQuery, StoredObject,
--- a/gateway/src/protocol/relay_headers.rs
+++ b/gateway/src/protocol/relay_headers.rs
@@ -14,6 +14,34 @@
 /// Number of attempts at the other host that reached a server, in a response that is marked as unserved.
 const RELAY_ARRIVALS: HeaderName = HeaderName::from_static("galenamast-relay-arrivals");
 
+/// Version of the configuration that a request was admitted under at the first host. `Connection` names it
+/// like the number of servers.
+const RELAY_CONFIGURATION: HeaderName = HeaderName::from_static("galenamast-relay-configuration");
+
+/// States the version of the configuration that a request was admitted under.
+pub fn write_relay_configuration(headers: &mut HeaderMap, version: u64) {
+    headers.insert(RELAY_CONFIGURATION, HeaderValue::from(version));
+    let name = HeaderValue::from_name(RELAY_CONFIGURATION);
+    headers.append(header::CONNECTION, name);
+}
+
+/// Removes and returns the version of the configuration that a request was admitted under; `None` if an
+/// earlier build passed it on.
+///
+/// ```
+/// use galenamast_gateway::protocol::{take_relay_configuration, write_relay_configuration};
+/// use http::HeaderMap;
+///
+/// let mut headers = HeaderMap::new();
+/// write_relay_configuration(&mut headers, 7);
+/// assert_eq!(take_relay_configuration(&mut headers), Some(7));
+/// assert_eq!(take_relay_configuration(&mut headers), None);
+/// ```
+pub fn take_relay_configuration(headers: &mut HeaderMap) -> Option<u64> {
+    let version = headers.remove(RELAY_CONFIGURATION)?;
+    version.to_str().ok()?.parse().ok()
+}
+
 /// States how many servers may run a request that is passed on.
 pub fn write_relay_attempts(headers: &mut HeaderMap, attempts: u32) {
     headers.insert(RELAY_ATTEMPTS, HeaderValue::from(attempts));
--- a/gateway/src/transport/caller_listener.rs
+++ b/gateway/src/transport/caller_listener.rs
@@ -20,7 +20,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::coordination::shutdown::StopSchedule;
-use crate::protocol::{GatewayRecord, RELAYED_BY, RELAYED_REQUEST, mark_unserved};
+use crate::protocol::{
+    GatewayRecord, RELAYED_BY, RELAYED_REQUEST, mark_unserved, take_relay_configuration,
+};
 use crate::state::{CallerHead, CallerLimits, answer_deadline};
 use crate::transport::attempt_runner::remaining_time;
 use crate::transport::body_guard::BodyGuard;
@@ -28,8 +30,8 @@
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
 use crate::transport::request_admission::{
-    Admission, BodyRefusal, Refusal, admit_head, admit_known, close_after, read_body,
-    unconfirmed_response,
+    Admission, BodyRefusal, Refusal, admit_earlier, admit_head, admit_known, close_after,
+    read_body, unconfirmed_response,
 };
 use crate::transport::request_exchange::RequestExchange;
 use crate::transport::response_body::{ResponseBody, host_response, stopping_response};
@@ -242,11 +244,21 @@
         let (mut parts, mut body) = request.into_parts();
         let awaits_continue = parts.headers.contains_key(header::EXPECT);
         let mut head = (context.format.read_request)(&parts.headers);
+        // The first host has admitted a request that is passed on, maybe long ago.
+        let mut earlier = None;
+        let version = take_relay_configuration(&mut parts.headers);
         if origin == RequestOrigin::Host {
             parts.headers.remove(RELAYED_BY);
             head.relayed = true;
+            earlier = version.and_then(|version| admit_earlier(context, &parts, &head, version));
         }
-        let admitted = self.admit(&parts, &head, started_at).await;
+        let admitted = match earlier {
+            Some(admission) => {
+                let checked = self.check_stop(&admission, &head, started_at);
+                checked.map(|()| admission)
+            }
+            None => self.admit(&parts, &head, started_at).await,
+        };
         let admission = match admitted {
             Ok(admission) => admission,
             Err(refusal) => {
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -1,6 +1,6 @@
 //! Shared state of an entry host.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::hash::Hasher;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -32,6 +32,9 @@
 use crate::transport::object_defects::ObjectDefects;
 use crate::transport::store_client::StoreClient;
 
+/// Number of configurations before the current one that are kept.
+const MAX_EARLIER_SNAPSHOTS: usize = 4;
+
 /// Shared state of an entry host's tasks.
 #[derive(Debug)]
 pub struct GatewayContext {
@@ -47,6 +50,8 @@
     pub pool: ConnectionPool,
     /// Configuration in force; empty until the store was read for the first time.
     pub snapshot: ArcSwapOption<ConfigSnapshot>,
+    // Configurations before it, the latest last.
+    earlier_snapshots: Mutex<VecDeque<Arc<ConfigSnapshot>>>,
     /// Counters and latency histograms.
     pub metrics: GatewayMetrics,
     /// Queue of messages for all other hosts; the receiver is taken once by the sending task.
@@ -122,6 +127,7 @@
             ),
             pool: ConnectionPool::default(),
             snapshot: ArcSwapOption::empty(),
+            earlier_snapshots: Mutex::default(),
             metrics: GatewayMetrics::default(),
             store_recoveries: watch::Sender::new(0),
             store_reachable: AtomicBool::new(true),
@@ -172,6 +178,24 @@
         self.timers.now()
     }
 
+    /// Puts a configuration into force, and keeps the one before for requests that were admitted under it.
+    pub(crate) fn put_into_force(&self, snapshot: ConfigSnapshot) {
+        let earlier = self.snapshot.swap(Some(Arc::new(snapshot)));
+        let mut kept = lock(&self.earlier_snapshots);
+        kept.extend(earlier);
+        while kept.len() > MAX_EARLIER_SNAPSHOTS {
+            kept.pop_front();
+        }
+    }
+
+    /// Returns the configuration of a version that was in force before the current one, if it is kept.
+    pub(crate) fn earlier_snapshot(&self, version: u64) -> Option<Arc<ConfigSnapshot>> {
+        let kept = lock(&self.earlier_snapshots);
+        kept.iter()
+            .find(|snapshot| snapshot.version == version)
+            .cloned()
+    }
+
     /// Returns the limits on callers of the configuration in force, or the defaults before the first one.
     pub(crate) fn caller_limits(&self) -> CallerLimits {
         let snapshot = self.snapshot.load();
--- a/gateway/src/transport/request_admission.rs
+++ b/gateway/src/transport/request_admission.rs
@@ -91,6 +91,22 @@
     })
 }
 
+/// Finds the route and the workspace of a request that another host admitted under an earlier
+/// configuration; `None` if that is not kept here, or the current one admits the request.
+pub(crate) fn admit_earlier(
+    context: &GatewayContext,
+    parts: &Parts,
+    head: &CallerHead,
+    version: u64,
+) -> Option<Admission> {
+    let status = resolve_route(context, parts, head).err()?;
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let snapshot = context.earlier_snapshot(version)?;
+    resolve_in(snapshot, parts, head).ok()
+}
+
 /// Finds the route and the workspace of a request in the current configuration.
 fn resolve_route(
     context: &GatewayContext,
@@ -103,6 +119,15 @@
         // A configuration that was read stale and not confirmed yet may be too old to serve by.
         .filter(|_| context.configuration_age().is_some() && context.knows_evacuations())
         .ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+    resolve_in(snapshot, parts, head)
+}
+
+/// Finds the route and the workspace of a request in a configuration.
+fn resolve_in(
+    snapshot: Arc<ConfigSnapshot>,
+    parts: &Parts,
+    head: &CallerHead,
+) -> Result<Admission, StatusCode> {
     let host = parts
         .headers
         .get(header::HOST)
--- a/gateway/src/transport/request_exchange/relay.rs
+++ b/gateway/src/transport/request_exchange/relay.rs
@@ -17,7 +17,7 @@
 };
 use crate::protocol::{
     GatewayRecord, RELAY_UNSERVED, RELAYED_BY, RELAYED_REQUEST, has_relay_arrivals,
-    strip_connection_headers, write_relay_attempts,
+    strip_connection_headers, write_relay_attempts, write_relay_configuration,
 };
 use crate::state::{HostPresence, RouteKind};
 use crate::transport::attempt_runner::{CompleteResponse, remaining_time};
@@ -318,6 +318,7 @@
         let host = HeaderValue::from_str(&self.context.settings.host).ok()?;
         headers.insert(RELAYED_BY, host);
         write_relay_attempts(&mut headers, runs);
+        write_relay_configuration(&mut headers, self.snapshot.version);
         if let (false, Some(name)) = (headers.contains_key(header::HOST), uri.host()) {
             headers.insert(header::HOST, HeaderValue::from_str(name).ok()?);
         }
--- a/gateway/src/transport/store_feeds.rs
+++ b/gateway/src/transport/store_feeds.rs
@@ -141,7 +141,7 @@
         routes,
     };
     adopt_cold_specs(context, &snapshot);
-    context.snapshot.store(Some(Arc::new(snapshot)));
+    context.put_into_force(snapshot);
     context.metrics.increment("configurations_total");
     log_record(Level::Info, &record);
 }
