Leave the next engine once the late one has begun

A late engine whose head had arrived was left 200 ms after another one was asked, unless its first event came before; the head shows that it has begun, and the other one only that it was asked.

--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -61,15 +61,15 @@
     pub(crate) has_head: bool,
     /// When the request was sent, its head arrived, or a part of a response that is not streamed.
     pub(crate) progress_at: Option<TimePoint>,
-    /// What the model reports in the head of a stream, before its first event.
-    pub(crate) confidence: Option<ReportedConfidence>,
+    /// The head of a stream, before its first event.
+    pub(crate) stream_head: Option<StreamHead>,
 }
 
-/// The confidence that a model reports in its own response.
+/// What the head of a stream states.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct ReportedConfidence {
-    /// Confidence in percent.
-    pub(crate) percent: f64,
+pub(crate) struct StreamHead {
+    /// Confidence of the model in its own response, in percent.
+    pub(crate) confidence: Option<f64>,
     /// Time from sending the request to receiving the head.
     pub(crate) latency: Duration,
 }
@@ -281,11 +281,12 @@
         }
         Some(intake) => {
             let confidence = response.head.confidence;
-            stage.send_modify(|stage| {
-                stage.confidence =
-                    confidence.map(|percent| ReportedConfidence { percent, latency });
-            });
-            // The confidence is judged before the first event, which may have arrived too.
+            let head = StreamHead {
+                confidence,
+                latency,
+            };
+            stage.send_modify(|stage| stage.stream_head = Some(head));
+            // The head is judged before the first event, which may have arrived too.
             tokio::task::yield_now().await;
             response.read_first_event(&context, intake, &stage).await?;
             Ok(SettledResponse::Stream(Box::new(response)))
--- a/gateway/src/transport/request_exchange/live_attempts.rs
+++ b/gateway/src/transport/request_exchange/live_attempts.rs
@@ -11,7 +11,7 @@
 use crate::coordination::requests::AttemptOutcome;
 use crate::state::ServerEntry;
 use crate::transport::attempt_runner::{
-    AttemptEnd, AttemptRequest, AttemptStage, ReportedConfidence, run_attempt,
+    AttemptEnd, AttemptRequest, AttemptStage, StreamHead, run_attempt,
 };
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::server_watch::ServerWatch;
@@ -49,7 +49,7 @@
     pub(super) model: Option<Arc<str>>,
     /// When half of the time that was left has passed.
     pub(super) half_time: TimePoint,
-    // Whether the confidence that the model reports was judged.
+    // Whether the head of the stream was judged.
     is_judged: bool,
     lateness: ResponseLateness,
     ending: Pin<Box<dyn Future<Output = AttemptEnd> + Send>>,
@@ -191,8 +191,8 @@
 pub(super) enum AttemptEvent {
     /// An attempt ended.
     Ended(LiveAttempt, Box<AttemptEnd>),
-    /// The model of the attempt with this index reports its confidence, and no event yet.
-    Confidence(usize, ReportedConfidence),
+    /// The attempt with this index has the head of a stream, and no event yet.
+    StreamHead(usize, StreamHead),
     /// The latest attempt is late.
     Late,
     /// The server of a replaced attempt is to be left.
@@ -221,6 +221,15 @@
         self.attempts.remove(index)
     }
 
+    /// Removes the attempts after an index and returns them, unless one has the head of its stream.
+    pub(super) fn take_after(&mut self, index: usize) -> Vec<LiveAttempt> {
+        let has_head = |attempt: &LiveAttempt| attempt.lateness.stage.borrow().has_head;
+        match self.attempts.iter().skip(index + 1).any(has_head) {
+            true => Vec::new(),
+            false => self.attempts.split_off(index + 1),
+        }
+    }
+
     /// Removes all attempts but the latest and returns them.
     pub(super) fn take_replaced(&mut self) -> Vec<LiveAttempt> {
         let latest = self.attempts.pop();
@@ -290,10 +299,10 @@
             .map(|(index, attempt)| {
                 let mut stage = attempt.lateness.stage.clone();
                 Box::pin(async move {
-                    let report = stage.wait_for(|stage| stage.confidence.is_some()).await;
+                    let report = stage.wait_for(|stage| stage.stream_head.is_some()).await;
                     report
                         .ok()
-                        .and_then(|stage| stage.confidence.map(|report| (index, report)))
+                        .and_then(|stage| stage.stream_head.map(|report| (index, report)))
                 })
             })
             .collect();
@@ -331,7 +340,7 @@
             biased;
             (index, report) = reported => {
                 self.attempts[index].is_judged = true;
-                return AttemptEvent::Confidence(index, report);
+                return AttemptEvent::StreamHead(index, report);
             }
             (end, index, _) = select_all(endings) => (index, Some(end)),
             () = handed_over => (0, None),
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -24,7 +24,7 @@
 use crate::protocol::{mark_unserved, take_relay_attempts};
 use crate::state::{CallerHead, ConfigSnapshot, CrashSuspect, ServiceRoute};
 use crate::transport::attempt_runner::{
-    CompleteResponse, OpenResponse, ReportedConfidence, SettledResponse, remaining_time,
+    CompleteResponse, OpenResponse, SettledResponse, StreamHead, remaining_time,
 };
 use crate::transport::crash_reports::record_answer;
 use crate::transport::event_intake::EventIntake;
@@ -340,7 +340,7 @@
     }
 
     /// Records that a model's response is dropped for that of a larger one.
-    fn note_doubted(&mut self, attempt: &LiveAttempt, report: ReportedConfidence) {
+    fn note_doubted(&mut self, attempt: &LiveAttempt, report: StreamHead) {
         self.is_attempting = false;
         // The retry that the larger model is asked with was taken from the budget.
         self.has_grant = true;
--- a/gateway/src/transport/request_exchange/server_attempts.rs
+++ b/gateway/src/transport/request_exchange/server_attempts.rs
@@ -17,7 +17,7 @@
 use crate::protocol::strip_connection_headers;
 use crate::state::{AttemptHead, CrashSuspect, RouteKind, ServerEntry};
 use crate::transport::attempt_runner::{
-    AttemptEnd, AttemptRequest, ReportedConfidence, SettledResponse, remaining_time,
+    AttemptEnd, AttemptRequest, SettledResponse, StreamHead, remaining_time,
 };
 use crate::transport::event_intake::EventIntake;
 use crate::transport::exchange_failure::ExchangeFailure;
@@ -56,7 +56,7 @@
     /// A response to deliver.
     Settled(SettledResponse),
     /// A stream whose model reports too little confidence, and the larger model that is to run the request.
-    Doubted(Box<LiveAttempt>, ReportedConfidence, Arc<str>),
+    Doubted(Box<LiveAttempt>, StreamHead, Arc<str>),
 }
 
 /// The next step of a request, with the server that it is sent to.
@@ -107,16 +107,20 @@
                     // Descriptors may have become free.
                     self.latest = self.latest.filter(|end| *end != AttemptOutcome::NotTried);
                 }
-                Some(AttemptEvent::Confidence(index, report)) if resumed.is_none() => {
-                    let larger = self.choose_larger_model(report.percent, live.count());
+                Some(AttemptEvent::StreamHead(index, head)) => {
+                    let larger = match (resumed, head.confidence) {
+                        (None, Some(percent)) => self.choose_larger_model(percent, live.count()),
+                        _ => None,
+                    };
                     if let Some(larger) = larger {
-                        let attempt = live.take(index);
+                        let attempt = Box::new(live.take(index));
                         self.supersede(&mut live);
-                        let attempt = Box::new(attempt);
-                        return Ok(ExchangeOutcome::Doubted(attempt, report, larger));
+                        return Ok(ExchangeOutcome::Doubted(attempt, head, larger));
                     }
+                    // The engine has begun, so the ones that were asked in its place are not needed.
+                    let replacing = live.take_after(index);
+                    replacing.iter().for_each(|attempt| self.leave(attempt));
                 }
-                Some(AttemptEvent::Confidence(..)) => {}
                 Some(AttemptEvent::HandedOver(attempt)) => self.leave(&attempt),
                 Some(AttemptEvent::Ended(attempt, end)) => {
                     if let Some(response) = self.end_live(attempt, *end, &mut live).await {
