Pass streams in progress on when the path to all servers is lost

Cause: callers saw streams cut in the middle, at the moment at which their host lost its path to all servers, though another host could have gone on after the last event. A stream was resumed at servers alone: with events delivered the request may have run, and `needs_other_host` and `needs_relay` ask for requests that have not. With few servers the path was not even probed, since a broken connection does not count as an unreachable server. Change: `RequestExchange::go_on` resumes at a server, or else asks for a probe of the service and passes a stream that may be resumed on, after its last event, as a retry within attempts, budget and deadline. `StreamRelay` hands the exchange and its intake to `RelayedStream`, which delivers the rest in the same body and goes on at further hosts. A stream that is silent for half the stall time has its server probed, then the service; if no server accepts, it is passed on then, and its response is held meanwhile as for a stalled server. The model that the server ran goes along. The same holds for such a request that breaks before its first event. Not covered: one that hangs before its first event.

--- a/gateway/src/coordination/reach/service_reach.rs
+++ b/gateway/src/coordination/reach/service_reach.rs
@@ -156,11 +156,29 @@
     /// Probes all of `services` next, as they may be out of reach together.
     pub fn suspect_all(&mut self, services: impl Iterator<Item = Arc<str>>) {
         for service in services {
-            let path = self.paths.entry(service).or_default();
-            path.is_probed |= path.lost_since.is_none();
+            self.suspect(&service);
         }
     }
 
+    /// Probes a service next, unless its path is known to be lost.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use galenamast::state::TimePoint;
+    /// use galenamast_gateway::coordination::reach::ServiceReach;
+    ///
+    /// let (mut reach, service) = (ServiceReach::default(), Arc::from("engines"));
+    /// reach.suspect(&service);
+    /// assert!(reach.is_suspect(&service));
+    /// reach.record_probe(&service, false, TimePoint::ZERO);
+    /// reach.suspect(&service);
+    /// assert!(reach.is_lost(&service) && !reach.is_suspect(&service));
+    /// ```
+    pub fn suspect(&mut self, service: &Arc<str>) {
+        let path = self.paths.entry(service.clone()).or_default();
+        path.is_probed |= path.lost_since.is_none();
+    }
+
     /// Records that another host reported the services of which it reaches no server.
     pub fn record_peer(&mut self, peer: SocketAddr, services: &[Arc<str>], now: TimePoint) {
         self.lost_peers
--- a/gateway/src/protocol/platform_format.rs
+++ b/gateway/src/protocol/platform_format.rs
@@ -90,6 +90,8 @@
     pub write_time_left: fn(&mut HeaderMap, Duration),
     /// Replaces the last event that the sender of a request has received.
     pub write_resume_after: fn(&mut HeaderMap, u64),
+    /// Sets the model that a request is to run on.
+    pub write_model: fn(&mut HeaderMap, &str),
     /// Reads the head of a backend server's answer.
     pub read_answer: fn(StatusCode, &HeaderMap) -> AnswerHead,
     /// Reads the name of an evacuated failure domain; `None` if the object names none.
--- a/gateway/src/transport/exchange_failure.rs
+++ b/gateway/src/transport/exchange_failure.rs
@@ -69,15 +69,19 @@
                 let text = "no server would begin in time; the request did not run";
                 (not_run_response(text, retry_after), text)
             }
-            ExchangeFailure::NoPath | ExchangeFailure::HostResponse(FinalAnswer::NotRun) => {
+            ExchangeFailure::HostResponse(FinalAnswer::NotRun) => {
                 let text = "no server takes the request now; it did not run";
                 (not_run_response(text, retry_after), text)
             }
+            ExchangeFailure::NoPath if tally.runs == 0 => {
+                ExchangeFailure::HostResponse(FinalAnswer::NotRun).into_response(tally, retry_after)
+            }
             ExchangeFailure::HostResponse(FinalAnswer::TimedOut) => {
                 let text = "no whole answer came in time";
                 (host_response(StatusCode::GATEWAY_TIMEOUT, text), text)
             }
-            ExchangeFailure::HostResponse(FinalAnswer::Unknown | FinalAnswer::ServerFailure) => {
+            ExchangeFailure::NoPath
+            | ExchangeFailure::HostResponse(FinalAnswer::Unknown | FinalAnswer::ServerFailure) => {
                 let text = "no server gave a whole answer; the request may have run";
                 (host_response(StatusCode::BAD_GATEWAY, text), text)
             }
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -62,6 +62,8 @@
     pub(crate) parts_refused: watch::Sender<u64>,
     /// Notified when the host may have lost its path to the servers of a service.
     pub(crate) reach_suspected: Notify,
+    /// Counts how often the paths to services were probed.
+    pub(crate) paths_probed: watch::Sender<u64>,
     /// Notified when a roll-out may need a report.
     pub rollout_changed: Notify,
     /// Requests to the followers to read what changed.
@@ -155,6 +157,7 @@
             reach: Mutex::new(ServiceReach::new(settings.reach)),
             peer_reach: Mutex::new(PeerReach::new(settings.peers)),
             reach_suspected: Notify::new(),
+            paths_probed: watch::Sender::new(0),
             parts_refused: watch::Sender::new(0),
             defects: Mutex::default(),
             peers: Mutex::new(BTreeMap::new()),
--- a/gateway/src/transport/reach_probe.rs
+++ b/gateway/src/transport/reach_probe.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures_util::future::join_all;
 use galenamast::state::TimePoint;
@@ -18,6 +19,9 @@
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::record_log::log_record;
 
+/// Longest time to wait for a probe of a service; one ends far sooner.
+const PATH_CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Records that a server of a service accepted no connection, and starts a probe of others if the whole
 /// service may be out of reach.
 pub(crate) fn record_unreachable(context: &GatewayContext, server: &ServerEntry) {
@@ -45,6 +49,7 @@
             .iter()
             .map(|service| probe_service(&context, service));
         let (changes, ()) = tokio::join!(join_all(probes), check_peers(&context));
+        context.paths_probed.send_modify(|count| *count += 1);
         let changed = changes.into_iter().any(|changed| changed);
         let lost = context.reach().lost_services();
         let now = context.now();
@@ -56,6 +61,36 @@
     }
 }
 
+/// Returns whether no server of a service is reached, which is probed if it is not known.
+pub(crate) async fn check_path(context: &GatewayContext, service: &Arc<str>) -> bool {
+    let mut probed = context.paths_probed.subscribe();
+    context.reach().suspect(service);
+    context.reach_suspected.notify_one();
+    let probing = async {
+        while context.reach().is_suspect(service) {
+            if probed.changed().await.is_err() {
+                return;
+            }
+        }
+    };
+    let _ = tokio::time::timeout(PATH_CHECK_TIMEOUT, probing).await;
+    context.reach().is_lost(service)
+}
+
+/// Returns whether neither a server is reached nor any other one of its service.
+pub(crate) async fn check_server_path(context: &GatewayContext, server: &ServerEntry) -> bool {
+    if context.reach().is_lost(&server.service) {
+        return true;
+    }
+    match probe_server(server.address).await {
+        ProbeResult::Accepted | ProbeResult::NotTried => false,
+        ProbeResult::Refused | ProbeResult::TimedOut => {
+            record_unreachable(context, server);
+            check_path(context, &server.service).await
+        }
+    }
+}
+
 /// Checks which other hosts accept connections, as requests may be passed on to them.
 async fn check_peers(context: &GatewayContext) {
     let due = {
--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -7,6 +7,7 @@
 mod request_log;
 mod server_attempts;
 mod server_choice;
+mod stream_source;
 
 use std::pin::pin;
 use std::sync::Arc;
@@ -33,7 +34,6 @@
 use crate::transport::request_admission::{Admission, BufferedBody};
 use crate::transport::request_exchange::live_attempts::LiveAttempt;
 use crate::transport::request_exchange::relay::RelayAnswer;
-use crate::transport::request_exchange::relayed_stream::RelayedStream;
 use crate::transport::request_exchange::server_attempts::{
     EndedAttempt, ExchangeOutcome, LeftServer,
 };
@@ -41,6 +41,8 @@
 use crate::transport::stream_relay::StreamRelay;
 
 pub(crate) use live_attempts::HANDOVER_TIME;
+pub(crate) use relayed_stream::{RelayedResponse, RelayedStream};
+pub(crate) use stream_source::StreamSource;
 
 /// Largest number of attempts of one request, whether or not a server runs it.
 const MAX_ATTEMPTS: u32 = 6;
@@ -262,11 +264,11 @@
             SettledResponse::Whole(whole) => ExchangeAnswer::Whole(whole.response),
         });
         match answered {
-            Err(end) if self.needs_relay(&end) => {
-                let outcome = if self.tally.arrivals > 0 {
-                    AttemptOutcome::Rejected
-                } else {
-                    AttemptOutcome::NotSent
+            Err(end) if self.needs_relay(&end) || self.may_go_on_elsewhere(&end).await => {
+                let outcome = match self.latest {
+                    Some(latest) if self.tally.runs > 0 => latest,
+                    _ if self.tally.arrivals > 0 => AttemptOutcome::Rejected,
+                    _ => AttemptOutcome::NotSent,
                 };
                 self.is_attempting = true;
                 let relayed = self.relay(outcome, None).await;
--- a/gateway/src/transport/request_exchange/relay.rs
+++ b/gateway/src/transport/request_exchange/relay.rs
@@ -85,7 +85,8 @@
 
     /// Returns whether the request is to be passed on before a server is asked.
     pub(super) fn needs_other_host(&self) -> bool {
-        self.tally.runs == 0 && self.has_no_path() && self.has_peers()
+        let may_run_there = self.tally.runs == 0 || self.may_pass_on(0);
+        may_run_there && self.has_no_path() && self.has_peers()
     }
 
     /// Returns whether a request that ended without a response is to be passed on: no server was
@@ -182,7 +183,7 @@
     }
 
     /// Picks the next host to pass the request on to.
-    fn pick_peer(&self, tried: &[SocketAddr]) -> Option<HostPresence> {
+    pub(super) fn pick_peer(&self, tried: &[SocketAddr]) -> Option<HostPresence> {
         let now = self.context.now();
         let peers = self.context.peers();
         let own = peers.get(&self.context.settings.host)?;
@@ -314,6 +315,10 @@
         (self.context.format.write_time_left)(&mut headers, remaining);
         if let Some(id) = resume_after {
             (self.context.format.write_resume_after)(&mut headers, id);
+            // Another model would not continue the answer.
+            if let Some(model) = &self.model {
+                (self.context.format.write_model)(&mut headers, model);
+            }
         }
         let host = HeaderValue::from_str(&self.context.settings.host).ok()?;
         headers.insert(RELAYED_BY, host);
--- a/gateway/src/transport/request_exchange/relayed_stream.rs
+++ b/gateway/src/transport/request_exchange/relayed_stream.rs
@@ -17,6 +17,7 @@
 use crate::transport::request_exchange::RequestExchange;
 use crate::transport::request_exchange::relay::RelayAnswer;
 use crate::transport::response_body::{ResponseBody, TruncatedResponse};
+use crate::transport::stream_ahead::EventQueue;
 
 /// Shortest time for which a frame is awaited. After the deadline, the other host may still send what it
 /// has read before.
@@ -24,7 +25,7 @@
 
 /// The head of a stream that another host passes on; its body is still to be read.
 #[derive(Debug)]
-pub(super) struct RelayedResponse {
+pub(crate) struct RelayedResponse {
     /// Head of the response.
     pub(super) parts: http::response::Parts,
     /// Connection to the other host.
@@ -37,7 +38,7 @@
 
 /// A stream that another host passes on.
 #[derive(Debug)]
-pub(super) struct RelayedStream {
+pub(crate) struct RelayedStream {
     exchange: RequestExchange,
     source: Option<RelayedResponse>,
     intake: EventIntake,
@@ -50,9 +51,11 @@
         source: RelayedResponse,
     ) -> Response<ResponseBody> {
         exchange.head_latency = Some(exchange.context.now().since(exchange.started_at));
+        // The other host chooses the model.
+        exchange.model = None;
         let parts = source.parts.clone();
         let stream = Self {
-            intake: EventIntake::new(exchange.head.resume_after, exchange.route.resumable),
+            intake: exchange.new_intake(),
             source: Some(source),
             exchange,
         };
@@ -60,7 +63,10 @@
             let mut stream = stream?;
             match stream.next_events().await {
                 Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(stream))),
-                Ok(None) => None,
+                Ok(None) => {
+                    stream.log_relayed();
+                    None
+                }
                 Err(error) => Some((Err(error), None)),
             }
         });
@@ -68,6 +74,38 @@
         Response::from_parts(parts, body)
     }
 
+    /// Creates the rest of a stream that a server has begun, whose events are in `intake`.
+    pub(crate) fn go_on(
+        exchange: RequestExchange,
+        source: RelayedResponse,
+        mut intake: EventIntake,
+    ) -> Self {
+        intake.begin_response();
+        Self {
+            exchange,
+            source: Some(source),
+            intake,
+        }
+    }
+
+    /// Reads the stream into the queue to its end, as far as there is room, and waits until the caller has
+    /// taken all of it.
+    pub(crate) async fn read_into(mut self, queue: &EventQueue) -> Result<(), TruncatedResponse> {
+        while let Some(events) = self.next_events().await? {
+            queue.push(std::iter::once(events));
+            queue.wait_for_room().await;
+        }
+        queue.drained().await;
+        self.log_relayed();
+        Ok(())
+    }
+
+    /// Logs that the caller has the complete response.
+    fn log_relayed(&self) {
+        self.exchange
+            .log_relay_end("relayed", self.intake.delivered());
+    }
+
     /// Returns the next events for the caller; `None` after the last ones of a complete stream.
     async fn next_events(&mut self) -> Result<Option<bytes::Bytes>, TruncatedResponse> {
         loop {
@@ -76,8 +114,6 @@
                 return Ok(Some(events.concat().into()));
             }
             let Some(source) = &mut self.source else {
-                self.exchange
-                    .log_relay_end("relayed", self.intake.delivered());
                 return Ok(None);
             };
             let remaining = remaining_time(&self.exchange.context, self.exchange.deadline);
--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -13,9 +13,11 @@
 use crate::coordination::requests::AttemptOutcome;
 use crate::coordination::rollouts::StreamPace;
 use crate::state::ServiceRoute;
-use crate::transport::attempt_runner::{OpenResponse, SettledResponse, remaining_time};
+use crate::transport::attempt_runner::{OpenResponse, remaining_time};
 use crate::transport::event_intake::EventIntake;
-use crate::transport::request_exchange::{HANDOVER_TIME, RequestExchange, hand_over};
+use crate::transport::request_exchange::{
+    HANDOVER_TIME, RelayedResponse, RelayedStream, RequestExchange, StreamSource, hand_over,
+};
 use crate::transport::response_body::{ResponseBody, TruncatedResponse};
 use crate::transport::server_watch::record_byte;
 use crate::transport::stream_ahead::EventQueue;
@@ -24,6 +26,8 @@
 const STALL_GAP_FACTOR: f64 = 2.0;
 /// Shortest gap after which a server counts as stalled.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Fraction of that gap after which the path to a silent server is checked.
+const QUIET_FRACTION: f64 = 0.5;
 
 /// Returns the time without a complete event after which the server of a route's stream counts as
 /// stalled.
@@ -32,6 +36,15 @@
     gap.mul_f64(STALL_GAP_FACTOR).max(MIN_STALL_TIMEOUT)
 }
 
+/// Why a server is silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SilenceCause {
+    /// It may be slow, or gone.
+    Unknown,
+    /// The host reaches no server of the service.
+    NoPath,
+}
+
 /// The outcome of reading from the server once.
 enum RelayProgress {
     /// Data was read, possibly without completing an event.
@@ -85,27 +98,42 @@
     }
 
     /// Reads the response into the queue, and logs its end once the caller has taken all of it.
-    async fn read_ahead(mut self, queue: Arc<EventQueue>) {
+    async fn read_ahead(self, queue: Arc<EventQueue>) {
         // A panic would leave the caller waiting for the next event.
-        let reading = AssertUnwindSafe(self.read_into(&queue)).catch_unwind();
-        let end = reading.await.unwrap_or(Err(TruncatedResponse));
-        if end.is_ok() {
-            self.release();
-            queue.drained().await;
-            self.log_answered();
-        }
+        let delivering = AssertUnwindSafe(self.deliver(&queue)).catch_unwind();
+        let end = delivering.await.unwrap_or(Err(TruncatedResponse));
         queue.close(end);
     }
 
-    /// Reads the response into the queue to its end, as far as there is room.
-    async fn read_into(&mut self, queue: &EventQueue) -> Result<(), TruncatedResponse> {
+    /// Reads the response into the queue, from other hosts once this one has no path to the servers.
+    async fn deliver(mut self, queue: &EventQueue) -> Result<(), TruncatedResponse> {
+        if let Some(source) = self.read_into(queue).await? {
+            let relayed = RelayedStream::go_on(self.exchange, *source, self.intake);
+            return relayed.read_into(queue).await;
+        }
+        self.release();
+        queue.drained().await;
+        self.log_answered();
+        Ok(())
+    }
+
+    /// Reads the response into the queue to its end, as far as there is room. Returns the response of
+    /// another host that goes on with it, if one does.
+    async fn read_into(
+        &mut self,
+        queue: &EventQueue,
+    ) -> Result<Option<Box<RelayedResponse>>, TruncatedResponse> {
         loop {
             let progress = self.read_next().await;
             queue.push(self.intake.drain());
             match progress {
                 RelayProgress::Continue => {}
-                RelayProgress::Complete => return Ok(()),
-                RelayProgress::Failed(outcome) => self.resume(outcome).await?,
+                RelayProgress::Complete => return Ok(None),
+                RelayProgress::Failed(outcome) => {
+                    if let Some(source) = self.resume(outcome).await? {
+                        return Ok(Some(source));
+                    }
+                }
             }
             if queue.wait_for_room().await {
                 // The caller caused this pause, not the server.
@@ -120,6 +148,7 @@
         let remaining = remaining_time(&self.exchange.context, self.exchange.deadline);
         let time_to_event = stall_timeout(&self.exchange.route).saturating_sub(self.event_wait);
         let timeout = time_to_event.min(remaining);
+        let is_resumable = self.is_resumable();
         let Some(response) = &mut self.response else {
             return RelayProgress::Failed(AttemptOutcome::Broken);
         };
@@ -128,10 +157,25 @@
             return self.accept_bytes(&first);
         }
         let asked_at = self.exchange.context.now();
-        let read = tokio::time::timeout(timeout, response.body.frame()).await;
+        let quiet_time = stall_timeout(&self.exchange.route).mul_f64(QUIET_FRACTION);
+        let (exchange, server) = (&self.exchange, &response.server);
+        let cut_off = async {
+            tokio::time::sleep(quiet_time).await;
+            exchange.wait_until_cut_off(server).await;
+        };
+        let read = tokio::select! {
+            biased;
+            frame = response.body.frame() => Ok(frame),
+            () = tokio::time::sleep(timeout) => Err(SilenceCause::Unknown),
+            () = cut_off, if is_resumable => Err(SilenceCause::NoPath),
+        };
         self.event_wait += self.exchange.context.now().since(asked_at);
         match read {
-            Err(_) => self.handle_silence(),
+            Err(SilenceCause::Unknown) => self.handle_silence(),
+            Err(SilenceCause::NoPath) if self.exchange.take_relay() => {
+                RelayProgress::Failed(AttemptOutcome::Lost)
+            }
+            Err(SilenceCause::NoPath) => RelayProgress::Continue,
             Ok(Some(Err(_))) => RelayProgress::Failed(AttemptOutcome::Broken),
             Ok(None) if self.intake.finish() => RelayProgress::Complete,
             Ok(None) => RelayProgress::Failed(AttemptOutcome::Broken),
@@ -196,8 +240,12 @@
         }
     }
 
-    /// Resumes at another server after the last event that was queued for the caller.
-    async fn resume(&mut self, outcome: AttemptOutcome) -> Result<(), TruncatedResponse> {
+    /// Resumes at another server after the last event that was queued for the caller, or returns the
+    /// response of another host that goes on there.
+    async fn resume(
+        &mut self,
+        outcome: AttemptOutcome,
+    ) -> Result<Option<Box<RelayedResponse>>, TruncatedResponse> {
         let Some(response) = self.response.take() else {
             return Err(TruncatedResponse);
         };
@@ -212,24 +260,26 @@
             return Err(self.log_truncated("broke off"));
         }
         // A server that is only silent may go on, should no other one take the stream.
-        let held = Some(response).filter(|_| outcome == AttemptOutcome::Overdue);
+        let is_silent = matches!(outcome, AttemptOutcome::Overdue | AttemptOutcome::Lost);
+        let held = Some(response).filter(|_| is_silent);
         if held.is_some() {
             self.exchange.note_left(&server, HANDOVER_TIME);
         }
-        let opening = self.exchange.open(Some(&self.intake));
+        let opening = self.exchange.go_on(&self.intake);
         let (opened, held) = hand_over(opening, held, HANDOVER_TIME).await;
         self.event_wait = Duration::ZERO;
         match (opened, held) {
-            (Ok(SettledResponse::Stream(response)), _) => {
+            (Ok(StreamSource::Server(response)), _) => {
                 self.intake.begin_response();
                 self.pace = StreamPace::default();
                 self.response = Some(response);
-                Ok(())
+                Ok(None)
             }
+            (Ok(StreamSource::Host(source)), _) => Ok(Some(source)),
             (_, Some(held)) => {
                 self.exchange.keep_left(&server);
                 self.response = Some(held);
-                Ok(())
+                Ok(None)
             }
             _ => Err(self.log_truncated("broke off and was not resumed")),
         }
