Play servers that are late and fail in the soak

Cause: the soak's servers were late, silent or broke off.

Change: a stand-in server's run can fail (status 500, 503 that doesn't state that the request has not run, part of a body, a closed connection, silence, a body that is no stream, a refusal sent twice) and can spoil the bytes of its answer (garbled, sent twice). The report counts the requests whose first server was sound, was replaced and would have answered in time, and whose callers got a failure ("late servers given up"); it is no rule. Stories name how a run fails.

A server falls silent (`Overdue`), the next one is asked, the first is left 200 ms later, the next one ends with a failure 250 ms after it was asked (`Failed`, denied `attempts`), and the stream is cut beside a stop, a SIGHUP or a configuration.

--- a/soak/src/fault_profile.rs
+++ b/soak/src/fault_profile.rs
@@ -1,5 +1,6 @@
 //! Which faults a run plays.
 
+use crate::failure_pacing::draw_failing_pace;
 use crate::run_pacing::{draw_pace, draw_silent_pace};
 use crate::server_pool::RunPacing;
 
@@ -20,14 +21,16 @@
     Store,
     /// Servers often fall silent, while configurations change and hosts are stopped.
     Silences,
-    /// All of these, with few silences.
+    /// Servers are often late and often fail, while configurations change and hosts are stopped.
+    Failures,
+    /// All of these, with few silences and failures.
     Mixed,
 }
 
 impl FaultProfile {
     /// Names of the profiles, as on the command line.
-    pub(crate) const NAMES: [&str; 8] = [
-        "quiet", "stops", "changes", "servers", "signals", "store", "silences", "mixed",
+    pub(crate) const NAMES: [&str; 9] = [
+        "quiet", "stops", "changes", "servers", "signals", "store", "silences", "failures", "mixed",
     ];
 
     /// Returns the profile with a name; `Mixed` for unknown names.
@@ -40,6 +43,7 @@
             "signals" => Self::Signals,
             "store" => Self::Store,
             "silences" => Self::Silences,
+            "failures" => Self::Failures,
             _ => Self::Mixed,
         }
     }
@@ -48,7 +52,7 @@
     pub(crate) fn stops_hosts(self) -> bool {
         matches!(
             self,
-            Self::Stops | Self::Store | Self::Silences | Self::Mixed
+            Self::Stops | Self::Store | Self::Silences | Self::Failures | Self::Mixed
         )
     }
 
@@ -56,7 +60,7 @@
     pub(crate) fn changes_configuration(self) -> bool {
         matches!(
             self,
-            Self::Changes | Self::Store | Self::Silences | Self::Mixed
+            Self::Changes | Self::Store | Self::Silences | Self::Failures | Self::Mixed
         )
     }
 
@@ -69,6 +73,7 @@
     pub(crate) fn pacing(self) -> RunPacing {
         match self {
             Self::Silences => draw_silent_pace,
+            Self::Failures => draw_failing_pace,
             _ => draw_pace,
         }
     }
--- a/soak/src/run_pacing.rs
+++ b/soak/src/run_pacing.rs
@@ -37,6 +37,7 @@
             gap: seconds(0.001),
             silence: None,
             break_after: None,
+            failure: None,
         };
     };
     let break_after = random.random_bool(0.01).then(|| random.random_range(1..9));
@@ -52,6 +53,7 @@
             gap: Duration::ZERO,
             silence: None,
             break_after,
+            failure: None,
         };
     }
     let is_late = random.random_bool(0.05);
@@ -72,5 +74,6 @@
         gap: seconds(gap),
         silence,
         break_after,
+        failure: None,
     }
 }
--- a/soak/src/server_pool.rs
+++ b/soak/src/server_pool.rs
@@ -33,6 +33,8 @@
     pub(crate) was_cancelled: bool,
     /// Whether the server itself broke the response off.
     pub(crate) broke_off: bool,
+    /// Course that the run takes unless it is cancelled.
+    pub(crate) pace: Option<RunPace>,
 }
 
 /// Starts and replaces servers, and collects what they saw.
@@ -124,6 +126,7 @@
                     ended: run.and_then(|run| run.ended),
                     was_cancelled: run.is_some_and(|run| run.was_cancelled),
                     broke_off: run.is_some_and(|run| run.broke_off),
+                    pace: run.map(|run| run.pace),
                 };
                 visits
                     .entry(arrival.request.clone())
--- a/soak/src/soak_record.rs
+++ b/soak/src/soak_record.rs
@@ -142,7 +142,9 @@
         }
         for visit in self.visits(&trace.id) {
             let what = if visit.ran { "runs it" } else { "rejects it" };
-            lines.push((visit.at, format!("{} {what}", visit.server)));
+            let failure = visit.pace.and_then(|pace| pace.failure);
+            let failure = failure.map_or(String::new(), |failure| format!(", fails: {failure:?}"));
+            lines.push((visit.at, format!("{} {what}{failure}", visit.server)));
             if let Some(at) = visit.ended {
                 let how = match (visit.broke_off, visit.was_cancelled) {
                     (true, _) => "breaks off",
--- a/soak/src/soak_report.rs
+++ b/soak/src/soak_report.rs
@@ -5,6 +5,7 @@
 
 use crate::attempt_end::AttemptEnd;
 use crate::budget_rule;
+use crate::late_servers::LateServers;
 use crate::lost_rule;
 use crate::rule_break::{RULES, RuleBreak};
 use crate::run_rules;
@@ -51,6 +52,13 @@
     for (key, count) in counts {
         let _ = writeln!(text, "{count:7} {key}");
     }
+    let late = LateServers::count(record);
+    let _ = writeln!(
+        text,
+        "late servers given up: {} of {} that were replaced",
+        late.failed.len(),
+        late.replaced
+    );
     for rule in RULES {
         let count = breaks.iter().filter(|found| found.rule == rule).count();
         let verdict = if count == 0 {
@@ -73,6 +81,10 @@
             text.push_str(&record.story(&record.traces[index]));
         }
     }
+    for index in LateServers::count(record).failed {
+        text.push_str("late server given up:\n");
+        text.push_str(&record.story(&record.traces[index]));
+    }
     for (index, trace) in record.traces.iter().enumerate() {
         let is_told = breaks.iter().any(|found| found.trace == Some(index));
         if trace.end.is_cut() && !is_told {
--- a/soak/tests/short_run.rs
+++ b/soak/tests/short_run.rs
@@ -61,3 +61,9 @@
 fn store_faults_break_no_rule() {
     play("store", "7", "15");
 }
+
+// Guards against responses that are mixed up or cut when servers are late and the next ones fail.
+#[test]
+fn servers_that_fail_in_turn_break_no_rule() {
+    play("failures", "7", "15");
+}
