Have links fail in the soak, and check RECOVER

Cause: no run of the soak had a link fail.

Change: in the profile `links` a proxy stands on the link of each host from callers, to the store and to each server. A host learns the proxies' addresses in place of the servers', as its store proxy replaces them in the traffic; both have the same length. A link is late, reset, silent for good on open connections, cut one way or both ways, or refuses new connections while open ones live; new connections over a cut link are neither established nor refused. One series partitions the hosts of a failure domain, or some of several, from all servers, three others have single links fail. RECOVER is checked as worded: first tries at hosts partitioned from all servers against those at the others, in touch only, from `contact_ms` after the cut began. Links between hosts (datagrams) have no proxy.

--- a/soak/src/fault_event.rs
+++ b/soak/src/fault_event.rs
@@ -4,6 +4,9 @@
 
 use galenamast_platform_standin::StoreFault;
 
+use crate::host_link::HostLink;
+use crate::link_fault::LinkFault;
+
 /// What was done.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum FaultKind {
@@ -29,6 +32,10 @@
     StoreFails(StoreFault),
     /// The store works again.
     StoreReturns,
+    /// A link of a host fails in a way.
+    LinkFails(HostLink, LinkFault),
+    /// A link of a host works again.
+    LinkHeals(HostLink),
     /// A configuration of a version was written.
     Configuration(u64),
     /// A server reported that it drains.
@@ -58,6 +65,7 @@
         match self.kind {
             FaultKind::Freeze => Some(FaultKind::Thaw),
             FaultKind::StoreFails(_) => Some(FaultKind::StoreReturns),
+            FaultKind::LinkFails(link, _) => Some(FaultKind::LinkHeals(link)),
             _ => None,
         }
     }
@@ -72,6 +80,8 @@
                 | FaultKind::OwnEnd
                 | FaultKind::StoreFails(_)
                 | FaultKind::StoreReturns
+                | FaultKind::LinkFails(..)
+                | FaultKind::LinkHeals(_)
         )
     }
 }
--- a/soak/src/fault_profile.rs
+++ b/soak/src/fault_profile.rs
@@ -21,16 +21,19 @@
     Store,
     /// Servers often fall silent, while configurations change and hosts are stopped.
     Silences,
+    /// Links of hosts fail, and hosts are partitioned from all servers, while configurations change.
+    Links,
     /// Servers are often late and often fail, while configurations change and hosts are stopped.
     Failures,
-    /// All of these, with few silences and failures.
+    /// All of these, with few silences and without faults of links.
     Mixed,
 }
 
 impl FaultProfile {
     /// Names of the profiles, as on the command line.
-    pub(crate) const NAMES: [&str; 9] = [
-        "quiet", "stops", "changes", "servers", "signals", "store", "silences", "failures", "mixed",
+    pub(crate) const NAMES: [&str; 10] = [
+        "quiet", "stops", "changes", "servers", "signals", "store", "silences", "links",
+        "failures", "mixed",
     ];
 
     /// Returns the profile with a name; `Mixed` for unknown names.
@@ -43,6 +46,7 @@
             "signals" => Self::Signals,
             "store" => Self::Store,
             "silences" => Self::Silences,
+            "links" => Self::Links,
             "failures" => Self::Failures,
             _ => Self::Mixed,
         }
@@ -60,7 +64,12 @@
     pub(crate) fn changes_configuration(self) -> bool {
         matches!(
             self,
-            Self::Changes | Self::Store | Self::Silences | Self::Failures | Self::Mixed
+            Self::Changes
+                | Self::Store
+                | Self::Silences
+                | Self::Links
+                | Self::Failures
+                | Self::Mixed
         )
     }
 
@@ -83,6 +92,11 @@
         self == Self::Store
     }
 
+    /// Returns whether links fail.
+    pub(crate) fn fails_links(self) -> bool {
+        self == Self::Links
+    }
+
     /// Returns whether hosts get signals without a plan.
     pub(crate) fn signals_hosts(self) -> bool {
         matches!(self, Self::Signals | Self::Mixed)
--- a/soak/src/host_process.rs
+++ b/soak/src/host_process.rs
@@ -162,7 +162,7 @@
 
 /// Returns a loopback address whose port is free for TCP and UDP. Runs at the same time draw from different
 /// ports, as those of a host that is down are free for a while.
-fn free_address(ports: &mut BTreeSet<u16>) -> SocketAddr {
+pub(crate) fn free_address(ports: &mut BTreeSet<u16>) -> SocketAddr {
     let slices = (PORTS.end - PORTS.start) / SLICE_PORTS;
     let slice = u16::try_from(std::process::id() % u32::from(slices)).unwrap_or(0);
     loop {
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -1,5 +1,6 @@
 //! Plays seeded faults on real processes and checks what callers and servers see.
 
+mod address_map;
 mod attempt_end;
 mod budget_rule;
 mod caller_connection;
@@ -9,10 +10,18 @@
 mod fault_event;
 mod fault_profile;
 mod host_balancer;
+mod host_link;
+mod host_links;
 mod host_process;
 mod late_servers;
+mod link_direction;
+mod link_driver;
+mod link_fault;
+mod link_proxy;
+mod link_state;
 mod lost_rule;
 mod platform_config;
+mod recover_rule;
 mod request_class;
 mod request_plan;
 mod request_trace;
--- a/soak/src/rule_break.rs
+++ b/soak/src/rule_break.rs
@@ -12,6 +12,6 @@
 }
 
 /// Names of the rules that are checked.
-pub(crate) const RULES: [&str; 9] = [
-    "LOST", "TWICE", "REFUSED", "MIXED", "ORDER", "DRAIN", "CONFIG", "BUDGET", "ENDS",
+pub(crate) const RULES: [&str; 10] = [
+    "LOST", "TWICE", "REFUSED", "MIXED", "ORDER", "DRAIN", "CONFIG", "BUDGET", "RECOVER", "ENDS",
 ];
--- a/soak/src/server_pool.rs
+++ b/soak/src/server_pool.rs
@@ -1,6 +1,7 @@
 //! The servers of a run, also those that have left.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
 
@@ -105,6 +106,12 @@
             .clone()
     }
 
+    /// Returns the addresses of all servers that were started.
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+        let servers = self.servers();
+        servers.iter().map(|server| server.address()).collect()
+    }
+
     /// Returns the visits of each request, in order of time.
     pub(crate) fn visits(&self) -> BTreeMap<String, Vec<ServerVisit>> {
         let mut visits: BTreeMap<String, Vec<ServerVisit>> = BTreeMap::new();
--- a/soak/src/soak_record.rs
+++ b/soak/src/soak_record.rs
@@ -43,6 +43,11 @@
         self.visits.get(id).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the indices of all hosts.
+    pub(crate) fn hosts(&self) -> impl Iterator<Item = usize> + use<> {
+        0..self.host_names.len()
+    }
+
     /// Returns the faults of a host.
     pub(crate) fn faults_of(&self, host: usize) -> impl Iterator<Item = &FaultEvent> {
         self.faults
@@ -87,7 +92,7 @@
     }
 
     /// Returns the unplanned faults from `CONTACT` before a request to its end.
-    fn impairments(&self, trace: &RequestTrace) -> impl Iterator<Item = &FaultEvent> {
+    pub(crate) fn impairments(&self, trace: &RequestTrace) -> impl Iterator<Item = &FaultEvent> {
         self.faults.iter().filter(|event| {
             let is_over = trace.sent.duration_since(event.at) > CONTACT;
             let lasts = self.end_of(event) + CONTACT > trace.sent;
--- a/soak/src/soak_report.rs
+++ b/soak/src/soak_report.rs
@@ -7,6 +7,7 @@
 use crate::budget_rule;
 use crate::late_servers::LateServers;
 use crate::lost_rule;
+use crate::recover_rule;
 use crate::rule_break::{RULES, RuleBreak};
 use crate::run_rules;
 use crate::soak_options::SoakOptions;
@@ -29,6 +30,7 @@
         let mut breaks = lost_rule::check(record);
         breaks.extend(run_rules::check(record));
         breaks.extend(budget_rule::check(record));
+        breaks.extend(recover_rule::check(record));
         Self {
             summary: summarize(record, &breaks, options),
             details: detail(record, &breaks),
@@ -59,6 +61,9 @@
         late.failed.len(),
         late.replaced
     );
+    if let Some(tries) = recover_rule::describe(record) {
+        let _ = writeln!(text, "{tries}");
+    }
     for rule in RULES {
         let count = breaks.iter().filter(|found| found.rule == rule).count();
         let verdict = if count == 0 {
--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -12,7 +12,9 @@
 use crate::caller_traffic::CallerTraffic;
 use crate::fault_driver::FaultDriver;
 use crate::fault_profile::FaultProfile;
-use crate::host_process::HostProcess;
+use crate::host_links::HostLinks;
+use crate::host_process::{HostProcess, free_address};
+use crate::link_driver::LinkDriver;
 use crate::server_pool::ServerPool;
 use crate::soak_options::SoakOptions;
 use crate::soak_record::SoakRecord;
@@ -35,7 +37,9 @@
     options: &SoakOptions,
     interrupt: &CancellationToken,
 ) -> Result<SoakReport, Error> {
-    let state = Arc::new(prepare(options).await?);
+    let (state, links) = prepare(options).await?;
+    let state = Arc::new(state);
+    let link_driver = LinkDriver::new(state.clone(), links);
     let zones: Vec<String> = ZONES.map(str::to_owned).to_vec();
     for host in &state.hosts {
         host.start()?;
@@ -49,10 +53,15 @@
     let traffic = Arc::new(CallerTraffic::new(state.clone()));
     let sending = tokio::spawn(traffic.clone().send_requests(options.seed, zones));
     let probing = tokio::spawn(traffic.clone().probe_hosts());
-    let driver = FaultDriver::new(state.clone(), FaultProfile::of_name(&options.profile));
+    let profile = FaultProfile::of_name(&options.profile);
+    let driver = FaultDriver::new(state.clone(), profile);
     let faults = async {
         sleep(WARM_UP).await;
-        driver.run(options.seed.wrapping_mul(1_000)).await
+        let seed = options.seed.wrapping_mul(1_000);
+        tokio::select! {
+            error = driver.run(seed) => error,
+            () = link_driver.run(seed), if profile.fails_links() => unreachable!(),
+        }
     };
     tokio::select! {
         error = faults => return Err(error),
@@ -78,22 +87,38 @@
 }
 
 /// Starts the stand-ins and writes the hosts' settings.
-async fn prepare(options: &SoakOptions) -> Result<SoakState, Error> {
+async fn prepare(options: &SoakOptions) -> Result<(SoakState, Vec<HostLinks>), Error> {
     let logs = options.logs();
     std::fs::create_dir_all(&logs)?;
     let store = StandInStore::start().await;
     let zones = ZONES.map(str::to_owned);
-    let pacing = FaultProfile::of_name(&options.profile).pacing();
+    let profile = FaultProfile::of_name(&options.profile);
+    let pacing = profile.pacing();
     let servers = ServerPool::start(options.seed, pacing, &zones, &store).await;
     let mut ports = BTreeSet::new();
     let mut hosts = Vec::new();
+    let mut links = Vec::new();
     for number in 0..options.hosts {
         let (name, zone) = (format!("front-{number}"), ZONES[number % ZONES.len()]);
         let program = &options.program;
-        let host = HostProcess::new(program, &logs, &name, zone, store.address(), &mut ports)?;
+        let store_address = if profile.fails_links() {
+            free_address(&mut ports)
+        } else {
+            store.address()
+        };
+        let mut host = HostProcess::new(program, &logs, &name, zone, store_address, &mut ports)?;
+        if profile.fails_links() {
+            let front = std::mem::replace(&mut host.front, free_address(&mut ports));
+            links.push(HostLinks::open(
+                [host.front, front],
+                [store_address, store.address()],
+                &servers.addresses(),
+                || free_address(&mut ports),
+            ));
+        }
         hosts.push(Arc::new(host));
     }
-    Ok(SoakState::new(store, servers, hosts))
+    Ok((SoakState::new(store, servers, hosts), links))
 }
 
 /// Waits until all hosts are ready.
--- a/soak/tests/short_run.rs
+++ b/soak/tests/short_run.rs
@@ -67,3 +67,9 @@
 fn servers_that_fail_in_turn_break_no_rule() {
     play("failures", "7", "15");
 }
+
+// Guards against requests that fail at hosts without a path to the servers, though other hosts have one.
+#[test]
+fn links_that_fail_break_no_rule() {
+    play("links", "7", "15");
+}
