Have servers of the soak repeat an answer in place of the next one

Cause: the answers that the profile `failures` sent twice came at once, before their connection was used again.

Change: `ByteFault::RepeatLate` sends an answer once more right before the next one on its connection.

--- a/soak/src/failure_pacing.rs
+++ b/soak/src/failure_pacing.rs
@@ -16,7 +16,7 @@
 /// Delay of a late answer.
 const LATE: Duration = Duration::from_millis(1_100);
 /// Ways in which runs fail.
-const FAILURES: [RunFailure; 9] = [
+const FAILURES: [RunFailure; 10] = [
     RunFailure::Status,
     RunFailure::Unavailable,
     RunFailure::CutBody,
@@ -26,6 +26,7 @@
     RunFailure::RepeatRefusal,
     RunFailure::Bytes(ByteFault::Garble),
     RunFailure::Bytes(ByteFault::Repeat),
+    RunFailure::Bytes(ByteFault::RepeatLate),
 ];
 
 /// Returns the course of a request's run; another server draws another one.
