--- a/soak/src/fault_profile.rs
+++ b/soak/src/fault_profile.rs
@@ -1,5 +1,6 @@
 //! Which faults a run plays.
 
+use crate::failure_pacing::draw_failing_pace;
 use crate::run_pacing::{draw_pace, draw_silent_pace};
 use crate::server_pool::RunPacing;
 
@@ -24,15 +25,19 @@
     Rollouts,
     /// Some hosts pass their requests on to others, while configurations change and hosts are stopped.
     Relays,
-    /// All of these but roll-outs and relays, with few silences.
+    /// Links of hosts fail, and hosts are partitioned from all servers, while configurations change.
+    Links,
+    /// Servers are often late and often fail, while configurations change and hosts are stopped.
+    Failures,
+    /// All of these but roll-outs, relays, links and failures, with few silences.
     Mixed,
 }
 
 impl FaultProfile {
     /// Names of the profiles, as on the command line.
-    pub(crate) const NAMES: [&str; 10] = [
+    pub(crate) const NAMES: [&str; 12] = [
         "quiet", "stops", "changes", "servers", "signals", "store", "silences", "rollouts",
-        "relays", "mixed",
+        "relays", "links", "failures", "mixed",
     ];
 
     /// Returns the profile with a name; `Mixed` for unknown names.
@@ -47,6 +52,8 @@
             "silences" => Self::Silences,
             "rollouts" => Self::Rollouts,
             "relays" => Self::Relays,
+            "links" => Self::Links,
+            "failures" => Self::Failures,
             _ => Self::Mixed,
         }
     }
@@ -60,6 +67,7 @@
                 | Self::Silences
                 | Self::Rollouts
                 | Self::Relays
+                | Self::Failures
                 | Self::Mixed
         )
     }
@@ -68,7 +76,12 @@
     pub(crate) fn changes_configuration(self) -> bool {
         matches!(
             self,
-            Self::Changes | Self::Store | Self::Silences | Self::Mixed
+            Self::Changes
+                | Self::Store
+                | Self::Silences
+                | Self::Links
+                | Self::Failures
+                | Self::Mixed
         )
     }
 
@@ -96,6 +109,7 @@
     pub(crate) fn pacing(self) -> RunPacing {
         match self {
             Self::Silences | Self::Rollouts | Self::Relays => draw_silent_pace,
+            Self::Failures => draw_failing_pace,
             _ => draw_pace,
         }
     }
@@ -105,6 +119,11 @@
         self == Self::Store
     }
 
+    /// Returns whether links fail.
+    pub(crate) fn fails_links(self) -> bool {
+        self == Self::Links
+    }
+
     /// Returns whether hosts get signals without a plan.
     pub(crate) fn signals_hosts(self) -> bool {
         matches!(self, Self::Signals | Self::Mixed)
--- a/soak/src/rule_break.rs
+++ b/soak/src/rule_break.rs
@@ -12,7 +12,7 @@
 }
 
 /// Names of the rules that are checked.
-pub(crate) const RULES: [&str; 11] = [
+pub(crate) const RULES: [&str; 12] = [
     "LOST", "TWICE", "REFUSED", "MIXED", "ORDER", "UNASKED", "ROUTE", "DRAIN", "CONFIG", "BUDGET",
-    "ENDS",
+    "RECOVER", "ENDS",
 ];
--- a/soak/src/server_pool.rs
+++ b/soak/src/server_pool.rs
@@ -1,6 +1,7 @@
 //! The servers of a run, also those that have left.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
@@ -46,6 +47,8 @@
     pub(crate) version: String,
     /// What the server ran.
     pub(crate) run: Option<ServedRun>,
+    /// Course that the run takes unless it is cancelled.
+    pub(crate) pace: Option<RunPace>,
 }
 
 /// A server that is to be started.
@@ -165,6 +168,12 @@
             .clone()
     }
 
+    /// Returns the addresses of all servers that were started.
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+        let servers = self.servers();
+        servers.iter().map(|server| server.address()).collect()
+    }
+
     /// Returns the visits of each request, in order of time.
     pub(crate) fn visits(&self) -> BTreeMap<String, Vec<ServerVisit>> {
         let mut visits: BTreeMap<String, Vec<ServerVisit>> = BTreeMap::new();
@@ -190,6 +199,7 @@
                     service: text("service"),
                     version: text("version"),
                     run: run.cloned(),
+                    pace: run.map(|run| run.pace),
                 };
                 visits
                     .entry(arrival.request.clone())
--- a/soak/src/soak_record.rs
+++ b/soak/src/soak_record.rs
@@ -71,6 +71,11 @@
         written.map(|(_, plan)| plan)
     }
 
+    /// Returns the indices of all hosts.
+    pub(crate) fn hosts(&self) -> impl Iterator<Item = usize> + use<> {
+        0..self.host_names.len()
+    }
+
     /// Returns the faults of a host.
     pub(crate) fn faults_of(&self, host: usize) -> impl Iterator<Item = &FaultEvent> {
         self.faults
@@ -115,7 +120,7 @@
     }
 
     /// Returns the unplanned faults from `CONTACT` before a request to its end.
-    fn impairments(&self, trace: &RequestTrace) -> impl Iterator<Item = &FaultEvent> {
+    pub(crate) fn impairments(&self, trace: &RequestTrace) -> impl Iterator<Item = &FaultEvent> {
         self.faults.iter().filter(|event| {
             let is_over = trace.sent.duration_since(event.at) > CONTACT;
             let lasts = self.end_of(event) + CONTACT > trace.sent;
@@ -170,7 +175,9 @@
         }
         for visit in self.visits(&trace.id) {
             let what = if visit.ran { "runs it" } else { "rejects it" };
-            lines.push((visit.at, format!("{} {what}", visit.server)));
+            let failure = visit.pace.and_then(|pace| pace.failure);
+            let failure = failure.map_or(String::new(), |failure| format!(", fails: {failure:?}"));
+            lines.push((visit.at, format!("{} {what}{failure}", visit.server)));
             if let Some(at) = visit.ended {
                 let how = match (visit.broke_off, visit.was_cancelled) {
                     (true, _) => "breaks off",
--- a/soak/tests/short_run.rs
+++ b/soak/tests/short_run.rs
@@ -75,3 +75,15 @@
 fn hosts_without_a_path_lose_no_request() {
     play("relays", "7", "20");
 }
+
+// Guards against responses that are mixed up or cut when servers are late and the next ones fail.
+#[test]
+fn servers_that_fail_in_turn_break_no_rule() {
+    play("failures", "7", "15");
+}
+
+// Guards against requests that fail at hosts without a path to the servers, though other hosts have one.
+#[test]
+fn links_that_fail_break_no_rule() {
+    play("links", "7", "15");
+}
