--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -1,5 +1,7 @@
 //! Runs one admitted request: attempts, retries, model cascades and the response to the caller.
 
+mod attempt_plan;
+mod attempt_start;
 mod feedback;
 mod live_attempts;
 mod relay;
@@ -32,11 +34,10 @@
 use crate::transport::exchange_failure::ExchangeFailure;
 use crate::transport::gateway_context::{GatewayContext, stable_hash};
 use crate::transport::request_admission::{Admission, BufferedBody};
+use crate::transport::request_exchange::attempt_plan::LeftServer;
 use crate::transport::request_exchange::live_attempts::LiveAttempt;
 use crate::transport::request_exchange::relay::RelayAnswer;
-use crate::transport::request_exchange::server_attempts::{
-    EndedAttempt, ExchangeOutcome, LeftServer,
-};
+use crate::transport::request_exchange::server_attempts::{EndedAttempt, ExchangeOutcome};
 use crate::transport::response_body::ResponseBody;
 use crate::transport::stream_relay::StreamRelay;
 
--- a/gateway/src/transport/request_exchange/server_attempts.rs
+++ b/gateway/src/transport/request_exchange/server_attempts.rs
@@ -4,43 +4,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use galenamast::state::TimePoint;
-use http::{HeaderValue, Request, header};
-use http_body_util::Full;
 
-use crate::coordination::budgets::RetryPurpose;
-use crate::coordination::placement::ServerPick;
 use crate::coordination::requests::{
     AttemptOutcome, ExchangeState, ExchangeStep, FinalAnswer, NextServers, exchange_step,
 };
-use crate::protocol::strip_connection_headers;
-use crate::state::{AttemptHead, CrashSuspect, RouteKind, ServerEntry};
-use crate::transport::attempt_runner::{
-    AttemptEnd, AttemptRequest, SettledResponse, StreamHead, remaining_time,
-};
+use crate::state::{CrashSuspect, ServerEntry};
+use crate::transport::attempt_runner::{AttemptEnd, SettledResponse, StreamHead};
 use crate::transport::event_intake::EventIntake;
 use crate::transport::exchange_failure::ExchangeFailure;
 use crate::transport::gateway_context::GatewayContext;
+use crate::transport::request_exchange::RequestExchange;
+use crate::transport::request_exchange::attempt_plan::{LeftServer, PlannedStep};
 use crate::transport::request_exchange::live_attempts::{
-    AttemptEvent, HANDOVER_TIME, LiveAttempt, LiveAttempts, ResponseTimes,
+    AttemptEvent, HANDOVER_TIME, LiveAttempt, LiveAttempts,
 };
-use crate::transport::request_exchange::{MIN_ATTEMPT_TIME, RequestExchange};
-use crate::transport::send_permit::SendPermit;
-use crate::transport::stream_relay::stall_timeout;
-
-/// A server that was left while it could still have responded, so that it may be asked again.
-#[derive(Debug)]
-pub(super) struct LeftServer {
-    /// Identifier of the server.
-    pub(super) server: Arc<str>,
-    /// Model that it ran the request on.
-    pub(super) model: Option<Arc<str>>,
-    /// When its earlier response is no longer kept.
-    pub(super) free_at: TimePoint,
-    /// Whether its answer was dropped for that of a larger model, so that another one counts as a run.
-    pub(super) is_doubted: bool,
-}
 
 /// An attempt that ended without a response and is not logged yet, since the next step is not known.
 #[derive(Debug)]
@@ -59,18 +37,6 @@
     Doubted(Box<LiveAttempt>, StreamHead, Arc<str>),
 }
 
-/// The next step of a request, with the server that it is sent to.
-enum PlannedStep {
-    /// Send the request to the server, which had it before if `is_return`.
-    Send {
-        pick: Box<ServerPick>,
-        model: Option<Arc<str>>,
-        is_return: bool,
-    },
-    Wait,
-    End(ExchangeFailure),
-}
-
 impl RequestExchange {
     /// Makes attempts until one yields a response to deliver. It continues the stream of `resumed`, if there
     /// is one.
@@ -141,258 +107,6 @@
         }
     }
 
-    /// Returns the next step of the request. Takes a retry from the budget if one is needed.
-    fn plan(&mut self, live: &LiveAttempts) -> PlannedStep {
-        let state = ExchangeState {
-            returned: live.returned(),
-            has_waited: live.has_waited(self.context.now()),
-            ..self.state(live.count(), live.in_time())
-        };
-        let tried: Vec<_> = self.tried.iter().cloned().chain(live.servers()).collect();
-        let (mut step, mut denied) = self.choose(&state, &tried);
-        if let PlannedStep::Send { .. } = step {
-            let now = self.context.now();
-            let refusal = self.context.crashes().refusal(&self.suspect, now);
-            if let Some(refusal) = refusal {
-                denied = Some("crashes");
-                step = match live.is_empty() {
-                    true => PlannedStep::End(ExchangeFailure::Quarantined(refusal)),
-                    false => PlannedStep::Wait,
-                };
-            }
-        }
-        let (next, denied) = match &step {
-            PlannedStep::Send { .. } => ("another server", None),
-            PlannedStep::Wait => ("wait", denied),
-            PlannedStep::End(_) => ("answer", denied),
-        };
-        self.log_ended(next, denied);
-        step
-    }
-
-    /// Returns the state of the attempts, some of which are `in_progress` and of these some `in_time`.
-    pub(super) fn state(&self, in_progress: u32, in_time: u32) -> ExchangeState {
-        ExchangeState {
-            tally: self.tally,
-            limits: self.limits(),
-            in_progress,
-            in_time,
-            returned: 0,
-            has_waited: false,
-            latest: self.latest,
-            has_failure: self.last_failure.is_some(),
-            has_time: remaining_time(&self.context, self.deadline) >= MIN_ATTEMPT_TIME,
-        }
-    }
-
-    /// Chooses the next step and its server, which is not among those `tried`. Returns also why no other
-    /// attempt is made.
-    fn choose(
-        &mut self,
-        state: &ExchangeState,
-        tried: &[Arc<str>],
-    ) -> (PlannedStep, Option<&'static str>) {
-        let mut servers = NextServers {
-            untried: true,
-            left: true,
-            in_budget: true,
-        };
-        let mut denied = match state.limits.retryable {
-            true => "attempts",
-            false => "repeat",
-        };
-        loop {
-            let (pick, is_retry) = match exchange_step(state, servers) {
-                ExchangeStep::Ask { .. } if state.in_progress == 0 && self.needs_other_host() => {
-                    return (PlannedStep::End(ExchangeFailure::NoPath), Some("path"));
-                }
-                ExchangeStep::Ask { is_retry } => {
-                    let pick = self.find_server(tried);
-                    (pick.map(|pick| (pick, self.model.clone(), false)), is_retry)
-                }
-                ExchangeStep::Return => {
-                    let pick = self.pick_left(state.in_progress);
-                    if pick.is_none() {
-                        servers.left = false;
-                        continue;
-                    }
-                    (pick.map(|(pick, model)| (pick, model, true)), true)
-                }
-                ExchangeStep::Wait => return (PlannedStep::Wait, Some(denied)),
-                ExchangeStep::End(end) => {
-                    if !servers.untried {
-                        self.log_denials();
-                    }
-                    return (PlannedStep::End(self.failure(end)), Some(denied));
-                }
-            };
-            let Some((pick, model, is_return)) = pick else {
-                (servers.untried, denied) = (false, "servers");
-                continue;
-            };
-            self.earliest_start = Some(pick.earliest_start);
-            if state.in_progress == 0 && self.is_overloaded(&pick) {
-                return (PlannedStep::End(ExchangeFailure::Overloaded), None);
-            }
-            if is_retry && !self.take_grant() {
-                denied = "budget";
-                servers.in_budget = false;
-                continue;
-            }
-            let step = PlannedStep::Send {
-                pick: Box::new(pick),
-                model,
-                is_return,
-            };
-            return (step, None);
-        }
-    }
-
-    /// Takes a retry from the budget, unless one was taken that no request was sent for.
-    pub(super) fn take_grant(&mut self) -> bool {
-        self.has_grant = self.has_grant
-            || self
-                .context
-                .take_retry(&self.service, RetryPurpose::Failure);
-        self.has_grant
-    }
-
-    /// Takes a retry in place of the response of a server that is being read. Returns false if the route,
-    /// the retry budget or the state of the other servers does not allow it.
-    pub(crate) fn take_replacement(&mut self, server: &Arc<str>) -> bool {
-        let mut tried = self.tried.clone();
-        tried.push(server.clone());
-        let state = self.state(1, 0);
-        matches!(self.choose(&state, &tried), (PlannedStep::Send { .. }, _))
-    }
-
-    /// Picks a server that was left and whose earlier response is not kept any more, the latest one first.
-    fn pick_left(&mut self, in_progress: u32) -> Option<(ServerPick, Option<Arc<str>>)> {
-        let now = self.context.now();
-        let may_run_more = self.tally.runs + in_progress < self.attempts;
-        let may_return =
-            |left: &&LeftServer| left.free_at <= now && (may_run_more || !left.is_doubted);
-        let left = self.left.iter().rev().filter(may_return);
-        let left: Vec<_> = left
-            .map(|left| (left.server.clone(), left.model.clone()))
-            .collect();
-        let model = self.model.clone();
-        let mut picked = None;
-        for (server, left_model) in left {
-            let others: Vec<_> = {
-                let servers = self.context.servers();
-                let serving = servers.serving(&self.service, now).into_iter();
-                let ids = serving.map(|entry| entry.id.clone());
-                ids.filter(|id| *id != server).collect()
-            };
-            self.model.clone_from(&left_model);
-            if let Some(pick) = self.find_server(&others) {
-                picked = Some((pick, left_model));
-                break;
-            }
-        }
-        self.model = model;
-        picked
-    }
-
-    /// Records that the request is sent once more to a server that was left. Returns whether the tally
-    /// counts the run already.
-    fn return_to(&mut self, server: &ServerEntry) -> bool {
-        self.context.metrics.increment("servers_asked_again_total");
-        let is_returned = |left: &&LeftServer| left.server == server.id && left.model == self.model;
-        let is_doubted = self
-            .left
-            .iter()
-            .find(is_returned)
-            .is_some_and(|left| left.is_doubted);
-        self.keeps_model |= is_doubted;
-        self.left.retain(|left| left.server != server.id);
-        self.tried.retain(|tried| *tried != server.id);
-        !is_doubted
-    }
-
-    /// Returns the outcome for the caller if no further attempt is made.
-    pub(super) fn failure(&mut self, end: FinalAnswer) -> ExchangeFailure {
-        let failure = self.last_failure.take();
-        match (end, failure) {
-            (FinalAnswer::ServerFailure, Some(failure)) => ExchangeFailure::ServerResponse(failure),
-            (end, _) => ExchangeFailure::HostResponse(end),
-        }
-    }
-
-    /// Starts an attempt at the server that was picked, beside those in progress.
-    fn start_attempt(
-        &mut self,
-        pick: &ServerPick,
-        is_return: bool,
-        resumed: Option<&EventIntake>,
-        live: &mut LiveAttempts,
-    ) {
-        let Ok(permit) = SendPermit::take(&self.context, &pick.server) else {
-            // The choice and the permit must agree; if they ever do not, the next choice leaves the
-            // server out, so that the attempts end.
-            self.context.metrics.increment("permits_denied_total");
-            self.tried.push(pick.server.id.clone());
-            self.left.retain(|left| left.server != pick.server.id);
-            return;
-        };
-        self.replace_late(live);
-        self.record_pick(pick);
-        let server = &pick.server;
-        let is_return = is_return && self.return_to(server);
-        self.number += 1;
-        self.asked.push(server.id.clone());
-        self.log_choice(pick);
-        self.record_session(server);
-        self.record_read(server);
-        let remaining = remaining_time(&self.context, self.deadline);
-        let times = self.response_times(&server.id);
-        let is_last = live.count() + self.tally.runs + 1 >= self.attempts;
-        let connect_timeout = match self.route.is_retryable() && !is_last {
-            true => times.head.min(remaining),
-            false => remaining,
-        };
-        let settings = &self.context.settings;
-        let longest = settings.liveness.connect_timeout(remaining);
-        let call = AttemptRequest {
-            server: server.clone(),
-            number: self.number,
-            request: self.server_request(server, resumed, remaining),
-            identifier: self.request.clone(),
-            needs_new_connection: self.needs_new_connection(&server.id),
-            connect_timeout: connect_timeout.min(longest).min(settings.connect_timeout),
-            work: pick.work,
-            permit,
-            intake: (self.route.kind == RouteKind::Stream)
-                .then(|| resumed.cloned().unwrap_or_else(|| self.new_intake())),
-        };
-        let mut attempt = LiveAttempt::start(&self.context, call, times, remaining);
-        attempt.is_return = is_return;
-        attempt.model.clone_from(&self.model);
-        attempt.has_grant = std::mem::take(&mut self.has_grant);
-        live.push(attempt);
-        self.is_attempting = true;
-    }
-
-    /// Records that another server is asked in place of the latest attempt, if that is late.
-    fn replace_late(&mut self, live: &mut LiveAttempts) {
-        let Some(latest) = live.latest_mut() else {
-            return;
-        };
-        let Some(outcome) = latest.late_outcome().filter(|_| !latest.is_replaced) else {
-            return;
-        };
-        latest.replace();
-        if outcome == AttemptOutcome::Lost {
-            self.context.metrics.increment("attempts_ended_lost_total");
-        }
-        self.doubts_connections |= outcome.doubts_connections();
-        self.record_late(&latest.server, outcome);
-        let latency = self.context.now().since(latest.started_at);
-        let (server, number) = (latest.server.clone(), latest.number);
-        self.log_attempt(&server, number, outcome, latency, "another server", None);
-    }
-
     /// Leaves the server of a replaced attempt, since another one has the request. It may be asked again if
     /// that one fails.
     fn leave(&mut self, attempt: &LiveAttempt) {
@@ -571,64 +285,6 @@
                 || crashes.is_request_refused(&self.suspect, now)
         })
     }
-
-    /// Returns whether the request generates a response on an engine, two of which may not work on it.
-    fn is_generated(&self) -> bool {
-        self.route.kind == RouteKind::Stream || self.head.prompt_tokens > 0
-    }
-
-    /// Returns the time that the parts of a server's response may take.
-    fn response_times(&self, server: &str) -> ResponseTimes {
-        // A route may state a goal of zero.
-        let head = self.head_timeout(server).max(MIN_ATTEMPT_TIME);
-        let rest = match self.route.kind {
-            RouteKind::Stream => stall_timeout(&self.route),
-            RouteKind::Safe | RouteKind::Unsafe => head,
-        };
-        ResponseTimes {
-            head,
-            rest,
-            first_byte: self.expected_first_byte(),
-        }
-    }
-
-    /// Returns the intake of a stream that begins.
-    pub(crate) fn new_intake(&self) -> EventIntake {
-        EventIntake::new(self.head.resume_after, self.route.resumable)
-    }
-
-    /// Builds the request for a server; `None` if its host or path cannot be encoded.
-    fn server_request(
-        &self,
-        server: &ServerEntry,
-        resumed: Option<&EventIntake>,
-        time_left: Duration,
-    ) -> Option<Request<Full<Bytes>>> {
-        let head = AttemptHead {
-            server: server.id.clone(),
-            time_left,
-            workspace: self.workspace.clone(),
-            model: self.model.clone(),
-            urgency: Some(self.urgency).filter(|_| self.route.kind == RouteKind::Stream),
-            resume_after: resumed.and_then(|intake| intake.order().last_id()),
-        };
-        let mut headers = self.parts.headers.clone();
-        strip_connection_headers(&mut headers);
-        headers.remove(header::CONTENT_LENGTH);
-        headers.remove(header::EXPECT);
-        (self.context.format.write_attempt)(&mut headers, &head);
-        if !headers.contains_key(header::HOST) {
-            let host = HeaderValue::from_str(&server.address.to_string()).ok()?;
-            headers.insert(header::HOST, host);
-        }
-        let path = self.parts.uri.path_and_query();
-        let path = path.map_or("/", |path| path.as_str());
-        let mut request = Request::new(Full::new(self.body.bytes.clone()));
-        *request.method_mut() = self.parts.method.clone();
-        *request.uri_mut() = path.parse().ok()?;
-        *request.headers_mut() = headers;
-        Some(request)
-    }
 }
 
 /// Waits until a part of a prompt that was sent at `sent_at` is refused.
