--- a/gateway/src/transport/request_exchange/mod.rs
+++ b/gateway/src/transport/request_exchange/mod.rs
@@ -1,5 +1,7 @@
 //! Runs one admitted request: attempts, retries, model cascades and the response to the caller.
 
+mod attempt_plan;
+mod attempt_start;
 mod feedback;
 mod live_attempts;
 mod relay;
@@ -7,6 +9,7 @@
 mod request_log;
 mod server_attempts;
 mod server_choice;
+mod stream_source;
 
 use std::pin::pin;
 use std::sync::Arc;
@@ -24,23 +27,23 @@
 use crate::protocol::{mark_unserved, take_relay_attempts};
 use crate::state::{CallerHead, ConfigSnapshot, CrashSuspect, ServiceRoute};
 use crate::transport::attempt_runner::{
-    CompleteResponse, OpenResponse, ReportedConfidence, SettledResponse, remaining_time,
+    CompleteResponse, OpenResponse, SettledResponse, StreamHead, remaining_time,
 };
 use crate::transport::crash_reports::record_answer;
 use crate::transport::event_intake::EventIntake;
 use crate::transport::exchange_failure::ExchangeFailure;
 use crate::transport::gateway_context::{GatewayContext, stable_hash};
 use crate::transport::request_admission::{Admission, BufferedBody};
+use crate::transport::request_exchange::attempt_plan::LeftServer;
 use crate::transport::request_exchange::live_attempts::LiveAttempt;
 use crate::transport::request_exchange::relay::RelayAnswer;
-use crate::transport::request_exchange::relayed_stream::RelayedStream;
-use crate::transport::request_exchange::server_attempts::{
-    EndedAttempt, ExchangeOutcome, LeftServer,
-};
+use crate::transport::request_exchange::server_attempts::{EndedAttempt, ExchangeOutcome};
 use crate::transport::response_body::ResponseBody;
 use crate::transport::stream_relay::StreamRelay;
 
 pub(crate) use live_attempts::HANDOVER_TIME;
+pub(crate) use relayed_stream::{RelayedResponse, RelayedStream};
+pub(crate) use stream_source::StreamSource;
 
 /// Largest number of attempts of one request, whether or not a server runs it.
 const MAX_ATTEMPTS: u32 = 6;
@@ -126,6 +129,8 @@
     tried: Vec<Arc<str>>,
     // Servers that attempts were made at.
     asked: Vec<Arc<str>>,
+    // Servers that stated that the request did not run.
+    rejected_by: Vec<Arc<str>>,
     model: Option<Arc<str>>,
     version: Option<Arc<str>>,
     last_failure: Option<CompleteResponse>,
@@ -201,6 +206,7 @@
             is_relayed: head.relayed,
             tried: Vec::new(),
             asked: Vec::new(),
+            rejected_by: Vec::new(),
             version: None,
             last_failure: None,
             head_latency: None,
@@ -262,11 +268,11 @@
             SettledResponse::Whole(whole) => ExchangeAnswer::Whole(whole.response),
         });
         match answered {
-            Err(end) if self.needs_relay(&end) => {
-                let outcome = if self.tally.arrivals > 0 {
-                    AttemptOutcome::Rejected
-                } else {
-                    AttemptOutcome::NotSent
+            Err(end) if self.needs_relay(&end) || self.may_go_on_elsewhere(&end).await => {
+                let outcome = match self.latest {
+                    Some(latest) if self.tally.runs > 0 => latest,
+                    _ if self.tally.arrivals > 0 => AttemptOutcome::Rejected,
+                    _ => AttemptOutcome::NotSent,
                 };
                 self.is_attempting = true;
                 let relayed = self.relay(outcome, None).await;
@@ -337,7 +343,7 @@
     }
 
     /// Records that a model's response is dropped for that of a larger one.
-    fn note_doubted(&mut self, attempt: &LiveAttempt, report: ReportedConfidence) {
+    fn note_doubted(&mut self, attempt: &LiveAttempt, report: StreamHead) {
         self.is_attempting = false;
         // The retry that the larger model is asked with was taken from the budget.
         self.has_grant = true;
--- a/soak/src/fault_profile.rs
+++ b/soak/src/fault_profile.rs
@@ -1,5 +1,6 @@
 //! Which faults a run plays.
 
+use crate::failure_pacing::draw_failing_pace;
 use crate::run_pacing::{draw_pace, draw_silent_pace};
 use crate::server_pool::RunPacing;
 
@@ -20,14 +21,23 @@
     Store,
     /// Servers often fall silent, while configurations change and hosts are stopped.
     Silences,
-    /// All of these, with few silences.
+    /// Versions are rolled out and configurations move routes and keys, while hosts are stopped.
+    Rollouts,
+    /// Some hosts pass their requests on to others, while configurations change and hosts are stopped.
+    Relays,
+    /// Links of hosts fail, and hosts are partitioned from all servers, while configurations change.
+    Links,
+    /// Servers are often late and often fail, while configurations change and hosts are stopped.
+    Failures,
+    /// All of these but roll-outs, relays, links and failures, with few silences.
     Mixed,
 }
 
 impl FaultProfile {
     /// Names of the profiles, as on the command line.
-    pub(crate) const NAMES: [&str; 8] = [
-        "quiet", "stops", "changes", "servers", "signals", "store", "silences", "mixed",
+    pub(crate) const NAMES: [&str; 12] = [
+        "quiet", "stops", "changes", "servers", "signals", "store", "silences", "rollouts",
+        "relays", "links", "failures", "mixed",
     ];
 
     /// Returns the profile with a name; `Mixed` for unknown names.
@@ -40,6 +50,10 @@
             "signals" => Self::Signals,
             "store" => Self::Store,
             "silences" => Self::Silences,
+            "rollouts" => Self::Rollouts,
+            "relays" => Self::Relays,
+            "links" => Self::Links,
+            "failures" => Self::Failures,
             _ => Self::Mixed,
         }
     }
@@ -48,7 +62,13 @@
     pub(crate) fn stops_hosts(self) -> bool {
         matches!(
             self,
-            Self::Stops | Self::Store | Self::Silences | Self::Mixed
+            Self::Stops
+                | Self::Store
+                | Self::Silences
+                | Self::Rollouts
+                | Self::Relays
+                | Self::Failures
+                | Self::Mixed
         )
     }
 
@@ -56,7 +76,12 @@
     pub(crate) fn changes_configuration(self) -> bool {
         matches!(
             self,
-            Self::Changes | Self::Store | Self::Silences | Self::Mixed
+            Self::Changes
+                | Self::Store
+                | Self::Silences
+                | Self::Links
+                | Self::Failures
+                | Self::Mixed
         )
     }
 
@@ -65,10 +90,26 @@
         matches!(self, Self::Servers | Self::Mixed)
     }
 
+    /// Returns whether versions are rolled out.
+    pub(crate) fn rolls_out(self) -> bool {
+        self == Self::Rollouts
+    }
+
+    /// Returns whether configurations move routes and keys.
+    pub(crate) fn moves_routes(self) -> bool {
+        matches!(self, Self::Rollouts | Self::Relays)
+    }
+
+    /// Returns whether every third host has no path to any server.
+    pub(crate) fn strands_hosts(self) -> bool {
+        self == Self::Relays
+    }
+
     /// Returns the course of the servers' runs.
     pub(crate) fn pacing(self) -> RunPacing {
         match self {
-            Self::Silences => draw_silent_pace,
+            Self::Silences | Self::Rollouts | Self::Relays => draw_silent_pace,
+            Self::Failures => draw_failing_pace,
             _ => draw_pace,
         }
     }
@@ -78,6 +119,11 @@
         self == Self::Store
     }
 
+    /// Returns whether links fail.
+    pub(crate) fn fails_links(self) -> bool {
+        self == Self::Links
+    }
+
     /// Returns whether hosts get signals without a plan.
     pub(crate) fn signals_hosts(self) -> bool {
         matches!(self, Self::Signals | Self::Mixed)
--- a/soak/src/host_process.rs
+++ b/soak/src/host_process.rs
@@ -30,6 +30,8 @@
     pub(crate) zone: String,
     /// Address for callers.
     pub(crate) front: SocketAddr,
+    /// Address of its store.
+    pub(crate) store: SocketAddr,
     ready: SocketAddr,
     program: PathBuf,
     settings: PathBuf,
@@ -75,6 +77,7 @@
             name: name.to_owned(),
             zone: zone.to_owned(),
             front,
+            store,
             ready,
             program: program.to_owned(),
             settings: path,
@@ -162,7 +165,7 @@
 
 /// Returns a loopback address whose port is free for TCP and UDP. Runs at the same time draw from different
 /// ports, as those of a host that is down are free for a while.
-fn free_address(ports: &mut BTreeSet<u16>) -> SocketAddr {
+pub(crate) fn free_address(ports: &mut BTreeSet<u16>) -> SocketAddr {
     let slices = (PORTS.end - PORTS.start) / SLICE_PORTS;
     let slice = u16::try_from(std::process::id() % u32::from(slices)).unwrap_or(0);
     loop {
--- a/soak/src/soak_report.rs
+++ b/soak/src/soak_report.rs
@@ -5,7 +5,10 @@
 
 use crate::attempt_end::AttemptEnd;
 use crate::budget_rule;
+use crate::late_servers::LateServers;
 use crate::lost_rule;
+use crate::recover_rule;
+use crate::request_rules;
 use crate::rule_break::{RULES, RuleBreak};
 use crate::run_rules;
 use crate::soak_options::SoakOptions;
@@ -27,7 +30,9 @@
     pub(crate) fn new(record: &SoakRecord, options: &SoakOptions) -> Self {
         let mut breaks = lost_rule::check(record);
         breaks.extend(run_rules::check(record));
+        breaks.extend(request_rules::check(record));
         breaks.extend(budget_rule::check(record));
+        breaks.extend(recover_rule::check(record));
         Self {
             summary: summarize(record, &breaks, options),
             details: detail(record, &breaks),
@@ -51,6 +56,16 @@
     for (key, count) in counts {
         let _ = writeln!(text, "{count:7} {key}");
     }
+    let late = LateServers::count(record);
+    let _ = writeln!(
+        text,
+        "late servers given up: {} of {} that were replaced",
+        late.failed.len(),
+        late.replaced
+    );
+    if let Some(tries) = recover_rule::describe(record) {
+        let _ = writeln!(text, "{tries}");
+    }
     for rule in RULES {
         let count = breaks.iter().filter(|found| found.rule == rule).count();
         let verdict = if count == 0 {
@@ -73,6 +88,10 @@
             text.push_str(&record.story(&record.traces[index]));
         }
     }
+    for index in LateServers::count(record).failed {
+        text.push_str("late server given up:\n");
+        text.push_str(&record.story(&record.traces[index]));
+    }
     for (index, trace) in record.traces.iter().enumerate() {
         let is_told = breaks.iter().any(|found| found.trace == Some(index));
         if trace.end.is_cut() && !is_told {
--- a/soak/tests/short_run.rs
+++ b/soak/tests/short_run.rs
@@ -61,3 +61,29 @@
 fn store_faults_break_no_rule() {
     play("store", "7", "15");
 }
+
+// Guards against requests that are lost, or run by the wrong service, version or tenant, while versions are
+// rolled out and configurations move routes and keys.
+#[test]
+fn versions_and_routes_that_change_break_no_rule() {
+    play("rollouts", "7", "20");
+}
+
+// Guards against cutting requests that one host passes on to another, while hosts are stopped and
+// configurations change.
+#[test]
+fn hosts_without_a_path_lose_no_request() {
+    play("relays", "7", "20");
+}
+
+// Guards against responses that are mixed up or cut when servers are late and the next ones fail.
+#[test]
+fn servers_that_fail_in_turn_break_no_rule() {
+    play("failures", "7", "15");
+}
+
+// Guards against requests that fail at hosts without a path to the servers, though other hosts have one.
+#[test]
+fn links_that_fail_break_no_rule() {
+    play("links", "7", "15");
+}
