--- a/gateway/src/transport/request_exchange/attempt_plan.rs
+++ b/gateway/src/transport/request_exchange/attempt_plan.rs
@@ -1,4 +1,6 @@
 //! Chooses the next step of a request and the server that it is sent to.
+//!
+//! Load pattern: servers that fail after a late one was replaced, while retries are limited.
 
 use std::sync::Arc;
 
--- a/gateway/src/transport/request_exchange/live_attempts.rs
+++ b/gateway/src/transport/request_exchange/live_attempts.rs
@@ -1,4 +1,6 @@
 //! The attempts of one request that are in progress.
+//!
+//! Load pattern: servers that are late or silent for a while, beside others that are asked in their place.
 
 use std::pin::Pin;
 use std::sync::Arc;
