Bound the bytes that arrive without data on connections of the product's own interface

Callers of `serve` would see their requests held until their time limits, and those of others late, by a faulty server: interim heads and zeros in the size of a chunk were read in a loop as long as there were bytes, and the reader of events searched each time from the beginning. Cause: only the data of an answer was bounded; bytes that bring it no further were not. Change: a connection has an allowance of bytes without data, which data earns (BoundedSocket, BoundedBody, BoundedConnector); a connection that always has bytes lets other tasks run; the event reader searches on where it stopped and leaves out blank lines.

--- a/galenamast/src/protocol/sse_reader.rs
+++ b/galenamast/src/protocol/sse_reader.rs
@@ -1,5 +1,7 @@
 //! Incremental reader of server-sent events.
 
+use bytes::BytesMut;
+
 use crate::protocol::protocol_error::ProtocolError;
 
 /// Maximum size of one event, in bytes.
@@ -8,7 +10,11 @@
 /// Splits a byte stream into the data of its events.
 #[derive(Debug, Default)]
 pub struct SseReader {
-    buffer: Vec<u8>,
+    buffer: BytesMut,
+    // Start of the last line, which is not complete.
+    line_start: usize,
+    // Number of bytes that are known to hold no further end of a line.
+    searched: usize,
 }
 
 impl SseReader {
@@ -28,31 +34,35 @@
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<String>, ProtocolError> {
         self.buffer.extend_from_slice(bytes);
         let mut events = Vec::new();
-        while let Some((length, separator_length)) = find_end(&self.buffer) {
-            let rest = self.buffer.split_off(length + separator_length);
-            let block = std::mem::replace(&mut self.buffer, rest);
-            let text = std::str::from_utf8(&block[..length])
-                .map_err(|_| invalid("an event is not UTF-8"))?;
-            if let Some(data) = event_data(text) {
-                events.push(data);
-            }
+        while let Some(block) = self.next_block() {
+            let text = std::str::from_utf8(&block).map_err(|_| invalid("an event is not UTF-8"))?;
+            events.extend(event_data(text));
         }
         if self.buffer.len() > MAX_EVENT_BYTES {
             return Err(invalid("an event is too large"));
         }
         Ok(events)
     }
-}
 
-/// Finds the blank line that ends the first event, and returns its position and length.
-fn find_end(buffer: &[u8]) -> Option<(usize, usize)> {
-    let lf = buffer.windows(2).position(|pair| pair == b"\n\n");
-    let crlf = buffer.windows(4).position(|four| four == b"\r\n\r\n");
-    match (lf, crlf) {
-        (Some(lf), Some(crlf)) if crlf < lf => Some((crlf, 4)),
-        (Some(lf), _) => Some((lf, 2)),
-        (None, Some(crlf)) => Some((crlf, 4)),
-        (None, None) => None,
+    /// Takes the first event with the blank line that ends it; leaves out blank lines before it.
+    fn next_block(&mut self) -> Option<BytesMut> {
+        let mut from = self.searched.max(self.line_start);
+        while let Some(offset) = self.buffer[from..].iter().position(|byte| *byte == b'\n') {
+            let line = &self.buffer[self.line_start..from + offset];
+            let next = from + offset + 1;
+            if !line.is_empty() && line != b"\r" {
+                (self.line_start, from) = (next, next);
+                continue;
+            }
+            let block = self.buffer.split_to(next);
+            let is_event = self.line_start > 0;
+            (self.line_start, self.searched, from) = (0, 0, 0);
+            if is_event {
+                return Some(block);
+            }
+        }
+        self.searched = self.buffer.len();
+        None
     }
 }
 
--- a/galenamast/src/transport/backend_client.rs
+++ b/galenamast/src/transport/backend_client.rs
@@ -5,11 +5,11 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::Incoming;
 
 use crate::coordination::AttemptFailure;
 use crate::protocol::{ChatAnswer, ChatUsage, headers};
 use crate::state::{RequestId, RequestPriority};
+use crate::transport::bounded_body::BoundedBody;
 use crate::transport::http_client::{HttpClient, read_body};
 use crate::transport::transport_error::TransportError;
 
@@ -74,7 +74,7 @@
     ///
     /// Returns `Refused` if the server says that it did not start the request, `Crossed` if the
     /// answer carries the identifier of another request, or how sending failed.
-    pub async fn open(&self, call: &BackendCall) -> Result<Response<Incoming>, AttemptFailure> {
+    pub async fn open(&self, call: &BackendCall) -> Result<Response<BoundedBody>, AttemptFailure> {
         let request = build_request(call).map_err(|_| AttemptFailure::NotSent)?;
         let sent = self.client.send(&call.address, request).await;
         let response = sent.map_err(|error| classify_error(&error))?;
@@ -139,7 +139,7 @@
 /// Reads the complete answer.
 async fn read_reply(
     address: &str,
-    response: Response<Incoming>,
+    response: Response<BoundedBody>,
 ) -> Result<BackendReply, AttemptFailure> {
     let status = response.status();
     let content_type = response.headers().get(http::header::CONTENT_TYPE).cloned();
--- a/galenamast/src/transport/backend_stream.rs
+++ b/galenamast/src/transport/backend_stream.rs
@@ -1,12 +1,14 @@
 //! Reads and checks the streamed answer of a model engine.
 
 use http::{Response, StatusCode};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
 use crate::coordination::{AttemptFailure, StreamChecker, StreamVerdict};
 use crate::protocol::{ChatEvent, ChatUsage, END_MARKER, SseReader, headers};
 use crate::transport::backend_client::{BackendCall, BackendClient};
+use crate::transport::bounded_body::BoundedBody;
+
+/// Greatest number of bytes from one event to the end of the next, which may be one of the greatest size.
+const MAX_FILLER_BYTES: usize = 2 * 1_024 * 1_024;
 
 /// New events from one read of a stream.
 #[derive(Debug, Default)]
@@ -20,10 +22,12 @@
 /// A streamed answer after its head was received.
 #[derive(Debug)]
 pub struct BackendStream {
-    response: Response<Incoming>,
+    response: Response<BoundedBody>,
     reader: SseReader,
     checker: StreamChecker,
     usage: Option<ChatUsage>,
+    // Bytes read since the last event.
+    filler_bytes: usize,
 }
 
 impl BackendStream {
@@ -50,6 +54,7 @@
             reader: SseReader::default(),
             checker: StreamChecker::new(&call.request.to_string(), call.resume_from),
             usage: None,
+            filler_bytes: 0,
         })
     }
 
@@ -61,17 +66,20 @@
     /// to another request, and `Malformed` if it breaks the protocol.
     pub async fn next_part(&mut self) -> Result<StreamPart, AttemptFailure> {
         loop {
-            let frame = self.response.body_mut().frame().await;
-            let Some(Ok(frame)) = frame else {
+            let data = self.response.body_mut().data().await;
+            let Some(Ok(bytes)) = data else {
                 return Err(AttemptFailure::Truncated);
             };
-            let Ok(bytes) = frame.into_data() else {
-                continue;
-            };
             let part = self.read_events(&bytes)?;
             if part.ended || !part.events.is_empty() {
+                self.filler_bytes = 0;
                 return Ok(part);
             }
+            // Without any event these are an incomplete one, which the reader bounds, or filler.
+            self.filler_bytes += bytes.len();
+            if self.filler_bytes > MAX_FILLER_BYTES {
+                return Err(AttemptFailure::Malformed);
+            }
         }
     }
 
@@ -107,7 +115,7 @@
 }
 
 /// Returns the event index at which the server states that it resumed.
-fn resumed_at(response: &Response<Incoming>) -> Option<u64> {
+fn resumed_at(response: &Response<BoundedBody>) -> Option<u64> {
     let value = response.headers().get(headers::RESUME_FROM)?;
     value.to_str().ok()?.parse().ok()
 }
--- a/galenamast/src/transport/caller_server.rs
+++ b/galenamast/src/transport/caller_server.rs
@@ -18,9 +18,11 @@
 use tokio_rustls::TlsAcceptor;
 use tokio_util::sync::CancellationToken;
 
+use crate::coordination::AllowanceSettings;
 use crate::logging::log_fault;
 use crate::protocol::ErrorCode;
 use crate::state::RequestId;
+use crate::transport::bounded_socket::{BoundedSocket, SharedAllowance};
 use crate::transport::caller_chat::{complete_chat, list_models};
 use crate::transport::caller_reply::{error_response, refuse};
 use crate::transport::caller_service::call_service;
@@ -185,6 +187,12 @@
             .timer(TokioTimer::new())
             .max_concurrent_streams(MAX_STREAMS_PER_CONNECTION)
             .max_header_list_size(u32::try_from(callers.max_header_bytes).unwrap_or(u32::MAX));
+        // The time limits end what has no end, provided that other tasks get the processor.
+        let allowance = SharedAllowance::new(AllowanceSettings {
+            max_idle_bytes: u64::MAX,
+            ..AllowanceSettings::default()
+        });
+        let stream = BoundedSocket::new(stream, allowance);
         let stream = CallerStream::new(stream, callers.write_timeout);
         let service = TowerToHyperService::new(routes);
         let connection = builder
--- a/galenamast/src/transport/http_client.rs
+++ b/galenamast/src/transport/http_client.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Method, Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http_body_util::Full;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -13,19 +12,24 @@
 use serde::de::DeserializeOwned;
 
 use crate::protocol::ProtocolError;
+use crate::transport::bounded_body::BoundedBody;
+use crate::transport::bounded_connector::BoundedConnector;
+use crate::transport::bounded_socket::SharedAllowance;
 use crate::transport::transport_error::TransportError;
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Size of a connection's buffer, which bounds the head of an answer, in bytes.
+const BUFFER_BYTES: usize = 8 * 1_024;
 /// Maximum size of a JSON answer, in bytes.
 const MAX_JSON_BYTES: usize = 16 * 1_024 * 1_024;
 
 /// HTTP client with a connection pool per remote address; clones share the pools.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<BoundedConnector, Full<Bytes>>,
 }
 
 impl Default for HttpClient {
@@ -43,10 +47,11 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_timer(TokioTimer::new())
+            .http1_max_buf_size(BUFFER_BYTES)
             // Only retries requests that the library returns unsent because an idle connection was
             // closed before the request was written to it.
             .retry_canceled_requests(true)
-            .build(connector);
+            .build(BoundedConnector::new(connector));
         Self { client }
     }
 
@@ -59,8 +64,8 @@
         &self,
         address: &str,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, TransportError> {
-        self.client.request(request).await.map_err(|error| {
+    ) -> Result<Response<BoundedBody>, TransportError> {
+        let response = self.client.request(request).await.map_err(|error| {
             let address = address.to_owned();
             let reason = error_chain(&error);
             if error.is_connect() {
@@ -68,7 +73,11 @@
             } else {
                 TransportError::Broken { address, reason }
             }
-        })
+        })?;
+        let allowance = response.extensions().get::<SharedAllowance>().cloned();
+        let allowance = allowance.unwrap_or_default();
+        allowance.lock().renew();
+        Ok(response.map(|body| BoundedBody::new(body, allowance)))
     }
 
     /// Sends a JSON request and decodes the JSON answer.
@@ -147,18 +156,23 @@
 /// Returns `Broken` if the body is cut off or too large.
 pub async fn read_body(
     address: &str,
-    response: Response<Incoming>,
+    response: Response<BoundedBody>,
     max_bytes: usize,
 ) -> Result<Bytes, TransportError> {
-    let body = Limited::new(response.into_body(), max_bytes);
-    let collected = body
-        .collect()
-        .await
-        .map_err(|error| TransportError::Broken {
-            address: address.to_owned(),
-            reason: error.to_string(),
-        })?;
-    Ok(collected.to_bytes())
+    let broken = |reason: String| TransportError::Broken {
+        address: address.to_owned(),
+        reason,
+    };
+    let mut body = response.into_body();
+    let mut bytes = BytesMut::new();
+    while let Some(data) = body.data().await {
+        let data = data.map_err(|error| broken(error.to_string()))?;
+        if data.len() > max_bytes - bytes.len() {
+            return Err(broken(format!("the answer exceeds {max_bytes} bytes")));
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(bytes.freeze())
 }
 
 /// Applies a timeout to a call.
--- a/galenamast/src/transport/mod.rs
+++ b/galenamast/src/transport/mod.rs
@@ -4,6 +4,9 @@
 pub mod backend_attempt;
 pub mod backend_client;
 pub mod backend_stream;
+pub mod bounded_body;
+pub mod bounded_connector;
+pub mod bounded_socket;
 pub mod call_counters;
 pub mod caller_admission;
 pub mod caller_channel;
@@ -78,6 +81,8 @@
 pub mod usage_peers;
 
 pub use backend_client::{BackendClient, BackendReply};
+pub use bounded_body::{BodyError, BoundedBody};
+pub use bounded_socket::{BoundedSocket, SharedAllowance};
 pub use call_counters::{CallCounters, CallCounts, CallKind};
 pub use claim_cleaner::ClaimCleaner;
 pub use claim_request::{ClaimRequest, ClaimResolution, ClaimSettings, ClaimTicket, ClaimVerdict};
--- a/galenamast/tests/path/main.rs
+++ b/galenamast/tests/path/main.rs
@@ -5,6 +5,7 @@
 mod bad_input;
 mod billing;
 mod claims;
+mod endless_bytes;
 mod failure_table;
 mod machine_faults;
 mod machine_model;
--- a/galenamast/tests/path/streams.rs
+++ b/galenamast/tests/path/streams.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use galenamast_testbed::Deployment;
-use http_body_util::BodyExt;
 
 use crate::support::{chat, engine_runs, eventually, open_stream, read_stream, start};
 
@@ -124,8 +123,8 @@
         options.answer_tokens = 100_000;
     });
     let mut response = open_stream(&deployment, "boots").await;
-    let frame = response.body_mut().frame().await;
-    assert!(frame.is_some_and(|frame| frame.is_ok()));
+    let data = response.body_mut().data().await;
+    assert!(data.is_some_and(|data| data.is_ok()));
     drop(response);
     eventually("the engine stops the request", || engine.running() == 0).await;
     assert_eq!(engine.cancelled().len(), 1);
@@ -141,8 +140,8 @@
         options.answer_tokens = 100_000;
     });
     let mut response = open_stream(&deployment, "boots").await;
-    let frame = response.body_mut().frame().await;
-    assert!(frame.is_some_and(|frame| frame.is_ok()));
+    let data = response.body_mut().data().await;
+    assert!(data.is_some_and(|data| data.is_ok()));
     engine.kill();
     let read = read_stream(response).await;
     assert!(!read.ended);
--- a/galenamast/tests/path/support.rs
+++ b/galenamast/tests/path/support.rs
@@ -6,12 +6,10 @@
 
 use galenamast::config::Settings;
 use galenamast::event_loop::EntryHost;
-use galenamast::transport::HttpClient;
-use galenamast::transport::http_client::json_request;
+use galenamast::transport::http_client::{json_request, read_body};
+use galenamast::transport::{BoundedBody, HttpClient};
 use galenamast_testbed::{Caller, CallerReply, Deployment, DeploymentOptions};
 use http::{Method, Response, header};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use serde_json::{Value, json};
 
 /// Workspace that the tests call as.
@@ -89,7 +87,7 @@
 }
 
 /// Opens a streamed chat completion.
-pub(crate) async fn open_stream(deployment: &Deployment, content: &str) -> Response<Incoming> {
+pub(crate) async fn open_stream(deployment: &Deployment, content: &str) -> Response<BoundedBody> {
     let address = host_address(deployment).to_string();
     let message = json!({ "role": "user", "content": content });
     let body = json!({ "model": "auto", "stream": true, "messages": [message] });
@@ -111,9 +109,10 @@
 }
 
 /// Reads a stream to its end.
-pub(crate) async fn read_stream(response: Response<Incoming>) -> StreamRead {
-    let collected = with_timeout("the stream ends", response.into_body().collect()).await;
-    let bytes = collected.expect("the connection holds").to_bytes();
+pub(crate) async fn read_stream(response: Response<BoundedBody>) -> StreamRead {
+    let reading = read_body("host", response, usize::MAX);
+    let bytes = with_timeout("the stream ends", reading).await;
+    let bytes = bytes.expect("the connection holds");
     let text = String::from_utf8(bytes.to_vec()).expect("UTF-8");
     let mut read = StreamRead::default();
     for block in text.split("\n\n").filter(|block| !block.is_empty()) {
--- a/testbed/src/caller.rs
+++ b/testbed/src/caller.rs
@@ -3,12 +3,14 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use galenamast::transport::http_client::json_request;
+use galenamast::transport::http_client::{json_request, read_body};
 use galenamast::transport::{HttpClient, TransportError};
 use http::{HeaderName, HeaderValue, Method};
-use http_body_util::BodyExt;
 use serde_json::{Value, json};
 
+/// Largest answer that a caller reads, in bytes.
+const MAX_BODY_BYTES: usize = 64 * 1_024 * 1_024;
+
 /// A caller that authenticates with the key of a workspace.
 #[derive(Clone, Debug)]
 pub struct Caller {
@@ -146,8 +148,8 @@
                 value.to_str().unwrap_or_default().to_owned(),
             );
         }
-        let body = response.into_body().collect().await.ok();
-        let body = body.map(|collected| collected.to_bytes().to_vec());
+        let body = read_body(&address, response, MAX_BODY_BYTES).await.ok();
+        let body = body.map(|bytes| bytes.to_vec());
         Ok(CallerReply {
             status,
             headers,
