Keep blank lines before an event as bytes and not as events

Cause: each pair of newlines became an event, an entry of a hundred bytes for two bytes received. Change: blank lines stay in front of the next event, up to 64 KB; what is allocated can be asked for. Result: blank_lines_are_no_events_and_bounded and a property over what is held, whatever arrives.

--- a/gateway/tests/decisions/events.rs
+++ b/gateway/tests/decisions/events.rs
@@ -1,7 +1,7 @@
 //! Event streams that arrive in chunks of any size.
 
 use galenamast_gateway::coordination::requests::{EventOrder, EventVerdict};
-use galenamast_gateway::protocol::EventSplitter;
+use galenamast_gateway::protocol::{EventSplitter, SplitError};
 use galenamast_gateway::state::EventForm;
 use proptest::prelude::*;
 
@@ -44,6 +44,57 @@
     }
 }
 
+/// Greatest number of bytes that a splitter may allocate: an event of the greatest size and the read that
+/// completes it, in a buffer that has doubled.
+const MAX_HELD: usize = 2 * (1_024 * 1_024 + 64 * 1_024);
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, rng_seed: prop::test_runner::RngSeed::Fixed(4), ..ProptestConfig::default() })]
+    #[test]
+    fn held_bytes_are_bounded_whatever_arrives(
+        pieces in prop::collection::vec(
+            (prop::sample::select(vec!["\n", "\r\n", ":\n\n", "x", "data: x\n", "id: 1\ndata: x\n\n", "\r", "\u{0}"]), 1usize..40_000),
+            1..40,
+        ),
+    ) {
+        let mut splitter = EventSplitter::default();
+        for (piece, count) in pieces {
+            let bytes = piece.repeat(count);
+            for part in bytes.as_bytes().chunks(16 * 1_024) {
+                let pushed = splitter.push(part);
+                prop_assert!(splitter.held_bytes() <= MAX_HELD, "{} bytes", splitter.held_bytes());
+                let Ok(events) = pushed else {
+                    return Ok(());
+                };
+                let bytes: usize = events.iter().map(|event| event.bytes.len()).sum();
+                // Each event has a line of its own, so entries are no more than a third of the bytes.
+                prop_assert!(events.len() * 3 <= bytes);
+            }
+        }
+    }
+}
+
+// Blank lines became events, each with an entry many times its size.
+#[test]
+fn blank_lines_are_no_events_and_bounded() {
+    let mut splitter = EventSplitter::default();
+    let mut pushed = Ok(Vec::new());
+    for _ in 0..32 {
+        pushed = splitter.push(&[b'\n'; 4_096]);
+        assert!(pushed.as_ref().is_ok_and(Vec::is_empty) || pushed.is_err());
+    }
+    assert_eq!(pushed, Err(SplitError::TooBlank));
+}
+
+#[test]
+fn blank_lines_before_and_after_an_event_are_kept() {
+    let mut splitter = EventSplitter::default();
+    let events = splitter.push(b"\n\r\nid: 1\ndata: a\n\n\n").expect("short");
+    assert_eq!(&events[0].bytes[..], b"\n\r\nid: 1\ndata: a\n\n");
+    assert!(!splitter.has_partial());
+    assert_eq!(&splitter.take_rest()[..], b"\n");
+}
+
 #[test]
 fn oversized_event_is_rejected() {
     let mut splitter = EventSplitter::default();
