--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -240,6 +240,15 @@
         #[serde(skip_serializing_if = "Option::is_none")]
         denied: Option<&'static str>,
     },
+    /// The response of a server exceeded a bound and was given up.
+    ResponseUnbounded {
+        /// Identifier of the request.
+        request: Arc<str>,
+        /// Identifier of the server.
+        server: Arc<str>,
+        /// The bound: `framing`, `size`, `first_event`, `event` or `filler`.
+        bound: &'static str,
+    },
     /// A request was read, and its connection closed before the response was complete.
     RequestAbandoned {
         /// Identifier of the request.
--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -6,12 +6,13 @@
 
 use bytes::{Bytes, BytesMut};
 use galenamast::state::TimePoint;
+use galenamast::transport::BoundedBody;
 use http::{HeaderMap, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use http_body_util::Full;
 use tokio::sync::watch;
 
 use crate::coordination::liveness::ProbeResult;
+use crate::coordination::memory::ResponseBound;
 use crate::coordination::requests::{
     AttemptOutcome, HeadStatement, ResponseOrigin, check_statement, promises_not_run,
 };
@@ -19,10 +20,12 @@
 use crate::state::ServerEntry;
 use crate::transport::attempt_guard::AttemptGuard;
 use crate::transport::connection_pool::BackendConnection;
-use crate::transport::counted_body::{BodyCount, CountedBytes, USUAL_RESPONSE_BYTES, read_counted};
+use crate::transport::counted_body::{CountedBytes, add_reported, read_counted};
 use crate::transport::event_intake::EventIntake;
 use crate::transport::gateway_context::GatewayContext;
+use crate::transport::host_memory::{MemoryKind, MemoryShare};
 use crate::transport::response_body::ResponseBody;
+use crate::transport::response_fault::ResponseFault;
 use crate::transport::send_permit::SendPermit;
 use crate::transport::server_demands::record_demand;
 use crate::transport::server_watch::{record_byte, record_connection};
@@ -128,15 +131,17 @@
     pub(crate) headers: HeaderMap,
     /// Decoded head of the response.
     pub(crate) head: AnswerHead,
-    /// Bytes of the body that were read.
-    pub(crate) first: Bytes,
+    // Bytes of the body that were read.
+    first: Bytes,
     /// Body after these bytes.
-    pub(crate) body: Incoming,
+    pub(crate) body: BoundedBody,
     /// Time from sending the request to receiving the head.
     pub(crate) latency: Duration,
     /// When the request was sent.
     pub(crate) sent_at: TimePoint,
     connection: BackendConnection,
+    // Memory for the bytes that were read.
+    share: MemoryShare,
     _guard: AttemptGuard,
 }
 
@@ -155,9 +160,9 @@
     /// Reads the body of a response that is not streamed, and returns the connection to the pool.
     async fn read_to_end(
         self,
-        context: &Arc<GatewayContext>,
+        context: &GatewayContext,
         stage: &watch::Sender<AttemptStage>,
-    ) -> Result<CompleteResponse, AttemptOutcome> {
+    ) -> Result<CompleteResponse, ResponseFault> {
         let server = &self.server;
         let on_bytes = || record_progress(context, server, stage);
         let body = read_counted(context, self.body, on_bytes).await?;
@@ -174,41 +179,51 @@
     /// Reads the body of a stream to the end of the first event that the caller lacks, or to its own end.
     async fn read_first_event(
         &mut self,
-        context: &Arc<GatewayContext>,
+        context: &GatewayContext,
         mut intake: EventIntake,
         stage: &watch::Sender<AttemptStage>,
-    ) -> Result<(), AttemptOutcome> {
+    ) -> Result<(), ResponseFault> {
         intake.begin_response();
-        let mut count = BodyCount::new(context);
         let mut first = BytesMut::new();
+        let mut holds_events = false;
         while !intake.has_event() {
-            let frame = match self.body.frame().await {
-                Some(frame) => frame.map_err(|_| AttemptOutcome::Broken)?,
+            let data = match self.body.data().await {
+                Some(data) => data?,
                 None if intake.finish() => break,
-                None => return Err(AttemptOutcome::Broken),
-            };
-            let Ok(data) = frame.into_data() else {
-                continue;
+                None => return Err(ResponseFault::Broken),
             };
             record_byte(context, &self.server);
+            let on_wait = || record_progress(context, &self.server, stage);
+            add_reported(&mut self.share, data.len(), on_wait).await;
             let taken = intake.push(&data);
-            if taken.blocks > 0 {
+            if taken.events > 0 {
                 record_progress(context, &self.server, stage);
             }
             first.extend_from_slice(&data);
-            let has_room = count.add(data.len()) || first.len() <= USUAL_RESPONSE_BYTES;
-            if taken.is_garbled || !has_room || first.len() > MAX_FIRST_BYTES {
-                return Err(AttemptOutcome::Garbled);
+            if let Some(fault) = taken.fault {
+                return Err(fault);
+            }
+            if first.len() > MAX_FIRST_BYTES {
+                return Err(ResponseFault::Bounded(ResponseBound::FirstEvent));
             }
-            if intake.is_clear() {
+            // The bytes are split into events once more when they are delivered.
+            holds_events |= !intake.take_pending().is_empty();
+            if !holds_events && intake.is_clear() {
                 // Only events that the caller has.
                 first.clear();
             }
+            self.share.set(first.capacity() + intake.partial_bytes());
         }
         self.first = first.freeze();
         Ok(())
     }
 
+    /// Takes the bytes of the body that were read.
+    pub(crate) fn take_first(&mut self) -> Bytes {
+        self.share.set(0);
+        std::mem::take(&mut self.first)
+    }
+
     /// Returns the connection to the pool; the body must have been read to its end.
     pub(crate) fn release_connection(self, context: &GatewayContext) {
         if !self.head.closes {
@@ -251,12 +266,15 @@
     stage: watch::Sender<AttemptStage>,
 ) -> AttemptEnd {
     let (server, intake) = (call.server.clone(), call.intake.clone());
+    let request = call.identifier.clone();
+    let report = |fault: ResponseFault| fault.report(&context, &server, &request);
     let mut response = open_response(&context, call, &stage).await?;
     let latency = response.latency;
     match intake {
         None => {
             let status = response.status;
-            let response = response.read_to_end(&context, &stage).await?;
+            let read = response.read_to_end(&context, &stage).await;
+            let response = read.map_err(report)?;
             if status.is_server_error() || promises_not_run(status) {
                 return Err(FailedAttempt {
                     outcome: AttemptOutcome::Failed,
@@ -265,12 +283,13 @@
             }
             Ok(SettledResponse::Whole(Box::new(WholeResponse {
                 response,
-                server,
+                server: server.clone(),
                 latency,
             })))
         }
         Some(_) if !response.status.is_success() => {
-            let response = response.read_to_end(&context, &stage).await?;
+            let read = response.read_to_end(&context, &stage).await;
+            let response = read.map_err(report)?;
             Err(FailedAttempt {
                 outcome: AttemptOutcome::Failed,
                 response: Some(response),
@@ -288,7 +307,8 @@
             stage.send_modify(|stage| stage.stream_head = Some(head));
             // The head is judged before the first event, which may have arrived too.
             tokio::task::yield_now().await;
-            response.read_first_event(&context, intake, &stage).await?;
+            let read = response.read_first_event(&context, intake, &stage).await;
+            read.map_err(report)?;
             Ok(SettledResponse::Stream(Box::new(response)))
         }
     }
@@ -313,7 +333,8 @@
     });
     let was_reused = connection.reused;
     let response = connection.send(request).await;
-    let response = response.map_err(|_| AttemptOutcome::Broken)?;
+    let report = |error| ResponseFault::from(error).report(context, &server, &call.identifier);
+    let response = response.map_err(report)?;
     let latency = context.now().since(sent_at);
     record_progress(context, &server, stage);
     stage.send_modify(|stage| stage.has_head = true);
@@ -339,6 +360,7 @@
         latency,
         sent_at,
         connection,
+        share: MemoryShare::new(&context.memory, MemoryKind::Streams),
         _guard: guard,
     })
 }
--- a/gateway/src/transport/caller_listener.rs
+++ b/gateway/src/transport/caller_listener.rs
@@ -9,7 +9,9 @@
 use std::time::Duration;
 
 use futures_util::FutureExt;
+use galenamast::coordination::AllowanceSettings;
 use galenamast::state::TimePoint;
+use galenamast::transport::{BoundedBody, BoundedSocket, SharedAllowance};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -169,9 +171,17 @@
         };
         let context = self.context.clone();
         let socket = CallerSocket::new(stream, activity.clone(), context, limits, close_idle);
-        let service = service_fn(move |request| {
+        let defaults = AllowanceSettings::default();
+        let allowance = SharedAllowance::new(AllowanceSettings {
+            max_idle_bytes: defaults.max_idle_bytes.max(header_bytes as u64 * 2),
+            ..defaults
+        });
+        let socket = BoundedSocket::new(socket, allowance.clone());
+        let service = service_fn(move |request: Request<Incoming>| {
             let shared = shared.clone();
             let serving = activity.serve();
+            allowance.lock().renew();
+            let request = request.map(|body| BoundedBody::new(body, allowance.clone()));
             async move {
                 let response = shared.serve_request(request, origin).await;
                 Ok::<_, Infallible>(response.map(|body| serving.attach(body)))
@@ -186,7 +196,7 @@
     /// Serves one request; asks the caller to close the connection if the host is stopping.
     async fn serve_request(
         self: &Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<BoundedBody>,
         origin: RequestOrigin,
     ) -> Response<ResponseBody> {
         let started_at = self.context.now();
@@ -236,7 +246,7 @@
     /// Admits a request and runs it; an error holds the host's refusal.
     async fn admit_and_run(
         &self,
-        request: Request<Incoming>,
+        request: Request<BoundedBody>,
         origin: RequestOrigin,
         started_at: TimePoint,
     ) -> Result<Response<ResponseBody>, Refusal> {
--- a/gateway/src/transport/connection_pool.rs
+++ b/gateway/src/transport/connection_pool.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use galenamast::coordination::AllowanceSettings;
+use galenamast::transport::{BodyError, BoundedBody, BoundedSocket, SharedAllowance};
 use http::Request;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -36,7 +38,7 @@
 /// Timeout of a connection probe; a live server accepts far sooner.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Size of a connection's buffer, which bounds the head of a response and what one read of a body gives.
-const READ_BUFFER_BYTES: usize = 64 * 1_024;
+const READ_BUFFER_BYTES: usize = 8 * 1_024;
 /// Largest number of idle connections kept for one address.
 const MAX_IDLE_PER_ADDRESS: usize = 12;
 
@@ -48,6 +50,7 @@
     /// Whether the connection has carried a request before.
     pub reused: bool,
     sender: SendRequest<Full<Bytes>>,
+    allowance: SharedAllowance,
     // Closes the connection when the value is dropped, even in the middle of a response.
     _driver: AbortOnDropHandle<()>,
 }
@@ -72,7 +75,9 @@
         socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
         let mut builder = http1::Builder::new();
         builder.max_buf_size(READ_BUFFER_BYTES);
-        let handshake = builder.handshake(TokioIo::new(stream));
+        let allowance = SharedAllowance::new(AllowanceSettings::default());
+        let socket = BoundedSocket::new(stream, allowance.clone());
+        let handshake = builder.handshake(TokioIo::new(socket));
         let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         let driver = tokio::spawn(async move {
             // Whoever waits for the response gets the error.
@@ -82,6 +87,7 @@
             address,
             reused: false,
             sender,
+            allowance,
             _driver: AbortOnDropHandle::new(driver),
         })
     }
@@ -90,10 +96,26 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the connection closes before the head is complete.
+    /// Returns an error if the connection closes before the head is complete, or too many bytes arrive
+    /// before.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
+    ) -> Result<http::Response<BoundedBody>, BodyError> {
+        self.allowance.lock().renew();
+        let response = self.exchange(request).await;
+        if self.allowance.is_spent() {
+            return Err(BodyError::NoData);
+        }
+        let response = response.map_err(|_| BodyError::Broken)?;
+        self.allowance.lock().renew();
+        Ok(response.map(|body| BoundedBody::new(body, self.allowance.clone())))
+    }
+
+    /// Sends a request once the connection is ready, and waits for the head of the response.
+    async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
     ) -> Result<http::Response<Incoming>, hyper::Error> {
         self.sender.ready().await?;
         self.sender.send_request(request).await
--- a/gateway/src/transport/event_intake.rs
+++ b/gateway/src/transport/event_intake.rs
@@ -1,22 +1,23 @@
 //! Splits a streamed response into events, and keeps those that the caller does not have yet.
 
-use std::collections::VecDeque;
-
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 
+use crate::coordination::memory::ResponseBound;
 use crate::coordination::requests::{EventOrder, EventVerdict};
 use crate::protocol::{EventSplitter, StreamEvent};
 use crate::state::EventForm;
+use crate::transport::response_fault::ResponseFault;
+
+/// Greatest size of the comments between two events in bytes.
+const MAX_COMMENT_BYTES: usize = 64 * 1_024;
 
 /// What some bytes of a response completed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct TakenEvents {
-    /// Number of events and comments.
-    pub(crate) blocks: usize,
     /// Number of events.
     pub(crate) events: usize,
-    /// Whether the bytes do not go on with the stream, so that the response must be given up.
-    pub(crate) is_garbled: bool,
+    /// Why the response must be given up, if it must.
+    pub(crate) fault: Option<ResponseFault>,
 }
 
 /// The events of a stream, in one response or in several that continue each other.
@@ -24,9 +25,12 @@
 pub(crate) struct EventIntake {
     splitter: EventSplitter,
     order: EventOrder,
-    pending: VecDeque<Bytes>,
-    // Events without data, which are queued with the next one.
-    held: Vec<Bytes>,
+    // Events for the caller, one after the other.
+    pending: BytesMut,
+    // An event without data, which is queued with the next one.
+    held: BytesMut,
+    // Size of the comments since the last event.
+    comment_bytes: usize,
     // Whether the response holds an event for the caller.
     has_event: bool,
     delivered: u64,
@@ -38,8 +42,9 @@
         Self {
             splitter: EventSplitter::default(),
             order: EventOrder::new(last_id, is_resumable),
-            pending: VecDeque::new(),
-            held: Vec::new(),
+            pending: BytesMut::new(),
+            held: BytesMut::new(),
+            comment_bytes: 0,
             has_event: false,
             delivered: 0,
         }
@@ -65,10 +70,16 @@
         self.pending.is_empty() && self.held.is_empty() && !self.splitter.has_partial()
     }
 
+    /// Returns the number of bytes that are held and not for the caller yet.
+    pub(crate) fn partial_bytes(&self) -> usize {
+        self.held.len() + self.splitter.held_bytes()
+    }
+
     /// Begins with a response that continues the stream.
     pub(crate) fn begin_response(&mut self) {
         self.splitter = EventSplitter::default();
         self.has_event = false;
+        self.comment_bytes = 0;
         self.order.begin_response();
         self.held.clear();
     }
@@ -76,15 +87,17 @@
     /// Takes bytes of the response.
     pub(crate) fn push(&mut self, bytes: &[u8]) -> TakenEvents {
         let mut taken = TakenEvents::default();
-        let Ok(events) = self.splitter.push(bytes) else {
-            taken.is_garbled = true;
-            return taken;
+        let events = match self.splitter.push(bytes) {
+            Ok(events) => events,
+            Err(error) => {
+                taken.fault = Some(error.into());
+                return taken;
+            }
         };
-        taken.blocks = events.len();
         for event in events {
             let is_comment = event.form == EventForm::Comment;
-            if !self.accept(event) {
-                taken.is_garbled = true;
+            if let Err(fault) = self.accept(&event) {
+                taken.fault = Some(fault);
                 break;
             }
             taken.events += usize::from(!is_comment);
@@ -97,32 +110,52 @@
         if self.splitter.has_partial() {
             return false;
         }
-        self.pending.extend(self.held.drain(..));
+        self.release_held();
+        let rest = self.splitter.take_rest();
+        self.pending.extend_from_slice(&rest);
         true
     }
 
-    /// Takes the events for the caller.
-    pub(crate) fn drain(&mut self) -> impl Iterator<Item = Bytes> {
-        self.pending.drain(..)
+    /// Takes the events for the caller, one after the other; empty if there are none.
+    pub(crate) fn take_pending(&mut self) -> Bytes {
+        self.pending.split().freeze()
     }
 
-    /// Keeps an event that the caller does not have yet; returns false if it is not one of the stream in
-    /// its order.
-    fn accept(&mut self, event: StreamEvent) -> bool {
-        match self.order.judge(event.form) {
+    /// Keeps an event that the caller does not have yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is not one of the stream in its order, or one comment too many.
+    fn accept(&mut self, event: &StreamEvent) -> Result<(), ResponseFault> {
+        let verdict = self.order.judge(event.form);
+        if event.form == EventForm::Comment {
+            self.comment_bytes += event.bytes.len();
+        } else {
+            self.comment_bytes = 0;
+        }
+        if self.comment_bytes > MAX_COMMENT_BYTES {
+            return Err(ResponseFault::Bounded(ResponseBound::Filler));
+        }
+        match verdict {
             EventVerdict::Deliver => {
                 self.delivered += 1;
                 // A comment does not show that an event before it is right.
                 if event.form != EventForm::Comment {
                     self.has_event = true;
-                    self.pending.extend(self.held.drain(..));
+                    self.release_held();
                 }
-                self.pending.push_back(event.bytes);
+                self.pending.extend_from_slice(&event.bytes);
             }
-            EventVerdict::Hold => self.held.push(event.bytes),
+            EventVerdict::Hold => self.held.extend_from_slice(&event.bytes),
             EventVerdict::Skip => {}
-            EventVerdict::Reject => return false,
+            EventVerdict::Reject => return Err(ResponseFault::Garbled),
         }
-        true
+        Ok(())
+    }
+
+    /// Queues the event that was held.
+    fn release_held(&mut self) {
+        let held = self.held.split();
+        self.pending.extend_from_slice(&held);
     }
 }
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -18,6 +18,7 @@
 use crate::coordination::evacuations::{DomainEvacuations, EvacuationSettings};
 use crate::coordination::freshness::{FreshnessSettings, StoreFreshness};
 use crate::coordination::liveness::ServerLiveness;
+use crate::coordination::memory::MemoryLimits;
 use crate::coordination::permits::ServerPermits;
 use crate::coordination::placement::{LoadEstimator, PrefixCacheIndex, ServerTable};
 use crate::coordination::reach::{PeerReach, ServiceReach};
@@ -28,6 +29,7 @@
 use crate::transport::connection_pool::ConnectionPool;
 use crate::transport::gateway_metrics::GatewayMetrics;
 use crate::transport::gateway_settings::GatewaySettings;
+use crate::transport::host_memory::HostMemory;
 use crate::transport::kind_reads::KindReads;
 use crate::transport::object_defects::ObjectDefects;
 use crate::transport::store_client::StoreClient;
@@ -82,10 +84,8 @@
     pub(crate) refresh_failed_at: tokio::sync::Mutex<Option<TimePoint>>,
     /// Number of requests whose response has not started.
     pub in_flight: AtomicUsize,
-    /// Total size of the bodies in memory, of requests and responses, in bytes.
-    pub buffered_body_bytes: AtomicUsize,
-    /// The part of it that was read ahead for callers of streams, in bytes.
-    pub buffered_stream_bytes: AtomicUsize,
+    /// Memory for bodies.
+    pub memory: Arc<HostMemory>,
     /// The course of the stop, once the process is stopping.
     pub stop: OnceLock<StopSchedule>,
     /// Cancelled when a stopping host gives its last answers.
@@ -143,8 +143,9 @@
             })),
             refresh_failed_at: tokio::sync::Mutex::new(None),
             in_flight: AtomicUsize::new(0),
-            buffered_body_bytes: AtomicUsize::new(0),
-            buffered_stream_bytes: AtomicUsize::new(0),
+            memory: Arc::new(HostMemory::new(MemoryLimits::new(
+                settings.max_buffered_bytes,
+            ))),
             stop: OnceLock::new(),
             last_answers: CancellationToken::new(),
             grace_over: AtomicBool::new(false),
--- /dev/null
+++ b/gateway/src/transport/host_memory.rs
@@ -0,0 +1,192 @@
+//! Account of the memory that a host holds for bodies of requests, responses and streams.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+
+use crate::coordination::memory::{MemoryLimits, MemoryUse, may_hold};
+
+/// What memory is held for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum MemoryKind {
+    /// Bodies of callers' requests.
+    Requests,
+    /// Responses that are not streamed, until the caller has taken them.
+    Responses,
+    /// Events of streams, whole or in part, until the caller has taken them.
+    Streams,
+}
+
+impl MemoryKind {
+    /// All kinds.
+    pub const ALL: [Self; 3] = [Self::Requests, Self::Responses, Self::Streams];
+
+    /// Returns the name of the kind on the metrics page.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Requests => "requests",
+            Self::Responses => "responses",
+            Self::Streams => "streams",
+        }
+    }
+}
+
+/// The memory for bodies of a host.
+#[derive(Debug)]
+pub struct HostMemory {
+    limits: MemoryLimits,
+    held: [AtomicUsize; MemoryKind::ALL.len()],
+    // Notified when memory was released.
+    released: Notify,
+    // Held by the one body that may go beyond the limit, so that of several that wait for each other one
+    // ends.
+    overdraft: Arc<Semaphore>,
+    // Bytes of that body.
+    overdrawn: AtomicUsize,
+}
+
+impl HostMemory {
+    /// Creates an account of nothing held.
+    pub fn new(limits: MemoryLimits) -> Self {
+        Self {
+            limits,
+            held: Default::default(),
+            released: Notify::new(),
+            overdraft: Arc::new(Semaphore::new(1)),
+            overdrawn: AtomicUsize::new(0),
+        }
+    }
+
+    /// Returns the bytes that are held for a kind.
+    pub fn held(&self, kind: MemoryKind) -> usize {
+        self.held[kind as usize].load(Ordering::Relaxed)
+    }
+
+    /// Returns all bytes that are held.
+    pub fn total(&self) -> usize {
+        MemoryKind::ALL.iter().map(|kind| self.held(*kind)).sum()
+    }
+
+    /// Returns the largest total that is held without waiting.
+    pub const fn limit(&self) -> usize {
+        self.limits.total
+    }
+
+    /// Returns lines of the metrics page.
+    pub fn render(&self) -> String {
+        let line = |kind: &MemoryKind| {
+            format!(
+                "memory_held_bytes{{kind=\"{}\"}} {}\n",
+                kind.name(),
+                self.held(*kind)
+            )
+        };
+        MemoryKind::ALL.iter().map(line).collect()
+    }
+
+    /// Counts bytes that are held.
+    fn add(&self, kind: MemoryKind, bytes: usize) {
+        self.held[kind as usize].fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    /// Discounts bytes that are no longer held.
+    fn remove(&self, kind: MemoryKind, bytes: usize) {
+        if bytes > 0 {
+            self.held[kind as usize].fetch_sub(bytes, Ordering::Relaxed);
+            self.released.notify_waiters();
+        }
+    }
+}
+
+/// The memory that one body holds, until it is dropped.
+#[derive(Debug)]
+pub(crate) struct MemoryShare {
+    memory: Arc<HostMemory>,
+    kind: MemoryKind,
+    bytes: usize,
+    overdraft: Option<OwnedSemaphorePermit>,
+}
+
+impl MemoryShare {
+    /// Creates a share of no bytes.
+    pub(crate) fn new(memory: &Arc<HostMemory>, kind: MemoryKind) -> Self {
+        Self {
+            memory: memory.clone(),
+            kind,
+            bytes: 0,
+            overdraft: None,
+        }
+    }
+
+    /// Returns the bytes that are held.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Sets the bytes that are held, whether or not there is room for them.
+    pub(crate) fn set(&mut self, bytes: usize) {
+        if self.overdraft.is_some() {
+            self.memory.overdrawn.store(bytes, Ordering::Relaxed);
+        }
+        if bytes > self.bytes {
+            self.memory.add(self.kind, bytes - self.bytes);
+        } else {
+            self.memory.remove(self.kind, self.bytes - bytes);
+        }
+        self.bytes = bytes;
+    }
+
+    /// Counts further bytes if there is room for them; returns whether there is.
+    pub(crate) fn try_add(&mut self, bytes: usize) -> bool {
+        let has_room = self.has_room(bytes);
+        if has_room {
+            self.set(self.bytes + bytes);
+        }
+        has_room
+    }
+
+    /// Counts further bytes once there is room for them.
+    pub(crate) async fn add(&mut self, bytes: usize) {
+        self.wait_for_room(bytes).await;
+        self.set(self.bytes + bytes);
+    }
+
+    /// Waits until there is room for further bytes. Of several bodies that wait, one gets room beyond the
+    /// limit.
+    pub(crate) async fn wait_for_room(&mut self, bytes: usize) {
+        while !self.has_room(bytes) {
+            let memory = self.memory.clone();
+            let released = memory.released.notified();
+            if self.has_room(bytes) {
+                break;
+            }
+            tokio::select! {
+                () = released => {}
+                permit = memory.overdraft.clone().acquire_owned() => {
+                    self.overdraft = permit.ok();
+                    self.set(self.bytes);
+                }
+            }
+        }
+    }
+
+    /// Returns whether further bytes may be held. The body beyond the limit leaves the others theirs.
+    fn has_room(&self, bytes: usize) -> bool {
+        let overdrawn = self.memory.overdrawn.load(Ordering::Relaxed);
+        let held = MemoryUse {
+            all: self.memory.total().saturating_sub(overdrawn),
+            own: self.bytes,
+        };
+        self.overdraft.is_some() || may_hold(held, bytes, &self.memory.limits)
+    }
+}
+
+impl Drop for MemoryShare {
+    fn drop(&mut self) {
+        self.set(0);
+        if self.overdraft.take().is_some() {
+            self.memory.released.notify_waiters();
+        }
+    }
+}
--- a/gateway/src/transport/ready_listener.rs
+++ b/gateway/src/transport/ready_listener.rs
@@ -46,7 +46,10 @@
             true => host_response(StatusCode::OK, "ready"),
             false => host_response(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
         },
-        METRICS_PATH => Response::new(full_body(context.metrics.render().into())),
+        METRICS_PATH => {
+            let page = context.metrics.render() + &context.memory.render();
+            Response::new(full_body(page.into()))
+        }
         _ => host_response(StatusCode::NOT_FOUND, "no such page"),
     }
 }
--- a/gateway/src/transport/request_admission.rs
+++ b/gateway/src/transport/request_admission.rs
@@ -3,16 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use galenamast::transport::BoundedBody;
 use http::request::Parts;
 use http::{HeaderValue, Response, StatusCode, header};
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
 
 use crate::protocol::has_ambiguous_length;
 use crate::state::{CallerHead, ConfigSnapshot, ServiceRoute, WorkspaceEntry};
-use crate::transport::counted_body::BodyCount;
 use crate::transport::gateway_context::GatewayContext;
+use crate::transport::host_memory::{MemoryKind, MemoryShare};
 use crate::transport::response_body::{
     ResponseBody, host_response, not_run_response, stopping_response,
 };
@@ -169,7 +168,7 @@
 /// A request body in memory. It counts against the memory limit until it is dropped.
 #[derive(Debug)]
 pub(crate) struct BufferedBody {
-    _count: BodyCount,
+    _share: MemoryShare,
     /// Bytes of the body.
     pub(crate) bytes: Bytes,
 }
@@ -231,7 +230,7 @@
     context: &Arc<GatewayContext>,
     snapshot: &ConfigSnapshot,
     parts: &Parts,
-    body: &mut Incoming,
+    body: &mut BoundedBody,
 ) -> Result<BufferedBody, BodyRefusal> {
     let limit = snapshot.limits.body_bytes;
     let content_length = parts
@@ -242,27 +241,29 @@
     if content_length.is_some_and(|length| length > limit) {
         return Err(BodyRefusal::TooLarge);
     }
-    let mut count = BodyCount::new(context);
-    if !count.add(content_length.unwrap_or(0)) {
+    let mut share = MemoryShare::new(&context.memory, MemoryKind::Requests);
+    if !share.try_add(content_length.unwrap_or(0)) {
         return Err(BodyRefusal::NoRoom);
     }
-    let mut buffer = BytesMut::with_capacity(content_length.unwrap_or(0));
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| BodyRefusal::Broken)?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if buffer.len().saturating_add(data.len()) > limit {
+    let mut buffer = Vec::with_capacity(content_length.unwrap_or(0));
+    while let Some(data) = body.data().await {
+        let data = data.map_err(|_| BodyRefusal::Broken)?;
+        let length = buffer.len() + data.len();
+        if length > limit {
             return Err(BodyRefusal::TooLarge);
         }
-        if content_length.is_none() && !count.add(data.len()) {
-            return Err(BodyRefusal::NoRoom);
+        if length > buffer.capacity() {
+            let capacity = (length + length / 2).min(limit);
+            if !share.try_add(capacity - buffer.capacity()) {
+                return Err(BodyRefusal::NoRoom);
+            }
+            buffer.reserve_exact(capacity - buffer.len());
         }
         buffer.extend_from_slice(&data);
     }
     Ok(BufferedBody {
-        _count: count,
-        bytes: buffer.freeze(),
+        _share: share,
+        bytes: buffer.into(),
     })
 }
 
@@ -271,7 +272,7 @@
 pub(crate) fn close_after(
     context: &GatewayContext,
     mut refusal: Refusal,
-    body: Incoming,
+    body: BoundedBody,
     awaits_continue: bool,
 ) -> Refusal {
     if !body.is_end_stream() {
@@ -286,7 +287,7 @@
 
 /// Reads the rest of a refused request's body and drops it. Closing the connection with unread bytes
 /// would reset it, so that the caller might not see the response.
-fn discard_body(context: &GatewayContext, mut body: Incoming) {
+fn discard_body(context: &GatewayContext, mut body: BoundedBody) {
     if body.is_end_stream() {
         return;
     }
@@ -294,8 +295,8 @@
     tokio::spawn(async move {
         let reading = async {
             let mut bytes = 0;
-            while let Some(Ok(frame)) = body.frame().await {
-                bytes += frame.data_ref().map_or(0, Bytes::len);
+            while let Some(Ok(data)) = body.data().await {
+                bytes += data.len();
                 if bytes > MAX_DISCARDED_BYTES {
                     return;
                 }
--- a/gateway/src/transport/request_exchange/relayed_stream.rs
+++ b/gateway/src/transport/request_exchange/relayed_stream.rs
@@ -6,17 +6,20 @@
 use std::time::Duration;
 
 use futures_util::stream;
+use galenamast::transport::{BodyError, BoundedBody};
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 
 use crate::coordination::requests::AttemptOutcome;
 use crate::transport::attempt_runner::remaining_time;
 use crate::transport::connection_pool::BackendConnection;
 use crate::transport::event_intake::EventIntake;
+use crate::transport::host_memory::{MemoryKind, MemoryShare};
 use crate::transport::request_exchange::RequestExchange;
 use crate::transport::request_exchange::relay::RelayAnswer;
 use crate::transport::response_body::{ResponseBody, TruncatedResponse};
+use crate::transport::response_fault::ResponseFault;
 use crate::transport::stream_ahead::EventQueue;
 
 /// Shortest time for which a frame is awaited. After the deadline, the other host may still send what it
@@ -31,7 +34,7 @@
     /// Connection to the other host.
     pub(super) connection: BackendConnection,
     /// Body, not read yet.
-    pub(super) body: Incoming,
+    pub(super) body: BoundedBody,
     /// Number of servers that may run the request at the other host.
     pub(super) runs: u32,
 }
@@ -42,6 +45,8 @@
     exchange: RequestExchange,
     source: Option<RelayedResponse>,
     intake: EventIntake,
+    // Memory for an event that is not complete yet.
+    partial: MemoryShare,
 }
 
 impl RelayedStream {
@@ -56,6 +61,7 @@
         let parts = source.parts.clone();
         let stream = Self {
             intake: exchange.new_intake(),
+            partial: MemoryShare::new(&exchange.context.memory, MemoryKind::Streams),
             source: Some(source),
             exchange,
         };
@@ -82,6 +88,7 @@
     ) -> Self {
         intake.begin_response();
         Self {
+            partial: MemoryShare::new(&exchange.context.memory, MemoryKind::Streams),
             exchange,
             source: Some(source),
             intake,
@@ -92,7 +99,7 @@
     /// taken all of it.
     pub(crate) async fn read_into(mut self, queue: &EventQueue) -> Result<(), TruncatedResponse> {
         while let Some(events) = self.next_events().await? {
-            queue.push(std::iter::once(events));
+            queue.push(events);
             queue.wait_for_room().await;
         }
         queue.drained().await;
@@ -109,9 +116,10 @@
     /// Returns the next events for the caller; `None` after the last ones of a complete stream.
     async fn next_events(&mut self) -> Result<Option<bytes::Bytes>, TruncatedResponse> {
         loop {
-            let events: Vec<_> = self.intake.drain().collect();
+            let events = self.intake.take_pending();
+            self.partial.set(self.intake.partial_bytes());
             if !events.is_empty() {
-                return Ok(Some(events.concat().into()));
+                return Ok(Some(events));
             }
             let Some(source) = &mut self.source else {
                 return Ok(None);
@@ -120,13 +128,13 @@
             let timeout = remaining.max(MIN_FRAME_TIMEOUT);
             // The other host may be silent while it resumes the stream at another server; TCP keep-alive
             // shows whether it is there.
-            let read = tokio::time::timeout(timeout, source.body.frame()).await;
+            let reading = async {
+                self.partial.wait_for_room(0).await;
+                source.body.data().await
+            };
+            let read = tokio::time::timeout(timeout, reading).await;
             let failure = match read {
-                Ok(Some(Ok(frame))) => {
-                    let bytes = frame.into_data().unwrap_or_default();
-                    let is_garbled = self.intake.push(&bytes).is_garbled;
-                    is_garbled.then_some(AttemptOutcome::Garbled)
-                }
+                Ok(Some(Ok(bytes))) => self.intake.push(&bytes).fault.map(ResponseFault::outcome),
                 Ok(None) if self.intake.finish() => {
                     let ended = self.source.take();
                     let pool = &self.exchange.context.pool;
@@ -135,7 +143,8 @@
                         .for_each(|ended| pool.keep(ended.connection, None));
                     None
                 }
-                Ok(None | Some(Err(_))) => Some(AttemptOutcome::Broken),
+                Ok(None | Some(Err(BodyError::Broken))) => Some(AttemptOutcome::Broken),
+                Ok(Some(Err(BodyError::NoData))) => Some(AttemptOutcome::Garbled),
                 Err(_) => Some(AttemptOutcome::Silent),
             };
             if let Some(outcome) = failure {
--- a/gateway/src/transport/store_client.rs
+++ b/gateway/src/transport/store_client.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use galenamast::transport::{BodyError, BoundedBody};
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use http_body_util::Full;
 use thiserror::Error;
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
@@ -218,7 +218,7 @@
         method: Method,
         path: &str,
         body: Vec<u8>,
-    ) -> Result<(BackendConnection, Response<Incoming>), StoreError> {
+    ) -> Result<(BackendConnection, Response<BoundedBody>), StoreError> {
         let mut connection = match self.pool.take(self.address) {
             Some(connection) => connection,
             None => BackendConnection::open(self.address, self.connect_timeout).await?,
@@ -231,7 +231,7 @@
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| StoreError::ConnectionLost(error.to_string()))?;
         let response = connection.send(request).await;
-        let response = response.map_err(|error| connection_lost(&error))?;
+        let response = response.map_err(connection_lost)?;
         Ok((connection, response))
     }
 }
@@ -245,24 +245,23 @@
 }
 
 /// Reads a body of at most `max_bytes`.
-async fn read_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes, StoreError> {
-    let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+async fn read_body(mut body: BoundedBody, max_bytes: usize) -> Result<Bytes, StoreError> {
+    let stated = usize::try_from(body.stated_bytes()).unwrap_or(usize::MAX);
     if stated > max_bytes {
         return Err(StoreError::TooLarge(max_bytes));
     }
     let mut bytes = BytesMut::with_capacity(stated);
-    while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame.map_err(|error| connection_lost(&error))?.into_data() {
-            if data.len() > max_bytes - bytes.len() {
-                return Err(StoreError::TooLarge(max_bytes));
-            }
-            bytes.extend_from_slice(&data);
+    while let Some(data) = body.data().await {
+        let data = data.map_err(connection_lost)?;
+        if data.len() > max_bytes - bytes.len() {
+            return Err(StoreError::TooLarge(max_bytes));
         }
+        bytes.extend_from_slice(&data);
     }
     Ok(bytes.freeze())
 }
 
 /// Converts the failure of a connection.
-fn connection_lost(error: &hyper::Error) -> StoreError {
+fn connection_lost(error: BodyError) -> StoreError {
     StoreError::ConnectionLost(error.to_string())
 }
--- a/gateway/src/transport/stream_ahead.rs
+++ b/gateway/src/transport/stream_ahead.rs
@@ -1,7 +1,6 @@
 //! Holds the events of a stream that were read from the server and not taken by the caller yet.
 
 use std::collections::VecDeque;
-use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
@@ -9,13 +8,18 @@
 
 use crate::coordination::memory::{HeldBytes, may_read_on};
 use crate::transport::gateway_context::GatewayContext;
+use crate::transport::host_memory::{MemoryKind, MemoryShare};
 use crate::transport::response_body::TruncatedResponse;
 
+/// Memory of an entry of the queue besides its events, in bytes.
+const ENTRY_BYTES: usize = 128;
+
 /// Queued events, and how the response ended.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct QueueState {
-    events: VecDeque<Bytes>,
-    bytes: usize,
+    // The events of one read each.
+    entries: VecDeque<Bytes>,
+    share: MemoryShare,
     // Set when nothing more is queued.
     end: Option<Result<(), TruncatedResponse>>,
 }
@@ -36,24 +40,25 @@
     pub(crate) fn new(context: &Arc<GatewayContext>) -> Self {
         Self {
             context: context.clone(),
-            state: Mutex::default(),
+            state: Mutex::new(QueueState {
+                entries: VecDeque::new(),
+                share: MemoryShare::new(&context.memory, MemoryKind::Streams),
+                end: None,
+            }),
             taken: Notify::new(),
             queued: Notify::new(),
         }
     }
 
-    /// Queues events.
-    pub(crate) fn push(&self, events: impl Iterator<Item = Bytes>) {
-        let mut events = events.peekable();
-        if events.peek().is_none() {
+    /// Queues events, unless there are none.
+    pub(crate) fn push(&self, events: Bytes) {
+        if events.is_empty() {
             return;
         }
         let mut state = self.lock();
-        for event in events {
-            self.count(event.len());
-            state.bytes += event.len();
-            state.events.push_back(event);
-        }
+        let bytes = state.share.bytes() + events.len() + ENTRY_BYTES;
+        state.share.set(bytes);
+        state.entries.push_back(events);
         drop(state);
         self.queued.notify_one();
     }
@@ -76,22 +81,22 @@
 
     /// Waits until the caller has taken all events.
     pub(crate) async fn drained(&self) {
-        while !self.lock().events.is_empty() {
+        while !self.lock().entries.is_empty() {
             self.taken.notified().await;
         }
     }
 
-    /// Takes the next event; `None` after the last one of a complete response.
+    /// Takes the next events; `None` after the last ones of a complete response.
     pub(crate) async fn next(&self) -> Option<Result<Bytes, TruncatedResponse>> {
         loop {
             {
                 let mut state = self.lock();
-                if let Some(event) = state.events.pop_front() {
-                    state.bytes -= event.len();
-                    self.discount(event.len());
+                if let Some(events) = state.entries.pop_front() {
+                    let bytes = state.share.bytes() - events.len() - ENTRY_BYTES;
+                    state.share.set(bytes);
                     drop(state);
                     self.taken.notify_one();
-                    return Some(Ok(event));
+                    return Some(Ok(events));
                 }
                 match state.end.take() {
                     Some(Ok(())) => return None,
@@ -105,35 +110,13 @@
 
     /// Returns whether the response may be read on.
     fn has_room(&self) -> bool {
+        let memory = &self.context.memory;
         let held = HeldBytes {
-            stream: self.lock().bytes,
-            all_streams: self.context.buffered_stream_bytes.load(Ordering::Relaxed),
-            all_bodies: self.context.buffered_body_bytes.load(Ordering::Relaxed),
+            stream: self.lock().share.bytes(),
+            all_streams: memory.held(MemoryKind::Streams),
+            all_bodies: memory.total(),
         };
-        let settings = &self.context.settings;
-        may_read_on(held, settings.max_buffered_bytes, &settings.read_ahead)
-    }
-
-    /// Counts bytes that are held.
-    fn count(&self, bytes: usize) {
-        let context = &self.context;
-        context
-            .buffered_body_bytes
-            .fetch_add(bytes, Ordering::Relaxed);
-        context
-            .buffered_stream_bytes
-            .fetch_add(bytes, Ordering::Relaxed);
-    }
-
-    /// Discounts bytes that are no longer held.
-    fn discount(&self, bytes: usize) {
-        let context = &self.context;
-        context
-            .buffered_body_bytes
-            .fetch_sub(bytes, Ordering::Relaxed);
-        context
-            .buffered_stream_bytes
-            .fetch_sub(bytes, Ordering::Relaxed);
+        may_read_on(held, memory.limit(), &self.context.settings.read_ahead)
     }
 
     /// Locks the state; one whose holder panicked is used as it is.
@@ -141,10 +124,3 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-impl Drop for EventQueue {
-    fn drop(&mut self) {
-        let bytes = self.lock().bytes;
-        self.discount(bytes);
-    }
-}
--- a/gateway/src/transport/stream_relay.rs
+++ b/gateway/src/transport/stream_relay.rs
@@ -15,11 +15,13 @@
 use crate::state::ServiceRoute;
 use crate::transport::attempt_runner::{OpenResponse, remaining_time};
 use crate::transport::event_intake::EventIntake;
+use crate::transport::host_memory::{MemoryKind, MemoryShare};
 use crate::transport::reach_probe::check_server_path;
 use crate::transport::request_exchange::{
     HANDOVER_TIME, RelayedResponse, RelayedStream, RequestExchange, StreamSource, hand_over,
 };
 use crate::transport::response_body::{ResponseBody, TruncatedResponse};
+use crate::transport::response_fault::ResponseFault;
 use crate::transport::server_watch::record_byte;
 use crate::transport::stream_ahead::EventQueue;
 
@@ -66,6 +68,8 @@
     // Time spent waiting for the server since its last complete event. Time during which the caller
     // reads nothing does not count, since the server may have sent events meanwhile.
     event_wait: Duration,
+    // Memory for an event that is not complete yet.
+    partial: MemoryShare,
 }
 
 impl StreamRelay {
@@ -73,6 +77,7 @@
     pub(crate) fn new(exchange: RequestExchange, response: Box<OpenResponse>) -> Self {
         let last_received_at = exchange.context.now();
         let intake = exchange.new_intake();
+        let partial = MemoryShare::new(&exchange.context.memory, MemoryKind::Streams);
         Self {
             last_received_at,
             exchange,
@@ -80,6 +85,7 @@
             intake,
             pace: StreamPace::default(),
             event_wait: Duration::ZERO,
+            partial,
         }
     }
 
@@ -126,7 +132,8 @@
     ) -> Result<Option<Box<RelayedResponse>>, TruncatedResponse> {
         loop {
             let progress = self.read_next().await;
-            queue.push(self.intake.drain());
+            queue.push(self.intake.take_pending());
+            self.partial.set(self.intake.partial_bytes());
             match progress {
                 RelayProgress::Continue => {}
                 RelayProgress::Complete => return Ok(None),
@@ -136,14 +143,27 @@
                     }
                 }
             }
-            if queue.wait_for_room().await {
-                // The caller caused this pause, not the server.
+            if queue.wait_for_room().await || self.wait_for_memory().await {
+                // The caller or the host caused this pause, not the server.
                 self.last_received_at = self.exchange.context.now();
                 self.pace = StreamPace::default();
             }
         }
     }
 
+    /// Waits until the memory has room for more of a large event that is not complete, or until the
+    /// deadline; returns whether it had to wait.
+    async fn wait_for_memory(&mut self) -> bool {
+        let remaining = remaining_time(&self.exchange.context, self.exchange.deadline);
+        let waiting = self.partial.wait_for_room(0);
+        let Some(()) = waiting.now_or_never() else {
+            let waiting = self.partial.wait_for_room(0);
+            let _ = tokio::time::timeout(remaining, waiting).await;
+            return true;
+        };
+        false
+    }
+
     /// Reads the next frame from the server and queues the events that it completes.
     async fn read_next(&mut self) -> RelayProgress {
         let remaining = remaining_time(&self.exchange.context, self.exchange.deadline);
@@ -153,7 +173,7 @@
         let Some(response) = &mut self.response else {
             return RelayProgress::Failed(AttemptOutcome::Broken);
         };
-        let first = std::mem::take(&mut response.first);
+        let first = response.take_first();
         if !first.is_empty() {
             return self.accept_bytes(&first);
         }
@@ -166,7 +186,7 @@
         };
         let read = tokio::select! {
             biased;
-            frame = response.body.frame() => Ok(frame),
+            data = response.body.data() => Ok(data),
             () = tokio::time::sleep(timeout) => Err(SilenceCause::Unknown),
             () = cut_off, if is_resumable => Err(SilenceCause::NoPath),
         };
@@ -177,13 +197,19 @@
                 RelayProgress::Failed(AttemptOutcome::Lost)
             }
             Err(SilenceCause::NoPath) => RelayProgress::Continue,
-            Ok(Some(Err(_))) => RelayProgress::Failed(AttemptOutcome::Broken),
+            Ok(Some(Err(error))) => RelayProgress::Failed(self.report(error.into())),
             Ok(None) if self.intake.finish() => RelayProgress::Complete,
             Ok(None) => RelayProgress::Failed(AttemptOutcome::Broken),
-            Ok(Some(Ok(frame))) => match frame.into_data() {
-                Ok(bytes) => self.accept_bytes(&bytes),
-                Err(_) => RelayProgress::Continue,
-            },
+            Ok(Some(Ok(bytes))) => self.accept_bytes(&bytes),
+        }
+    }
+
+    /// Reports what is wrong with the response; returns the outcome of its attempt.
+    fn report(&self, fault: ResponseFault) -> AttemptOutcome {
+        let exchange = &self.exchange;
+        match &self.response {
+            Some(response) => fault.report(&exchange.context, &response.server, &exchange.request),
+            None => fault.outcome(),
         }
     }
 
@@ -219,16 +245,16 @@
         }
         self.exchange.longest_gap = self.exchange.longest_gap.max(gap);
         let taken = self.intake.push(bytes);
-        if taken.blocks > 0 {
+        if taken.events > 0 {
             self.event_wait = Duration::ZERO;
         }
         for _ in 0..taken.events {
             self.exchange.record_event();
             self.record_pace(false);
         }
-        match taken.is_garbled {
-            true => RelayProgress::Failed(AttemptOutcome::Garbled),
-            false => RelayProgress::Continue,
+        match taken.fault {
+            Some(fault) => RelayProgress::Failed(self.report(fault)),
+            None => RelayProgress::Continue,
         }
     }
 
--- a/program/tests/process/main.rs
+++ b/program/tests/process/main.rs
@@ -1,5 +1,6 @@
 //! End-to-end tests with entry hosts as separate processes.
 
+mod endless_responses;
 mod host_kills;
 mod settings_signal;
 
--- a/soak/src/fault_profile.rs
+++ b/soak/src/fault_profile.rs
@@ -1,5 +1,6 @@
 //! Which faults a run plays.
 
+use crate::endless_pacing::draw_endless_pace;
 use crate::failure_pacing::draw_failing_pace;
 use crate::run_pacing::{draw_pace, draw_silent_pace};
 use crate::server_pool::RunPacing;
@@ -29,15 +30,17 @@
     Links,
     /// Servers are often late and often fail, while configurations change and hosts are stopped.
     Failures,
-    /// All of these but roll-outs, relays, links and failures, with few silences.
+    /// Servers often answer without end, while configurations change and hosts are stopped.
+    Endless,
+    /// All of these but roll-outs, relays, links, failures and endless answers, with few silences.
     Mixed,
 }
 
 impl FaultProfile {
     /// Names of the profiles, as on the command line.
-    pub(crate) const NAMES: [&str; 12] = [
+    pub(crate) const NAMES: [&str; 13] = [
         "quiet", "stops", "changes", "servers", "signals", "store", "silences", "rollouts",
-        "relays", "links", "failures", "mixed",
+        "relays", "links", "failures", "endless", "mixed",
     ];
 
     /// Returns the profile with a name; `Mixed` for unknown names.
@@ -54,6 +57,7 @@
             "relays" => Self::Relays,
             "links" => Self::Links,
             "failures" => Self::Failures,
+            "endless" => Self::Endless,
             _ => Self::Mixed,
         }
     }
@@ -68,6 +72,7 @@
                 | Self::Rollouts
                 | Self::Relays
                 | Self::Failures
+                | Self::Endless
                 | Self::Mixed
         )
     }
@@ -81,6 +86,7 @@
                 | Self::Silences
                 | Self::Links
                 | Self::Failures
+                | Self::Endless
                 | Self::Mixed
         )
     }
@@ -110,6 +116,7 @@
         match self {
             Self::Silences | Self::Rollouts | Self::Relays => draw_silent_pace,
             Self::Failures => draw_failing_pace,
+            Self::Endless => draw_endless_pace,
             _ => draw_pace,
         }
     }
--- a/soak/src/host_balancer.rs
+++ b/soak/src/host_balancer.rs
@@ -30,7 +30,7 @@
         }
     }
 
-    /// Checks the hosts once per second; never returns.
+    /// Checks the hosts and reads their memory once per second; never returns.
     pub(crate) async fn check_hosts(&self) {
         let mut period = tokio::time::interval(CHECK_PERIOD);
         loop {
@@ -38,6 +38,7 @@
             let checks = join_all(self.hosts.iter().map(|host| host.is_ready())).await;
             let mut misses = self.misses.lock().unwrap_or_else(PoisonError::into_inner);
             for (index, is_ready) in checks.into_iter().enumerate() {
+                self.hosts[index].peak_memory();
                 let count = misses.entry(index).or_default();
                 *count = if is_ready { 0 } else { *count + 1 };
             }
--- a/soak/src/host_process.rs
+++ b/soak/src/host_process.rs
@@ -6,6 +6,7 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -18,6 +19,8 @@
 const PORTS: std::ops::Range<u16> = 15_000..32_000;
 /// Number of ports that one run draws from.
 const SLICE_PORTS: u16 = 1_000;
+/// Memory that a host may use, in MB.
+pub(crate) const MEMORY_MB: usize = 260;
 /// Time that the balancer allows a readiness check.
 const READY_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -37,6 +40,8 @@
     settings: PathBuf,
     log: PathBuf,
     child: Mutex<Option<Child>>,
+    // Most memory that a process of the host has used, in bytes.
+    peak_memory: AtomicUsize,
 }
 
 impl HostProcess {
@@ -63,7 +68,7 @@
             "listen_addresses": {"front": front.to_string(), "ready": ready.to_string()},
             "internal_ports": [peer.port(), peer.port()], "seeds": [], "bootstrap": true,
             "in_tolerance": false,
-            "limits": {"processor_share": 0.25, "cores": 1, "memory_mb": 260,
+            "limits": {"processor_share": 0.25, "cores": 1, "memory_mb": MEMORY_MB,
                        "file_descriptors": 4100, "link_mbps": 1000.0, "disk_mb": 0},
             "data_directory": null, "discovery": "platform", "entry": "virtual_ip",
             "heartbeat_ms": 1200,
@@ -83,6 +88,7 @@
             settings: path,
             log: folder.join(format!("{name}.log")),
             child: Mutex::new(None),
+            peak_memory: AtomicUsize::new(0),
         })
     }
 
@@ -143,6 +149,18 @@
         )
     }
 
+    /// Reads how much memory the process has used, and returns the most that one of the host has, in bytes.
+    pub(crate) fn peak_memory(&self) -> usize {
+        let id = self.lock().as_ref().map(Child::id);
+        let status = id.and_then(|id| std::fs::read_to_string(format!("/proc/{id}/status")).ok());
+        let text = status.unwrap_or_default();
+        let field = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = field.and_then(|field| field.split_whitespace().next());
+        let kilobytes: usize = kilobytes.and_then(|text| text.parse().ok()).unwrap_or(0);
+        let peak = kilobytes * 1_024;
+        self.peak_memory.fetch_max(peak, Ordering::SeqCst).max(peak)
+    }
+
     /// Kills the process and waits for its end.
     pub(crate) fn end(&self) {
         if let Some(mut child) = self.lock().take() {
--- a/soak/src/rule_break.rs
+++ b/soak/src/rule_break.rs
@@ -12,7 +12,7 @@
 }
 
 /// Names of the rules that are checked.
-pub(crate) const RULES: [&str; 12] = [
+pub(crate) const RULES: [&str; 13] = [
     "LOST", "TWICE", "REFUSED", "MIXED", "ORDER", "UNASKED", "ROUTE", "DRAIN", "CONFIG", "BUDGET",
-    "RECOVER", "ENDS",
+    "RECOVER", "ENDS", "MEMORY",
 ];
--- a/soak/src/run_rules.rs
+++ b/soak/src/run_rules.rs
@@ -1,4 +1,4 @@
-//! The rules TWICE, REFUSED, MIXED, ORDER, DRAIN, CONFIG and the ends of processes.
+//! The rules TWICE, REFUSED, MIXED, ORDER, DRAIN, CONFIG, the ends of processes and their memory.
 
 use std::time::Duration;
 
@@ -6,6 +6,7 @@
 use crate::config_plan::ConfigPlan;
 use crate::fault_driver::DRAIN;
 use crate::fault_event::FaultKind;
+use crate::host_process::MEMORY_MB;
 use crate::request_class::RequestKind;
 use crate::request_trace::RequestTrace;
 use crate::rule_break::RuleBreak;
@@ -50,9 +51,21 @@
         ),
         trace: None,
     }));
+    breaks.extend(check_memory(record));
     breaks
 }
 
+/// A host uses more memory than it has.
+fn check_memory(record: &SoakRecord) -> impl Iterator<Item = RuleBreak> {
+    let peaks = record.peak_memory.iter().enumerate();
+    let over = peaks.filter(|(_, peak)| **peak > MEMORY_MB * 1_000_000);
+    over.map(|(host, peak)| RuleBreak {
+        rule: "MEMORY",
+        text: format!("host {host} used {} MB", peak / 1_000_000),
+        trace: None,
+    })
+}
+
 /// A request that isn't idempotent runs more than once, or a stream goes on at another server while the one
 /// before still works on it.
 fn check_twice(record: &SoakRecord, trace: &RequestTrace) -> Option<String> {
--- a/soak/src/soak_record.rs
+++ b/soak/src/soak_record.rs
@@ -29,6 +29,8 @@
     plans: Vec<(Instant, ConfigPlan)>,
     visits: BTreeMap<String, Vec<ServerVisit>>,
     host_names: Vec<String>,
+    /// Most memory that each host has used, in bytes.
+    pub(crate) peak_memory: Vec<usize>,
 }
 
 impl SoakRecord {
@@ -42,6 +44,7 @@
             plans: state.plans(),
             visits: state.servers.visits(),
             host_names: state.hosts.iter().map(|host| host.name.clone()).collect(),
+            peak_memory: state.hosts.iter().map(|host| host.peak_memory()).collect(),
         }
     }
 
--- a/soak/src/soak_report.rs
+++ b/soak/src/soak_report.rs
@@ -63,6 +63,8 @@
         late.failed.len(),
         late.replaced
     );
+    let peak = record.peak_memory.iter().max().unwrap_or(&0);
+    let _ = writeln!(text, "most memory of a host: {} MB", peak / 1_000_000);
     if let Some(tries) = recover_rule::describe(record) {
         let _ = writeln!(text, "{tries}");
     }
--- a/soak/tests/short_run.rs
+++ b/soak/tests/short_run.rs
@@ -87,3 +87,9 @@
 fn links_that_fail_break_no_rule() {
     play("links", "7", "15");
 }
+
+// Guards against hosts that run out of memory or time because servers answer without end.
+#[test]
+fn servers_that_answer_without_end_break_no_rule() {
+    play("endless", "7", "15");
+}
