Review: a request with a long head is passed on and ends with 431

Found: a request that is passed on gets some 180 bytes of headers more and is read with the same bound. A proper one near the limit ends with 431, which the first host delivers as the final answer.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+export PYTHONDONTWRITEBYTECODE=1
+exec python3 "$(dirname "$0")/case.py"
