--- a/program/tests/process/endless_responses.rs
+++ b/program/tests/process/endless_responses.rs
@@ -1,9 +1,5 @@
 //! Servers that answer without end: the memory of a host, and the requests of other callers.
 
-use std::fs;
-use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
 use galenamast_platform_standin::{
@@ -12,9 +8,10 @@
 };
 use http::{Method, StatusCode};
 use serde_json::{Value, json};
-use tempfile::TempDir;
 use tokio::task::JoinSet;
 
+use crate::front_process::{FrontProcess, ProcessLimits};
+
 /// Memory that the host may use, in MB.
 const MEMORY_MB: usize = 110;
 /// Number of requests whose servers answer without end, at the same time.
@@ -30,77 +27,6 @@
 /// Maximum time until the host is ready.
 const READY_TIME: Duration = Duration::from_secs(20);
 
-/// A host of the users' platform as a process of its own.
-struct FrontProcess {
-    child: Child,
-    callers: SocketAddr,
-    _directory: TempDir,
-}
-
-impl FrontProcess {
-    /// Starts a host that reads a store.
-    fn start(store: &StandInStore) -> Self {
-        let directory = tempfile::tempdir().expect("a temporary directory");
-        let path = directory.path().join("node.json");
-        let settings = json!({
-            "node_name": "front-1", "ip_address": "127.0.0.1", "zone": "north",
-            "listen_addresses": {"front": "127.0.0.1:0", "ready": "127.0.0.1:0"},
-            "internal_ports": [0, 0],
-            "limits": {"memory_mb": MEMORY_MB, "file_descriptors": 4100},
-            "bounds": {},
-            "platform": {"address": store.address().to_string()},
-        });
-        fs::write(&path, settings.to_string()).expect("the settings file is writable");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_galenamast"))
-            .arg("front")
-            .env("GALENAMAST_SETTINGS", &path)
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the program starts");
-        let mut lines = BufReader::new(child.stdout.take().expect("stdout is piped")).lines();
-        let callers = lines
-            .by_ref()
-            .map_while(Result::ok)
-            .find_map(|line| callers_address(&line))
-            .expect("the host logs its address");
-        // Drain the pipe, so that the host never blocks on writing a log line.
-        std::thread::spawn(move || lines.for_each(drop));
-        Self {
-            child,
-            callers,
-            _directory: directory,
-        }
-    }
-
-    /// Returns the most memory that the process has used, in MB.
-    fn peak_megabytes(&self) -> usize {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
-        let status = status.expect("the host runs");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
-        let kilobytes: usize = kilobytes.expect("the peak is stated");
-        kilobytes * 1_024 / 1_000_000
-    }
-}
-
-impl Drop for FrontProcess {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-/// Returns the address for callers from the log line of the start; `None` for other lines.
-fn callers_address(line: &str) -> Option<SocketAddr> {
-    let record: Value = serde_json::from_str(line).ok()?;
-    let is_start = record["event"] == "started";
-    record["callers"]
-        .as_str()
-        .filter(|_| is_start)?
-        .parse()
-        .ok()
-}
-
 /// Returns a configuration with a route to sound servers and one to servers without end.
 fn configuration() -> Value {
     let route = |name: &str, service: &str| {
@@ -174,7 +100,11 @@
         store.put("servers", id, &server.entry());
         servers.push(server);
     }
-    let host = FrontProcess::start(&store);
+    let limits = ProcessLimits {
+        memory_mb: MEMORY_MB,
+        descriptors: 4_100,
+    };
+    let host = FrontProcess::start(&store, limits);
     let caller = StandInCaller {
         address: host.callers,
     };
@@ -213,7 +143,7 @@
             "{kind:?}: answered after {took:?}"
         );
     }
-    let peak = host.peak_megabytes();
+    let peak = host.peak_bytes() / 1_000_000;
     println!("{kind:?}: peak of {peak} MB");
     assert!(peak < MEMORY_MB, "{kind:?}: {peak} MB");
 }
--- a/program/tests/process/main.rs
+++ b/program/tests/process/main.rs
@@ -1,6 +1,8 @@
 //! End-to-end tests with entry hosts as separate processes.
 
 mod endless_responses;
+#[path = "../common/front_process.rs"]
+mod front_process;
 mod host_kills;
 mod settings_signal;
 
