Bound what the kernel holds for connections by receive buffers of a fixed size

Callers saw: a host that ended. Bytes received and not read count as its memory, and nothing bounded them: the kernel enlarges the receive buffer of a connection that sends faster than the host reads, as with chunks of one byte, bytes behind a request in progress, or the rest of a refused body.

Change: connections from callers and hosts have a receive buffer of 8 KB, those to servers and hosts of 16 KB, those to the store of 128 KB. Linux allocates twice as much. The first two are settings of the host.

--- a/gateway/src/transport/connection_pool.rs
+++ b/gateway/src/transport/connection_pool.rs
@@ -15,7 +15,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -56,13 +56,18 @@
 }
 
 impl BackendConnection {
-    /// Opens a connection within `timeout`.
+    /// Opens a connection with a receive buffer of `receive_bytes` within `timeout`.
     ///
     /// # Errors
     ///
     /// Returns an error if the peer does not accept the connection in time.
-    pub async fn open(address: SocketAddr, timeout: Duration) -> io::Result<Self> {
-        let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
+    pub async fn open(
+        address: SocketAddr,
+        receive_bytes: u32,
+        timeout: Duration,
+    ) -> io::Result<Self> {
+        let socket = open_socket(address, receive_bytes)?;
+        let connecting = tokio::time::timeout(timeout, socket.connect(address));
         let stream = connecting
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
@@ -186,6 +191,16 @@
     }
 }
 
+/// Creates a socket for an address with a receive buffer of a fixed size, in bytes.
+pub(crate) fn open_socket(address: SocketAddr, receive_bytes: u32) -> io::Result<TcpSocket> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    socket.set_recv_buffer_size(receive_bytes)?;
+    Ok(socket)
+}
+
 /// Opens a connection to a server within the probe timeout and closes it.
 pub(crate) async fn probe_server(address: SocketAddr) -> ProbeResult {
     probe_connection(address, PROBE_TIMEOUT).await
--- a/gateway/src/transport/gateway_host.rs
+++ b/gateway/src/transport/gateway_host.rs
@@ -15,6 +15,7 @@
 use crate::coordination::shutdown::StopSchedule;
 use crate::protocol::{GatewayRecord, PlatformFormat, WIRE_VERSION};
 use crate::transport::caller_listener::CallerListener;
+use crate::transport::connection_pool::open_socket;
 use crate::transport::evacuation_feed::run_evacuations;
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::gateway_error::GatewayError;
@@ -29,6 +30,8 @@
 
 /// Number of ports that are tried if any free one will do.
 const PORT_TRIES: u32 = 16;
+/// Number of connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
 /// Interval at which a stopping host checks for open connections.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -52,9 +55,10 @@
         settings: GatewaySettings,
         format: PlatformFormat,
     ) -> Result<Self, GatewayError> {
-        let (callers, caller_address) = listen(settings.caller_address).await?;
-        let (ready, readiness_address) = listen(settings.readiness_address).await?;
-        let (datagrams, relays) = bind_peer_sockets(settings.peer_address).await?;
+        let receive_bytes = settings.caller_receive_bytes;
+        let (callers, caller_address) = listen(settings.caller_address, receive_bytes)?;
+        let (ready, readiness_address) = listen(settings.readiness_address, receive_bytes)?;
+        let (datagrams, relays) = bind_peer_sockets(settings.peer_address, receive_bytes).await?;
         let datagrams = Arc::new(datagrams);
         let context = GatewayContext::new(settings, format);
         let listener = Arc::new(CallerListener {
@@ -153,14 +157,17 @@
 
 /// Opens the sockets for datagrams and for relayed requests on one port. A free port is found by trying,
 /// as a port may be free for one of them only.
-async fn bind_peer_sockets(address: SocketAddr) -> Result<(UdpSocket, TcpListener), GatewayError> {
+async fn bind_peer_sockets(
+    address: SocketAddr,
+    receive_bytes: u32,
+) -> Result<(UdpSocket, TcpListener), GatewayError> {
     let failed = |source| GatewayError::Listen { address, source };
     let mut tries = if address.port() == 0 { PORT_TRIES } else { 1 };
     loop {
         let datagrams = UdpSocket::bind(address).await.map_err(failed)?;
         let bound = datagrams.local_addr().map_err(failed)?;
         tries -= 1;
-        match listen(bound).await {
+        match listen(bound, receive_bytes) {
             Ok((relays, _)) => return Ok((datagrams, relays)),
             Err(error) if tries == 0 => return Err(error),
             Err(_) => {}
@@ -168,10 +175,20 @@
     }
 }
 
-/// Opens a listening socket and returns it with its bound address.
-async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), GatewayError> {
+/// Opens a listening socket and returns it with its bound address. Its connections have a receive buffer of
+/// a fixed size, as the kernel would otherwise enlarge those of callers that send faster than they are read.
+fn listen(
+    address: SocketAddr,
+    receive_bytes: u32,
+) -> Result<(TcpListener, SocketAddr), GatewayError> {
     let failed = |source| GatewayError::Listen { address, source };
-    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let open = || {
+        let socket = open_socket(address, receive_bytes)?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    let listener = open().map_err(failed)?;
     let bound = listener.local_addr().map_err(failed)?;
     Ok((listener, bound))
 }
--- a/gateway/src/transport/gateway_settings.rs
+++ b/gateway/src/transport/gateway_settings.rs
@@ -42,6 +42,11 @@
     pub max_buffered_bytes: usize,
     /// Largest number of open connections from callers.
     pub max_caller_connections: usize,
+    /// Receive buffer of a connection from a caller or another host, in bytes. Linux allocates twice as much.
+    pub caller_receive_bytes: u32,
+    /// Receive buffer of a connection to a backend server or another host, in bytes. Linux allocates twice
+    /// as much.
+    pub server_receive_bytes: u32,
     /// Timeout for opening a connection to a backend server or the store.
     pub connect_timeout: Duration,
     /// Time without a usable connection to the store after which the bounds on applying changes no
@@ -121,6 +126,8 @@
             stop: StopSettings::default(),
             max_buffered_bytes: 64 * 1_024 * 1_024,
             max_caller_connections: 1_500,
+            caller_receive_bytes: 8 * 1_024,
+            server_receive_bytes: 16 * 1_024,
             connect_timeout: Duration::from_millis(400),
             contact_timeout: Duration::from_secs(3),
             configuration_bound: Duration::from_secs(2),
--- a/gateway/src/transport/request_exchange/relay.rs
+++ b/gateway/src/transport/request_exchange/relay.rs
@@ -218,7 +218,8 @@
             None => {
                 let longest = context.settings.liveness.connect_timeout(remaining);
                 let timeout = context.settings.peers.connect_timeout.min(longest);
-                let opened = BackendConnection::open(peer.address, timeout).await;
+                let receive_bytes = context.settings.server_receive_bytes;
+                let opened = BackendConnection::open(peer.address, receive_bytes, timeout).await;
                 let opened = opened.map_err(|error| match ProbeResult::of_error(&error) {
                     ProbeResult::NotTried => RelayFailure::NotTried,
                     _ => RelayFailure::Unreached,
--- a/gateway/src/transport/store_client.rs
+++ b/gateway/src/transport/store_client.rs
@@ -18,6 +18,8 @@
 /// Largest response to a watch in bytes. It may hold any number of changes; a list, which is read in
 /// pages, takes the place of a larger one. The largest object has about 1 MB.
 const MAX_WATCH_BYTES: usize = 2 * 1_024 * 1_024;
+/// Receive buffer of a connection to the store, in bytes.
+const RECEIVE_BYTES: u32 = 128 * 1_024;
 
 /// A call to the store failed or its response cannot be used.
 #[derive(Debug, Error)]
@@ -221,7 +223,9 @@
     ) -> Result<(BackendConnection, Response<BoundedBody>), StoreError> {
         let mut connection = match self.pool.take(self.address) {
             Some(connection) => connection,
-            None => BackendConnection::open(self.address, self.connect_timeout).await?,
+            None => {
+                BackendConnection::open(self.address, RECEIVE_BYTES, self.connect_timeout).await?
+            }
         };
         let request = Request::builder()
             .method(method)
--- a/gateway/tests/response_fuzz.rs
+++ b/gateway/tests/response_fuzz.rs
@@ -101,7 +101,7 @@
 
 /// Reads a response as far as it goes; returns the bytes of its data.
 async fn read(address: SocketAddr) -> usize {
-    let opened = BackendConnection::open(address, READ_TIME).await;
+    let opened = BackendConnection::open(address, 16 * 1_024, READ_TIME).await;
     let mut connection = opened.expect("the server accepts");
     let request = Request::builder().uri("/").header("host", "desk.example");
     let request = request.body(Full::new(Bytes::new())).expect("valid");
