Allocate the handling of a request only while one is in progress

Callers saw: connections that send nothing take a good part of a small host's memory.

Cause: a connection reserves the size of the future that handles a request for as long as it is open.

Change: the future is boxed by the service of the connection, so that it is allocated with a request.

--- a/gateway/src/transport/caller_listener.rs
+++ b/gateway/src/transport/caller_listener.rs
@@ -183,7 +183,8 @@
             allowance.lock().renew();
             let request = request.map(|body| BoundedBody::new(body, allowance.clone()));
             async move {
-                let response = shared.serve_request(request, origin).await;
+                // The connection reserves the size of this future for as long as it is open.
+                let response = Box::pin(shared.serve_request(request, origin)).await;
                 Ok::<_, Infallible>(response.map(|body| serving.attach(body)))
             }
         });
