Bound all that callers make a host hold by one budget, and let connections give way

Callers saw: a host that ended, and no answer to ordinary requests while more callers were connected than a host takes.

Cause: the account of memory counted bodies only. A connection, its buffers, bytes received and not read, a head, the state of a request and a connection to a server were in no account, so that their sum exceeded the memory of the process. Bodies of up to 64 KB had a reserve, which bodies that never end kept. Room was refused to whoever came next and never taken back from whoever brought nothing.

Change: HostMemory counts connections, requests in progress and connections to servers besides bodies, by what each may take at most. A budget of the process bounds the sum: its memory without what it needs at rest, a tenth for the allocator and one large response. Above three quarters of it, or at the bound on connections, those give way that have brought least for longest: requests that arrive at the lowest rate, callers that do not read or send on behind a request, then connections that wait. Requests have half a second to arrive before they are judged. A body that gives way is refused with 503 as not run. The last quarter is for requests that have arrived whole, half of it for routes and the rest for workspaces that hold less than half of what all do. The send buffer of a caller's connection is bounded, so that one which does not read shows.

--- a/gateway/src/protocol/gateway_record.rs
+++ b/gateway/src/protocol/gateway_record.rs
@@ -1,5 +1,6 @@
 //! Log records of an entry host: one line for each decision and each observed change.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use serde::Serialize;
@@ -375,6 +376,19 @@
         /// Description of the failure.
         message: String,
     },
+    /// Connections of callers gave way to others since the last such line.
+    ConnectionsEvicted {
+        /// Number of them by what they did.
+        evicted: BTreeMap<&'static str, usize>,
+        /// Connections of callers that were open.
+        open: usize,
+        /// Largest number of them.
+        max_open: usize,
+        /// Memory that was held, in bytes.
+        held_bytes: usize,
+        /// Sum above which connections give way, in bytes.
+        pressure_bytes: usize,
+    },
     /// Records were dropped since the last one.
     LinesDropped {
         /// Number of records.
--- a/gateway/src/transport/attempt_runner.rs
+++ b/gateway/src/transport/attempt_runner.rs
@@ -379,15 +379,15 @@
     if let Some(connection) = pooled {
         return Ok(connection);
     }
-    let (timeout, receive_bytes) = (call.connect_timeout, context.settings.server_receive_bytes);
+    let timeout = call.connect_timeout;
     context.metrics.increment("connections_total");
-    let mut opened = BackendConnection::open(server.address, receive_bytes, timeout).await;
+    let mut opened = BackendConnection::open_counted(context, server.address, timeout).await;
     let is_own = |error: &io::Error| ProbeResult::of_error(error) == ProbeResult::NotTried;
     if opened.as_ref().is_err_and(is_own) {
         // Idle connections hold what the host lacks.
         context.metrics.increment("own_connect_failures_total");
         context.pool.clear_all();
-        opened = BackendConnection::open(server.address, receive_bytes, timeout).await;
+        opened = BackendConnection::open_counted(context, server.address, timeout).await;
     }
     let error = match opened {
         Ok(connection) => {
--- a/gateway/src/transport/caller_listener.rs
+++ b/gateway/src/transport/caller_listener.rs
@@ -28,15 +28,18 @@
 use crate::state::{CallerHead, CallerLimits, answer_deadline};
 use crate::transport::attempt_runner::remaining_time;
 use crate::transport::body_guard::BodyGuard;
-use crate::transport::caller_socket::{CallerSocket, ConnectionActivity, LimitSource};
+use crate::transport::caller_socket::{CallerSocket, LimitSource};
+use crate::transport::connection_activity::{BodyPhase, ConnectionActivity};
 use crate::transport::gateway_context::GatewayContext;
+use crate::transport::open_connections::CallerSlot;
 use crate::transport::record_log::log_record;
 use crate::transport::request_admission::{
     Admission, BodyRefusal, Refusal, admit_earlier, admit_head, admit_known, close_after,
-    read_body, unconfirmed_response,
+    head_bytes, read_body, unconfirmed_response,
 };
 use crate::transport::request_exchange::RequestExchange;
 use crate::transport::response_body::{ResponseBody, host_response, stopping_response};
+use crate::transport::served_body::ServingGuard;
 
 /// Smallest read buffer that hyper accepts, in bytes.
 const MIN_HEADER_BUFFER_BYTES: usize = 8_192;
@@ -71,15 +74,13 @@
     pub(crate) close_idle: CancellationToken,
     /// Cancelled when no further connections are to be accepted but those that wait already.
     pub(crate) close_sockets: CancellationToken,
-    /// Number of open connections.
-    pub(crate) open: AtomicUsize,
     /// Number of sockets that are closing and may still have connections to accept.
     pub(crate) accepting: AtomicUsize,
 }
 
 impl CallerListener {
-    /// Accepts callers' connections until the task is dropped. Connections over the limit are closed
-    /// at once.
+    /// Accepts callers' connections until the task is dropped. One for which there is no room and none gives
+    /// way is closed at once.
     pub(crate) async fn accept(self: Arc<Self>, listener: TcpListener) {
         self.accept_from(listener, RequestOrigin::Caller).await;
     }
@@ -101,18 +102,14 @@
                 self.context.metrics.increment("relays_of_strangers_total");
                 continue;
             }
-            if self.open.load(Ordering::Relaxed) >= self.context.settings.max_caller_connections {
+            let Some(slot) = CallerSlot::take(&self.context).await else {
                 self.context
                     .metrics
                     .increment("connections_over_limit_total");
                 continue;
-            }
-            let guard = OpenGuard::new(&self);
+            };
             let shared = self.clone();
-            tokio::spawn(async move {
-                let _guard = guard;
-                shared.serve_connection(stream, origin).await;
-            });
+            tokio::spawn(async move { shared.serve_connection(stream, slot, origin).await });
         }
         self.accepting.fetch_sub(1, Ordering::Relaxed);
     }
@@ -133,7 +130,7 @@
     /// Returns whether connections are open, or wait to be accepted at a socket that is closing.
     pub(crate) fn is_busy(&self) -> bool {
         let is_closing = self.close_sockets.is_cancelled();
-        self.open.load(Ordering::Relaxed) > 0
+        self.context.connections.callers() > 0
             || (is_closing && self.accepting.load(Ordering::Relaxed) > 0)
     }
 
@@ -144,7 +141,12 @@
     }
 
     /// Serves the requests of one connection.
-    async fn serve_connection(self: &Arc<Self>, stream: TcpStream, origin: RequestOrigin) {
+    async fn serve_connection(
+        self: &Arc<Self>,
+        stream: TcpStream,
+        slot: CallerSlot,
+        origin: RequestOrigin,
+    ) {
         // If either option cannot be set, the connection is only slower or stays open longer.
         let _ = stream.set_nodelay(true);
         let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNREAD_TIMEOUT));
@@ -161,7 +163,8 @@
             .max_headers(MAX_HEADERS)
             .max_buf_size(header_bytes.max(MIN_HEADER_BUFFER_BYTES));
         let shared = self.clone();
-        let activity = Arc::new(ConnectionActivity::default());
+        let activity = slot.activity.clone();
+        let slot_activity = activity.clone();
         let close_idle = if self.close_idle.is_cancelled() {
             // A connection accepted this late closes with its first response. Closing it earlier
             // would leave the caller without a response.
@@ -170,7 +173,7 @@
             self.close_idle.clone()
         };
         let context = self.context.clone();
-        let socket = CallerSocket::new(stream, activity.clone(), context, limits, close_idle);
+        let socket = CallerSocket::new(stream, slot, context, limits, close_idle);
         let defaults = AllowanceSettings::default();
         let allowance = SharedAllowance::new(AllowanceSettings {
             max_idle_bytes: defaults.max_idle_bytes.max(header_bytes as u64 * 2),
@@ -179,19 +182,22 @@
         let socket = BoundedSocket::new(socket, allowance.clone());
         let service = service_fn(move |request: Request<Incoming>| {
             let shared = shared.clone();
-            let serving = activity.serve();
+            let activity = activity.clone();
+            let serving = ServingGuard::new(&shared.context, &activity);
             allowance.lock().renew();
             let request = request.map(|body| BoundedBody::new(body, allowance.clone()));
             async move {
                 // The connection reserves the size of this future for as long as it is open.
-                let response = Box::pin(shared.serve_request(request, origin)).await;
+                let response = Box::pin(shared.serve_request(request, origin, activity)).await;
                 Ok::<_, Infallible>(response.map(|body| serving.attach(body)))
             }
         });
-        // An I/O error concerns this connection only, and the caller notices it too.
-        let _ = builder
-            .serve_connection(TokioIo::new(socket), service)
-            .await;
+        let cut = slot_activity.cut();
+        tokio::select! {
+            // An I/O error concerns this connection only, and the caller notices it too.
+            _ = builder.serve_connection(TokioIo::new(socket), service) => {}
+            () = cut => {}
+        }
     }
 
     /// Serves one request; asks the caller to close the connection if the host is stopping.
@@ -199,13 +205,14 @@
         self: &Arc<Self>,
         request: Request<BoundedBody>,
         origin: RequestOrigin,
+        activity: Arc<ConnectionActivity>,
     ) -> Response<ResponseBody> {
         let started_at = self.context.now();
         let _count = RequestGuard::new(&self.context);
         let passed_on = (origin == RequestOrigin::Host)
             .then(|| (self.context.format.read_request)(request.headers()).request);
         // A panic would end the connection without a response.
-        let handling = AssertUnwindSafe(self.admit_and_run(request, origin, started_at));
+        let handling = AssertUnwindSafe(self.admit_and_run(request, origin, activity, started_at));
         let handled = handling.catch_unwind().await;
         let mut response = match handled.unwrap_or_else(|_| Ok(self.panic_response())) {
             Ok(response) => response,
@@ -249,6 +256,7 @@
         &self,
         request: Request<BoundedBody>,
         origin: RequestOrigin,
+        activity: Arc<ConnectionActivity>,
         started_at: TimePoint,
     ) -> Result<Response<ResponseBody>, Refusal> {
         let context = &self.context;
@@ -275,26 +283,36 @@
             Err(refusal) => {
                 let (status, request) = (refusal.status(), head.request.as_ref());
                 log_refusal(context, request, status, "not admitted", started_at);
-                return Err(close_after(context, refusal, body, awaits_continue));
+                let refusal = close_after(context, refusal, body, awaits_continue, &activity);
+                return Err(refusal);
             }
         };
         let reading = BodyGuard::new(context, &admission, &head, started_at);
         let deadline = admission.route.deadline(head.time_allowed, started_at);
+        activity.set_body_phase(BodyPhase::Reading);
         let read = tokio::select! {
             biased;
-            read = read_body(context, &admission.snapshot, &parts, &mut body) => read,
+            read = read_body(context, &admission, &parts, &mut body, &activity) => read,
+            () = activity.evicted.cancelled() => Err(BodyRefusal::NoRoom),
             () = tokio::time::sleep(remaining_time(context, deadline)) => Err(BodyRefusal::Late),
             () = context.last_answers.cancelled() => Err(BodyRefusal::Stopping),
         };
         reading.end();
         let body = match read {
-            Ok(buffered) => buffered,
+            Ok(buffered) => {
+                let is_chunked = parts.headers.contains_key(header::TRANSFER_ENCODING);
+                let length = (head_bytes(&parts) + buffered.bytes.len()) as u64;
+                activity.note_arrived((!is_chunked).then_some(length), context.now());
+                buffered
+            }
             Err(refusal) => {
+                activity.set_body_phase(BodyPhase::Absent);
                 context.metrics.increment(refusal.counter());
                 let (reason, response) = (refusal.reason(), refusal.into_response());
                 let (status, request) = (response.status(), head.request.as_ref());
                 log_refusal(context, request, status, reason, started_at);
-                return Err(close_after(context, Box::new(response), body, false));
+                let refusal = close_after(context, Box::new(response), body, false, &activity);
+                return Err(refusal);
             }
         };
         // The load balancer may have learned of a stop while the body arrived.
@@ -369,23 +387,6 @@
     }
 }
 
-/// Counts a connection as open until it is dropped, also if the task that serves it panics.
-struct OpenGuard(Arc<CallerListener>);
-
-impl OpenGuard {
-    /// Counts a connection as open.
-    fn new(listener: &Arc<CallerListener>) -> Self {
-        listener.open.fetch_add(1, Ordering::Relaxed);
-        Self(listener.clone())
-    }
-}
-
-impl Drop for OpenGuard {
-    fn drop(&mut self) {
-        self.0.open.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Counts a request as in flight until its response starts.
 struct RequestGuard<'a> {
     context: &'a GatewayContext,
--- a/gateway/src/transport/caller_socket.rs
+++ b/gateway/src/transport/caller_socket.rs
@@ -4,12 +4,9 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::task::{Context, Poll, Waker};
+use std::sync::Arc;
+use std::task::{Context, Poll};
 
-use bytes::Bytes;
-use http_body::{Body, Frame, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep};
@@ -18,145 +15,53 @@
 use crate::coordination::callers::{CallerWait, WaitStage};
 use crate::state::CallerLimits;
 use crate::transport::gateway_context::GatewayContext;
-use crate::transport::response_body::{ResponseBody, TruncatedResponse};
-
-/// What is in progress on a connection.
-#[derive(Debug, Default)]
-pub(crate) struct ConnectionActivity {
-    // Number of reads that returned bytes.
-    reads: AtomicUsize,
-    // The same when the response to the last request was begun.
-    answered_reads: AtomicUsize,
-    // Number of requests whose response is not complete.
-    serving: AtomicUsize,
-    // Whether bytes of a response wait until the caller reads.
-    is_blocked: AtomicBool,
-    // Wakes the connection when the last response is complete, as hyper may not read again by itself then.
-    reader: Mutex<Option<Waker>>,
-}
-
-impl ConnectionActivity {
-    /// Counts a request as being served until the guard is dropped.
-    pub(crate) fn serve(self: &Arc<Self>) -> ServingGuard {
-        self.serving.fetch_add(1, Ordering::SeqCst);
-        ServingGuard {
-            activity: self.clone(),
-        }
-    }
-
-    /// Has the connection woken when the last response is complete.
-    fn wake_when_served(&self, waker: &Waker) {
-        let mut reader = self.reader.lock().unwrap_or_else(PoisonError::into_inner);
-        reader
-            .get_or_insert_with(|| waker.clone())
-            .clone_from(waker);
-    }
-
-    /// Wakes the connection, which may wait for the next request now.
-    fn wake(&self) {
-        let mut reader = self.reader.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(waker) = reader.take() {
-            waker.wake();
-        }
-    }
-
-    /// Returns what the connection waits for; `None` while a request is being served.
-    fn stage(&self) -> Option<WaitStage> {
-        let load = |count: &AtomicUsize| count.load(Ordering::SeqCst);
-        if load(&self.serving) > 0 || self.is_blocked.load(Ordering::SeqCst) {
-            return None;
-        }
-        let is_idle = load(&self.reads) == load(&self.answered_reads);
-        Some(if is_idle {
-            WaitStage::Idle
-        } else {
-            WaitStage::Head
-        })
-    }
-}
-
-/// Counts a request as being served.
-#[derive(Debug)]
-pub(crate) struct ServingGuard {
-    activity: Arc<ConnectionActivity>,
-}
-
-impl ServingGuard {
-    /// Keeps the guard until the body of the response is complete. The request was read whole.
-    pub(crate) fn attach(self, body: ResponseBody) -> ServedBody {
-        let reads = self.activity.reads.load(Ordering::SeqCst);
-        self.activity.answered_reads.store(reads, Ordering::SeqCst);
-        ServedBody { body, _guard: self }
-    }
-}
-
-impl Drop for ServingGuard {
-    fn drop(&mut self) {
-        self.activity.serving.fetch_sub(1, Ordering::SeqCst);
-        self.activity.wake();
-    }
-}
-
-/// Body of a response whose request counts as being served until it is dropped.
-#[derive(Debug)]
-pub(crate) struct ServedBody {
-    body: ResponseBody,
-    _guard: ServingGuard,
-}
-
-impl Body for ServedBody {
-    type Data = Bytes;
-    type Error = TruncatedResponse;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, TruncatedResponse>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
+use crate::transport::open_connections::CallerSlot;
 
 /// Returns the limits in force for the callers of a connection.
 pub(crate) type LimitSource = fn(&GatewayContext) -> CallerLimits;
 
+/// Bytes of a request that the first read buffer holds; the buffer grows for more.
+const FIRST_BUFFER_BYTES: u64 = 4 * 1_024;
+
 /// Socket of a caller.
 #[derive(Debug)]
 pub(crate) struct CallerSocket {
     stream: TcpStream,
-    activity: Arc<ConnectionActivity>,
+    slot: CallerSlot,
     context: Arc<GatewayContext>,
     limits: LimitSource,
     wait: Option<CallerWait>,
     timer: Pin<Box<Sleep>>,
     // Completes when idle connections are to be closed.
     closing: Pin<Box<WaitForCancellationFutureOwned>>,
+    // Completes when the connection is to give way to others.
+    evicted: Pin<Box<WaitForCancellationFutureOwned>>,
+    // Whether the read buffer has grown, and whether the write buffer has.
+    is_reading: bool,
+    is_blocked: bool,
 }
 
 impl CallerSocket {
     /// Wraps the socket of a caller; `close_idle` is cancelled when it is to be closed once idle.
     pub(crate) fn new(
         stream: TcpStream,
-        activity: Arc<ConnectionActivity>,
+        slot: CallerSlot,
         context: Arc<GatewayContext>,
         limits: LimitSource,
         close_idle: CancellationToken,
     ) -> Self {
+        let evicted = slot.activity.evicted.clone();
         Self {
             stream,
-            activity,
+            slot,
             context,
             limits,
             wait: None,
             timer: Box::pin(tokio::time::sleep_until(Instant::now())),
             closing: Box::pin(close_idle.cancelled_owned()),
+            evicted: Box::pin(evicted.cancelled_owned()),
+            is_reading: false,
+            is_blocked: false,
         }
     }
 
@@ -173,7 +78,7 @@
     fn is_overdue(&mut self, stage: Option<WaitStage>, cx: &mut Context<'_>) -> bool {
         let Some(stage) = stage else {
             self.wait = None;
-            self.activity.wake_when_served(cx.waker());
+            self.slot.activity.wake_when_served(cx.waker());
             return false;
         };
         let now = self.context.now();
@@ -202,15 +107,18 @@
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
         if polled.is_ready() {
-            let has_read = buffer.filled().len() > before;
-            let reads = &self.activity.reads;
-            reads.fetch_add(usize::from(has_read), Ordering::SeqCst);
+            self.note_read(buffer.filled().len() - before);
             return polled;
         }
-        let stage = self.activity.stage();
-        let is_stopping =
-            stage == Some(WaitStage::Idle) && self.closing.as_mut().poll(cx).is_ready();
-        let is_closing = self.is_overdue(stage, cx) || is_stopping;
+        let stage = self.slot.activity.stage();
+        let is_idle = stage == Some(WaitStage::Idle);
+        if is_idle && self.is_reading {
+            self.is_reading = false;
+            self.set_buffers();
+        }
+        let is_stopping = is_idle && self.closing.as_mut().poll(cx).is_ready();
+        let is_evicted = is_idle && self.evicted.as_mut().poll(cx).is_ready();
+        let is_closing = self.is_overdue(stage, cx) || is_stopping || is_evicted;
         if is_closing && !self.has_unread_bytes() {
             // Reads as the end of the caller's requests, upon which the connection is closed.
             return Poll::Ready(Ok(()));
@@ -220,15 +128,33 @@
 }
 
 impl CallerSocket {
-    /// Remembers whether bytes wait until the caller reads.
-    fn note_written<T>(&self, polled: Poll<T>) -> Poll<T> {
-        let is_pending = polled.is_pending();
-        let was_blocked = self.activity.is_blocked.swap(is_pending, Ordering::SeqCst);
-        if was_blocked && !is_pending {
-            self.activity.wake();
+    /// Counts bytes that arrived, and the buffer that they may fill.
+    fn note_read(&mut self, length: usize) {
+        if length == 0 {
+            return;
+        }
+        let bytes = self.slot.activity.note_read(length, self.context.now());
+        if bytes > FIRST_BUFFER_BYTES && !self.is_reading {
+            self.is_reading = true;
+            self.set_buffers();
+        }
+    }
+
+    /// Counts whether bytes wait until the caller reads.
+    fn note_written<T>(&mut self, polled: Poll<T>) -> Poll<T> {
+        let is_blocked = polled.is_pending();
+        let now = self.context.now();
+        if self.slot.activity.note_blocked(is_blocked, now) {
+            self.is_blocked = is_blocked;
+            self.set_buffers();
         }
         polled
     }
+
+    /// Counts the memory of the buffers.
+    fn set_buffers(&mut self) {
+        self.slot.set_buffers(self.is_reading, self.is_blocked);
+    }
 }
 
 impl AsyncWrite for CallerSocket {
--- a/gateway/src/transport/connection_pool.rs
+++ b/gateway/src/transport/connection_pool.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,6 +20,8 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::coordination::liveness::ProbeResult;
+use crate::transport::gateway_context::GatewayContext;
+use crate::transport::open_connections::ServerSlot;
 
 /// TCP keep-alive: idle time before the first probe, and time between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -39,6 +41,8 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Size of a connection's buffer, which bounds the head of a response and what one read of a body gives.
 const READ_BUFFER_BYTES: usize = 8 * 1_024;
+/// Error number of a host without room for a connection of its own: `ENOBUFS`.
+const NO_ROOM: i32 = 105;
 /// Largest number of idle connections kept for one address.
 const MAX_IDLE_PER_ADDRESS: usize = 12;
 
@@ -51,6 +55,8 @@
     pub reused: bool,
     sender: SendRequest<Full<Bytes>>,
     allowance: SharedAllowance,
+    // Room that the connection takes, if it counts against a host's.
+    _slot: Option<ServerSlot>,
     // Closes the connection when the value is dropped, even in the middle of a response.
     _driver: AbortOnDropHandle<()>,
 }
@@ -93,10 +99,31 @@
             reused: false,
             sender,
             allowance,
+            _slot: None,
             _driver: AbortOnDropHandle::new(driver),
         })
     }
 
+    /// Opens a connection that takes room of a host. Idle connections are closed if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no room, or the peer does not accept the connection in time.
+    pub(crate) async fn open_counted(
+        context: &Arc<GatewayContext>,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> io::Result<Self> {
+        let slot = ServerSlot::take(context).await;
+        let slot = slot.ok_or_else(|| io::Error::from_raw_os_error(NO_ROOM))?;
+        let receive_bytes = context.settings.server_receive_bytes;
+        let connection = Self::open(address, receive_bytes, timeout).await?;
+        Ok(Self {
+            _slot: Some(slot),
+            ..connection
+        })
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
--- a/gateway/src/transport/gateway_context.rs
+++ b/gateway/src/transport/gateway_context.rs
@@ -18,7 +18,7 @@
 use crate::coordination::evacuations::{DomainEvacuations, EvacuationSettings};
 use crate::coordination::freshness::{FreshnessSettings, StoreFreshness};
 use crate::coordination::liveness::ServerLiveness;
-use crate::coordination::memory::MemoryLimits;
+use crate::coordination::memory::MemoryBudget;
 use crate::coordination::permits::ServerPermits;
 use crate::coordination::placement::{LoadEstimator, PrefixCacheIndex, ServerTable};
 use crate::coordination::reach::{PeerReach, ServiceReach};
@@ -27,11 +27,13 @@
 use crate::protocol::{PeerMessage, PlatformFormat};
 use crate::state::{CallerLimits, ConfigSnapshot, FollowedKind, HostPresence, ServerEntry};
 use crate::transport::connection_pool::ConnectionPool;
+use crate::transport::exchange_slot::ExchangeShares;
 use crate::transport::gateway_metrics::GatewayMetrics;
 use crate::transport::gateway_settings::GatewaySettings;
 use crate::transport::host_memory::HostMemory;
 use crate::transport::kind_reads::KindReads;
 use crate::transport::object_defects::ObjectDefects;
+use crate::transport::open_connections::OpenConnections;
 use crate::transport::store_client::StoreClient;
 
 /// Number of configurations before the current one that are kept.
@@ -84,8 +86,12 @@
     pub(crate) refresh_failed_at: tokio::sync::Mutex<Option<TimePoint>>,
     /// Number of requests whose response has not started.
     pub in_flight: AtomicUsize,
-    /// Memory for bodies.
+    /// Memory that callers make the host hold.
     pub memory: Arc<HostMemory>,
+    /// Open connections of callers and to servers.
+    pub connections: OpenConnections,
+    /// Memory of requests in progress by route and workspace.
+    pub(crate) exchanges: ExchangeShares,
     /// The course of the stop, once the process is stopping.
     pub stop: OnceLock<StopSchedule>,
     /// Cancelled when a stopping host gives its last answers.
@@ -143,9 +149,12 @@
             })),
             refresh_failed_at: tokio::sync::Mutex::new(None),
             in_flight: AtomicUsize::new(0),
-            memory: Arc::new(HostMemory::new(MemoryLimits::new(
+            memory: Arc::new(HostMemory::new(MemoryBudget::new(
+                settings.process_memory_bytes,
                 settings.max_buffered_bytes,
             ))),
+            connections: OpenConnections::default(),
+            exchanges: ExchangeShares::default(),
             stop: OnceLock::new(),
             last_answers: CancellationToken::new(),
             grace_over: AtomicBool::new(false),
--- a/gateway/src/transport/gateway_host.rs
+++ b/gateway/src/transport/gateway_host.rs
@@ -55,17 +55,15 @@
         settings: GatewaySettings,
         format: PlatformFormat,
     ) -> Result<Self, GatewayError> {
-        let receive_bytes = settings.caller_receive_bytes;
-        let (callers, caller_address) = listen(settings.caller_address, receive_bytes)?;
-        let (ready, readiness_address) = listen(settings.readiness_address, receive_bytes)?;
-        let (datagrams, relays) = bind_peer_sockets(settings.peer_address, receive_bytes).await?;
+        let (callers, caller_address) = listen(settings.caller_address, &settings)?;
+        let (ready, readiness_address) = listen(settings.readiness_address, &settings)?;
+        let (datagrams, relays) = bind_peer_sockets(&settings).await?;
         let datagrams = Arc::new(datagrams);
         let context = GatewayContext::new(settings, format);
         let listener = Arc::new(CallerListener {
             context: context.clone(),
             close_idle: CancellationToken::new(),
             close_sockets: CancellationToken::new(),
-            open: AtomicUsize::new(0),
             accepting: AtomicUsize::new(0),
         });
         let mut tasks = start_store_feeds(&context);
@@ -138,7 +136,7 @@
         context.grace_over.store(true, Ordering::Relaxed);
         let elapsed = context.now().since(schedule.signalled_at());
         let record = GatewayRecord::Stopped {
-            abandoned: self.callers.open.load(Ordering::Relaxed),
+            abandoned: context.connections.callers(),
             in_flight: context.in_flight.load(Ordering::Relaxed),
             elapsed_ms: u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
         };
@@ -158,16 +156,16 @@
 /// Opens the sockets for datagrams and for relayed requests on one port. A free port is found by trying,
 /// as a port may be free for one of them only.
 async fn bind_peer_sockets(
-    address: SocketAddr,
-    receive_bytes: u32,
+    settings: &GatewaySettings,
 ) -> Result<(UdpSocket, TcpListener), GatewayError> {
+    let address = settings.peer_address;
     let failed = |source| GatewayError::Listen { address, source };
     let mut tries = if address.port() == 0 { PORT_TRIES } else { 1 };
     loop {
         let datagrams = UdpSocket::bind(address).await.map_err(failed)?;
         let bound = datagrams.local_addr().map_err(failed)?;
         tries -= 1;
-        match listen(bound, receive_bytes) {
+        match listen(bound, settings) {
             Ok((relays, _)) => return Ok((datagrams, relays)),
             Err(error) if tries == 0 => return Err(error),
             Err(_) => {}
@@ -175,15 +173,17 @@
     }
 }
 
-/// Opens a listening socket and returns it with its bound address. Its connections have a receive buffer of
-/// a fixed size, as the kernel would otherwise enlarge those of callers that send faster than they are read.
+/// Opens a listening socket and returns it with its bound address. Its connections have buffers of a fixed
+/// size, as the kernel would otherwise enlarge those of callers that send faster than they are read, or that
+/// do not read.
 fn listen(
     address: SocketAddr,
-    receive_bytes: u32,
+    settings: &GatewaySettings,
 ) -> Result<(TcpListener, SocketAddr), GatewayError> {
     let failed = |source| GatewayError::Listen { address, source };
     let open = || {
-        let socket = open_socket(address, receive_bytes)?;
+        let socket = open_socket(address, settings.caller_receive_bytes)?;
+        socket.set_send_buffer_size(settings.caller_send_bytes)?;
         socket.set_reuseaddr(true)?;
         socket.bind(address)?;
         socket.listen(BACKLOG)
--- a/gateway/src/transport/gateway_settings.rs
+++ b/gateway/src/transport/gateway_settings.rs
@@ -6,6 +6,7 @@
 
 use crate::coordination::admission::AdmissionSettings;
 use crate::coordination::budgets::BudgetSettings;
+use crate::coordination::callers::EvictionSettings;
 use crate::coordination::cascade::CascadeSettings;
 use crate::coordination::crashes::CrashSettings;
 use crate::coordination::liveness::LivenessSettings;
@@ -38,12 +39,18 @@
     pub store_address: SocketAddr,
     /// Times of a stop.
     pub stop: StopSettings,
-    /// Largest total size of request bodies in memory, in bytes.
+    /// Memory that the process may use, in bytes.
+    pub process_memory_bytes: usize,
+    /// Largest total size of bodies in memory, in bytes.
     pub max_buffered_bytes: usize,
-    /// Largest number of open connections from callers.
+    /// Largest number of open connections from callers and other hosts.
     pub max_caller_connections: usize,
+    /// Order in which connections give way when there is no room for others.
+    pub eviction: EvictionSettings,
     /// Receive buffer of a connection from a caller or another host, in bytes. Linux allocates twice as much.
     pub caller_receive_bytes: u32,
+    /// Send buffer of such a connection, in bytes. Linux allocates twice as much.
+    pub caller_send_bytes: u32,
     /// Receive buffer of a connection to a backend server or another host, in bytes. Linux allocates twice
     /// as much.
     pub server_receive_bytes: u32,
@@ -124,9 +131,12 @@
             peer_address: ephemeral,
             store_address: ephemeral,
             stop: StopSettings::default(),
+            process_memory_bytes: 256_000_000,
             max_buffered_bytes: 64 * 1_024 * 1_024,
             max_caller_connections: 1_500,
+            eviction: EvictionSettings::default(),
             caller_receive_bytes: 8 * 1_024,
+            caller_send_bytes: 32 * 1_024,
             server_receive_bytes: 16 * 1_024,
             connect_timeout: Duration::from_millis(400),
             contact_timeout: Duration::from_secs(3),
--- a/gateway/src/transport/host_memory.rs
+++ b/gateway/src/transport/host_memory.rs
@@ -1,11 +1,11 @@
-//! Account of the memory that a host holds for bodies of requests, responses and streams.
+//! Account of the memory that callers make a host hold.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 
-use crate::coordination::memory::{MemoryLimits, MemoryUse, may_hold};
+use crate::coordination::memory::{MemoryBudget, MemoryUse, may_hold};
 
 /// What memory is held for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -16,11 +16,26 @@
     Responses,
     /// Events of streams, whole or in part, until the caller has taken them.
     Streams,
+    /// Connections of callers, with their buffers and what they have received.
+    Connections,
+    /// State and heads of requests in progress.
+    Exchanges,
+    /// Connections to servers and other hosts.
+    Servers,
 }
 
 impl MemoryKind {
     /// All kinds.
-    pub const ALL: [Self; 3] = [Self::Requests, Self::Responses, Self::Streams];
+    pub const ALL: [Self; 6] = [
+        Self::Requests,
+        Self::Responses,
+        Self::Streams,
+        Self::Connections,
+        Self::Exchanges,
+        Self::Servers,
+    ];
+    /// Kinds of bodies.
+    const BODIES: [Self; 3] = [Self::Requests, Self::Responses, Self::Streams];
 
     /// Returns the name of the kind on the metrics page.
     pub const fn name(self) -> &'static str {
@@ -28,14 +43,17 @@
             Self::Requests => "requests",
             Self::Responses => "responses",
             Self::Streams => "streams",
+            Self::Connections => "connections",
+            Self::Exchanges => "exchanges",
+            Self::Servers => "servers",
         }
     }
 }
 
-/// The memory for bodies of a host.
+/// The memory that callers make a host hold.
 #[derive(Debug)]
 pub struct HostMemory {
-    limits: MemoryLimits,
+    budget: MemoryBudget,
     held: [AtomicUsize; MemoryKind::ALL.len()],
     // Notified when memory was released.
     released: Notify,
@@ -48,9 +66,9 @@
 
 impl HostMemory {
     /// Creates an account of nothing held.
-    pub fn new(limits: MemoryLimits) -> Self {
+    pub fn new(budget: MemoryBudget) -> Self {
         Self {
-            limits,
+            budget,
             held: Default::default(),
             released: Notify::new(),
             overdraft: Arc::new(Semaphore::new(1)),
@@ -63,14 +81,30 @@
         self.held[kind as usize].load(Ordering::Relaxed)
     }
 
-    /// Returns all bytes that are held.
+    /// Returns the bytes that are held for bodies.
     pub fn total(&self) -> usize {
+        let bodies = MemoryKind::BODIES.iter();
+        bodies.map(|kind| self.held(*kind)).sum()
+    }
+
+    /// Returns all bytes that are held.
+    pub fn all(&self) -> usize {
         MemoryKind::ALL.iter().map(|kind| self.held(*kind)).sum()
     }
 
-    /// Returns the largest total that is held without waiting.
+    /// Returns the largest total of bodies that is held without waiting.
     pub const fn limit(&self) -> usize {
-        self.limits.total
+        self.budget.bodies.total
+    }
+
+    /// Returns the bounds.
+    pub(crate) const fn budget(&self) -> &MemoryBudget {
+        &self.budget
+    }
+
+    /// Returns whether no connection has to give way for further bytes.
+    pub(crate) fn is_calm(&self, bytes: usize) -> bool {
+        self.all().saturating_add(bytes) <= self.budget.pressure
     }
 
     /// Returns lines of the metrics page.
@@ -82,7 +116,8 @@
                 self.held(*kind)
             )
         };
-        MemoryKind::ALL.iter().map(line).collect()
+        let held: String = MemoryKind::ALL.iter().map(line).collect();
+        held + &format!("memory_limit_bytes {}\n", self.budget.all)
     }
 
     /// Counts bytes that are held.
@@ -146,6 +181,18 @@
         has_room
     }
 
+    /// Counts further bytes once there is room for them within the limit.
+    pub(crate) async fn add_within(&mut self, bytes: usize) {
+        let memory = self.memory.clone();
+        loop {
+            let released = memory.released.notified();
+            if self.try_add(bytes) {
+                return;
+            }
+            released.await;
+        }
+    }
+
     /// Counts further bytes once there is room for them.
     pub(crate) async fn add(&mut self, bytes: usize) {
         self.wait_for_room(bytes).await;
@@ -173,12 +220,25 @@
 
     /// Returns whether further bytes may be held. The body beyond the limit leaves the others theirs.
     fn has_room(&self, bytes: usize) -> bool {
-        let overdrawn = self.memory.overdrawn.load(Ordering::Relaxed);
-        let held = MemoryUse {
-            all: self.memory.total().saturating_sub(overdrawn),
+        if self.overdraft.is_some() {
+            return true;
+        }
+        let (memory, budget) = (&self.memory, &self.memory.budget);
+        let overdrawn = memory.overdrawn.load(Ordering::Relaxed);
+        let bodies = MemoryUse {
+            all: memory.total().saturating_sub(overdrawn),
             own: self.bytes,
         };
-        self.overdraft.is_some() || may_hold(held, bytes, &self.memory.limits)
+        let all = memory.all().saturating_add(bytes);
+        match self.kind {
+            MemoryKind::Connections | MemoryKind::Exchanges | MemoryKind::Servers => {
+                all <= budget.open
+            }
+            MemoryKind::Requests => all <= budget.open && may_hold(bodies, bytes, &budget.bodies),
+            MemoryKind::Responses | MemoryKind::Streams => {
+                all <= budget.all && may_hold(bodies, bytes, &budget.bodies)
+            }
+        }
     }
 }
 
--- a/gateway/src/transport/ready_listener.rs
+++ b/gateway/src/transport/ready_listener.rs
@@ -47,7 +47,8 @@
             false => host_response(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
         },
         METRICS_PATH => {
-            let page = context.metrics.render() + &context.memory.render();
+            let page =
+                context.metrics.render() + &context.memory.render() + &context.connections.render();
             Response::new(full_body(page.into()))
         }
         _ => host_response(StatusCode::NOT_FOUND, "no such page"),
--- a/gateway/src/transport/request_admission.rs
+++ b/gateway/src/transport/request_admission.rs
@@ -10,8 +10,11 @@
 
 use crate::protocol::has_ambiguous_length;
 use crate::state::{CallerHead, ConfigSnapshot, ServiceRoute, WorkspaceEntry};
+use crate::transport::connection_activity::{BodyPhase, ConnectionActivity};
+use crate::transport::exchange_slot::ExchangeSlot;
 use crate::transport::gateway_context::GatewayContext;
 use crate::transport::host_memory::{MemoryKind, MemoryShare};
+use crate::transport::open_connections::add_body_evicting;
 use crate::transport::response_body::{
     ResponseBody, host_response, not_run_response, stopping_response,
 };
@@ -22,6 +25,8 @@
 /// `Retry-After` when the memory for request bodies is used up.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(700);
 
+/// Bytes of a header besides its name and value.
+const FIELD_SEPARATOR_BYTES: usize = ": \r\n".len();
 /// Longest time for which the body of a refused request is read.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(3);
 /// Largest part of such a body that is read, in bytes.
@@ -169,6 +174,8 @@
 #[derive(Debug)]
 pub(crate) struct BufferedBody {
     _share: MemoryShare,
+    // Memory of the request besides its body.
+    _exchange: ExchangeSlot,
     /// Bytes of the body.
     pub(crate) bytes: Bytes,
 }
@@ -228,11 +235,14 @@
 /// memory that is left: by its stated length before it is read, or else as it arrives.
 pub(crate) async fn read_body(
     context: &Arc<GatewayContext>,
-    snapshot: &ConfigSnapshot,
+    admission: &Admission,
     parts: &Parts,
     body: &mut BoundedBody,
+    activity: &ConnectionActivity,
 ) -> Result<BufferedBody, BodyRefusal> {
-    let limit = snapshot.limits.body_bytes;
+    let limit = admission.snapshot.limits.body_bytes;
+    let exchange = ExchangeSlot::take(context, admission, head_bytes(parts)).await;
+    let exchange = exchange.ok_or(BodyRefusal::NoRoom)?;
     let content_length = parts
         .headers
         .get(header::CONTENT_LENGTH)
@@ -242,9 +252,10 @@
         return Err(BodyRefusal::TooLarge);
     }
     let mut share = MemoryShare::new(&context.memory, MemoryKind::Requests);
-    if !share.try_add(content_length.unwrap_or(0)) {
+    if !add_body_evicting(context, &mut share, content_length.unwrap_or(0)).await {
         return Err(BodyRefusal::NoRoom);
     }
+    activity.set_body_bytes(exchange.bytes() + share.bytes());
     let mut buffer = Vec::with_capacity(content_length.unwrap_or(0));
     while let Some(data) = body.data().await {
         let data = data.map_err(|_| BodyRefusal::Broken)?;
@@ -254,19 +265,30 @@
         }
         if length > buffer.capacity() {
             let capacity = (length + length / 2).min(limit);
-            if !share.try_add(capacity - buffer.capacity()) {
+            if !add_body_evicting(context, &mut share, capacity - buffer.capacity()).await {
                 return Err(BodyRefusal::NoRoom);
             }
+            activity.set_body_bytes(exchange.bytes() + share.bytes());
             buffer.reserve_exact(capacity - buffer.len());
         }
         buffer.extend_from_slice(&data);
     }
     Ok(BufferedBody {
         _share: share,
+        _exchange: exchange,
         bytes: buffer.into(),
     })
 }
 
+/// Returns the size of a request's head in bytes, if it has no spaces without need.
+pub(crate) fn head_bytes(parts: &Parts) -> usize {
+    let fields = parts.headers.iter();
+    let fields =
+        fields.map(|(name, value)| name.as_str().len() + value.len() + FIELD_SEPARATOR_BYTES);
+    let target = parts.uri.path_and_query();
+    target.map_or(0, |target| target.as_str().len()) + fields.sum::<usize>()
+}
+
 /// Has a refusal end its connection if the body was not read, and reads the rest of the body, unless its
 /// caller sends none before it is told to.
 pub(crate) fn close_after(
@@ -274,12 +296,13 @@
     mut refusal: Refusal,
     body: BoundedBody,
     awaits_continue: bool,
+    activity: &Arc<ConnectionActivity>,
 ) -> Refusal {
     if !body.is_end_stream() {
         let close = HeaderValue::from_static("close");
         refusal.headers_mut().insert(header::CONNECTION, close);
         if !awaits_continue {
-            discard_body(context, body);
+            discard_body(context, body, activity.clone());
         }
     }
     refusal
@@ -287,10 +310,15 @@
 
 /// Reads the rest of a refused request's body and drops it. Closing the connection with unread bytes
 /// would reset it, so that the caller might not see the response.
-fn discard_body(context: &GatewayContext, mut body: BoundedBody) {
-    if body.is_end_stream() {
+fn discard_body(
+    context: &GatewayContext,
+    mut body: BoundedBody,
+    activity: Arc<ConnectionActivity>,
+) {
+    if body.is_end_stream() || activity.evicted.is_cancelled() {
         return;
     }
+    activity.set_body_phase(BodyPhase::Discarding);
     context.metrics.increment("bodies_discarded_total");
     tokio::spawn(async move {
         let reading = async {
@@ -303,6 +331,7 @@
             }
         };
         // A body that is still arriving then is not worth its bandwidth.
-        let _ = tokio::time::timeout(DISCARD_TIMEOUT, reading).await;
+        let reading = tokio::time::timeout(DISCARD_TIMEOUT, reading);
+        let _ = activity.evicted.run_until_cancelled(reading).await;
     });
 }
--- a/gateway/src/transport/request_exchange/relay.rs
+++ b/gateway/src/transport/request_exchange/relay.rs
@@ -218,8 +218,7 @@
             None => {
                 let longest = context.settings.liveness.connect_timeout(remaining);
                 let timeout = context.settings.peers.connect_timeout.min(longest);
-                let receive_bytes = context.settings.server_receive_bytes;
-                let opened = BackendConnection::open(peer.address, receive_bytes, timeout).await;
+                let opened = BackendConnection::open_counted(context, peer.address, timeout).await;
                 let opened = opened.map_err(|error| match ProbeResult::of_error(&error) {
                     ProbeResult::NotTried => RelayFailure::NotTried,
                     _ => RelayFailure::Unreached,
