--- a/gateway/src/transport/gateway_settings.rs
+++ b/gateway/src/transport/gateway_settings.rs
@@ -45,6 +45,8 @@
     pub max_buffered_bytes: usize,
     /// Largest number of open connections from callers and other hosts.
     pub max_caller_connections: usize,
+    /// Largest number of open connections to servers and other hosts.
+    pub max_server_connections: usize,
     /// Order in which connections give way when there is no room for others.
     pub eviction: EvictionSettings,
     /// Receive buffer of a connection from a caller or another host, in bytes. Linux allocates twice as much.
@@ -134,6 +136,7 @@
             process_memory_bytes: 256_000_000,
             max_buffered_bytes: 64 * 1_024 * 1_024,
             max_caller_connections: 1_500,
+            max_server_connections: 1_500,
             eviction: EvictionSettings::default(),
             caller_receive_bytes: 8 * 1_024,
             caller_send_bytes: 32 * 1_024,
--- a/gateway/src/transport/open_connections.rs
+++ b/gateway/src/transport/open_connections.rs
@@ -180,9 +180,14 @@
     /// none.
     pub(crate) async fn take(context: &Arc<GatewayContext>) -> Option<Self> {
         let connections = &context.connections;
+        let is_full = || connections.servers() >= context.settings.max_server_connections;
+        if is_full() {
+            context.pool.clear_all();
+            tokio::task::yield_now().await;
+        }
         let bytes = connection_costs(context).server;
         let has_room = || context.memory.all() + bytes <= context.memory.budget().open;
-        if !release_memory(context, bytes, has_room).await {
+        if is_full() || !release_memory(context, bytes, has_room).await {
             return None;
         }
         let mut share = MemoryShare::new(&context.memory, MemoryKind::Servers);
