--- a/program/tests/common/front_process.rs
+++ b/program/tests/common/front_process.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, Stdio};
 
 use galenamast_platform_standin::StandInStore;
@@ -23,6 +23,7 @@
     child: Child,
     /// Address for callers.
     pub(crate) callers: SocketAddr,
+    readiness: SocketAddr,
     _directory: TempDir,
 }
 
@@ -31,9 +32,10 @@
     pub(crate) fn start(store: &StandInStore, limits: ProcessLimits) -> Self {
         let directory = tempfile::tempdir().expect("a temporary directory");
         let path = directory.path().join("node.json");
+        let readiness = free_address();
         let settings = json!({
             "node_name": "front-1", "ip_address": "127.0.0.1", "zone": "north",
-            "listen_addresses": {"front": "127.0.0.1:0", "ready": "127.0.0.1:0"},
+            "listen_addresses": {"front": "127.0.0.1:0", "ready": readiness.to_string()},
             "internal_ports": [0, 0],
             "limits": {"memory_mb": limits.memory_mb, "file_descriptors": limits.descriptors},
             "bounds": {},
@@ -57,10 +59,20 @@
         Self {
             child,
             callers,
+            readiness,
             _directory: directory,
         }
     }
 
+    /// Returns the address for readiness and metrics.
+    #[allow(
+        dead_code,
+        reason = "not all test programs that share this file use it"
+    )]
+    pub(crate) fn readiness(&self) -> SocketAddr {
+        self.readiness
+    }
+
     /// Returns the identifier of the process.
     pub(crate) fn id(&self) -> u32 {
         self.child.id()
@@ -84,6 +96,12 @@
     }
 }
 
+/// Returns an address of the loopback interface that was free a moment ago.
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    listener.local_addr().expect("the socket has an address")
+}
+
 /// Returns the address for callers from the log line of the start; `None` for other lines.
 fn callers_address(line: &str) -> Option<SocketAddr> {
     let record: Value = serde_json::from_str(line).ok()?;
--- a/program/tests/crowds/crowd_site.rs
+++ b/program/tests/crowds/crowd_site.rs
@@ -75,6 +75,15 @@
         assert_eq!(status, Some(StatusCode::OK), "{when}");
     }
 
+    /// Returns whether the host tells a balancer that it is ready.
+    pub(crate) async fn is_ready(&self) -> bool {
+        let caller = StandInCaller {
+            address: self.host.readiness(),
+        };
+        let probe = CallerRequest::new("probe", Method::GET, "/api/readiness");
+        caller.send(probe).await.status == Some(StatusCode::OK)
+    }
+
     /// Sends a request and returns its status.
     async fn send(&self, id: &str) -> Option<StatusCode> {
         let caller = StandInCaller {
--- a/program/tests/crowds/main.rs
+++ b/program/tests/crowds/main.rs
@@ -118,6 +118,28 @@
     );
 }
 
+// Connections to the readiness address were in no bound.
+#[test]
+fn connections_to_the_readiness_address_without_a_byte() {
+    let _turn = TURN
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner);
+    let limits = ProcessLimits {
+        memory_mb: MEMORY_MB,
+        descriptors: FEW_DESCRIPTORS,
+    };
+    let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
+    runtime.block_on(async {
+        let site = CrowdSite::start(limits).await;
+        let crowd = CrowdCallers::start(site.host.readiness(), CALLERS, &[CrowdShape::Silent]);
+        let used = crowd.watch(&site.host).await;
+        assert!(site.is_ready().await, "the balancer is answered");
+        site.ask("beside the crowd").await;
+        assert!(used.memory_bytes <= MEMORY_MB * 1_000_000, "{used:?}");
+        assert!(used.descriptors <= FEW_DESCRIPTORS, "{used:?}");
+    });
+}
+
 // With more callers than connections, ordinary callers got no answer.
 #[test]
 fn more_short_bodies_than_connections() {
