Let connections give way by the time without a byte, and replay a crowd beside sound uploads

Callers would have seen: beside a crowd that opens again and again, uploads that arrive steadily are cut, each one.

Cause: beyond half a second a connection gave way before all younger ones, however fast its request arrived. In a large crowd all others are younger, though they have stopped.

Change: requests that arrive are compared by the time without a byte, in steps of 50 ms, and by age among equals; beyond half a second a request gives way first only if it arrives at less than 32 KB a second.

--- a/gateway/src/coordination/callers/connection_progress.rs
+++ b/gateway/src/coordination/callers/connection_progress.rs
@@ -61,7 +61,9 @@
     pub stage: ConnectionStage,
     /// Time since it began to.
     pub age: Duration,
-    /// Bytes that arrived meanwhile, or that its caller took.
+    /// Time since it last brought a byte, or since the stage began.
+    pub stalled: Duration,
+    /// Bytes that arrived in the stage.
     pub bytes: u64,
     /// Memory that the host gets back.
     pub held: usize,
@@ -75,6 +77,11 @@
     /// Time for which a kept connection may wait, or a caller may read nothing or send on, before it gives
     /// way in front of requests that arrive.
     pub pause_grace: Duration,
+    /// Rate that a request has to keep once its time to arrive is over, in bytes a second, so as not to give
+    /// way in front of others.
+    pub min_rate: u64,
+    /// Steps in which the time without a byte is compared.
+    pub stall_step: Duration,
 }
 
 impl Default for EvictionSettings {
@@ -82,12 +89,37 @@
         Self {
             arrival_grace: Duration::from_millis(500),
             pause_grace: Duration::from_secs(2),
+            min_rate: 32 * 1_024,
+            stall_step: Duration::from_millis(50),
         }
     }
 }
 
-/// Order in which connections give way, the first one first.
-type EvictionRank = (u8, u64, Reverse<Duration>);
+/// Rank by which connections give way, the lowest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct EvictionRank {
+    class: EvictionClass,
+    // Bytes a second, among those that are too slow.
+    rate: u64,
+    // Steps without a byte, the most first.
+    stalled: Reverse<u128>,
+    // Whether a request arrives fast enough beyond its time to arrive.
+    is_steady: bool,
+    age: Reverse<Duration>,
+}
+
+/// Classes of connections, in the order in which they give way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum EvictionClass {
+    /// Had its time and brings too little.
+    Slow,
+    /// Waits for a further request.
+    Waiting,
+    /// Brings a request.
+    Arriving,
+    /// Paused a moment ago.
+    Paused,
+}
 
 impl ConnectionProgress {
     /// Returns the bytes a second that the connection has brought.
@@ -96,20 +128,32 @@
         self.bytes.saturating_mul(1_000_000) / micros
     }
 
-    /// Returns the rank of the connection. Requests within their time to arrive give way only after all
-    /// that had theirs, the oldest first, so that one which arrives whole is not cut by those behind it.
+    /// Returns the rank of the connection. Requests that arrive are compared by the time without a byte, and
+    /// by their age only among equals, so that one which arrives whole is not cut by those behind it.
     fn rank(&self, settings: &EvictionSettings) -> EvictionRank {
         let is_paused = self.age >= settings.pause_grace;
-        match self.stage {
-            ConnectionStage::Unread | ConnectionStage::Ahead if is_paused => {
-                (0, 0, Reverse(self.age))
-            }
-            ConnectionStage::Kept if is_paused => (1, 0, Reverse(self.age)),
+        let had_time = self.age >= settings.arrival_grace;
+        let is_slow = self.rate() < settings.min_rate;
+        let class = match self.stage {
+            ConnectionStage::Unread | ConnectionStage::Ahead if is_paused => EvictionClass::Slow,
+            ConnectionStage::Kept if is_paused => EvictionClass::Waiting,
             ConnectionStage::Unread | ConnectionStage::Ahead | ConnectionStage::Kept => {
-                (3, 0, Reverse(self.age))
+                EvictionClass::Paused
             }
-            _ if self.age >= settings.arrival_grace => (0, self.rate(), Reverse(self.age)),
-            _ => (2, 0, Reverse(self.age)),
+            _ if had_time && is_slow => EvictionClass::Slow,
+            _ => EvictionClass::Arriving,
+        };
+        let step = settings.stall_step.as_micros().max(1);
+        EvictionRank {
+            class,
+            rate: if class == EvictionClass::Slow {
+                self.rate()
+            } else {
+                0
+            },
+            stalled: Reverse(self.stalled.as_micros() / step),
+            is_steady: had_time && !is_slow,
+            age: Reverse(self.age),
         }
     }
 }
@@ -127,6 +171,7 @@
 ///     id: 1,
 ///     stage: ConnectionStage::Body,
 ///     age: Duration::from_secs(2),
+///     stalled: Duration::ZERO,
 ///     bytes: 1_000_000,
 ///     held: 4_000_000,
 /// };
--- a/gateway/src/transport/connection_activity.rs
+++ b/gateway/src/transport/connection_activity.rs
@@ -50,6 +50,8 @@
     // microseconds; and the bytes that arrived since.
     since: AtomicU64,
     bytes: AtomicU64,
+    // When bytes last arrived, in microseconds.
+    read_at: AtomicU64,
     // Memory of the connection and of the body that arrives on it, in bytes.
     connection_bytes: AtomicUsize,
     body_bytes: AtomicUsize,
@@ -86,6 +88,7 @@
         if is_in_progress {
             self.note_ahead(now);
         }
+        self.read_at.store(now.as_micros(), Ordering::SeqCst);
         self.reads.fetch_add(1, Ordering::SeqCst);
         let length = length as u64;
         self.bytes.fetch_add(length, Ordering::SeqCst) + length
@@ -235,10 +238,13 @@
     pub(crate) fn progress(&self, id: u64, now: TimePoint) -> Option<ConnectionProgress> {
         let stage = self.connection_stage()?;
         let since = self.since.load(Ordering::SeqCst);
+        let read_at = self.read_at.load(Ordering::SeqCst).max(since);
+        let until_now = |at| Duration::from_micros(now.as_micros().saturating_sub(at));
         Some(ConnectionProgress {
             id,
             stage,
-            age: Duration::from_micros(now.as_micros().saturating_sub(since)),
+            age: until_now(since),
+            stalled: until_now(read_at),
             bytes: self.bytes.load(Ordering::SeqCst),
             held: load(&self.connection_bytes) + load(&self.body_bytes),
         })
--- a/gateway/tests/decisions/main.rs
+++ b/gateway/tests/decisions/main.rs
@@ -7,6 +7,7 @@
 mod cold_servers;
 mod crashes;
 mod crashing_parts;
+mod crowds;
 mod evacuations;
 mod events;
 mod exchange_steps;
