--- a/gateway/tests/decisions/crowds.rs
+++ b/gateway/tests/decisions/crowds.rs
@@ -44,13 +44,12 @@
 }
 
 /// Returns those that keep less than a rate, a hundred kilobytes a second, and else the newest.
-fn by_least_rate(connections: Vec<ConnectionProgress>, count: usize) -> Vec<u64> {
+fn by_least_rate(mut connections: Vec<ConnectionProgress>, count: usize) -> Vec<u64> {
     let rate = |connection: &ConnectionProgress| {
         connection.bytes as f64 / connection.age.as_secs_f64().max(0.001)
     };
-    let mut slow: Vec<_> = connections.clone();
-    slow.sort_by_key(|connection| (rate(connection) >= 100_000.0, connection.age));
-    let picked = slow.iter().take(count);
+    connections.sort_by_key(|connection| (rate(connection) >= 100_000.0, connection.age));
+    let picked = connections.iter().take(count);
     picked.map(|connection| connection.id).collect()
 }
 
--- a/program/tests/crowds/crowd_shape.rs
+++ b/program/tests/crowds/crowd_shape.rs
@@ -85,7 +85,7 @@
 }
 
 /// Returns the head of a request up to its last headers.
-fn head(method: &str, path: &str, request: &str, key: &str) -> String {
+pub(crate) fn head(method: &str, path: &str, request: &str, key: &str) -> String {
     format!(
         "{method} {path} HTTP/1.1\r\nhost: desk.example\r\nx-attempt-id: {request}\r\n\
          authorization: Bearer {key}\r\nx-deadline-milliseconds: 20000\r\n"
