Let a body hold what has arrived, and the readiness address share the budget

Callers saw, in the soak's crowd: ordinary requests refused for want of room beside few callers that state a length of 4 MB and send a part. A balancer's probe went unanswered in a test beside other load.

Cause: a stated length reserved its memory before it arrived. At the readiness address the oldest of 32 connections was closed for each new one, so that 2,000 new ones a second left a probe 16 ms. A connection that had to give way was looked at each 100 ms, and counted as gone meanwhile.

Change: a body with a stated length begins with 64 KB at most and grows as it arrives. Connections to the readiness address count and give way like those of callers. A request waits up to 100 ms for what gives way, and that is looked at each 10 ms.

--- a/gateway/src/transport/caller_listener.rs
+++ b/gateway/src/transport/caller_listener.rs
@@ -31,7 +31,7 @@
 use crate::transport::caller_socket::{CallerSocket, LimitSource};
 use crate::transport::connection_activity::{BodyPhase, ConnectionActivity};
 use crate::transport::gateway_context::GatewayContext;
-use crate::transport::open_connections::CallerSlot;
+use crate::transport::open_connections::{CallerSlot, ConnectionPurpose};
 use crate::transport::record_log::log_record;
 use crate::transport::request_admission::{
     Admission, BodyRefusal, Refusal, admit_earlier, admit_head, admit_known, close_after,
@@ -102,7 +102,8 @@
                 self.context.metrics.increment("relays_of_strangers_total");
                 continue;
             }
-            let Some(slot) = CallerSlot::take(&self.context).await else {
+            let Some(slot) = CallerSlot::take(&self.context, ConnectionPurpose::Requests).await
+            else {
                 self.context
                     .metrics
                     .increment("connections_over_limit_total");
--- a/gateway/src/transport/connection_activity.rs
+++ b/gateway/src/transport/connection_activity.rs
@@ -14,7 +14,7 @@
 const MAX_UNKNOWN_BYTES: u64 = 1_024;
 
 /// Interval at which a connection that is to give way is looked at.
-const CUT_INTERVAL: Duration = Duration::from_millis(100);
+const CUT_INTERVAL: Duration = Duration::from_millis(10);
 
 /// The body that arrives on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/gateway/src/transport/host_memory.rs
+++ b/gateway/src/transport/host_memory.rs
@@ -120,6 +120,17 @@
         held + &format!("memory_limit_bytes {}\n", self.budget.all)
     }
 
+    /// Waits until there is room.
+    pub(crate) async fn wait_until(&self, has_room: impl Fn() -> bool) {
+        loop {
+            let released = self.released.notified();
+            if has_room() {
+                return;
+            }
+            released.await;
+        }
+    }
+
     /// Counts bytes that are held.
     fn add(&self, kind: MemoryKind, bytes: usize) {
         self.held[kind as usize].fetch_add(bytes, Ordering::Relaxed);
--- a/gateway/src/transport/open_connections.rs
+++ b/gateway/src/transport/open_connections.rs
@@ -19,10 +19,10 @@
 /// Divisor of a bound that gives what is freed at once, so that connections are not ranked for each one that
 /// arrives.
 const BATCH_DIVISOR: usize = 32;
-/// Number of turns in which connections that give way are waited for.
+/// Number of turns for which a connection waits for others that give way.
 const RELEASE_TURNS: usize = 4;
-/// Longest time for which a body waits for others that give way.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Longest time for which a request waits for connections that give way.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time for which no connection is looked for after none could give way.
 const FRUITLESS_PAUSE: Duration = Duration::from_millis(10);
 /// Shortest time between two log lines on connections that gave way.
@@ -48,9 +48,19 @@
 pub struct OpenConnections {
     table: Mutex<ConnectionTable>,
     callers: AtomicUsize,
+    probes: AtomicUsize,
     servers: AtomicUsize,
 }
 
+/// Who opened a connection that is accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectionPurpose {
+    /// Requests of a caller, or of another host for its callers.
+    Requests,
+    /// Readiness and metrics.
+    Probes,
+}
+
 /// What is needed for a further connection or request.
 #[derive(Clone, Copy, Debug, Default)]
 struct NeededRoom {
@@ -68,6 +78,19 @@
         self.callers.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of connections that are accepted, for whatever purpose.
+    fn accepted(&self) -> usize {
+        self.callers() + self.probes.load(Ordering::Relaxed)
+    }
+
+    /// Returns the counter of a purpose.
+    const fn counter(&self, purpose: ConnectionPurpose) -> &AtomicUsize {
+        match purpose {
+            ConnectionPurpose::Requests => &self.callers,
+            ConnectionPurpose::Probes => &self.probes,
+        }
+    }
+
     /// Returns the number of connections to servers and other hosts.
     pub fn servers(&self) -> usize {
         self.servers.load(Ordering::Relaxed)
@@ -93,6 +116,7 @@
 pub(crate) struct CallerSlot {
     context: Arc<GatewayContext>,
     id: u64,
+    purpose: ConnectionPurpose,
     share: MemoryShare,
     /// What is in progress on it.
     pub(crate) activity: Arc<ConnectionActivity>,
@@ -100,7 +124,10 @@
 
 impl CallerSlot {
     /// Takes room for a connection, for which others give way; `None` if there is none.
-    pub(crate) async fn take(context: &Arc<GatewayContext>) -> Option<Self> {
+    pub(crate) async fn take(
+        context: &Arc<GatewayContext>,
+        purpose: ConnectionPurpose,
+    ) -> Option<Self> {
         let bytes = connection_costs(context).caller;
         let needed = NeededRoom {
             callers: 1,
@@ -110,7 +137,7 @@
         let mut share = MemoryShare::new(&context.memory, MemoryKind::Connections);
         for turn in 0..=RELEASE_TURNS {
             let connections = &context.connections;
-            let has_slot = connections.callers() < context.settings.max_caller_connections;
+            let has_slot = connections.accepted() < context.settings.max_caller_connections;
             let is_calm = turn > 0 || context.memory.is_calm(bytes);
             if has_slot && is_calm && share.try_add(bytes) {
                 break;
@@ -130,10 +157,12 @@
         table.next_id += 1;
         table.callers.insert(id, activity.clone());
         drop(table);
-        context.connections.callers.fetch_add(1, Ordering::Relaxed);
+        let counter = context.connections.counter(purpose);
+        counter.fetch_add(1, Ordering::Relaxed);
         Some(Self {
             context: context.clone(),
             id,
+            purpose,
             share,
             activity,
         })
@@ -161,10 +190,8 @@
 impl Drop for CallerSlot {
     fn drop(&mut self) {
         self.context.connections.lock().callers.remove(&self.id);
-        self.context
-            .connections
-            .callers
-            .fetch_sub(1, Ordering::Relaxed);
+        let counter = self.context.connections.counter(self.purpose);
+        counter.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -223,13 +250,8 @@
         ..NeededRoom::default()
     };
     evict(context, needed);
-    for _ in 0..RELEASE_TURNS {
-        if has_room() {
-            return true;
-        }
-        tokio::task::yield_now().await;
-    }
-    has_room()
+    let waiting = context.memory.wait_until(has_room);
+    tokio::time::timeout(RELEASE_TIMEOUT, waiting).await.is_ok()
 }
 
 /// Counts further bytes of a request's body, for which other bodies give way; returns whether there is room.
@@ -297,7 +319,7 @@
     );
     let max_callers = settings.max_caller_connections;
     let count = excess(
-        (connections.callers() + needed.callers).saturating_sub(leaving.len()),
+        (connections.accepted() + needed.callers).saturating_sub(leaving.len()),
         max_callers,
         max_callers / BATCH_DIVISOR,
     );
--- a/gateway/src/transport/ready_listener.rs
+++ b/gateway/src/transport/ready_listener.rs
@@ -1,6 +1,5 @@
 //! Serves readiness to the load balancer, and the metrics page.
 
-use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,13 +10,11 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
-use tokio_util::task::AbortOnDropHandle;
 
 use crate::transport::gateway_context::GatewayContext;
+use crate::transport::open_connections::{CallerSlot, ConnectionPurpose};
 use crate::transport::response_body::{ResponseBody, full_body, host_response};
 
-/// Largest number of open connections.
-const MAX_CONNECTIONS: usize = 32;
 /// Longest time that reading a request head may take.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Size of a connection's buffer in bytes, the smallest that hyper accepts.
@@ -29,19 +26,16 @@
 
 /// Serves readiness and metrics until the task is dropped.
 pub(crate) async fn serve_readiness(context: Arc<GatewayContext>, listener: TcpListener) {
-    let mut open: VecDeque<AbortOnDropHandle<()>> = VecDeque::new();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        open.retain(|connection| !connection.is_finished());
-        // The balancer sends its request at once, so the connection that is open for longest gives way.
-        if open.len() >= MAX_CONNECTIONS {
-            open.pop_front();
-        }
+        let Some(slot) = CallerSlot::take(&context, ConnectionPurpose::Probes).await else {
+            continue;
+        };
         let context = context.clone();
-        let serving = tokio::spawn(async move {
+        tokio::spawn(async move {
             let service = service_fn(|request| {
                 let response = handle_request(&context, &request);
                 async move { Ok::<_, Infallible>(response) }
@@ -51,12 +45,12 @@
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEADER_TIMEOUT)
                 .max_buf_size(MAX_BUFFER_BYTES);
-            // An I/O error concerns this connection only; the balancer connects again.
-            let _ = builder
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
+            tokio::select! {
+                // An I/O error concerns this connection only; the balancer connects again.
+                _ = builder.serve_connection(TokioIo::new(stream), service) => {}
+                () = slot.activity.evicted.cancelled() => {}
+            }
         });
-        open.push_back(AbortOnDropHandle::new(serving));
     }
 }
 
--- a/gateway/src/transport/request_admission.rs
+++ b/gateway/src/transport/request_admission.rs
@@ -25,6 +25,8 @@
 /// `Retry-After` when the memory for request bodies is used up.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(700);
 
+/// Part of a body with a stated length that is allocated before it arrives, in bytes.
+const FIRST_BODY_BYTES: usize = 64 * 1_024;
 /// Bytes of a header besides its name and value.
 const FIELD_SEPARATOR_BYTES: usize = ": \r\n".len();
 /// Longest time for which the body of a refused request is read.
@@ -252,11 +254,17 @@
         return Err(BodyRefusal::TooLarge);
     }
     let mut share = MemoryShare::new(&context.memory, MemoryKind::Requests);
-    if !add_body_evicting(context, &mut share, content_length.unwrap_or(0)).await {
+    if content_length.is_some_and(|length| length > context.memory.limit()) {
+        return Err(BodyRefusal::NoRoom);
+    }
+    // A body holds what has arrived: a stated length alone takes no room from others.
+    let largest = content_length.unwrap_or(limit);
+    let first = content_length.map_or(0, |length| length.min(FIRST_BODY_BYTES));
+    if !add_body_evicting(context, &mut share, first).await {
         return Err(BodyRefusal::NoRoom);
     }
     activity.set_body_bytes(exchange.bytes() + share.bytes());
-    let mut buffer = Vec::with_capacity(content_length.unwrap_or(0));
+    let mut buffer = Vec::with_capacity(first);
     while let Some(data) = body.data().await {
         let data = data.map_err(|_| BodyRefusal::Broken)?;
         let length = buffer.len() + data.len();
@@ -264,7 +272,7 @@
             return Err(BodyRefusal::TooLarge);
         }
         if length > buffer.capacity() {
-            let capacity = (length + length / 2).min(limit);
+            let capacity = (length + length / 2).min(largest).max(length);
             if !add_body_evicting(context, &mut share, capacity - buffer.capacity()).await {
                 return Err(BodyRefusal::NoRoom);
             }
