Play a crowd of callers outside the limits in the soak

Why: callers inside the limits are to suffer nothing untrue beside a crowd, stops, signals and configurations.

Change: the profile `crowd` gives hosts 56 MB and 700 descriptors and opens 300 connections for each host again and again, with nothing, a part of a head, a body by length, in one chunk or in chunks of four bytes' framing, or a claim of 4 MB.

--- a/soak/src/fault_profile.rs
+++ b/soak/src/fault_profile.rs
@@ -2,6 +2,7 @@
 
 use crate::endless_pacing::draw_endless_pace;
 use crate::failure_pacing::draw_failing_pace;
+use crate::host_process::HostLimits;
 use crate::run_pacing::{draw_pace, draw_silent_pace};
 use crate::server_pool::RunPacing;
 
@@ -32,15 +33,18 @@
     Failures,
     /// Servers often answer without end, while configurations change and hosts are stopped.
     Endless,
-    /// All of these but roll-outs, relays, links, failures and endless answers, with few silences.
+    /// Callers outside the limits press on hosts with little memory, while configurations change and hosts are
+    /// stopped.
+    Crowd,
+    /// All of these but roll-outs, relays, links, failures, endless answers and crowds, with few silences.
     Mixed,
 }
 
 impl FaultProfile {
     /// Names of the profiles, as on the command line.
-    pub(crate) const NAMES: [&str; 13] = [
+    pub(crate) const NAMES: [&str; 14] = [
         "quiet", "stops", "changes", "servers", "signals", "store", "silences", "rollouts",
-        "relays", "links", "failures", "endless", "mixed",
+        "relays", "links", "failures", "endless", "crowd", "mixed",
     ];
 
     /// Returns the profile with a name; `Mixed` for unknown names.
@@ -58,6 +62,7 @@
             "links" => Self::Links,
             "failures" => Self::Failures,
             "endless" => Self::Endless,
+            "crowd" => Self::Crowd,
             _ => Self::Mixed,
         }
     }
@@ -73,6 +78,7 @@
                 | Self::Relays
                 | Self::Failures
                 | Self::Endless
+                | Self::Crowd
                 | Self::Mixed
         )
     }
@@ -87,6 +93,7 @@
                 | Self::Links
                 | Self::Failures
                 | Self::Endless
+                | Self::Crowd
                 | Self::Mixed
         )
     }
@@ -121,6 +128,20 @@
         }
     }
 
+    /// Returns whether callers outside the limits press on the hosts.
+    pub(crate) fn has_crowd(self) -> bool {
+        self == Self::Crowd
+    }
+
+    /// Returns the resources of a host.
+    pub(crate) fn host_limits(self) -> HostLimits {
+        if self.has_crowd() {
+            HostLimits::SCARCE
+        } else {
+            HostLimits::USUAL
+        }
+    }
+
     /// Returns whether the store fails.
     pub(crate) fn fails_store(self) -> bool {
         self == Self::Store
--- a/soak/src/host_process.rs
+++ b/soak/src/host_process.rs
@@ -19,11 +19,31 @@
 const PORTS: std::ops::Range<u16> = 15_000..32_000;
 /// Number of ports that one run draws from.
 const SLICE_PORTS: u16 = 1_000;
-/// Memory that a host may use, in MB.
-pub(crate) const MEMORY_MB: usize = 260;
 /// Time that the balancer allows a readiness check.
 const READY_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Resources that a host may use.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HostLimits {
+    /// Memory in MB.
+    pub(crate) memory_mb: usize,
+    /// Number of descriptors.
+    pub(crate) descriptors: usize,
+}
+
+impl HostLimits {
+    /// Those of a usual deployment.
+    pub(crate) const USUAL: Self = Self {
+        memory_mb: 260,
+        descriptors: 4_100,
+    };
+    /// So few that a small crowd exceeds them.
+    pub(crate) const SCARCE: Self = Self {
+        memory_mb: 56,
+        descriptors: 700,
+    };
+}
+
 /// An entry host that is started, signalled and restarted on the same ports.
 #[derive(Debug)]
 pub(crate) struct HostProcess {
@@ -42,6 +62,8 @@
     child: Mutex<Option<Child>>,
     // Most memory that a process of the host has used, in bytes.
     peak_memory: AtomicUsize,
+    /// Resources of the host.
+    pub(crate) limits: HostLimits,
 }
 
 impl HostProcess {
@@ -52,6 +74,7 @@
         name: &str,
         zone: &str,
         store: SocketAddr,
+        limits: HostLimits,
         ports: &mut BTreeSet<u16>,
     ) -> Result<Self, Error> {
         let [front, ready, peer] = [(); 3].map(|()| free_address(ports));
@@ -68,8 +91,8 @@
             "listen_addresses": {"front": front.to_string(), "ready": ready.to_string()},
             "internal_ports": [peer.port(), peer.port()], "seeds": [], "bootstrap": true,
             "in_tolerance": false,
-            "limits": {"processor_share": 0.25, "cores": 1, "memory_mb": MEMORY_MB,
-                       "file_descriptors": 4100, "link_mbps": 1000.0, "disk_mb": 0},
+            "limits": {"processor_share": 0.25, "cores": 1, "memory_mb": limits.memory_mb,
+                       "file_descriptors": limits.descriptors, "link_mbps": 1000.0, "disk_mb": 0},
             "data_directory": null, "discovery": "platform", "entry": "virtual_ip",
             "heartbeat_ms": 1200,
             "bounds": bounds,
@@ -89,6 +112,7 @@
             log: folder.join(format!("{name}.log")),
             child: Mutex::new(None),
             peak_memory: AtomicUsize::new(0),
+            limits,
         })
     }
 
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -6,6 +6,7 @@
 mod caller_connection;
 mod caller_traffic;
 mod config_plan;
+mod crowd_callers;
 mod endless_pacing;
 mod failure_pacing;
 mod fault_driver;
--- a/soak/src/run_rules.rs
+++ b/soak/src/run_rules.rs
@@ -6,7 +6,6 @@
 use crate::config_plan::ConfigPlan;
 use crate::fault_driver::DRAIN;
 use crate::fault_event::FaultKind;
-use crate::host_process::MEMORY_MB;
 use crate::request_class::RequestKind;
 use crate::request_trace::RequestTrace;
 use crate::rule_break::RuleBreak;
@@ -58,7 +57,7 @@
 /// A host uses more memory than it has.
 fn check_memory(record: &SoakRecord) -> impl Iterator<Item = RuleBreak> {
     let peaks = record.peak_memory.iter().enumerate();
-    let over = peaks.filter(|(_, peak)| **peak > MEMORY_MB * 1_000_000);
+    let over = peaks.filter(|(_, peak)| **peak > record.memory_limit);
     over.map(|(host, peak)| RuleBreak {
         rule: "MEMORY",
         text: format!("host {host} used {} MB", peak / 1_000_000),
--- a/soak/src/soak_record.rs
+++ b/soak/src/soak_record.rs
@@ -31,6 +31,8 @@
     host_names: Vec<String>,
     /// Most memory that each host has used, in bytes.
     pub(crate) peak_memory: Vec<usize>,
+    /// Memory that a host may use, in bytes.
+    pub(crate) memory_limit: usize,
 }
 
 impl SoakRecord {
@@ -44,6 +46,12 @@
             plans: state.plans(),
             visits: state.servers.visits(),
             host_names: state.hosts.iter().map(|host| host.name.clone()).collect(),
+            memory_limit: state
+                .hosts
+                .iter()
+                .map(|host| host.limits.memory_mb * 1_000_000)
+                .min()
+                .unwrap_or(usize::MAX),
             peak_memory: state.hosts.iter().map(|host| host.peak_memory()).collect(),
         }
     }
--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -11,6 +11,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::caller_traffic::CallerTraffic;
+use crate::crowd_callers::start_crowd;
 use crate::fault_driver::FaultDriver;
 use crate::fault_profile::FaultProfile;
 use crate::host_links::HostLinks;
@@ -61,6 +62,10 @@
     let traffic = Arc::new(CallerTraffic::new(state.clone()));
     let sending = tokio::spawn(traffic.clone().send_requests(options.seed, zones));
     let probing = tokio::spawn(traffic.clone().probe_hosts());
+    let fronts: Vec<_> = state.hosts.iter().map(|host| host.front).collect();
+    let crowd = profile
+        .has_crowd()
+        .then(|| start_crowd(&fronts, options.seed));
     let driver = FaultDriver::new(state.clone(), profile);
     let faults = async {
         sleep(WARM_UP).await;
@@ -77,6 +82,7 @@
         () = interrupt.cancelled() => println!("interrupted"),
     }
     sending.abort();
+    drop(crowd);
     probing.abort();
     traffic.tasks.close();
     // Requests that are still open are those of slow servers; hosts that were stopped go on to stop.
@@ -119,7 +125,15 @@
         } else {
             known_store.address()
         };
-        let mut host = HostProcess::new(program, &logs, &name, zone, store_address, &mut ports)?;
+        let mut host = HostProcess::new(
+            program,
+            &logs,
+            &name,
+            zone,
+            store_address,
+            profile.host_limits(),
+            &mut ports,
+        )?;
         if profile.fails_links() {
             let front = std::mem::replace(&mut host.front, free_address(&mut ports));
             links.push(HostLinks::open(
--- a/soak/tests/short_run.rs
+++ b/soak/tests/short_run.rs
@@ -88,6 +88,12 @@
     play("links", "7", "15");
 }
 
+// Guards against hosts that end, or treat other callers untruly, beside callers outside the limits.
+#[test]
+fn callers_outside_the_limits_break_no_rule() {
+    play("crowd", "7", "15");
+}
+
 // Guards against hosts that run out of memory or time because servers answer without end.
 #[test]
 fn servers_that_answer_without_end_break_no_rule() {
