Hold request bodies in blocks of one size

Cause: a body's buffer that grew was copied, so that the old and the new one were held at the same time and only the new one was counted; buffers of all sizes left gaps in the heap.

Change: bodies are held in blocks, as responses are, and joined once they are whole, for which they are counted twice.

--- a/gateway/src/transport/request_admission.rs
+++ b/gateway/src/transport/request_admission.rs
@@ -27,6 +27,9 @@
 
 /// Part of a body with a stated length that is allocated before it arrives, in bytes.
 const FIRST_BODY_BYTES: usize = 64 * 1_024;
+/// First block of a body without a stated length, and size of the further blocks of all, in bytes.
+const FIRST_BLOCK_BYTES: usize = 4 * 1_024;
+const BODY_BLOCK_BYTES: usize = 32 * 1_024;
 /// Bytes of a header besides its name and value.
 const FIELD_SEPARATOR_BYTES: usize = ": \r\n".len();
 /// Longest time for which the body of a refused request is read.
@@ -257,37 +260,66 @@
     if content_length.is_some_and(|length| length > context.memory.limit()) {
         return Err(BodyRefusal::NoRoom);
     }
-    // A body holds what has arrived: a stated length alone takes no room from others.
-    let largest = content_length.unwrap_or(limit);
-    let first = content_length.map_or(0, |length| length.min(FIRST_BODY_BYTES));
-    if !add_body_evicting(context, &mut share, first).await {
-        return Err(BodyRefusal::NoRoom);
-    }
-    activity.set_body_bytes(exchange.bytes() + share.bytes());
-    let mut buffer = Vec::with_capacity(first);
+    // A body holds what has arrived: a stated length alone takes no room from others. Blocks of one size leave
+    // no gaps in the heap.
+    let mut blocks: Vec<Vec<u8>> = Vec::new();
+    let mut length = 0;
     while let Some(data) = body.data().await {
         let data = data.map_err(|_| BodyRefusal::Broken)?;
-        let length = buffer.len() + data.len();
+        length += data.len();
         if length > limit {
             return Err(BodyRefusal::TooLarge);
         }
-        if length > buffer.capacity() {
-            let capacity = (length + length / 2).min(largest).max(length);
-            if !add_body_evicting(context, &mut share, capacity - buffer.capacity()).await {
-                return Err(BodyRefusal::NoRoom);
+        let mut data = &data[..];
+        while !data.is_empty() {
+            let room = blocks
+                .last()
+                .map_or(0, |block| block.capacity() - block.len());
+            if room == 0 {
+                let size = block_size(blocks.is_empty(), content_length);
+                if !add_body_evicting(context, &mut share, size).await {
+                    return Err(BodyRefusal::NoRoom);
+                }
+                activity.set_body_bytes(exchange.bytes() + share.bytes());
+                blocks.push(Vec::with_capacity(size));
+                continue;
+            }
+            let (part, rest) = data.split_at(room.min(data.len()));
+            if let Some(block) = blocks.last_mut() {
+                block.extend_from_slice(part);
             }
-            activity.set_body_bytes(exchange.bytes() + share.bytes());
-            buffer.reserve_exact(capacity - buffer.len());
+            data = rest;
         }
-        buffer.extend_from_slice(&data);
     }
+    let bytes = match blocks.len() {
+        0 | 1 => blocks.pop().unwrap_or_default(),
+        _ => {
+            // The body is held twice while it is joined.
+            if !add_body_evicting(context, &mut share, length).await {
+                return Err(BodyRefusal::NoRoom);
+            }
+            let bytes = blocks.concat();
+            drop(blocks);
+            bytes
+        }
+    };
+    share.set(bytes.capacity());
     Ok(BufferedBody {
         _share: share,
         _exchange: exchange,
-        bytes: buffer.into(),
+        bytes: bytes.into(),
     })
 }
 
+/// Returns the size of a block of a body, given its length if it is stated.
+fn block_size(is_first: bool, content_length: Option<usize>) -> usize {
+    match content_length {
+        Some(length) if is_first => length.clamp(1, FIRST_BODY_BYTES),
+        None if is_first => FIRST_BLOCK_BYTES,
+        _ => BODY_BLOCK_BYTES,
+    }
+}
+
 /// Returns the size of a request's head in bytes, if it has no spaces without need.
 pub(crate) fn head_bytes(parts: &Parts) -> usize {
     let fields = parts.headers.iter();
